--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Two commands set everything up on a fresh machine: make demo, make test.
+
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+LIBS := $(sort $(wildcard libs/*))
+STAMP := $(VENV)/.stamp
+PROJECTS := $(wildcard libs/*/pyproject.toml)
+
+.PHONY: setup demo test lint format clean
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt requirements-dev.txt $(PROJECTS)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt setuptools -r requirements-dev.txt
+	$(BIN)/pip install -q -c constraints.txt --no-build-isolation \
+		$(foreach lib,$(LIBS),-e $(lib))
+	touch $@
+
+demo: setup
+	$(BIN)/python -m geraniumweir.fakes.demo
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 libs tools
+	$(BIN)/lint-imports
+
+format: setup
+	$(BIN)/ruff format .
+
+test: lint
+	$(BIN)/python -m pytest
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
