--- a/libs/backends/geraniumweir/backends/__init__.py
+++ b/libs/backends/geraniumweir/backends/__init__.py
@@ -1,1 +1,6 @@
-"""Placeholder."""
+"""HTTP to backend servers.
+
+See Also
+========
+geraniumweir.backends.calls
+"""
--- /dev/null
+++ b/libs/configuration/geraniumweir/configuration/errors.py
@@ -0,0 +1,46 @@
+"""Errors of the configuration library."""
+
+import dataclasses
+import typing
+
+from geraniumweir.common import errors
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing wrong with a document.
+
+    :ivar place: such as ``rule 'quick lookups', then.tier``.
+    :ivar reason: what is wrong and what is accepted.
+    :ivar line: the line in the file, from 1, or None where unknown.
+    """
+
+    place: str
+    reason: str
+    line: int | None = None
+
+    def __str__(self) -> str:
+        """Write place and reason on one line."""
+        if self.line is None:
+            return f'{self.place}: {self.reason}'
+        return f'line {self.line}: {self.place}: {self.reason}'
+
+
+class DocumentError(errors.GeraniumweirError):
+    """A document that can't be accepted."""
+
+    code = 'GW-1201'
+
+    def __init__(self, faults: typing.Sequence[Fault]) -> None:
+        """Keep all faults, so that an operator mends them in one go.
+
+        :param faults: at least one.
+        """
+        super().__init__('; '.join(str(fault) for fault in faults))
+        self.faults = tuple(faults)
+
+
+class ConflictError(errors.GeraniumweirError):
+    """Another change was accepted first."""
+
+    code = 'GW-1202'
--- a/libs/ctl/geraniumweir/ctl/__init__.py
+++ b/libs/ctl/geraniumweir/ctl/__init__.py
@@ -1,1 +1,6 @@
-"""Placeholder."""
+"""The operators' tool, geraniumctl.
+
+See Also
+========
+geraniumweir.ctl.main
+"""
--- /dev/null
+++ b/libs/ctl/geraniumweir/ctl/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the tool as ``python -m geraniumweir.ctl``."""
+
+from geraniumweir.ctl import main
+
+if __name__ == '__main__':
+    main.main()
--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/announcements.py
@@ -0,0 +1,78 @@
+"""The backend servers' HTTP face: announcements and reports."""
+
+import http
+import json
+import typing
+
+from aiohttp import web
+from geraniumweir.common import ids
+from geraniumweir.daemon import host as entry_host
+from geraniumweir.membership import servers
+
+_NEXT_MS = 1000
+
+
+def make_app(host: entry_host.EntryHost) -> web.Application:
+    """Build the backend servers' application.
+
+    :param host: the entry host it serves.
+    """
+    front = _Front(host)
+    app = web.Application()
+    app.router.add_post('/v1/announce', front.announce)
+    return app
+
+
+def read_announcement(payload: dict[str, typing.Any]) -> servers.Announcement:
+    """Turn the JSON of an announcement into its typed value.
+
+    :raises ValueError: when a field is missing or wrong.
+    """
+    try:
+        return servers.Announcement(
+            server_id=ids.ServerId(payload['server_id']),
+            incarnation=ids.Incarnation(int(payload['incarnation'])),
+            address=ids.parse_address(payload['address']),
+            kind=payload['kind'],
+            pool=ids.PoolName(payload['pool']),
+            failure_domain=ids.FailureDomain(payload['failure_domain']),
+            models=tuple(payload.get('models', ())),
+            adapters=tuple(payload.get('adapters', ())),
+            hardware=payload.get('hardware', ''),
+            slots=int(payload.get('slots', 1)),
+            kv_tokens=int(payload.get('kv_tokens', 0)),
+            max_context=int(payload.get('max_context', 0)),
+            fences=bool(payload.get('fences', False)),
+            can_cancel=bool(payload.get('can_cancel', False)),
+            can_resume=bool(payload.get('can_resume', False)),
+            state=servers.ServerState(payload.get('state', 'ready')),
+        )
+    except KeyError as exc:
+        raise ValueError(f'the field {exc.args[0]!r} is missing') from exc
+    except TypeError as exc:
+        raise ValueError(f'a field has the wrong type: {exc}') from exc
+
+
+class _Front:
+    """Handlers of one entry host."""
+
+    def __init__(self, host: entry_host.EntryHost) -> None:
+        self._host = host
+
+    async def announce(self, req: web.Request) -> web.Response:
+        try:
+            announcement = read_announcement(json.loads(await req.read()))
+        except ValueError as exc:
+            return web.json_response(
+                {'error': {'code': 'GW-6101', 'message': str(exc)}},
+                status=http.HTTPStatus.BAD_REQUEST,
+            )
+        now = self._host.timers.now()
+        self._host.registry.announce(announcement, now)
+        self._host.leader_of(announcement.pool).grant_waiting()
+        return web.json_response(
+            {
+                'next_ms': _NEXT_MS,
+                'announce_to': [str(self._host.cfg.backend_address)],
+            }
+        )
--- a/libs/membership/geraniumweir/membership/__init__.py
+++ b/libs/membership/geraniumweir/membership/__init__.py
@@ -1,1 +1,6 @@
-"""Placeholder."""
+"""Who is there: live entry hosts and leased backend servers.
+
+See Also
+========
+geraniumweir.membership.servers
+"""
--- a/libs/scheduling/geraniumweir/scheduling/__init__.py
+++ b/libs/scheduling/geraniumweir/scheduling/__init__.py
@@ -1,1 +1,6 @@
-"""Placeholder."""
+"""The pool leader: the one owner of a pool's capacity.
+
+See Also
+========
+geraniumweir.scheduling.requests, geraniumweir.scheduling.leader
+"""
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -0,0 +1,100 @@
+"""A pool leader: keeps the queue and grants requests to backend servers.
+
+Waiting requests are served in tier order, then by deadline; a server gets a
+request while it has a free slot.
+"""
+
+import asyncio
+import collections
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.membership import servers
+from geraniumweir.scheduling import requests
+
+_QUEUE_LIMIT = 1000
+
+
+class PoolLeader:
+    """Grants the capacity of one pool in one failure domain."""
+
+    def __init__(
+        self,
+        live: typing.Callable[[], list[servers.Announcement]],
+    ) -> None:
+        """Start with an empty queue.
+
+        :param live: gives the pool's backend servers that may get work.
+        """
+        self._live = live
+        self._waiting: dict[
+            ids.RequestId, tuple[requests.Ask, asyncio.Future[requests.Grant]]
+        ] = {}
+        self._running: dict[ids.RequestId, ids.ServerId] = {}
+
+    async def ask(
+        self,
+        ask: requests.Ask,
+    ) -> requests.Grant | requests.Denial:
+        """Wait for a backend server.
+
+        :param ask: what waits; its deadline is on the loop's clock.
+        :returns: a grant, or a denial once there can be none in time.
+        """
+        if len(self._waiting) >= _QUEUE_LIMIT:
+            reason = requests.DenialReason.queue_full
+            return requests.Denial(ask.request_id, reason)
+        loop = asyncio.get_running_loop()
+        fut: asyncio.Future[requests.Grant] = loop.create_future()
+        self._waiting[ask.request_id] = (ask, fut)
+        self.grant_waiting()
+        try:
+            async with asyncio.timeout_at(ask.deadline):
+                return await fut
+        except TimeoutError:
+            reason = requests.DenialReason.too_late
+            return requests.Denial(ask.request_id, reason)
+        finally:
+            self._waiting.pop(ask.request_id, None)
+
+    def release(self, release: requests.Release) -> None:
+        """Take back a grant and serve who waits.
+
+        :param release: how the work ended.
+        """
+        self._running.pop(release.request_id, None)
+        self.grant_waiting()
+
+    def grant_waiting(self) -> None:
+        """Grant as much as there are free slots; called on any change."""
+        order = sorted(
+            self._waiting.values(),
+            key=lambda entry: (entry[0].tier, entry[0].deadline),
+        )
+        for ask, fut in order:
+            server = self._free_server()
+            if server is None:
+                return
+            if fut.done():
+                continue
+            self._running[ask.request_id] = server.server_id
+            self._waiting.pop(ask.request_id, None)
+            fut.set_result(
+                requests.Grant(
+                    ask.request_id,
+                    server.server_id,
+                    server.incarnation,
+                    server.address,
+                ),
+            )
+
+    def _free_server(self) -> servers.Announcement | None:
+        load = collections.Counter(self._running.values())
+        free = [
+            server
+            for server in self._live()
+            if load[server.server_id] < server.slots
+        ]
+        if not free:
+            return None
+        return min(free, key=lambda server: load[server.server_id])
