--- /dev/null
+++ b/libs/wire/geraniumweir/wire/memory.py
@@ -0,0 +1,183 @@
+"""An in-memory network with the face of the peer layer, for tests.
+
+Links have a delay and can lose messages or be cut, each direction for
+itself. Everything is decided by a seeded generator, so that a failing run
+can be repeated.
+"""
+
+import asyncio
+import copy
+import random
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.wire import errors, peers
+
+_DEFAULT_DELAY = 0.0005
+
+
+class MemoryNetwork:
+    """Hosts and the links between them.
+
+    :ivar delay: one way, in seconds.
+    :ivar loss: share of messages that vanish, from 0 to 1.
+    :ivar sent: messages by sender and type name, for counting.
+    """
+
+    def __init__(self, seed: int = 0, delay: float = _DEFAULT_DELAY) -> None:
+        """Start without hosts.
+
+        :param seed: of every random choice.
+        :param delay: one way, in seconds.
+        """
+        self.delay = delay
+        self.loss = float(0)
+        self.sent: dict[tuple[ids.HostId, str], int] = {}
+        self._random = random.Random(seed)  # noqa: S311
+        self._hosts: dict[ids.HostId, MemoryPeers] = {}
+        self._addresses: dict[ids.Address, ids.HostId] = {}
+        self._cuts: set[tuple[ids.HostId, ids.HostId]] = set()
+
+    def join(self, host_id: ids.HostId, address: ids.Address) -> 'MemoryPeers':
+        """Add a host, or put a fresh one in the place of a dead one."""
+        self._hosts[host_id] = MemoryPeers(self, host_id)
+        self._addresses[address] = host_id
+        return self._hosts[host_id]
+
+    def leave(self, host_id: ids.HostId) -> None:
+        """Take a host off; messages to it vanish."""
+        self._hosts.pop(host_id, None)
+
+    def cut(self, sender: ids.HostId, receiver: ids.HostId) -> None:
+        """Lose all messages in one direction."""
+        self._cuts.add((sender, receiver))
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        self._cuts.clear()
+
+    def host_at(self, address: ids.Address) -> ids.HostId | None:
+        """Tell which host listens at an address."""
+        return self._addresses.get(address)
+
+    def passes(
+        self,
+        sender: 'MemoryPeers',
+        receiver: ids.HostId,
+        message: peers.Message,
+    ) -> bool:
+        """Count a message and decide whether it gets through."""
+        key = (sender.host_id, type(message).__name__)
+        self.sent[key] = self.sent.get(key, 0) + 1
+        # A host that was replaced is dead; nothing comes from it any more.
+        if self._hosts.get(sender.host_id) is not sender:
+            return False
+        if (sender.host_id, receiver) in self._cuts:
+            return False
+        return self._random.random() >= self.loss
+
+    def host(self, host_id: ids.HostId) -> typing.Optional['MemoryPeers']:
+        """Give a live host."""
+        return self._hosts.get(host_id)
+
+
+class MemoryPeers:
+    """The peer layer of one host in a :class:`MemoryNetwork`."""
+
+    def __init__(self, network: MemoryNetwork, host_id: ids.HostId) -> None:
+        """Start without handlers."""
+        self.host_id = host_id
+        self._network = network
+        self._handlers: dict[type, peers.Handler] = {}
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+
+    def handle(self, message_type: type, handler: peers.Handler) -> None:
+        """Let a handler answer all messages of a type."""
+        self._handlers[message_type] = handler
+
+    def learn(self, host_id: ids.HostId, address: ids.Address) -> None:
+        """Remember where a host listens; here the network knows."""
+
+    async def introduce(self, address: ids.Address) -> ids.HostId:
+        """Tell who listens at an address.
+
+        :raises errors.UnreachableError: when nobody does.
+        """
+        await asyncio.sleep(2 * self._network.delay)
+        found = self._network.host_at(address)
+        if found is None or self._network.host(found) is None:
+            raise errors.UnreachableError(f'nobody answers at {address}')
+        return found
+
+    async def call(
+        self,
+        to: ids.HostId,
+        message: peers.Message,
+        timeout: float,
+    ) -> peers.Message:
+        """Send a message and wait for its answer.
+
+        :raises errors.UnreachableError: when the host is gone.
+        :raises errors.PeerTimeoutError: when no answer came in time.
+        :raises errors.RemoteError: when the handler failed.
+        """
+        if self._network.host(to) is None:
+            await asyncio.sleep(self._network.delay)
+            raise errors.UnreachableError(f'{to} is not connected')
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._exchange(to, message)
+        except TimeoutError as exc:
+            raise errors.PeerTimeoutError(f'{to} did not answer') from exc
+
+    def send(self, to: ids.HostId, message: peers.Message) -> None:
+        """Send a message without an answer; it may be lost."""
+        task = asyncio.create_task(self._deliver(to, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def receive(
+        self,
+        sender: ids.HostId,
+        message: peers.Message,
+    ) -> peers.Message | None:
+        """Run the handler of a message that arrived.
+
+        :raises errors.RemoteError: when there is none or it failed.
+        """
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise errors.RemoteError(f'no handler of {type(message).__name__}')
+        try:
+            return await handler(sender, copy.deepcopy(message))
+        except Exception as exc:
+            raise errors.RemoteError(repr(exc)) from exc
+
+    async def _exchange(
+        self,
+        to: ids.HostId,
+        message: peers.Message,
+    ) -> peers.Message:
+        answer = await self._deliver(to, message)
+        receiver = self._network.host(to)
+        if receiver is None or not self._network.passes(
+            receiver,
+            self.host_id,
+            answer,
+        ):
+            await asyncio.Event().wait()
+        await asyncio.sleep(self._network.delay)
+        return copy.deepcopy(answer)
+
+    async def _deliver(
+        self,
+        to: ids.HostId,
+        message: peers.Message,
+    ) -> peers.Message | None:
+        passes = self._network.passes(self, to, message)
+        await asyncio.sleep(self._network.delay)
+        receiver = self._network.host(to)
+        if receiver is None or not passes:
+            # The sender can't tell a loss from a slow answer.
+            return await asyncio.Event().wait()
+        return await receiver.receive(self.host_id, message)
