--- /dev/null
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -0,0 +1,148 @@
+"""Every metric of an entry host, with its meaning.
+
+docs/METRICS.md holds the same list; a test compares the two. Labels have few
+values (tiers, pools, codes): never a customer or a request, whose number
+grows without bound.
+"""
+
+import dataclasses
+import enum
+import typing
+
+
+class Kind(enum.Enum):
+    """What a metric's value does."""
+
+    counter = 'counter'
+    gauge = 'gauge'
+    latency = 'latency'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Metric:
+    """A metric.
+
+    :ivar name: as Prometheus shows it.
+    :ivar meaning: one sentence, with the unit.
+    :ivar labels: names of the labels, in the order their values are given.
+    """
+
+    name: str
+    kind: Kind
+    meaning: str
+    labels: tuple[str, ...] = ()
+
+
+REQUESTS: typing.Final = Metric(
+    'geraniumweir_requests_total',
+    Kind.counter,
+    'Calls that ended; outcome is done, refused, broken or cancelled.',
+    ('tier', 'outcome'),
+)
+IN_TIME: typing.Final = Metric(
+    'geraniumweir_in_time_total',
+    Kind.counter,
+    'Whole answers that ended before their deadline (goodput).',
+    ('tier',),
+)
+REFUSALS: typing.Final = Metric(
+    'geraniumweir_refusals_total',
+    Kind.counter,
+    'Refusals given to callers, by code and by whether the call ran.',
+    ('code', 'ran'),
+)
+DISPATCHES: typing.Final = Metric(
+    'geraniumweir_dispatches_total',
+    Kind.counter,
+    'Calls dispatched to backend servers.',
+    ('pool',),
+)
+OUTPUT_TOKENS: typing.Final = Metric(
+    'geraniumweir_output_tokens_total',
+    Kind.counter,
+    'Output tokens passed on to callers, estimated from stream events.',
+    ('pool',),
+)
+WASTED_PREFILL: typing.Final = Metric(
+    'geraniumweir_wasted_prefill_tokens_total',
+    Kind.counter,
+    'Prompt tokens processed for a call that then gave no whole answer.',
+    ('pool',),
+)
+QUEUE_SECONDS: typing.Final = Metric(
+    'geraniumweir_queue_seconds',
+    Kind.latency,
+    'From ask to grant, in seconds.',
+    ('pool', 'tier'),
+)
+FIRST_TOKEN_SECONDS: typing.Final = Metric(
+    'geraniumweir_first_token_seconds',
+    Kind.latency,
+    'From arrival of a call to its first token, in seconds.',
+    ('pool', 'tier'),
+)
+REQUEST_SECONDS: typing.Final = Metric(
+    'geraniumweir_request_seconds',
+    Kind.latency,
+    'From arrival of a call to the end of its answer, in seconds.',
+    ('pool', 'tier'),
+)
+OPEN_CALLS: typing.Final = Metric(
+    'geraniumweir_open_calls',
+    Kind.gauge,
+    'Calls that are waiting or being answered on this host.',
+)
+WAITING: typing.Final = Metric(
+    'geraniumweir_waiting',
+    Kind.gauge,
+    'Requests in the queue of a pool that this host leads.',
+    ('pool',),
+)
+RUNNING: typing.Final = Metric(
+    'geraniumweir_running',
+    Kind.gauge,
+    'Open grants of a pool that this host leads.',
+    ('pool',),
+)
+SERVERS: typing.Final = Metric(
+    'geraniumweir_servers',
+    Kind.gauge,
+    'Backend servers of a pool with a lease that holds.',
+    ('pool',),
+)
+CONFIG_VERSION: typing.Final = Metric(
+    'geraniumweir_config_version',
+    Kind.gauge,
+    'Version of the configuration in force on this host.',
+)
+CONFIG_SURE: typing.Final = Metric(
+    'geraniumweir_config_sure',
+    Kind.gauge,
+    '1 where the version was checked against a majority, else 0.',
+)
+DRAINING: typing.Final = Metric(
+    'geraniumweir_draining',
+    Kind.gauge,
+    '1 while this host takes no new calls, else 0.',
+)
+LIVE_HOSTS: typing.Final = Metric(
+    'geraniumweir_live_hosts',
+    Kind.gauge,
+    'Entry hosts that this host takes for alive, by failure domain.',
+    ('failure_domain',),
+)
+SPANS_DROPPED: typing.Final = Metric(
+    'geraniumweir_spans_dropped',
+    Kind.gauge,
+    'Spans lost since the start because the trace queue was full.',
+)
+
+
+def catalogue() -> tuple[Metric, ...]:
+    """List every metric, by name.
+
+    >>> catalogue()[0].name
+    'geraniumweir_config_sure'
+    """
+    found = (entry for entry in globals().values() if isinstance(entry, Metric))
+    return tuple(sorted(found, key=lambda metric: metric.name))
--- /dev/null
+++ b/libs/observe/geraniumweir/observe/tracefile.py
@@ -0,0 +1,205 @@
+"""The trace file: one JSON object a span, appended; and reading it back.
+
+A file that has grown to its bound is renamed to ``FILE.1``, in place of the
+one before, so a host keeps between one and two bounds of its newest spans.
+Lines that a crash cut short are skipped when reading.
+"""
+
+import dataclasses
+import json
+import pathlib
+import typing
+
+from opentelemetry import trace as otel
+from opentelemetry.sdk import trace as sdk
+from opentelemetry.sdk.trace import export
+
+HOST = 'host'
+REQUEST = 'request_id'
+_MAX_BYTES = 64 * 1024 * 1024
+_NS_PER_MS = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SpanRecord:
+    """A span as the file holds it.
+
+    :ivar parent_id: empty where the span has no parent.
+    :ivar start_ns: wall clock, in nanoseconds since 1970.
+    :ivar error: a code of docs/ERRORS.md, or empty.
+    """
+
+    trace_id: str
+    span_id: str
+    parent_id: str
+    name: str
+    host: str
+    request_id: str
+    start_ns: int
+    end_ns: int
+    error: str
+    attributes: dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Node:
+    """A span with the spans inside it, by start."""
+
+    span: SpanRecord
+    children: tuple['Node', ...]
+
+
+class Exporter(export.SpanExporter):
+    """Appends spans to a file; called by one thread."""
+
+    def __init__(self, path: str, max_bytes: int = _MAX_BYTES) -> None:
+        """Open the file.
+
+        :param max_bytes: size at which the file is renamed.
+        :raises OSError: when it can't be written.
+        """
+        self._path = pathlib.Path(path)
+        self._max_bytes = max_bytes
+        self._file = self._path.open('ab')
+        self.written = 0
+
+    def export(
+        self,
+        spans: typing.Sequence[sdk.ReadableSpan],
+    ) -> export.SpanExportResult:
+        """Append a batch.
+
+        :returns: failure where the disk refuses; those spans are lost.
+        """
+        lines = b''.join(map(_encode, spans))
+        self.written += len(spans)
+        try:
+            self._append(lines)
+        except (OSError, ValueError):
+            return export.SpanExportResult.FAILURE
+        return export.SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+    def _append(self, lines: bytes) -> None:
+        self._file.write(lines)
+        self._file.flush()
+        if self._file.tell() < self._max_bytes:
+            return
+        self._file.close()
+        self._path.replace(older(self._path))
+        self._file = self._path.open('ab')
+
+
+def older(path: pathlib.Path) -> pathlib.Path:
+    """Give the name a full file is renamed to.
+
+    >>> older(pathlib.Path('trace.jsonl')).name
+    'trace.jsonl.1'
+    """
+    return path.with_name(f'{path.name}.1')
+
+
+def find(path: str, wanted: str) -> list[SpanRecord]:
+    """Read the spans of a request.
+
+    :param path: of the trace file; the older file beside it is read too.
+    :param wanted: a request id or a trace id.
+    :returns: all spans of the traces that hold it, by start; none where
+        there is no such file.
+    """
+    current = pathlib.Path(path)
+    files = [one for one in (older(current), current) if one.exists()]
+    traces = {span.trace_id for span in _matching(files, {wanted})}
+    if not traces:
+        return []
+    found = _matching(files, traces)
+    return sorted(found, key=lambda span: span.start_ns)
+
+
+def tree(spans: typing.Iterable[SpanRecord]) -> list[Node]:
+    """Arrange spans by parent.
+
+    A span whose parent is not among them, such as one below a caller's own
+    span, stands at the top.
+
+    :param spans: of one or more traces, from one or more hosts.
+    """
+    unique = {span.span_id: span for span in spans}
+    below: dict[str, list[SpanRecord]] = {}
+    for span in sorted(unique.values(), key=lambda one: one.start_ns):
+        place = span.parent_id if span.parent_id in unique else ''
+        below.setdefault(place, []).append(span)
+    return [_node(span, below) for span in below.get('', ())]
+
+
+def lines(nodes: typing.Iterable[Node], depth: int = 0) -> list[str]:
+    """Write a tree, one line a span, indented by depth."""
+    written: list[str] = []
+    for node in nodes:
+        written.append(_line(node.span, depth))
+        written.extend(lines(node.children, depth + 1))
+    return written
+
+
+def parse(line: str | bytes) -> SpanRecord | None:
+    """Read one line.
+
+    :returns: None for a line that is not a whole span.
+    """
+    try:
+        return SpanRecord(**json.loads(line))
+    except (ValueError, TypeError):
+        return None
+
+
+def _matching(
+    files: typing.Iterable[pathlib.Path],
+    wanted: set[str],
+) -> list[SpanRecord]:
+    # Most lines are of other requests: they are passed over unparsed.
+    needles = [text.encode() for text in wanted]
+    found = []
+    for file in files:
+        with file.open('rb') as opened:
+            for line in opened:
+                if not any(needle in line for needle in needles):
+                    continue
+                span = parse(line)
+                if span and wanted & {span.trace_id, span.request_id}:
+                    found.append(span)
+    return found
+
+
+def _node(span: SpanRecord, below: dict[str, list[SpanRecord]]) -> Node:
+    inner = below.get(span.span_id, ())
+    return Node(span, tuple(_node(child, below) for child in inner))
+
+
+def _line(span: SpanRecord, depth: int) -> str:
+    spent = (span.end_ns - span.start_ns) / _NS_PER_MS
+    parts = [f'{"  " * depth}{span.name}', f'{spent:.3f} ms', span.host]
+    parts.extend(f'{name}={text}' for name, text in span.attributes.items())
+    if span.error:
+        parts.append(f'error={span.error}')
+    return '  '.join(parts)
+
+
+def _encode(span: sdk.ReadableSpan) -> bytes:
+    attributes = dict(span.attributes or {})
+    parent = span.parent
+    record = {
+        'trace_id': otel.format_trace_id(span.context.trace_id),
+        'span_id': otel.format_span_id(span.context.span_id),
+        'parent_id': otel.format_span_id(parent.span_id) if parent else '',
+        'name': span.name,
+        'host': span.resource.attributes.get(HOST, ''),
+        'request_id': attributes.pop(REQUEST, ''),
+        'start_ns': span.start_time,
+        'end_ns': span.end_time,
+        'error': span.status.description or '',
+        'attributes': attributes,
+    }
+    return json.dumps(record, separators=(',', ':')).encode() + b'\n'
