--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/logevents.py
@@ -0,0 +1,27 @@
+"""Events of the daemon, 1xx."""
+
+import typing
+
+from geraniumweir.common import logevents
+
+STARTED: typing.Final = logevents.Event(
+    101,
+    logevents.Level.notice,
+    'serving callers at {caller}, backend servers at {backend}, '
+    'operators at {operator}',
+)
+DRAINING: typing.Final = logevents.Event(
+    102, logevents.Level.notice, 'draining for at most {seconds} s'
+)
+STOPPED: typing.Final = logevents.Event(103, logevents.Level.notice, 'stopped')
+OPERATOR_CHANGE: typing.Final = logevents.Event(
+    110,
+    logevents.Level.notice,
+    'version {version} accepted, change {change_id}',
+)
+OPERATOR_REFUSED: typing.Final = logevents.Event(
+    111, logevents.Level.info, 'operator refused with {code}: {message}'
+)
+OPERATOR_FAILED: typing.Final = logevents.Event(
+    112, logevents.Level.error, 'fault while answering {path}: {reason}'
+)
--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -8,24 +8,47 @@
 
 import aiohttp
 from aiohttp import web
-from geraniumweir.common import ids, timers
-from geraniumweir.daemon import announcements, callers, operators, settings
+from geraniumweir.common import errors, ids, timers
+from geraniumweir.common import logevents as levels
+from geraniumweir.daemon import (
+    alone,
+    announcements,
+    callers,
+    gauges,
+    logevents,
+    operators,
+    settings,
+    settingvalues,
+)
 from geraniumweir.daemon import host as entry_host
 from geraniumweir.membership import servers
+from geraniumweir.observe import logs, metrics, traces
 
 _EXIT_FAILED = 1
 
 
+class BusyAddressError(errors.GeraniumweirError):
+    """An address of the settings can't be listened on."""
+
+    code = 'GW-1501'
+
+
 def main(argv: typing.Sequence[str] | None = None) -> None:
     """Run the daemon until it is told to end.
 
     :param argv: flags, by default those of the process.
     """
     cfg = settings.parse(argv)
+    _check_files(cfg)
+    logs.setup(
+        levels.Level(cfg.log_level),
+        logs.Format(cfg.log_format),
+        host=cfg.host_id,
+    )
     try:
         asyncio.run(serve(cfg))
-    except OSError as exc:
-        sys.stderr.write(f'geraniumweird: {exc}\n')
+    except BusyAddressError as exc:
+        sys.stderr.write(f'geraniumweird: {exc.message}\n')
         sys.exit(_EXIT_FAILED)
 
 
@@ -33,7 +56,7 @@
     """Serve until SIGTERM or SIGINT, then drain.
 
     :param cfg: the host's settings.
-    :raises OSError: when an address can't be listened on.
+    :raises BusyAddressError: when an address can't be listened on.
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -41,11 +64,33 @@
         loop.add_signal_handler(signum, stop.set)
     async with contextlib.AsyncExitStack() as stack:
         host = await _make_host(cfg, stack)
-        await _listen(stack, operators.make_app(host), cfg.operator_address)
+        ops = _make_operations(host, stack)
+        await _listen(stack, operators.make_app(ops), cfg.operator_address)
         await _listen(stack, announcements.make_app(host), cfg.backend_address)
         await _listen(stack, callers.make_app(host), cfg.caller_address)
+        logs.log(
+            logevents.STARTED,
+            caller=cfg.caller_address,
+            backend=cfg.backend_address,
+            operator=cfg.operator_address,
+        )
         await stop.wait()
+        logs.log(logevents.DRAINING, seconds=cfg.drain_timeout)
         host.draining = True
+    logs.log(logevents.STOPPED)
+
+
+def _check_files(cfg: settings.Settings) -> None:
+    if cfg.data_folder is not None:
+        _settle('data-folder', settingvalues.folder_fault(cfg.data_folder))
+    if cfg.trace_file is not None:
+        _settle('trace-file', settingvalues.file_fault(cfg.trace_file))
+
+
+def _settle(setting: str, fault: str | None) -> None:
+    if fault is not None:
+        sys.stderr.write(f'geraniumweird: argument --{setting}: {fault}\n')
+        sys.exit(settings.EXIT_BAD_SETTING)
 
 
 async def _make_host(
@@ -64,6 +109,20 @@
     )
 
 
+def _make_operations(
+    host: entry_host.EntryHost,
+    stack: contextlib.AsyncExitStack,
+) -> alone.StandaloneOperations:
+    cfg = host.cfg
+    tracing = traces.Tracing(
+        traces.TraceSettings(cfg.host_id, cfg.trace_file, cfg.trace_sample)
+    )
+    stack.callback(tracing.close)
+    meter = metrics.Metrics(host.timers.now)
+    gauges.register(meter, host, tracing)
+    return alone.StandaloneOperations(host, meter, tracing)
+
+
 async def _listen(
     stack: contextlib.AsyncExitStack,
     app: web.Application,
@@ -72,4 +131,9 @@
     runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    await web.TCPSite(runner, address.host, address.port).start()
+    try:
+        await web.TCPSite(runner, address.host, address.port).start()
+    except OSError as exc:
+        reason = exc.strerror or str(exc)
+        message = f'can not listen on {address}: {reason}'
+        raise BusyAddressError(message) from exc
--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/operatorjson.py
@@ -0,0 +1,185 @@
+"""JSON bodies of the operators' HTTP face, read into typed values.
+
+A field that is missing, unknown or of the wrong type is refused by name.
+"""
+
+import dataclasses
+import enum
+import json
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.configuration import matching
+from geraniumweir.daemon import operations
+
+_MAX_ID = 128
+_Table = dict[str, typing.Any]
+
+
+def change(body: bytes) -> operations.Change:
+    """Read a change of the configuration.
+
+    :raises operations.MalformedError: naming the field at fault.
+    """
+    fields = _Fields(body, ('base', 'change_id', 'document'))
+    return operations.Change(
+        base=ids.Version(fields.number('base')),
+        change_id=ids.ChangeId(fields.identifier('change_id')),
+        document=fields.text('document'),
+    )
+
+
+def order(body: bytes) -> operations.Order:
+    """Read an order to a backend server.
+
+    :raises operations.MalformedError: naming the field at fault.
+
+    >>> order(b'{"server": "a", "order": "set_role", "role": "x"}').subject
+    'x'
+    """
+    subjects = ('model', 'adapter', 'role')
+    fields = _Fields(
+        body, ('server', 'order', 'version', 'order_id', *subjects)
+    )
+    kind = fields.choice('order', operations.OrderKind)
+    return operations.Order(
+        server_id=ids.ServerId(fields.identifier('server')),
+        kind=kind,
+        subject=fields.identifier(kind.value.rpartition('_')[-1]),
+        version=fields.text('version', ''),
+        order_id=fields.text('order_id', ''),
+    )
+
+
+def recorder(body: bytes) -> tuple[ids.HostId, ids.Address]:
+    """Read a recorder to add.
+
+    :raises operations.MalformedError: naming the field at fault.
+    """
+    fields = _Fields(body, ('host_id', 'address'))
+    try:
+        address = ids.parse_address(fields.text('address'))
+    except ValueError as exc:
+        raise operations.MalformedError(f'address: {exc}') from exc
+    return ids.HostId(fields.identifier('host_id')), address
+
+
+def drain(body: bytes) -> bool:
+    """Read whether to drain or to end a drain; an empty body drains."""
+    return _Fields(body or b'{}', ('drain',)).flag('drain', True)
+
+
+def facts(body: bytes, domain: ids.FailureDomain) -> matching.Facts:
+    """Read the facts of a request to explain.
+
+    :param domain: taken where the body names no failure domain.
+    :raises operations.MalformedError: naming the field at fault.
+    """
+    names = [field.name for field in dataclasses.fields(matching.Facts)]
+    fields = _Fields(body, names)
+    headers = fields.table('headers')
+    return matching.Facts(
+        customer=ids.CustomerName(fields.text('customer', '')),
+        path=fields.text('path'),
+        failure_domain=ids.FailureDomain(fields.text('failure_domain', domain)),
+        model=fields.text('model', None),
+        headers={name.lower(): str(text) for name, text in headers.items()},
+        prompt_tokens=fields.number('prompt_tokens', 0),
+        idempotent=fields.flag('idempotent', True),
+    )
+
+
+def plain(row: typing.Any) -> typing.Any:
+    """Turn a typed value into what JSON can hold.
+
+    >>> plain(operations.OrderResult(ids.ServerId('a'), 7))
+    {'server_id': 'a', 'fencing': 7}
+    """
+    if dataclasses.is_dataclass(row) and not isinstance(row, type):
+        names = (field.name for field in dataclasses.fields(row))
+        return {name: plain(getattr(row, name)) for name in names}
+    match row:
+        case enum.IntEnum():
+            return int(row)
+        case enum.Enum():
+            return row.value
+        case list() | tuple():
+            return [plain(inner) for inner in row]
+        case dict():
+            return {key: plain(inner) for key, inner in row.items()}
+        case _:
+            return row
+
+
+class _Fields:
+    """The fields of one JSON object."""
+
+    def __init__(self, body: bytes, names: typing.Collection[str]) -> None:
+        try:
+            table = json.loads(body)
+        except ValueError as exc:
+            raise operations.MalformedError(f'not JSON: {exc}') from exc
+        if not isinstance(table, dict):
+            raise operations.MalformedError('not a JSON object')
+        for key in table:
+            if key not in names:
+                accepted = ', '.join(names)
+                raise operations.MalformedError(
+                    f'{key}: unknown field; accepted are {accepted}',
+                )
+        self._table: _Table = table
+
+    def text(self, key: str, default: typing.Any = ...) -> typing.Any:
+        found = self._get(key, default)
+        if found is default or isinstance(found, str):
+            return found
+        raise operations.MalformedError(f'{key}: {found!r} is not a string')
+
+    def identifier(self, key: str) -> str:
+        found = self.text(key)
+        if 0 < len(found) <= _MAX_ID:
+            return str(found)
+        raise operations.MalformedError(
+            f'{key}: {found!r} is not 1 to {_MAX_ID} characters',
+        )
+
+    def number(self, key: str, default: typing.Any = ...) -> int:
+        found = self._get(key, default)
+        whole = isinstance(found, int) and not isinstance(found, bool)
+        if whole and found >= 0:
+            return int(found)
+        raise operations.MalformedError(
+            f'{key}: {found!r} is not a whole number from 0 up',
+        )
+
+    def flag(self, key: str, default: bool) -> bool:
+        found = self._get(key, default)
+        if isinstance(found, bool):
+            return found
+        raise operations.MalformedError(f'{key}: {found!r} is no true or false')
+
+    def table(self, key: str) -> _Table:
+        found = self._get(key, {})
+        if isinstance(found, dict):
+            return found
+        raise operations.MalformedError(f'{key}: {found!r} is not an object')
+
+    def choice(
+        self,
+        key: str,
+        kinds: type[operations.OrderKind],
+    ) -> operations.OrderKind:
+        found = self._get(key, ...)
+        try:
+            return kinds(found)
+        except ValueError:
+            accepted = ', '.join(kind.value for kind in kinds)
+        raise operations.MalformedError(
+            f'{key}: {found!r} is none of {accepted}',
+        )
+
+    def _get(self, key: str, default: typing.Any) -> typing.Any:
+        found = self._table.get(key, default)
+        if found is ...:
+            raise operations.MalformedError(f'{key}: missing')
+        return found
--- a/libs/daemon/geraniumweir/daemon/settings.py
+++ b/libs/daemon/geraniumweir/daemon/settings.py
@@ -1,17 +1,26 @@
-"""Settings of an entry host, each a flag and an environment variable."""
+"""Settings of an entry host, each a flag and an environment variable.
 
+``--host-id`` is ``GERANIUMWEIR_HOST_ID`` and so on; a flag goes before the
+variable. A setting at fault ends the start with status 2 and one line that
+names it, its value and what is accepted.
+"""
+
+import argparse
 import dataclasses
+import os
 import typing
 
 import configargparse
-from geraniumweir.common import ids
+from geraniumweir.common import ids, logevents
+from geraniumweir.daemon import settingvalues
 
 VERSION = '0.1.0'
 ENV_PREFIX = 'GERANIUMWEIR_'
 EXIT_BAD_SETTING = 2
 _DEFAULT_DRAIN_SECONDS = 30.0
-
-_Read = typing.TypeVar('_Read')
+_ADDRESSES = ('caller', 'backend', 'operator')
+_LEVELS = tuple(level.value for level in logevents.Level)
+_FORMATS = ('text', 'json')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,6 +29,12 @@
 
     :ivar data_folder: where state is kept, or None on a host without a disk.
     :ivar drain_timeout: longest wait for calls in flight, in seconds.
+    :ivar peer_address: where other entry hosts reach this one, or None where
+        it stands alone.
+    :ivar peers: addresses of some other entry hosts, to start from.
+    :ivar recorders: the first recorders, by id.
+    :ivar trace_file: where spans are appended, or None.
+    :ivar trace_sample: share of calls traced, 0 to 1.
     """
 
     host_id: ids.HostId
@@ -32,16 +47,29 @@
     log_level: str
     log_format: str
     drain_timeout: float
+    peer_address: ids.Address | None = None
+    peers: tuple[ids.Address, ...] = ()
+    recorders: typing.Mapping[ids.HostId, ids.Address] = dataclasses.field(
+        default_factory=dict
+    )
+    trace_file: str | None = None
+    trace_sample: float = 1
 
 
-def parse(argv: typing.Sequence[str] | None = None) -> Settings:
+def parse(
+    argv: typing.Sequence[str] | None = None,
+    env: typing.Mapping[str, str] | None = None,
+) -> Settings:
     """Read the settings from flags and the environment.
 
     :param argv: flags, by default those of the process.
+    :param env: variables, by default those of the process.
     :raises SystemExit: with status 2 and one line that names the setting.
     """
-    opts = _parser().parse_args(argv)
-    return Settings(
+    parser = _parser()
+    variables = os.environ if env is None else env
+    opts = parser.parse_args(argv, env_vars=dict(variables))
+    cfg = Settings(
         host_id=ids.HostId(opts.host_id),
         failure_domain=ids.FailureDomain(opts.failure_domain),
         region=ids.Region(opts.region),
@@ -52,14 +80,23 @@
         log_level=opts.log_level,
         log_format=opts.log_format,
         drain_timeout=opts.drain_timeout,
+        peer_address=opts.peer_address,
+        peers=opts.peers,
+        recorders=opts.recorders,
+        trace_file=opts.trace_file,
+        trace_sample=opts.trace_sample,
     )
+    for fault in _faults(cfg):
+        parser.error(fault)
+    return cfg
 
 
 class _OneLineParser(configargparse.ArgumentParser):
     """Ends with one line that names the setting at fault."""
 
     def error(self, message: str) -> typing.NoReturn:
-        self.exit(EXIT_BAD_SETTING, f'{self.prog}: {message}\n')
+        line = ' '.join(message.split())
+        self.exit(EXIT_BAD_SETTING, f'{self.prog}: {line}\n')
 
 
 def _parser() -> configargparse.ArgumentParser:
@@ -68,64 +105,130 @@
         description='Entry host of the geraniumweir request scheduler.',
         auto_env_var_prefix=ENV_PREFIX,
         add_config_file_help=False,
+        allow_abbrev=False,
     )
     parser.add_argument(
         '--version',
         action='version',
         version=f'geraniumweird {VERSION}',
     )
-    parser.add_argument('--host-id', required=True, help='unique name')
-    parser.add_argument('--failure-domain', required=True)
-    parser.add_argument('--region', default='default')
-    _add_addresses(parser)
-    parser.add_argument('--data-folder', help='absent on a host without disk')
-    parser.add_argument(
-        '--log-level',
-        default='info',
-        choices=('debug', 'info', 'notice', 'warning', 'error'),
-    )
-    parser.add_argument(
-        '--log-format', default='text', choices=('text', 'json')
-    )
+    _add_place(parser)
+    _add_system(parser)
+    _add_observing(parser)
     parser.add_argument(
         '--drain-timeout',
-        type=_seconds,
+        type=_checked(settingvalues.seconds),
         default=_DEFAULT_DRAIN_SECONDS,
-        help='longest wait for calls in flight at the end, in seconds',
+        metavar='SECONDS',
+        help='longest wait for calls in flight at the end',
     )
     return parser
 
 
-def _add_addresses(parser: configargparse.ArgumentParser) -> None:
-    for name in ('caller', 'backend', 'operator'):
+def _add_place(parser: configargparse.ArgumentParser) -> None:
+    name = _checked(settingvalues.name)
+    address = _checked(ids.parse_address)
+    parser.add_argument(
+        '--host-id', type=name, required=True, help='unique in the system'
+    )
+    parser.add_argument('--failure-domain', type=name, required=True)
+    parser.add_argument('--region', type=name, default='default')
+    for face in _ADDRESSES:
         parser.add_argument(
-            f'--{name}-address',
-            type=_checked(ids.parse_address),
+            f'--{face}-address',
+            type=address,
             required=True,
             metavar='IP:PORT',
+            help=f'where {face}s reach this host',
+        )
+
+
+def _add_system(parser: configargparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--peer-address',
+        type=_checked(ids.parse_address),
+        metavar='IP:PORT',
+        help='where other entry hosts reach this one; absent: it stands alone',
+    )
+    parser.add_argument(
+        '--peers',
+        type=_checked(settingvalues.addresses),
+        default=(),
+        metavar='IP:PORT,...',
+        help='peer addresses of some other entry hosts',
+    )
+    parser.add_argument(
+        '--recorders',
+        type=_checked(settingvalues.recorders),
+        default={},
+        metavar='ID=IP:PORT,...',
+        help='the first recorders: 1, 3, 5 or 7 host ids, peer addresses',
+    )
+    parser.add_argument(
+        '--data-folder',
+        type=_checked(settingvalues.path),
+        metavar='PATH',
+        help='absent on a host without a disk',
+    )
+
+
+def _add_observing(parser: configargparse.ArgumentParser) -> None:
+    parser.add_argument('--log-level', default='info', choices=_LEVELS)
+    parser.add_argument('--log-format', default='text', choices=_FORMATS)
+    parser.add_argument(
+        '--trace-file',
+        type=_checked(settingvalues.path),
+        metavar='PATH',
+        help='where spans are appended; absent: none are recorded',
+    )
+    parser.add_argument(
+        '--trace-sample',
+        type=_checked(settingvalues.share),
+        default=1,
+        metavar='SHARE',
+        help='share of calls traced, 0 to 1, where the caller does not say',
+    )
+
+
+def _faults(cfg: Settings) -> typing.Iterator[str]:
+    """Find settings that don't go together."""
+    addresses = (
+        cfg.caller_address,
+        cfg.backend_address,
+        cfg.operator_address,
+        cfg.peer_address,
+    )
+    fixed = [address for address in addresses if address and address.port]
+    for address in fixed:
+        if fixed.count(address) > 1:
+            yield f'argument --*-address: {address} is given twice'
+    if cfg.peer_address is None and (cfg.peers or cfg.recorders):
+        yield 'argument --peer-address: required with --peers or --recorders'
+    mine = cfg.recorders.get(cfg.host_id)
+    if mine is not None and mine != cfg.peer_address:
+        yield (
+            f'argument --recorders: {cfg.host_id}={mine} is this host, whose '
+            f'--peer-address is {cfg.peer_address}; they must be equal'
+        )
+    if mine is not None and cfg.data_folder is None:
+        yield (
+            f'argument --data-folder: required, as --recorders names this '
+            f'host, {cfg.host_id}'
         )
 
 
 def _checked(
-    read: typing.Callable[[str], _Read],
-) -> typing.Callable[[str], _Read]:
+    read: typing.Callable[[str], settingvalues.Read],
+) -> typing.Callable[[str], settingvalues.Read]:
     """Let a reader's own message reach the user."""
 
-    def wrapper(text: str) -> _Read:
+    def wrapper(text: str) -> settingvalues.Read:
         try:
             return read(text)
         except ValueError as exc:
-            raise configargparse.ArgumentTypeError(str(exc)) from exc
+            message = str(exc)
+            if repr(text) not in message:
+                message = f'{text!r}: {message}'
+            raise argparse.ArgumentTypeError(message) from exc
 
     return wrapper
-
-
-@_checked
-def _seconds(text: str) -> float:
-    try:
-        seconds = float(text)
-    except ValueError:
-        raise ValueError(f'{text!r} is not a number of seconds') from None
-    if not 0 <= seconds < float('inf'):
-        raise ValueError(f'{text!r} is not a number of seconds from 0 up')
-    return seconds
--- a/libs/observe/geraniumweir/observe/logs.py
+++ b/libs/observe/geraniumweir/observe/logs.py
@@ -46,6 +46,7 @@
     host: str = ''
 
 
+_ESCAPES: typing.Final = {ord('\r'): r'\r', ord('\n'): r'\n'}
 _state = _State()
 _logger = logbook.Logger('geraniumweir')
 
@@ -127,7 +128,7 @@
 
 def _one_line(text: typing.Any) -> str:
     # What a caller or a peer sent must not start a line of its own.
-    return str(text).replace('\r', '\\r').replace('\n', '\\n')
+    return str(text).translate(_ESCAPES)
 
 
 def _time(record: logbook.LogRecord) -> str:
--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -136,13 +136,3 @@
     Kind.gauge,
     'Spans lost since the start because the trace queue was full.',
 )
-
-
-def catalogue() -> tuple[Metric, ...]:
-    """List every metric, by name.
-
-    >>> catalogue()[0].name
-    'geraniumweir_config_sure'
-    """
-    found = (entry for entry in globals().values() if isinstance(entry, Metric))
-    return tuple(sorted(found, key=lambda metric: metric.name))
--- a/libs/observe/geraniumweir/observe/metrics.py
+++ b/libs/observe/geraniumweir/observe/metrics.py
@@ -26,7 +26,8 @@
 Reading = float | typing.Mapping[Labels, float]
 
 _MICROSECONDS = 1_000_000
-_LONGEST_MICROSECONDS = 3600 * _MICROSECONDS
+_SECONDS_IN_HOUR = 3600
+_LONGEST_MICROSECONDS = _SECONDS_IN_HOUR * _MICROSECONDS
 _DIGITS = 2
 _PERCENT = 100
 _WINDOW_SECONDS = 60.0
@@ -51,12 +52,12 @@
         :param clock: gives seconds; moves the windows of the quantiles.
         """
         self._clock = clock
-        self._counts: dict[
-            metricnames.Metric, collections.Counter[Labels]
-        ] = collections.defaultdict(collections.Counter)
-        self._latencies: dict[
-            metricnames.Metric, dict[Labels, _Latency]
-        ] = collections.defaultdict(dict)
+        self._counts: dict[metricnames.Metric, collections.Counter[Labels]] = (
+            collections.defaultdict(collections.Counter)
+        )
+        self._latencies: dict[metricnames.Metric, dict[Labels, _Latency]] = (
+            collections.defaultdict(dict)
+        )
         self._gauges: dict[
             metricnames.Metric, typing.Callable[[], Reading]
         ] = {}
@@ -171,8 +172,10 @@
         age = now - self._began
         if age < _WINDOW_SECONDS:
             return
-        self._last, self._current = self._current, self._last
-        self._current.reset()
+        emptied = self._last
+        emptied.reset()
+        self._last = self._current
+        self._current = emptied
         if age >= 2 * _WINDOW_SECONDS:
             self._last.reset()
         self._began = now
--- a/libs/observe/geraniumweir/observe/tracefile.py
+++ b/libs/observe/geraniumweir/observe/tracefile.py
@@ -16,8 +16,10 @@
 
 HOST = 'host'
 REQUEST = 'request_id'
-_MAX_BYTES = 64 * 1024 * 1024
+_MAX_BYTES = 67108864  # 64 MiB
 _NS_PER_MS = 1_000_000
+_INDENT = '  '
+_GAP = '  '
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,7 +118,7 @@
     if not traces:
         return []
     found = _matching(files, traces)
-    return sorted(found, key=lambda span: span.start_ns)
+    return sorted(found, key=_start)
 
 
 def tree(spans: typing.Iterable[SpanRecord]) -> list[Node]:
@@ -127,12 +129,12 @@
 
     :param spans: of one or more traces, from one or more hosts.
     """
-    unique = {span.span_id: span for span in spans}
+    unique = {one.span_id: one for one in spans}
     below: dict[str, list[SpanRecord]] = {}
-    for span in sorted(unique.values(), key=lambda one: one.start_ns):
+    for span in sorted(unique.values(), key=_start):
         place = span.parent_id if span.parent_id in unique else ''
         below.setdefault(place, []).append(span)
-    return [_node(span, below) for span in below.get('', ())]
+    return [_node(top, below) for top in below.get('', ())]
 
 
 def lines(nodes: typing.Iterable[Node], depth: int = 0) -> list[str]:
@@ -155,22 +157,35 @@
         return None
 
 
+def _start(span: SpanRecord) -> int:
+    return span.start_ns
+
+
 def _matching(
     files: typing.Iterable[pathlib.Path],
     wanted: set[str],
 ) -> list[SpanRecord]:
+    spans = map(parse, _lines_with(files, wanted))
+    return [
+        span
+        for span in spans
+        if span and wanted & {span.trace_id, span.request_id}
+    ]
+
+
+def _lines_with(
+    files: typing.Iterable[pathlib.Path],
+    wanted: set[str],
+) -> typing.Iterator[bytes]:
     # Most lines are of other requests: they are passed over unparsed.
     needles = [text.encode() for text in wanted]
-    found = []
     for file in files:
         with file.open('rb') as opened:
-            for line in opened:
-                if not any(needle in line for needle in needles):
-                    continue
-                span = parse(line)
-                if span and wanted & {span.trace_id, span.request_id}:
-                    found.append(span)
-    return found
+            yield from (
+                line
+                for line in opened
+                if any(needle in line for needle in needles)
+            )
 
 
 def _node(span: SpanRecord, below: dict[str, list[SpanRecord]]) -> Node:
@@ -180,11 +195,12 @@
 
 def _line(span: SpanRecord, depth: int) -> str:
     spent = (span.end_ns - span.start_ns) / _NS_PER_MS
-    parts = [f'{"  " * depth}{span.name}', f'{spent:.3f} ms', span.host]
+    indent = _INDENT * depth
+    parts = [f'{indent}{span.name}', f'{spent:.3f} ms', span.host]
     parts.extend(f'{name}={text}' for name, text in span.attributes.items())
     if span.error:
         parts.append(f'error={span.error}')
-    return '  '.join(parts)
+    return _GAP.join(parts)
 
 
 def _encode(span: sdk.ReadableSpan) -> bytes:
@@ -202,4 +218,5 @@
         'error': span.status.description or '',
         'attributes': attributes,
     }
-    return json.dumps(record, separators=(',', ':')).encode() + b'\n'
+    line = json.dumps(record, separators=(',', ':'))
+    return f'{line}\n'.encode()
