--- a/libs/observe/geraniumweir/observe/__init__.py
+++ b/libs/observe/geraniumweir/observe/__init__.py
@@ -6,5 +6,5 @@
 ========
 geraniumweir.observe.logs, geraniumweir.observe.metrics,
 geraniumweir.observe.metricnames, geraniumweir.observe.traces,
-geraniumweir.observe.tracefile
+geraniumweir.observe.spanqueue, geraniumweir.observe.tracefile
 """
--- a/libs/observe/geraniumweir/observe/tracefile.py
+++ b/libs/observe/geraniumweir/observe/tracefile.py
@@ -10,23 +10,18 @@
 import pathlib
 import typing
 
-from opentelemetry import trace as otel
-from opentelemetry.sdk import trace as sdk
-from opentelemetry.sdk.trace import export
-
-HOST = 'host'
-REQUEST = 'request_id'
 _MAX_BYTES = 67108864  # 64 MiB
 _NS_PER_MS = 1_000_000
 _INDENT = '  '
 _GAP = '  '
+_encoder = json.JSONEncoder(separators=(',', ':'))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class SpanRecord:
-    """A span as the file holds it.
+    """A span as the file holds it; not frozen, which would cost four times.
 
-    :ivar parent_id: empty where the span has no parent.
+    :ivar parent_id: all zeros where the span has no parent.
     :ivar start_ns: wall clock, in nanoseconds since 1970.
     :ivar error: a code of docs/ERRORS.md, or empty.
     """
@@ -51,8 +46,8 @@
     children: tuple['Node', ...]
 
 
-class Exporter(export.SpanExporter):
-    """Appends spans to a file; called by one thread."""
+class Writer:
+    """Appends spans to a file."""
 
     def __init__(self, path: str, max_bytes: int = _MAX_BYTES) -> None:
         """Open the file.
@@ -63,30 +58,24 @@
         self._path = pathlib.Path(path)
         self._max_bytes = max_bytes
         self._file = self._path.open('ab')
-        self.written = 0
 
-    def export(
-        self,
-        spans: typing.Sequence[sdk.ReadableSpan],
-    ) -> export.SpanExportResult:
+    def write(self, spans: typing.Iterable[SpanRecord]) -> bool:
         """Append a batch.
 
-        :returns: failure where the disk refuses; those spans are lost.
+        :returns: False where the disk refuses; those spans are lost.
         """
-        lines = b''.join(map(_encode, spans))
-        self.written += len(spans)
         try:
-            self._append(lines)
+            self._append(b''.join(map(_encode, spans)))
         except (OSError, ValueError):
-            return export.SpanExportResult.FAILURE
-        return export.SpanExportResult.SUCCESS
+            return False
+        return True
 
-    def shutdown(self) -> None:
+    def close(self) -> None:
         """Close the file."""
         self._file.close()
 
-    def _append(self, lines: bytes) -> None:
-        self._file.write(lines)
+    def _append(self, encoded: bytes) -> None:
+        self._file.write(encoded)
         self._file.flush()
         if self._file.tell() < self._max_bytes:
             return
@@ -203,20 +192,17 @@
     return _GAP.join(parts)
 
 
-def _encode(span: sdk.ReadableSpan) -> bytes:
-    attributes = dict(span.attributes or {})
-    parent = span.parent
+def _encode(span: SpanRecord) -> bytes:
     record = {
-        'trace_id': otel.format_trace_id(span.context.trace_id),
-        'span_id': otel.format_span_id(span.context.span_id),
-        'parent_id': otel.format_span_id(parent.span_id) if parent else '',
+        'trace_id': span.trace_id,
+        'span_id': span.span_id,
+        'parent_id': span.parent_id,
         'name': span.name,
-        'host': span.resource.attributes.get(HOST, ''),
-        'request_id': attributes.pop(REQUEST, ''),
-        'start_ns': span.start_time,
-        'end_ns': span.end_time,
-        'error': span.status.description or '',
-        'attributes': attributes,
+        'host': span.host,
+        'request_id': span.request_id,
+        'start_ns': span.start_ns,
+        'end_ns': span.end_ns,
+        'error': span.error,
+        'attributes': span.attributes,
     }
-    line = json.dumps(record, separators=(',', ':'))
-    return f'{line}\n'.encode()
+    return f'{_encoder.encode(record)}\n'.encode()
--- a/libs/observe/geraniumweir/observe/traces.py
+++ b/libs/observe/geraniumweir/observe/traces.py
@@ -1,4 +1,4 @@
-"""A span for each hop of a request, by OpenTelemetry.
+"""A span for each hop of a request, by W3C trace context.
 
 An entry host begins a :class:`Trace` when a call arrives and opens a hop for
 each step. The caller's ``traceparent`` is carried on: in from the call's
@@ -6,15 +6,14 @@
 spans of several hosts make one tree. Without a trace file nothing is
 recorded, but ``traceparent`` is still passed on.
 
-Finished spans wait in a bounded queue for a thread that appends them to the
-trace file; when the queue is full spans are dropped and counted, and the
-request goes on.
+Context is read by OpenTelemetry's API. Spans are our own small class:
+docs/design/observe.md has the cost of the SDK's beside it.
 
 References
 ==========
 .. [1] W3C, "Trace Context", https://www.w3.org/TR/trace-context/
-.. [2] OpenTelemetry, "Tracing SDK",
-   https://opentelemetry.io/docs/specs/otel/trace/sdk/
+.. [2] OpenTelemetry, "Tracing API",
+   https://opentelemetry.io/docs/specs/otel/trace/api/
 .. [3] B. Sigelman et al., "Dapper, a Large-Scale Distributed Systems Tracing
    Infrastructure", Google Technical Report dapper-2010-1, 2010.
 """
@@ -22,24 +21,22 @@
 import contextlib
 import dataclasses
 import enum
+import random
+import time
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.observe import tracefile
+from geraniumweir.observe import spanqueue, tracefile
 from opentelemetry import context as otel_context
 from opentelemetry import trace as otel
-from opentelemetry.sdk import resources
-from opentelemetry.sdk import trace as sdk
-from opentelemetry.sdk.trace import export, sampling
 from opentelemetry.trace.propagation import tracecontext
 
 Attribute = str | int | float | bool
 
 TRACEPARENT = 'traceparent'
-_CARRIED = (TRACEPARENT, 'tracestate')
-_QUEUE_SPANS = 8192
-_BATCH_SPANS = 512
-_FLUSH_MS = 200
+TRACESTATE = 'tracestate'
+_TRACE_BITS = 128
+_SPAN_BITS = 64
 _propagator = tracecontext.TraceContextTextMapPropagator()
 
 
@@ -76,74 +73,88 @@
     sample: float = 1
 
 
+@dataclasses.dataclass(slots=True)
 class Span:
-    """An open hop."""
+    """An open hop; one that isn't recorded only carries the trace on.
 
-    __slots__ = ('_span', 'context')
-
-    def __init__(
-        self,
-        span: otel.Span,
-        parent: otel_context.Context,
-    ) -> None:
-        """Take over a started span.
+    :ivar sink: takes the span when it ends, or None to record nothing.
+    """
 
-        :param parent: what the span was started in.
-        """
-        self._span = span
-        self.context = parent
-        if span.get_span_context().is_valid:
-            self.context = otel.set_span_in_context(span, parent)
+    name: str
+    request_id: ids.RequestId
+    trace: int
+    span: int
+    parent: int
+    state: str
+    sink: spanqueue.SpanQueue | None
+    attributes: dict[str, Attribute]
+    error: str = ''
+    start_ns: int = dataclasses.field(default_factory=time.time_ns)
 
     @property
     def recording(self) -> bool:
         """Whether attributes are worth making."""
-        return self._span.is_recording()
+        return self.sink is not None
 
     @property
     def trace_id(self) -> str:
         """Hex id of the whole trace."""
-        return otel.format_trace_id(self._span.get_span_context().trace_id)
+        return otel.format_trace_id(self.trace)
 
     def note(self, **attributes: Attribute) -> None:
         """Add attributes, such as ``server`` or ``tier``."""
-        if self._span.is_recording():
-            self._span.set_attributes(attributes)
+        if self.sink is not None:
+            self.attributes.update(attributes)
 
     def fail(self, code: str) -> None:
         """Mark the hop as failed.
 
         :param code: from docs/ERRORS.md.
         """
-        if self._span.is_recording():
-            self._span.set_status(otel.Status(otel.StatusCode.ERROR, code))
+        self.error = code
 
     def finish(self) -> None:
-        """End the hop; once."""
-        self._span.end()
+        """End the hop; what comes after the first time does nothing."""
+        sink = self.sink
+        if sink is None:
+            return
+        self.sink = None
+        sink.put(
+            tracefile.SpanRecord(
+                trace_id=self.trace_id,
+                span_id=otel.format_span_id(self.span),
+                parent_id=otel.format_span_id(self.parent),
+                name=self.name,
+                host=sink.host,
+                request_id=self.request_id,
+                start_ns=self.start_ns,
+                end_ns=time.time_ns(),
+                error=self.error,
+                attributes=self.attributes,
+            ),
+        )
 
     def headers(self) -> dict[str, str]:
         """Give the headers that carry the trace on from this hop."""
-        carrier: dict[str, str] = {}
-        _propagator.inject(carrier, self.context)
-        return carrier
+        if not self.trace:
+            return {}
+        trace = otel.format_trace_id(self.trace)
+        span = otel.format_span_id(self.span)
+        sampled = int(self.sink is not None)
+        carried = {TRACEPARENT: f'00-{trace}-{span}-0{sampled}'}
+        if self.state:
+            carried[TRACESTATE] = self.state
+        return carried
 
 
 class Trace:
     """One request's part on one host: its first hop and those inside it."""
 
-    __slots__ = ('_tracer', 'root', '_request_id')
+    __slots__ = ('root',)
 
-    def __init__(
-        self,
-        tracer: otel.Tracer,
-        root: Span,
-        request_id: ids.RequestId,
-    ) -> None:
+    def __init__(self, root: Span) -> None:
         """Hold the first hop; made by :meth:`Tracing.begin`."""
-        self._tracer = tracer
         self.root = root
-        self._request_id = request_id
 
     def open(
         self,
@@ -156,10 +167,17 @@
         :param parent: by default the first hop.
         """
         outer = parent or self.root
-        if not outer.recording:
-            return outer_only(outer)
-        return _start(
-            self._tracer, hop, outer.context, self._request_id, attributes
+        if outer.sink is None:
+            return outer
+        return Span(
+            hop.value,
+            outer.request_id,
+            outer.trace,
+            random.getrandbits(_SPAN_BITS) or 1,
+            outer.span,
+            outer.state,
+            outer.sink,
+            attributes,
         )
 
     @contextlib.contextmanager
@@ -189,8 +207,8 @@
     >>> tracing = Tracing(TraceSettings(ids.HostId('entry-1')))
     >>> parent = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
     >>> trace = tracing.begin(ids.RequestId('r'), {'traceparent': parent})
-    >>> trace.root.headers()['traceparent'] == parent
-    True
+    >>> trace.root.trace_id
+    '0af7651916cd43dd8448eb211c80319c'
     """
 
     def __init__(self, cfg: TraceSettings) -> None:
@@ -199,13 +217,11 @@
         :param cfg: says which.
         :raises OSError: when the file can't be written.
         """
-        self._exporter: tracefile.Exporter | None = None
-        self._processor: export.BatchSpanProcessor | None = None
-        self._ended = _Counter()
-        self._tracer: otel.Tracer = otel.NoOpTracer()
+        self._sample = cfg.sample
+        self._sink: spanqueue.SpanQueue | None = None
         if cfg.path is not None:
-            self._exporter = tracefile.Exporter(cfg.path)
-            self._tracer = self._make_tracer(cfg, self._exporter)
+            writer = tracefile.Writer(cfg.path)
+            self._sink = spanqueue.SpanQueue(cfg.host, writer)
 
     def begin(
         self,
@@ -217,82 +233,60 @@
         """Start this host's part of a request's trace.
 
         :param headers: of the call, or the carrier that a peer's message
-            held; names in any case, as in aiohttp's headers.
+            held; aiohttp's headers, or names in lower case.
         :param hop: what this host does.
         """
-        carrier = _carrier(headers)
-        parent = _propagator.extract(carrier, otel_context.Context())
-        root = _start(self._tracer, hop, parent, request_id, attributes)
-        return Trace(self._tracer, root, request_id)
+        parent = _parent(headers)
+        sink = self._sink
+        if sink is not None and not self._sampled(parent):
+            sink = None
+        trace = parent.trace_id
+        span = parent.span_id
+        if self._sink is not None:
+            trace = trace or random.getrandbits(_TRACE_BITS) or 1
+            span = random.getrandbits(_SPAN_BITS) or 1
+        return Trace(
+            Span(
+                hop.value,
+                request_id,
+                trace,
+                span,
+                parent.span_id,
+                parent.trace_state.to_header(),
+                sink,
+                attributes,
+            ),
+        )
 
     def flush(self) -> None:
-        """Bring every finished span into the file; blocks for the write."""
-        if self._processor is not None:
-            self._processor.force_flush()
+        """Bring every ended span into the file; blocks for the write."""
+        if self._sink is not None:
+            self._sink.flush()
 
     def dropped(self) -> int:
-        """Count spans lost since the start, up to the last flush."""
-        if self._exporter is None:
+        """Count spans lost since the start: queue full or disk refusing."""
+        if self._sink is None:
             return 0
-        waiting = self._ended.count - self._exporter.written
-        return max(0, waiting - _QUEUE_SPANS)
+        return self._sink.dropped
 
     def close(self) -> None:
         """Flush and close the file."""
-        if self._processor is not None:
-            self._processor.shutdown()
-
-    def _make_tracer(
-        self,
-        cfg: TraceSettings,
-        exporter: tracefile.Exporter,
-    ) -> otel.Tracer:
-        self._processor = export.BatchSpanProcessor(
-            exporter,
-            max_queue_size=_QUEUE_SPANS,
-            schedule_delay_millis=_FLUSH_MS,
-            max_export_batch_size=_BATCH_SPANS,
-        )
-        provider = sdk.TracerProvider(
-            sampler=sampling.ParentBasedTraceIdRatio(cfg.sample),
-            resource=resources.Resource({tracefile.HOST: cfg.host}),
-            shutdown_on_exit=False,
-        )
-        provider.add_span_processor(self._ended)
-        provider.add_span_processor(self._processor)
-        return provider.get_tracer('geraniumweir')
-
-
-class _Counter(sdk.SpanProcessor):
-    """Counts spans that ended."""
-
-    def __init__(self) -> None:
-        self.count = 0
-
-    def on_end(self, _span: sdk.ReadableSpan) -> None:
-        self.count += 1
-
-
-def outer_only(outer: Span) -> Span:
-    """Stand in for a hop that isn't recorded: it carries the trace on."""
-    return Span(otel.INVALID_SPAN, outer.context)
-
-
-def _start(
-    tracer: otel.Tracer,
-    hop: Hop,
-    parent: otel_context.Context,
-    request_id: ids.RequestId,
-    attributes: dict[str, Attribute],
-) -> Span:
-    span = tracer.start_span(
-        hop.value,
-        context=parent,
-        attributes={tracefile.REQUEST: request_id, **attributes},
-    )
-    return Span(span, parent)
-
-
-def _carrier(headers: typing.Mapping[str, str]) -> dict[str, str]:
-    found = {name: headers.get(name) for name in _CARRIED}
-    return {name: text for name, text in found.items() if text is not None}
+        if self._sink is not None:
+            self._sink.close()
+
+    def _sampled(self, parent: otel.SpanContext) -> bool:
+        if parent.is_valid:
+            return bool(parent.trace_flags.sampled)
+        return random.random() < self._sample
+
+
+def _parent(headers: typing.Mapping[str, str]) -> otel.SpanContext:
+    traceparent = headers.get(TRACEPARENT)
+    if traceparent is None:
+        return otel.INVALID_SPAN_CONTEXT
+    carrier = {TRACEPARENT: traceparent}
+    tracestate = headers.get(TRACESTATE)
+    if tracestate is not None:
+        carrier[TRACESTATE] = tracestate
+    found = _propagator.extract(carrier, otel_context.Context())
+    return otel.get_current_span(found).get_span_context()
