--- /dev/null
+++ b/libs/wire/geraniumweir/wire/catalogue.py
@@ -0,0 +1,85 @@
+"""Which number stands for which message type.
+
+The number is the CRC-32 of the qualified name, ``consensus.AppendEntries``,
+so that nobody has to give numbers out and hosts of different builds agree on
+the messages they share. Two names with one number stop the start.
+"""
+
+import binascii
+import functools
+import importlib
+import inspect
+import pkgutil
+import struct
+
+from geraniumweir.wire import errors, gen
+
+NO_MESSAGE = 0
+_SIGNED = struct.Struct('>i')
+_UNSIGNED = struct.Struct('>I')
+
+
+class Catalogue:
+    """Message types by number and numbers by type."""
+
+    def __init__(self, types: dict[str, type]) -> None:
+        """Give each type its number.
+
+        :param types: by qualified name.
+        :raises ValueError: when two names have the same number.
+        """
+        self._types: dict[int, type] = {}
+        self._numbers: dict[type, int] = {}
+        for name, message_type in types.items():
+            number = number_of(name)
+            if number in self._types or number == NO_MESSAGE:
+                raise ValueError(f'the number of {name} is taken already')
+            self._types[number] = message_type
+            self._numbers[message_type] = number
+
+    def number(self, message_type: type) -> int:
+        """Give the number of a type.
+
+        :raises errors.FrameError: when it isn't generated from the IDL.
+        """
+        found = self._numbers.get(message_type)
+        if found is None:
+            raise errors.FrameError(f'{message_type!r} is no message')
+        return found
+
+    def type_of(self, number: int) -> type:
+        """Give the type that a number stands for.
+
+        :raises errors.FrameError: when this build has none.
+        """
+        found = self._types.get(number)
+        if found is None:
+            raise errors.FrameError(f'no message has the number {number}')
+        return found
+
+
+def number_of(name: str) -> int:
+    """Give the number of a qualified name, as thrift's signed ``i32``.
+
+    >>> number_of('peering.Hello')
+    -1582587131
+    """
+    crc = binascii.crc32(name.encode())
+    return int(_SIGNED.unpack(_UNSIGNED.pack(crc))[0])
+
+
+@functools.cache
+def generated() -> Catalogue:
+    """Give the catalogue of all structs under ``wire.gen``."""
+    types: dict[str, type] = {}
+    for subject in pkgutil.iter_modules(gen.__path__):
+        module = importlib.import_module(
+            f'{gen.__name__}.{subject.name}.ttypes',
+        )
+        types.update(
+            (f'{subject.name}.{name}', found)
+            for name, found in inspect.getmembers(module, inspect.isclass)
+            if found.__module__ == module.__name__
+            and hasattr(found, 'thrift_spec')
+        )
+    return Catalogue(types)
--- /dev/null
+++ b/libs/wire/geraniumweir/wire/connection.py
@@ -0,0 +1,199 @@
+"""One TCP connection to a greeted peer: its reading task, calls and answers.
+
+The connection's task reads frames until the stream ends. Writing needs no
+task: bytes go to the transport's buffer while that is short, and a message
+that finds it long is not sent.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+
+from geraniumweir.common import ids
+from geraniumweir.wire import (
+    envelopes,
+    errors,
+    framing,
+    handling,
+    logevents,
+    peers,
+)
+from geraniumweir.wire.gen.peering import ttypes
+
+MAX_BUFFERED = 8 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """What went to and came from one peer, over all its connections.
+
+    :ivar dropped: messages that were not sent or not handled.
+    """
+
+    messages_out: int = 0
+    bytes_out: int = 0
+    messages_in: int = 0
+    bytes_in: int = 0
+    dropped: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Cut:
+    """A partition of one link, set by tests: which way loses frames."""
+
+    outgoing: bool = False
+    incoming: bool = False
+
+
+class Connection:
+    """A connection after the greeting.
+
+    :ivar peer: the host at the other end.
+    """
+
+    def __init__(
+        self,
+        peer: ids.HostId,
+        streams: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        router: handling.Router,
+        traffic: Traffic,
+        cut: Cut,
+    ) -> None:
+        """Take over a greeted stream; :meth:`run` reads it."""
+        self.peer = peer
+        self._reader = streams[0]
+        self._writer = streams[1]
+        self._traffic = traffic
+        self._cut = cut
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, asyncio.Future[ttypes.Envelope]] = {}
+        self._workers = handling.Workers(peer, router, self._reply)
+
+    @property
+    def usable(self) -> bool:
+        """Whether a message may still be written."""
+        return not (self._writer.is_closing() or self._reader.at_eof())
+
+    async def run(self) -> None:
+        """Read frames until the stream ends; every open call fails then."""
+        logevents.emit(logevents.CONNECTED, peer=self.peer)
+        try:
+            await self._read_all()
+        except errors.FrameError as exc:
+            logevents.emit(
+                logevents.BAD_FRAME,
+                peer=self.peer,
+                reason=exc.message,
+            )
+        except (OSError, asyncio.IncompleteReadError) as exc:
+            logevents.emit(
+                logevents.DISCONNECTED,
+                peer=self.peer,
+                reason=repr(exc),
+            )
+        finally:
+            self._fail_pending()
+            self._writer.transport.abort()
+
+    async def call(
+        self,
+        message: peers.Message,
+        timeout: float,
+    ) -> peers.Message:
+        """Send a message and wait for its answer.
+
+        :param timeout: in seconds.
+        :raises errors.BusyError: when too much waits to be sent.
+        :raises errors.PeerTimeoutError: when no answer came in time.
+        :raises errors.PeerError: when the connection broke; the peer may
+            have acted.
+        """
+        call_id = next(self._numbers)
+        envelope = envelopes.seal(envelopes.Kind.call, call_id, message)
+        loop = asyncio.get_running_loop()
+        fut: asyncio.Future[ttypes.Envelope] = loop.create_future()
+        self._pending[call_id] = fut
+        try:
+            async with asyncio.timeout(timeout):
+                self._write(envelope)
+                answer = await fut
+        except TimeoutError as exc:
+            text = f'{self.peer} gave no answer in {timeout} s'
+            raise errors.PeerTimeoutError(text) from exc
+        finally:
+            self._pending.pop(call_id, None)
+        return self._unseal(answer)
+
+    def send(self, message: peers.Message) -> None:
+        """Send a message, or drop it when too much waits to be sent."""
+        envelope = envelopes.seal(envelopes.Kind.message, 0, message)
+        try:
+            self._write(envelope)
+        except errors.BusyError:
+            self._traffic.dropped += 1
+
+    def abort(self) -> None:
+        """Break the connection off; :meth:`run` ends soon."""
+        self._writer.transport.abort()
+
+    def stop_handlers(self) -> None:
+        """Cancel what still works on messages of this connection."""
+        self._workers.stop()
+
+    async def _read_all(self) -> None:
+        while True:
+            frame = await framing.read_frame(self._reader)
+            if self._cut.incoming:
+                continue
+            self._traffic.messages_in += 1
+            self._traffic.bytes_in += len(frame)
+            envelope = framing.decode(ttypes.Envelope, frame)
+            await self._take(envelope)
+
+    async def _take(self, envelope: ttypes.Envelope) -> None:
+        match envelope.kind:
+            case envelopes.Kind.answer | envelopes.Kind.failure:
+                self._settle(envelope)
+            case envelopes.Kind.call | envelopes.Kind.message:
+                await self._workers.take(envelope)
+            case _:
+                text = f'a message of the kind {envelope.kind}'
+                raise errors.FrameError(text)
+
+    def _settle(self, envelope: ttypes.Envelope) -> None:
+        # An answer that came after its call's timeout finds no one.
+        fut = self._pending.get(envelope.call_id)
+        if fut is not None and not fut.done():
+            fut.set_result(envelope)
+
+    def _unseal(self, answer: ttypes.Envelope) -> peers.Message | None:
+        try:
+            return envelopes.unseal(answer)
+        except errors.FrameError:
+            self.abort()
+            raise
+
+    def _reply(self, envelope: ttypes.Envelope) -> None:
+        try:
+            self._write(envelope)
+        except errors.PeerError:
+            # The caller's timeout tells it.
+            self._traffic.dropped += 1
+
+    def _write(self, envelope: ttypes.Envelope) -> None:
+        if not self.usable:
+            raise errors.UnreachableError(f'{self.peer} is disconnected')
+        frame = framing.pack(framing.encode(envelope))
+        buffered = self._writer.transport.get_write_buffer_size()
+        if buffered + len(frame) > MAX_BUFFERED:
+            raise errors.BusyError(f'{buffered} bytes wait for {self.peer}')
+        self._traffic.messages_out += 1
+        self._traffic.bytes_out += len(frame)
+        if not self._cut.outgoing:
+            self._writer.write(frame)
+
+    def _fail_pending(self) -> None:
+        for fut in self._pending.values():
+            if not fut.done():
+                text = f'the connection to {self.peer} broke'
+                fut.set_exception(errors.PeerError(text))
--- a/libs/wire/geraniumweir/wire/errors.py
+++ b/libs/wire/geraniumweir/wire/errors.py
@@ -25,3 +25,15 @@
     """The peer's handler failed."""
 
     code = 'GW-4104'
+
+
+class FrameError(PeerError):
+    """Bytes on a connection that are no message of this protocol."""
+
+    code = 'GW-4105'
+
+
+class BusyError(UnreachableError):
+    """Too much waits to be sent to the peer; this was not sent."""
+
+    code = 'GW-4106'
--- /dev/null
+++ b/libs/wire/geraniumweir/wire/framing.py
@@ -0,0 +1,94 @@
+"""Frames of bounded length on a stream, and thrift structs in them.
+
+A frame is its length, four bytes with the highest first, and that many bytes
+of one struct in thrift's compact protocol. The length is checked before
+anything is read, and container lengths while decoding, so that no peer can
+make this host set aside memory for bytes that it never sends.
+
+References
+==========
+.. [1] Apache Thrift, "Thrift Compact protocol encoding",
+   https://github.com/apache/thrift/blob/master/doc/specs/
+   thrift-compact-protocol.md
+"""
+
+import asyncio
+import typing
+
+from geraniumweir.wire import errors
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+MAX_FRAME = 4 * 1024 * 1024
+_MAX_CONTAINER = 1024 * 1024
+_LENGTH_BYTES = 4
+
+_Struct = typing.TypeVar('_Struct')
+
+
+def encode(message: typing.Any) -> bytes:
+    """Turn a generated struct into bytes.
+
+    :raises errors.FrameError: when a field has a value of a wrong type.
+    """
+    buffer = TTransport.TMemoryBuffer()
+    try:
+        message.write(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    except Exception as exc:
+        raise errors.FrameError(f'{message!r} can not be sent') from exc
+    return buffer.getvalue()
+
+
+def decode(message_type: type[_Struct], body: bytes) -> _Struct:
+    """Turn bytes into a generated struct.
+
+    :raises errors.FrameError: when they are none.
+
+    >>> from geraniumweir.wire.gen.peering import ttypes
+    >>> sent = ttypes.Hello(host_id='entry-1', protocol=1, listen='')
+    >>> decode(ttypes.Hello, encode(sent)) == sent
+    True
+    """
+    message = typing.cast(typing.Any, message_type())
+    protocol = TCompactProtocol.TCompactProtocolAccelerated(
+        TTransport.TMemoryBuffer(body),
+        string_length_limit=MAX_FRAME,
+        container_length_limit=_MAX_CONTAINER,
+    )
+    try:
+        message.read(protocol)
+    except Exception as exc:
+        # The decoder fails with many types, by what the garbage looks like.
+        name = message_type.__name__
+        raise errors.FrameError(f'no {name}: {exc!r}') from exc
+    return message
+
+
+def pack(body: bytes) -> bytes:
+    """Put the length before a body.
+
+    :raises errors.FrameError: when it is too long for a frame.
+
+    >>> len(pack(b'ab'))
+    6
+    """
+    if len(body) > MAX_FRAME:
+        raise errors.FrameError(f'{len(body)} bytes are too long for a frame')
+    return len(body).to_bytes(_LENGTH_BYTES, 'big') + body
+
+
+async def read_frame(
+    reader: asyncio.StreamReader,
+    limit: int = MAX_FRAME,
+) -> bytes:
+    """Read one frame's body.
+
+    :param limit: longest body to accept, in bytes.
+    :raises errors.FrameError: when the frame says that it is longer.
+    :raises asyncio.IncompleteReadError: when the stream ends.
+    """
+    head = await reader.readexactly(_LENGTH_BYTES)
+    length = int.from_bytes(head, 'big')
+    if length > limit:
+        raise errors.FrameError(f'a frame of {length} bytes, limit {limit}')
+    return await reader.readexactly(length)
--- /dev/null
+++ b/libs/wire/geraniumweir/wire/handling.py
@@ -0,0 +1,118 @@
+"""Handlers of messages, and the bounded number that work for one peer."""
+
+import asyncio
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.wire import envelopes, errors, logevents, peers
+from geraniumweir.wire.gen.peering import ttypes
+
+MAX_HANDLERS = 1024
+
+
+class Router:
+    """Which handler answers which message type."""
+
+    def __init__(self) -> None:
+        """Start without handlers."""
+        self._handlers: dict[type, peers.Handler] = {}
+
+    def handle(self, message_type: type, handler: peers.Handler) -> None:
+        """Let a handler answer all messages of a type."""
+        self._handlers[message_type] = handler
+
+    async def dispatch(
+        self,
+        sender: ids.HostId,
+        message: peers.Message,
+    ) -> peers.Message | None:
+        """Give a message to its handler.
+
+        :raises errors.RemoteError: when it has none.
+        """
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            name = type(message).__name__
+            raise errors.RemoteError(f'no handler of {name}')
+        return await handler(sender, message)
+
+
+class Workers:
+    """The messages of one connection that are being handled.
+
+    Each is handled in a task of its own, so that a slow handler doesn't hold
+    up the reading of the connection. Over the bound, calls fail at once and
+    messages are dropped.
+
+    :ivar refused: how many were not handled.
+    """
+
+    def __init__(
+        self,
+        peer: ids.HostId,
+        router: Router,
+        reply: typing.Callable[[ttypes.Envelope], None],
+    ) -> None:
+        """Start idle.
+
+        :param reply: sends an answer, or drops it.
+        """
+        self.refused = 0
+        self._peer = peer
+        self._router = router
+        self._reply = reply
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def take(self, envelope: ttypes.Envelope) -> None:
+        """Start handling a call or a message.
+
+        :raises errors.FrameError: when this build can't read it.
+        """
+        message = envelopes.unseal(envelope)
+        if len(self._tasks) >= MAX_HANDLERS:
+            # Those that only need a turn of the loop get it.
+            await asyncio.sleep(0)
+        if len(self._tasks) >= MAX_HANDLERS:
+            self._refuse(envelope)
+            return
+        task = asyncio.create_task(self._work(envelope, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def stop(self) -> None:
+        """Cancel what is being handled."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _refuse(self, envelope: ttypes.Envelope) -> None:
+        self.refused += 1
+        logevents.emit(logevents.HANDLERS_BUSY, peer=self._peer)
+        if envelope.kind == envelopes.Kind.call:
+            busy = envelopes.failure(envelope.call_id, 'too many open calls')
+            self._reply(busy)
+
+    async def _work(
+        self,
+        envelope: ttypes.Envelope,
+        message: peers.Message,
+    ) -> None:
+        try:
+            answer = await self._answer(envelope.call_id, message)
+        except Exception as exc:
+            logevents.emit(
+                logevents.HANDLER_FAILED,
+                message=type(message).__name__,
+                peer=self._peer,
+                reason=repr(exc),
+            )
+            answer = envelopes.failure(envelope.call_id, repr(exc))
+        if envelope.kind == envelopes.Kind.call:
+            self._reply(answer)
+
+    async def _answer(
+        self,
+        call_id: int,
+        message: peers.Message,
+    ) -> ttypes.Envelope:
+        answer = await self._router.dispatch(self._peer, message)
+        return envelopes.seal(envelopes.Kind.answer, call_id, answer)
--- /dev/null
+++ b/libs/wire/geraniumweir/wire/logevents.py
@@ -0,0 +1,68 @@
+"""Events of the peer layer, numbers 401 to 499."""
+
+import typing
+
+import logbook
+from geraniumweir.common import logevents
+
+LISTENING = logevents.Event(
+    401,
+    logevents.Level.info,
+    'peers are served at {address}',
+)
+CONNECTED = logevents.Event(
+    402,
+    logevents.Level.info,
+    'connected to peer {peer}',
+)
+DISCONNECTED = logevents.Event(
+    403,
+    logevents.Level.info,
+    'connection to peer {peer} is gone: {reason}',
+)
+BAD_FRAME = logevents.Event(
+    404,
+    logevents.Level.warning,
+    'connection to peer {peer} closed for a bad frame: {reason}',
+)
+DIAL_FAILED = logevents.Event(
+    405,
+    logevents.Level.info,
+    'no connection to peer {peer}: {reason}',
+)
+GREETING_FAILED = logevents.Event(
+    406,
+    logevents.Level.warning,
+    'a connection from {address} was refused: {reason}',
+)
+HANDLER_FAILED = logevents.Event(
+    407,
+    logevents.Level.error,
+    'the handler of {message} from peer {peer} failed: {reason}',
+)
+HANDLERS_BUSY = logevents.Event(
+    408,
+    logevents.Level.warning,
+    'peer {peer} sends faster than its messages are handled',
+)
+
+_LEVELS = {
+    logevents.Level.debug: logbook.DEBUG,
+    logevents.Level.info: logbook.INFO,
+    logevents.Level.notice: logbook.NOTICE,
+    logevents.Level.warning: logbook.WARNING,
+    logevents.Level.error: logbook.ERROR,
+}
+_log = logbook.Logger('geraniumweir.wire')
+
+
+def emit(event: logevents.Event, **fields: typing.Any) -> None:
+    """Log an event.
+
+    :param fields: what the event's template names.
+    """
+    _log.log(
+        _LEVELS[event.level],
+        event.template.format(**fields),
+        extra={'event': event.number, **fields},
+    )
--- /dev/null
+++ b/libs/wire/geraniumweir/wire/tcp.py
@@ -0,0 +1,255 @@
+"""The peer layer over TCP.
+
+One task reads each connection, and one for each peer dials it when something
+is to be sent. A stranger, or a peer that sends garbage, loses its connection
+and no more.
+
+See Also
+========
+geraniumweir.wire.link, geraniumweir.wire.connection,
+geraniumweir.wire.greeting
+"""
+
+import asyncio
+import random
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.wire import (
+    connection,
+    errors,
+    greeting,
+    handling,
+    link,
+    logevents,
+    peers,
+)
+from geraniumweir.wire.gen.peering import ttypes
+
+_Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class TcpPeers:
+    """The peer layer of one entry host.
+
+    :ivar address: where this host listens, once it has started.
+    """
+
+    def __init__(
+        self,
+        host_id: ids.HostId,
+        address: ids.Address,
+        chance: random.Random | None = None,
+    ) -> None:
+        """Start without peers; :meth:`start` listens.
+
+        :param address: where to listen; port 0 takes a free one.
+        :param chance: spreads the pauses between attempts to connect.
+        """
+        self.host_id = host_id
+        self.address = address
+        self._chance = chance or random.Random()
+        self._links: dict[ids.HostId, link.Link] = {}
+        self._router = handling.Router()
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen for peers.
+
+        :raises OSError: when the address can't be listened at.
+        """
+        self._server = await asyncio.start_server(
+            self._accept,
+            self.address.host,
+            self.address.port,
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = ids.Address(self.address.host, port)
+        logevents.emit(logevents.LISTENING, address=self.address)
+
+    async def close(self) -> None:
+        """Stop listening, break off all connections, cancel handlers."""
+        if self._server is not None:
+            self._server.close()
+        for known in self._links.values():
+            await known.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def handle(self, message_type: type, handler: peers.Handler) -> None:
+        """Let a handler answer all messages of a type."""
+        self._router.handle(message_type, handler)
+
+    def learn(self, host_id: ids.HostId, address: ids.Address) -> None:
+        """Remember where a host listens."""
+        if host_id != self.host_id:
+            self._link(host_id).address = address
+
+    async def introduce(self, address: ids.Address) -> ids.HostId:
+        """Connect to a seed and learn who it is.
+
+        :raises errors.UnreachableError: when nobody answers there.
+        """
+        if address == self.address:
+            return self.host_id
+        for known in self._links.values():
+            if known.address == address and known.newest() is not None:
+                return known.host_id
+        conn = await self._dial(address)
+        self.learn(conn.peer, address)
+        return conn.peer
+
+    async def call(
+        self,
+        to: ids.HostId,
+        message: peers.Message,
+        timeout: float,
+    ) -> peers.Message:
+        """Send a message and wait for its answer.
+
+        :param timeout: in seconds, the making of a connection included.
+        :raises errors.UnreachableError: when it can't have been sent.
+        :raises errors.PeerTimeoutError: when no answer came in time.
+        :raises errors.RemoteError: when the peer's handler failed.
+        :raises errors.PeerError: when the connection broke meanwhile.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout
+        try:
+            async with asyncio.timeout_at(until):
+                conn = await self._link(to).connected()
+        except TimeoutError as exc:
+            text = f'no connection to {to} in {timeout} s'
+            raise errors.UnreachableError(text) from exc
+        return await conn.call(message, until - loop.time())
+
+    def send(self, to: ids.HostId, message: peers.Message) -> None:
+        """Send a message without an answer; it may be lost."""
+        self._link(to).send(message)
+
+    def cut(
+        self,
+        host_id: ids.HostId,
+        *,
+        outgoing: bool = True,
+        incoming: bool = True,
+    ) -> None:
+        """Lose all frames to or from a peer, as a partition would.
+
+        :param outgoing: lose what this host sends.
+        :param incoming: lose what the peer sends.
+        """
+        known = self._link(host_id)
+        known.cut.outgoing = outgoing
+        known.cut.incoming = incoming
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        for host_id in self._links:
+            self.cut(host_id, outgoing=False, incoming=False)
+
+    def traffic(self, host_id: ids.HostId) -> connection.Traffic:
+        """Give the counters of a peer."""
+        return self._link(host_id).traffic
+
+    def _link(self, host_id: ids.HostId) -> link.Link:
+        found = self._links.get(host_id)
+        if found is None:
+            found = link.Link(host_id, self._dial, self._chance)
+            self._links[host_id] = found
+        return found
+
+    async def _dial(self, address: ids.Address) -> connection.Connection:
+        if any(
+            known.cut.outgoing or known.cut.incoming
+            for known in self._links.values()
+            if known.address == address
+        ):
+            await asyncio.sleep(greeting.TIMEOUT)
+            raise errors.UnreachableError(f'nobody answers at {address}')
+        streams = await _connect(address)
+        greeting.say(streams[1], self.host_id, str(self.address))
+        try:
+            hello = await greeting.hear(streams[0])
+        except BaseException as exc:
+            streams[1].transport.abort()
+            if isinstance(exc, errors.PeerError):
+                raise errors.UnreachableError(exc.message) from exc
+            raise
+        return self._adopt(hello, streams)
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._track(asyncio.current_task())
+        try:
+            hello = await greeting.hear(reader)
+        except errors.PeerError as exc:
+            writer.transport.abort()
+            logevents.emit(
+                logevents.GREETING_FAILED,
+                address=writer.get_extra_info('peername'),
+                reason=exc.message,
+            )
+            return
+        cut = self._link(ids.HostId(hello.host_id)).cut
+        if cut.incoming or cut.outgoing:
+            # The other side waits for a greeting until it gives up.
+            await reader.read()
+            writer.transport.abort()
+            return
+        greeting.say(writer, self.host_id, str(self.address))
+        self._adopt(hello, (reader, writer))
+
+    def _adopt(
+        self,
+        hello: ttypes.Hello,
+        streams: _Streams,
+    ) -> connection.Connection:
+        greeting.notice_silence(streams[1])
+        peer = ids.HostId(hello.host_id)
+        known = self._link(peer)
+        conn = connection.Connection(
+            peer,
+            streams,
+            self._router,
+            known.traffic,
+            known.cut,
+        )
+        known.address = _listening(hello) or known.address
+        known.add(conn)
+        self._track(asyncio.create_task(_run(known, conn)))
+        return conn
+
+    def _track(self, task: asyncio.Task[typing.Any] | None) -> None:
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+
+def _listening(hello: ttypes.Hello) -> ids.Address | None:
+    try:
+        return ids.parse_address(hello.listen or '')
+    except ValueError:
+        # A peer that doesn't listen can't be dialled; it still talks.
+        return None
+
+
+async def _connect(address: ids.Address) -> _Streams:
+    try:
+        async with asyncio.timeout(greeting.TIMEOUT):
+            return await asyncio.open_connection(address.host, address.port)
+    except (OSError, TimeoutError) as exc:
+        text = f'nobody answers at {address}: {exc!r}'
+        raise errors.UnreachableError(text) from exc
+
+
+async def _run(known: link.Link, conn: connection.Connection) -> None:
+    try:
+        await conn.run()
+    finally:
+        known.remove(conn)
--- /dev/null
+++ b/libs/wire/geraniumweir/wire/tests/test_framing.py
@@ -0,0 +1,51 @@
+"""Tests of frames and of the catalogue of message types."""
+
+import pytest
+from geraniumweir.wire import catalogue, errors, framing
+from geraniumweir.wire.gen.peering import ttypes
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=64))
+def test_garbage_is_a_struct_or_a_frame_error(body: bytes) -> None:
+    """No bytes make the decoder fail in another way."""
+    try:
+        decoded = framing.decode(ttypes.Envelope, body)
+    except errors.FrameError:
+        return
+    assert isinstance(decoded, ttypes.Envelope)
+
+
+def test_field_of_a_wrong_type_is_refused() -> None:
+    """A mistake in the code that fills a struct shows at the sender."""
+    with pytest.raises(errors.FrameError):
+        framing.encode(ttypes.Hello(host_id='one', protocol='1'))
+
+
+def test_body_over_the_limit_is_refused() -> None:
+    """Nothing too long for the receiver goes out."""
+    with pytest.raises(errors.FrameError):
+        framing.pack(bytes(framing.MAX_FRAME + 1))
+
+
+def test_generated_types_have_numbers() -> None:
+    """Each generated struct is found again by its number."""
+    types = catalogue.generated()
+    number = types.number(ttypes.Hello)
+    assert number == catalogue.number_of('peering.Hello')
+    assert types.type_of(number) is ttypes.Hello
+
+
+def test_unknown_number_is_refused() -> None:
+    """A message of a newer build isn't guessed at."""
+    with pytest.raises(errors.FrameError):
+        catalogue.generated().type_of(1)
+
+
+def test_names_of_one_number_stop_the_start() -> None:
+    """Two names with the same CRC-32 are noticed."""
+    clashing = {'plumless': ttypes.Hello, 'buckeroo': ttypes.Envelope}
+    with pytest.raises(ValueError, match='taken'):
+        catalogue.Catalogue(clashing)
