--- a/libs/daemon/geraniumweir/daemon/host.py
+++ b/libs/daemon/geraniumweir/daemon/host.py
@@ -7,7 +7,8 @@
 from geraniumweir.configuration import document
 from geraniumweir.daemon import settings
 from geraniumweir.membership import servers
-from geraniumweir.scheduling import leader
+from geraniumweir.scheduling import leader, requests
+from geraniumweir.scheduling import settings as leader_settings
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,7 +32,12 @@
         """Give the leader of a pool, made on first use."""
         found = self.leaders.get(pool)
         if found is None:
-            found = leader.PoolLeader(lambda: self.servers_of(pool))
+            found = leader.PoolLeader(
+                leader_settings.LeaderSettings(pool),
+                self.timers.now,
+                lambda: self.servers_of(pool),
+                _ignore_preempt,
+            )
             self.leaders[pool] = found
         return found
 
@@ -46,3 +52,7 @@
             and not doc.override(server.server_id).drain
             and not doc.override(server.server_id).forbid
         ]
+
+
+def _ignore_preempt(_preempt: requests.Preempt) -> None:
+    """Leave the stream: this host can't cancel one yet."""
--- a/libs/scheduling/geraniumweir/scheduling/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -10,7 +10,7 @@
 
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
-from geraniumweir.scheduling import requests
+from geraniumweir.scheduling import requests, settings
 
 _QUEUE_LIMIT = 1000
 
@@ -20,12 +20,20 @@
 
     def __init__(
         self,
-        live: typing.Callable[[], list[servers.Announcement]],
+        cfg: settings.LeaderSettings,
+        now: typing.Callable[[], float],
+        live: typing.Callable[[], typing.Sequence[servers.Announcement]],
+        on_preempt: typing.Callable[[requests.Preempt], None],
     ) -> None:
         """Start with an empty queue.
 
+        :param now: gives the time in seconds, the loop's clock.
         :param live: gives the pool's backend servers that may get work.
+        :param on_preempt: told of a stream that its owner is to cancel.
         """
+        self._cfg = cfg
+        self._now = now
+        self._on_preempt = on_preempt
         self._live = live
         self._waiting: dict[
             ids.RequestId, tuple[requests.Ask, asyncio.Future[requests.Grant]]
@@ -65,6 +73,38 @@
         self._running.pop(release.request_id, None)
         self.grant_waiting()
 
+    def withdraw(self, request_id: ids.RequestId) -> None:
+        """Drop a request whose caller went away while it waited."""
+
+    def progress(self, progress: requests.Progress) -> None:
+        """Take how granted work goes on."""
+
+    def report(self, report: requests.LoadReport) -> None:
+        """Take an engine's load report."""
+
+    def cache_events(self, events: requests.CacheEvents) -> None:
+        """Take an engine's cache events."""
+
+    def server_crashed(
+        self,
+        server_id: ids.ServerId,
+        incarnation: ids.Incarnation,
+    ) -> None:
+        """Take that a server crashed.
+
+        :param incarnation: the one that is gone.
+        """
+
+    def adopt(self, grants: typing.Sequence[requests.OpenGrant]) -> None:
+        """Take over grants in use that another leader gave."""
+
+    def settled(self) -> None:
+        """Start granting: all owners have handed over their grants."""
+
+    def summary(self) -> requests.PoolSummary:
+        """Sum up the pool for other hosts."""
+        return requests.PoolSummary(self._cfg.pool)
+
     def grant_waiting(self) -> None:
         """Grant as much as there are free slots; called on any change."""
         order = sorted(
