--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/channel.py
@@ -0,0 +1,72 @@
+"""Messages to any host, this one included.
+
+What goes to this host is handed straight to its handler; the rest goes
+through the peer layer. So the broker and the leader's service needn't care
+on which host the other one is.
+"""
+
+import asyncio
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.wire import errors, peers
+
+
+class Channel:
+    """The peer layer with a short way to this host."""
+
+    def __init__(self, remote: peers.Peers) -> None:
+        """Start without handlers.
+
+        :param remote: carries what goes to other hosts.
+        """
+        self.host_id = remote.host_id
+        self._remote = remote
+        self._handlers: dict[type, peers.Handler] = {}
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+
+    def handle(self, message_type: type, handler: peers.Handler) -> None:
+        """Let a handler answer all messages of a type, whoever sends them."""
+        self._handlers[message_type] = handler
+        self._remote.handle(message_type, handler)
+
+    async def call(
+        self,
+        to: ids.HostId,
+        message: peers.Message,
+        timeout: float,
+    ) -> peers.Message:
+        """Send a message and wait for its answer.
+
+        :raises errors.PeerError: when none came.
+        """
+        if to != self.host_id:
+            return await self._remote.call(to, message, timeout)
+        try:
+            return await self._handlers[type(message)](to, message)
+        except Exception as exc:
+            raise errors.RemoteError(repr(exc)) from exc
+
+    def send(self, to: ids.HostId, message: peers.Message) -> None:
+        """Send a message without an answer; it may be lost."""
+        if to == self.host_id:
+            self.start(self.call(to, message, 0))
+        else:
+            self._remote.send(to, message)
+
+    def start(
+        self,
+        work: typing.Coroutine[typing.Any, typing.Any, typing.Any],
+    ) -> asyncio.Task[typing.Any]:
+        """Run work beside; :meth:`close` cancels it."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def close(self) -> None:
+        """Cancel all work that was started."""
+        open_tasks = tuple(self._tasks)
+        for task in open_tasks:
+            task.cancel()
+        await asyncio.gather(*open_tasks, return_exceptions=True)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/rendezvous.py
@@ -0,0 +1,48 @@
+"""Which host leads a pool, worked out alike by everyone who knows the hosts.
+
+Each host gets a weight from a hash of its id with the pool's key, and the
+heaviest leads. When a host comes or goes, only the pools that it leads, or
+will lead, move.
+
+References
+==========
+.. [1] D. G. Thaler and C. V. Ravishankar, "Using Name-Based Mappings to
+   Increase Hit Rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+import typing
+
+import xxhash
+from geraniumweir.common import ids
+
+
+def leader_of(
+    domain: ids.FailureDomain,
+    pool: ids.PoolName,
+    hosts: typing.Iterable[ids.HostId],
+) -> ids.HostId | None:
+    """Choose the leader of a pool in a failure domain.
+
+    :param hosts: the live hosts of the domain, in any order.
+    :returns: None when there are no hosts.
+
+    >>> leader_of('milano-a', 'lm-advisori', ['entry-1', 'entry-2'])
+    'entry-2'
+    >>> leader_of('milano-a', 'lm-advisori', ['entry-1'])
+    'entry-1'
+    """
+    # The id breaks a tie of weights.
+    return max(
+        hosts,
+        key=lambda host: (_weight(domain, pool, host), host),
+        default=None,
+    )
+
+
+def _weight(
+    domain: ids.FailureDomain,
+    pool: ids.PoolName,
+    host: ids.HostId,
+) -> int:
+    text = '\0'.join((domain, pool, host))
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -0,0 +1,183 @@
+"""Between the values of :mod:`requests` and the thrift structs.
+
+Durations become times on the reader's clock and back; unsigned hashes become
+thrift's signed integers and back.
+"""
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import requests
+from geraniumweir.wire.gen.scheduling import ttypes
+
+_SIGN_BIT = 1 << 63
+_RANGE = 1 << 64
+
+
+def pack_ask(ask: requests.Ask, attempt: int, now: float) -> ttypes.Ask:
+    """Give the message of an ask."""
+    return ttypes.Ask(
+        request_id=ask.request_id,
+        owner=ask.owner,
+        pool=ask.pool,
+        customer=ask.customer,
+        rule=ask.rule,
+        tier=int(ask.tier),
+        time_left=float(ask.deadline - now),
+        model=ask.model,
+        prompt_tokens=ask.prompt_tokens,
+        max_tokens=ask.max_tokens,
+        blocks=[_signed(block) for block in ask.blocks],
+        fingerprint=_signed(ask.fingerprint),
+        idempotent=ask.idempotent,
+        share=float(ask.share),
+        max_running=ask.max_running,
+        max_waiting=ask.max_waiting,
+        attempt=attempt,
+    )
+
+
+def unpack_ask(message: ttypes.Ask, now: float) -> requests.Ask:
+    """Read the message of an ask.
+
+    :raises ValueError: when it has no such tier.
+    """
+    return requests.Ask(
+        request_id=ids.RequestId(message.request_id),
+        owner=ids.HostId(message.owner),
+        pool=ids.PoolName(message.pool),
+        customer=ids.CustomerName(message.customer),
+        rule=ids.RuleName(message.rule),
+        tier=ids.Tier(message.tier),
+        deadline=now + message.time_left,
+        model=message.model,
+        prompt_tokens=message.prompt_tokens,
+        max_tokens=message.max_tokens,
+        blocks=tuple(
+            ids.BlockHash(_unsigned(block)) for block in message.blocks
+        ),
+        fingerprint=ids.Fingerprint(_unsigned(message.fingerprint)),
+        idempotent=message.idempotent,
+        share=message.share,
+        max_running=message.max_running,
+        max_waiting=message.max_waiting,
+    )
+
+
+def pack_grant(grant: requests.Grant) -> ttypes.Grant:
+    """Give the message of a grant."""
+    return ttypes.Grant(grant.server_id, grant.incarnation, str(grant.address))
+
+
+def pack_denial(denial: requests.Denial) -> ttypes.Denial:
+    """Give the message of a denial."""
+    return ttypes.Denial(denial.reason.value, denial.retry_after_ms)
+
+
+def unpack_answer(
+    request_id: ids.RequestId,
+    answer: ttypes.AskReply | ttypes.Answer,
+) -> requests.Grant | requests.Denial | None:
+    """Read a grant or denial; None while the ask waits.
+
+    :raises ValueError: when an address or a reason is malformed.
+    """
+    if answer.grant is not None:
+        return _unpack_grant(request_id, answer.grant)
+    if answer.denial is None:
+        return None
+    return requests.Denial(
+        request_id,
+        requests.DenialReason(answer.denial.reason),
+        answer.denial.retry_after_ms,
+    )
+
+
+def pack_open(
+    grant: requests.OpenGrant,
+    attempt: int,
+    now: float,
+) -> ttypes.OpenGrant:
+    """Give the message of a grant in use."""
+    return ttypes.OpenGrant(
+        pack_ask(grant.ask, attempt, now),
+        pack_grant(grant.grant),
+        float(grant.age),
+        grant.first_token,
+        grant.output_tokens,
+    )
+
+
+def unpack_open(
+    message: ttypes.OpenGrant,
+    now: float,
+) -> requests.OpenGrant:
+    """Read the message of a grant in use."""
+    ask = unpack_ask(message.ask, now)
+    return requests.OpenGrant(
+        ask,
+        _unpack_grant(ask.request_id, message.grant),
+        message.age,
+        message.first_token,
+        message.output_tokens,
+    )
+
+
+def pack_release(
+    pool: ids.PoolName,
+    release: requests.Release,
+    attempt: int,
+) -> ttypes.Release:
+    """Give the message of a release."""
+    return ttypes.Release(
+        pool=pool,
+        request_id=release.request_id,
+        attempt=attempt,
+        outcome=release.outcome.value,
+        first_token=release.first_token,
+        output_tokens=release.output_tokens,
+        seconds=float(release.seconds),
+    )
+
+
+def unpack_release(message: ttypes.Release) -> requests.Release:
+    """Read the message of a release."""
+    return requests.Release(
+        ids.RequestId(message.request_id),
+        requests.Outcome(message.outcome),
+        message.first_token,
+        message.output_tokens,
+        message.seconds,
+    )
+
+
+def unpack_progress(message: ttypes.Progress) -> requests.Progress:
+    """Read the message of progress."""
+    return requests.Progress(
+        ids.RequestId(message.request_id),
+        message.first_token,
+        message.output_tokens,
+    )
+
+
+def _unpack_grant(
+    request_id: ids.RequestId,
+    message: ttypes.Grant,
+) -> requests.Grant:
+    return requests.Grant(
+        request_id,
+        ids.ServerId(message.server_id),
+        ids.Incarnation(message.incarnation),
+        ids.parse_address(message.address),
+    )
+
+
+def _signed(number: int) -> int:
+    """Fold an unsigned number of 64 bits into thrift's ``i64``.
+
+    >>> _unsigned(_signed(2**64 - 1)) == 2**64 - 1
+    True
+    """
+    return number - _RANGE if number >= _SIGN_BIT else number
+
+
+def _unsigned(number: int) -> int:
+    return number % _RANGE
--- /dev/null
+++ b/libs/wire/idl/scheduling.thrift
@@ -0,0 +1,115 @@
+// What an entry host and a pool leader say to each other.
+//
+// Clocks of hosts differ, so every time is a duration: seconds that are left
+// or that have passed when the message is made. An attempt is a number that
+// grows with each place where an entry host asks, over all its requests.
+namespace py scheduling
+
+struct Ask {
+  1: string request_id
+  2: string owner
+  3: string pool
+  4: string customer
+  5: string rule
+  6: i8 tier
+  7: double time_left
+  8: optional string model
+  9: i32 prompt_tokens
+  10: i32 max_tokens
+  11: list<i64> blocks
+  12: i64 fingerprint
+  13: bool idempotent
+  14: double share
+  15: optional i32 max_running
+  16: optional i32 max_waiting
+  17: i64 attempt
+}
+
+struct Grant {
+  1: string server_id
+  2: i64 incarnation
+  3: string address
+}
+
+struct Denial {
+  1: string reason
+  2: i32 retry_after_ms
+}
+
+// Answers an Ask; neither grant nor denial while it waits.
+struct AskReply {
+  1: optional Grant grant
+  2: optional Denial denial
+  3: optional string leader
+}
+
+// From the leader to the owner, for an ask that had to wait.
+struct Answer {
+  1: string request_id
+  2: i64 attempt
+  3: optional Grant grant
+  4: optional Denial denial
+}
+
+struct Release {
+  1: string pool
+  2: string request_id
+  3: i64 attempt
+  4: string outcome
+  5: optional double first_token
+  6: i32 output_tokens
+  7: double seconds
+}
+
+struct Withdraw {
+  1: string pool
+  2: string request_id
+  3: i64 attempt
+}
+
+struct Progress {
+  1: string pool
+  2: string request_id
+  3: optional double first_token
+  4: i32 output_tokens
+}
+
+struct Preempt {
+  1: string request_id
+  2: string server_id
+}
+
+struct OpenGrant {
+  1: Ask ask
+  2: Grant grant
+  3: double age
+  4: optional double first_token
+  5: i32 output_tokens
+}
+
+// A new leader asks each entry host of its failure domain.
+struct HandoverRequest {
+  1: string pool
+}
+
+struct Handover {
+  1: string pool
+  2: list<OpenGrant> open
+  3: list<Ask> waiting
+}
+
+// Once a second from an owner to each leader it has something with: all its
+// requests there, of attempts up to this one.
+struct Sync {
+  1: string pool
+  2: i64 attempt
+  3: list<string> waiting
+  4: list<string> open
+}
+
+// What of it the leader doesn't know.
+struct SyncReply {
+  1: bool leads
+  2: list<string> waiting
+  3: list<string> open
+}
