--- a/libs/scheduling/geraniumweir/scheduling/logevents.py
+++ b/libs/scheduling/geraniumweir/scheduling/logevents.py
@@ -1,8 +1,5 @@
 """Events of the scheduling library, numbers 201 to 299."""
 
-import typing
-
-import logbook
 from geraniumweir.common import logevents
 
 LEADS = logevents.Event(
@@ -30,24 +27,3 @@
     logevents.Level.notice,
     'grant of {request} from {leader} came too late and was given back',
 )
-
-_LEVELS = {
-    logevents.Level.debug: logbook.DEBUG,
-    logevents.Level.info: logbook.INFO,
-    logevents.Level.notice: logbook.NOTICE,
-    logevents.Level.warning: logbook.WARNING,
-    logevents.Level.error: logbook.ERROR,
-}
-_log = logbook.Logger('geraniumweir.scheduling')
-
-
-def emit(event: logevents.Event, **fields: typing.Any) -> None:
-    """Log an event.
-
-    :param fields: what the event's template names.
-    """
-    _log.log(
-        _LEVELS[event.level],
-        event.template.format(**fields),
-        extra={'event': event.number, **fields},
-    )
--- a/libs/wire/geraniumweir/wire/connection.py
+++ b/libs/wire/geraniumweir/wire/connection.py
@@ -9,7 +9,7 @@
 import dataclasses
 import itertools
 
-from geraniumweir.common import ids
+from geraniumweir.common import eventlog, ids
 from geraniumweir.wire import (
     envelopes,
     errors,
@@ -76,17 +76,17 @@
 
     async def run(self) -> None:
         """Read frames until the stream ends; every open call fails then."""
-        logevents.emit(logevents.CONNECTED, peer=self.peer)
+        eventlog.emit(logevents.CONNECTED, peer=self.peer)
         try:
             await self._read_all()
         except errors.FrameError as exc:
-            logevents.emit(
+            eventlog.emit(
                 logevents.BAD_FRAME,
                 peer=self.peer,
                 reason=exc.message,
             )
         except (OSError, asyncio.IncompleteReadError) as exc:
-            logevents.emit(
+            eventlog.emit(
                 logevents.DISCONNECTED,
                 peer=self.peer,
                 reason=repr(exc),
--- a/libs/wire/geraniumweir/wire/handling.py
+++ b/libs/wire/geraniumweir/wire/handling.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from geraniumweir.common import ids
+from geraniumweir.common import eventlog, ids
 from geraniumweir.wire import envelopes, errors, logevents, peers
 from geraniumweir.wire.gen.peering import ttypes
 
@@ -86,7 +86,7 @@
 
     def _refuse(self, envelope: ttypes.Envelope) -> None:
         self.refused += 1
-        logevents.emit(logevents.HANDLERS_BUSY, peer=self._peer)
+        eventlog.emit(logevents.HANDLERS_BUSY, peer=self._peer)
         if envelope.kind == envelopes.Kind.call:
             busy = envelopes.failure(envelope.call_id, 'too many open calls')
             self._reply(busy)
@@ -99,7 +99,7 @@
         try:
             answer = await self._answer(envelope.call_id, message)
         except Exception as exc:
-            logevents.emit(
+            eventlog.emit(
                 logevents.HANDLER_FAILED,
                 message=type(message).__name__,
                 peer=self._peer,
--- a/libs/wire/geraniumweir/wire/link.py
+++ b/libs/wire/geraniumweir/wire/link.py
@@ -17,7 +17,7 @@
 import random
 import typing
 
-from geraniumweir.common import ids
+from geraniumweir.common import eventlog, ids
 from geraniumweir.wire import connection, errors, logevents, peers
 
 FIRST_PAUSE = 0.05
@@ -153,7 +153,7 @@
         try:
             await self._dial(self.address)
         except errors.PeerError as exc:
-            logevents.emit(
+            eventlog.emit(
                 logevents.DIAL_FAILED,
                 peer=self.host_id,
                 reason=exc.message,
--- a/libs/wire/geraniumweir/wire/logevents.py
+++ b/libs/wire/geraniumweir/wire/logevents.py
@@ -1,8 +1,5 @@
 """Events of the peer layer, numbers 401 to 499."""
 
-import typing
-
-import logbook
 from geraniumweir.common import logevents
 
 LISTENING = logevents.Event(
@@ -45,24 +42,3 @@
     logevents.Level.warning,
     'peer {peer} sends faster than its messages are handled',
 )
-
-_LEVELS = {
-    logevents.Level.debug: logbook.DEBUG,
-    logevents.Level.info: logbook.INFO,
-    logevents.Level.notice: logbook.NOTICE,
-    logevents.Level.warning: logbook.WARNING,
-    logevents.Level.error: logbook.ERROR,
-}
-_log = logbook.Logger('geraniumweir.wire')
-
-
-def emit(event: logevents.Event, **fields: typing.Any) -> None:
-    """Log an event.
-
-    :param fields: what the event's template names.
-    """
-    _log.log(
-        _LEVELS[event.level],
-        event.template.format(**fields),
-        extra={'event': event.number, **fields},
-    )
--- a/libs/wire/geraniumweir/wire/tcp.py
+++ b/libs/wire/geraniumweir/wire/tcp.py
@@ -14,7 +14,7 @@
 import random
 import typing
 
-from geraniumweir.common import ids
+from geraniumweir.common import eventlog, ids
 from geraniumweir.wire import (
     connection,
     errors,
@@ -66,7 +66,7 @@
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = ids.Address(self.address.host, port)
-        logevents.emit(logevents.LISTENING, address=self.address)
+        eventlog.emit(logevents.LISTENING, address=self.address)
 
     async def close(self) -> None:
         """Stop listening, break off all connections, cancel handlers."""
@@ -190,7 +190,7 @@
             hello = await greeting.hear(reader)
         except errors.PeerError as exc:
             writer.transport.abort()
-            logevents.emit(
+            eventlog.emit(
                 logevents.GREETING_FAILED,
                 address=writer.get_extra_info('peername'),
                 reason=exc.message,
