--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/logevents.py
@@ -0,0 +1,29 @@
+"""Events of the scheduling library, numbers 201 to 299."""
+
+from geraniumweir.common import logevents
+
+LEADS = logevents.Event(
+    241,
+    logevents.Level.info,
+    'this host now leads pool {pool}',
+)
+SETTLED = logevents.Event(
+    242,
+    logevents.Level.info,
+    'pool {pool} taken over with {grants} open grants; silent: {silent}',
+)
+LEADS_NO_MORE = logevents.Event(
+    243,
+    logevents.Level.info,
+    'this host no longer leads pool {pool}',
+)
+OWNER_SILENT = logevents.Event(
+    244,
+    logevents.Level.warning,
+    'nothing from entry host {owner}; its {count} requests are dropped',
+)
+STRAY_GRANT = logevents.Event(
+    245,
+    logevents.Level.notice,
+    'grant of {request} from {leader} came too late and was given back',
+)
