--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/spans.py
@@ -0,0 +1,110 @@
+"""The spans of calls, for the path of a call to report its hops to.
+
+The path names a hop when it passes it; here hops become spans of one tree. A
+grant stands below its queue; the first token and the end stand below the
+dispatch, as the two parts of it.
+"""
+
+import contextlib
+import dataclasses
+import enum
+import time
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.observe import traces
+
+_DONE = 'done'
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    """The trace of one call in flight.
+
+    :ivar opened: the newest span of each hop.
+    :ivar part_ns: when the running part of the dispatch began.
+    """
+
+    trace: traces.Trace
+    opened: dict[traces.Hop, traces.Span]
+    part_ns: int = 0
+
+
+class CallTracer:
+    """Implements the path's tracer by :mod:`geraniumweir.observe.traces`."""
+
+    def __init__(self, tracing: traces.Tracing) -> None:
+        """Start with no call in flight.
+
+        :param tracing: of the host.
+        """
+        self._tracing = tracing
+        self._calls: dict[ids.RequestId, _Call] = {}
+
+    def begin(
+        self,
+        request_id: ids.RequestId,
+        traceparent: str | None,
+    ) -> str | None:
+        """Open a call's trace; the span of the caller's hop must follow.
+
+        :param traceparent: as the caller sent it.
+        :returns: the ``traceparent`` to send on, or None for the caller's.
+        """
+        headers = {}
+        if traceparent is not None:
+            headers[traces.TRACEPARENT] = traceparent
+        trace = self._tracing.begin(request_id, headers)
+        if trace.root.recording:
+            self._calls[request_id] = _Call(trace, {})
+        return trace.root.headers().get(traces.TRACEPARENT)
+
+    @contextlib.contextmanager
+    def span(
+        self,
+        request_id: ids.RequestId,
+        hop: enum.Enum,
+    ) -> typing.Iterator[None]:
+        """Time a hop; the caller's hop ends the call's trace.
+
+        :param hop: named like a member of :class:`traces.Hop`.
+        """
+        call = self._calls.get(request_id)
+        if call is None:
+            yield
+            return
+        kind = traces.Hop[hop.name]
+        if kind is traces.Hop.caller:
+            with contextlib.ExitStack() as stack:
+                stack.callback(self._calls.pop, request_id, None)
+                stack.callback(call.trace.root.finish)
+                yield
+            return
+        call.part_ns = time.time_ns()
+        with call.trace.hop(kind) as span:
+            call.opened[kind] = span
+            yield
+
+    def mark(
+        self,
+        request_id: ids.RequestId,
+        hop: enum.Enum,
+        note: str,
+    ) -> None:
+        """Note a moment of a call's path.
+
+        :param note: the backend server, or how the call ended.
+        """
+        call = self._calls.get(request_id)
+        if call is None:
+            return
+        now = time.time_ns()
+        opened = call.opened
+        match traces.Hop[hop.name]:
+            case traces.Hop.grant:
+                queue = opened.get(traces.Hop.queue)
+                call.trace.since(now, traces.Hop.grant, queue, server=note)
+            case kind:
+                dispatch = opened.get(traces.Hop.dispatch)
+                call.trace.since(call.part_ns or now, kind, dispatch, note=note)
+                call.part_ns = now
--- a/libs/observe/geraniumweir/observe/logs.py
+++ b/libs/observe/geraniumweir/observe/logs.py
@@ -9,14 +9,13 @@
 .. [1] Logbook, https://logbook.readthedocs.io
 """
 
-import dataclasses
 import enum
 import json
 import sys
 import typing
 
 import logbook
-from geraniumweir.common import logevents
+from geraniumweir.common import eventlog, logevents
 
 
 class Format(enum.Enum):
@@ -26,36 +25,7 @@
     json = 'json'
 
 
-_RANKS: typing.Final = {
-    logevents.Level.debug: logbook.DEBUG,
-    logevents.Level.info: logbook.INFO,
-    logevents.Level.notice: logbook.NOTICE,
-    logevents.Level.warning: logbook.WARNING,
-    logevents.Level.error: logbook.ERROR,
-}
-
-
-@dataclasses.dataclass(slots=True)
-class _State:
-    """What :func:`setup` sets; before it only warnings and worse show.
-
-    :ivar rank: logbook's number of the lowest level that is written.
-    """
-
-    rank: int = logbook.WARNING
-    host: str = ''
-
-
 _ESCAPES: typing.Final = {ord('\r'): r'\r', ord('\n'): r'\n'}
-_state = _State()
-_logger = logbook.Logger('geraniumweir')
-
-
-class _Fields(dict[str, typing.Any]):
-    """Fields of a template; a missing one shows as its name in braces."""
-
-    def __missing__(self, key: str) -> str:
-        return f'{{{key}}}'
 
 
 def setup(
@@ -72,36 +42,44 @@
     :param host: id of the entry host, written in each JSON line.
     :returns: the handler; ``pop_application`` on it undoes the setup.
     """
-    _state.rank = _RANKS[level]
-    _state.host = host
-    handler = logbook.StreamHandler(stream or sys.stderr, level=_RANKS[level])
-    handler.formatter = _FORMATTERS[form]
+    eventlog.set_level(level)
+    handler = logbook.StreamHandler(
+        stream or sys.stderr, level=eventlog.LEVELS[level]
+    )
+    handler.formatter = _Formatter(form, host)
     handler.push_application()
     return handler
 
 
-def enabled(event: logevents.Event) -> bool:
-    """Tell whether an event would be written.
-
-    :param event: saves making costly fields for nothing.
-    """
-    return _RANKS[event.level] >= _state.rank
-
-
 def log(event: logevents.Event, **fields: typing.Any) -> None:
     """Log an event.
 
     :param event: from a ``logevents`` module.
     :param fields: for the event's template; others are written after it.
     """
-    if not enabled(event):
-        return
-    message = event.template.format_map(_Fields(fields))
-    extra = {'event': event, 'fields': fields}
-    _logger.log(_RANKS[event.level], '{0}', message, extra=extra)
+    eventlog.emit(event, **fields)
+
 
+class _Formatter:
+    """Writes records of one host; what logbook calls for each line."""
 
-def _as_text(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+    def __init__(self, form: Format, host: str) -> None:
+        self._form = form
+        self._host = host
+
+    def __call__(
+        self,
+        record: logbook.LogRecord,
+        _handler: logbook.Handler,
+    ) -> str:
+        match self._form:
+            case Format.json:
+                return _as_json(record, self._host)
+            case Format.text:
+                return _as_text(record)
+
+
+def _as_text(record: logbook.LogRecord) -> str:
     event: logevents.Event = record.extra['event']
     fields: dict[str, typing.Any] = record.extra['fields']
     rest = ''.join(
@@ -113,13 +91,13 @@
     return f'{_time(record)} {event.level.value} {event.number} {message}{rest}'
 
 
-def _as_json(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+def _as_json(record: logbook.LogRecord, host: str) -> str:
     event: logevents.Event = record.extra['event']
     line = {
         'time': _time(record),
         'level': event.level.value,
         'event': event.number,
-        'host': _state.host,
+        'host': host,
         'message': record.message,
         'fields': record.extra['fields'],
     }
@@ -133,6 +111,3 @@
 
 def _time(record: logbook.LogRecord) -> str:
     return f'{record.time.isoformat(timespec="milliseconds")}Z'
-
-
-_FORMATTERS: typing.Final = {Format.text: _as_text, Format.json: _as_json}
--- a/libs/observe/geraniumweir/observe/traces.py
+++ b/libs/observe/geraniumweir/observe/traces.py
@@ -180,6 +180,23 @@
             attributes,
         )
 
+    def since(
+        self,
+        start_ns: int,
+        hop: Hop,
+        parent: Span | None = None,
+        **attributes: Attribute,
+    ) -> None:
+        """Record a hop that ends now.
+
+        :param start_ns: wall clock, in nanoseconds since 1970.
+        :param parent: by default the first hop.
+        """
+        span = self.open(hop, parent, **attributes)
+        if span.recording:
+            span.start_ns = start_ns
+            span.finish()
+
     @contextlib.contextmanager
     def hop(
         self,
