--- /dev/null
+++ b/libs/wire/idl/configuration.thrift
@@ -0,0 +1,150 @@
+// Commands of the system's state machine, its snapshot, and following it.
+namespace py configuration
+
+// ---- commands: steps that go through the replicated log together ----------
+
+// Asks for a new document on top of a version.
+struct Change {
+  1: string change_id
+  2: i64 base
+  3: binary document
+}
+
+// Asks for the right to run a non-idempotent call once.
+struct Claim {
+  1: string customer
+  2: string key
+  3: string request_id
+  4: i64 fingerprint
+  5: string owner
+  6: i64 ttl_ms
+}
+
+// Ends a claim. Outcomes: 1 done, 2 unknown, 3 not run.
+struct Finish {
+  1: string customer
+  2: string key
+  3: string request_id
+  4: i8 outcome
+}
+
+// Asks for the next fencing number.
+struct ReserveFence {
+  1: string issuer
+  2: i64 lease_ms
+}
+
+union Step {
+  1: Change change
+  2: Claim claim
+  3: Finish finish
+  4: ReserveFence fence
+}
+
+// at_ms is the proposer's wall clock.
+struct Command {
+  1: i64 at_ms
+  2: list<Step> steps
+}
+
+// ---- answers, one for each step -------------------------------------------
+
+struct ChangeAnswer {
+  1: bool accepted
+  2: i64 version
+}
+
+// Results: 1 granted, 2 done, 3 running, 4 unknown, 5 key reused, 6 full.
+struct ClaimAnswer {
+  1: i8 result
+  2: string holder
+}
+
+struct FinishAnswer {
+  1: bool known
+}
+
+// wait_ms: how long the issuer must wait before its first order to a server
+// that doesn't check fencing numbers.
+struct FenceAnswer {
+  1: i64 number
+  2: i64 wait_ms
+}
+
+union StepAnswer {
+  1: ChangeAnswer change
+  2: ClaimAnswer claim
+  3: FinishAnswer finish
+  4: FenceAnswer fence
+}
+
+// invalid: the command could not be read; nothing was done.
+struct CommandAnswer {
+  1: list<StepAnswer> answers
+  2: bool invalid
+}
+
+// ---- snapshot -------------------------------------------------------------
+
+struct StoredVersion {
+  1: i64 version
+  2: string change_id
+  3: i64 at_ms
+  4: binary packed
+}
+
+struct StoredAnswer {
+  1: string change_id
+  2: bool accepted
+  3: i64 version
+}
+
+// States: 1 running, 2 done, 3 unknown. until_ms is when a running claim
+// becomes unknown; ended_ms is when an ended one did.
+struct StoredClaim {
+  1: string customer
+  2: string key
+  3: string request_id
+  4: i64 fingerprint
+  5: string owner
+  6: i8 state
+  7: i64 until_ms
+  8: i64 ended_ms
+}
+
+struct StoredState {
+  1: i32 format
+  2: i64 now_ms
+  3: list<StoredVersion> history
+  4: list<StoredAnswer> answers
+  5: list<StoredClaim> running
+  6: list<StoredClaim> ended
+  7: i64 fence_number
+  8: string fence_issuer
+  9: i64 longest_lease_ms
+}
+
+// ---- following ------------------------------------------------------------
+
+// Asks for a newer version than `have`; the answer may wait.
+struct FetchVersion {
+  1: i64 have
+  2: i64 wait_ms
+}
+
+// The bytes of the old document from 0 to `head` and the last `tail` ones
+// stay; `middle` goes between. A whole document has head and tail 0.
+struct Patch {
+  1: i64 base
+  2: i64 head
+  3: i64 tail
+  4: binary middle
+  5: i64 checksum
+}
+
+// sure_age_ms: time since the answerer heard the log's leader, -1 for never.
+struct VersionFetched {
+  1: i64 version
+  2: optional Patch patch
+  3: i64 sure_age_ms
+}
