--- a/libs/configuration/geraniumweir/configuration/errors.py
+++ b/libs/configuration/geraniumweir/configuration/errors.py
@@ -44,3 +44,9 @@
     """Another change was accepted first."""
 
     code = 'GW-1202'
+
+
+class RequestError(errors.GeraniumweirError):
+    """A request to be explained that can't be read."""
+
+    code = 'GW-1204'
--- a/libs/configuration/geraniumweir/configuration/matching.py
+++ b/libs/configuration/geraniumweir/configuration/matching.py
@@ -1,4 +1,8 @@
-"""Finds the rule that decides a request: the first that matches."""
+"""Finds the rule that decides a request: the first that matches.
+
+This is the plain version that says what is right; :mod:`compiling` gives the
+same answers faster.
+"""
 
 import dataclasses
 import fnmatch
@@ -58,6 +62,34 @@
     return None
 
 
+def mismatch_beside_path(
+    when: document.When,
+    facts: Facts,
+) -> str | None:
+    """Name the first field not met, where the path is known to be met.
+
+    Written for speed: the hot path of every request goes through it.
+    """
+    if when.customer and facts.customer not in when.customer:
+        return 'customer'
+    if when.model is not None and facts.model != when.model:
+        return 'model'
+    if when.header and not _headers_met(when, facts):
+        return 'header'
+    if not _tokens_met(when, facts):
+        return 'prompt_tokens'
+    return _mismatch_of_call(when, facts)
+
+
+def _mismatch_of_call(when: document.When, facts: Facts) -> str | None:
+    if when.idempotent not in {None, facts.idempotent}:
+        return 'idempotent'
+    domains = when.failure_domain
+    if domains and facts.failure_domain not in domains:
+        return 'failure_domain'
+    return None
+
+
 def _conditions(
     when: document.When,
     facts: Facts,
--- a/libs/configuration/geraniumweir/configuration/reading.py
+++ b/libs/configuration/geraniumweir/configuration/reading.py
@@ -1,23 +1,46 @@
 """Reads a document from TOML.
 
-Every fault is collected before the document is refused, each with its place.
-Unknown keys are faults: a misspelt limit that is silently ignored is worse
-than a refused file.
+Every fault is collected before the document is refused, each with its line,
+its place and what would be accepted. :mod:`tables` reads single fields,
+:mod:`rules` a rule, :mod:`checking` what spans several tables and
+:mod:`covering` finds rules that never match.
 
 References
 ==========
 .. [1] TOML v1.0.0, https://toml.io/en/v1.0.0
 """
 
+import dataclasses
+import re
 import tomllib
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.configuration import document, errors
-
-_Table = dict[str, typing.Any]
+from geraniumweir.configuration import (
+    checking,
+    covering,
+    document,
+    errors,
+    lines,
+    rules,
+    tables,
+)
+
+MAX_DOCUMENT = 2 * 1024 * 1024
 _ROOT_KEYS = frozenset(('customer', 'pool', 'rule', 'server'))
 _KINDS = ('engine', 'service')
+_MOST_SHARE = 1_000_000
+_SHARE = tables.Bounds(0, _MOST_SHARE, above=True)
+_KEY_DIGEST = re.compile('[0-9a-f]{64}')
+_Entry = typing.TypeVar('_Entry')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Checked:
+    """A document that can be accepted, with what looks like a mistake."""
+
+    document: document.Document
+    warnings: tuple[errors.Fault, ...]
 
 
 def read(text: str) -> document.Document:
@@ -31,153 +54,141 @@
     >>> read('[[pol]]')
     Traceback (most recent call last):
     ...
-    geraniumweir.configuration.errors.DocumentError: GW-1201: pol: unknown key
+    geraniumweir.configuration.errors.DocumentError: GW-1201: line 1: pol: \
+unknown key; accepted are customer, pool, rule, server
     """
+    return _read(text)[0]
+
+
+def check(text: str) -> Checked:
+    """Read a document and look for rules that never match.
+
+    :param text: TOML.
+    :raises errors.DocumentError: with every fault found.
+    """
+    doc, collector = _read(text)
+    warnings = []
+    for name, earlier in covering.covered(doc.rules):
+        place = collector.place('rule', name)
+        reason = f'never matches: rule {earlier!r} before it covers it'
+        fault = errors.Fault(str(place), reason, collector.line(place))
+        warnings.append(fault)
+    return Checked(doc, tuple(warnings))
+
+
+def _read(text: str) -> tuple[document.Document, tables.Collector]:
+    root = _parse(text)
+    collector = tables.Collector(text)
+    for key in root:
+        if key not in _ROOT_KEYS:
+            accepted = ', '.join(sorted(_ROOT_KEYS))
+            collector.add_at_root(key, f'unknown key; accepted are {accepted}')
+    doc = document.Document(
+        customers=_each(root, 'customer', _customer, collector),
+        pools=_each(root, 'pool', _pool, collector),
+        rules=_each(root, 'rule', rules.read_rule, collector),
+        servers=_each(root, 'server', _server, collector),
+    )
+    checking.check(doc, collector)
+    if collector.faults:
+        ordered = sorted(collector.faults, key=lambda fault: fault.line or 0)
+        raise errors.DocumentError(ordered)
+    return doc, collector
+
+
+def _parse(text: str) -> dict[str, typing.Any]:
+    if len(text) > MAX_DOCUMENT:
+        raise _bad_file(f'is longer than {MAX_DOCUMENT} characters')
+    if not _is_encodable(text):
+        raise _bad_file('holds half a surrogate pair, which is no text')
+    try:
+        return tomllib.loads(text)
+    except RecursionError as exc:
+        raise _bad_file('is nested too deeply') from exc
+    except ValueError as exc:
+        # TOMLDecodeError is one; a number of thousands of digits another.
+        line = lines.line_of_syntax_error(str(exc))
+        raise _bad_file(f'not TOML: {exc}', line) from exc
+
+
+def _bad_file(reason: str, line: int | None = None) -> errors.DocumentError:
+    return errors.DocumentError([errors.Fault('file', reason, line)])
+
+
+def _is_encodable(text: str) -> bool:
     try:
-        root = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
-        fault = errors.Fault('file', f'not TOML: {exc}')
-        raise errors.DocumentError([fault]) from exc
-    reader = _Reader()
-    doc = reader.whole(root)
-    if reader.faults:
-        raise errors.DocumentError(reader.faults)
-    return doc
-
-
-class _Reader:
-    """Walks the tables and collects faults."""
-
-    def __init__(self) -> None:
-        self.faults: list[errors.Fault] = []
-
-    def whole(self, root: _Table) -> document.Document:
-        self._only(root, _ROOT_KEYS, '')
-        doc = document.Document(
-            customers=self._each(root, 'customer', self._customer),
-            pools=self._each(root, 'pool', self._pool),
-            rules=self._each(root, 'rule', self._rule),
-            servers=self._each(root, 'server', self._server),
-        )
-        self._check_routes(doc)
-        return doc
-
-    def _fault(self, place: str, reason: str) -> None:
-        self.faults.append(errors.Fault(place, reason))
-
-    def _only(
-        self,
-        table: _Table,
-        keys: typing.Collection[str],
-        place: str,
-    ) -> None:
-        for key in table:
-            if key not in keys:
-                self._fault(f'{place} {key}'.strip(), 'unknown key')
-
-    def _each(
-        self,
-        root: _Table,
-        key: str,
-        read_one: typing.Callable[[_Table, str], typing.Any],
-    ) -> tuple[typing.Any, ...]:
-        found = []
-        for number, table in enumerate(root.get(key, ()), start=1):
-            name = table.get('name', table.get('id'))
-            place = f'{key} {name!r}' if name else f'{key} number {number}'
-            if not name:
-                self._fault(place, 'has no name')
-                continue
-            found.append(read_one(table, place))
-        return tuple(found)
-
-    def _customer(self, table: _Table, place: str) -> document.Customer:
-        self._only(table, ('name', 'key_sha256', 'share'), place)
-        return document.Customer(
-            ids.CustomerName(table['name']),
-            table.get('key_sha256'),
-            table.get('share', 1),
-        )
-
-    def _pool(self, table: _Table, place: str) -> document.Pool:
-        self._only(table, ('name', 'kind'), place)
-        kind = table.get('kind', _KINDS[0])
-        if kind not in _KINDS:
-            self._fault(place, f'kind {kind!r} is none of {_KINDS}')
-        return document.Pool(ids.PoolName(table['name']), kind)
-
-    def _server(self, table: _Table, place: str) -> document.ServerOverride:
-        self._only(table, ('id', 'drain', 'forbid'), place)
-        return document.ServerOverride(
-            ids.ServerId(table['id']),
-            table.get('drain', False),
-            table.get('forbid', False),
-        )
-
-    def _rule(self, table: _Table, place: str) -> document.Rule:
-        self._only(table, ('name', 'when', 'then'), place)
-        return document.Rule(
-            ids.RuleName(table['name']),
-            self._when(table.get('when', {}), place),
-            self._then(table.get('then', {}), place),
-        )
-
-    def _when(self, table: _Table, place: str) -> document.When:
-        tokens = table.get('prompt_tokens', {})
-        header = table.get('header', {})
-        return document.When(
-            customer=tuple(table.get('customer', ())),
-            path=table.get('path'),
-            model=table.get('model'),
-            header={name.lower(): text for name, text in header.items()},
-            min_tokens=tokens.get('min'),
-            max_tokens=tokens.get('max'),
-            idempotent=table.get('idempotent'),
-            failure_domain=tuple(table.get('failure_domain', ())),
-        )
-
-    def _then(
-        self,
-        table: _Table,
-        place: str,
-    ) -> document.Route | document.Refuse:
-        reason = table.get('refuse')
-        if reason is not None:
-            status = table.get('status', document.DEFAULT_REFUSAL_STATUS)
-            return document.Refuse(reason, status)
-        if 'route' not in table:
-            self._fault(f'{place}, then', 'has neither route nor refuse')
-        return document.Route(
-            pool=ids.PoolName(table.get('route', '')),
-            tier=self._tier(table.get('tier', ids.Tier.normal), place),
-            deadline_ms=table.get('deadline_ms'),
-            rate_per_s=table.get('rate_per_s'),
-            max_running=table.get('max_running'),
-            max_waiting=table.get('max_waiting'),
-            idempotent=table.get('idempotent', True),
-        )
-
-    def _tier(self, number: typing.Any, place: str) -> ids.Tier:
-        try:
-            return ids.Tier(number)
-        except ValueError:
-            self._fault(f'{place}, then.tier', f'{number!r} is not 0 to 3')
-        return ids.Tier.normal
-
-    def _check_routes(self, doc: document.Document) -> None:
-        for rule in doc.rules:
-            match rule.then:
-                case document.Route(pool=name):
-                    self._check_pool(doc, rule.name, name)
-                case document.Refuse():
-                    pass
-
-    def _check_pool(
-        self,
-        doc: document.Document,
-        rule: ids.RuleName,
-        pool: ids.PoolName,
-    ) -> None:
-        if doc.pool(pool) is None:
-            place = f'rule {rule!r}, then.route'
-            self._fault(place, f'there is no pool {pool!r}')
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _each(
+    root: dict[str, typing.Any],
+    key: str,
+    read_one: typing.Callable[[tables.Fields], _Entry],
+    collector: tables.Collector,
+) -> tuple[_Entry, ...]:
+    entries = root.get(key, [])
+    if not isinstance(entries, list):
+        collector.add_at_root(key, f'is not a list of tables; write [[{key}]]')
+        return ()
+    found = []
+    for number, table in enumerate(entries):
+        fields = _named(table, tables.Place(key, number), collector)
+        if fields is not None:
+            found.append(read_one(fields))
+    return tuple(found)
+
+
+def _named(
+    table: typing.Any,
+    place: tables.Place,
+    collector: tables.Collector,
+) -> tables.Fields | None:
+    """Enter a table under its name; without one it isn't read further."""
+    if not isinstance(table, dict):
+        collector.add(place, 'is not a table')
+        return None
+    key = 'id' if place.table == 'server' else 'name'
+    if key not in table:
+        collector.add(place, f'has no {key}')
+        return None
+    name = tables.Fields(table, place, collector).text(key)
+    if name is None:
+        return None
+    named = dataclasses.replace(place, name=name)
+    collector.enter(named)
+    return tables.Fields(table, named, collector)
+
+
+def _customer(fields: tables.Fields) -> document.Customer:
+    fields.only(('name', 'key_sha256', 'share'))
+    key = fields.text('key_sha256')
+    if key is not None and _KEY_DIGEST.fullmatch(key.lower()) is None:
+        fields.fault('key_sha256', f'{key!r} is not 64 hexadecimal digits')
+    return document.Customer(
+        ids.CustomerName(fields.table['name']),
+        key and key.lower(),
+        fields.number('share', _SHARE) or 1,
+    )
+
+
+def _pool(fields: tables.Fields) -> document.Pool:
+    fields.only(('name', 'kind'))
+    name = fields.table['name']
+    if not rules.is_path_segment(name):
+        fields.fault('name', 'stands in paths: no "/", "?", "#", "%", blanks')
+    kind = fields.text('kind') or _KINDS[0]
+    if kind not in _KINDS:
+        fields.fault('kind', f'{kind!r} is neither engine nor service')
+    return document.Pool(ids.PoolName(name), kind)
+
+
+def _server(fields: tables.Fields) -> document.ServerOverride:
+    fields.only(('id', 'drain', 'forbid'))
+    return document.ServerOverride(
+        ids.ServerId(fields.table['id']),
+        bool(fields.flag('drain')),
+        bool(fields.flag('forbid')),
+    )
