--- a/libs/daemon/geraniumweir/daemon/alone.py
+++ b/libs/daemon/geraniumweir/daemon/alone.py
@@ -44,16 +44,15 @@
         self,
         change_id: ids.ChangeId,
         in_force: document.InForce,
-    ) -> operations.Accepted:
+        accepted: operations.Accepted,
+    ) -> None:
         version = in_force.version
         self._by_number[version] = in_force
         if len(self._by_number) > _MAX_VERSIONS:
             self._by_number.pop(min(self._by_number))
         row = operations.HistoryRow(version, change_id, time.time())
         self.rows.append(row)
-        accepted = operations.Accepted(version)
         self._accepted[change_id] = accepted
-        return accepted
 
 
 class StandaloneOperations:
@@ -87,14 +86,17 @@
         repeated = self._versions.repeated(change.change_id)
         if repeated is not None:
             return repeated
-        doc = reading.read(change.document)
+        checked = reading.check(change.document)
         before = self._host.in_force.version
         if change.base != before:
             raise errors.ConflictError(f'version {before} is in force')
         version = ids.Version(before + 1)
-        in_force = document.InForce(version, doc, change.document)
+        in_force = document.InForce(version, checked.document, change.document)
         self._host.in_force = in_force
-        return self._versions.keep(change.change_id, in_force)
+        warnings = tuple(str(fault) for fault in checked.warnings)
+        accepted = operations.Accepted(version, warnings)
+        self._versions.keep(change.change_id, in_force, accepted)
+        return accepted
 
     async def history(self) -> list[operations.HistoryRow]:
         """List the changes since the start."""
--- a/libs/daemon/geraniumweir/daemon/operations.py
+++ b/libs/daemon/geraniumweir/daemon/operations.py
@@ -10,7 +10,7 @@
 import typing
 
 from geraniumweir.common import errors, ids
-from geraniumweir.configuration import document, matching
+from geraniumweir.configuration import document
 from geraniumweir.observe import tracefile
 
 
@@ -200,32 +200,6 @@
     match_index: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
-    """How one rule looked at a request.
-
-    :ivar field: the first condition not met, or None where all are.
-    """
-
-    rule: ids.RuleName
-    field: str | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Explanation:
-    """Which rule decides a request, and why.
-
-    :ivar rule: None where no rule matches.
-    :ivar then: what is done.
-    :ivar steps: the rules looked at, the deciding one last.
-    """
-
-    version: ids.Version
-    rule: ids.RuleName | None
-    then: document.Route | document.Refuse | None
-    steps: tuple[Step, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
     """An order to a backend server.
@@ -313,19 +287,3 @@
 
     def metrics(self) -> str:
         """Write the metrics as Prometheus text."""
-
-
-def explain(in_force: document.InForce, facts: matching.Facts) -> Explanation:
-    """Tell which rule decides a request.
-
-    :param facts: of the request.
-    """
-    steps: list[Step] = []
-    for rule in in_force.document.rules:
-        field = matching.mismatch(rule.when, facts)
-        steps.append(Step(rule.name, field))
-        if field is None:
-            return Explanation(
-                in_force.version, rule.name, rule.then, tuple(steps)
-            )
-    return Explanation(in_force.version, None, None, tuple(steps))
--- a/libs/daemon/geraniumweir/daemon/operatorjson.py
+++ b/libs/daemon/geraniumweir/daemon/operatorjson.py
@@ -9,7 +9,6 @@
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.configuration import matching
 from geraniumweir.daemon import operations
 
 _MAX_ID = 128
@@ -69,24 +68,15 @@
     return _Fields(body or b'{}', ('drain',)).flag('drain', True)
 
 
-def facts(body: bytes, domain: ids.FailureDomain) -> matching.Facts:
-    """Read the facts of a request to explain.
+def whole(body: bytes) -> typing.Any:
+    """Read JSON of any kind.
 
-    :param domain: taken where the body names no failure domain.
-    :raises operations.MalformedError: naming the field at fault.
+    :raises operations.MalformedError: when it is none.
     """
-    names = [field.name for field in dataclasses.fields(matching.Facts)]
-    fields = _Fields(body, names)
-    headers = fields.table('headers')
-    return matching.Facts(
-        customer=ids.CustomerName(fields.text('customer', '')),
-        path=fields.text('path'),
-        failure_domain=ids.FailureDomain(fields.text('failure_domain', domain)),
-        model=fields.text('model', None),
-        headers={name.lower(): str(text) for name, text in headers.items()},
-        prompt_tokens=fields.number('prompt_tokens', 0),
-        idempotent=fields.flag('idempotent', True),
-    )
+    try:
+        return json.loads(body)
+    except ValueError as exc:
+        raise operations.MalformedError(f'not JSON: {exc}') from exc
 
 
 def plain(row: typing.Any) -> typing.Any:
@@ -115,10 +105,7 @@
     """The fields of one JSON object."""
 
     def __init__(self, body: bytes, names: typing.Collection[str]) -> None:
-        try:
-            table = json.loads(body)
-        except ValueError as exc:
-            raise operations.MalformedError(f'not JSON: {exc}') from exc
+        table = whole(body)
         if not isinstance(table, dict):
             raise operations.MalformedError('not a JSON object')
         for key in table:
@@ -158,12 +145,6 @@
             return found
         raise operations.MalformedError(f'{key}: {found!r} is no true or false')
 
-    def table(self, key: str) -> _Table:
-        found = self._get(key, {})
-        if isinstance(found, dict):
-            return found
-        raise operations.MalformedError(f'{key}: {found!r} is not an object')
-
     def choice(
         self,
         key: str,
--- a/libs/daemon/geraniumweir/daemon/operators.py
+++ b/libs/daemon/geraniumweir/daemon/operators.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from geraniumweir.common import errors, ids
 from geraniumweir.configuration import errors as config_errors
+from geraniumweir.configuration import explain
 from geraniumweir.daemon import (
     logevents,
     operations,
@@ -29,6 +30,7 @@
     operations.NotNowError: http.HTTPStatus.CONFLICT,
     operations.UnavailableError: http.HTTPStatus.SERVICE_UNAVAILABLE,
     operations.NoMajorityError: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    config_errors.RequestError: http.HTTPStatus.BAD_REQUEST,
     config_errors.ConflictError: http.HTTPStatus.CONFLICT,
     config_errors.DocumentError: http.HTTPStatus.UNPROCESSABLE_ENTITY,
 }
@@ -108,10 +110,11 @@
 
     async def explain(self, req: web.Request) -> web.Response:
         status = await self._ops.status()
-        facts = operatorjson.facts(await req.read(), status.failure_domain)
+        request = operatorjson.whole(await req.read())
+        facts = explain.facts_from_json(request, status.failure_domain)
         in_force = await self._ops.config(_version(req, 'version'))
-        explained = operations.explain(in_force, facts)
-        return web.json_response(operatorjson.plain(explained))
+        explained = explain.explain(in_force, facts)
+        return web.json_response(operatorjson.plain(explained.as_json()))
 
     async def drain(self, req: web.Request) -> web.Response:
         drain = operatorjson.drain(await req.read())
--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/tests/test_operators.py
@@ -0,0 +1,255 @@
+"""The operators' HTTP face over loopback, on a host that stands alone."""
+
+import asyncio
+import contextlib
+import pathlib
+import typing
+
+import aiohttp
+from aiohttp import test_utils
+from geraniumweir.common import ids, timers
+from geraniumweir.daemon import (
+    alone,
+    gauges,
+    operations,
+    operators,
+    settings,
+)
+from geraniumweir.daemon import host as entry_host
+from geraniumweir.membership import servers
+from geraniumweir.observe import metrics, traces
+
+_RULES = """# ours
+[[pool]]
+name = "lm-advisori"
+
+[[rule]]
+name = "all"
+when = { path = "/v1/*" }
+then = { route = "lm-advisori" }
+"""
+_Scenario = typing.Callable[
+    [test_utils.TestClient, entry_host.EntryHost, traces.Tracing],
+    typing.Awaitable[None],
+]
+
+
+class _NoMajority(alone.StandaloneOperations):
+    """A host whose recorders did not answer in time."""
+
+    async def change(self, _change: operations.Change) -> operations.Accepted:
+        raise operations.NoMajorityError('no answer', ids.Ran.unknown)
+
+    async def hosts(self) -> list[operations.HostRow]:
+        raise ZeroDivisionError
+
+
+def _settings(trace_file: str | None) -> settings.Settings:
+    return settings.parse(
+        (),
+        {
+            'GERANIUMWEIR_HOST_ID': 'entry-1',
+            'GERANIUMWEIR_FAILURE_DOMAIN': 'milano-a',
+            'GERANIUMWEIR_CALLER_ADDRESS': '127.0.0.1:1',
+            'GERANIUMWEIR_BACKEND_ADDRESS': '127.0.0.1:2',
+            'GERANIUMWEIR_OPERATOR_ADDRESS': '127.0.0.1:3',
+            **({'GERANIUMWEIR_TRACE_FILE': trace_file} if trace_file else {}),
+        },
+    )
+
+
+def _run(
+    scenario: _Scenario,
+    trace_file: str | None = None,
+    kind: type[alone.StandaloneOperations] = alone.StandaloneOperations,
+) -> None:
+    async def whole() -> None:
+        cfg = _settings(trace_file)
+        async with contextlib.AsyncExitStack() as stack:
+            session = aiohttp.ClientSession()
+            await stack.enter_async_context(session)
+            host = entry_host.EntryHost(
+                cfg, timers.TimerService(), session, servers.Registry(), {}
+            )
+            tracing = traces.Tracing(
+                traces.TraceSettings(cfg.host_id, cfg.trace_file)
+            )
+            stack.callback(tracing.close)
+            meter = metrics.Metrics()
+            gauges.register(meter, host, tracing)
+            app = operators.make_app(kind(host, meter, tracing))
+            server = test_utils.TestServer(app)
+            client = test_utils.TestClient(server)
+            await stack.enter_async_context(client)
+            await scenario(client, host, tracing)
+
+    asyncio.run(whole())
+
+
+async def _ask(
+    client: test_utils.TestClient,
+    method: str,
+    path: str,
+    payload: typing.Any = None,
+) -> tuple[int, typing.Any]:
+    async with client.request(method, path, json=payload) as resp:
+        return resp.status, await resp.json()
+
+
+def _change(base: int, change_id: str, text: str = _RULES) -> dict[str, object]:
+    return {'base': base, 'change_id': change_id, 'document': text}
+
+
+def test_of_two_changes_one_wins_and_a_repeat_gets_the_first_answer() -> None:
+    """The other learns the version in force, and nothing changes."""
+
+    async def scenario(client: test_utils.TestClient, *_rest: object) -> None:
+        path = '/v1/config'
+        first = await _ask(client, 'PUT', path, _change(0, 'a'))
+        second = await _ask(client, 'PUT', path, _change(0, 'b'))
+        again = await _ask(client, 'PUT', path, _change(0, 'a'))
+        assert first == (
+            200,
+            {'version': 1, 'warnings': [], 'repeated': False},
+        )
+        assert second[0] == 409
+        assert second[1]['error']['version'] == 1
+        assert second[1]['error']['ran'] == 'no'
+        assert again[1] == {'version': 1, 'warnings': [], 'repeated': True}
+        assert await _ask(client, 'GET', f'{path}?version=1') == (
+            200,
+            {'version': 1, 'document': _RULES},
+        )
+
+    _run(scenario)
+
+
+def test_faults_come_with_line_and_place() -> None:
+    """A refused document leaves the one before in force."""
+
+    async def scenario(client: test_utils.TestClient, *_rest: object) -> None:
+        bad = _RULES.replace('"lm-advisori" }', '"lost" }')
+        status, answer = await _ask(
+            client, 'PUT', '/v1/config', _change(0, 'a', bad)
+        )
+        assert status == 422
+        assert [fault['line'] for fault in answer['error']['faults']] == [8]
+        assert (await _ask(client, 'GET', '/v1/config'))[1]['version'] == 0
+
+    _run(scenario)
+
+
+def test_no_majority_says_whether_it_can_have_been_accepted() -> None:
+    """503 with ``ran``; a fault of ours is a 500 in the same shape."""
+
+    async def scenario(client: test_utils.TestClient, *_rest: object) -> None:
+        status, answer = await _ask(
+            client, 'PUT', '/v1/config', _change(0, 'a')
+        )
+        assert status == 503
+        assert answer['error']['ran'] == 'unknown'
+        status, answer = await _ask(client, 'GET', '/v1/hosts')
+        assert status == 500
+        assert answer['error']['code'] == 'GW-1407'
+
+    _run(scenario, kind=_NoMajority)
+
+
+def test_what_can_not_be_read_is_named() -> None:
+    """400 with the field, 404 and 405 in the same shape."""
+    asked = (
+        ('PUT', '/v1/config', {'base': 0, 'document': ''}, 400, 'change_id'),
+        ('PUT', '/v1/config', _change(-1, 'a'), 400, 'base'),
+        ('PUT', '/v1/config', {**_change(0, 'a'), 'x': 1}, 400, 'x: unknown'),
+        ('PUT', '/v1/config', [], 400, 'not a JSON object'),
+        ('GET', '/v1/config?version=x', None, 400, 'version'),
+        ('GET', '/v1/config?version=7', None, 404, 'version 7'),
+        ('GET', '/v1/diff?from=0', None, 400, 'to'),
+        ('POST', '/v1/explain', {'paths': 'x'}, 400, 'paths'),
+        ('POST', '/v1/orders', {'server': 'a', 'order': 'x'}, 400, 'set_role'),
+        ('POST', '/v1/recorders', {'host_id': 'a', 'address': 'b'}, 400, 'b'),
+        ('GET', '/v1/nothing', None, 404, ''),
+        ('DELETE', '/v1/config', None, 405, ''),
+        ('POST', '/v1/snapshot', None, 503, 'stands alone'),
+        ('GET', '/v1/trace/x', None, 503, '--trace-file'),
+    )
+
+    async def scenario(client: test_utils.TestClient, *_rest: object) -> None:
+        for method, path, payload, status, words in asked:
+            found, answer = await _ask(client, method, path, payload)
+            assert (path, found) == (path, status)
+            assert words in answer['error']['message']
+            assert answer['error']['ran'] == 'no'
+
+    _run(scenario)
+
+
+def test_drain_edits_only_its_lines_and_can_be_undone() -> None:
+    """The operators' own text stays, and so does another override."""
+
+    async def scenario(client: test_utils.TestClient, *_rest: object) -> None:
+        rules = f'{_RULES}\n[[server]]\nid = "a"\nforbid = true # burnt\n'
+        await _ask(client, 'PUT', '/v1/config', _change(0, 'x', rules))
+        for payload in (None, None, {'drain': False}):
+            path = '/v1/servers/a/drain'
+            assert (await _ask(client, 'POST', path, payload))[0] == 200
+        drained = (await _ask(client, 'GET', '/v1/config?version=2'))[1]
+        text = drained['document']
+        assert text == rules + 'drain = true\n'
+        answer = (await _ask(client, 'GET', '/v1/config'))[1]
+        assert answer['version'] == 3
+        assert answer['document'] == rules + 'drain = false\n'
+        lines = (await _ask(client, 'GET', '/v1/diff?from=2&to=3'))[1]['lines']
+        assert lines[-2:] == ['-drain = true', '+drain = false']
+
+    _run(scenario)
+
+
+def test_rows_and_metrics_show_the_same_state() -> None:
+    """Servers, pools and gauges agree."""
+
+    async def scenario(
+        client: test_utils.TestClient,
+        host: entry_host.EntryHost,
+        _tracing: traces.Tracing,
+    ) -> None:
+        await _ask(client, 'PUT', '/v1/config', _change(0, 'x'))
+        host.registry.announce(
+            servers.Announcement(
+                ids.ServerId('advisor-1'),
+                ids.Incarnation(1),
+                ids.Address('127.0.0.1', 9),
+                'engine',
+                ids.PoolName('lm-advisori'),
+                ids.FailureDomain('milano-a'),
+            ),
+            host.timers.now(),
+        )
+        found = (await _ask(client, 'GET', '/v1/servers'))[1]['servers']
+        pools = (await _ask(client, 'GET', '/v1/pools'))[1]['pools']
+        status = (await _ask(client, 'GET', '/v1/status'))[1]
+        async with client.get('/metrics') as resp:
+            text = await resp.text()
+        assert [row['state'] for row in found] == ['ready']
+        assert [row['servers'] for row in pools] == [1]
+        assert status['version'] == 1
+        assert 'geraniumweir_config_version 1.0' in text
+        assert 'geraniumweir_servers{pool="lm-advisori"} 1.0' in text
+
+    _run(scenario)
+
+
+def test_trace_is_found_at_once(tmp_path: pathlib.Path) -> None:
+    """A span that just ended need not wait for the writer's turn."""
+
+    async def scenario(
+        client: test_utils.TestClient,
+        _host: entry_host.EntryHost,
+        tracing: traces.Tracing,
+    ) -> None:
+        tracing.begin(ids.RequestId('req-9'), {}).root.finish()
+        status, answer = await _ask(client, 'GET', '/v1/trace/req-9')
+        assert status == 200
+        assert [span['name'] for span in answer['spans']] == ['caller']
+
+    _run(scenario, str(tmp_path / 't.jsonl'))
