--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -40,7 +40,7 @@
     """
     cfg = settings.parse(argv)
     _check_files(cfg)
-    logs.setup(
+    handler = logs.setup(
         levels.Level(cfg.log_level),
         logs.Format(cfg.log_format),
         host=cfg.host_id,
@@ -50,6 +50,8 @@
     except BusyAddressError as exc:
         sys.stderr.write(f'geraniumweird: {exc.message}\n')
         sys.exit(_EXIT_FAILED)
+    finally:
+        handler.pop_application()
 
 
 async def serve(cfg: settings.Settings) -> None:
--- a/libs/daemon/geraniumweir/daemon/tests/test_operators.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_operators.py
@@ -195,10 +195,10 @@
             assert (await _ask(client, 'POST', path, payload))[0] == 200
         drained = (await _ask(client, 'GET', '/v1/config?version=2'))[1]
         text = drained['document']
-        assert text == rules + 'drain = true\n'
+        assert text == f'{rules}drain = true\n'
         answer = (await _ask(client, 'GET', '/v1/config'))[1]
         assert answer['version'] == 3
-        assert answer['document'] == rules + 'drain = false\n'
+        assert answer['document'] == f'{rules}drain = false\n'
         lines = (await _ask(client, 'GET', '/v1/diff?from=2&to=3'))[1]['lines']
         assert lines[-2:] == ['-drain = true', '+drain = false']
 
