--- a/libs/ctl/geraniumweir/ctl/client.py
+++ b/libs/ctl/geraniumweir/ctl/client.py
@@ -97,6 +97,10 @@
         try:
             async with request as resp:
                 return await _read(address, resp)
+        except aiohttp.ClientConnectorError as exc:
+            raise errors.UnreachableError(
+                f'{address}: {exc.os_error.strerror}',
+            ) from exc
         except (aiohttp.ClientError, TimeoutError) as exc:
             reason = str(exc) or type(exc).__name__
             raise errors.UnreachableError(f'{address}: {reason}') from exc
--- a/libs/ctl/geraniumweir/ctl/configcommands.py
+++ b/libs/ctl/geraniumweir/ctl/configcommands.py
@@ -84,8 +84,10 @@
 async def history(opts: argparse.Namespace) -> None:
     """List the accepted changes."""
     async with client.opened(opts.operator_address, opts.timeout) as conn:
-        answer = await conn.get('/v1/history')
-    output.rows(opts.output, 'history', answer['history'])
+        rows = (await conn.get('/v1/history'))['history']
+    if opts.output is output.Form.table:
+        rows = [{**row, 'at': output.moment(row['at'])} for row in rows]
+    output.rows(opts.output, 'history', rows)
 
 
 async def explain_request(opts: argparse.Namespace) -> None:
--- a/libs/ctl/geraniumweir/ctl/errors.py
+++ b/libs/ctl/geraniumweir/ctl/errors.py
@@ -60,3 +60,12 @@
 
     code = 'GW-1305'
     status = EXIT_REFUSED
+
+
+def status_of(exc: errors.GeraniumweirError) -> int:
+    """Give the exit status of an error."""
+    match exc:
+        case CtlError():
+            return exc.status
+        case _:
+            return EXIT_FAILED
--- a/libs/ctl/geraniumweir/ctl/main.py
+++ b/libs/ctl/geraniumweir/ctl/main.py
@@ -29,10 +29,10 @@
         for fault in exc.faults:
             output.warn(f'geraniumctl: {fault}')
         return errors.EXIT_FAILED
-    except errors.CtlError as exc:
-        output.warn(f'geraniumctl: {exc}')
-        return exc.status
-    except (OSError, common_errors.GeraniumweirError) as exc:
-        output.warn(f'geraniumctl: {exc}')
+    except OSError as exc:
+        output.warn(f'geraniumctl: {exc.filename}: {exc.strerror}')
         return errors.EXIT_FAILED
+    except common_errors.GeraniumweirError as exc:
+        output.warn(f'geraniumctl: {exc}')
+        return errors.status_of(exc)
     return errors.EXIT_DONE
--- a/libs/ctl/geraniumweir/ctl/output.py
+++ b/libs/ctl/geraniumweir/ctl/output.py
@@ -1,5 +1,6 @@
 """Prints answers as tables for people or as JSON for programs."""
 
+import datetime
 import enum
 import json
 import sys
@@ -9,6 +10,8 @@
 
 Row = typing.Mapping[str, typing.Any]
 
+_DIGITS = 3
+
 
 class Form(enum.Enum):
     """How an answer is printed."""
@@ -24,13 +27,16 @@
     """
     match form:
         case Form.json:
-            document(found if name == '' else {name: found})
+            document({name: found})
         case Form.table:
             cells = [
                 {key: cell(field) for key, field in row.items()}
                 for row in found
             ]
-            line(tabulate.tabulate(cells, headers='keys') or f'no {name}')
+            table = tabulate.tabulate(
+                cells, headers='keys', disable_numparse=True
+            )
+            line(table or f'no {name}')
 
 
 def fields(form: Form, found: Row) -> None:
@@ -40,7 +46,11 @@
             document(found)
         case Form.table:
             pairs = [(key, cell(field)) for key, field in found.items()]
-            line(tabulate.tabulate(pairs, tablefmt='plain'))
+            line(
+                tabulate.tabulate(
+                    pairs, tablefmt='plain', disable_numparse=True
+                )
+            )
 
 
 def document(answer: typing.Any) -> None:
@@ -73,5 +83,19 @@
             return ','.join(map(str, field)) or '-'
         case dict():
             return json.dumps(field)
+        case float():
+            return str(round(field, _DIGITS))
         case _:
             return str(field)
+
+
+def moment(seconds: float) -> str:
+    """Write a time of the wall clock.
+
+    :param seconds: since 1970.
+
+    >>> moment(0)
+    '1970-01-01T00:00:00+00:00'
+    """
+    at = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return at.isoformat(timespec='seconds')
--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import sys
 import typing
@@ -136,6 +137,6 @@
     try:
         await web.TCPSite(runner, address.host, address.port).start()
     except OSError as exc:
-        reason = exc.strerror or str(exc)
+        reason = os.strerror(exc.errno or 0)
         message = f'can not listen on {address}: {reason}'
         raise BusyAddressError(message) from exc
