--- a/libs/backends/geraniumweir/backends/__init__.py
+++ b/libs/backends/geraniumweir/backends/__init__.py
@@ -2,5 +2,7 @@
 
 See Also
 ========
-geraniumweir.backends.calls
+geraniumweir.backends.calls, geraniumweir.backends.streams,
+geraniumweir.backends.bodies, geraniumweir.backends.identity,
+geraniumweir.backends.prompts
 """
--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -1,72 +1,219 @@
 """Calls to backend servers.
 
-A call is dispatched once. An error tells whether any byte of it can have
-reached the server; the answer's chunks are handed on as they come.
+A call is sent once. An error tells whether any byte of it can have reached
+the server; the answer's chunks are handed on as they come, and the connection
+is used again only after the answer ended as HTTP/1.1 says it must [1]_.
+
+References
+==========
+.. [1] RFC 9112, "HTTP/1.1", section 6.3, "Message Body Length", and section
+   9.3.1, "Retrying Requests".
 """
 
+import asyncio
 import contextlib
 import dataclasses
+import types
 import typing
 
 import aiohttp
 import multidict
+import yarl
 from geraniumweir.backends import errors
 from geraniumweir.common import ids
 
 _CONNECT_SECONDS = 1.0
+_IDLE_SECONDS = 4.0
+_READ_AHEAD = 16384
+_UNNAMED = ('Accept-Encoding', 'User-Agent', 'Accept', 'Content-Type')
+_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_SECONDS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
     """A caller's request as it goes to a backend server.
 
-    :ivar path: with the query string.
+    :ivar path: with the query string, as it goes on the wire.
     """
 
     method: str
     path: str
     headers: multidict.CIMultiDict[str]
-    body: bytes
+    body: bytes = b''
+
+
+class _HeldResponse(aiohttp.ClientResponse):
+    """A response that keeps its connection until it is judged.
+
+    The library gives a connection back as soon as the last byte was parsed;
+    whether the answer was what it should be is known only later.
+    """
+
+    def _response_eof(self) -> None:
+        """Leave the connection to :class:`Answer`."""
+
+
+def make_session() -> aiohttp.ClientSession:
+    """Make the session that all calls of a process share.
+
+    It keeps idle connections for less time than servers commonly do, reads
+    ahead little, decodes nothing and never repeats a request by itself.
+    """
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=_IDLE_SECONDS
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=_UNNAMED,
+        read_bufsize=_READ_AHEAD,
+        response_class=_HeldResponse,
+        timeout=_TIMEOUT,
+    )
+    # The library repeats a GET, PUT or DELETE on a fresh connection when a
+    # kept one turns out closed; the server may have run the first.
+    session._retry_connection = False  # noqa: WPS437
+    return session
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """The head of a server's answer, with its chunks to come.
+    """The head of a server's answer, with its body to come.
 
-    :ivar chunks: the body as it arrives.
+    Used as an asynchronous context manager; when the block ends before the
+    body did, the connection is closed.
     """
 
-    status: int
-    headers: multidict.CIMultiDictProxy[str]
-    chunks: typing.AsyncIterator[bytes]
+    def __init__(self, resp: aiohttp.ClientResponse) -> None:
+        """Take over a response.
+
+        :param resp: whose head has come.
+        """
+        self._resp = resp
+        self.status = resp.status
+        self.headers = resp.headers
+
+    async def __aenter__(self) -> 'Answer':
+        """Give the answer itself."""
+        return self
+
+    async def __aexit__(
+        self,
+        _kind: type[BaseException] | None,
+        exc: BaseException | None,
+        _trace: types.TracebackType | None,
+    ) -> None:
+        """Give the connection back where the answer ended as it should."""
+        if exc is None and self._resp.content.at_eof():
+            self._resp.release()
+        else:
+            self._resp.close()
+
+    def abandon(self) -> None:
+        """Close the connection, whatever was read from it."""
+        self._resp.close()
+
+    @property
+    def ends_visibly(self) -> bool:
+        """Whether the end of the body can be told from a lost connection."""
+        if 'Content-Length' in self.headers:
+            return True
+        if self.headers.get('Transfer-Encoding', '').lower() == 'chunked':
+            return True
+        return self._resp.method == 'HEAD' or self.status in {204, 304}
+
+    @property
+    def length(self) -> int | None:
+        """The length the server announced, in bytes, or None."""
+        return self._resp.content_length
+
+    async def skip(self) -> None:
+        """Read to the end and keep nothing.
+
+        :raises errors.CutShortError: when it breaks off.
+        """
+        try:
+            await self._resp.content.read()
+        except (aiohttp.ClientError, OSError) as exc:
+            raise errors.CutShortError(f'the answer broke off: {exc}') from exc
+
+    async def chunks(self) -> typing.AsyncIterator[bytes]:
+        """Give the body as it comes.
+
+        :raises errors.CutShortError: when it breaks off.
+        """
+        try:
+            async for chunk in self._resp.content.iter_any():
+                yield chunk
+        except (aiohttp.ClientError, OSError) as exc:
+            raise errors.CutShortError(f'the answer broke off: {exc}') from exc
 
 
-@contextlib.asynccontextmanager
 async def send(
     session: aiohttp.ClientSession,
     address: ids.Address,
     call: Call,
-) -> typing.AsyncIterator[Answer]:
-    """Send a call and give its answer's head.
+) -> Answer:
+    """Send a call and wait for the answer's head.
 
-    :param session: shared by all calls of the process.
+    :param session: of :func:`make_session`.
     :param address: of the backend server.
     :param call: what to send.
     :raises errors.NotSentError: when no connection could be made.
     :raises errors.BrokenError: when the server failed later.
     """
-    timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_SECONDS)
     try:
-        async with session.request(
+        resp = await session.request(
             call.method,
-            f'http://{address}{call.path}',
-            data=call.body,
+            yarl.URL(f'http://{address}{call.path}', encoded=True),
+            data=call.body or None,
             headers=call.headers,
-            timeout=timeout,
             allow_redirects=False,
-        ) as resp:
-            yield Answer(resp.status, resp.headers, resp.content.iter_any())
-    except aiohttp.ClientConnectorError as exc:
+        )
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as exc:
         raise errors.NotSentError(f'{address}: {exc}') from exc
-    except aiohttp.ClientError as exc:
-        raise errors.BrokenError(f'{address}: {exc}') from exc
+    except (aiohttp.ClientError, OSError, ValueError) as exc:
+        raise errors.BrokenError(f'{address}: {exc!r}') from exc
+    return Answer(resp)
+
+
+async def cancel(
+    session: aiohttp.ClientSession,
+    address: ids.Address,
+    request_id: ids.RequestId,
+    within: float,
+) -> None:
+    """Tell a server to stop a request; what comes of it is not waited for.
+
+    The connection was closed beside, which is enough for most engines.
+
+    :param within: longest wait, in seconds.
+    """
+    call = Call('DELETE', f'/v1/requests/{request_id}', _named(request_id))
+    with contextlib.suppress(errors.AnswerError, TimeoutError):
+        async with asyncio.timeout(within):
+            async with await send(session, address, call) as answer:
+                await answer.skip()
+
+
+async def resume(
+    session: aiohttp.ClientSession,
+    address: ids.Address,
+    request_id: ids.RequestId,
+    first: int,
+) -> Answer:
+    """Ask for the rest of a stream.
+
+    :param first: number of the first event wanted, from 0.
+    :raises errors.AnswerError: when the server can't be asked.
+    """
+    path = f'/v1/requests/{request_id}/stream?from={first}'
+    return await send(session, address, Call('GET', path, _named(request_id)))
+
+
+def _named(request_id: ids.RequestId) -> multidict.CIMultiDict[str]:
+    headers: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    headers['X-Request-Id'] = request_id
+    return headers
--- a/libs/daemon/geraniumweir/daemon/admission.py
+++ b/libs/daemon/geraniumweir/daemon/admission.py
@@ -4,129 +4,221 @@
 import hashlib
 import json
 import typing
-import uuid
 
 from aiohttp import web
+from geraniumweir.backends import prompts
 from geraniumweir.common import ids
 from geraniumweir.configuration import document, matching
+from geraniumweir.daemon import catalogue, claims, exchange, refusals
 from geraniumweir.daemon import host as entry_host
-from geraniumweir.daemon import refusals
 from geraniumweir.scheduling import requests
 
+SERVICES = '/services/'
 _BEARER = 'Bearer '
-_BYTES_PER_TOKEN = 4
 _MS = 1000
 _DEFAULT_DEADLINE_MS = 60000
+_LONGEST_DEADLINE_MS = 86400 * _MS  # a day
+_LONGEST_KEY = 255
+_NO_PROMPT = prompts.Prompt(0, (), ids.Fingerprint(0))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
-    """A call that a rule routes to a pool."""
+    """A call that a rule routes to a pool.
+
+    :ivar kind: of the pool, ``engine`` or ``service``.
+    :ivar claim: what a non-idempotent call is claimed by, else None.
+    """
 
     ask: requests.Ask
-    route: document.Route
-    version: ids.Version
+    kind: str
+    claim: claims.ClaimKey | None
 
 
-def admit(
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Content:
+    """What the body says.
+
+    :ivar max_tokens: most output tokens asked for, 0 if unsaid.
+    """
+
+    prompt: prompts.Prompt
+    model: str | None = None
+    max_tokens: int = 0
+
+
+def find_customer(
     host: entry_host.EntryHost,
     req: web.Request,
-    body: bytes,
+) -> document.Customer:
+    """Tell who calls, before its body is read.
+
+    :raises errors.Refused: when nobody known does.
+    """
+    doc = host.in_force.document
+    bearer = req.headers.get('Authorization', '')
+    if bearer.startswith(_BEARER):
+        key = bearer.removeprefix(_BEARER).strip()
+        digest = hashlib.sha256(key.encode('utf-8', 'replace')).hexdigest()
+        for customer in doc.customers:
+            if customer.key_sha256 == digest:
+                return customer
+        raise refusals.unknown_customer('this key')
+    name = req.headers.get('X-Customer', '')
+    found = doc.customer(ids.CustomerName(name))
+    if found is None or found.key_sha256 is not None:
+        raise refusals.unknown_customer(name)
+    return found
+
+
+def read_wait(req: web.Request) -> float | None:
+    """Read ``X-Deadline-Ms``.
+
+    :returns: seconds from arrival, or None where the caller says nothing.
+    :raises errors.Refused: when it is no number of milliseconds.
+    """
+    text = req.headers.get('X-Deadline-Ms')
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or not int(text[:10]):
+        raise refusals.bad_request(
+            f'X-Deadline-Ms {text!r} is not a whole number of ms from 1 up',
+        )
+    return min(int(text[:10]), _LONGEST_DEADLINE_MS) / _MS
+
+
+def admit(
+    host: entry_host.EntryHost,
+    talk: exchange.Exchange,
+    customer: document.Customer,
 ) -> Admitted:
     """Decide a call by the rules in force.
 
-    :param body: the caller's whole body.
+    :param talk: with the whole body; its head gets what the rule says.
     :raises errors.Refused: when the call can't be served.
     """
-    in_force = host.in_force
-    customer = _customer(in_force.document, req)
-    facts = _facts(host, req, body, customer.name)
-    rule = matching.first_match(in_force.document.rules, facts)
+    doc = host.in_force.document
+    content = _read_content(talk)
+    facts = _facts(host, talk, content, customer.name)
+    rule = matching.first_match(doc.rules, facts)
     if rule is None:
-        raise refusals.no_rule()
+        raise refusals.refuse(
+            catalogue.NO_RULE,
+            'no rule matches this request',
+        )
     match rule.then:
         case document.Refuse(reason=reason, status=status):
             raise refusals.by_rule(status, rule.name, reason)
         case document.Route() as route:
-            ask = _ask(host, facts, rule, route, customer, _wait(req, route))
-            return Admitted(ask, route, in_force.version)
+            exchange.add_route(talk.head, route.pool, route.tier)
+            ask = _ask(host, talk, facts, content, rule.name, route)
+            ask = dataclasses.replace(ask, share=customer.share)
+            pool = doc.pool(route.pool)
+            kind = pool.kind if pool else 'engine'
+            return Admitted(ask, kind, _claim_key(talk, ask))
 
 
 def _ask(
     host: entry_host.EntryHost,
+    talk: exchange.Exchange,
     facts: matching.Facts,
-    rule: document.Rule,
+    content: _Content,
+    rule: ids.RuleName,
     route: document.Route,
-    customer: document.Customer,
-    wait: float,
 ) -> requests.Ask:
+    wait = read_wait(talk.req)
+    if wait is None:
+        wait = (route.deadline_ms or _DEFAULT_DEADLINE_MS) / _MS
     return requests.Ask(
-        request_id=ids.RequestId(uuid.uuid4().hex),
+        request_id=talk.request_id,
         owner=host.cfg.host_id,
         pool=route.pool,
-        customer=customer.name,
-        rule=rule.name,
+        customer=facts.customer,
+        rule=rule,
         tier=route.tier,
-        deadline=host.timers.now() + wait,
+        deadline=talk.arrival + wait,
         model=facts.model,
-        prompt_tokens=facts.prompt_tokens,
+        prompt_tokens=content.prompt.tokens,
+        max_tokens=content.max_tokens,
+        blocks=content.prompt.blocks,
+        fingerprint=content.prompt.fingerprint,
         idempotent=facts.idempotent and route.idempotent,
-        share=customer.share,
+        max_running=route.max_running,
+        max_waiting=route.max_waiting,
     )
 
 
-def _customer(doc: document.Document, req: web.Request) -> document.Customer:
-    bearer = req.headers.get('Authorization', '')
-    if bearer.startswith(_BEARER):
-        key = bearer.removeprefix(_BEARER).strip()
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        for customer in doc.customers:
-            if customer.key_sha256 == digest:
-                return customer
-        raise refusals.unknown_customer('this key')
-    name = req.headers.get('X-Customer', '')
-    found = doc.customer(ids.CustomerName(name))
-    if found is None or found.key_sha256 is not None:
-        raise refusals.unknown_customer(name)
-    return found
+def _claim_key(
+    talk: exchange.Exchange,
+    ask: requests.Ask,
+) -> claims.ClaimKey | None:
+    if ask.idempotent:
+        return None
+    key = talk.req.headers.get('Idempotency-Key', '')
+    if not key:
+        raise refusals.refuse(
+            catalogue.KEY_MISSING,
+            'a call that must run at most once needs an Idempotency-Key',
+        )
+    if len(key) > _LONGEST_KEY:
+        raise refusals.bad_request(
+            f'the Idempotency-Key is longer than {_LONGEST_KEY} characters',
+        )
+    return claims.ClaimKey(ask.customer, key)
 
 
 def _facts(
     host: entry_host.EntryHost,
-    req: web.Request,
-    body: bytes,
+    talk: exchange.Exchange,
+    content: _Content,
     customer: ids.CustomerName,
 ) -> matching.Facts:
-    payload = _payload(req, body)
+    req = talk.req
+    said = req.headers.get('X-Idempotent', 'true').strip().lower()
+    if said not in {'true', 'false'}:
+        raise refusals.bad_request(
+            f'X-Idempotent {said!r} is neither true nor false',
+        )
     return matching.Facts(
         customer=customer,
         path=req.path,
         failure_domain=host.cfg.failure_domain,
-        model=payload.get('model'),
+        model=content.model,
         headers={name.lower(): text for name, text in req.headers.items()},
-        prompt_tokens=len(body) // _BYTES_PER_TOKEN,
-        idempotent=req.headers.get('X-Idempotent', 'true') != 'false',
+        prompt_tokens=content.prompt.tokens,
+        idempotent=said == 'true',
     )
 
 
-def _payload(req: web.Request, body: bytes) -> dict[str, typing.Any]:
-    if not req.path.startswith('/v1/'):
-        return {}
+def _read_content(talk: exchange.Exchange) -> _Content:
+    req = talk.req
+    if req.path.startswith(SERVICES):
+        path = f'{req.method} {req.raw_path}'
+        digest = prompts.fingerprint(path.encode(), talk.body)
+        return _Content(dataclasses.replace(_NO_PROMPT, fingerprint=digest))
+    payload = _payload(talk.body)
     try:
-        payload = json.loads(body)
+        prompt = prompts.read_prompt(payload)
     except ValueError as exc:
+        raise refusals.bad_request(str(exc)) from exc
+    most = payload.get('max_completion_tokens', payload.get('max_tokens'))
+    if not isinstance(most, int | None) or isinstance(most, bool):
+        raise refusals.bad_request(f'max_tokens {most!r} is no whole number')
+    return _Content(prompt, _model(payload), max(most or 0, 0))
+
+
+def _model(payload: dict[str, typing.Any]) -> str | None:
+    model = payload.get('model')
+    if model is None or isinstance(model, str):
+        return model
+    raise refusals.bad_request(f'model {model!r} is no string')
+
+
+def _payload(body: bytes) -> dict[str, typing.Any]:
+    try:
+        payload = json.loads(body)
+    except (ValueError, RecursionError) as exc:
         raise refusals.bad_request(f'the body is not JSON: {exc}') from exc
     if not isinstance(payload, dict):
         raise refusals.bad_request('the body is not a JSON object')
     return payload
-
-
-def _wait(req: web.Request, route: document.Route) -> float:
-    text = req.headers.get('X-Deadline-Ms')
-    if text is None:
-        return (route.deadline_ms or _DEFAULT_DEADLINE_MS) / _MS
-    if not text.isascii() or not text.isdigit() or int(text) == 0:
-        raise refusals.bad_request(
-            f'X-Deadline-Ms {text!r} is not a whole number of ms from 1 up',
-        )
-    return int(text) / _MS
--- a/libs/daemon/geraniumweir/daemon/callers.py
+++ b/libs/daemon/geraniumweir/daemon/callers.py
@@ -1,18 +1,27 @@
-"""The callers' HTTP face: admits, asks for a grant, dispatches, relays."""
+"""The callers' HTTP face: takes calls and gives each one answer."""
 
+import asyncio
 import http
+import uuid
 
-import multidict
 from aiohttp import web
-from geraniumweir.backends import calls
-from geraniumweir.backends import errors as backend_errors
+from geraniumweir.backends import identity
 from geraniumweir.common import errors, ids
-from geraniumweir.daemon import admission, refusals
+from geraniumweir.daemon import (
+    admission,
+    catalogue,
+    dispatching,
+    exchange,
+    inflight,
+    ports,
+    refusals,
+)
 from geraniumweir.daemon import host as entry_host
-from geraniumweir.scheduling import requests
 
-_MAX_BODY = 4 * 1024 * 1024
-_PASSED_ON = ('Content-Type', 'traceparent', 'Accept')
+MAX_BODY = 4 * 1024 * 1024
+MAX_HEADERS = 16384
+_LONGEST_BODY_SECONDS = 30.0
+_ANY = '*'
 
 
 def make_app(host: entry_host.EntryHost) -> web.Application:
@@ -21,12 +30,13 @@
     :param host: the entry host it serves.
     """
     front = _Front(host)
-    app = web.Application(client_max_size=_MAX_BODY)
+    app = web.Application(client_max_size=MAX_BODY)
     app.router.add_post('/v1/chat/completions', front.call)
     app.router.add_post('/v1/completions', front.call)
-    app.router.add_route('*', '/services/{pool}/{path:.*}', front.call)
+    app.router.add_route(_ANY, '/services/{pool}/{path:.*}', front.call)
     app.router.add_get('/healthz', front.healthz)
     app.router.add_get('/readyz', front.readyz)
+    app.router.add_route(_ANY, '/{path:.*}', front.no_such_path)
     return app
 
 
@@ -46,93 +56,120 @@
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
         return web.json_response({'ready': ready}, status=status)
 
-    async def call(self, req: web.Request) -> web.StreamResponse:
-        try:
-            return await self._serve(req)
-        except errors.Refused as exc:
-            return _answer_refusal(exc.refusal)
+    async def no_such_path(self, req: web.Request) -> web.StreamResponse:
+        refused = refusals.refuse(
+            catalogue.NO_SUCH_PATH,
+            f'{req.method} {req.path} is not served here',
+        )
+        return await _new_exchange(req).refuse(refused.refusal)
 
-    async def _serve(self, req: web.Request) -> web.StreamResponse:
+    async def call(self, req: web.Request) -> web.StreamResponse:
+        talk = _new_exchange(req)
+        path = self._host.path
         if self._host.draining:
-            raise refusals.draining()
-        body = await req.read()
-        admitted = admission.admit(self._host, req, body)
-        pool_leader = self._host.leader_of(admitted.ask.pool)
-        grant = await pool_leader.ask(admitted.ask)
-        match grant:
-            case requests.Denial():
-                raise refusals.denied(grant)
-            case requests.Grant():
-                return await self._dispatch(req, body, admitted, grant)
-
-    async def _dispatch(
+            resp = await talk.refuse(refusals.draining().refusal)
+            resp.force_close()
+            return resp
+        with path.in_flight.flight(talk.request_id) as flight:
+            talk.traceparent = (
+                path.tracer.begin(
+                    talk.request_id,
+                    talk.traceparent,
+                )
+                or talk.traceparent
+            )
+            with path.tracer.span(talk.request_id, ports.Hop.caller):
+                return await self._answer(talk, flight)
+
+    async def _answer(
         self,
-        req: web.Request,
-        body: bytes,
-        admitted: admission.Admitted,
-        grant: requests.Grant,
+        talk: exchange.Exchange,
+        flight: inflight.Flight,
     ) -> web.StreamResponse:
-        outcome = requests.Outcome.failed
-        call = _outgoing(req, body, grant.request_id)
         try:
-            async with calls.send(
-                self._host.session, grant.address, call
-            ) as answer:
-                resp = await _relay(req, admitted, answer)
-            outcome = requests.Outcome.done
-        except backend_errors.NotSentError as exc:
-            outcome = requests.Outcome.not_sent
-            raise refusals.broken(ids.Ran.no, exc.message) from exc
-        except backend_errors.BrokenError as exc:
-            raise refusals.broken(ids.Ran.unknown, exc.message) from exc
-        finally:
-            release = requests.Release(grant.request_id, outcome)
-            self._host.leader_of(admitted.ask.pool).release(release)
-        return resp
-
-
-async def _relay(
-    req: web.Request,
-    admitted: admission.Admitted,
-    answer: calls.Answer,
-) -> web.StreamResponse:
-    resp = web.StreamResponse(status=answer.status)
-    resp.headers['X-Request-Id'] = admitted.ask.request_id
-    resp.headers['X-Ran'] = ids.Ran.yes.value
-    resp.headers['X-Pool'] = admitted.ask.pool
-    resp.headers['X-Tier'] = str(int(admitted.ask.tier))
-    resp.headers['X-Config-Version'] = str(admitted.version)
-    content_type = answer.headers.get('Content-Type')
-    if content_type is not None:
-        resp.headers['Content-Type'] = content_type
-    await resp.prepare(req)
-    async for chunk in answer.chunks:
-        await resp.write(chunk)
-    await resp.write_eof()
-    return resp
-
-
-def _outgoing(
-    req: web.Request,
-    body: bytes,
-    request_id: ids.RequestId,
-) -> calls.Call:
-    headers: multidict.CIMultiDict[str] = multidict.CIMultiDict()
-    for name in _PASSED_ON:
-        text = req.headers.get(name)
-        if text is not None:
-            headers[name] = text
-    headers['X-Request-Id'] = request_id
-    path = req.raw_path
-    if path.startswith('/services/'):
-        path = '/{0}'.format(path.split('/', 3)[3])
-    return calls.Call(req.method, path, headers, body)
-
-
-def _answer_refusal(refusal: errors.Refusal) -> web.Response:
-    resp = web.json_response(refusal.as_json(), status=refusal.status)
-    resp.headers['X-Ran'] = refusal.ran.value
-    if refusal.retry_after_ms is not None:
-        seconds = -(-refusal.retry_after_ms // 1000)
-        resp.headers['Retry-After'] = str(seconds)
-    return resp
+            await self._serve(talk, flight)
+        except errors.Refused as exc:
+            return await talk.refuse(exc.refusal)
+        except ConnectionError:
+            return _gone(talk)
+        except Exception as exc:
+            return await talk.refuse(_internal(exc, flight))
+        return talk.resp or _gone(talk)
+
+    async def _serve(
+        self,
+        talk: exchange.Exchange,
+        flight: inflight.Flight,
+    ) -> None:
+        host = self._host
+        in_force = host.in_force
+        talk.head['X-Config-Version'] = str(in_force.version)
+        _check_headers(talk.req)
+        customer = admission.find_customer(host, talk.req)
+        talk.body = await _read_body(talk)
+        with host.path.tracer.span(talk.request_id, ports.Hop.rule):
+            admitted = admission.admit(host, talk, customer)
+        flight.idempotent = admitted.ask.idempotent
+        await dispatching.serve(
+            dispatching.Job(host, talk, admitted, flight),
+        )
+
+
+def _new_exchange(req: web.Request) -> exchange.Exchange:
+    request_id = ids.RequestId(identity.REQUEST_PREFIX + uuid.uuid4().hex)
+    return exchange.Exchange(
+        req=req,
+        request_id=request_id,
+        arrival=asyncio.get_running_loop().time(),
+        traceparent=req.headers.get('traceparent'),
+        head=exchange.new_head(request_id),
+    )
+
+
+def _check_headers(req: web.Request) -> None:
+    size = sum(len(name) + len(text) for name, text in req.raw_headers)
+    if size > MAX_HEADERS:
+        raise refusals.refuse(
+            catalogue.HEADERS_TOO_LARGE,
+            f'headers of {size} bytes; at most {MAX_HEADERS} are taken',
+        )
+
+
+async def _read_body(talk: exchange.Exchange) -> bytes:
+    wait = admission.read_wait(talk.req) or _LONGEST_BODY_SECONDS
+    due = talk.arrival + min(wait, _LONGEST_BODY_SECONDS)
+    if (talk.req.content_length or 0) > MAX_BODY:
+        raise _too_large()
+    try:
+        async with asyncio.timeout_at(due):
+            return await talk.req.read()
+    except web.HTTPRequestEntityTooLarge as exc:
+        raise _too_large() from exc
+    except TimeoutError as exc:
+        message = 'the body did not come in time'
+        raise refusals.refuse(catalogue.BODY_LATE, message) from exc
+
+
+def _too_large() -> errors.Refused:
+    return refusals.refuse(
+        catalogue.BODY_TOO_LARGE,
+        f'a body may have at most {MAX_BODY} bytes',
+    )
+
+
+def _internal(exc: Exception, flight: inflight.Flight) -> errors.Refusal:
+    """Own a fault of this program; the loop's handler logs it."""
+    asyncio.get_running_loop().call_exception_handler(
+        {'message': 'a call met a fault of the program', 'exception': exc},
+    )
+    ran = ids.Ran.unknown if flight.sent else ids.Ran.no
+    message = 'a fault of the entry host; its log says more'
+    return refusals.refuse(catalogue.INTERNAL, message, ran).refusal
+
+
+def _gone(talk: exchange.Exchange) -> web.StreamResponse:
+    """End the exchange with a caller that isn't there."""
+    transport = talk.req.transport
+    if transport is not None:
+        transport.abort()
+    return talk.resp or web.Response(status=http.HTTPStatus.BAD_GATEWAY)
--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/callpath.py
@@ -0,0 +1,28 @@
+"""The parts that serve calls at one entry host."""
+
+import dataclasses
+
+from geraniumweir.backends import identity
+from geraniumweir.daemon import claims, inflight, ports
+
+
+@dataclasses.dataclass(slots=True)
+class CallPath:
+    """What all calls of an entry host share.
+
+    :ivar claims: makes and ends the claims of non-idempotent calls.
+    :ivar tracer: takes the spans of calls.
+    :ivar in_flight: the calls that were taken and have not ended.
+    :ivar echoes: the pools whose engines echo our request ids.
+    """
+
+    claims: claims.Claims = dataclasses.field(
+        default_factory=claims.LocalClaims,
+    )
+    tracer: ports.Tracer = dataclasses.field(default_factory=ports.NoTracer)
+    in_flight: inflight.InFlight = dataclasses.field(
+        default_factory=inflight.InFlight,
+    )
+    echoes: identity.Echoes = dataclasses.field(
+        default_factory=identity.Echoes,
+    )
--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/exchange.py
@@ -0,0 +1,117 @@
+"""One caller's HTTP exchange: what came, and what was answered so far."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import typing
+
+import multidict
+from aiohttp import web
+from geraniumweir.common import errors, ids
+
+_SSE = 'text/event-stream'
+_LAST_WORD_SECONDS = 1.0
+_MS = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """A caller's request and the answer under way.
+
+    :ivar arrival: time of arrival on the loop's clock, in seconds.
+    :ivar head: headers that every answer carries, as far as they are known.
+    :ivar resp: the answer, once its head has gone out.
+    :ivar gone: whether the caller has gone while the call had to go on.
+    """
+
+    req: web.Request
+    request_id: ids.RequestId
+    arrival: float
+    body: bytes = b''
+    traceparent: str | None = None
+    head: dict[str, str] = dataclasses.field(default_factory=dict)
+    resp: web.StreamResponse | None = None
+    gone: bool = False
+
+    async def start(
+        self,
+        status: int,
+        headers: multidict.CIMultiDict[str],
+    ) -> None:
+        """Send the answer's head.
+
+        :raises ConnectionError: when the caller has gone.
+        """
+        resp = web.StreamResponse(status=status, headers=headers)
+        resp.headers.update(self.head)
+        resp.headers['X-Ran'] = ids.Ran.yes.value
+        await resp.prepare(self.req)
+        self.resp = resp
+
+    async def write(self, chunk: bytes) -> None:
+        """Send bytes; waits while the caller is slow.
+
+        :raises ConnectionError: when the caller has gone.
+        """
+        if self.resp is not None:
+            await self.resp.write(chunk)
+
+    async def end(self) -> web.StreamResponse:
+        """End a whole answer."""
+        if self.resp is None:
+            raise ConnectionError('the answer was never started')
+        await self.resp.write_eof()
+        return self.resp
+
+    async def refuse(self, refusal: errors.Refusal) -> web.StreamResponse:
+        """Tell the caller that it gets no whole answer.
+
+        Before the head has gone out that is a refusal of its own; a stream
+        ends with an error event, and anything else is cut off.
+        """
+        if self.resp is None:
+            return self._refusal(refusal)
+        if self.resp.content_type != _SSE:
+            self._cut()
+            return self.resp
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            async with asyncio.timeout(_LAST_WORD_SECONDS):
+                await self.resp.write(_error_event(refusal))
+                await self.resp.write_eof()
+                return self.resp
+        self._cut()
+        return self.resp
+
+    def _refusal(self, refusal: errors.Refusal) -> web.Response:
+        resp = web.json_response(refusal.as_json(), status=refusal.status)
+        resp.headers.update(self.head)
+        resp.headers['X-Ran'] = refusal.ran.value
+        if refusal.retry_after_ms is not None:
+            seconds = -(-refusal.retry_after_ms // _MS)
+            resp.headers['Retry-After'] = str(seconds)
+        return resp
+
+    def _cut(self) -> None:
+        transport = self.req.transport
+        if transport is not None:
+            transport.abort()
+
+
+def _error_event(refusal: errors.Refusal) -> bytes:
+    return f'event: error\ndata: {json.dumps(refusal.as_json())}\n\n'.encode()
+
+
+def new_head(request_id: ids.RequestId) -> dict[str, str]:
+    """Give the headers that are known at once."""
+    return {'X-Request-Id': request_id}
+
+
+def add_route(
+    head: dict[str, typing.Any],
+    pool: ids.PoolName,
+    tier: ids.Tier,
+) -> None:
+    """Add the headers that are known once a rule has decided."""
+    head['X-Pool'] = pool
+    head['X-Tier'] = str(int(tier))
--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/headers.py
@@ -0,0 +1,113 @@
+"""Headers on their way: which are passed on, and which belong to one hop.
+
+References
+==========
+.. [1] RFC 9110, "HTTP Semantics", section 7.6.1, "Connection".
+.. [2] W3C, "Trace Context", https://www.w3.org/TR/trace-context/
+"""
+
+import typing
+
+import multidict
+from geraniumweir.common import ids
+
+_TO_ENGINES = ('Content-Type', 'Accept', 'tracestate')
+_ONE_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'host',
+        'content-length',
+        'expect',
+    ),
+)
+# The key is a secret between the customer and this system.
+_OURS = frozenset(
+    (
+        'authorization',
+        'x-customer',
+        'x-request-id',
+        'x-ran',
+        'x-pool',
+        'x-tier',
+        'x-config-version',
+        'traceparent',
+    ),
+)
+_FROM_ENGINES = ('Content-Type', 'Cache-Control')
+
+_Headers = typing.Mapping[str, str]
+
+
+def to_engine(
+    headers: _Headers,
+    request_id: ids.RequestId,
+    traceparent: str | None,
+) -> multidict.CIMultiDict[str]:
+    """Give the headers of a call to an engine."""
+    found = _chosen(headers, _TO_ENGINES)
+    # What is checked must not come compressed.
+    found['Accept-Encoding'] = 'identity'
+    return _stamped(found, request_id, traceparent)
+
+
+def to_service(
+    headers: _Headers,
+    customer: ids.CustomerName,
+    request_id: ids.RequestId,
+    traceparent: str | None,
+) -> multidict.CIMultiDict[str]:
+    """Give the headers of a call to a plain service: all but one hop's."""
+    found = _end_to_end(headers)
+    found['X-Customer'] = customer
+    return _stamped(found, request_id, traceparent)
+
+
+def from_engine(headers: _Headers) -> multidict.CIMultiDict[str]:
+    """Give the headers of an engine's answer that go to the caller."""
+    return _chosen(headers, _FROM_ENGINES)
+
+
+def from_service(headers: _Headers) -> multidict.CIMultiDict[str]:
+    """Give the headers of a service's answer that go to the caller."""
+    return _end_to_end(headers)
+
+
+def _chosen(
+    headers: _Headers,
+    names: typing.Iterable[str],
+) -> multidict.CIMultiDict[str]:
+    found: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    for name in names:
+        text = headers.get(name)
+        if text is not None:
+            found[name] = text
+    return found
+
+
+def _end_to_end(headers: _Headers) -> multidict.CIMultiDict[str]:
+    named = headers.get('Connection', '').lower().split(',')
+    left_out = _ONE_HOP.union(_OURS, (name.strip() for name in named))
+    found: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    for name, text in headers.items():
+        if name.lower() not in left_out:
+            found.add(name, text)
+    return found
+
+
+def _stamped(
+    found: multidict.CIMultiDict[str],
+    request_id: ids.RequestId,
+    traceparent: str | None,
+) -> multidict.CIMultiDict[str]:
+    found['X-Request-Id'] = request_id
+    if traceparent is not None:
+        found['traceparent'] = traceparent
+    return found
--- a/libs/daemon/geraniumweir/daemon/host.py
+++ b/libs/daemon/geraniumweir/daemon/host.py
@@ -5,7 +5,7 @@
 import aiohttp
 from geraniumweir.common import ids, timers
 from geraniumweir.configuration import document
-from geraniumweir.daemon import settings
+from geraniumweir.daemon import callpath, settings
 from geraniumweir.membership import servers
 from geraniumweir.scheduling import leader
 
@@ -17,6 +17,7 @@
     :ivar in_force: the configuration that decides new calls.
     :ivar leaders: the pools that this host leads.
     :ivar draining: no new calls are taken.
+    :ivar path: what the calls share.
     """
 
     cfg: settings.Settings
@@ -26,6 +27,9 @@
     leaders: dict[ids.PoolName, leader.PoolLeader]
     in_force: document.InForce = document.EMPTY
     draining: bool = False
+    path: callpath.CallPath = dataclasses.field(
+        default_factory=callpath.CallPath,
+    )
 
     def leader_of(self, pool: ids.PoolName) -> leader.PoolLeader:
         """Give the leader of a pool, made on first use."""
@@ -35,6 +39,13 @@
             self.leaders[pool] = found
         return found
 
+    def server(
+        self,
+        server_id: ids.ServerId,
+    ) -> servers.Announcement | None:
+        """Give what a backend server last said of itself."""
+        return self.registry.get(server_id)
+
     def servers_of(self, pool: ids.PoolName) -> list[servers.Announcement]:
         """List a pool's backend servers that may get new work."""
         doc = self.in_force.document
--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -6,14 +6,22 @@
 import sys
 import typing
 
-import aiohttp
 from aiohttp import web
+from geraniumweir.backends import calls
 from geraniumweir.common import ids, timers
-from geraniumweir.daemon import announcements, callers, operators, settings
+from geraniumweir.daemon import (
+    announcements,
+    callers,
+    draining,
+    operators,
+    settings,
+)
 from geraniumweir.daemon import host as entry_host
 from geraniumweir.membership import servers
 
 _EXIT_FAILED = 1
+# Calls in flight have had --drain-timeout before this begins.
+_SHUTDOWN_SECONDS = 1.0
 
 
 def main(argv: typing.Sequence[str] | None = None) -> None:
@@ -45,16 +53,14 @@
         await _listen(stack, announcements.make_app(host), cfg.backend_address)
         await _listen(stack, callers.make_app(host), cfg.caller_address)
         await stop.wait()
-        host.draining = True
+        await draining.drain(host)
 
 
 async def _make_host(
     cfg: settings.Settings,
     stack: contextlib.AsyncExitStack,
 ) -> entry_host.EntryHost:
-    connector = aiohttp.TCPConnector(limit=0)
-    session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-    await stack.enter_async_context(session)
+    session = await stack.enter_async_context(calls.make_session())
     return entry_host.EntryHost(
         cfg=cfg,
         timers=timers.TimerService(),
@@ -69,7 +75,12 @@
     app: web.Application,
     address: ids.Address,
 ) -> None:
-    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=_SHUTDOWN_SECONDS,
+    )
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     await web.TCPSite(runner, address.host, address.port).start()
--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/ports.py
@@ -0,0 +1,95 @@
+"""What the path of a call needs of the rest, as narrow protocols.
+
+The entry host composes real parts behind them; tests put small ones there.
+"""
+
+import contextlib
+import enum
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import requests
+
+
+class Scheduler(typing.Protocol):
+    """Grants capacity: a pool leader, or the broker that finds it."""
+
+    async def ask(
+        self,
+        ask: requests.Ask,
+    ) -> requests.Grant | requests.Denial:
+        """Wait for a backend server."""
+
+    def withdraw(self, request_id: ids.RequestId) -> None:
+        """Take back an ask that still waits."""
+
+    def progress(self, progress: requests.Progress) -> None:
+        """Tell how granted work goes."""
+
+    def release(self, release: requests.Release) -> None:
+        """Tell once how granted work ended."""
+
+
+class Hop(enum.Enum):
+    """A part of a call's path that a trace shows."""
+
+    caller = 'caller'
+    rule = 'rule'
+    claim = 'claim'
+    queue = 'queue'
+    grant = 'grant'
+    dispatch = 'dispatch'
+    first_token = 'first_token'
+    end = 'end'
+
+
+class Tracer(typing.Protocol):
+    """Takes the spans of calls."""
+
+    def begin(
+        self,
+        request_id: ids.RequestId,
+        traceparent: str | None,
+    ) -> str | None:
+        """Open a call's trace.
+
+        :param traceparent: as the caller sent it.
+        :returns: the ``traceparent`` to send on, or None for the caller's.
+        """
+
+    def span(
+        self,
+        request_id: ids.RequestId,
+        hop: Hop,
+    ) -> contextlib.AbstractContextManager[typing.Any]:
+        """Time a part of a call's path."""
+
+    def mark(self, request_id: ids.RequestId, hop: Hop, note: str) -> None:
+        """Note a moment of a call's path."""
+
+
+class NoTracer:
+    """A tracer that keeps nothing."""
+
+    def begin(
+        self,
+        _request_id: ids.RequestId,
+        _traceparent: str | None,
+    ) -> str | None:
+        """Leave the caller's ``traceparent`` as it is."""
+
+    def span(
+        self,
+        _request_id: ids.RequestId,
+        _hop: Hop,
+    ) -> contextlib.AbstractContextManager[typing.Any]:
+        """Time nothing."""
+        return contextlib.nullcontext()
+
+    def mark(
+        self,
+        _request_id: ids.RequestId,
+        _hop: Hop,
+        _note: str,
+    ) -> None:
+        """Note nothing."""
--- a/libs/daemon/geraniumweir/daemon/refusals.py
+++ b/libs/daemon/geraniumweir/daemon/refusals.py
@@ -1,99 +1,166 @@
 """Turns what went wrong into the refusal a caller gets.
 
-Every refusal's code, status and words are made here, so the catalogue in
-docs/ERRORS.md has one source.
+The codes, statuses and words are those of :mod:`geraniumweir.daemon.catalogue`.
 """
 
-import http
+import dataclasses
+import types
 
+from geraniumweir.backends import errors as backend_errors
 from geraniumweir.common import errors, ids
+from geraniumweir.daemon import catalogue, claims, inflight
 from geraniumweir.scheduling import requests
 
 _RETRY_MS = 1000
+_AT_ONCE_MS = 0
+
+
+_DENIALS = types.MappingProxyType(
+    {
+        requests.DenialReason.shed: (
+            catalogue.SHED,
+            'no capacity for this tier',
+        ),
+        requests.DenialReason.too_late: (
+            catalogue.TOO_LATE,
+            'no backend server can serve this before its deadline',
+        ),
+        requests.DenialReason.queue_full: (
+            catalogue.QUEUE_FULL,
+            'the queue is full',
+        ),
+        requests.DenialReason.rule_limit: (
+            catalogue.RULE_LIMIT,
+            'a limit of the rule or the customer is reached',
+        ),
+        requests.DenialReason.quarantined: (
+            catalogue.QUARANTINED,
+            'the backend servers that ran this content crashed',
+        ),
+        requests.DenialReason.no_server: (
+            catalogue.NO_SERVER,
+            'the pool has no backend server',
+        ),
+        requests.DenialReason.not_leader: (
+            catalogue.NO_LEADER,
+            'the pool has no leader just now',
+        ),
+        requests.DenialReason.withdrawn: (
+            catalogue.WITHDRAWN,
+            'the request was withdrawn before it was served',
+        ),
+    }
+)
+_REPEATS = types.MappingProxyType(
+    {
+        claims.Claim.done: (
+            catalogue.REPEAT_DONE,
+            ids.Ran.yes,
+            'the first call of this Idempotency-Key ran and ended',
+        ),
+        claims.Claim.running: (
+            catalogue.REPEAT_RUNNING,
+            ids.Ran.unknown,
+            'the first call of this Idempotency-Key is still on its way',
+        ),
+        claims.Claim.unknown: (
+            catalogue.REPEAT_UNKNOWN,
+            ids.Ran.unknown,
+            'nobody knows how the first call of this Idempotency-Key ended',
+        ),
+        claims.Claim.mismatch: (
+            catalogue.KEY_REUSED,
+            ids.Ran.no,
+            'this Idempotency-Key belongs to a call with another content',
+        ),
+    }
+)
+
+
+def refuse(
+    entry: catalogue.Entry,
+    message: str,
+    ran: ids.Ran = ids.Ran.no,
+    retry_after_ms: int | None = None,
+) -> errors.Refused:
+    """Make a refusal of the catalogue.
+
+    :param message: a sentence for people.
+    :param retry_after_ms: when to come back, None where that can't help.
+
+    >>> refuse(catalogue.DRAINING, 'leaving').refusal.status
+    503
+    """
+    return errors.Refused(
+        errors.Refusal(
+            entry.status,
+            entry.code,
+            entry.kind,
+            message,
+            ran,
+            retry_after_ms,
+        ),
+    )
 
 
 def bad_request(message: str) -> errors.Refused:
     """Refuse a call that can't be read."""
-    return _refuse(
-        http.HTTPStatus.BAD_REQUEST,
-        'GW-1101',
-        'bad_request',
-        message,
-    )
+    return refuse(catalogue.BAD_REQUEST, message)
 
 
 def unknown_customer(name: str) -> errors.Refused:
     """Refuse a call of nobody we know."""
-    return _refuse(
-        http.HTTPStatus.UNAUTHORIZED,
-        'GW-1102',
-        'unknown_customer',
-        f'no customer answers to {name!r}',
-    )
-
-
-def no_rule() -> errors.Refused:
-    """Refuse a call that no rule matches."""
-    return _refuse(
-        http.HTTPStatus.NOT_FOUND,
-        'GW-1103',
-        'no_rule',
-        'no rule matches this request',
+    return refuse(
+        catalogue.UNKNOWN_CUSTOMER, f'no customer answers to {name!r}'
     )
 
 
 def by_rule(status: int, rule: ids.RuleName, reason: str) -> errors.Refused:
-    """Refuse a call because a rule says so."""
-    return _refuse(status, 'GW-1104', 'rule', f'{rule}: {reason}')
+    """Refuse a call because a rule says so, with the rule's status."""
+    entry = dataclasses.replace(catalogue.BY_RULE, status=status)
+    return refuse(entry, f'{rule}: {reason}')
 
 
 def draining() -> errors.Refused:
     """Refuse a call because this host is leaving."""
-    return _refuse(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        'GW-1105',
-        'draining',
+    return refuse(
+        catalogue.DRAINING,
         'this host is leaving; another one answers',
-        retry_after_ms=0,
+        retry_after_ms=_AT_ONCE_MS,
     )
 
 
 def denied(denial: requests.Denial) -> errors.Refused:
     """Refuse a call that a pool leader denied."""
-    return _refuse(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        'GW-2101',
-        'shed',
-        f'no backend server in time: {denial.reason.value}',
-        retry_after_ms=denial.retry_after_ms or _RETRY_MS,
-    )
+    entry, message = _DENIALS[denial.reason]
+    retry = denial.retry_after_ms or _RETRY_MS
+    return refuse(entry, message, retry_after_ms=retry)
 
 
-def broken(ran: ids.Ran, message: str) -> errors.Refused:
-    """Refuse a call whose backend server failed."""
-    refusal = errors.Refusal(
-        http.HTTPStatus.BAD_GATEWAY,
-        'GW-3102',
-        'backend_failed',
-        message,
-        ran,
-    )
-    return errors.Refused(refusal)
+def repeated(claim: claims.Claim) -> errors.Refused:
+    """Refuse a call whose claim was not granted."""
+    entry, ran, message = _REPEATS[claim]
+    retry = _RETRY_MS if claim is claims.Claim.running else None
+    return refuse(entry, message, ran, retry)
 
 
-def _refuse(
-    status: int,
-    code: str,
-    kind: str,
-    message: str,
-    retry_after_ms: int | None = None,
-) -> errors.Refused:
-    refusal = errors.Refusal(
-        status,
-        code,
-        kind,
-        message,
-        ids.Ran.no,
-        retry_after_ms,
-    )
-    return errors.Refused(refusal)
+def no_claim(message: str) -> errors.Refused:
+    """Refuse a call that can't be claimed now."""
+    return refuse(catalogue.NO_CLAIM, message, retry_after_ms=_RETRY_MS)
+
+
+def broken(exc: backend_errors.AnswerError) -> errors.Refused:
+    """Refuse a call whose backend server gave no whole answer."""
+    entry = catalogue.BACKEND[exc.code]
+    retry = _RETRY_MS if exc.ran is ids.Ran.no else None
+    return refuse(entry, exc.message, exc.ran, retry)
+
+
+def stopped(stop: inflight.Stop, ran: ids.Ran) -> errors.Refused:
+    """Refuse a call that was ended from this side."""
+    match stop:
+        case inflight.Stop.preempted:
+            message = 'cancelled to make room for a higher tier'
+            return refuse(catalogue.PREEMPTED, message, ran, _RETRY_MS)
+        case inflight.Stop.deadline:
+            return refuse(catalogue.DEADLINE, 'the deadline has passed', ran)
--- a/libs/membership/geraniumweir/membership/servers.py
+++ b/libs/membership/geraniumweir/membership/servers.py
@@ -89,6 +89,11 @@
         )
         return crashed
 
+    def get(self, server_id: ids.ServerId) -> Announcement | None:
+        """Give what a server last said, whether its lease holds or not."""
+        lease = self._leases.get(server_id)
+        return lease.announcement if lease else None
+
     def live(self, now: float) -> list[Announcement]:
         """List the servers whose lease holds, by id."""
         return [
--- a/libs/scheduling/geraniumweir/scheduling/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -57,6 +57,21 @@
         finally:
             self._waiting.pop(ask.request_id, None)
 
+    def withdraw(self, request_id: ids.RequestId) -> None:
+        """Drop a request that waits.
+
+        :param request_id: of the ask.
+        """
+        entry = self._waiting.pop(request_id, None)
+        if entry is not None:
+            entry[1].cancel()
+
+    def progress(self, progress: requests.Progress) -> None:
+        """Learn how granted work goes.
+
+        :param progress: of a request that was granted.
+        """
+
     def release(self, release: requests.Release) -> None:
         """Take back a grant and serve who waits.
 
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -15,15 +15,16 @@
 class Ask:
     """A request that waits for a backend server.
 
-    :ivar start_by: no first byte is useful after it; seconds on the clock of
+    :ivar deadline: the whole answer is due then; seconds on the clock of
         whoever holds the value, sent between hosts as time that is left.
-    :ivar deadline: the whole answer is due then; same clock.
     :ivar prompt_tokens: estimated prompt length.
     :ivar max_tokens: most output tokens the caller asked for, 0 if unsaid.
     :ivar blocks: hashes of the prompt's blocks, first to last.
     :ivar fingerprint: equal for the same content sent again.
     :ivar share: the customer's weight inside the tier.
     :ivar owner: the entry host that accepted the request.
+    :ivar max_running: the rule's most calls on backend servers at a time.
+    :ivar max_waiting: the rule's most calls in the queue at a time.
     """
 
     request_id: ids.RequestId
@@ -83,13 +84,22 @@
 
 
 class Outcome(enum.Enum):
-    """How granted work ended."""
+    """How granted work ended.
+
+    :cvar done: the whole answer came.
+    :cvar not_sent: no byte reached the server; the same id may ask again.
+    :cvar failed: the server answered with an error or broke off.
+    :cvar crashed: the server is known to have crashed under it.
+    :cvar cancelled: the caller went away.
+    :cvar preempted: cancelled because the leader asked for it.
+    """
 
     done = 'done'
     not_sent = 'not_sent'
     failed = 'failed'
     crashed = 'crashed'
     cancelled = 'cancelled'
+    preempted = 'preempted'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,3 +116,117 @@
     first_token: float | None = None
     output_tokens: int = 0
     seconds: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """How granted work goes on, as the entry host sees it.
+
+    :ivar first_token: seconds from dispatch to the first token, or None
+        while there is none.
+    :ivar output_tokens: tokens that came so far.
+    """
+
+    request_id: ids.RequestId
+    first_token: float | None = None
+    output_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an engine says of its load; it may be late or repeated.
+
+    :ivar kv_used: tokens in its KV cache.
+    :ivar age: seconds since it was measured.
+    """
+
+    server_id: ids.ServerId
+    running: int
+    waiting: int
+    kv_used: int = 0
+    age: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvents:
+    """What an engine says of its prefix cache; late, repeated, with gaps.
+
+    :ivar sequence: grows by one with each message of an incarnation.
+    """
+
+    server_id: ids.ServerId
+    incarnation: ids.Incarnation
+    sequence: int
+    stored: tuple[ids.BlockHash, ...] = ()
+    evicted: tuple[ids.BlockHash, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenGrant:
+    """A grant in use, handed to a new leader by the request's owner.
+
+    :ivar age: seconds since dispatch.
+    """
+
+    ask: Ask
+    grant: Grant
+    age: float = 0
+    first_token: float | None = None
+    output_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Preempt:
+    """The leader wants a stream in flight cancelled by its owner.
+
+    The owner cancels it at the server and releases the grant with the
+    outcome ``preempted``.
+    """
+
+    request_id: ids.RequestId
+    owner: ids.HostId
+    server_id: ids.ServerId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelCapacity:
+    """What a pool can run of one model at a time.
+
+    :ivar slots: requests at a time, by the learnt limits.
+    :ivar free: of them, not granted.
+    """
+
+    model: str
+    slots: int
+    free: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TierWait:
+    """The queue of one tier.
+
+    :ivar waiting: number of requests.
+    :ivar oldest: seconds that the oldest has waited.
+    :ivar expected: seconds that a newcomer of the tier is expected to wait.
+    """
+
+    tier: ids.Tier
+    waiting: int
+    oldest: float
+    expected: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolSummary:
+    """What a pool leader tells others of its pool.
+
+    :ivar capacity: by model; the name is empty where any model is served.
+    :ivar lowest_served: lowest tier that runs or waits, None if idle.
+    :ivar oldest: seconds that the oldest request has waited.
+    """
+
+    pool: ids.PoolName
+    capacity: tuple[ModelCapacity, ...] = ()
+    waits: tuple[TierWait, ...] = ()
+    lowest_served: ids.Tier | None = None
+    oldest: float = 0
