--- a/libs/backends/geraniumweir/backends/sse.py
+++ b/libs/backends/geraniumweir/backends/sse.py
@@ -119,7 +119,7 @@
             raise errors.GarbledError(f'not an event: {raw[:_SHOWN]!r}')
         before = fields.get(name)
         if before is not None and name == b'data':
-            text = before + b'\n' + text
+            text = b'\n'.join((before, text))
         fields[name] = text.strip()
     return fields
 
--- a/libs/daemon/geraniumweir/daemon/admission.py
+++ b/libs/daemon/geraniumweir/daemon/admission.py
@@ -9,7 +9,7 @@
 from geraniumweir.backends import prompts
 from geraniumweir.common import ids
 from geraniumweir.configuration import document, matching
-from geraniumweir.daemon import catalogue, claims, exchange, refusals
+from geraniumweir.daemon import catalogue, claiming, exchange, refusals
 from geraniumweir.daemon import host as entry_host
 from geraniumweir.scheduling import requests
 
@@ -17,7 +17,7 @@
 _BEARER = 'Bearer '
 _MS = 1000
 _DEFAULT_DEADLINE_MS = 60000
-_LONGEST_DEADLINE_MS = 86400 * _MS  # a day
+_LONGEST_DEADLINE_MS = 24 * 60 * 60 * _MS
 _LONGEST_KEY = 255
 _NO_PROMPT = prompts.Prompt(0, (), ids.Fingerprint(0))
 
@@ -32,7 +32,7 @@
 
     ask: requests.Ask
     kind: str
-    claim: claims.ClaimKey | None
+    claim: claiming.ClaimKey | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,7 +151,7 @@
 def _claim_key(
     talk: exchange.Exchange,
     ask: requests.Ask,
-) -> claims.ClaimKey | None:
+) -> claiming.ClaimKey | None:
     if ask.idempotent:
         return None
     key = talk.req.headers.get('Idempotency-Key', '')
@@ -164,7 +164,7 @@
         raise refusals.bad_request(
             f'the Idempotency-Key is longer than {_LONGEST_KEY} characters',
         )
-    return claims.ClaimKey(ask.customer, key)
+    return claiming.ClaimKey(ask.customer, key)
 
 
 def _facts(
--- a/libs/daemon/geraniumweir/daemon/announcements.py
+++ b/libs/daemon/geraniumweir/daemon/announcements.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from geraniumweir.common import ids
 from geraniumweir.daemon import host as entry_host
+from geraniumweir.daemon import reports
 from geraniumweir.membership import servers
 
 _NEXT_MS = 1000
@@ -20,6 +21,7 @@
     front = _Front(host)
     app = web.Application()
     app.router.add_post('/v1/announce', front.announce)
+    app.router.add_post('/v1/reports', front.report)
     return app
 
 
@@ -58,17 +60,16 @@
 
     def __init__(self, host: entry_host.EntryHost) -> None:
         self._host = host
+        self._offsets = reports.ClockOffsets()
 
     async def announce(self, req: web.Request) -> web.Response:
         try:
-            announcement = read_announcement(json.loads(await req.read()))
+            announcement = read_announcement(await _payload(req))
         except ValueError as exc:
-            return web.json_response(
-                {'error': {'code': 'GW-6101', 'message': str(exc)}},
-                status=http.HTTPStatus.BAD_REQUEST,
-            )
+            return _fault(exc)
         now = self._host.timers.now()
-        self._host.registry.announce(announcement, now)
+        if self._host.registry.announce(announcement, now):
+            self._offsets.forget(announcement.server_id)
         self._host.leader_of(announcement.pool).grant_waiting()
         return web.json_response(
             {
@@ -76,3 +77,34 @@
                 'announce_to': [str(self._host.cfg.backend_address)],
             }
         )
+
+    async def report(self, req: web.Request) -> web.Response:
+        now = self._host.timers.now()
+        try:
+            payload = await _payload(req)
+            load = reports.read_load(payload, self._offsets, now)
+            events = reports.read_cache_events(payload)
+        except ValueError as exc:
+            return _fault(exc)
+        server = self._host.server(ids.ServerId(payload.get('server_id', '')))
+        if server is not None:
+            leader = self._host.leader_of(server.pool)
+            if load is not None:
+                leader.report(load)
+            if events is not None:
+                leader.cache_events(events)
+        return web.json_response({'known': server is not None})
+
+
+async def _payload(req: web.Request) -> dict[str, typing.Any]:
+    payload = json.loads(await req.read())
+    if not isinstance(payload, dict):
+        raise ValueError('the body is not a JSON object')
+    return payload
+
+
+def _fault(exc: ValueError) -> web.Response:
+    return web.json_response(
+        {'error': {'code': 'GW-6101', 'message': str(exc)}},
+        status=http.HTTPStatus.BAD_REQUEST,
+    )
--- a/libs/daemon/geraniumweir/daemon/callpath.py
+++ b/libs/daemon/geraniumweir/daemon/callpath.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from geraniumweir.backends import identity
-from geraniumweir.daemon import claims, inflight, ports
+from geraniumweir.daemon import claiming, inflight, ports
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,8 +16,8 @@
     :ivar echoes: the pools whose engines echo our request ids.
     """
 
-    claims: claims.Claims = dataclasses.field(
-        default_factory=claims.LocalClaims,
+    claims: claiming.Claims = dataclasses.field(
+        default_factory=claiming.LocalClaims,
     )
     tracer: ports.Tracer = dataclasses.field(default_factory=ports.NoTracer)
     in_flight: inflight.InFlight = dataclasses.field(
--- a/libs/daemon/geraniumweir/daemon/dispatching.py
+++ b/libs/daemon/geraniumweir/daemon/dispatching.py
@@ -14,7 +14,7 @@
 from geraniumweir.common import errors, ids
 from geraniumweir.daemon import (
     admission,
-    claims,
+    claiming,
     exchange,
     inflight,
     ports,
@@ -54,7 +54,7 @@
         """The call's id."""
         return self.talk.request_id
 
-    async def finish(self, ending: claims.Ending) -> None:
+    async def finish(self, ending: claiming.Ending) -> None:
         """Give the call's claim its ending, once."""
         if self.finished or self.admitted.claim is None:
             return
@@ -65,13 +65,13 @@
                 self.request_id,
                 ending,
             )
-        except claims.ClaimsUnavailableError:
+        except claiming.ClaimsUnavailableError:
             # The claim goes on counting as running, which is the safe side.
             self.finished = False
 
     async def whole(self) -> None:
         """Note that the whole answer is there."""
-        await self.finish(claims.Ending.done)
+        await self.finish(claiming.Ending.done)
 
 
 async def serve(job: Job) -> None:
@@ -94,7 +94,7 @@
         raise
 
 
-async def _claim(job: Job, key: claims.ClaimKey) -> None:
+async def _claim(job: Job, key: claiming.ClaimKey) -> None:
     path = job.host.path
     ask = job.admitted.ask
     try:
@@ -105,11 +105,11 @@
                     job.request_id,
                     ask.fingerprint,
                 )
-    except claims.ClaimsUnavailableError as exc:
+    except claiming.ClaimsUnavailableError as exc:
         raise refusals.no_claim(exc.message) from exc
     except TimeoutError as exc:
         raise refusals.no_claim('no claim before the deadline') from exc
-    if claim is not claims.Claim.granted:
+    if claim is not claiming.Claim.granted:
         raise refusals.repeated(claim)
 
 
@@ -117,9 +117,9 @@
     try:
         await _run(job)
     finally:
-        ending = claims.Ending.not_run
+        ending = claiming.Ending.not_run
         if job.flight.sent:
-            ending = claims.Ending.unknown
+            ending = claiming.Ending.unknown
         await job.finish(ending)
 
 
--- a/libs/daemon/geraniumweir/daemon/refusals.py
+++ b/libs/daemon/geraniumweir/daemon/refusals.py
@@ -8,7 +8,7 @@
 
 from geraniumweir.backends import errors as backend_errors
 from geraniumweir.common import errors, ids
-from geraniumweir.daemon import catalogue, claims, inflight
+from geraniumweir.daemon import catalogue, claiming, inflight
 from geraniumweir.scheduling import requests
 
 _RETRY_MS = 1000
@@ -53,22 +53,22 @@
 )
 _REPEATS = types.MappingProxyType(
     {
-        claims.Claim.done: (
+        claiming.Claim.done: (
             catalogue.REPEAT_DONE,
             ids.Ran.yes,
             'the first call of this Idempotency-Key ran and ended',
         ),
-        claims.Claim.running: (
+        claiming.Claim.running: (
             catalogue.REPEAT_RUNNING,
             ids.Ran.unknown,
             'the first call of this Idempotency-Key is still on its way',
         ),
-        claims.Claim.unknown: (
+        claiming.Claim.unknown: (
             catalogue.REPEAT_UNKNOWN,
             ids.Ran.unknown,
             'nobody knows how the first call of this Idempotency-Key ended',
         ),
-        claims.Claim.mismatch: (
+        claiming.Claim.mismatch: (
             catalogue.KEY_REUSED,
             ids.Ran.no,
             'this Idempotency-Key belongs to a call with another content',
@@ -137,10 +137,10 @@
     return refuse(entry, message, retry_after_ms=retry)
 
 
-def repeated(claim: claims.Claim) -> errors.Refused:
+def repeated(claim: claiming.Claim) -> errors.Refused:
     """Refuse a call whose claim was not granted."""
     entry, ran, message = _REPEATS[claim]
-    retry = _RETRY_MS if claim is claims.Claim.running else None
+    retry = _RETRY_MS if claim is claiming.Claim.running else None
     return refuse(entry, message, ran, retry)
 
 
--- a/libs/fakes/geraniumweir/fakes/__init__.py
+++ b/libs/fakes/geraniumweir/fakes/__init__.py
@@ -2,5 +2,6 @@
 
 See Also
 ========
-geraniumweir.fakes.engine, geraniumweir.fakes.demo
+geraniumweir.fakes.engine, geraniumweir.fakes.service,
+geraniumweir.fakes.demo, geraniumweir.fakes.bench_path
 """
--- a/libs/scheduling/geraniumweir/scheduling/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -72,6 +72,18 @@
         :param progress: of a request that was granted.
         """
 
+    def report(self, report: requests.LoadReport) -> None:
+        """Learn what a server says of its load.
+
+        :param report: late, repeated or out of order.
+        """
+
+    def cache_events(self, events: requests.CacheEvents) -> None:
+        """Learn what a server says of its prefix cache.
+
+        :param events: late, repeated, out of order or with gaps.
+        """
+
     def release(self, release: requests.Release) -> None:
         """Take back a grant and serve who waits.
 
