--- a/libs/backends/geraniumweir/backends/streams.py
+++ b/libs/backends/geraniumweir/backends/streams.py
@@ -111,29 +111,32 @@
     splitter = sse.Splitter()
     async with contextlib.aclosing(answer.chunks()) as chunks:
         async for chunk in chunks:
-            batch = _batch(splitter.feed(chunk), whose, position)
-            if batch:
-                yield batch
+            batch: Batch = []
+            try:
+                _take(splitter.feed(chunk), whose, position, batch)
+            finally:
+                # What came before a fault is the caller's all the same.
+                if batch:
+                    yield batch
             if position.done:
                 await _see_off(chunks)
                 return
     raise errors.CutShortError('the stream ended before [DONE]')
 
 
-def _batch(
+def _take(
     raws: list[bytes],
     whose: identity.Identity,
     position: Position,
-) -> Batch:
-    batch = []
+    batch: Batch,
+) -> None:
     for raw in raws:
         event = sse.read_event(raw)
         whose.check(event.answer_id)
         if position.take(event):
             batch.append(event)
         if position.done:
-            break
-    return batch
+            return
 
 
 async def _see_off(chunks: typing.AsyncIterator[bytes]) -> None:
--- a/libs/daemon/geraniumweir/daemon/refusals.py
+++ b/libs/daemon/geraniumweir/daemon/refusals.py
@@ -88,8 +88,8 @@
     :param message: a sentence for people.
     :param retry_after_ms: when to come back, None where that can't help.
 
-    >>> refuse(catalogue.DRAINING, 'leaving').refusal.status
-    503
+    >>> refuse(catalogue.DRAINING, 'leaving').refusal.code
+    'GW-1105'
     """
     return errors.Refused(
         errors.Refusal(
@@ -162,5 +162,8 @@
         case inflight.Stop.preempted:
             message = 'cancelled to make room for a higher tier'
             return refuse(catalogue.PREEMPTED, message, ran, _RETRY_MS)
+        case inflight.Stop.deadline if ran is ids.Ran.no:
+            message = 'the deadline passed before a backend server was free'
+            return refuse(catalogue.TOO_LATE, message, ran, _RETRY_MS)
         case inflight.Stop.deadline:
             return refuse(catalogue.DEADLINE, 'the deadline has passed', ran)
--- a/libs/fakes/geraniumweir/fakes/account.py
+++ b/libs/fakes/geraniumweir/fakes/account.py
@@ -32,7 +32,9 @@
     headers: dict[str, typing.Mapping[str, str]] = dataclasses.field(
         default_factory=dict,
     )
-    sent: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    sent: dict[str, bytearray] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(bytearray),
+    )
     orders: list[typing.Any] = dataclasses.field(default_factory=list)
     prefilled: int = 0
     thrown: int = 0
@@ -52,4 +54,4 @@
 
     def keep(self, request_id: str, part: bytes) -> None:
         """Keep bytes that were sent."""
-        self.sent[request_id] = self.sent.get(request_id, b'') + part
+        self.sent[request_id] += part
--- a/libs/fakes/geraniumweir/fakes/demo.py
+++ b/libs/fakes/geraniumweir/fakes/demo.py
@@ -1,124 +1,295 @@
-"""The main job on loopback: daemon, geraniumctl, fake engine, one call."""
+"""The main job on loopback: three failure domains serve two workloads.
+
+Two entry hosts in each failure domain are processes of their own; unlike fake
+engines and plain services run in this one, where they keep account of every
+call they saw. The table at the end says what became of the calls; the exit
+status is 0 only where nothing was lost, doubled or mixed up.
+"""
 
 import asyncio
 import contextlib
-import pathlib
-import socket
+import dataclasses
 import sys
-import tempfile
 import typing
 
 import aiohttp
 from geraniumweir.common import ids
-from geraniumweir.fakes import engine
+from geraniumweir.fakes import (
+    engine,
+    generation,
+    processes,
+    sender,
+    service,
+    tally,
+    workloads,
+)
 
+_DOMAINS = ('milano-a', 'torino-b', 'bergamo-c')
+_HOSTS_PER_DOMAIN = 2
+_SPEEDS = {
+    'fast': generation.Speed(0.002, 40000),
+    'middling': generation.Speed(0.004, 16000),
+    'slow': generation.Speed(0.008, 8000),
+}
+_SERVICES = ('sportello-app', 'voorraad-api')
+_SLOTS = 6
+_PROGRESS_SECONDS = 2.0
 _RULES = """
 [[customer]]
 name = "liceo-volta"
+share = 2
+
+[[customer]]
+name = "desk-torino"
+
+[[customer]]
+name = "desk-milano"
+
+[[customer]]
+name = "hal-a"
+
+[[customer]]
+name = "hal-b"
+
+[[customer]]
+name = "field"
 
 [[pool]]
-name = "lm-advisori"
+name = "lm"
+
+[[pool]]
+name = "sportello-app"
+kind = "service"
+
+[[pool]]
+name = "voorraad-api"
+kind = "service"
+
+[[rule]]
+name = "acts that must not happen twice"
+when = { path = "/services/*/orders", idempotent = false }
+then = { route = "voorraad-api", tier = 0, deadline_ms = 8000, idempotent = false }
+
+[[rule]]
+name = "stock service"
+when = { path = "/services/voorraad-api/*" }
+then = { route = "voorraad-api", tier = 1, deadline_ms = 5000 }
+
+[[rule]]
+name = "quick questions"
+when = { path = "/v1/*", prompt_tokens = { max = 200 } }
+then = { route = "lm", tier = 0, deadline_ms = 8000 }
 
 [[rule]]
-name = "quick lookups"
-when = { path = "/v1/chat/completions" }
-then = { route = "lm-advisori", tier = 0, deadline_ms = 5000 }
+name = "checks and essays"
+when = { path = "/v1/*", prompt_tokens = { max = 2600 } }
+then = { route = "lm", tier = 1, deadline_ms = 8000 }
+
+[[rule]]
+name = "load plans"
+when = { path = "/v1/*", model = "planner" }
+then = { route = "lm", tier = 2, deadline_ms = 12000 }
+
+[[rule]]
+name = "dossiers"
+when = { path = "/v1/*" }
+then = { route = "lm", tier = 3, deadline_ms = 12000 }
 """
-_START_TRIES = 100
-_PAUSE_SECONDS = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """How much the demo does.
+
+    :ivar seconds: over which the calls arrive.
+    """
+
+    seed: int = 7
+    calls: int = 700
+    seconds: float = 14.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Backends:
+    """The fake backend servers of all failure domains."""
+
+    engines: list[engine.FakeEngine]
+    services: list[service.FakeService]
+
+    def count_runs(self, counted: tally.Tally) -> None:
+        """Tell the tally how often each call ran."""
+        for fake in self.engines:
+            counted.runs.update(fake.account.seen)
+        for plain in self.services:
+            counted.runs.update(plain.seen)
+
+    def twice(self) -> list[str]:
+        """List the idempotency keys that ran more than once."""
+        runs: dict[str, int] = {}
+        for plain in self.services:
+            for key, count in plain.runs.items():
+                runs[key] = runs.get(key, 0) + count
+        return [key for key, count in runs.items() if count > 1]
+
+    def wasted(self) -> float:
+        """Give the share of prefill that was thrown away or repeated."""
+        done = sum(fake.account.prefilled for fake in self.engines)
+        lost = sum(
+            fake.account.thrown + fake.repeated_prefill for fake in self.engines
+        )
+        return lost / max(done, 1)
 
 
 def main() -> None:
-    """Run the demo and exit 0 only where the whole answer came."""
+    """Run the demo and exit 0 only where the invariants held."""
     sys.exit(asyncio.run(run_demo()))
 
 
-async def run_demo() -> int:
-    """Serve one streamed call from end to end.
+async def run_demo(plan: Plan = Plan()) -> int:
+    """Serve a seeded mix of both workloads from end to end.
 
     :returns: the exit status.
     """
-    ports = _free_ports(3)
     async with contextlib.AsyncExitStack() as stack:
-        daemon = await _start_daemon(ports)
-        stack.push_async_callback(_stop, daemon)
-        cfg = engine.EngineSettings(
-            ids.ServerId('advisor-1'),
-            ids.PoolName('lm-advisori'),
-            ids.FailureDomain('milano-a'),
-            ids.Address('127.0.0.1', ports[1]),
-        )
-        session = await stack.enter_async_context(aiohttp.ClientSession())
-        await _until_ready(session, ports[0])
-        await stack.enter_async_context(engine.FakeEngine(cfg).running())
-        await _apply_rules(ports[2])
-        answer = await _call(session, ports[0])
-    sys.stdout.write(answer)
-    return 0 if answer.endswith('data: [DONE]\n\n') else 1
-
-
-def _free_ports(count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        return [_bind(sock) for sock in socks]
-
-
-def _bind(sock: socket.socket) -> int:
-    sock.bind(('127.0.0.1', 0))
-    return int(sock.getsockname()[1])
-
-
-async def _start_daemon(
-    ports: typing.Sequence[int],
-) -> asyncio.subprocess.Process:
-    flags = ['--host-id=entry-1', '--failure-domain=milano-a']
-    for name, port in zip(('caller', 'backend', 'operator'), ports):
-        flags.append(f'--{name}-address=127.0.0.1:{port}')
-    return await asyncio.create_subprocess_exec(
-        sys.executable,
-        '-m',
-        'geraniumweir.daemon',
-        *flags,
+        session = await stack.enter_async_context(_session())
+        hosts = await _start_hosts(stack)
+        await processes.until_ready(session, hosts)
+        backends = await _start_backends(stack, hosts)
+        await _configure(hosts)
+        _say(f'{len(hosts)} entry hosts, {len(backends.engines)} engines')
+        calls = workloads.offer(plan.seed, plan.calls, plan.seconds)
+        counted = await _send(session, hosts, calls)
+        statuses = await asyncio.gather(*(host.stop() for host in hosts))
+        backends.count_runs(counted)
+        return _judge(counted, backends, statuses)
+
+
+def _session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+
+
+async def _start_hosts(
+    stack: contextlib.AsyncExitStack,
+) -> list[processes.HostProcess]:
+    hosts = []
+    for domain in _DOMAINS:
+        for number in range(1, _HOSTS_PER_DOMAIN + 1):
+            host = await processes.start(
+                f'{domain}-{number}',
+                ids.FailureDomain(domain),
+            )
+            stack.callback(host.kill)
+            hosts.append(host)
+    return hosts
+
+
+async def _configure(hosts: typing.Iterable[processes.HostProcess]) -> None:
+    """Put the rules in force at each host, until hosts follow one log."""
+    await asyncio.gather(
+        *(processes.apply_rules(host, _RULES) for host in hosts),
     )
 
 
-async def _stop(daemon: asyncio.subprocess.Process) -> None:
-    daemon.terminate()
-    await daemon.wait()
-
-
-async def _until_ready(session: aiohttp.ClientSession, port: int) -> None:
-    for _ in range(_START_TRIES):
-        with contextlib.suppress(aiohttp.ClientError):
-            async with session.get(f'http://127.0.0.1:{port}/readyz'):
-                return
-        await asyncio.sleep(_PAUSE_SECONDS)
-    raise TimeoutError('the daemon did not start')
-
-
-async def _apply_rules(port: int) -> None:
-    with tempfile.TemporaryDirectory() as folder:
-        path = pathlib.Path(folder, 'rules.toml')
-        path.write_text(_RULES)
-        ctl = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'geraniumweir.ctl',
-            f'--operator-address=127.0.0.1:{port}',
-            'apply',
-            str(path),
-            '--base=0',
+async def _start_backends(
+    stack: contextlib.AsyncExitStack,
+    hosts: typing.Sequence[processes.HostProcess],
+) -> _Backends:
+    backends = _Backends([], [])
+    for domain in _DOMAINS:
+        to = tuple(
+            host.addresses['backend'] for host in hosts if host.domain == domain
         )
-        if await ctl.wait():
-            raise RuntimeError('geraniumctl apply failed')
+        for name, speed in _SPEEDS.items():
+            fake = engine.FakeEngine(_engine(domain, name, speed, to))
+            backends.engines.append(fake)
+            await stack.enter_async_context(fake.running())
+        for pool in _SERVICES:
+            plain = service.FakeService(_service(domain, pool, to))
+            backends.services.append(plain)
+            await stack.enter_async_context(plain.running())
+    return backends
+
+
+def _engine(
+    domain: str,
+    name: str,
+    speed: generation.Speed,
+    to: tuple[ids.Address, ...],
+) -> engine.EngineSettings:
+    return engine.EngineSettings(
+        ids.ServerId(f'{domain}-{name}'),
+        ids.PoolName('lm'),
+        ids.FailureDomain(domain),
+        to,
+        slots=_SLOTS,
+        speed=speed,
+        hardware=name,
+        can_resume=True,
+    )
+
+
+def _service(
+    domain: str,
+    pool: str,
+    to: tuple[ids.Address, ...],
+) -> service.ServiceSettings:
+    return service.ServiceSettings(
+        ids.ServerId(f'{domain}-{pool}'),
+        ids.PoolName(pool),
+        ids.FailureDomain(domain),
+        to,
+    )
+
+
+async def _send(
+    session: aiohttp.ClientSession,
+    hosts: typing.Sequence[processes.HostProcess],
+    calls: typing.Sequence[workloads.Offered],
+) -> tally.Tally:
+    counted = tally.Tally()
+    progress = asyncio.create_task(_show_progress(counted, len(calls)))
+    start = asyncio.get_running_loop().time()
+    async with asyncio.TaskGroup() as group:
+        for call in calls:
+            due = start + call.at - asyncio.get_running_loop().time()
+            await asyncio.sleep(max(due, 0))
+            host = hosts[call.number % len(hosts)]
+            group.create_task(sender.send(session, host, call, counted))
+    progress.cancel()
+    return counted
+
+
+async def _show_progress(counted: tally.Tally, calls: int) -> None:
+    while True:
+        await asyncio.sleep(_PROGRESS_SECONDS)
+        _say(f'{len(counted.ends)} of {calls} calls ended')
+
+
+def _judge(
+    counted: tally.Tally,
+    backends: _Backends,
+    statuses: typing.Sequence[int],
+) -> int:
+    sys.stdout.write(f'{counted.table()}\n')
+    sys.stdout.write(f'wasted prefill: {backends.wasted():.1%}\n')
+    faults = {
+        'lost': counted.count(tally.End.lost),
+        'doubled': len(counted.doubled),
+        'acts that happened twice': len(backends.twice()),
+        'ran though told it had not': len(counted.broken_promises),
+        'hosts that did not drain': sum(map(bool, statuses)),
+        'nothing was served': int(not counted.count(tally.End.in_time)),
+    }
+    for name, count in faults.items():
+        if count:
+            sys.stdout.write(f'broken: {name}: {count}\n')
+    for refused, times in counted.refusals().items():
+        sys.stdout.write(f'refused with {refused}: {times}\n')
+    return int(any(faults.values()))
 
 
-async def _call(session: aiohttp.ClientSession, port: int) -> str:
-    url = f'http://127.0.0.1:{port}/v1/chat/completions'
-    payload = {'model': 'advisor', 'stream': True, 'max_tokens': 8}
-    headers = {'X-Customer': 'liceo-volta'}
-    async with session.post(url, json=payload, headers=headers) as resp:
-        return await resp.text()
+def _say(line: str) -> None:
+    sys.stderr.write(f'{line}\n')
 
 
 if __name__ == '__main__':
--- a/libs/fakes/geraniumweir/fakes/engine.py
+++ b/libs/fakes/geraniumweir/fakes/engine.py
@@ -71,6 +71,7 @@
         self._cache = generation.PrefixCache(cfg.cache_blocks)
         self._sequence = 0
         self._fencing = 0
+        self.forgetful = False
 
     @contextlib.asynccontextmanager
     async def running(self) -> typing.AsyncIterator['FakeEngine']:
@@ -170,7 +171,7 @@
                 return await self._stream(req, job, 0)
             return await self._whole(req, job)
         except (asyncio.CancelledError, ConnectionError):
-            self._leave(job)
+            _leave(self.cfg, job)
             raise
 
     def _new_job(
@@ -209,20 +210,6 @@
         job.ended = True
         job.news.set()
 
-    def _after_fault(self, job: generation.Job) -> None:
-        if not self.cfg.can_resume:
-            _stop(job)
-
-    def _leave(self, job: generation.Job) -> None:
-        """Do what an engine does whose caller has gone."""
-        if job.has(faults.FaultKind.late):
-            return
-        if self.cfg.can_resume:
-            loop = asyncio.get_running_loop()
-            loop.call_later(_LINGER_SECONDS, _stop, job)
-            return
-        _stop(job)
-
     async def _stream(
         self,
         req: web.Request,
@@ -237,7 +224,7 @@
             job.news.clear()
             for event in job.events[following:]:
                 if await misbehaving.in_stream(req, resp, job, following):
-                    self._after_fault(job)
+                    _after_fault(self.cfg, job)
                     return resp
                 await resp.write(event)
                 self.account.keep(job.request_id, event)
@@ -259,7 +246,7 @@
         body = generation.whole_answer(job.request_id, job.texts)
         if job.fault is not None:
             return await misbehaving.instead(req, job.fault, body)
-        self.account.sent[job.request_id] = body
+        self.account.keep(job.request_id, body)
         return web.Response(body=body, content_type='application/json')
 
     async def _cancel(self, req: web.Request) -> web.Response:
@@ -276,7 +263,7 @@
         first = int(req.query['from'])
         job = self._jobs.get(request_id)
         self.account.resumed.append((request_id, first))
-        if job is None or not self.cfg.can_resume:
+        if job is None or self.forgetful:
             return web.Response(status=_NOT_FOUND)
         return await self._stream(req, job, first)
 
@@ -292,6 +279,22 @@
         return web.json_response({'done': True})
 
 
+def _after_fault(cfg: EngineSettings, job: generation.Job) -> None:
+    if not cfg.can_resume:
+        _stop(job)
+
+
+def _leave(cfg: EngineSettings, job: generation.Job) -> None:
+    """Do what an engine does whose caller has gone."""
+    if job.has(faults.FaultKind.late):
+        return
+    if cfg.can_resume:
+        loop = asyncio.get_running_loop()
+        loop.call_later(_LINGER_SECONDS, _stop, job)
+    else:
+        _stop(job)
+
+
 def _stop(job: generation.Job) -> None:
     if job.task is not None:
         job.task.cancel()
--- a/libs/fakes/geraniumweir/fakes/generation.py
+++ b/libs/fakes/geraniumweir/fakes/generation.py
@@ -111,9 +111,10 @@
     hits = cache.take(prompt.blocks)
     job.prefilled = max(prompt.tokens - hits * _TOKENS_PER_BLOCK, 0)
     await asyncio.sleep(job.prefilled / speed.prefill_rate)
+    pad = '.' * int(job.payload.get('pad', 0))
     for number in range(int(job.payload.get('max_tokens', _DEFAULT_TOKENS))):
         await asyncio.sleep(speed.token_seconds)
-        text = f'token{number} '
+        text = f'token{number} {pad}'
         job.texts.append(text)
         job.events.append(chunk_event(job.request_id, text))
         job.news.set()
--- /dev/null
+++ b/libs/fakes/geraniumweir/fakes/sender.py
@@ -0,0 +1,126 @@
+"""Sends one call of a workload as a caller would, and judges its answer."""
+
+import asyncio
+import json
+
+import aiohttp
+from geraniumweir.fakes import processes, tally, workloads
+
+_DONE = b'data: [DONE]\n\n'
+_ERROR = b'event: error\ndata: '
+_MS = 1000
+_OK = 200
+_PATIENCE = aiohttp.ClientTimeout(total=40)
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    host: processes.HostProcess,
+    call: workloads.Offered,
+    counted: tally.Tally,
+) -> None:
+    """Send a call and tally its end.
+
+    A fifth of the acts that must not happen twice are sent again.
+    """
+    counted.ends.append(await _send_once(session, host, call))
+    if call.kind.once and call.number % 5 == 0:
+        again = await _send_once(session, host, call)
+        if again.end is not tally.End.refused:
+            counted.ends.append(again)
+
+
+async def _send_once(
+    session: aiohttp.ClientSession,
+    host: processes.HostProcess,
+    call: workloads.Offered,
+) -> tally.Ended:
+    start = asyncio.get_running_loop().time()
+    try:
+        async with session.request(
+            call.kind.method,
+            host.url(call.kind.path or '/v1/chat/completions'),
+            headers=_headers(call),
+            data=_body(call),
+            timeout=_PATIENCE,
+        ) as resp:
+            return await _judge(resp, call, start)
+    except (aiohttp.ClientError, TimeoutError):
+        return tally.Ended('', '?', tally.End.lost)
+
+
+def _headers(call: workloads.Offered) -> dict[str, str]:
+    headers = {
+        'X-Customer': call.kind.customer,
+        'X-Deadline-Ms': str(call.kind.deadline_ms),
+    }
+    if call.kind.once:
+        headers['X-Idempotent'] = 'false'
+        headers['Idempotency-Key'] = f'act-{call.number}'
+    return headers
+
+
+def _body(call: workloads.Offered) -> bytes | None:
+    if call.kind.method == 'GET':
+        return None
+    if call.kind.path:
+        return call.prompt.encode()
+    return json.dumps(workloads.body(call)).encode()
+
+
+async def _judge(
+    resp: aiohttp.ClientResponse,
+    call: workloads.Offered,
+    start: float,
+) -> tally.Ended:
+    loop = asyncio.get_running_loop()
+    first = await resp.content.readany()
+    first_ms = (loop.time() - start) * _MS
+    body = first + await resp.read()
+    request_id = resp.headers.get('X-Request-Id', '')
+    tier = resp.headers.get('X-Tier', '?')
+    error = _error(resp, body)
+    if error is not None:
+        return tally.Ended(
+            request_id,
+            tier,
+            tally.End.refused,
+            ran=error['ran'],
+            code='{code} {type}'.format(**error),
+        )
+    end = tally.End.in_time
+    if not _is_whole(call, request_id, body):
+        end = tally.End.lost
+    elif (loop.time() - start) * _MS > call.kind.deadline_ms:
+        end = tally.End.late
+    return tally.Ended(request_id, tier, end, first_ms)
+
+
+def _error(
+    resp: aiohttp.ClientResponse,
+    body: bytes,
+) -> dict[str, str] | None:
+    if resp.status != _OK:
+        return dict(json.loads(body)['error'])
+    _, found, last = body.rpartition(_ERROR)
+    return dict(json.loads(last)['error']) if found else None
+
+
+def _is_whole(
+    call: workloads.Offered,
+    request_id: str,
+    body: bytes,
+) -> bool:
+    """Check that an answer is this call's, from its first to its last token."""
+    if call.kind.path:
+        return bool(json.loads(body)['runs'])
+    texts = [f'token{number} ' for number in range(call.max_tokens)]
+    if not call.stream:
+        answer = json.loads(body)
+        content = answer['choices'][0]['message']['content']
+        return request_id in answer['id'] and content == ''.join(texts)
+    events = body.removesuffix(_DONE).split(b'\n\n')[:-1]
+    chunks = [json.loads(event.removeprefix(b'data: ')) for event in events]
+    said = [chunk['choices'][0]['delta']['content'] for chunk in chunks]
+    mine = all(request_id in chunk['id'] for chunk in chunks)
+    return body.endswith(_DONE) and mine and said == texts
--- a/libs/fakes/geraniumweir/fakes/tests/test_demo.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_demo.py
@@ -5,6 +5,7 @@
 from geraniumweir.fakes import demo
 
 
-def test_demo_serves_a_whole_answer() -> None:
-    """The demo ends with a whole answer."""
-    assert asyncio.run(demo.run_demo()) == 0
+def test_demo_serves_whole_answers() -> None:
+    """Three failure domains lose, double and mix up nothing."""
+    plan = demo.Plan(calls=90, seconds=3)
+    assert asyncio.run(demo.run_demo(plan)) == 0
