--- /dev/null
+++ b/libs/fakes/geraniumweir/fakes/data/__init__.py
@@ -0,0 +1,1 @@
+"""Data of the demo: its rules and its workloads."""
--- a/libs/fakes/geraniumweir/fakes/processes.py
+++ b/libs/fakes/geraniumweir/fakes/processes.py
@@ -16,6 +16,7 @@
 _START_TRIES = 200
 _PAUSE_SECONDS = 0.1
 _STOP_SECONDS = 20.0
+_USER_TIME = 11
 _FACES = ('caller', 'backend', 'operator')
 
 
@@ -130,7 +131,8 @@
     """Give the processor time that a process has used."""
     text = pathlib.Path(f'/proc/{pid}/stat').read_text()
     fields = text.rpartition(')')[2].split()
-    ticks = int(fields[11]) + int(fields[12])
+    # User and system time, the 14th and 15th field of the whole line.
+    ticks = sum(map(int, fields[_USER_TIME : _USER_TIME + 2]))
     return ticks / os.sysconf('SC_CLK_TCK')
 
 
