--- a/libs/daemon/geraniumweir/daemon/gauges.py
+++ b/libs/daemon/geraniumweir/daemon/gauges.py
@@ -17,6 +17,7 @@
     """
     meter.gauge(metricnames.CONFIG_VERSION, lambda: host.in_force.version)
     meter.gauge(metricnames.DRAINING, lambda: int(host.draining))
+    meter.gauge(metricnames.OPEN_CALLS, lambda: len(host.path.in_flight))
     meter.gauge(metricnames.SPANS_DROPPED, tracing.dropped)
     meter.gauge(metricnames.SERVERS, lambda: _servers(host))
 
--- a/libs/daemon/geraniumweir/daemon/logevents.py
+++ b/libs/daemon/geraniumweir/daemon/logevents.py
@@ -13,7 +13,9 @@
 DRAINING: typing.Final = logevents.Event(
     102, logevents.Level.notice, 'draining for at most {seconds} s'
 )
-STOPPED: typing.Final = logevents.Event(103, logevents.Level.notice, 'stopped')
+STOPPED: typing.Final = logevents.Event(
+    103, logevents.Level.notice, 'stopped; {left} calls did not end in time'
+)
 OPERATOR_CHANGE: typing.Final = logevents.Event(
     110,
     logevents.Level.notice,
--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -7,25 +7,29 @@
 import sys
 import typing
 
-import aiohttp
 from aiohttp import web
+from geraniumweir.backends import calls
 from geraniumweir.common import errors, ids, timers
 from geraniumweir.common import logevents as levels
 from geraniumweir.daemon import (
     alone,
     announcements,
     callers,
+    draining,
     gauges,
     logevents,
     operators,
     settings,
     settingvalues,
+    spans,
 )
 from geraniumweir.daemon import host as entry_host
 from geraniumweir.membership import servers
 from geraniumweir.observe import logs, metrics, traces
 
 _EXIT_FAILED = 1
+# Calls in flight have had --drain-timeout before this begins.
+_SHUTDOWN_SECONDS = 1.0
 
 
 class BusyAddressError(errors.GeraniumweirError):
@@ -79,8 +83,8 @@
         )
         await stop.wait()
         logs.log(logevents.DRAINING, seconds=cfg.drain_timeout)
-        host.draining = True
-    logs.log(logevents.STOPPED)
+        left = await draining.drain(host)
+    logs.log(logevents.STOPPED, left=left)
 
 
 def _check_files(cfg: settings.Settings) -> None:
@@ -100,9 +104,7 @@
     cfg: settings.Settings,
     stack: contextlib.AsyncExitStack,
 ) -> entry_host.EntryHost:
-    connector = aiohttp.TCPConnector(limit=0)
-    session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-    await stack.enter_async_context(session)
+    session = await stack.enter_async_context(calls.make_session())
     return entry_host.EntryHost(
         cfg=cfg,
         timers=timers.TimerService(),
@@ -121,6 +123,7 @@
         traces.TraceSettings(cfg.host_id, cfg.trace_file, cfg.trace_sample)
     )
     stack.callback(tracing.close)
+    host.path.tracer = spans.CallTracer(tracing)
     meter = metrics.Metrics(host.timers.now)
     gauges.register(meter, host, tracing)
     return alone.StandaloneOperations(host, meter, tracing)
@@ -131,7 +134,12 @@
     app: web.Application,
     address: ids.Address,
 ) -> None:
-    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=_SHUTDOWN_SECONDS,
+    )
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     try:
--- a/libs/scheduling/geraniumweir/scheduling/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -65,25 +65,40 @@
         finally:
             self._waiting.pop(ask.request_id, None)
 
-    def release(self, release: requests.Release) -> None:
-        """Take back a grant and serve who waits.
+    def withdraw(self, request_id: ids.RequestId) -> None:
+        """Drop a request that waits.
 
-        :param release: how the work ended.
+        :param request_id: of the ask.
         """
-        self._running.pop(release.request_id, None)
-        self.grant_waiting()
-
-    def withdraw(self, request_id: ids.RequestId) -> None:
-        """Drop a request whose caller went away while it waited."""
+        entry = self._waiting.pop(request_id, None)
+        if entry is not None:
+            entry[1].cancel()
 
     def progress(self, progress: requests.Progress) -> None:
-        """Take how granted work goes on."""
+        """Learn how granted work goes.
+
+        :param progress: of a request that was granted.
+        """
 
     def report(self, report: requests.LoadReport) -> None:
-        """Take an engine's load report."""
+        """Learn what a server says of its load.
+
+        :param report: late, repeated or out of order.
+        """
 
     def cache_events(self, events: requests.CacheEvents) -> None:
-        """Take an engine's cache events."""
+        """Learn what a server says of its prefix cache.
+
+        :param events: late, repeated, out of order or with gaps.
+        """
+
+    def release(self, release: requests.Release) -> None:
+        """Take back a grant and serve who waits.
+
+        :param release: how the work ended.
+        """
+        self._running.pop(release.request_id, None)
+        self.grant_waiting()
 
     def server_crashed(
         self,
