--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/tests/test_catalogue.py
@@ -0,0 +1,56 @@
+"""The catalogue of errors in the docs is that of the code."""
+
+import importlib
+import pathlib
+import pkgutil
+import re
+import typing
+
+import geraniumweir
+from geraniumweir.common import errors
+from geraniumweir.daemon import catalogue
+
+_ROOT = pathlib.Path(__file__).resolve().parents[5]
+_ROW = re.compile(r'^\| (GW-\d{4}) \| (.*) \|$', re.MULTILINE)
+
+
+def _documented() -> dict[str, list[str]]:
+    text = (_ROOT / 'docs' / 'ERRORS.md').read_text()
+    rows = _ROW.findall(text)
+    assert len({code for code, _ in rows}) == len(rows)
+    return {code: cells.split(' | ') for code, cells in rows}
+
+
+def _classes(root: type) -> typing.Iterator[type]:
+    yield root
+    for found in root.__subclasses__():
+        yield from _classes(found)
+
+
+def test_refusals_are_documented_as_they_are() -> None:
+    """Code, status and word of each refusal stand in the page."""
+    found = _documented()
+    entries = {entry.code: entry for entry in catalogue.ENTRIES}
+    assert len(entries) == len(catalogue.ENTRIES)
+    refused = {code for code, cells in found.items() if cells[0].isdigit()}
+    assert refused == set(entries)
+    for code, entry in entries.items():
+        assert found[code][:2] == [str(int(entry.status)), entry.kind]
+
+
+def test_every_error_has_its_own_documented_code() -> None:
+    """No code stands twice in the code, none is missing in the page."""
+    for module in pkgutil.walk_packages(
+        geraniumweir.__path__,
+        'geraniumweir.',
+    ):
+        if '.tests' not in module.name and '__main__' not in module.name:
+            importlib.import_module(module.name)
+    codes: dict[str, str] = {}
+    for found in _classes(errors.GeraniumweirError):
+        if '.tests.' in found.__module__:
+            continue
+        assert found.__dict__.get('code', '') not in codes, found
+        if 'code' in found.__dict__:
+            codes[found.code] = found.__name__
+    assert set(codes) <= set(_documented())
