--- a/libs/ctl/geraniumweir/ctl/plots.py
+++ b/libs/ctl/geraniumweir/ctl/plots.py
@@ -1,11 +1,14 @@
-"""Plots of a bench's runs, by matplotlib (the extra ``report``)."""
+"""Plots of a bench's runs, by matplotlib (the extra ``report``).
 
+The library is loaded when something is drawn: it is optional, and slow.
+"""
+
+import importlib
 import pathlib
 import typing
+from importlib import util
 
-import matplotlib as mpl
 from geraniumweir.ctl import benchfile
-from matplotlib import figure
 
 _WIDTH = 9
 _HEIGHT = 3.2
@@ -14,6 +17,11 @@
 _Value = typing.Callable[[benchfile.Run], float]
 
 
+def can_draw() -> bool:
+    """Tell whether matplotlib is there."""
+    return util.find_spec('matplotlib') is not None
+
+
 def draw(
     runs: typing.Sequence[benchfile.Run],
     folder: pathlib.Path,
@@ -24,6 +32,7 @@
     :returns: the files' names.
     """
     # The same runs give the same file: no random ids in the SVG.
+    mpl = importlib.import_module('matplotlib')
     mpl.rcParams['svg.hashsalt'] = 'geraniumweir'
     names = []
     for tier in sorted({name for run in runs for name in run.tiers}):
@@ -62,7 +71,7 @@
     scenarios = _unique(run.scenario for run in runs)
     policies = _unique(run.policy for run in runs)
     width = _GROUP_WIDTH / len(policies)
-    canvas = figure.Figure((_WIDTH, _HEIGHT), layout='constrained')
+    canvas = _canvas()
     axes = canvas.subplots()
     for number, policy in enumerate(policies):
         mine = {
@@ -84,5 +93,10 @@
     canvas.savefig(path, metadata={'Date': None})
 
 
+def _canvas() -> typing.Any:
+    figure = importlib.import_module('matplotlib.figure')
+    return figure.Figure((_WIDTH, _HEIGHT), layout='constrained')
+
+
 def _unique(names: typing.Iterable[str]) -> list[str]:
     return list(dict.fromkeys(names))
--- a/libs/ctl/geraniumweir/ctl/reportcommand.py
+++ b/libs/ctl/geraniumweir/ctl/reportcommand.py
@@ -5,10 +5,9 @@
 import pathlib
 import sys
 import typing
-from importlib import util
 
 import tabulate
-from geraniumweir.ctl import benchfile, output
+from geraniumweir.ctl import benchfile, output, plots
 
 _PAGE = """<!doctype html>
 <html lang="en">
@@ -76,12 +75,9 @@
     runs: typing.Sequence[benchfile.Run],
     folder: pathlib.Path,
 ) -> list[str]:
-    if util.find_spec('matplotlib') is None:
+    if not plots.can_draw():
         output.warn(f'warning: {_NO_PLOTS}')
         return []
-    # Only here, as matplotlib is an extra and slow to load.
-    from geraniumweir.ctl import plots  # noqa: PLC0415, WPS433
-
     return plots.draw(runs, folder)
 
 
--- a/libs/daemon/geraniumweir/daemon/alone.py
+++ b/libs/daemon/geraniumweir/daemon/alone.py
@@ -5,13 +5,14 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 
 from geraniumweir.common import ids
 from geraniumweir.configuration import document, errors, reading
 from geraniumweir.daemon import host as entry_host
-from geraniumweir.daemon import operations, rows
+from geraniumweir.daemon import gauges, meters, operations, rows, spans
 from geraniumweir.observe import metrics, tracefile, traces
 
 _MAX_VERSIONS = 200
@@ -160,6 +161,27 @@
         return self._meter.exposition()
 
 
+def compose(
+    host: entry_host.EntryHost,
+    stack: contextlib.AsyncExitStack,
+) -> StandaloneOperations:
+    """Give a host its metrics, its tracer and its operations.
+
+    :param stack: closes the trace file at the end.
+    :raises OSError: when the trace file can't be written.
+    """
+    cfg = host.cfg
+    tracing = traces.Tracing(
+        traces.TraceSettings(cfg.host_id, cfg.trace_file, cfg.trace_sample)
+    )
+    stack.callback(tracing.close)
+    meter = metrics.Metrics(host.timers.now)
+    gauges.register(meter, host, tracing)
+    host.path.tracer = spans.CallTracer(tracing)
+    host.path.meter = meters.CallMeter(meter)
+    return StandaloneOperations(host, meter, tracing)
+
+
 def _no_recorders() -> operations.UnavailableError:
     return operations.UnavailableError(
         'this host stands alone, without recorders',
--- a/libs/daemon/geraniumweir/daemon/callers.py
+++ b/libs/daemon/geraniumweir/daemon/callers.py
@@ -67,7 +67,7 @@
         talk = _new_exchange(req)
         path = self._host.path
         if self._host.draining:
-            resp = await talk.refuse(refusals.draining().refusal)
+            resp = await self._refuse(talk, refusals.draining().refusal)
             resp.force_close()
             return resp
         with path.in_flight.flight(talk.request_id) as flight:
@@ -89,13 +89,23 @@
         try:
             await self._serve(talk, flight)
         except errors.Refused as exc:
-            return await talk.refuse(exc.refusal)
+            return await self._refuse(talk, exc.refusal)
         except ConnectionError:
+            self._host.path.meter.gone(talk.head.get('X-Tier', ''))
             return _gone(talk)
         except Exception as exc:
-            return await talk.refuse(_internal(exc, flight))
+            return await self._refuse(talk, _internal(exc, flight))
         return talk.resp or _gone(talk)
 
+    async def _refuse(
+        self,
+        talk: exchange.Exchange,
+        refusal: errors.Refusal,
+    ) -> web.StreamResponse:
+        tier = talk.head.get('X-Tier', '')
+        self._host.path.meter.refused(refusal, tier)
+        return await talk.refuse(refusal)
+
     async def _serve(
         self,
         talk: exchange.Exchange,
--- a/libs/daemon/geraniumweir/daemon/callpath.py
+++ b/libs/daemon/geraniumweir/daemon/callpath.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from geraniumweir.backends import identity
-from geraniumweir.daemon import claiming, inflight, ports
+from geraniumweir.daemon import claiming, inflight, meters, ports
 
 
 @dataclasses.dataclass(slots=True)
@@ -12,6 +12,7 @@
 
     :ivar claims: makes and ends the claims of non-idempotent calls.
     :ivar tracer: takes the spans of calls.
+    :ivar meter: counts calls as they end.
     :ivar in_flight: the calls that were taken and have not ended.
     :ivar echoes: the pools whose engines echo our request ids.
     """
@@ -20,6 +21,9 @@
         default_factory=claiming.LocalClaims,
     )
     tracer: ports.Tracer = dataclasses.field(default_factory=ports.NoTracer)
+    meter: meters.CallMeter = dataclasses.field(
+        default_factory=meters.CallMeter,
+    )
     in_flight: inflight.InFlight = dataclasses.field(
         default_factory=inflight.InFlight,
     )
--- a/libs/daemon/geraniumweir/daemon/dispatching.py
+++ b/libs/daemon/geraniumweir/daemon/dispatching.py
@@ -161,6 +161,7 @@
 async def _granted(job: Job) -> requests.Grant:
     scheduler = job.scheduler
     tracer = job.host.path.tracer
+    asked = asyncio.get_running_loop().time()
     try:
         with tracer.span(job.request_id, ports.Hop.queue):
             answer = await scheduler.ask(job.admitted.ask)
@@ -175,6 +176,8 @@
             raise refusals.denied(answer)
         case requests.Grant():
             tracer.mark(job.request_id, ports.Hop.grant, answer.server_id)
+            waited = asyncio.get_running_loop().time() - asked
+            job.host.path.meter.granted(job.admitted.ask, waited)
             return answer
 
 
@@ -258,13 +261,17 @@
     run: relaying.Run,
     outcome: requests.Outcome,
 ) -> None:
-    job.host.path.tracer.mark(job.request_id, ports.Hop.end, outcome.value)
-    job.scheduler.release(
-        requests.Release(
-            job.request_id,
-            outcome,
-            run.first_token,
-            run.output_tokens,
-            run.seconds,
-        ),
+    path = job.host.path
+    path.tracer.mark(job.request_id, ports.Hop.end, outcome.value)
+    release = requests.Release(
+        job.request_id,
+        outcome,
+        run.first_token,
+        run.output_tokens,
+        run.seconds,
     )
+    path.meter.released(job.admitted.ask, release)
+    if outcome is requests.Outcome.done:
+        now = asyncio.get_running_loop().time()
+        path.meter.done(job.admitted.ask, now - job.talk.arrival, now)
+    job.scheduler.release(release)
--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -16,16 +16,14 @@
     announcements,
     callers,
     draining,
-    gauges,
     logevents,
     operators,
     settings,
     settingvalues,
-    spans,
 )
 from geraniumweir.daemon import host as entry_host
 from geraniumweir.membership import servers
-from geraniumweir.observe import logs, metrics, traces
+from geraniumweir.observe import logs
 
 _EXIT_FAILED = 1
 # Calls in flight have had --drain-timeout before this begins.
@@ -71,7 +69,7 @@
         loop.add_signal_handler(signum, stop.set)
     async with contextlib.AsyncExitStack() as stack:
         host = await _make_host(cfg, stack)
-        ops = _make_operations(host, stack)
+        ops = alone.compose(host, stack)
         await _listen(stack, operators.make_app(ops), cfg.operator_address)
         await _listen(stack, announcements.make_app(host), cfg.backend_address)
         await _listen(stack, callers.make_app(host), cfg.caller_address)
@@ -114,21 +112,6 @@
     )
 
 
-def _make_operations(
-    host: entry_host.EntryHost,
-    stack: contextlib.AsyncExitStack,
-) -> alone.StandaloneOperations:
-    cfg = host.cfg
-    tracing = traces.Tracing(
-        traces.TraceSettings(cfg.host_id, cfg.trace_file, cfg.trace_sample)
-    )
-    stack.callback(tracing.close)
-    host.path.tracer = spans.CallTracer(tracing)
-    meter = metrics.Metrics(host.timers.now)
-    gauges.register(meter, host, tracing)
-    return alone.StandaloneOperations(host, meter, tracing)
-
-
 async def _listen(
     stack: contextlib.AsyncExitStack,
     app: web.Application,
--- a/libs/daemon/geraniumweir/daemon/relaying.py
+++ b/libs/daemon/geraniumweir/daemon/relaying.py
@@ -96,6 +96,8 @@
                 ports.Hop.first_token,
                 self.grant.server_id,
             )
+            since_arrival = self.started - self.talk.arrival + seconds
+            self.host.path.meter.first_token(self.admitted.ask, since_arrival)
         elif seconds - self.reported < _REPORT_SECONDS:
             return
         self.reported = seconds
--- a/libs/observe/geraniumweir/observe/traces.py
+++ b/libs/observe/geraniumweir/observe/traces.py
@@ -89,6 +89,7 @@
     sink: spanqueue.SpanQueue | None
     attributes: dict[str, Attribute]
     error: str = ''
+    ended: bool = False
     start_ns: int = dataclasses.field(default_factory=time.time_ns)
 
     @property
@@ -116,9 +117,9 @@
     def finish(self) -> None:
         """End the hop; what comes after the first time does nothing."""
         sink = self.sink
-        if sink is None:
+        if sink is None or self.ended:
             return
-        self.sink = None
+        self.ended = True
         sink.put(
             tracefile.SpanRecord(
                 trace_id=self.trace_id,
