--- a/libs/daemon/geraniumweir/daemon/gauges.py
+++ b/libs/daemon/geraniumweir/daemon/gauges.py
@@ -16,6 +16,10 @@
     :param meter: of the host.
     """
     meter.gauge(metricnames.CONFIG_VERSION, lambda: host.in_force.version)
+    # A host that stands alone is its own majority, and all the hosts it knows.
+    meter.gauge(metricnames.CONFIG_SURE, lambda: 1)
+    domain = host.cfg.failure_domain
+    meter.gauge(metricnames.LIVE_HOSTS, lambda: {(domain,): 1})
     meter.gauge(metricnames.DRAINING, lambda: int(host.draining))
     meter.gauge(metricnames.OPEN_CALLS, lambda: len(host.path.in_flight))
     meter.gauge(metricnames.SPANS_DROPPED, tracing.dropped)
