--- /dev/null
+++ b/libs/membership/geraniumweir/membership/notices.py
@@ -0,0 +1,136 @@
+"""Short notices that every host hears of, such as quarantined fingerprints.
+
+The bytes are opaque here. A notice is sent on at once by whoever first hears
+of it; fingerprints of all notices travel in heartbeats and digests, so that a
+host that missed one asks for it. A notice counts for a time and is gone.
+"""
+
+import dataclasses
+
+import reactivex
+import xxhash
+from geraniumweir.membership import errors
+from geraniumweir.wire.gen.membership import ttypes
+from reactivex import subject
+
+MAX_PAYLOAD = 256
+MAX_ACTIVE = 1024
+MAX_SECONDS = 3600.0
+MAX_IN_MESSAGE = 256
+_SETTLED_SECONDS = 2.0
+_MILLIS = 1000
+_ID_MASK = (1 << 63) - 1
+_HASH_MASK = (1 << 31) - 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """Opaque bytes that count until a time on this host's clock."""
+
+    notice_id: int
+    payload: bytes
+    until: float
+
+
+class NoticeBoard:
+    """The notices that count at the moment."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._active: dict[int, Notice] = {}
+        self._arrivals: subject.Subject[Notice] = subject.Subject()
+
+    @property
+    def arrivals(self) -> reactivex.Observable[Notice]:
+        """Give the stream of notices that are new to this host."""
+        return self._arrivals
+
+    def post(self, payload: bytes, seconds: float, now: float) -> Notice | None:
+        """Put up a notice.
+
+        :param seconds: how long it counts from now.
+        :returns: the notice where it is new here or counts clearly longer
+            than before, else None.
+        :raises errors.NoticeError: when it is too large.
+        """
+        if len(payload) > MAX_PAYLOAD:
+            raise errors.NoticeError(
+                f'a notice of {len(payload)} bytes; at most {MAX_PAYLOAD}',
+            )
+        notice_id = xxhash.xxh3_64_intdigest(payload) & _ID_MASK
+        until = now + min(seconds, MAX_SECONDS)
+        known = self._active.get(notice_id)
+        if seconds <= 0 or (known and until < known.until + _SETTLED_SECONDS):
+            return None
+        notice = Notice(notice_id, payload, until)
+        self._active[notice_id] = notice
+        self._bound()
+        if known is None:
+            self._arrivals.on_next(notice)
+        return notice
+
+    def active(self, now: float) -> list[Notice]:
+        """List the notices that count, by id, and drop the others."""
+        over = [
+            notice.notice_id
+            for notice in self._active.values()
+            if notice.until <= now
+        ]
+        for notice_id in over:
+            self._active.pop(notice_id)
+        return sorted(self._active.values(), key=_key)
+
+    def fingerprint(self, now: float) -> int | None:
+        """Give a fingerprint of what counts, or None where nothing does.
+
+        Notices about to end are left out, as hosts don't drop them at the
+        same instant.
+        """
+        mixed = 0
+        for notice in self.active(now):
+            if notice.until - now > _SETTLED_SECONDS:
+                mixed ^= notice.notice_id
+        return mixed & _HASH_MASK or None
+
+    def _bound(self) -> None:
+        if len(self._active) > MAX_ACTIVE:
+            first = min(self._active.values(), key=_until)
+            self._active.pop(first.notice_id)
+
+
+def write(notices: list[Notice], now: float) -> ttypes.Notices:
+    """Turn notices into a message, with the time they still count."""
+    return ttypes.Notices(
+        [
+            ttypes.Notice(
+                notice.notice_id,
+                notice.payload,
+                int((notice.until - now) * _MILLIS),
+            )
+            for notice in notices[:MAX_IN_MESSAGE]
+        ],
+    )
+
+
+def read(
+    message: ttypes.Notices,
+    board: NoticeBoard,
+    now: float,
+) -> list[Notice]:
+    """Put up the notices of a message.
+
+    :returns: those that were new here.
+    """
+    posted = [
+        board.post(bytes(entry.payload), entry.left_ms / _MILLIS, now)
+        for entry in message.notices[:MAX_IN_MESSAGE]
+    ]
+    return [notice for notice in posted if notice is not None]
+
+
+def _key(notice: Notice) -> int:
+    return notice.notice_id
+
+
+def _until(notice: Notice) -> float:
+    return notice.until
--- /dev/null
+++ b/libs/membership/geraniumweir/membership/outside.py
@@ -0,0 +1,227 @@
+"""The hosts of the other failure domains, as told by delegates.
+
+For each domain the rosters of a few sources are kept: the domain's own
+delegates where this host is a delegate itself, else the delegate that it
+follows. The domain's live hosts are all those that a fresh source names, so
+two delegates that see different halves of a split domain add up. A domain
+without a fresh source is unreachable; its hosts are still remembered for a
+time as ways to reach it again.
+"""
+
+import dataclasses
+import typing
+
+import reactivex
+from geraniumweir.common import ids
+from geraniumweir.membership import cards, hosts, members
+from reactivex import subject
+
+STALE_SECONDS = 5.0
+FORGET_SECONDS = 3600.0
+MAX_DOMAINS = 64
+MAX_SOURCES = 4
+MAX_HOSTS_PER_DOMAIN = 256
+
+
+@dataclasses.dataclass(slots=True)
+class Source:
+    """What one host told of a domain, and when it was last fresh."""
+
+    roster: int
+    hosts: tuple[hosts.Host, ...]
+    heard: float
+
+
+@dataclasses.dataclass(slots=True)
+class Domain:
+    """One other failure domain.
+
+    :ivar contacts: the hosts last known, also while it is unreachable.
+    :ivar live: hosts named by a fresh source.
+    """
+
+    contacts: tuple[hosts.Host, ...] = ()
+    live: tuple[hosts.Host, ...] = ()
+    roster: int = 0
+    heard: float = 0
+    sources: dict[ids.HostId, Source] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+class Outside:
+    """All other failure domains."""
+
+    def __init__(self, own: ids.FailureDomain) -> None:
+        """Know of no other domain."""
+        self._own = own
+        self._changes: subject.Subject[hosts.HostEvent] = subject.Subject()
+        self._domains: dict[ids.FailureDomain, Domain] = {}
+        self._where: dict[ids.HostId, ids.FailureDomain] = {}
+
+    @property
+    def changes(self) -> reactivex.Observable[hosts.HostEvent]:
+        """Give the stream of events."""
+        return self._changes
+
+    def domains(self) -> list[ids.FailureDomain]:
+        """List the domains that are known, reachable or not."""
+        return sorted(self._domains)
+
+    def live(self, domain: ids.FailureDomain) -> tuple[hosts.Host, ...]:
+        """List the live hosts of a domain, by id."""
+        found = self._domains.get(domain)
+        return () if found is None else found.live
+
+    def all_live(self) -> list[hosts.Host]:
+        """List the live hosts of all other domains."""
+        return [host for name in self.domains() for host in self.live(name)]
+
+    def is_live(self, host_id: ids.HostId) -> bool:
+        """Tell whether a host of another domain is live."""
+        return host_id in self._where
+
+    def contacts(self, domain: ids.FailureDomain) -> tuple[hosts.Host, ...]:
+        """List the hosts by which a domain may be reached."""
+        found = self._domains.get(domain)
+        return () if found is None else found.contacts
+
+    def sources(self, domain: ids.FailureDomain) -> list[ids.HostId]:
+        """List who tells of a domain, by id."""
+        found = self._domains.get(domain)
+        return [] if found is None else sorted(found.sources)
+
+    def entries(self) -> list[tuple[ids.FailureDomain, int]]:
+        """List the reachable domains with the fingerprint of each."""
+        return [
+            (name, self._domains[name].roster)
+            for name in self.domains()
+            if self._domains[name].live
+        ]
+
+    def entries_from(
+        self,
+        source: ids.HostId,
+    ) -> list[tuple[ids.FailureDomain, int]]:
+        """List what one source told, in the same form."""
+        return [
+            (name, self._domains[name].sources[source].roster)
+            for name in self.domains()
+            if source in self._domains[name].sources
+        ]
+
+    def hint(self, host: hosts.Host, now: float) -> None:
+        """Remember a host as a way to its domain."""
+        domain = self._domain(host.failure_domain, now)
+        if domain is None or len(domain.contacts) >= MAX_HOSTS_PER_DOMAIN:
+            return
+        domain.contacts = tuple(members.newest([*domain.contacts, host]))
+
+    def fresh(
+        self,
+        domain: ids.FailureDomain,
+        source: ids.HostId,
+        roster: int,
+        now: float,
+    ) -> bool:
+        """Note that a source speaks for a domain.
+
+        :returns: whether its roster must be asked for.
+        """
+        found = self._domains.get(domain)
+        known = found.sources.get(source) if found else None
+        if found is None or known is None or known.roster != roster:
+            return True
+        known.heard = now
+        found.heard = now
+        return False
+
+    def take(
+        self,
+        domain: ids.FailureDomain,
+        source: ids.HostId,
+        roster: tuple[int, typing.Sequence[hosts.Host]],
+        now: float,
+    ) -> None:
+        """Take in the roster of a domain from a source.
+
+        :param roster: its fingerprint and the hosts.
+        """
+        found = self._domain(domain, now)
+        if found is None:
+            return
+        fingerprint, named = roster
+        kept = tuple(named[:MAX_HOSTS_PER_DOMAIN])
+        if source not in found.sources and len(found.sources) >= MAX_SOURCES:
+            return
+        found.sources[source] = Source(fingerprint, kept, now)
+        found.heard = now
+        self._settle(found)
+
+    def keep_only(
+        self,
+        source: ids.HostId,
+        named: typing.Container[ids.FailureDomain],
+    ) -> None:
+        """Drop what a source told of domains that it no longer names."""
+        for name, domain in self._domains.items():
+            if name not in named and domain.sources.pop(source, None):
+                self._settle(domain)
+
+    def sweep(self, now: float) -> None:
+        """Drop sources that fell silent, and domains long unreachable."""
+        for name, domain in list(self._domains.items()):
+            silent = [
+                source
+                for source, told in domain.sources.items()
+                if now - told.heard >= STALE_SECONDS
+            ]
+            for source in silent:
+                domain.sources.pop(source)
+            if silent:
+                self._settle(domain)
+            if now - domain.heard >= FORGET_SECONDS:
+                self._domains.pop(name)
+
+    def excuse(self, gap: float, now: float) -> None:
+        """Move all ages forward by a time this host stood still."""
+        for domain in self._domains.values():
+            for told in domain.sources.values():
+                told.heard = min(now, told.heard + gap)
+
+    def _domain(self, name: ids.FailureDomain, now: float) -> Domain | None:
+        if name == self._own:
+            return None
+        found = self._domains.get(name)
+        if found is None and len(self._domains) < MAX_DOMAINS:
+            found = Domain(heard=now)
+            self._domains[name] = found
+        return found
+
+    def _settle(self, domain: Domain) -> None:
+        before = {host.host_id: host for host in domain.live}
+        told = [
+            host for source in domain.sources.values() for host in source.hosts
+        ]
+        domain.live = tuple(members.newest(told))
+        domain.contacts = domain.live or domain.contacts
+        domain.roster = cards.roster_hash(domain.live)
+        after = {host.host_id: host for host in domain.live}
+        for host_id, host in before.items():
+            if host_id not in after:
+                self._where.pop(host_id, None)
+                reason = hosts.Departure.unreachable
+                self._changes.on_next(hosts.HostLeft(host, reason))
+        for host_id, host in after.items():
+            self._where[host_id] = host.failure_domain
+            self._tell(before.get(host_id), host)
+
+    def _tell(self, before: hosts.Host | None, host: hosts.Host) -> None:
+        if before is None:
+            self._changes.on_next(hosts.HostJoined(host))
+        elif before.incarnation != host.incarnation:
+            reason = hosts.Departure.restarted
+            self._changes.on_next(hosts.HostLeft(before, reason))
+            self._changes.on_next(hosts.HostJoined(host))
+        elif before != host:
+            self._changes.on_next(hosts.HostChanged(host))
