--- a/libs/membership/geraniumweir/membership/__init__.py
+++ b/libs/membership/geraniumweir/membership/__init__.py
@@ -2,5 +2,8 @@
 
 See Also
 ========
+geraniumweir.membership.membership
+geraniumweir.membership.hosts
 geraniumweir.membership.servers
+geraniumweir.membership.summaries
 """
--- a/libs/membership/geraniumweir/membership/cards.py
+++ b/libs/membership/geraniumweir/membership/cards.py
@@ -7,8 +7,8 @@
 from geraniumweir.membership import errors, hosts
 from geraniumweir.wire.gen.membership import ttypes
 
-_SIGN = 1 << 31
-_WRAP = 1 << 32
+_SIGN = 0x80000000
+_WRAP = 0x100000000
 _MAX_NAME = 256
 
 
--- a/libs/membership/geraniumweir/membership/heartbeats.py
+++ b/libs/membership/geraniumweir/membership/heartbeats.py
@@ -139,8 +139,8 @@
         self._compare(sender, message)
 
     def _ask_who(self, sender: ids.HostId, incarnation: int) -> None:
-        host = self._known.members.knows(sender)
-        if host is None or host.incarnation < incarnation:
+        member = self._known.members.member(sender)
+        if member is None or member.host.incarnation < incarnation:
             self._lists.ask(sender, self._known.me.failure_domain)
 
     def _compare(self, sender: ids.HostId, message: ttypes.Heartbeat) -> None:
@@ -197,19 +197,19 @@
         message: ttypes.Inquiry,
     ) -> None:
         subject = ids.HostId(message.host_id)
-        host = self._known.members.knows(subject)
+        member = self._known.members.member(subject)
         age = self._known.members.suspicion.direct_age(
             subject,
             self._known.now(),
         )
-        if host is None or age is None:
+        if member is None or age is None:
             return
-        if host.incarnation != message.incarnation:
+        if member.host.incarnation != message.incarnation:
             return
         age_ms = min(int(age * _MILLIS), _MAX_AGE_MS)
         self._known.peers.send(
             sender,
-            ttypes.Voucher(subject, host.incarnation, age_ms),
+            ttypes.Voucher(subject, message.incarnation, age_ms),
         )
 
     async def _on_voucher(
@@ -218,8 +218,8 @@
         message: ttypes.Voucher,
     ) -> None:
         subject = ids.HostId(message.host_id)
-        host = self._known.members.knows(subject)
-        if host is None or host.incarnation != message.incarnation:
+        member = self._known.members.member(subject)
+        if member is None or member.host.incarnation != message.incarnation:
             return
         when = self._known.now() - max(message.age_ms, 0) / _MILLIS
         self._known.members.suspicion.vouched(subject, when)
--- a/libs/membership/geraniumweir/membership/logevents.py
+++ b/libs/membership/geraniumweir/membership/logevents.py
@@ -54,3 +54,8 @@
     _Level.notice,
     'backend server {server_id} stopped announcing itself',
 )
+SERVER_CHANGED = logevents.Event(
+    615,
+    _Level.info,
+    'backend server {server_id} says something else of itself',
+)
--- a/libs/membership/geraniumweir/membership/members.py
+++ b/libs/membership/geraniumweir/membership/members.py
@@ -11,7 +11,6 @@
 import enum
 import typing
 
-import reactivex
 from geraniumweir.common import ids
 from geraniumweir.membership import cards, hosts, suspicion
 from reactivex import subject
@@ -65,15 +64,10 @@
         """Start alone."""
         self.me = me
         self.suspicion = suspicion.Suspicion(timing)
-        self._changes: subject.Subject[hosts.HostEvent] = subject.Subject()
+        self.changes: subject.Subject[hosts.HostEvent] = subject.Subject()
         self._members: dict[ids.HostId, Member] = {}
         self._roster: int | None = None
 
-    @property
-    def changes(self) -> reactivex.Observable[hosts.HostEvent]:
-        """Give the stream of events."""
-        return self._changes
-
     @property
     def roster(self) -> int:
         """Give the fingerprint of the live hosts."""
@@ -94,19 +88,6 @@
         ]
         return tuple(sorted([*found, self.me], key=host_key))
 
-    def eligible(self) -> tuple[hosts.Host, ...]:
-        """List the live hosts that may lead pools.
-
-        A draining one may not, nor one that hears less than half of those
-        that this host holds for live: it is cut off on its way in.
-        """
-        live = self.live()
-        return tuple(
-            host
-            for host in live
-            if not host.draining and 2 * self._hears_of(host) >= len(live)
-        )
-
     def is_live(self, host_id: ids.HostId) -> bool:
         """Tell whether a host is this one or a live one."""
         member = self._members.get(host_id)
@@ -121,16 +102,15 @@
         ]
         return sorted(found, key=host_key)
 
-    def knows(self, host_id: ids.HostId) -> hosts.Host | None:
-        """Give what is known of a host, live or not."""
-        member = self._members.get(host_id)
-        return None if member is None else member.host
+    def member(self, host_id: ids.HostId) -> Member | None:
+        """Give what is known of another host, live or not."""
+        return self._members.get(host_id)
 
     def set_roles(self, roles: hosts.Role) -> None:
         """Change this host's own roles."""
         self.me = dataclasses.replace(self.me, roles=roles)
         self._roster = None
-        self._changes.on_next(hosts.HostChanged(self.me))
+        self.changes.on_next(hosts.HostChanged(self.me))
 
     def tell_of(self, host: hosts.Host, now: float) -> bool:
         """Take in a host that somebody told of.
@@ -170,7 +150,7 @@
         self.suspicion.heard(host_id, now)
         match member.state:
             case State.suspected:
-                self._enter(member, State.live, now)
+                _enter(member, State.live, now)
             case State.candidate | State.dead:
                 self._return(member, now)
         return member
@@ -183,7 +163,7 @@
         member.host = dataclasses.replace(member.host, roles=roles)
         self._roster = None
         if member.counts:
-            self._changes.on_next(hosts.HostChanged(member.host))
+            self.changes.on_next(hosts.HostChanged(member.host))
 
     def farewell(
         self,
@@ -196,7 +176,7 @@
         if member is None or member.host.incarnation != incarnation:
             return
         self._depart(member, hosts.Departure.announced, now)
-        self._enter(member, State.gone, now)
+        _enter(member, State.gone, now)
 
     def judge(self, now: float) -> None:
         """Judge every host from its silence; forget those long dead."""
@@ -207,19 +187,14 @@
                 self._members.pop(member.host.host_id)
                 self.suspicion.forget(member.host.host_id)
 
-    def _hears_of(self, host: hosts.Host) -> int:
-        if host.host_id == self.me.host_id:
-            return self.hears
-        return self._members[host.host_id].hears
-
     def _judge(self, member: Member, now: float) -> None:
         verdict = self.suspicion.judge(member.host.host_id, now)
         match verdict:
             case suspicion.Verdict.dead:
                 self._depart(member, hosts.Departure.silent, now)
             case suspicion.Verdict.suspected if member.state is State.live:
-                self._enter(member, State.suspected, now)
-                self._changes.on_next(hosts.HostSuspected(member.host))
+                _enter(member, State.suspected, now)
+                self.changes.on_next(hosts.HostSuspected(member.host))
 
     def _return(self, member: Member, now: float) -> None:
         if member.owed > 0:
@@ -227,8 +202,9 @@
             return
         if now - member.since >= FLAP_SECONDS:
             member.deaths = 0
-        self._enter(member, State.live, now)
-        self._changes.on_next(hosts.HostJoined(member.host))
+        _enter(member, State.live, now)
+        self._roster = None
+        self.changes.on_next(hosts.HostJoined(member.host))
 
     def _depart(
         self,
@@ -242,17 +218,29 @@
         if counted:
             member.deaths += 1
             member.owed = min(1 << member.deaths, MAX_BEATS_OWED)
-        self._enter(member, State.dead, now)
-        if counted:
-            self._changes.on_next(hosts.HostLeft(member.host, reason))
-
-    def _enter(self, member: Member, state: State, now: float) -> None:
-        # A short suspicion doesn't restart the time that a host has lived.
-        within = member.counts and state in {State.live, State.suspected}
-        if not within:
-            member.since = now
-        member.state = state
+        _enter(member, State.dead, now)
         self._roster = None
+        if counted:
+            self.changes.on_next(hosts.HostLeft(member.host, reason))
+
+
+def eligible(domain: Members) -> tuple[hosts.Host, ...]:
+    """List the live hosts of the own domain that may lead pools.
+
+    A draining one may not, nor one that hears less than half of those that
+    this host holds for live: it is cut off on its way in.
+    """
+    live = domain.live()
+    heard = {domain.me.host_id: domain.hears}
+    for host in live:
+        member = domain.member(host.host_id)
+        if member is not None:
+            heard[host.host_id] = member.hears
+    return tuple(
+        host
+        for host in live
+        if not host.draining and 2 * heard[host.host_id] >= len(live)
+    )
 
 
 def host_key(host: hosts.Host) -> ids.HostId:
@@ -268,3 +256,11 @@
         if known is None or host.incarnation >= known.incarnation:
             kept[host.host_id] = host
     return sorted(kept.values(), key=host_key)
+
+
+def _enter(member: Member, state: State, now: float) -> None:
+    # A short suspicion doesn't restart the time that a host has lived.
+    within = member.counts and state in {State.live, State.suspected}
+    if not within:
+        member.since = now
+    member.state = state
--- a/libs/membership/geraniumweir/membership/notices.py
+++ b/libs/membership/geraniumweir/membership/notices.py
@@ -19,8 +19,8 @@
 MAX_IN_MESSAGE = 256
 _SETTLED_SECONDS = 2.0
 _MILLIS = 1000
-_ID_MASK = (1 << 63) - 1
-_HASH_MASK = (1 << 31) - 1
+_ID_MASK = 0x7FFFFFFFFFFFFFFF
+_HASH_MASK = 0x7FFFFFFF
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/membership/geraniumweir/membership/outside.py
+++ b/libs/membership/geraniumweir/membership/outside.py
@@ -11,7 +11,6 @@
 import dataclasses
 import typing
 
-import reactivex
 from geraniumweir.common import ids
 from geraniumweir.membership import cards, hosts, members
 from reactivex import subject
@@ -55,23 +54,21 @@
     def __init__(self, own: ids.FailureDomain) -> None:
         """Know of no other domain."""
         self._own = own
-        self._changes: subject.Subject[hosts.HostEvent] = subject.Subject()
+        self.changes: subject.Subject[hosts.HostEvent] = subject.Subject()
         self._domains: dict[ids.FailureDomain, Domain] = {}
         self._where: dict[ids.HostId, ids.FailureDomain] = {}
 
-    @property
-    def changes(self) -> reactivex.Observable[hosts.HostEvent]:
-        """Give the stream of events."""
-        return self._changes
-
     def domains(self) -> list[ids.FailureDomain]:
         """List the domains that are known, reachable or not."""
         return sorted(self._domains)
 
-    def live(self, domain: ids.FailureDomain) -> tuple[hosts.Host, ...]:
+    def domain(self, name: ids.FailureDomain) -> Domain:
+        """Give what is known of a domain."""
+        return self._domains.get(name) or Domain()
+
+    def live(self, name: ids.FailureDomain) -> tuple[hosts.Host, ...]:
         """List the live hosts of a domain, by id."""
-        found = self._domains.get(domain)
-        return () if found is None else found.live
+        return self.domain(name).live
 
     def all_live(self) -> list[hosts.Host]:
         """List the live hosts of all other domains."""
@@ -81,16 +78,6 @@
         """Tell whether a host of another domain is live."""
         return host_id in self._where
 
-    def contacts(self, domain: ids.FailureDomain) -> tuple[hosts.Host, ...]:
-        """List the hosts by which a domain may be reached."""
-        found = self._domains.get(domain)
-        return () if found is None else found.contacts
-
-    def sources(self, domain: ids.FailureDomain) -> list[ids.HostId]:
-        """List who tells of a domain, by id."""
-        found = self._domains.get(domain)
-        return [] if found is None else sorted(found.sources)
-
     def entries(self) -> list[tuple[ids.FailureDomain, int]]:
         """List the reachable domains with the fingerprint of each."""
         return [
@@ -206,22 +193,36 @@
         domain.live = tuple(members.newest(told))
         domain.contacts = domain.live or domain.contacts
         domain.roster = cards.roster_hash(domain.live)
-        after = {host.host_id: host for host in domain.live}
-        for host_id, host in before.items():
-            if host_id not in after:
-                self._where.pop(host_id, None)
-                reason = hosts.Departure.unreachable
-                self._changes.on_next(hosts.HostLeft(host, reason))
-        for host_id, host in after.items():
-            self._where[host_id] = host.failure_domain
-            self._tell(before.get(host_id), host)
-
-    def _tell(self, before: hosts.Host | None, host: hosts.Host) -> None:
-        if before is None:
-            self._changes.on_next(hosts.HostJoined(host))
-        elif before.incarnation != host.incarnation:
-            reason = hosts.Departure.restarted
-            self._changes.on_next(hosts.HostLeft(before, reason))
-            self._changes.on_next(hosts.HostJoined(host))
-        elif before != host:
-            self._changes.on_next(hosts.HostChanged(host))
+        for host_id in before:
+            self._where.pop(host_id, None)
+        for host in domain.live:
+            self._where[host.host_id] = host.failure_domain
+        for event in _differences(before, domain.live):
+            self.changes.on_next(event)
+
+
+def _differences(
+    before: dict[ids.HostId, hosts.Host],
+    after: tuple[hosts.Host, ...],
+) -> list[hosts.HostEvent]:
+    events: list[hosts.HostEvent] = []
+    named = {host.host_id for host in after}
+    for host_id, host in before.items():
+        if host_id not in named:
+            reason = hosts.Departure.unreachable
+            events.append(hosts.HostLeft(host, reason))
+    for host in after:
+        events.extend(_difference(before.get(host.host_id), host))
+    return events
+
+
+def _difference(
+    before: hosts.Host | None,
+    host: hosts.Host,
+) -> list[hosts.HostEvent]:
+    if before is None:
+        return [hosts.HostJoined(host)]
+    if before.incarnation != host.incarnation:
+        left = hosts.HostLeft(before, hosts.Departure.restarted)
+        return [left, hosts.HostJoined(host)]
+    return [] if before == host else [hosts.HostChanged(host)]
--- /dev/null
+++ b/libs/membership/geraniumweir/membership/reports.py
@@ -0,0 +1,71 @@
+"""Turns what happens in membership into numbered events for the log."""
+
+import typing
+
+from geraniumweir.common import logevents as catalogue
+from geraniumweir.membership import hosts, logevents, seeds, servers
+
+Reported = hosts.HostEvent | servers.ServerEvent | seeds.SeedSilent
+Report = tuple[catalogue.Event, dict[str, typing.Any]]
+
+
+def describe(happened: Reported) -> Report:
+    """Give the event to log and its fields.
+
+    >>> silent = seeds.SeedSilent(hosts.ids.Address('127.0.0.1', 1), 'refused')
+    >>> describe(silent)[0].number
+    606
+    """
+    match happened:
+        case seeds.SeedSilent(address, reason):
+            return logevents.SEED_SILENT, {
+                'address': str(address),
+                'reason': reason,
+            }
+        case (
+            hosts.HostJoined()
+            | hosts.HostLeft()
+            | hosts.HostChanged()
+            | hosts.HostSuspected()
+        ):
+            return _describe_host(happened)
+        case _:
+            return _describe_server(happened)
+
+
+def _describe_host(happened: hosts.HostEvent) -> Report:
+    host = happened.host
+    fields: dict[str, typing.Any] = {
+        'host_id': host.host_id,
+        'failure_domain': host.failure_domain,
+        'incarnation': host.incarnation,
+    }
+    match happened:
+        case hosts.HostJoined():
+            return logevents.HOST_JOINED, fields
+        case hosts.HostSuspected():
+            return logevents.HOST_SUSPECTED, fields
+        case hosts.HostLeft(_, reason):
+            return logevents.HOST_LEFT, {**fields, 'reason': reason.value}
+        case hosts.HostChanged():
+            roles = host.roles.name or ''
+            return logevents.HOST_CHANGED, {**fields, 'roles': roles}
+
+
+def _describe_server(happened: servers.ServerEvent) -> Report:
+    match happened:
+        case servers.ServerCrashed(before, after):
+            return logevents.SERVER_CRASHED, {
+                'server_id': after.server_id,
+                'before': before.incarnation,
+                'after': after.incarnation,
+            }
+        case servers.ServerAppeared(said):
+            event = logevents.SERVER_APPEARED
+        case servers.ServerChanged(said):
+            event = logevents.SERVER_CHANGED
+        case servers.ServerLeaving(said):
+            event = logevents.SERVER_LEAVING
+        case servers.ServerExpired(said):
+            event = logevents.SERVER_EXPIRED
+    return event, {'server_id': said.server_id, 'pool': said.pool}
--- a/libs/membership/geraniumweir/membership/servers.py
+++ b/libs/membership/geraniumweir/membership/servers.py
@@ -1,15 +1,31 @@
 """Backend servers, leased from their own announcements.
 
 There is no list of backend servers: each announces itself once a second, and
-gets no new work once its lease of three seconds has run out.
+gets no new work once its lease of three seconds has run out. The clock is
+always the receiving host's; another host of the domain is told how much time
+is left. Of a server only the newest incarnation counts, and one that is
+leaving stays so in that incarnation, whatever arrives late. Both are
+remembered for a while after the lease.
+
+References
+==========
+.. [1] C. Gray and D. Cheriton, "Leases: An efficient fault-tolerant mechanism
+   for distributed file cache consistency", SOSP 1989.
 """
 
 import dataclasses
 import enum
 
+import reactivex
+import xxhash
 from geraniumweir.common import ids
+from geraniumweir.membership import errors
+from reactivex import subject
 
 LEASE_SECONDS = 3.0
+REMEMBER_SECONDS = 600.0
+MAX_SERVERS = 4096
+_KEY_SHIFT = 23
 
 
 class ServerState(enum.Enum):
@@ -54,45 +70,250 @@
     """An announcement and how long it counts.
 
     :ivar until: on the timer service's clock, in seconds.
+    :ivar key: of the announcement's content.
     """
 
     announcement: Announcement
     until: float
+    key: int
+
+    @property
+    def server_id(self) -> ids.ServerId:
+        """Give the server's id."""
+        return self.announcement.server_id
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerAppeared:
+    """A server is live that wasn't."""
+
+    announcement: Announcement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerCrashed:
+    """A known server has a newer incarnation: what ran there is lost."""
+
+    before: Announcement
+    after: Announcement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerChanged:
+    """A live server says something else of itself, such as its models."""
+
+    announcement: Announcement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLeaving:
+    """A server gets no new work; what runs there ends in peace."""
+
+    announcement: Announcement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerExpired:
+    """A server's lease ran out."""
+
+    announcement: Announcement
+
+
+ServerEvent = (
+    ServerAppeared
+    | ServerCrashed
+    | ServerChanged
+    | ServerLeaving
+    | ServerExpired
+)
 
 
 class Registry:
-    """The backend servers that one entry host knows."""
+    """The backend servers of one failure domain, as one host knows them."""
+
+    def __init__(
+        self,
+        domain: ids.FailureDomain | None = None,
+        max_servers: int = MAX_SERVERS,
+    ) -> None:
+        """Start with no servers.
 
-    def __init__(self) -> None:
-        """Start with no servers."""
+        :param domain: of the host; servers of another one are refused.
+        :param max_servers: most that are known at a time.
+        """
+        self._domain = domain
+        self._max_servers = max_servers
         self._leases: dict[ids.ServerId, Lease] = {}
+        self._by_key: dict[int, ids.ServerId] = {}
+        self._expired: set[ids.ServerId] = set()
+        self._changes: subject.Subject[ServerEvent] = subject.Subject()
+
+    @property
+    def changes(self) -> reactivex.Observable[ServerEvent]:
+        """Give the stream of typed events."""
+        return self._changes
 
     def announce(self, announcement: Announcement, now: float) -> bool:
-        """Take an announcement.
+        """Take an announcement from the server itself.
 
         An announcement of an older incarnation is ignored.
 
         :param now: time in seconds.
         :returns: whether the server crashed: a known id with a new
             incarnation.
+        :raises errors.OtherDomainError: when it belongs elsewhere.
+        :raises errors.RegistryFullError: when there are too many.
         """
+        return self.take(announcement, LEASE_SECONDS, now)
+
+    def take(
+        self,
+        announcement: Announcement,
+        left: float,
+        now: float,
+    ) -> bool:
+        """Take an announcement that may have come by another host.
+
+        :param left: of the lease, in seconds.
+        :param now: time in seconds.
+        :returns: as :meth:`announce`.
+        :raises errors.AnnouncementError: as :meth:`announce`.
+        """
+        self._check_domain(announcement)
+        self.sweep(now)
         known = self._leases.get(announcement.server_id)
-        crashed = False
-        if known is not None:
-            before = known.announcement.incarnation
-            if announcement.incarnation < before:
-                return False
-            crashed = announcement.incarnation > before
-        self._leases[announcement.server_id] = Lease(
-            announcement,
-            now + LEASE_SECONDS,
-        )
-        return crashed
+        if known is None:
+            self._make_room(announcement)
+        elif announcement.incarnation < known.announcement.incarnation:
+            return False
+        settled = _settle(announcement, known)
+        until = now + min(left, LEASE_SECONDS)
+        if known and settled.incarnation == known.announcement.incarnation:
+            until = max(until, known.until)
+        if until <= now:
+            return False
+        self._keep(Lease(settled, until, key_of(settled)))
+        return self._tell(known, settled)
+
+    def renew(self, key: int, left: float, now: float) -> bool:
+        """Lengthen the lease of a content that another host heard again.
+
+        :param key: of the announcement's content.
+        :param left: of the lease, in seconds.
+        :returns: whether the content is known here.
+        """
+        server_id = self._by_key.get(key)
+        if server_id is None:
+            return False
+        self.take(self._leases[server_id].announcement, left, now)
+        return True
 
     def live(self, now: float) -> list[Announcement]:
-        """List the servers whose lease holds, by id."""
+        """List the servers whose lease holds, leaving ones too, by id."""
         return [
             lease.announcement
             for _, lease in sorted(self._leases.items())
             if lease.until > now
         ]
+
+    def lease(self, server_id: ids.ServerId) -> Lease | None:
+        """Give the last lease of a server, also when it ran out."""
+        return self._leases.get(server_id)
+
+    def by_key(self, key: int) -> Lease | None:
+        """Give the lease of a content."""
+        server_id = self._by_key.get(key)
+        return None if server_id is None else self._leases[server_id]
+
+    def sweep(self, now: float) -> None:
+        """Tell of leases that ran out and forget what is long over."""
+        for server_id, lease in list(self._leases.items()):
+            if lease.until > now:
+                continue
+            if server_id not in self._expired:
+                self._expired.add(server_id)
+                self._changes.on_next(ServerExpired(lease.announcement))
+            if now - lease.until >= REMEMBER_SECONDS:
+                self._forget(lease)
+
+    def _check_domain(self, announcement: Announcement) -> None:
+        domain = announcement.failure_domain
+        if self._domain is not None and domain != self._domain:
+            raise errors.OtherDomainError(
+                f'server {announcement.server_id!r} is of the failure domain '
+                f'{domain!r}, this host of {self._domain!r}; it must '
+                'announce itself to a host of its own',
+            )
+
+    def _make_room(self, announcement: Announcement) -> None:
+        if len(self._leases) < self._max_servers:
+            return
+        if not self._expired:
+            raise errors.RegistryFullError(
+                f'{len(self._leases)} servers are known, the most there may '
+                f'be; {announcement.server_id!r} is refused',
+            )
+        over = [self._leases[server_id] for server_id in self._expired]
+        self._forget(min(over, key=_order))
+
+    def _keep(self, lease: Lease) -> None:
+        known = self._leases.get(lease.server_id)
+        if known is not None:
+            self._by_key.pop(known.key, None)
+        self._leases[lease.server_id] = lease
+        self._by_key[lease.key] = lease.server_id
+
+    def _forget(self, lease: Lease) -> None:
+        self._leases.pop(lease.server_id)
+        self._by_key.pop(lease.key, None)
+        self._expired.discard(lease.server_id)
+
+    def _tell(self, known: Lease | None, now_said: Announcement) -> bool:
+        before = known.announcement if known else None
+        returned = now_said.server_id in self._expired
+        self._expired.discard(now_said.server_id)
+        crashed = before and now_said.incarnation > before.incarnation
+        if before and crashed:
+            self._changes.on_next(ServerCrashed(before, now_said))
+        if before is None or crashed or returned:
+            self._changes.on_next(ServerAppeared(now_said))
+        if before != now_said:
+            self._tell_change(before, now_said)
+        return bool(crashed)
+
+    def _tell_change(
+        self,
+        before: Announcement | None,
+        now_said: Announcement,
+    ) -> None:
+        same_life = before and before.incarnation == now_said.incarnation
+        was_leaving = same_life and before.state is ServerState.leaving
+        if now_said.state is ServerState.leaving and not was_leaving:
+            self._changes.on_next(ServerLeaving(now_said))
+        elif same_life:
+            self._changes.on_next(ServerChanged(now_said))
+
+
+def key_of(announcement: Announcement) -> int:
+    """Give a short number for all that a server says of itself.
+
+    :returns: 41 bits; two of a domain's servers share one by a chance of
+        about one in a thousand million.
+    """
+    return xxhash.xxh3_64_intdigest(repr(announcement)) >> _KEY_SHIFT
+
+
+def _settle(announcement: Announcement, known: Lease | None) -> Announcement:
+    """Let a server that is leaving stay so in its incarnation."""
+    if known is None:
+        return announcement
+    before = known.announcement
+    if before.incarnation != announcement.incarnation:
+        return announcement
+    if before.state is not ServerState.leaving:
+        return announcement
+    return dataclasses.replace(announcement, state=ServerState.leaving)
+
+
+def _order(lease: Lease) -> tuple[float, ids.ServerId]:
+    return lease.until, lease.server_id
--- /dev/null
+++ b/libs/membership/geraniumweir/membership/sharing.py
@@ -0,0 +1,178 @@
+"""Shares the leases of backend servers inside a failure domain.
+
+The host that a server announced itself to tells the others of the domain:
+what is new at once, the rest once a second as a short key and the time left.
+A host that doesn't know a key asks for the card. Only what a server itself
+said here is shared, so no lease goes round in circles.
+"""
+
+import asyncio
+import dataclasses
+import functools
+import typing
+
+import xxhash
+from geraniumweir.common import ids
+from geraniumweir.membership import (
+    hosts,
+    knowledge,
+    limits,
+    members,
+    servercards,
+    servers,
+)
+from geraniumweir.wire.gen.membership import ttypes
+
+SHARE_SECONDS = 1.0
+NEXT_MS = 1000
+ANNOUNCE_TO = 3
+MAX_IN_MESSAGE = 512
+_GATHER_SECONDS = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """What a server is told after its announcement.
+
+    :ivar next_ms: when to announce next, in milliseconds.
+    :ivar announce_to: backend addresses of hosts to turn to.
+    """
+
+    next_ms: int
+    announce_to: tuple[ids.Address, ...]
+
+
+class Sharing:
+    """Takes announcements and shares them."""
+
+    def __init__(
+        self,
+        known: knowledge.Knowledge,
+        registry: servers.Registry,
+    ) -> None:
+        """Register the handlers."""
+        self._known = known
+        self._registry = registry
+        self._heard: set[ids.ServerId] = set()
+        self._news: set[ids.ServerId] = set()
+        self._gathering: asyncio.TimerHandle | None = None
+        known.peers.handle(ttypes.ServerLeases, self._on_leases)
+        known.peers.handle(ttypes.ServersRequest, self._on_request)
+
+    def announce(self, announcement: servers.Announcement) -> Reply:
+        """Take an announcement from a server.
+
+        :raises errors.AnnouncementError: when it is nonsense, of another
+            failure domain, or one too many.
+        """
+        limits.check(announcement)
+        server_id = announcement.server_id
+        before = self._registry.lease(server_id)
+        self._registry.announce(announcement, self._known.now())
+        after = self._registry.lease(server_id)
+        self._heard.add(server_id)
+        if before is None or after is None or before.key != after.key:
+            self._news.add(server_id)
+            self._gather()
+        return Reply(NEXT_MS, self._announce_to(server_id))
+
+    def tick(self, _count: int) -> None:
+        """Share the leases that were lengthened here; once a second."""
+        now = self._known.now()
+        self._registry.sweep(now)
+        heard = sorted(self._heard)
+        self._heard.clear()
+        renewed = [
+            ttypes.Renewal(lease.key, servercards.left_ms(lease, now))
+            for lease in self._leases(heard)
+        ]
+        for start in range(0, len(renewed), MAX_IN_MESSAGE):
+            part = renewed[start : start + MAX_IN_MESSAGE]
+            self._send(ttypes.ServerLeases([], part))
+
+    def _gather(self) -> None:
+        # Servers that start together share a message.
+        if self._gathering is None:
+            self._gathering = self._known.timers.after(
+                _GATHER_SECONDS,
+                self._send_news,
+            )
+
+    def _send_news(self) -> None:
+        self._gathering = None
+        news = sorted(self._news)
+        self._news.clear()
+        now = self._known.now()
+        changed = [
+            servercards.write(lease, now) for lease in self._leases(news)
+        ]
+        self._send(ttypes.ServerLeases(changed, []))
+
+    def _leases(
+        self,
+        server_ids: typing.Iterable[ids.ServerId],
+    ) -> list[servers.Lease]:
+        found = map(self._registry.lease, server_ids)
+        return [lease for lease in found if lease is not None]
+
+    def _send(self, message: ttypes.ServerLeases) -> None:
+        counted = (members.State.live, members.State.suspected)
+        for host in self._known.members.others(*counted):
+            self._known.peers.send(host.host_id, message)
+
+    def _announce_to(
+        self,
+        server_id: ids.ServerId,
+    ) -> tuple[ids.Address, ...]:
+        able = [
+            host
+            for host in self._known.members.live()
+            if host.backend_address is not None and not host.draining
+        ]
+        weight = functools.partial(_weight, server_id)
+        chosen = sorted(able, key=weight)[:ANNOUNCE_TO]
+        return tuple(
+            host.backend_address
+            for host in chosen
+            if host.backend_address is not None
+        )
+
+    async def _on_leases(
+        self,
+        sender: ids.HostId,
+        message: ttypes.ServerLeases,
+    ) -> None:
+        now = self._known.now()
+        for card in message.changed[:MAX_IN_MESSAGE]:
+            left = card.left_ms / servercards.MILLIS
+            self._registry.take(servercards.read(card), left, now)
+        unknown = [
+            renewal.key
+            for renewal in message.renewed[:MAX_IN_MESSAGE]
+            if not self._registry.renew(
+                renewal.key,
+                renewal.left_ms / servercards.MILLIS,
+                now,
+            )
+        ]
+        if unknown:
+            self._known.peers.send(sender, ttypes.ServersRequest(unknown))
+
+    async def _on_request(
+        self,
+        sender: ids.HostId,
+        message: ttypes.ServersRequest,
+    ) -> None:
+        now = self._known.now()
+        found = map(self._registry.by_key, message.keys[:MAX_IN_MESSAGE])
+        changed = [
+            servercards.write(lease, now)
+            for lease in found
+            if lease is not None
+        ]
+        if changed:
+            self._known.peers.send(sender, ttypes.ServerLeases(changed, []))
+
+
+def _weight(server_id: ids.ServerId, host: hosts.Host) -> int:
+    return xxhash.xxh3_64_intdigest(f'{server_id} {host.host_id}')
--- a/libs/membership/geraniumweir/membership/spreading.py
+++ b/libs/membership/geraniumweir/membership/spreading.py
@@ -51,7 +51,7 @@
         posted = notices.read(message, board, self._known.now())
         if not posted or not self._known.is_delegate():
             return
-        if self._known.members.knows(sender) is None:
+        if self._known.members.member(sender) is None:
             self._to_domain(posted)
         self._to_outside(posted)
 
--- /dev/null
+++ b/libs/membership/geraniumweir/membership/summaries.py
@@ -0,0 +1,175 @@
+"""What pools in other failure domains could take, in a few numbers.
+
+A pool leader publishes its summary as often as it likes; only a change that
+matters gets a new number on the board, and a reader asks for what is newer
+than the number it has. So a steady pool costs nothing.
+"""
+
+import dataclasses
+import functools
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.wire.gen.membership import ttypes
+
+MAX_POOLS = 4096
+MAX_MODELS = 64
+_RELATIVE_STEP = 0.25
+_WAIT_STEP_MS = 20
+_SLOT_STEP = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolSummary:
+    """How one failure domain's share of a pool stands.
+
+    :ivar leader: the host whose pool leader speaks.
+    :ivar capacity: requests at a time, by model.
+    :ivar wait_ms: expected wait of a new request by tier, the highest first.
+    :ivar free_slots: requests that could start at once.
+    :ivar lowest_tier: of those being served or admitted, None where none is.
+    """
+
+    failure_domain: ids.FailureDomain
+    pool: ids.PoolName
+    leader: ids.HostId
+    capacity: tuple[tuple[str, int], ...] = ()
+    wait_ms: tuple[int, ...] = ()
+    free_slots: int = 0
+    lowest_tier: ids.Tier | None = None
+
+
+PoolKey = tuple[ids.FailureDomain, ids.PoolName]
+
+
+def key_of(summary: PoolSummary) -> PoolKey:
+    """Give what a summary is of."""
+    return summary.failure_domain, summary.pool
+
+
+def matters(before: PoolSummary, after: PoolSummary) -> bool:
+    """Tell whether a change is worth sending.
+
+    Waits and free slots must change by a quarter; whether there is a free
+    slot, the leader, the capacity and the lowest tier always matter.
+    """
+    exact = ('leader', 'capacity', 'lowest_tier')
+    if any(getattr(before, name) != getattr(after, name) for name in exact):
+        return True
+    if bool(before.free_slots) != bool(after.free_slots):
+        return True
+    if len(before.wait_ms) != len(after.wait_ms):
+        return True
+    if _moved(before.free_slots, after.free_slots, _SLOT_STEP):
+        return True
+    return any(
+        _moved(old, new, _WAIT_STEP_MS)
+        for old, new in zip(before.wait_ms, after.wait_ms, strict=True)
+    )
+
+
+def best_first(
+    found: typing.Iterable[PoolSummary],
+    tier: ids.Tier = ids.Tier.urgent,
+) -> list[PoolSummary]:
+    """Order summaries: free slots first, then the shortest wait.
+
+    :param tier: whose wait counts.
+    """
+
+    return sorted(found, key=functools.partial(_order, tier))
+
+
+class Board:
+    """Summaries with a number for each change.
+
+    :ivar epoch: of this board's life; numbers of another one mean nothing.
+    """
+
+    def __init__(self, epoch: int) -> None:
+        """Start empty."""
+        self.epoch = epoch
+        self.version = 0
+        self._entries: dict[PoolKey, tuple[int, PoolSummary]] = {}
+
+    def put(self, summary: PoolSummary) -> bool:
+        """Take in a summary.
+
+        :returns: whether it matters and got a new number.
+        """
+        known = self._entries.get(key_of(summary))
+        if known is None and len(self._entries) >= MAX_POOLS:
+            return False
+        if known is not None and not matters(known[1], summary):
+            return False
+        self.version += 1
+        self._entries[key_of(summary)] = (self.version, summary)
+        return True
+
+    def since(self, epoch: int, version: int) -> list[PoolSummary]:
+        """List what changed after a number of an epoch."""
+        after = version if epoch == self.epoch else 0
+        return [
+            summary
+            for number, summary in self._entries.values()
+            if number > after
+        ]
+
+    def of_pool(self, pool: ids.PoolName) -> list[PoolSummary]:
+        """List the summaries of a pool in all domains."""
+        return [
+            summary
+            for _, summary in self._entries.values()
+            if summary.pool == pool
+        ]
+
+
+def write(summary: PoolSummary) -> ttypes.PoolSummary:
+    """Turn a summary into a message."""
+    return ttypes.PoolSummary(
+        failure_domain=summary.failure_domain,
+        pool=summary.pool,
+        leader=summary.leader,
+        capacity=[
+            ttypes.ModelCapacity(model, slots)
+            for model, slots in summary.capacity[:MAX_MODELS]
+        ],
+        wait_ms=list(summary.wait_ms),
+        free_slots=summary.free_slots,
+        lowest_tier=summary.lowest_tier,
+    )
+
+
+def read(message: ttypes.PoolSummary) -> PoolSummary:
+    """Turn a message into a summary.
+
+    :raises ValueError: when it names a tier that there isn't.
+    """
+    lowest = message.lowest_tier
+    return PoolSummary(
+        failure_domain=ids.FailureDomain(message.failure_domain),
+        pool=ids.PoolName(message.pool),
+        leader=ids.HostId(message.leader),
+        capacity=tuple(
+            (entry.model, entry.slots)
+            for entry in message.capacity[:MAX_MODELS]
+        ),
+        wait_ms=tuple(message.wait_ms[: len(ids.Tier)]),
+        free_slots=message.free_slots,
+        lowest_tier=None if lowest is None else ids.Tier(lowest),
+    )
+
+
+def _moved(before: int, after: int, least: int) -> bool:
+    step = max(least, int(before * _RELATIVE_STEP))
+    return abs(after - before) >= step
+
+
+def _order(
+    tier: ids.Tier,
+    summary: PoolSummary,
+) -> tuple[bool, int, int, str]:
+    waits = summary.wait_ms
+    wait = waits[min(tier, len(waits) - 1)] if waits else 0
+    free = summary.free_slots
+    return free <= 0, wait, -free, summary.failure_domain
