--- a/libs/membership/geraniumweir/membership/__init__.py
+++ b/libs/membership/geraniumweir/membership/__init__.py
@@ -5,5 +5,5 @@
 geraniumweir.membership.membership
 geraniumweir.membership.hosts
 geraniumweir.membership.servers
-geraniumweir.membership.summaries
+geraniumweir.membership.poolsummaries
 """
--- a/libs/membership/geraniumweir/membership/delegates.py
+++ b/libs/membership/geraniumweir/membership/delegates.py
@@ -56,4 +56,4 @@
 
 
 def _weight(host_id: ids.HostId) -> int:
-    return xxhash.xxh3_64_intdigest(host_id)
+    return xxhash.xxh3_64_intdigest(host_id.encode())
--- a/libs/membership/geraniumweir/membership/knowledge.py
+++ b/libs/membership/geraniumweir/membership/knowledge.py
@@ -23,6 +23,19 @@
 _MAX_KEYS = 512
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """What membership is told at its start.
+
+    :ivar seeds: peer addresses of some hosts, in any domain.
+    :ivar seed: of random choices.
+    """
+
+    seeds: tuple[ids.Address, ...] = ()
+    timing: suspicion.Timing = suspicion.Timing()
+    seed: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Newest:
     """How far the replicated log and the configuration have come."""
@@ -113,6 +126,10 @@
         """Give the delegates of the own domain, the first in rank first."""
         return delegates.delegates(self.members.live())
 
+    def eligible(self) -> tuple[hosts.Host, ...]:
+        """List the hosts of the own domain that may lead pools."""
+        return members.eligible(self.members)
+
     def is_delegate(self) -> bool:
         """Tell whether this host speaks for its domain."""
         me = self.me.host_id
--- a/libs/membership/geraniumweir/membership/members.py
+++ b/libs/membership/geraniumweir/membership/members.py
@@ -231,15 +231,10 @@
     this host holds for live: it is cut off on its way in.
     """
     live = domain.live()
-    heard = {domain.me.host_id: domain.hears}
-    for host in live:
-        member = domain.member(host.host_id)
-        if member is not None:
-            heard[host.host_id] = member.hears
     return tuple(
         host
         for host in live
-        if not host.draining and 2 * heard[host.host_id] >= len(live)
+        if not host.draining and 2 * _hears(domain, host) >= len(live)
     )
 
 
@@ -264,3 +259,8 @@
     if not within:
         member.since = now
     member.state = state
+
+
+def _hears(domain: Members, host: hosts.Host) -> int:
+    member = domain.member(host.host_id)
+    return domain.hears if member is None else member.hears
--- a/libs/membership/geraniumweir/membership/membership.py
+++ b/libs/membership/geraniumweir/membership/membership.py
@@ -9,7 +9,6 @@
 """
 
 import asyncio
-import dataclasses
 import typing
 
 import reactivex
@@ -19,32 +18,16 @@
     heartbeats,
     hosts,
     knowledge,
-    members,
     pools,
     rosters,
     seeds,
-    servers,
     sharing,
     spreading,
-    suspicion,
 )
 from geraniumweir.wire import peers
 from reactivex import operators
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Options:
-    """What membership is told at its start.
-
-    :ivar seeds: peer addresses of some hosts, in any domain.
-    :ivar seed: of random choices.
-    """
-
-    seeds: tuple[ids.Address, ...] = ()
-    timing: suspicion.Timing = suspicion.Timing()
-    seed: int = 0
-
-
 class Membership:
     """A :class:`hosts.HostView` that is kept up to date.
 
@@ -59,10 +42,10 @@
         me: hosts.Host,
         peer_layer: peers.Peers,
         timer_service: timers.TimerService,
-        options: Options | None = None,
+        options: knowledge.Options | None = None,
     ) -> None:
         """Build the parts; nothing is sent before :meth:`start`."""
-        self._options = options or Options()
+        self._options = options or knowledge.Options()
         self._known = knowledge.Knowledge(
             me,
             peer_layer,
@@ -78,8 +61,8 @@
         self._spreading = spreading.Spreading(self._known)
         self.pools = pools.Pools(self._known)
         self._digests = digests.Digests(self._known, self._lists, self.pools)
-        self.registry = servers.Registry(me.failure_domain)
-        self.sharing = sharing.Sharing(self._known, self.registry)
+        self.sharing = sharing.Sharing(self._known)
+        self.registry = self.sharing.registry
         self._running: list[typing.Any] = []
         self.seeds = seeds.Seeds(
             self._known,
@@ -121,7 +104,7 @@
     def eligible(self, domain: ids.FailureDomain) -> tuple[hosts.Host, ...]:
         """List the live hosts of a domain that may lead pools."""
         if domain == self.me.failure_domain:
-            return members.eligible(self._known.members)
+            return self._known.eligible()
         found = self._known.outside.live(domain)
         return tuple(host for host in found if not host.draining)
 
--- a/libs/membership/geraniumweir/membership/pools.py
+++ b/libs/membership/geraniumweir/membership/pools.py
@@ -7,7 +7,7 @@
 """
 
 from geraniumweir.common import ids
-from geraniumweir.membership import knowledge, summaries
+from geraniumweir.membership import knowledge, poolsummaries
 from geraniumweir.wire.gen.membership import ttypes
 
 REFRESH_TICKS = 5
@@ -24,9 +24,9 @@
     def __init__(self, known: knowledge.Knowledge) -> None:
         """Register the handlers."""
         self._known = known
-        self.inside = summaries.Board(known.me.incarnation)
-        self.beyond = summaries.Board(known.me.incarnation)
-        self._published: dict[ids.PoolName, summaries.PoolSummary] = {}
+        self.inside = poolsummaries.Board(known.me.incarnation)
+        self.beyond = poolsummaries.Board(known.me.incarnation)
+        self._published: dict[ids.PoolName, poolsummaries.PoolSummary] = {}
         self._due: set[ids.PoolName] = set()
         self._got: dict[tuple[ids.HostId, bool], tuple[int, int]] = {}
         self._wanted_until = float(0)
@@ -34,10 +34,10 @@
         known.peers.handle(ttypes.SummariesRequest, self._on_request)
         known.peers.handle(ttypes.Summaries, self._on_summaries)
 
-    def publish(self, summary: summaries.PoolSummary) -> None:
+    def publish(self, summary: poolsummaries.PoolSummary) -> None:
         """Say how a pool stands that is led here; sent within a second."""
         before = self._published.get(summary.pool)
-        if before is None or summaries.matters(before, summary):
+        if before is None or poolsummaries.matters(before, summary):
             self._published[summary.pool] = summary
             self._due.add(summary.pool)
 
@@ -50,7 +50,7 @@
         self,
         pool: ids.PoolName,
         tier: ids.Tier = ids.Tier.urgent,
-    ) -> list[summaries.PoolSummary]:
+    ) -> list[poolsummaries.PoolSummary]:
         """List a pool's summaries in other domains, best first.
 
         Those whose leader isn't live, as far as is known here, are left out.
@@ -61,7 +61,7 @@
             for summary in self.beyond.of_pool(pool)
             if self._known.outside.is_live(summary.leader)
         ]
-        return summaries.best_first(found, tier)
+        return poolsummaries.best_first(found, tier)
 
     def tick(self, count: int) -> None:
         """Send what is due and ask for what is new; once a second.
@@ -84,8 +84,8 @@
         if self._got.get((source, True), (0, 0))[1] != version:
             self._ask(source, inside=True)
 
-    def _send(self, summary: summaries.PoolSummary) -> None:
-        message = ttypes.SummaryUpdate(summaries.write(summary))
+    def _send(self, summary: poolsummaries.PoolSummary) -> None:
+        message = ttypes.SummaryUpdate(poolsummaries.write(summary))
         for host in self._known.delegates():
             if host.host_id == self._known.me.host_id:
                 self.inside.put(summary)
@@ -102,7 +102,7 @@
         sender: ids.HostId,
         message: ttypes.SummaryUpdate,
     ) -> None:
-        summary = summaries.read(message.summary)
+        summary = poolsummaries.read(message.summary)
         if summary.failure_domain == self._known.me.failure_domain:
             self.inside.put(summary)
 
@@ -117,7 +117,7 @@
             message.inside,
             board.epoch,
             board.version,
-            [summaries.write(summary) for summary in changed],
+            [poolsummaries.write(summary) for summary in changed],
         )
         self._known.peers.send(sender, answer)
 
@@ -126,10 +126,10 @@
         sender: ids.HostId,
         message: ttypes.Summaries,
     ) -> None:
-        if len(self._got) >= summaries.MAX_POOLS:
+        if len(self._got) >= poolsummaries.MAX_POOLS:
             self._got.clear()
         self._got[(sender, message.inside)] = (message.epoch, message.version)
         for entry in message.changed:
-            summary = summaries.read(entry)
+            summary = poolsummaries.read(entry)
             if summary.failure_domain != self._known.me.failure_domain:
                 self.beyond.put(summary)
--- a/libs/membership/geraniumweir/membership/servers.py
+++ b/libs/membership/geraniumweir/membership/servers.py
@@ -300,7 +300,7 @@
     :returns: 41 bits; two of a domain's servers share one by a chance of
         about one in a thousand million.
     """
-    return xxhash.xxh3_64_intdigest(repr(announcement)) >> _KEY_SHIFT
+    return xxhash.xxh3_64_intdigest(repr(announcement).encode()) >> _KEY_SHIFT
 
 
 def _settle(announcement: Announcement, known: Lease | None) -> Announcement:
--- a/libs/membership/geraniumweir/membership/sharing.py
+++ b/libs/membership/geraniumweir/membership/sharing.py
@@ -43,16 +43,15 @@
 
 
 class Sharing:
-    """Takes announcements and shares them."""
+    """Takes announcements and shares them.
 
-    def __init__(
-        self,
-        known: knowledge.Knowledge,
-        registry: servers.Registry,
-    ) -> None:
+    :ivar registry: the servers of the domain.
+    """
+
+    def __init__(self, known: knowledge.Knowledge) -> None:
         """Register the handlers."""
         self._known = known
-        self._registry = registry
+        self.registry = servers.Registry(known.me.failure_domain)
         self._heard: set[ids.ServerId] = set()
         self._news: set[ids.ServerId] = set()
         self._gathering: asyncio.TimerHandle | None = None
@@ -67,9 +66,9 @@
         """
         limits.check(announcement)
         server_id = announcement.server_id
-        before = self._registry.lease(server_id)
-        self._registry.announce(announcement, self._known.now())
-        after = self._registry.lease(server_id)
+        before = self.registry.lease(server_id)
+        self.registry.announce(announcement, self._known.now())
+        after = self.registry.lease(server_id)
         self._heard.add(server_id)
         if before is None or after is None or before.key != after.key:
             self._news.add(server_id)
@@ -79,7 +78,7 @@
     def tick(self, _count: int) -> None:
         """Share the leases that were lengthened here; once a second."""
         now = self._known.now()
-        self._registry.sweep(now)
+        self.registry.sweep(now)
         heard = sorted(self._heard)
         self._heard.clear()
         renewed = [
@@ -112,7 +111,7 @@
         self,
         server_ids: typing.Iterable[ids.ServerId],
     ) -> list[servers.Lease]:
-        found = map(self._registry.lease, server_ids)
+        found = map(self.registry.lease, server_ids)
         return [lease for lease in found if lease is not None]
 
     def _send(self, message: ttypes.ServerLeases) -> None:
@@ -145,11 +144,11 @@
         now = self._known.now()
         for card in message.changed[:MAX_IN_MESSAGE]:
             left = card.left_ms / servercards.MILLIS
-            self._registry.take(servercards.read(card), left, now)
+            self.registry.take(servercards.read(card), left, now)
         unknown = [
             renewal.key
             for renewal in message.renewed[:MAX_IN_MESSAGE]
-            if not self._registry.renew(
+            if not self.registry.renew(
                 renewal.key,
                 renewal.left_ms / servercards.MILLIS,
                 now,
@@ -164,7 +163,7 @@
         message: ttypes.ServersRequest,
     ) -> None:
         now = self._known.now()
-        found = map(self._registry.by_key, message.keys[:MAX_IN_MESSAGE])
+        found = map(self.registry.by_key, message.keys[:MAX_IN_MESSAGE])
         changed = [
             servercards.write(lease, now)
             for lease in found
@@ -175,4 +174,5 @@
 
 
 def _weight(server_id: ids.ServerId, host: hosts.Host) -> int:
-    return xxhash.xxh3_64_intdigest(f'{server_id} {host.host_id}')
+    text = f'{server_id} {host.host_id}'
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/libs/membership/geraniumweir/membership/tests/cluster.py
@@ -0,0 +1,185 @@
+"""Hosts on an in-memory network, which tests can stall, stop and restart."""
+
+import asyncio
+import dataclasses
+import typing
+
+import reactivex
+from geraniumweir.common import ids, timers
+from geraniumweir.membership import hosts, knowledge, membership, servers
+from geraniumweir.wire import memory, peers
+from reactivex import disposable
+
+
+class StallingTimers(timers.TimerService):
+    """Ticks that a stalled process misses; one comes late at its return."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.stalled = False
+        self._missed: list[typing.Callable[[], None]] = []
+
+    def every(self, period: float) -> reactivex.Observable[int]:
+        source = super().every(period)
+
+        def subscribe(observer: typing.Any, scheduler: typing.Any = None):
+            def tick(count: int) -> None:
+                if self.stalled:
+                    self._missed.append(lambda: observer.on_next(count))
+                else:
+                    observer.on_next(count)
+
+            return source.subscribe(tick) or disposable.Disposable()
+
+        return reactivex.create(subscribe)
+
+    def resume(self) -> None:
+        self.stalled = False
+        missed = self._missed[-1:]
+        self._missed.clear()
+        for call in missed:
+            call()
+
+
+class StallingPeers:
+    """Messages to a stalled process wait in its sockets."""
+
+    def __init__(self, inner: memory.MemoryPeers) -> None:
+        self.host_id = inner.host_id
+        self.inner = inner
+        self.running = asyncio.Event()
+        self.running.set()
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self.inner, name)
+
+    def handle(self, message_type: type, handler: peers.Handler) -> None:
+        async def late(sender: ids.HostId, message: typing.Any) -> typing.Any:
+            await self.running.wait()
+            return await handler(sender, message)
+
+        self.inner.handle(message_type, late)
+
+
+@dataclasses.dataclass
+class Process:
+    """One life of a host."""
+
+    member: membership.Membership
+    peers: StallingPeers
+    timers: StallingTimers
+    events: list[hosts.HostEvent] = dataclasses.field(default_factory=list)
+    crashes: list[servers.ServerEvent] = dataclasses.field(
+        default_factory=list,
+    )
+
+    def stall(self) -> None:
+        self.timers.stalled = True
+        self.peers.running.clear()
+
+    def resume(self) -> None:
+        self.timers.resume()
+        self.peers.running.set()
+
+    def left(self) -> list[hosts.HostLeft]:
+        return [one for one in self.events if isinstance(one, hosts.HostLeft)]
+
+
+class Cluster:
+    """Hosts by name; ``a0`` is host 0 of the domain ``a``."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.network = memory.MemoryNetwork(seed=seed)
+        self.processes: dict[str, Process] = {}
+        self._addresses: dict[str, ids.Address] = {}
+        self._lives = 0
+
+    def __getitem__(self, name: str) -> membership.Membership:
+        return self.processes[name].member
+
+    async def start(self, name: str, *seeds: str) -> Process:
+        """Start a host, or a new life of it."""
+        self._lives += 1
+        number = len(self._addresses) + 1
+        address = self._addresses.setdefault(
+            name,
+            ids.Address('127.0.0.1', number),
+        )
+        host = hosts.Host(
+            ids.HostId(name),
+            ids.FailureDomain(name[0]),
+            ids.Region('r'),
+            address,
+            ids.Incarnation(self._lives),
+            ids.Address('127.0.0.2', number),
+        )
+        layer = StallingPeers(
+            self.network.join(ids.HostId(name), address),
+        )
+        clock = StallingTimers()
+        options = knowledge.Options(
+            seeds=tuple(self._addresses[seed] for seed in seeds),
+            seed=number,
+        )
+        member = membership.Membership(host, layer, clock, options)
+        process = Process(member, layer, clock)
+        member.changes.subscribe(process.events.append)
+        member.registry.changes.subscribe(process.crashes.append)
+        self.processes[name] = process
+        await member.start()
+        return process
+
+    def crash(self, name: str) -> None:
+        """End a host without a word."""
+        self.processes.pop(name).member.stop()
+        self.network.leave(ids.HostId(name))
+
+    def cut(self, left: typing.Iterable[str], right: typing.Iterable[str]):
+        """Cut all links between two groups, both ways."""
+        for one in left:
+            for other in right:
+                self.network.cut(ids.HostId(one), ids.HostId(other))
+                self.network.cut(ids.HostId(other), ids.HostId(one))
+
+    def views(self, domain: str) -> set[str]:
+        """Give the views of a domain that its own hosts have, as texts."""
+        return {
+            seen(process.member, domain)
+            for name, process in self.processes.items()
+            if name[0] == domain
+        }
+
+
+def seen(member: membership.Membership, domain: str) -> str:
+    """Write the live hosts of a domain as one host sees them."""
+    live = member.live(ids.FailureDomain(domain))
+    return ' '.join(host.host_id for host in live)
+
+
+async def domain_of(count: int, seed: int = 0) -> Cluster:
+    """Start one domain that is whole."""
+    cluster = Cluster(seed)
+    await cluster.start('a00')
+    for number in range(1, count):
+        await cluster.start(f'a{number:02}', 'a00')
+    await asyncio.sleep(3)
+    return cluster
+
+
+def forget_events(cluster: Cluster) -> None:
+    """Drop what happened so far."""
+    for process in cluster.processes.values():
+        process.events.clear()
+
+
+async def domains_of(*names: str, count: int = 2, seed: int = 0) -> Cluster:
+    """Start some domains that know each other."""
+    cluster = Cluster(seed)
+    first = f'{names[0]}0'
+    for name in names:
+        for number in range(count):
+            host = f'{name}{number}'
+            seeds = [] if host == first else [first]
+            await cluster.start(host, *seeds)
+    await asyncio.sleep(5)
+    return cluster
