--- a/libs/fakes/geraniumweir/fakes/bench_membership.py
+++ b/libs/fakes/geraniumweir/fakes/bench_membership.py
@@ -38,12 +38,14 @@
 # Addresses, sequence numbers and options of TCP over IPv4, for each message.
 PACKET_HEADER_BYTES = 52
 _FRAME_LENGTH_BYTES = 4
-_CALL_ID = 1 << 20  # noqa: WPS432
+_CALL_ID = 0x100000
+_FIRST_INCARNATION = 0x18BCFE56800
 _MESSAGE_TYPE = 0x7FFFFFFF
 _SEED = 20
 _KILO = 1000
 _LONGEST_WAIT_MS = 5000
-_WAIT_STEP = 0.3
+_WAIT_STEP = 1.3
+_FIRST_WAIT_MS = 200
 _MAX_FREE = 4
 _MODELS = 3
 
@@ -112,6 +114,8 @@
     member: membership.Membership
     peers: CountingPeers
     number: int
+    leads: bool
+    waits: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,7 +156,7 @@
         node = _node(network, number, per_domain)
         nodes.append(node)
         await node.member.start()
-        await asyncio.sleep(1 / len(range(domains * per_domain)))
+        await asyncio.sleep(1 / (domains * per_domain))
     return nodes
 
 
@@ -164,7 +168,7 @@
         ids.FailureDomain(f'domain-{domain:02}'),
         ids.Region('region'),
         address,
-        ids.Incarnation(1_700_000_000_000 + number),
+        ids.Incarnation(_FIRST_INCARNATION + number),
         address,
     )
     layer = CountingPeers(network.join(host.host_id, address))
@@ -176,19 +180,23 @@
         timers.TimerService(),
         options,
     )
-    return Node(member, layer, number)
+    return Node(member, layer, number, leads=number % per_domain == 0)
 
 
 def _load(nodes: typing.Iterable[Node], chance: random.Random) -> None:
     for node in nodes:
         for slot in range(SERVERS_PER_HOST):
             node.member.sharing.announce(_announcement(node, slot))
-        for pool in range(POOLS_PER_DOMAIN):
-            if (
-                node.member.live(node.member.me.failure_domain)[0].host_id
-                == node.member.me.host_id
-            ):
-                node.member.pools.publish(_summary(node, pool, chance))
+        if node.leads:
+            _publish(node, chance)
+
+
+def _publish(node: Node, chance: random.Random) -> None:
+    for pool in range(POOLS_PER_DOMAIN):
+        factor = chance.uniform(1 / _WAIT_STEP, _WAIT_STEP)
+        wait = node.waits.get(pool, _FIRST_WAIT_MS) * factor
+        node.waits[pool] = min(wait, _LONGEST_WAIT_MS)
+        node.member.pools.publish(_summary(node, pool, chance))
 
 
 def _announcement(node: Node, slot: int) -> servers.Announcement:
@@ -209,7 +217,7 @@
     chance: random.Random,
 ) -> poolsummaries.PoolSummary:
     me = node.member.me
-    wait = int(chance.random() ** 4 * _LONGEST_WAIT_MS)
+    wait = int(node.waits[pool])
     return poolsummaries.PoolSummary(
         me.failure_domain,
         ids.PoolName(f'pool-{pool}'),
--- a/libs/membership/geraniumweir/membership/heartbeats.py
+++ b/libs/membership/geraniumweir/membership/heartbeats.py
@@ -25,6 +25,17 @@
 _MAX_AGE_MS = 60_000
 
 StallListener = typing.Callable[[float], None]
+Renewals = list[ttypes.Renewal]
+
+
+class LeaseCarrier(typing.Protocol):
+    """What has leases of backend servers carried by heartbeats."""
+
+    def renewals(self) -> Renewals:
+        """Give what the next heartbeat carries."""
+
+    def take_renewals(self, sender: ids.HostId, renewed: Renewals) -> None:
+        """Take what a heartbeat brought."""
 
 
 class Heartbeats:
@@ -46,6 +57,7 @@
         self._pulls = knowledge.Limiter(known.timing.period)
         self._last = known.now()
         self.on_stall: list[StallListener] = []
+        self.leases: LeaseCarrier | None = None
         known.peers.handle(ttypes.Heartbeat, self._on_heartbeat)
         known.peers.handle(ttypes.Inquiry, self._on_inquiry)
         known.peers.handle(ttypes.Voucher, self._on_voucher)
@@ -99,6 +111,7 @@
             log_index=known.progress.newest.log_index or None,
             version=known.progress.newest.version or None,
             notices=known.notices.fingerprint(known.now()),
+            renewed=(self.leases and self.leases.renewals()) or None,
         )
 
     def _notice_stall(self, now: float) -> None:
@@ -136,6 +149,8 @@
         roles = hosts.Role(message.roles or 0)
         self._known.members.update(member, roles, message.hears)
         self._known.progress.raise_to(message.log_index, message.version)
+        if self.leases and message.renewed:
+            self.leases.take_renewals(sender, message.renewed)
         self._compare(sender, message)
 
     def _ask_who(self, sender: ids.HostId, incarnation: int) -> None:
--- a/libs/membership/geraniumweir/membership/membership.py
+++ b/libs/membership/geraniumweir/membership/membership.py
@@ -63,6 +63,7 @@
         self._digests = digests.Digests(self._known, self._lists, self.pools)
         self.sharing = sharing.Sharing(self._known)
         self.registry = self.sharing.registry
+        self._beats.leases = self.sharing
         self._running: list[typing.Any] = []
         self.seeds = seeds.Seeds(
             self._known,
@@ -147,7 +148,6 @@
         self._every(period, self._beats.tick)
         self._every(digests.DIGEST_SECONDS, self._digests.tick)
         self._every(digests.DIGEST_SECONDS, self.pools.tick)
-        self._every(sharing.SHARE_SECONDS, self.sharing.tick)
         self._every(seeds.RETRY_SECONDS, self.seeds.tick)
         await self.seeds.greet_all()
         self._beats.beat()
--- a/libs/membership/geraniumweir/membership/pools.py
+++ b/libs/membership/geraniumweir/membership/pools.py
@@ -2,15 +2,18 @@
 
 A leader sends a summary that changed to its domain's delegates. Their
 digests carry a number; the delegates of other domains ask for what is newer,
-and so do the hosts that follow those: every five seconds, or every second
+and so do the hosts that follow those: every ten seconds, or every second
 while somebody wants a pool.
 """
 
+import typing
+
 from geraniumweir.common import ids
 from geraniumweir.membership import knowledge, poolsummaries
 from geraniumweir.wire.gen.membership import ttypes
 
-REFRESH_TICKS = 5
+REFRESH_TICKS = 10
+PULL_SECONDS = 2.0
 WANTED_SECONDS = 10.0
 
 
@@ -29,6 +32,7 @@
         self._published: dict[ids.PoolName, poolsummaries.PoolSummary] = {}
         self._due: set[ids.PoolName] = set()
         self._got: dict[tuple[ids.HostId, bool], tuple[int, int]] = {}
+        self._pulls = knowledge.Limiter(PULL_SECONDS)
         self._wanted_until = float(0)
         known.peers.handle(ttypes.SummaryUpdate, self._on_update)
         known.peers.handle(ttypes.SummariesRequest, self._on_request)
@@ -72,8 +76,8 @@
             self._due.update(self._published)
         due = sorted(self._due)
         self._due.clear()
-        for pool in due:
-            self._send(self._published[pool])
+        if due:
+            self._send([self._published[pool] for pool in due])
         followed = self._known.followed()
         wanted = self._known.now() < self._wanted_until
         if followed and (wanted or count % REFRESH_TICKS == 0):
@@ -81,17 +85,27 @@
 
     def compare(self, source: ids.HostId, version: int) -> None:
         """Ask the delegate of another domain for what is new there."""
-        if self._got.get((source, True), (0, 0))[1] != version:
+        if self._got.get((source, True), (0, 0))[1] == version:
+            return
+        if self._pulls.allows(source, self._known.now()):
             self._ask(source, inside=True)
 
-    def _send(self, summary: poolsummaries.PoolSummary) -> None:
-        message = ttypes.SummaryUpdate(poolsummaries.write(summary))
+    def _send(self, found: list[poolsummaries.PoolSummary]) -> None:
+        message = ttypes.SummaryUpdate(list(map(poolsummaries.write, found)))
         for host in self._known.delegates():
             if host.host_id == self._known.me.host_id:
-                self.inside.put(summary)
+                self._put_inside(found)
             else:
                 self._known.peers.send(host.host_id, message)
 
+    def _put_inside(
+        self,
+        found: typing.Iterable[poolsummaries.PoolSummary],
+    ) -> None:
+        for summary in found:
+            if summary.failure_domain == self._known.me.failure_domain:
+                self.inside.put(summary)
+
     def _ask(self, to: ids.HostId, *, inside: bool) -> None:
         epoch, version = self._got.get((to, inside), (0, 0))
         message = ttypes.SummariesRequest(inside, epoch, version)
@@ -102,9 +116,7 @@
         sender: ids.HostId,
         message: ttypes.SummaryUpdate,
     ) -> None:
-        summary = poolsummaries.read(message.summary)
-        if summary.failure_domain == self._known.me.failure_domain:
-            self.inside.put(summary)
+        self._put_inside(map(poolsummaries.read, message.summaries))
 
     async def _on_request(
         self,
@@ -112,12 +124,11 @@
         message: ttypes.SummariesRequest,
     ) -> None:
         board = self.inside if message.inside else self.beyond
-        changed = board.since(message.epoch, message.since)
         answer = ttypes.Summaries(
             message.inside,
             board.epoch,
             board.version,
-            [poolsummaries.write(summary) for summary in changed],
+            board.since(message.epoch, message.since),
         )
         self._known.peers.send(sender, answer)
 
@@ -130,6 +141,8 @@
             self._got.clear()
         self._got[(sender, message.inside)] = (message.epoch, message.version)
         for entry in message.changed:
-            summary = poolsummaries.read(entry)
-            if summary.failure_domain != self._known.me.failure_domain:
+            summary = self.beyond.merge(entry)
+            if summary is None:
+                self._got.pop((sender, message.inside), None)
+            elif summary.failure_domain != self._known.me.failure_domain:
                 self.beyond.put(summary)
--- a/libs/membership/geraniumweir/membership/poolsummaries.py
+++ b/libs/membership/geraniumweir/membership/poolsummaries.py
@@ -14,8 +14,8 @@
 
 MAX_POOLS = 4096
 MAX_MODELS = 64
-_RELATIVE_STEP = 0.25
-_WAIT_STEP_MS = 20
+_RELATIVE_STEP = 0.5
+_WAIT_STEP_MS = 50
 _SLOT_STEP = 2
 
 
@@ -50,7 +50,7 @@
 def matters(before: PoolSummary, after: PoolSummary) -> bool:
     """Tell whether a change is worth sending.
 
-    Waits and free slots must change by a quarter; whether there is a free
+    Waits and free slots must change by half; whether there is a free
     slot, the leader, the capacity and the lowest tier always matter.
     """
     exact = ('leader', 'capacity', 'lowest_tier')
@@ -80,6 +80,18 @@
     return sorted(found, key=functools.partial(_order, tier))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    """A summary and the numbers of its last changes.
+
+    :ivar settled: of the last change of leader or capacity.
+    """
+
+    summary: PoolSummary
+    version: int
+    settled: int
+
+
 class Board:
     """Summaries with a number for each change.
 
@@ -90,7 +102,7 @@
         """Start empty."""
         self.epoch = epoch
         self.version = 0
-        self._entries: dict[PoolKey, tuple[int, PoolSummary]] = {}
+        self._entries: dict[PoolKey, _Entry] = {}
 
     def put(self, summary: PoolSummary) -> bool:
         """Take in a summary.
@@ -100,43 +112,73 @@
         known = self._entries.get(key_of(summary))
         if known is None and len(self._entries) >= MAX_POOLS:
             return False
-        if known is not None and not matters(known[1], summary):
+        if known is not None and not matters(known.summary, summary):
             return False
         self.version += 1
-        self._entries[key_of(summary)] = (self.version, summary)
+        settled = self.version
+        if known is not None and _same_standing(known.summary, summary):
+            settled = known.settled
+        entry = _Entry(summary, self.version, settled)
+        self._entries[key_of(summary)] = entry
         return True
 
-    def since(self, epoch: int, version: int) -> list[PoolSummary]:
-        """List what changed after a number of an epoch."""
+    def since(self, epoch: int, version: int) -> list[ttypes.PoolSummary]:
+        """Give as messages what changed after a number of an epoch."""
         after = version if epoch == self.epoch else 0
         return [
-            summary
-            for number, summary in self._entries.values()
-            if number > after
+            write(entry.summary, whole=entry.settled > after)
+            for entry in self._entries.values()
+            if entry.version > after
         ]
 
+    def merge(self, message: ttypes.PoolSummary) -> PoolSummary | None:
+        """Read a message, with what it leaves out taken from the board.
+
+        :returns: None where the board doesn't have it.
+        :raises ValueError: when it names a tier that there isn't.
+        """
+        summary = read(message)
+        if message.leader is not None:
+            return summary
+        known = self._entries.get(key_of(summary))
+        if known is None:
+            return None
+        return dataclasses.replace(
+            summary,
+            leader=known.summary.leader,
+            capacity=known.summary.capacity,
+        )
+
     def of_pool(self, pool: ids.PoolName) -> list[PoolSummary]:
         """List the summaries of a pool in all domains."""
         return [
-            summary
-            for _, summary in self._entries.values()
-            if summary.pool == pool
+            entry.summary
+            for entry in self._entries.values()
+            if entry.summary.pool == pool
         ]
 
 
-def write(summary: PoolSummary) -> ttypes.PoolSummary:
-    """Turn a summary into a message."""
+def write(
+    summary: PoolSummary,
+    *,
+    whole: bool = True,
+) -> ttypes.PoolSummary:
+    """Turn a summary into a message.
+
+    :param whole: with leader and capacity, which seldom change.
+    """
+    capacity = [
+        ttypes.ModelCapacity(model, slots)
+        for model, slots in summary.capacity[:MAX_MODELS]
+    ]
     return ttypes.PoolSummary(
         failure_domain=summary.failure_domain,
         pool=summary.pool,
-        leader=summary.leader,
-        capacity=[
-            ttypes.ModelCapacity(model, slots)
-            for model, slots in summary.capacity[:MAX_MODELS]
-        ],
         wait_ms=list(summary.wait_ms),
         free_slots=summary.free_slots,
         lowest_tier=summary.lowest_tier,
+        leader=summary.leader if whole else None,
+        capacity=capacity if whole else None,
     )
 
 
@@ -149,10 +191,10 @@
     return PoolSummary(
         failure_domain=ids.FailureDomain(message.failure_domain),
         pool=ids.PoolName(message.pool),
-        leader=ids.HostId(message.leader),
+        leader=ids.HostId(message.leader or ''),
         capacity=tuple(
             (entry.model, entry.slots)
-            for entry in message.capacity[:MAX_MODELS]
+            for entry in (message.capacity or [])[:MAX_MODELS]
         ),
         wait_ms=tuple(message.wait_ms[: len(ids.Tier)]),
         free_slots=message.free_slots,
@@ -160,6 +202,10 @@
     )
 
 
+def _same_standing(before: PoolSummary, after: PoolSummary) -> bool:
+    return before.leader == after.leader and before.capacity == after.capacity
+
+
 def _moved(before: int, after: int, least: int) -> bool:
     step = max(least, int(before * _RELATIVE_STEP))
     return abs(after - before) >= step
--- a/libs/membership/geraniumweir/membership/sharing.py
+++ b/libs/membership/geraniumweir/membership/sharing.py
@@ -1,7 +1,7 @@
 """Shares the leases of backend servers inside a failure domain.
 
 The host that a server announced itself to tells the others of the domain:
-what is new at once, the rest once a second as a short key and the time left.
+what is new at once, the rest in heartbeats as a short key and the time left.
 A host that doesn't know a key asks for the card. Only what a server itself
 said here is shared, so no lease goes round in circles.
 """
@@ -23,7 +23,6 @@
 )
 from geraniumweir.wire.gen.membership import ttypes
 
-SHARE_SECONDS = 1.0
 NEXT_MS = 1000
 ANNOUNCE_TO = 3
 MAX_IN_MESSAGE = 512
@@ -75,19 +74,35 @@
             self._tell(server_id, after)
         return Reply(NEXT_MS, self._announce_to(server_id))
 
-    def tick(self, _count: int) -> None:
-        """Share the leases that were lengthened here; once a second."""
+    def renewals(self) -> list[ttypes.Renewal]:
+        """Give the leases that were lengthened here since the last call."""
         now = self._known.now()
         self.registry.sweep(now)
-        heard = sorted(self._heard)
-        self._heard.clear()
-        renewed = [
+        heard = sorted(self._heard)[:MAX_IN_MESSAGE]
+        self._heard.difference_update(heard)
+        return [
             ttypes.Renewal(lease.key, servercards.left_ms(lease, now))
             for lease in self._leases(heard)
         ]
-        for start in range(0, len(renewed), MAX_IN_MESSAGE):
-            part = renewed[start : start + MAX_IN_MESSAGE]
-            self._send(ttypes.ServerLeases([], part))
+
+    def take_renewals(
+        self,
+        sender: ids.HostId,
+        renewed: list[ttypes.Renewal],
+    ) -> None:
+        """Lengthen leases; ask for the cards that aren't known."""
+        now = self._known.now()
+        unknown = [
+            renewal.key
+            for renewal in renewed[:MAX_IN_MESSAGE]
+            if not self.registry.renew(
+                renewal.key,
+                renewal.left_ms / servercards.MILLIS,
+                now,
+            )
+        ]
+        if unknown:
+            self._known.peers.send(sender, ttypes.ServersRequest(unknown))
 
     def _tell(
         self, server_id: ids.ServerId, lease: servers.Lease | None
@@ -119,7 +134,7 @@
         changed = [
             servercards.write(lease, now) for lease in self._leases(news)
         ]
-        self._send(ttypes.ServerLeases(changed, []))
+        self._send(ttypes.ServerLeases(changed))
 
     def _leases(
         self,
@@ -159,17 +174,6 @@
         for card in message.changed[:MAX_IN_MESSAGE]:
             left = card.left_ms / servercards.MILLIS
             self.registry.take(servercards.read(card), left, now)
-        unknown = [
-            renewal.key
-            for renewal in message.renewed[:MAX_IN_MESSAGE]
-            if not self.registry.renew(
-                renewal.key,
-                renewal.left_ms / servercards.MILLIS,
-                now,
-            )
-        ]
-        if unknown:
-            self._known.peers.send(sender, ttypes.ServersRequest(unknown))
 
     async def _on_request(
         self,
@@ -184,7 +188,7 @@
             if lease is not None
         ]
         if changed:
-            self._known.peers.send(sender, ttypes.ServerLeases(changed, []))
+            self._known.peers.send(sender, ttypes.ServerLeases(changed))
 
 
 def _weight(server_id: ids.ServerId, host: hosts.Host) -> int:
--- a/libs/wire/geraniumweir/wire/gen/membership/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/membership/ttypes.py
@@ -156,6 +156,86 @@
         return not (self == other)
 
 
+class Renewal(object):
+    """
+    Attributes:
+     - key
+     - left_ms
+
+    """
+
+    __slots__ = (
+        'key',
+        'left_ms',
+    )
+
+
+    def __init__(self, key=None, left_ms=None,):
+        self.key = key
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.key = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Renewal')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.I64, 1)
+            oprot.writeI64(self.key)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 2)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -167,6 +247,7 @@
      - log_index
      - version
      - notices
+     - renewed
 
     """
 
@@ -179,10 +260,11 @@
         'log_index',
         'version',
         'notices',
+        'renewed',
     )
 
 
-    def __init__(self, incarnation=None, hears=None, roster=None, roles=None, outside=None, log_index=None, version=None, notices=None,):
+    def __init__(self, incarnation=None, hears=None, roster=None, roles=None, outside=None, log_index=None, version=None, notices=None, renewed=None,):
         self.incarnation = incarnation
         self.hears = hears
         self.roster = roster
@@ -191,6 +273,7 @@
         self.log_index = log_index
         self.version = version
         self.notices = notices
+        self.renewed = renewed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -241,6 +324,17 @@
                     self.notices = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.renewed = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = Renewal()
+                        _elem5.read(iprot)
+                        self.renewed.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -283,6 +377,13 @@
             oprot.writeFieldBegin('notices', TType.I32, 8)
             oprot.writeI32(self.notices)
             oprot.writeFieldEnd()
+        if self.renewed is not None:
+            oprot.writeFieldBegin('renewed', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.renewed))
+            for iter6 in self.renewed:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -644,11 +745,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.cards = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = HostCard()
-                        _elem5.read(iprot)
-                        self.cards.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = HostCard()
+                        _elem12.read(iprot)
+                        self.cards.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -665,8 +766,8 @@
         if self.cards is not None:
             oprot.writeFieldBegin('cards', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.cards))
-            for iter6 in self.cards:
-                iter6.write(oprot)
+            for iter13 in self.cards:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -805,11 +906,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.cards = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = HostCard()
-                        _elem12.read(iprot)
-                        self.cards.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = HostCard()
+                        _elem19.read(iprot)
+                        self.cards.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -834,8 +935,8 @@
         if self.cards is not None:
             oprot.writeFieldBegin('cards', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.cards))
-            for iter13 in self.cards:
-                iter13.write(oprot)
+            for iter20 in self.cards:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1148,11 +1249,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = OutsideEntry()
-                        _elem19.read(iprot)
-                        self.entries.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = OutsideEntry()
+                        _elem26.read(iprot)
+                        self.entries.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1169,8 +1270,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter20 in self.entries:
-                iter20.write(oprot)
+            for iter27 in self.entries:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1283,33 +1384,33 @@
     Attributes:
      - failure_domain
      - pool
-     - leader
-     - capacity
      - wait_ms
      - free_slots
      - lowest_tier
+     - leader
+     - capacity
 
     """
 
     __slots__ = (
         'failure_domain',
         'pool',
-        'leader',
-        'capacity',
         'wait_ms',
         'free_slots',
         'lowest_tier',
+        'leader',
+        'capacity',
     )
 
 
-    def __init__(self, failure_domain=None, pool=None, leader=None, capacity=None, wait_ms=None, free_slots=None, lowest_tier=None,):
+    def __init__(self, failure_domain=None, pool=None, wait_ms=None, free_slots=None, lowest_tier=None, leader=None, capacity=None,):
         self.failure_domain = failure_domain
         self.pool = pool
-        self.leader = leader
-        self.capacity = capacity
         self.wait_ms = wait_ms
         self.free_slots = free_slots
         self.lowest_tier = lowest_tier
+        self.leader = leader
+        self.capacity = capacity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1331,39 +1432,39 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.wait_ms = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readI32()
+                        self.wait_ms.append(_elem33)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.LIST:
-                    self.capacity = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = ModelCapacity()
-                        _elem26.read(iprot)
-                        self.capacity.append(_elem26)
-                    iprot.readListEnd()
+                if ftype == TType.I32:
+                    self.free_slots = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.LIST:
-                    self.wait_ms = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readI32()
-                        self.wait_ms.append(_elem32)
-                    iprot.readListEnd()
+                if ftype == TType.I32:
+                    self.lowest_tier = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.I32:
-                    self.free_slots = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
-                if ftype == TType.I32:
-                    self.lowest_tier = iprot.readI32()
+                if ftype == TType.LIST:
+                    self.capacity = []
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = ModelCapacity()
+                        _elem39.read(iprot)
+                        self.capacity.append(_elem39)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1384,32 +1485,32 @@
             oprot.writeFieldBegin('pool', TType.STRING, 2)
             oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
             oprot.writeFieldEnd()
-        if self.leader is not None:
-            oprot.writeFieldBegin('leader', TType.STRING, 3)
-            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
-            oprot.writeFieldEnd()
-        if self.capacity is not None:
-            oprot.writeFieldBegin('capacity', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.capacity))
-            for iter33 in self.capacity:
-                iter33.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         if self.wait_ms is not None:
-            oprot.writeFieldBegin('wait_ms', TType.LIST, 5)
+            oprot.writeFieldBegin('wait_ms', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.wait_ms))
-            for iter34 in self.wait_ms:
-                oprot.writeI32(iter34)
+            for iter40 in self.wait_ms:
+                oprot.writeI32(iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.free_slots is not None:
-            oprot.writeFieldBegin('free_slots', TType.I32, 6)
+            oprot.writeFieldBegin('free_slots', TType.I32, 4)
             oprot.writeI32(self.free_slots)
             oprot.writeFieldEnd()
         if self.lowest_tier is not None:
-            oprot.writeFieldBegin('lowest_tier', TType.I32, 7)
+            oprot.writeFieldBegin('lowest_tier', TType.I32, 5)
             oprot.writeI32(self.lowest_tier)
             oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 6)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+            oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.capacity))
+            for iter41 in self.capacity:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1438,17 +1539,17 @@
 class SummaryUpdate(object):
     """
     Attributes:
-     - summary
+     - summaries
 
     """
 
     __slots__ = (
-        'summary',
+        'summaries',
     )
 
 
-    def __init__(self, summary=None,):
-        self.summary = summary
+    def __init__(self, summaries=None,):
+        self.summaries = summaries
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1460,9 +1561,14 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.summary = PoolSummary()
-                    self.summary.read(iprot)
+                if ftype == TType.LIST:
+                    self.summaries = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = PoolSummary()
+                        _elem47.read(iprot)
+                        self.summaries.append(_elem47)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1475,9 +1581,12 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('SummaryUpdate')
-        if self.summary is not None:
-            oprot.writeFieldBegin('summary', TType.STRUCT, 1)
-            self.summary.write(oprot)
+        if self.summaries is not None:
+            oprot.writeFieldBegin('summaries', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.summaries))
+            for iter48 in self.summaries:
+                iter48.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1647,11 +1756,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.changed = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = PoolSummary()
-                        _elem40.read(iprot)
-                        self.changed.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = PoolSummary()
+                        _elem54.read(iprot)
+                        self.changed.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1680,8 +1789,8 @@
         if self.changed is not None:
             oprot.writeFieldBegin('changed', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.changed))
-            for iter41 in self.changed:
-                iter41.write(oprot)
+            for iter55 in self.changed:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1878,11 +1987,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.notices = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Notice()
-                        _elem47.read(iprot)
-                        self.notices.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Notice()
+                        _elem61.read(iprot)
+                        self.notices.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1899,8 +2008,8 @@
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter48 in self.notices:
-                iter48.write(oprot)
+            for iter62 in self.notices:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2033,20 +2142,20 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.models = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.models.append(_elem54)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.adapters = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.adapters.append(_elem60)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.adapters.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2132,15 +2241,15 @@
         if self.models is not None:
             oprot.writeFieldBegin('models', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.models))
-            for iter61 in self.models:
-                oprot.writeString(iter61.encode('utf-8') if sys.version_info[0] == 2 else iter61)
+            for iter75 in self.models:
+                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapters is not None:
             oprot.writeFieldBegin('adapters', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.adapters))
-            for iter62 in self.adapters:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter76 in self.adapters:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hardware is not None:
@@ -2204,103 +2313,20 @@
         return not (self == other)
 
 
-class Renewal(object):
-    """
-    Attributes:
-     - key
-     - left_ms
-
-    """
-
-    __slots__ = (
-        'key',
-        'left_ms',
-    )
-
-
-    def __init__(self, key=None, left_ms=None,):
-        self.key = key
-        self.left_ms = left_ms
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.key = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.left_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Renewal')
-        if self.key is not None:
-            oprot.writeFieldBegin('key', TType.I64, 1)
-            oprot.writeI64(self.key)
-            oprot.writeFieldEnd()
-        if self.left_ms is not None:
-            oprot.writeFieldBegin('left_ms', TType.I32, 2)
-            oprot.writeI32(self.left_ms)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class ServerLeases(object):
     """
     Attributes:
      - changed
-     - renewed
 
     """
 
     __slots__ = (
         'changed',
-        'renewed',
     )
 
 
-    def __init__(self, changed=None, renewed=None,):
+    def __init__(self, changed=None,):
         self.changed = changed
-        self.renewed = renewed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2314,22 +2340,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changed = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = ServerCard()
-                        _elem68.read(iprot)
-                        self.changed.append(_elem68)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.LIST:
-                    self.renewed = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = Renewal()
-                        _elem74.read(iprot)
-                        self.renewed.append(_elem74)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = ServerCard()
+                        _elem82.read(iprot)
+                        self.changed.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2346,15 +2361,8 @@
         if self.changed is not None:
             oprot.writeFieldBegin('changed', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changed))
-            for iter75 in self.changed:
-                iter75.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.renewed is not None:
-            oprot.writeFieldBegin('renewed', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.renewed))
-            for iter76 in self.renewed:
-                iter76.write(oprot)
+            for iter83 in self.changed:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2409,10 +2417,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readI64()
-                        self.keys.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readI64()
+                        self.keys.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2429,8 +2437,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.keys))
-            for iter83 in self.keys:
-                oprot.writeI64(iter83)
+            for iter90 in self.keys:
+                oprot.writeI64(iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2467,6 +2475,12 @@
     (6, TType.I64, 'incarnation', None, None, ),  # 6
     (7, TType.I32, 'roles', None, None, ),  # 7
 )
+all_structs.append(Renewal)
+Renewal.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'key', None, None, ),  # 1
+    (2, TType.I32, 'left_ms', None, None, ),  # 2
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -2478,6 +2492,7 @@
     (6, TType.I64, 'log_index', None, None, ),  # 6
     (7, TType.I64, 'version', None, None, ),  # 7
     (8, TType.I32, 'notices', None, None, ),  # 8
+    (9, TType.LIST, 'renewed', (TType.STRUCT, [Renewal, None], False), None, ),  # 9
 )
 all_structs.append(Inquiry)
 Inquiry.thrift_spec = (
@@ -2554,16 +2569,16 @@
     None,  # 0
     (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'leader', 'UTF8', None, ),  # 3
-    (4, TType.LIST, 'capacity', (TType.STRUCT, [ModelCapacity, None], False), None, ),  # 4
-    (5, TType.LIST, 'wait_ms', (TType.I32, None, False), None, ),  # 5
-    (6, TType.I32, 'free_slots', None, None, ),  # 6
-    (7, TType.I32, 'lowest_tier', None, None, ),  # 7
+    (3, TType.LIST, 'wait_ms', (TType.I32, None, False), None, ),  # 3
+    (4, TType.I32, 'free_slots', None, None, ),  # 4
+    (5, TType.I32, 'lowest_tier', None, None, ),  # 5
+    (6, TType.STRING, 'leader', 'UTF8', None, ),  # 6
+    (7, TType.LIST, 'capacity', (TType.STRUCT, [ModelCapacity, None], False), None, ),  # 7
 )
 all_structs.append(SummaryUpdate)
 SummaryUpdate.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'summary', [PoolSummary, None], None, ),  # 1
+    (1, TType.LIST, 'summaries', (TType.STRUCT, [PoolSummary, None], False), None, ),  # 1
 )
 all_structs.append(SummariesRequest)
 SummariesRequest.thrift_spec = (
@@ -2616,17 +2631,10 @@
     (16, TType.BOOL, 'leaving', None, None, ),  # 16
     (17, TType.I32, 'left_ms', None, None, ),  # 17
 )
-all_structs.append(Renewal)
-Renewal.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'key', None, None, ),  # 1
-    (2, TType.I32, 'left_ms', None, None, ),  # 2
-)
 all_structs.append(ServerLeases)
 ServerLeases.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'changed', (TType.STRUCT, [ServerCard, None], False), None, ),  # 1
-    (2, TType.LIST, 'renewed', (TType.STRUCT, [Renewal, None], False), None, ),  # 2
 )
 all_structs.append(ServersRequest)
 ServersRequest.thrift_spec = (
--- a/libs/wire/idl/membership.thrift
+++ b/libs/wire/idl/membership.thrift
@@ -12,6 +12,12 @@
   7: optional i32 roles
 }
 
+// A lease of a server card that the receiver has, by a key of its content.
+struct Renewal {
+  1: i64 key
+  2: i32 left_ms
+}
+
 // To every host of the own failure domain, twice a second. Left out is zero.
 struct Heartbeat {
   1: i64 incarnation
@@ -22,6 +28,7 @@
   6: optional i64 log_index
   7: optional i64 version
   8: optional i32 notices
+  9: optional list<Renewal> renewed
 }
 
 // Asked of another host about one that the sender no longer hears.
@@ -89,20 +96,21 @@
   2: i32 slots
 }
 
-// Waits are by tier, the highest tier first, in milliseconds.
+// Waits are by tier, the highest tier first, in milliseconds. Leader and
+// capacity are left out where the receiver has them.
 struct PoolSummary {
   1: string failure_domain
   2: string pool
-  3: string leader
-  4: list<ModelCapacity> capacity
-  5: list<i32> wait_ms
-  6: i32 free_slots
-  7: optional i32 lowest_tier
+  3: list<i32> wait_ms
+  4: i32 free_slots
+  5: optional i32 lowest_tier
+  6: optional string leader
+  7: optional list<ModelCapacity> capacity
 }
 
 // From a pool leader to the delegates of its domain.
 struct SummaryUpdate {
-  1: PoolSummary summary
+  1: list<PoolSummary> summaries
 }
 
 // Inside: pools of the answerer's own domain; else those of other domains.
@@ -154,15 +162,8 @@
   17: i32 left_ms
 }
 
-// A lease of a card that the receiver has; the key is of the card's content.
-struct Renewal {
-  1: i64 key
-  2: i32 left_ms
-}
-
 struct ServerLeases {
   1: list<ServerCard> changed
-  2: list<Renewal> renewed
 }
 
 struct ServersRequest {
