--- a/libs/fakes/geraniumweir/fakes/bench_membership.py
+++ b/libs/fakes/geraniumweir/fakes/bench_membership.py
@@ -48,21 +48,31 @@
 _FIRST_WAIT_MS = 200
 _MAX_FREE = 4
 _MODELS = 3
+_FREE_CHANGES = 0.2
 
 
 class CountingPeers:
-    """Counts what a host sends, and gives it to the network."""
+    """Counts what a host sends and gets; the network does the rest."""
 
     def __init__(self, inner: memory.MemoryPeers) -> None:
         """Start at nothing."""
         self.host_id = inner.host_id
         self.messages = 0
         self.sent_bytes = 0
+        self.received_bytes = 0
         self._inner = inner
 
     def handle(self, message_type: type, handler: peers.Handler) -> None:
         """Pass a handler on."""
-        self._inner.handle(message_type, handler)
+
+        async def counted(
+            sender: ids.HostId,
+            message: peers.Message,
+        ) -> peers.Message | None:
+            self.received_bytes += framed_size(message)
+            return await handler(sender, message)
+
+        self._inner.handle(message_type, counted)
 
     def learn(self, host_id: ids.HostId, address: ids.Address) -> None:
         """Remember nothing; the network knows."""
@@ -90,6 +100,7 @@
         """Begin to count anew."""
         self.messages = 0
         self.sent_bytes = 0
+        self.received_bytes = 0
 
     def _count(self, message: peers.Message) -> None:
         self.messages += 1
@@ -116,20 +127,25 @@
     number: int
     leads: bool
     waits: dict[int, float] = dataclasses.field(default_factory=dict)
+    free: dict[tuple[int, int], int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cost:
-    """What hosts sent in a second.
+    """What hosts sent and received in a second.
 
-    :ivar mean_bytes: of all hosts.
-    :ivar most_bytes: of the host that sent most, always a delegate.
+    :ivar messages: sent, mean of all hosts.
+    :ivar sent: bytes, mean of all hosts.
+    :ivar most_sent: bytes of the host that sent most, always a delegate.
+    :ivar most_packets: the same with the headers of TCP over IPv4.
+    :ivar most_received: bytes of the host that received most.
     """
 
-    mean_messages: float
-    mean_bytes: float
-    most_messages: float
-    most_bytes: float
+    messages: float
+    sent: float
+    most_sent: float
+    most_packets: float
+    most_received: float
 
 
 async def measure(domains: int, per_domain: int, *, loaded: bool) -> Cost:
@@ -192,11 +208,15 @@
 
 
 def _publish(node: Node, chance: random.Random) -> None:
+    # Waits and free slots wander; a fifth of the free slots changes a second.
     for pool in range(POOLS_PER_DOMAIN):
         factor = chance.uniform(1 / _WAIT_STEP, _WAIT_STEP)
         wait = node.waits.get(pool, _FIRST_WAIT_MS) * factor
         node.waits[pool] = min(wait, _LONGEST_WAIT_MS)
-        node.member.pools.publish(_summary(node, pool, chance))
+        for model in range(_MODELS):
+            if chance.random() < _FREE_CHANGES:
+                node.free[(pool, model)] = chance.randrange(_MAX_FREE)
+        node.member.pools.publish(_summary(node, pool))
 
 
 def _announcement(node: Node, slot: int) -> servers.Announcement:
@@ -211,20 +231,16 @@
     )
 
 
-def _summary(
-    node: Node,
-    pool: int,
-    chance: random.Random,
-) -> poolsummaries.PoolSummary:
+def _summary(node: Node, pool: int) -> poolsummaries.PoolSummary:
     me = node.member.me
-    wait = int(node.waits[pool])
+    models = range(_MODELS)
     return poolsummaries.PoolSummary(
         me.failure_domain,
         ids.PoolName(f'pool-{pool}'),
         me.host_id,
-        tuple((f'model-{model}', _MAX_FREE) for model in range(_MODELS)),
-        (wait,) * len(ids.Tier),
-        chance.randrange(_MAX_FREE),
+        tuple((f'model-{model}', _MAX_FREE) for model in models),
+        (int(node.waits[pool]),) * len(ids.Tier),
+        tuple(node.free.get((pool, model), 0) for model in models),
         ids.Tier.low,
     )
 
@@ -243,28 +259,31 @@
 
 
 def _cost(counted: list[CountingPeers]) -> Cost:
-    messages = [one.messages / COUNTED_SECONDS for one in counted]
-    sent = [one.sent_bytes / COUNTED_SECONDS for one in counted]
+    messages = [one.messages for one in counted]
+    sent = [one.sent_bytes for one in counted]
+    packets = [
+        one.sent_bytes + one.messages * PACKET_HEADER_BYTES for one in counted
+    ]
     return Cost(
-        sum(messages) / len(messages),
-        sum(sent) / len(sent),
-        max(messages),
-        max(sent),
+        sum(messages) / len(messages) / COUNTED_SECONDS,
+        sum(sent) / len(sent) / COUNTED_SECONDS,
+        max(sent) / COUNTED_SECONDS,
+        max(packets) / COUNTED_SECONDS,
+        max(one.received_bytes for one in counted) / COUNTED_SECONDS,
     )
 
 
 def _row(domains: int, per_domain: int, *, loaded: bool) -> list[object]:
     cost = virtual.run(measure(domains, per_domain, loaded=loaded))
-    packets = cost.most_bytes + cost.most_messages * PACKET_HEADER_BYTES
     return [
         domains,
         per_domain,
         'yes' if loaded else 'no',
-        cost.mean_messages,
-        cost.mean_bytes / _KILO,
-        cost.most_messages,
-        cost.most_bytes / _KILO,
-        packets / _KILO,
+        cost.messages,
+        cost.sent / _KILO,
+        cost.most_sent / _KILO,
+        cost.most_packets / _KILO,
+        cost.most_received / _KILO,
     ]
 
 
@@ -292,10 +311,10 @@
         'hosts in each',
         'load',
         'messages/s',
-        'KB/s',
-        'most messages/s',
-        'most KB/s',
-        'most KB/s with headers',
+        'sent KB/s',
+        'most sent',
+        'with headers',
+        'most received',
     ]
     print(tabulate.tabulate(rows, headers, floatfmt='.2f'))  # noqa: WPS421
 
--- a/libs/membership/geraniumweir/membership/poolsummaries.py
+++ b/libs/membership/geraniumweir/membership/poolsummaries.py
@@ -26,7 +26,7 @@
     :ivar leader: the host whose pool leader speaks.
     :ivar capacity: requests at a time, by model.
     :ivar wait_ms: expected wait of a new request by tier, the highest first.
-    :ivar free_slots: requests that could start at once.
+    :ivar free: requests that could start at once, by model as in capacity.
     :ivar lowest_tier: of those being served or admitted, None where none is.
     """
 
@@ -35,9 +35,14 @@
     leader: ids.HostId
     capacity: tuple[tuple[str, int], ...] = ()
     wait_ms: tuple[int, ...] = ()
-    free_slots: int = 0
+    free: tuple[int, ...] = ()
     lowest_tier: ids.Tier | None = None
 
+    @property
+    def free_slots(self) -> int:
+        """Give the free slots of the model that has most."""
+        return max(self.free, default=0)
+
 
 PoolKey = tuple[ids.FailureDomain, ids.PoolName]
 
@@ -56,16 +61,11 @@
     exact = ('leader', 'capacity', 'lowest_tier')
     if any(getattr(before, name) != getattr(after, name) for name in exact):
         return True
-    if bool(before.free_slots) != bool(after.free_slots):
-        return True
-    if len(before.wait_ms) != len(after.wait_ms):
+    if _any_moved(before.free, after.free, _SLOT_STEP):
         return True
-    if _moved(before.free_slots, after.free_slots, _SLOT_STEP):
+    if list(map(bool, before.free)) != list(map(bool, after.free)):
         return True
-    return any(
-        _moved(old, new, _WAIT_STEP_MS)
-        for old, new in zip(before.wait_ms, after.wait_ms, strict=True)
-    )
+    return _any_moved(before.wait_ms, after.wait_ms, _WAIT_STEP_MS)
 
 
 def best_first(
@@ -175,7 +175,7 @@
         failure_domain=summary.failure_domain,
         pool=summary.pool,
         wait_ms=list(summary.wait_ms),
-        free_slots=summary.free_slots,
+        free=list(summary.free),
         lowest_tier=summary.lowest_tier,
         leader=summary.leader if whole else None,
         capacity=capacity if whole else None,
@@ -197,7 +197,7 @@
             for entry in (message.capacity or [])[:MAX_MODELS]
         ),
         wait_ms=tuple(message.wait_ms[: len(ids.Tier)]),
-        free_slots=message.free_slots,
+        free=tuple(message.free[:MAX_MODELS]),
         lowest_tier=None if lowest is None else ids.Tier(lowest),
     )
 
@@ -206,9 +206,17 @@
     return before.leader == after.leader and before.capacity == after.capacity
 
 
-def _moved(before: int, after: int, least: int) -> bool:
-    step = max(least, int(before * _RELATIVE_STEP))
-    return abs(after - before) >= step
+def _any_moved(
+    before: tuple[int, ...],
+    after: tuple[int, ...],
+    least: int,
+) -> bool:
+    if len(before) != len(after):
+        return True
+    return any(
+        abs(new - old) >= max(least, int(old * _RELATIVE_STEP))
+        for old, new in zip(before, after, strict=True)
+    )
 
 
 def _order(
--- a/libs/membership/geraniumweir/membership/servers.py
+++ b/libs/membership/geraniumweir/membership/servers.py
@@ -310,9 +310,12 @@
     before = known.announcement
     if before.incarnation != announcement.incarnation:
         return announcement
-    if before.state is not ServerState.leaving:
-        return announcement
-    return dataclasses.replace(announcement, state=ServerState.leaving)
+    if before.state is ServerState.leaving:
+        announcement = dataclasses.replace(announcement, state=before.state)
+    # Readers notice a change by identity.
+    if announcement == before:
+        return before
+    return announcement
 
 
 def _order(lease: Lease) -> tuple[float, ids.ServerId]:
--- a/libs/membership/geraniumweir/membership/tests/test_domains.py
+++ b/libs/membership/geraniumweir/membership/tests/test_domains.py
@@ -27,7 +27,7 @@
         ids.HostId(f'{domain}0'),
         (('m', 4),),
         (wait_ms, wait_ms, wait_ms, wait_ms),
-        free,
+        (free,),
         ids.Tier.low,
     )
 
--- a/libs/wire/geraniumweir/wire/gen/membership/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/membership/ttypes.py
@@ -1385,7 +1385,7 @@
      - failure_domain
      - pool
      - wait_ms
-     - free_slots
+     - free
      - lowest_tier
      - leader
      - capacity
@@ -1396,18 +1396,18 @@
         'failure_domain',
         'pool',
         'wait_ms',
-        'free_slots',
+        'free',
         'lowest_tier',
         'leader',
         'capacity',
     )
 
 
-    def __init__(self, failure_domain=None, pool=None, wait_ms=None, free_slots=None, lowest_tier=None, leader=None, capacity=None,):
+    def __init__(self, failure_domain=None, pool=None, wait_ms=None, free=None, lowest_tier=None, leader=None, capacity=None,):
         self.failure_domain = failure_domain
         self.pool = pool
         self.wait_ms = wait_ms
-        self.free_slots = free_slots
+        self.free = free
         self.lowest_tier = lowest_tier
         self.leader = leader
         self.capacity = capacity
@@ -1442,8 +1442,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I32:
-                    self.free_slots = iprot.readI32()
+                if ftype == TType.LIST:
+                    self.free = []
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readI32()
+                        self.free.append(_elem39)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -1459,11 +1464,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.capacity = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = ModelCapacity()
-                        _elem39.read(iprot)
-                        self.capacity.append(_elem39)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = ModelCapacity()
+                        _elem45.read(iprot)
+                        self.capacity.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1488,13 +1493,16 @@
         if self.wait_ms is not None:
             oprot.writeFieldBegin('wait_ms', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.wait_ms))
-            for iter40 in self.wait_ms:
-                oprot.writeI32(iter40)
+            for iter46 in self.wait_ms:
+                oprot.writeI32(iter46)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.free_slots is not None:
-            oprot.writeFieldBegin('free_slots', TType.I32, 4)
-            oprot.writeI32(self.free_slots)
+        if self.free is not None:
+            oprot.writeFieldBegin('free', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.free))
+            for iter47 in self.free:
+                oprot.writeI32(iter47)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lowest_tier is not None:
             oprot.writeFieldBegin('lowest_tier', TType.I32, 5)
@@ -1507,8 +1515,8 @@
         if self.capacity is not None:
             oprot.writeFieldBegin('capacity', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.capacity))
-            for iter41 in self.capacity:
-                iter41.write(oprot)
+            for iter48 in self.capacity:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1563,11 +1571,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.summaries = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = PoolSummary()
-                        _elem47.read(iprot)
-                        self.summaries.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = PoolSummary()
+                        _elem54.read(iprot)
+                        self.summaries.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1584,8 +1592,8 @@
         if self.summaries is not None:
             oprot.writeFieldBegin('summaries', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.summaries))
-            for iter48 in self.summaries:
-                iter48.write(oprot)
+            for iter55 in self.summaries:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1756,11 +1764,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.changed = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = PoolSummary()
-                        _elem54.read(iprot)
-                        self.changed.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = PoolSummary()
+                        _elem61.read(iprot)
+                        self.changed.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1789,8 +1797,8 @@
         if self.changed is not None:
             oprot.writeFieldBegin('changed', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.changed))
-            for iter55 in self.changed:
-                iter55.write(oprot)
+            for iter62 in self.changed:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1987,11 +1995,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.notices = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Notice()
-                        _elem61.read(iprot)
-                        self.notices.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Notice()
+                        _elem68.read(iprot)
+                        self.notices.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2008,8 +2016,8 @@
         if self.notices is not None:
             oprot.writeFieldBegin('notices', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.notices))
-            for iter62 in self.notices:
-                iter62.write(oprot)
+            for iter69 in self.notices:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2142,20 +2150,20 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.models = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.models.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.adapters = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.adapters.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.adapters.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2241,15 +2249,15 @@
         if self.models is not None:
             oprot.writeFieldBegin('models', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.models))
-            for iter75 in self.models:
-                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
+            for iter82 in self.models:
+                oprot.writeString(iter82.encode('utf-8') if sys.version_info[0] == 2 else iter82)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapters is not None:
             oprot.writeFieldBegin('adapters', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.adapters))
-            for iter76 in self.adapters:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter83 in self.adapters:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hardware is not None:
@@ -2340,11 +2348,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.changed = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = ServerCard()
-                        _elem82.read(iprot)
-                        self.changed.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = ServerCard()
+                        _elem89.read(iprot)
+                        self.changed.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2361,8 +2369,8 @@
         if self.changed is not None:
             oprot.writeFieldBegin('changed', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.changed))
-            for iter83 in self.changed:
-                iter83.write(oprot)
+            for iter90 in self.changed:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2417,10 +2425,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = iprot.readI64()
-                        self.keys.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readI64()
+                        self.keys.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2437,8 +2445,8 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.keys))
-            for iter90 in self.keys:
-                oprot.writeI64(iter90)
+            for iter97 in self.keys:
+                oprot.writeI64(iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2570,7 +2578,7 @@
     (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'wait_ms', (TType.I32, None, False), None, ),  # 3
-    (4, TType.I32, 'free_slots', None, None, ),  # 4
+    (4, TType.LIST, 'free', (TType.I32, None, False), None, ),  # 4
     (5, TType.I32, 'lowest_tier', None, None, ),  # 5
     (6, TType.STRING, 'leader', 'UTF8', None, ),  # 6
     (7, TType.LIST, 'capacity', (TType.STRUCT, [ModelCapacity, None], False), None, ),  # 7
--- a/libs/wire/idl/membership.thrift
+++ b/libs/wire/idl/membership.thrift
@@ -96,13 +96,14 @@
   2: i32 slots
 }
 
-// Waits are by tier, the highest tier first, in milliseconds. Leader and
-// capacity are left out where the receiver has them.
+// Waits are by tier, the highest tier first, in milliseconds; free slots by
+// model, as in the capacity. Leader and capacity are left out where the
+// receiver has them.
 struct PoolSummary {
   1: string failure_domain
   2: string pool
   3: list<i32> wait_ms
-  4: i32 free_slots
+  4: list<i32> free
   5: optional i32 lowest_tier
   6: optional string leader
   7: optional list<ModelCapacity> capacity
