--- a/libs/fakes/geraniumweir/fakes/bench_membership.py
+++ b/libs/fakes/geraniumweir/fakes/bench_membership.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import dataclasses
+import functools
 import random
 import typing
 
@@ -64,14 +65,7 @@
 
     def handle(self, message_type: type, handler: peers.Handler) -> None:
         """Pass a handler on."""
-
-        async def counted(
-            sender: ids.HostId,
-            message: peers.Message,
-        ) -> peers.Message | None:
-            self.received_bytes += framed_size(message)
-            return await handler(sender, message)
-
+        counted = functools.partial(self._receive, handler)
         self._inner.handle(message_type, counted)
 
     def learn(self, host_id: ids.HostId, address: ids.Address) -> None:
@@ -102,6 +96,15 @@
         self.sent_bytes = 0
         self.received_bytes = 0
 
+    async def _receive(
+        self,
+        handler: peers.Handler,
+        sender: ids.HostId,
+        message: peers.Message,
+    ) -> peers.Message | None:
+        self.received_bytes += framed_size(message)
+        return await handler(sender, message)
+
     def _count(self, message: peers.Message) -> None:
         self.messages += 1
         self.sent_bytes += framed_size(message)
