--- a/libs/backends/geraniumweir/backends/streams.py
+++ b/libs/backends/geraniumweir/backends/streams.py
@@ -15,7 +15,7 @@
 
 _TRIES = 3
 _PAUSE_SECONDS = 0.05
-_AFTER_DONE_SECONDS = 0.5
+_AFTER_DONE_SECONDS = 0.1
 _OK = 200
 
 Batch = list[sse.Event]
--- a/libs/daemon/geraniumweir/daemon/dispatching.py
+++ b/libs/daemon/geraniumweir/daemon/dispatching.py
@@ -221,6 +221,9 @@
         return requests.Outcome.not_sent
     # What broke off here may go on there.
     _cancel(job, grant)
+    server = job.host.server(grant.server_id)
+    if server is not None and server.incarnation > grant.incarnation:
+        return requests.Outcome.crashed
     return requests.Outcome.failed
 
 
--- a/libs/daemon/geraniumweir/daemon/relaying.py
+++ b/libs/daemon/geraniumweir/daemon/relaying.py
@@ -160,10 +160,13 @@
             run.count(batch)
             if run.talk.resp is None and not run.talk.gone:
                 await run.start(_OK, head)
-            if batch[-1].kind is sse.Kind.done:
+            done = batch[-1].kind is sse.Kind.done
+            if done:
                 await run.whole()
             await run.write(b''.join(event.raw for event in batch))
-    await run.end()
+            if done:
+                # What is left to do concerns the engine's connection only.
+                await run.end()
 
 
 def _resume(run: Run) -> streams.Resume | None:
--- a/libs/fakes/geraniumweir/fakes/tests/bed.py
+++ b/libs/fakes/geraniumweir/fakes/tests/bed.py
@@ -12,6 +12,7 @@
 Scenario = typing.Callable[['Bed'], typing.Awaitable[None]]
 _PATIENCE_SECONDS = 30
 QUICK = generation.Speed(0, 1e9)
+SLOW = generation.Speed(0.005, 1e9)
 
 
 @dataclasses.dataclass(slots=True)
--- a/libs/fakes/geraniumweir/fakes/tests/test_calls.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_calls.py
@@ -9,6 +9,7 @@
 from geraniumweir.fakes import faults, inprocess
 from geraniumweir.fakes.tests import bed
 
+_DONE = b'data: [DONE]\n\n'
 _TRACE = '00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01'
 
 
@@ -280,3 +281,24 @@
             assert resp.status == 400
 
     bed.run(scenario)
+
+
+def test_leaving_server_ends_its_work_and_gets_no_more() -> None:
+    """New calls go elsewhere; the stream in flight ends whole."""
+
+    async def scenario(field: bed.Bed) -> None:
+        leaving = await field.engine('advisor-1', speed=bed.SLOW)
+        async with field.post(bed.stream(40)) as resp:
+            first = await resp.content.readany()
+            other = await field.engine('advisor-2')
+            url = f'http://{field.entry.host.cfg.backend_address}/v1/announce'
+            leaving.standing.state = 'leaving'
+            await field.session.post(url, json=leaving.announcement())
+            for _ in range(5):
+                assert (await _read(field, bed.stream())).endswith(_DONE)
+            body = first + await resp.read()
+        assert body.endswith(_DONE)
+        assert len(leaving.account.seen) == 1
+        assert len(other.account.seen) == 5
+
+    bed.run(scenario)
