--- a/libs/daemon/geraniumweir/daemon/catalogue.py
+++ b/libs/daemon/geraniumweir/daemon/catalogue.py
@@ -52,11 +52,11 @@
 DEADLINE = Entry(_Status.GATEWAY_TIMEOUT, 'GW-2110', 'deadline')
 
 NO_CLAIM = Entry(_Status.SERVICE_UNAVAILABLE, 'GW-7101', 'no_claim')
-REPEAT_DONE = Entry(_Status.CONFLICT, 'GW-7102', 'repeat_done')
-REPEAT_RUNNING = Entry(_Status.CONFLICT, 'GW-7103', 'repeat_running')
-REPEAT_UNKNOWN = Entry(_Status.CONFLICT, 'GW-7104', 'repeat_unknown')
+REPEAT_DONE = Entry(_Status.CONFLICT, 'GW-7111', 'repeat_done')
+REPEAT_RUNNING = Entry(_Status.CONFLICT, 'GW-7112', 'repeat_running')
+REPEAT_UNKNOWN = Entry(_Status.CONFLICT, 'GW-7113', 'repeat_unknown')
 KEY_REUSED = Entry(
-    _Status.UNPROCESSABLE_ENTITY, 'GW-7105', 'idempotency_key_reused'
+    _Status.UNPROCESSABLE_ENTITY, 'GW-7103', 'idempotency_key_reused'
 )
 
 # Whatever a backend server did wrong is a 502 with the code of the error.
--- a/libs/daemon/geraniumweir/daemon/claiming.py
+++ b/libs/daemon/geraniumweir/daemon/claiming.py
@@ -22,7 +22,7 @@
 class ClaimsUnavailableError(errors.GeraniumweirError):
     """No claim can be made now, for want of a majority."""
 
-    code = 'GW-7101'
+    code = 'GW-7110'
 
 
 class Claim(enum.Enum):
--- a/libs/fakes/geraniumweir/fakes/tests/test_claims.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_claims.py
@@ -18,7 +18,7 @@
             assert resp.status == 200
         async with field.order('k1') as resp:
             error = (await resp.json())['error']
-            assert (resp.status, error['code']) == (409, 'GW-7102')
+            assert (resp.status, error['code']) == (409, 'GW-7111')
             assert error['ran'] == 'yes'
         async with field.order('k1', 'two vans') as resp:
             assert resp.status == 422
@@ -39,7 +39,7 @@
             error = (await resp.json())['error']
             assert (resp.status, error['ran']) == (502, 'unknown')
         async with field.order('k1') as resp:
-            assert (await resp.json())['error']['code'] == 'GW-7104'
+            assert (await resp.json())['error']['code'] == 'GW-7113'
         assert fake.runs == {'k1': 1}
 
     bed.run(scenario)
@@ -55,7 +55,7 @@
         await fake.came.wait()
         task.cancel()
         async with field.order('k1') as resp:
-            assert (await resp.json())['error']['code'] == 'GW-7103'
+            assert (await resp.json())['error']['code'] == 'GW-7112'
         in_flight = field.entry.host.path.in_flight
         await inprocess.settle(lambda: len(in_flight) == 0)
         await asyncio.sleep(0.15)
@@ -63,7 +63,7 @@
         await in_flight.wait_idle()
         assert fake.ended == {'k1': 1}
         async with field.order('k1') as resp:
-            assert (await resp.json())['error']['code'] == 'GW-7102'
+            assert (await resp.json())['error']['code'] == 'GW-7111'
         assert fake.runs == {'k1': 1}
 
     bed.run(scenario)
