--- a/libs/fakes/geraniumweir/fakes/tests/test_streams.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_streams.py
@@ -1,9 +1,13 @@
 """Streamed answers: whole, or ended by an error that can't be mistaken."""
 
 import asyncio
+import contextlib
 import json
+import socket
 
 import pytest
+from geraniumweir.backends import errors, identity
+from geraniumweir.common import ids
 from geraniumweir.fakes import faults, generation
 from geraniumweir.fakes.tests import bed
 
@@ -228,3 +232,64 @@
         assert body == fake.account.sent[request_id]
 
     bed.run(scenario)
+
+
+def test_deadline_of_a_caller_that_reads_nothing() -> None:
+    """It finds an error, or a cut, behind what was under way."""
+
+    async def scenario(field: bed.Bed) -> None:
+        fake = await field.engine()
+        in_flight = field.entry.host.path.in_flight
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            address = field.entry.host.cfg.caller_address
+            await loop.sock_connect(sock, (address.host, address.port))
+            await loop.sock_sendall(sock, _raw(bed.stream(400, pad=20000)))
+            await fake.account.until(lambda acc: len(acc.cancelled) == 1)
+            await in_flight.wait_idle()
+            body = await _read_all(sock)
+        assert b'token0 ' in body
+        assert b'[DONE]' not in body
+        ended = body.endswith(b'0\r\n\r\n')
+        assert ended == (b'event: error' in body)
+
+    bed.run(scenario)
+
+
+def _raw(payload: dict[str, object]) -> bytes:
+    body = json.dumps(payload)
+    head = (
+        'POST /v1/chat/completions HTTP/1.1',
+        'Host: entry',
+        'X-Customer: liceo-volta',
+        'X-Deadline-Ms: 1500',
+        f'Content-Length: {len(body)}',
+    )
+    return '\r\n'.join((*head, '', body)).encode()
+
+
+async def _read_all(sock: socket.socket) -> bytes:
+    loop = asyncio.get_running_loop()
+    parts = []
+    with contextlib.suppress(ConnectionError):
+        while part := await loop.sock_recv(sock, 65536):
+            parts.append(part)
+    return b''.join(parts)
+
+
+def test_answer_of_an_engine_that_keeps_its_own_ids() -> None:
+    """An id of the engine's own is fine, one that changes is not."""
+    echoes = identity.Echoes()
+    pool = ids.PoolName('p')
+    whose = identity.Identity(ids.RequestId('gw-1'), pool, echoes)
+    whose.check('cmpl-77')
+    whose.check(None)
+    whose.check('cmpl-77')
+    with pytest.raises(errors.ForeignAnswerError):
+        whose.check('cmpl-78')
+    identity.Identity(ids.RequestId('gw-2'), pool, echoes).check('x-gw-2')
+    late = identity.Identity(ids.RequestId('gw-3'), pool, echoes)
+    with pytest.raises(errors.ForeignAnswerError):
+        late.check('cmpl-77')
