--- a/libs/daemon/geraniumweir/daemon/settings.py
+++ b/libs/daemon/geraniumweir/daemon/settings.py
@@ -18,7 +18,11 @@
 ENV_PREFIX = 'GERANIUMWEIR_'
 EXIT_BAD_SETTING = 2
 _DEFAULT_DRAIN_SECONDS = 30.0
-_ADDRESSES = ('caller', 'backend', 'operator')
+_ADDRESSES = (
+    ('caller', 'callers'),
+    ('backend', 'backend servers'),
+    ('operator', 'operators'),
+)
 _LEVELS = tuple(level.value for level in logevents.Level)
 _FORMATS = ('text', 'json')
 
@@ -133,13 +137,13 @@
     )
     parser.add_argument('--failure-domain', type=name, required=True)
     parser.add_argument('--region', type=name, default='default')
-    for face in _ADDRESSES:
+    for face, who in _ADDRESSES:
         parser.add_argument(
             f'--{face}-address',
             type=address,
             required=True,
             metavar='IP:PORT',
-            help=f'where {face}s reach this host',
+            help=f'where {who} reach this host',
         )
 
 
