--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/asking.py
@@ -0,0 +1,202 @@
+"""How an entry host asks one pool leader and gets one answer.
+
+The ask is sent until the leader has it; the leader joins repeats. The answer
+comes with the call or, for an ask that waits, in a message of its own. What
+comes for a place that was left is given back at once.
+"""
+
+import asyncio
+
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.scheduling import (
+    channel,
+    logevents,
+    owned,
+    requests,
+    translation,
+)
+from geraniumweir.wire import errors
+from geraniumweir.wire.gen.scheduling import ttypes
+
+_ASK_TIMEOUT = 0.5
+_ASK_TRIES = 3
+_RELEASE_TIMEOUT = 0.5
+_RELEASE_TRIES = 3
+_PAUSE = 0.05
+
+
+class Asker:
+    """Asks pool leaders on behalf of one entry host's requests."""
+
+    def __init__(
+        self,
+        link: channel.Channel,
+        mine: owned.Owned,
+        clock: timers.TimerService,
+    ) -> None:
+        """Take leaders' answers from now on."""
+        self._link = link
+        self._mine = mine
+        self._clock = clock
+        link.handle(ttypes.Answer, self._on_answer)
+
+    async def ask_at(
+        self,
+        ask: requests.Ask,
+        host: ids.HostId,
+        *,
+        home: bool,
+    ) -> owned.Place:
+        """Wait in one leader's queue.
+
+        :param home: whether it leads the pool in the own failure domain.
+        :returns: the place, with its answer; None there means that the
+            leader can't be reached or lost the ask.
+        """
+        fut = asyncio.get_running_loop().create_future()
+        attempt = self._mine.next_attempt()
+        place = owned.Place(ask, host, home, attempt, fut)
+        self._mine.places[ask.request_id] = place
+        self.deliver(place)
+        try:
+            await self._answered(place)
+        finally:
+            self._mine.places.pop(ask.request_id, None)
+            self._leave(place)
+        return place
+
+    def deliver(self, place: owned.Place) -> None:
+        """Send the ask until the leader has it."""
+        if place.delivery is not None:
+            place.delivery.cancel()
+        place.delivery = self._link.start(self._deliver(place))
+
+    def move(self, place: owned.Place, host: ids.HostId) -> None:
+        """Take a waiting request to another leader of the same pool."""
+        self._withdraw(place)
+        place.host = host
+        place.attempt = self._mine.next_attempt()
+        self.deliver(place)
+
+    def release(
+        self,
+        found: owned.InUse,
+        host: ids.HostId,
+        release: requests.Release,
+    ) -> None:
+        """Give a grant back to whoever leads the pool now."""
+        message = translation.pack_release(
+            found.ask.pool,
+            release,
+            found.attempt,
+        )
+        self._link.start(self._release(host, message))
+
+    async def _answered(self, place: owned.Place) -> None:
+        try:
+            async with asyncio.timeout_at(place.ask.deadline):
+                await asyncio.shield(place.fut)
+        except TimeoutError:
+            reason = requests.DenialReason.too_late
+            place.settle(requests.Denial(place.ask.request_id, reason))
+
+    def _leave(self, place: owned.Place) -> None:
+        if place.delivery is not None:
+            place.delivery.cancel()
+        if place.fut.done() and isinstance(
+            place.fut.result(),
+            requests.Grant,
+        ):
+            return
+        place.settle(None)
+        self._withdraw(place)
+
+    def _withdraw(self, place: owned.Place) -> None:
+        message = ttypes.Withdraw(
+            place.ask.pool,
+            place.ask.request_id,
+            place.attempt,
+        )
+        self._link.send(place.host, message)
+
+    async def _deliver(self, place: owned.Place) -> None:
+        for _ in range(_ASK_TRIES):
+            message = translation.pack_ask(
+                place.ask,
+                place.attempt,
+                self._clock.now(),
+            )
+            try:
+                reply = await self._link.call(place.host, message, _ASK_TIMEOUT)
+            except errors.UnreachableError:
+                break
+            except errors.PeerError:
+                await asyncio.sleep(_PAUSE)
+                continue
+            place.hint = reply.leader
+            self._take(place, reply)
+            return
+        place.settle(None)
+
+    async def _on_answer(
+        self,
+        sender: ids.HostId,
+        message: ttypes.Answer,
+    ) -> ttypes.AnswerReply:
+        request_id = ids.RequestId(message.request_id)
+        place = self._mine.places.get(request_id)
+        if place is not None and _is_from(place, sender, message):
+            self._take(place, message)
+        taken = message.grant is None or self._is_in_use(sender, message)
+        if not taken:
+            eventlog.emit(
+                logevents.STRAY_GRANT,
+                request=request_id,
+                leader=sender,
+            )
+        return ttypes.AnswerReply(taken)
+
+    def _is_in_use(self, sender: ids.HostId, message: ttypes.Answer) -> bool:
+        found = self._mine.in_use.get(ids.RequestId(message.request_id))
+        return found is not None and _is_from(found, sender, message)
+
+    def _take(
+        self,
+        place: owned.Place,
+        message: ttypes.AskReply | ttypes.Answer,
+    ) -> None:
+        request_id = place.ask.request_id
+        answer = translation.unpack_answer(request_id, message)
+        if answer is None or place.fut.done():
+            return
+        if isinstance(answer, requests.Grant):
+            self._mine.in_use[request_id] = owned.InUse(
+                place.ask,
+                answer,
+                place.host,
+                place.home,
+                place.attempt,
+                self._clock.now(),
+            )
+        place.settle(answer)
+
+    async def _release(
+        self,
+        host: ids.HostId,
+        message: ttypes.Release,
+    ) -> None:
+        for _ in range(_RELEASE_TRIES):
+            try:
+                await self._link.call(host, message, _RELEASE_TIMEOUT)
+            except errors.PeerError:
+                await asyncio.sleep(_PAUSE)
+            else:
+                return
+
+
+def _is_from(
+    found: owned.Place | owned.InUse,
+    sender: ids.HostId,
+    message: ttypes.Answer,
+) -> bool:
+    return found.host == sender and found.attempt == message.attempt
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/broker.py
@@ -0,0 +1,214 @@
+"""The entry host's side of asking: one face, wherever the pool leader is.
+
+The leader of a pool in the own failure domain is found by rendezvous hashing
+over the domain's live hosts. When it can't serve in time, the leaders in
+other failure domains are asked, one after another, each once. When a leader
+moves, the requests that wait move to the new one, and it gets the grants in
+use.
+
+See Also
+========
+geraniumweir.scheduling.asking, geraniumweir.scheduling.upkeep,
+geraniumweir.scheduling.remote
+"""
+
+import asyncio
+import typing
+
+from geraniumweir.common import ids, timers
+from geraniumweir.scheduling import (
+    asking,
+    channel,
+    home,
+    owned,
+    requests,
+    spill,
+    upkeep,
+    views,
+)
+from geraniumweir.wire.gen.scheduling import ttypes
+
+_PAUSE = 0.05
+_HOME_PATIENCE = 3.0
+
+_Answer = requests.Grant | requests.Denial
+
+
+class Broker:
+    """Asks for grants on behalf of one entry host.
+
+    :ivar on_preempt: told of a stream in flight that is to be cancelled.
+    """
+
+    def __init__(
+        self,
+        link: channel.Channel,
+        domain: ids.FailureDomain,
+        view: views.HostView,
+        directory: views.PoolDirectory,
+        clock: timers.TimerService,
+    ) -> None:
+        """Start without requests.
+
+        :param domain: this host's failure domain.
+        """
+        self.on_preempt: typing.Callable[[requests.Preempt], None] | None = None
+        self._link = link
+        self._directory = directory
+        self._clock = clock
+        self._mine = owned.Owned()
+        self._home = home.Home(domain, view, link.host_id)
+        self._asker = asking.Asker(link, self._mine, clock)
+        self._upkeep = upkeep.Upkeep(
+            link,
+            self._mine,
+            self._home,
+            self._asker,
+            clock,
+        )
+        self._withdrawn: set[ids.RequestId] = set()
+        link.handle(ttypes.Preempt, self._on_preempt)
+
+    async def ask(self, ask: requests.Ask) -> _Answer:
+        """Wait for a grant, here or in another failure domain.
+
+        Whoever gets a grant dispatches at most once and then releases it.
+        One that is cancelled while it waits leaves nothing behind.
+
+        :param ask: its deadline is on the loop's clock; no request of the
+            same id may be waiting or in use.
+        """
+        try:
+            return await self._ask_everywhere(ask)
+        except asyncio.CancelledError:
+            not_sent = requests.Outcome.not_sent
+            self.release(requests.Release(ask.request_id, not_sent))
+            raise
+        finally:
+            self._withdrawn.discard(ask.request_id)
+
+    def withdraw(self, request_id: ids.RequestId) -> None:
+        """End the waiting of a request whose caller went away."""
+        self._withdrawn.add(request_id)
+        place = self._mine.places.get(request_id)
+        if place is not None:
+            place.settle(_withdrawn(request_id))
+
+    def progress(self, progress: requests.Progress) -> None:
+        """Tell the pool leader how granted work goes on."""
+        found = self._mine.in_use.get(progress.request_id)
+        if found is None:
+            return
+        found.first_token = progress.first_token
+        found.output_tokens = progress.output_tokens
+        message = ttypes.Progress(
+            found.ask.pool,
+            progress.request_id,
+            progress.first_token,
+            progress.output_tokens,
+        )
+        self._link.send(self._holder(found), message)
+
+    def release(self, release: requests.Release) -> None:
+        """Give a grant back; a repeat does nothing."""
+        found = self._mine.in_use.pop(release.request_id, None)
+        if found is not None:
+            host = self._holder(found)
+            self._upkeep.touch(host, found.ask.pool)
+            self._asker.release(found, host, release)
+
+    def close(self) -> None:
+        """Stop the periodic work."""
+        self._upkeep.close()
+
+    def _holder(self, found: owned.InUse) -> ids.HostId:
+        return self._home.leader(found.ask.pool) if found.home else found.host
+
+    async def _ask_everywhere(self, ask: requests.Ask) -> _Answer:
+        first = await self._ask_home(ask)
+        if not _may_spill(first):
+            return first
+        others = self._directory.others(ask.pool)
+        for pool in spill.in_order(ask, others):
+            if self._clock.now() >= ask.deadline:
+                break
+            if ask.request_id in self._withdrawn:
+                return _withdrawn(ask.request_id)
+            answer = await self._ask_there(ask, pool.leader)
+            if answer is not None and not _may_spill(answer):
+                return answer
+        return first
+
+    async def _ask_home(self, ask: requests.Ask) -> _Answer:
+        until = min(ask.deadline, self._clock.now() + _HOME_PATIENCE)
+        while ask.request_id not in self._withdrawn:
+            host = self._home.leader(ask.pool)
+            place = await self._ask_at(ask, host, at_home=True)
+            answer = place.fut.result()
+            if answer is not None and not _is_elsewhere(answer):
+                return answer
+            self._home.wrong(ask.pool, place.host, place.hint)
+            if self._clock.now() >= until:
+                no_server = requests.DenialReason.no_server
+                return requests.Denial(ask.request_id, no_server)
+            await asyncio.sleep(_PAUSE)
+        return _withdrawn(ask.request_id)
+
+    async def _ask_there(
+        self,
+        ask: requests.Ask,
+        host: ids.HostId,
+    ) -> _Answer | None:
+        place = await self._ask_at(ask, host, at_home=False)
+        answer = place.fut.result()
+        if answer is None or not _is_elsewhere(answer):
+            return answer
+        if place.hint is None or place.hint == host:
+            return None
+        place = await self._ask_at(ask, place.hint, at_home=False)
+        return place.fut.result()
+
+    async def _ask_at(
+        self,
+        ask: requests.Ask,
+        host: ids.HostId,
+        *,
+        at_home: bool,
+    ) -> owned.Place:
+        self._upkeep.touch(host, ask.pool)
+        return await self._asker.ask_at(ask, host, home=at_home)
+
+    async def _on_preempt(
+        self,
+        _sender: ids.HostId,
+        message: ttypes.Preempt,
+    ) -> None:
+        found = self._mine.in_use.get(ids.RequestId(message.request_id))
+        if found is None or found.grant.server_id != message.server_id:
+            return
+        if self.on_preempt is not None:
+            self.on_preempt(
+                requests.Preempt(
+                    found.ask.request_id,
+                    self._link.host_id,
+                    found.grant.server_id,
+                ),
+            )
+
+
+def _is_elsewhere(answer: _Answer) -> bool:
+    match answer:
+        case requests.Denial(reason=requests.DenialReason.not_leader):
+            return True
+    return False
+
+
+def _may_spill(answer: _Answer) -> bool:
+    match answer:
+        case requests.Denial():
+            return spill.is_for_capacity(answer)
+    return False
+
+
+def _withdrawn(request_id: ids.RequestId) -> requests.Denial:
+    return requests.Denial(request_id, requests.DenialReason.withdrawn)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/led.py
@@ -0,0 +1,199 @@
+"""What a pool leader's host remembers of the requests of a pool it leads.
+
+The pool leader decides; this keeps it from being asked twice. An ask is named
+by request id and attempt: a repeat joins the first or gets the same grant
+again, and a higher attempt means that the owner has given up the lower one.
+Owners say once a second what they have here, so whatever message was lost,
+both sides agree a moment later.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import leader, requests
+
+Answer = requests.Grant | requests.Denial
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Entry:
+    """One ask.
+
+    :ivar attempt: the owner's number of it.
+    :ivar work: the leader's decision under way, or None for a grant that
+        was handed over.
+    :ivar held: its owner's call is still open and takes the answer.
+    :ivar telling: the answer is on its way to the owner.
+    """
+
+    ask: requests.Ask
+    attempt: int
+    work: asyncio.Task[None] | None = None
+    answer: Answer | None = None
+    held: bool = False
+    telling: bool = False
+
+
+class LedPool:
+    """A pool that this host leads.
+
+    :ivar leader: decides about the pool.
+    :ivar entries: asks that wait or are granted.
+    """
+
+    def __init__(
+        self,
+        pool_leader: leader.PoolLeader,
+        now: typing.Callable[[], float],
+        on_answer: typing.Callable[['LedPool', Entry], None],
+    ) -> None:
+        """Start without asks.
+
+        :param now: gives the time in seconds.
+        :param on_answer: told of each decision.
+        """
+        self.leader = pool_leader
+        self.entries: dict[ids.RequestId, Entry] = {}
+        self._now = now
+        self._on_answer = on_answer
+        self._heard: dict[ids.HostId, float] = {}
+
+    def join(self, ask: requests.Ask, attempt: int) -> Entry | None:
+        """Take an ask, or find it here already.
+
+        :returns: None when the owner has asked anew since.
+        """
+        self._heard[ask.owner] = self._now()
+        known = self.entries.get(ask.request_id)
+        if known is not None and known.attempt >= attempt:
+            return known if known.attempt == attempt else None
+        if known is not None:
+            self._drop(known, requests.Outcome.not_sent)
+        entry = Entry(ask, attempt)
+        self.entries[ask.request_id] = entry
+        entry.work = asyncio.create_task(self._decide(entry))
+        return entry
+
+    def withdraw(self, request_id: ids.RequestId, attempt: int) -> None:
+        """Drop an ask whose owner gave it up, granted or not."""
+        entry = self.entries.get(request_id)
+        if entry is not None and entry.attempt <= attempt:
+            self._drop(entry, requests.Outcome.not_sent)
+
+    def release(self, release: requests.Release, attempt: int) -> None:
+        """Take back a grant."""
+        entry = self.entries.get(release.request_id)
+        if entry is not None and entry.attempt <= attempt:
+            self._drop(entry, release.outcome, release)
+
+    def adopt(self, grant: requests.OpenGrant, attempt: int) -> None:
+        """Take over a grant in use that another leader gave."""
+        request_id = grant.ask.request_id
+        self._heard[grant.ask.owner] = self._now()
+        known = self.entries.get(request_id)
+        if known is not None and known.attempt > attempt:
+            return
+        if known is not None and known.answer == grant.grant:
+            return
+        if known is not None:
+            self._drop(known, requests.Outcome.not_sent)
+        entry = Entry(grant.ask, attempt, answer=grant.grant)
+        self.entries[request_id] = entry
+        self.leader.adopt([grant])
+
+    def compare(
+        self,
+        owner: ids.HostId,
+        attempt: int,
+        waiting: frozenset[ids.RequestId],
+        in_use: frozenset[ids.RequestId],
+    ) -> tuple[list[ids.RequestId], list[ids.RequestId]]:
+        """Agree with an owner on what it has here.
+
+        What the owner no longer has is dropped; what it waits for and was
+        granted already is told again.
+
+        :param attempt: the owner's last one when it said so; asks of later
+            ones are left alone.
+        :returns: ids of waiting asks and of grants that aren't known here.
+        """
+        self._heard[owner] = self._now()
+        for entry in self._of(owner):
+            request_id = entry.ask.request_id
+            if entry.attempt > attempt or request_id in in_use:
+                continue
+            if request_id not in waiting:
+                self._drop(entry, requests.Outcome.cancelled)
+            elif entry.answer is not None:
+                self._on_answer(self, entry)
+        lost = [found for found in waiting if found not in self.entries]
+        unknown = [found for found in in_use if not self._is_granted(found)]
+        return lost, unknown
+
+    def silent_owners(self, since: float) -> list[ids.HostId]:
+        """List owners that said nothing for some time.
+
+        :param since: time in seconds of the last word.
+        """
+        return [owner for owner, at in self._heard.items() if at < since]
+
+    def forget_owner(self, owner: ids.HostId) -> int:
+        """Drop all that an owner has here; tell how much it was."""
+        self._heard.pop(owner, None)
+        dropped = self._of(owner)
+        for entry in dropped:
+            self._drop(entry, requests.Outcome.cancelled)
+        return len(dropped)
+
+    def close(self) -> list[Entry]:
+        """Stop deciding; give the asks that got no grant."""
+        waiting = [
+            entry
+            for entry in self.entries.values()
+            if not isinstance(entry.answer, requests.Grant)
+        ]
+        self.entries.clear()
+        for entry in waiting:
+            if entry.work is not None:
+                entry.work.cancel()
+        return waiting
+
+    def done_with(self, entry: Entry) -> None:
+        """Forget an ask whose denial the owner has got."""
+        if isinstance(entry.answer, requests.Denial) and self.has(entry):
+            self.entries.pop(entry.ask.request_id)
+
+    def has(self, entry: Entry) -> bool:
+        """Tell whether an ask is still this one."""
+        return self.entries.get(entry.ask.request_id) is entry
+
+    async def _decide(self, entry: Entry) -> None:
+        answer = await self.leader.ask(entry.ask)
+        if self.has(entry):
+            entry.answer = answer
+            self._on_answer(self, entry)
+
+    def _drop(
+        self,
+        entry: Entry,
+        outcome: requests.Outcome,
+        release: requests.Release | None = None,
+    ) -> None:
+        request_id = entry.ask.request_id
+        self.entries.pop(request_id, None)
+        if entry.answer is None:
+            self.leader.withdraw(request_id)
+            # The grant may be made and not yet be told here.
+            outcome = requests.Outcome.not_sent
+        self.leader.release(release or requests.Release(request_id, outcome))
+
+    def _of(self, owner: ids.HostId) -> list[Entry]:
+        return [
+            entry for entry in self.entries.values() if entry.ask.owner == owner
+        ]
+
+    def _is_granted(self, request_id: ids.RequestId) -> bool:
+        entry = self.entries.get(request_id)
+        return entry is not None and isinstance(entry.answer, requests.Grant)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/remote.py
@@ -0,0 +1,300 @@
+"""The pool leaders of this host, as entry hosts meet them.
+
+A leader that is new asks every entry host of its failure domain for the
+grants in use and the waiting requests, and grants nothing before they have
+answered or the settle window is over; the window itself is kept by the pool
+leader. An ask for a pool that this host doesn't lead is answered ``not
+leader``.
+"""
+
+import asyncio
+import typing
+
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.scheduling import (
+    channel,
+    leader,
+    led,
+    logevents,
+    rendezvous,
+    requests,
+    translation,
+    views,
+)
+from geraniumweir.wire import errors
+from geraniumweir.wire.gen.scheduling import ttypes
+
+SETTLE_WINDOW = 1.0
+_HOLD = 0.005
+_TELL_TIMEOUT = 0.5
+_TELL_PAUSE = 0.1
+_SILENCE = 4.0
+_CHECK_PERIOD = 1.0
+
+OnPreempt = typing.Callable[[requests.Preempt], None]
+MakeLeader = typing.Callable[[ids.PoolName, OnPreempt], leader.PoolLeader]
+
+
+class LeaderService:
+    """Leads the pools of a failure domain that fall to this host."""
+
+    def __init__(
+        self,
+        link: channel.Channel,
+        view: views.HostView,
+        domain: ids.FailureDomain,
+        make_leader: MakeLeader,
+        clock: timers.TimerService,
+    ) -> None:
+        """Answer entry hosts from now on.
+
+        :param make_leader: gives a fresh leader of a pool, whose settle
+            window should be :data:`SETTLE_WINDOW`.
+        """
+        self._link = link
+        self._view = view
+        self._domain = domain
+        self._make_leader = make_leader
+        self._clock = clock
+        self._pools: dict[ids.PoolName, led.LedPool] = {}
+        self._subscriptions = (
+            view.changes.subscribe(lambda _: self._recheck()),
+            clock.every(_CHECK_PERIOD).subscribe(lambda _: self._check()),
+        )
+        link.handle(ttypes.Ask, self._on_ask)
+        link.handle(ttypes.Withdraw, self._on_withdraw)
+        link.handle(ttypes.Release, self._on_release)
+        link.handle(ttypes.Progress, self._on_progress)
+        link.handle(ttypes.Sync, self._on_sync)
+        link.handle(ttypes.Handover, self._on_handover)
+
+    def leader(self, pool: ids.PoolName) -> leader.PoolLeader | None:
+        """Give the leader of a pool, or None when it is on another host."""
+        found = self._led(pool)
+        return None if found is None else found.leader
+
+    def pools(self) -> list[ids.PoolName]:
+        """List the pools led here."""
+        return list(self._pools)
+
+    def close(self) -> None:
+        """Stop leading; those who wait are told to ask elsewhere."""
+        for subscription in self._subscriptions:
+            subscription.dispose()
+        for pool in self.pools():
+            self._hand_off(pool)
+
+    def _led(self, pool: ids.PoolName) -> led.LedPool | None:
+        if self._leader_of(pool) != self._link.host_id:
+            return None
+        found = self._pools.get(pool)
+        if found is None:
+            found = led.LedPool(
+                self._make_leader(pool, self._preempt),
+                self._clock.now,
+                self._answered,
+            )
+            self._pools[pool] = found
+            eventlog.emit(logevents.LEADS, pool=pool)
+            self._link.start(self._settle(pool, found))
+        return found
+
+    def _leader_of(self, pool: ids.PoolName) -> ids.HostId:
+        hosts = self._view.live(self._domain)
+        found = rendezvous.leader_of(self._domain, pool, hosts)
+        return self._link.host_id if found is None else found
+
+    async def _settle(self, pool: ids.PoolName, found: led.LedPool) -> None:
+        hosts = {self._link.host_id, *self._view.live(self._domain)}
+        told = await asyncio.gather(
+            *(self._pull(pool, found, host) for host in sorted(hosts)),
+        )
+        found.leader.settled()
+        eventlog.emit(
+            logevents.SETTLED,
+            pool=pool,
+            grants=len(found.entries),
+            silent=told.count(False),
+        )
+
+    async def _pull(
+        self,
+        pool: ids.PoolName,
+        found: led.LedPool,
+        host: ids.HostId,
+    ) -> bool:
+        message = ttypes.HandoverRequest(pool)
+        try:
+            handover = await self._link.call(host, message, SETTLE_WINDOW)
+        except errors.PeerError:
+            return False
+        self._take_over(found, handover)
+        return True
+
+    def _take_over(self, found: led.LedPool, handover: ttypes.Handover) -> None:
+        now = self._clock.now()
+        for grant in handover.open:
+            in_use = translation.unpack_open(grant, now)
+            found.adopt(in_use, grant.ask.attempt)
+        for ask in handover.waiting:
+            found.join(translation.unpack_ask(ask, now), ask.attempt)
+
+    async def _on_ask(
+        self,
+        _sender: ids.HostId,
+        message: ttypes.Ask,
+    ) -> ttypes.AskReply:
+        found = self._led(message.pool)
+        if found is None:
+            return _refuse(
+                requests.DenialReason.not_leader,
+                self._leader_of(message.pool),
+            )
+        ask = translation.unpack_ask(message, self._clock.now())
+        entry = found.join(ask, message.attempt)
+        if entry is None:
+            return _refuse(requests.DenialReason.withdrawn)
+        await _hold(entry)
+        reply = ttypes.AskReply(**_packed(entry.answer))
+        found.done_with(entry)
+        return reply
+
+    async def _on_withdraw(
+        self,
+        _sender: ids.HostId,
+        message: ttypes.Withdraw,
+    ) -> None:
+        found = self._pools.get(message.pool)
+        if found is not None:
+            found.withdraw(message.request_id, message.attempt)
+
+    async def _on_release(
+        self,
+        _sender: ids.HostId,
+        message: ttypes.Release,
+    ) -> None:
+        found = self._pools.get(message.pool)
+        if found is not None:
+            release = translation.unpack_release(message)
+            found.release(release, message.attempt)
+
+    async def _on_progress(
+        self,
+        _sender: ids.HostId,
+        message: ttypes.Progress,
+    ) -> None:
+        found = self._pools.get(message.pool)
+        if found is not None:
+            found.leader.progress(translation.unpack_progress(message))
+
+    async def _on_sync(
+        self,
+        sender: ids.HostId,
+        message: ttypes.Sync,
+    ) -> ttypes.SyncReply:
+        found = self._led(message.pool)
+        if found is None:
+            return ttypes.SyncReply(leads=False, waiting=[], open=[])
+        waiting, in_use = found.compare(
+            sender,
+            message.attempt,
+            frozenset(message.waiting),
+            frozenset(message.open),
+        )
+        return ttypes.SyncReply(leads=True, waiting=waiting, open=in_use)
+
+    async def _on_handover(
+        self,
+        _sender: ids.HostId,
+        message: ttypes.Handover,
+    ) -> None:
+        found = self._led(message.pool)
+        if found is not None:
+            self._take_over(found, message)
+
+    def _answered(self, found: led.LedPool, entry: led.Entry) -> None:
+        if not entry.held and not entry.telling:
+            entry.telling = True
+            self._link.start(self._tell(found, entry))
+
+    async def _tell(self, found: led.LedPool, entry: led.Entry) -> None:
+        message = _answer(entry)
+        while found.has(entry):
+            try:
+                reply = await self._link.call(
+                    entry.ask.owner,
+                    message,
+                    _TELL_TIMEOUT,
+                )
+            except errors.PeerError:
+                await asyncio.sleep(_TELL_PAUSE)
+                continue
+            if not reply.taken and found.has(entry):
+                found.withdraw(entry.ask.request_id, entry.attempt)
+            break
+        entry.telling = False
+        found.done_with(entry)
+
+    def _preempt(self, preempt: requests.Preempt) -> None:
+        message = ttypes.Preempt(preempt.request_id, preempt.server_id)
+        self._link.send(preempt.owner, message)
+
+    def _recheck(self) -> None:
+        for pool in self.pools():
+            if self._leader_of(pool) != self._link.host_id:
+                self._hand_off(pool)
+
+    def _hand_off(self, pool: ids.PoolName) -> None:
+        eventlog.emit(logevents.LEADS_NO_MORE, pool=pool)
+        for entry in self._pools.pop(pool).close():
+            reason = requests.DenialReason.not_leader
+            entry.answer = requests.Denial(entry.ask.request_id, reason)
+            self._link.send(entry.ask.owner, _answer(entry))
+
+    def _check(self) -> None:
+        since = self._clock.now() - _SILENCE
+        for found in self._pools.values():
+            for owner in found.silent_owners(since):
+                count = found.forget_owner(owner)
+                if count:
+                    eventlog.emit(
+                        logevents.OWNER_SILENT,
+                        owner=owner,
+                        count=count,
+                    )
+
+
+async def _hold(entry: led.Entry) -> None:
+    """Wait a moment, so that a quick grant goes with the call's answer."""
+    if entry.work is None or entry.telling:
+        return
+    entry.held = True
+    try:
+        await asyncio.wait((entry.work,), timeout=_HOLD)
+    finally:
+        entry.held = False
+
+
+def _packed(answer: led.Answer | None) -> dict[str, typing.Any]:
+    match answer:
+        case requests.Grant():
+            return {'grant': translation.pack_grant(answer)}
+        case requests.Denial():
+            return {'denial': translation.pack_denial(answer)}
+    return {}
+
+
+def _answer(entry: led.Entry) -> ttypes.Answer:
+    return ttypes.Answer(
+        entry.ask.request_id,
+        entry.attempt,
+        **_packed(entry.answer),
+    )
+
+
+def _refuse(
+    reason: requests.DenialReason,
+    holder: ids.HostId | None = None,
+) -> ttypes.AskReply:
+    denial = ttypes.Denial(reason.value, 0)
+    return ttypes.AskReply(denial=denial, leader=holder)
--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -8,8 +8,9 @@
 from geraniumweir.scheduling import requests
 from geraniumweir.wire.gen.scheduling import ttypes
 
-_SIGN_BIT = 1 << 63
-_RANGE = 1 << 64
+_BITS = 64
+_RANGE = 1 << _BITS
+_SIGN_BIT = _RANGE >> 1
 
 
 def pack_ask(ask: requests.Ask, attempt: int, now: float) -> ttypes.Ask:
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -656,6 +656,74 @@
         return not (self == other)
 
 
+class AnswerReply(object):
+    """
+    Attributes:
+     - taken
+
+    """
+
+    __slots__ = (
+        'taken',
+    )
+
+
+    def __init__(self, taken=None,):
+        self.taken = taken
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.taken = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AnswerReply')
+        if self.taken is not None:
+            oprot.writeFieldBegin('taken', TType.BOOL, 1)
+            oprot.writeBool(self.taken)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Release(object):
     """
     Attributes:
@@ -1643,6 +1711,11 @@
     (3, TType.STRUCT, 'grant', [Grant, None], None, ),  # 3
     (4, TType.STRUCT, 'denial', [Denial, None], None, ),  # 4
 )
+all_structs.append(AnswerReply)
+AnswerReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'taken', None, None, ),  # 1
+)
 all_structs.append(Release)
 Release.thrift_spec = (
     None,  # 0
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -51,6 +51,11 @@
   4: optional Denial denial
 }
 
+// A grant that isn't taken has led to nothing.
+struct AnswerReply {
+  1: bool taken
+}
+
 struct Release {
   1: string pool
   2: string request_id
