--- a/libs/scheduling/geraniumweir/scheduling/asking.py
+++ b/libs/scheduling/geraniumweir/scheduling/asking.py
@@ -134,6 +134,7 @@
                 await asyncio.sleep(_PAUSE)
                 continue
             place.hint = reply.leader
+            place.reached = place.reached or reply.leader is None
             self._take(place, reply)
             return
         place.settle(None)
--- a/libs/scheduling/geraniumweir/scheduling/broker.py
+++ b/libs/scheduling/geraniumweir/scheduling/broker.py
@@ -140,7 +140,7 @@
         return first
 
     async def _ask_home(self, ask: requests.Ask) -> _Answer:
-        until = min(ask.deadline, self._clock.now() + _HOME_PATIENCE)
+        until = self._clock.now() + _HOME_PATIENCE
         while ask.request_id not in self._withdrawn:
             host = self._home.leader(ask.pool)
             place = await self._ask_at(ask, host, at_home=True)
@@ -148,7 +148,9 @@
             if answer is not None and not _is_elsewhere(answer):
                 return answer
             self._home.wrong(ask.pool, place.host, place.hint)
-            if self._clock.now() >= until:
+            if place.reached:
+                until = self._clock.now() + _HOME_PATIENCE
+            elif self._clock.now() >= until:
                 no_server = requests.DenialReason.no_server
                 return requests.Denial(ask.request_id, no_server)
             await asyncio.sleep(_PAUSE)
@@ -197,17 +199,13 @@
 
 
 def _is_elsewhere(answer: _Answer) -> bool:
-    match answer:
-        case requests.Denial(reason=requests.DenialReason.not_leader):
-            return True
-    return False
+    if isinstance(answer, requests.Grant):
+        return False
+    return answer.reason is requests.DenialReason.not_leader
 
 
 def _may_spill(answer: _Answer) -> bool:
-    match answer:
-        case requests.Denial():
-            return spill.is_for_capacity(answer)
-    return False
+    return isinstance(answer, requests.Denial) and spill.is_for_capacity(answer)
 
 
 def _withdrawn(request_id: ids.RequestId) -> requests.Denial:
--- a/libs/scheduling/geraniumweir/scheduling/home.py
+++ b/libs/scheduling/geraniumweir/scheduling/home.py
@@ -35,9 +35,7 @@
         said = self._said.get(pool)
         if said is not None:
             return said
-        hosts = self._view.live(self._domain)
-        found = rendezvous.leader_of(self._domain, pool, hosts)
-        return self._host_id if found is None else found
+        return by_view(self._domain, pool, self._view, self._host_id)
 
     def claimed(self, pool: ids.PoolName, host: ids.HostId) -> bool:
         """Hear from a host that it leads; tell whether it may."""
@@ -71,3 +69,17 @@
     def _forget(self) -> None:
         self._said.clear()
         self.changes.on_next(None)
+
+
+def by_view(
+    domain: ids.FailureDomain,
+    pool: ids.PoolName,
+    view: views.HostView,
+    host_id: ids.HostId,
+) -> ids.HostId:
+    """Give the leader of a pool by the live hosts alone.
+
+    :param host_id: this host, which leads when it knows of none.
+    """
+    found = rendezvous.leader_of(domain, pool, view.live(domain))
+    return host_id if found is None else found
--- a/libs/scheduling/geraniumweir/scheduling/led.py
+++ b/libs/scheduling/geraniumweir/scheduling/led.py
@@ -39,12 +39,14 @@
 class LedPool:
     """A pool that this host leads.
 
+    :ivar pool: its name.
     :ivar leader: decides about the pool.
     :ivar entries: asks that wait or are granted.
     """
 
     def __init__(
         self,
+        pool: ids.PoolName,
         pool_leader: leader.PoolLeader,
         now: typing.Callable[[], float],
         on_answer: typing.Callable[['LedPool', Entry], None],
@@ -54,6 +56,7 @@
         :param now: gives the time in seconds.
         :param on_answer: told of each decision.
         """
+        self.pool = pool
         self.leader = pool_leader
         self.entries: dict[ids.RequestId, Entry] = {}
         self._now = now
--- a/libs/scheduling/geraniumweir/scheduling/owned.py
+++ b/libs/scheduling/geraniumweir/scheduling/owned.py
@@ -22,6 +22,7 @@
     :ivar home: whether it is the one of the own failure domain.
     :ivar fut: a grant or denial, or None when the place is lost.
     :ivar hint: who leads, by one that doesn't.
+    :ivar reached: whether a leader had the ask in its queue.
     :ivar delivery: sends the ask until the leader has it.
     """
 
@@ -31,6 +32,7 @@
     attempt: int
     fut: asyncio.Future[requests.Grant | requests.Denial | None]
     hint: ids.HostId | None = None
+    reached: bool = False
     delivery: asyncio.Task[None] | None = None
 
     def settle(
--- a/libs/scheduling/geraniumweir/scheduling/remote.py
+++ b/libs/scheduling/geraniumweir/scheduling/remote.py
@@ -8,26 +8,25 @@
 """
 
 import asyncio
+import functools
 import typing
 
 from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.scheduling import (
     channel,
+    home,
     leader,
     led,
     logevents,
-    rendezvous,
     requests,
+    takeover,
+    telling,
     translation,
     views,
 )
-from geraniumweir.wire import errors
 from geraniumweir.wire.gen.scheduling import ttypes
 
-SETTLE_WINDOW = 1.0
 _HOLD = 0.005
-_TELL_TIMEOUT = 0.5
-_TELL_PAUSE = 0.1
 _SILENCE = 4.0
 _CHECK_PERIOD = 1.0
 
@@ -49,13 +48,19 @@
         """Answer entry hosts from now on.
 
         :param make_leader: gives a fresh leader of a pool, whose settle
-            window should be :data:`SETTLE_WINDOW`.
+            window should be :data:`takeover.SETTLE_WINDOW`.
         """
         self._link = link
         self._view = view
         self._domain = domain
         self._make_leader = make_leader
         self._clock = clock
+        self._leader_of = functools.partial(
+            home.by_view,
+            domain,
+            view=view,
+            host_id=link.host_id,
+        )
         self._pools: dict[ids.PoolName, led.LedPool] = {}
         self._subscriptions = (
             view.changes.subscribe(lambda _: self._recheck()),
@@ -90,55 +95,18 @@
         found = self._pools.get(pool)
         if found is None:
             found = led.LedPool(
+                pool,
                 self._make_leader(pool, self._preempt),
                 self._clock.now,
                 self._answered,
             )
             self._pools[pool] = found
             eventlog.emit(logevents.LEADS, pool=pool)
-            self._link.start(self._settle(pool, found))
+            hosts = self._view.live(self._domain)
+            work = takeover.settle(self._link, found, hosts, self._clock)
+            self._link.start(work)
         return found
 
-    def _leader_of(self, pool: ids.PoolName) -> ids.HostId:
-        hosts = self._view.live(self._domain)
-        found = rendezvous.leader_of(self._domain, pool, hosts)
-        return self._link.host_id if found is None else found
-
-    async def _settle(self, pool: ids.PoolName, found: led.LedPool) -> None:
-        hosts = {self._link.host_id, *self._view.live(self._domain)}
-        told = await asyncio.gather(
-            *(self._pull(pool, found, host) for host in sorted(hosts)),
-        )
-        found.leader.settled()
-        eventlog.emit(
-            logevents.SETTLED,
-            pool=pool,
-            grants=len(found.entries),
-            silent=told.count(False),
-        )
-
-    async def _pull(
-        self,
-        pool: ids.PoolName,
-        found: led.LedPool,
-        host: ids.HostId,
-    ) -> bool:
-        message = ttypes.HandoverRequest(pool)
-        try:
-            handover = await self._link.call(host, message, SETTLE_WINDOW)
-        except errors.PeerError:
-            return False
-        self._take_over(found, handover)
-        return True
-
-    def _take_over(self, found: led.LedPool, handover: ttypes.Handover) -> None:
-        now = self._clock.now()
-        for grant in handover.open:
-            in_use = translation.unpack_open(grant, now)
-            found.adopt(in_use, grant.ask.attempt)
-        for ask in handover.waiting:
-            found.join(translation.unpack_ask(ask, now), ask.attempt)
-
     async def _on_ask(
         self,
         _sender: ids.HostId,
@@ -155,7 +123,7 @@
         if entry is None:
             return _refuse(requests.DenialReason.withdrawn)
         await _hold(entry)
-        reply = ttypes.AskReply(**_packed(entry.answer))
+        reply = ttypes.AskReply(**telling.packed(entry.answer))
         found.done_with(entry)
         return reply
 
@@ -210,30 +178,12 @@
     ) -> None:
         found = self._led(message.pool)
         if found is not None:
-            self._take_over(found, message)
+            takeover.adopt(found, message, self._clock.now())
 
     def _answered(self, found: led.LedPool, entry: led.Entry) -> None:
         if not entry.held and not entry.telling:
             entry.telling = True
-            self._link.start(self._tell(found, entry))
-
-    async def _tell(self, found: led.LedPool, entry: led.Entry) -> None:
-        message = _answer(entry)
-        while found.has(entry):
-            try:
-                reply = await self._link.call(
-                    entry.ask.owner,
-                    message,
-                    _TELL_TIMEOUT,
-                )
-            except errors.PeerError:
-                await asyncio.sleep(_TELL_PAUSE)
-                continue
-            if not reply.taken and found.has(entry):
-                found.withdraw(entry.ask.request_id, entry.attempt)
-            break
-        entry.telling = False
-        found.done_with(entry)
+            self._link.start(telling.tell(self._link, found, entry))
 
     def _preempt(self, preempt: requests.Preempt) -> None:
         message = ttypes.Preempt(preempt.request_id, preempt.server_id)
@@ -249,19 +199,19 @@
         for entry in self._pools.pop(pool).close():
             reason = requests.DenialReason.not_leader
             entry.answer = requests.Denial(entry.ask.request_id, reason)
-            self._link.send(entry.ask.owner, _answer(entry))
+            self._link.send(entry.ask.owner, telling.message(entry))
 
     def _check(self) -> None:
         since = self._clock.now() - _SILENCE
         for found in self._pools.values():
-            for owner in found.silent_owners(since):
-                count = found.forget_owner(owner)
-                if count:
-                    eventlog.emit(
-                        logevents.OWNER_SILENT,
-                        owner=owner,
-                        count=count,
-                    )
+            _drop_silent(found, since)
+
+
+def _drop_silent(found: led.LedPool, since: float) -> None:
+    for owner in found.silent_owners(since):
+        count = found.forget_owner(owner)
+        if count:
+            eventlog.emit(logevents.OWNER_SILENT, owner=owner, count=count)
 
 
 async def _hold(entry: led.Entry) -> None:
@@ -275,23 +225,6 @@
         entry.held = False
 
 
-def _packed(answer: led.Answer | None) -> dict[str, typing.Any]:
-    match answer:
-        case requests.Grant():
-            return {'grant': translation.pack_grant(answer)}
-        case requests.Denial():
-            return {'denial': translation.pack_denial(answer)}
-    return {}
-
-
-def _answer(entry: led.Entry) -> ttypes.Answer:
-    return ttypes.Answer(
-        entry.ask.request_id,
-        entry.attempt,
-        **_packed(entry.answer),
-    )
-
-
 def _refuse(
     reason: requests.DenialReason,
     holder: ids.HostId | None = None,
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/takeover.py
@@ -0,0 +1,63 @@
+"""How a new leader learns of the grants in use and the waiting requests."""
+
+import asyncio
+import typing
+
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.scheduling import channel, led, logevents, translation
+from geraniumweir.wire import errors
+from geraniumweir.wire.gen.scheduling import ttypes
+
+SETTLE_WINDOW = 1.0
+
+
+async def settle(
+    link: channel.Channel,
+    found: led.LedPool,
+    hosts: typing.Iterable[ids.HostId],
+    clock: timers.TimerService,
+) -> None:
+    """Ask all hosts of the failure domain, then let the leader grant.
+
+    A host that doesn't answer holds the others up for the settle window.
+
+    :param hosts: the live ones; this host is asked in any case.
+    """
+    asked = sorted({link.host_id, *hosts})
+    told = await asyncio.gather(
+        *(_pull(link, found, host, clock) for host in asked),
+    )
+    found.leader.settled()
+    eventlog.emit(
+        logevents.SETTLED,
+        pool=found.pool,
+        grants=len(found.entries),
+        silent=told.count(False),
+    )
+
+
+def adopt(found: led.LedPool, handover: ttypes.Handover, now: float) -> None:
+    """Take over what an owner has with the pool.
+
+    :param now: time in seconds.
+    """
+    for grant in handover.open:
+        in_use = translation.unpack_open(grant, now)
+        found.adopt(in_use, grant.ask.attempt)
+    for ask in handover.waiting:
+        found.join(translation.unpack_ask(ask, now), ask.attempt)
+
+
+async def _pull(
+    link: channel.Channel,
+    found: led.LedPool,
+    host: ids.HostId,
+    clock: timers.TimerService,
+) -> bool:
+    message = ttypes.HandoverRequest(found.pool)
+    try:
+        handover = await link.call(host, message, SETTLE_WINDOW)
+    except errors.PeerError:
+        return False
+    adopt(found, handover, clock.now())
+    return True
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/telling.py
@@ -0,0 +1,49 @@
+"""How a pool leader's host tells an owner the answer to its ask."""
+
+import asyncio
+import typing
+
+from geraniumweir.scheduling import channel, led, requests, translation
+from geraniumweir.wire import errors
+from geraniumweir.wire.gen.scheduling import ttypes
+
+_TIMEOUT = 0.5
+_PAUSE = 0.1
+
+
+async def tell(
+    link: channel.Channel,
+    found: led.LedPool,
+    entry: led.Entry,
+) -> None:
+    """Tell until the owner has it; take back a grant that it can't use."""
+    while found.has(entry):
+        try:
+            reply = await link.call(entry.ask.owner, message(entry), _TIMEOUT)
+        except errors.PeerError:
+            await asyncio.sleep(_PAUSE)
+            continue
+        if not reply.taken and found.has(entry):
+            found.withdraw(entry.ask.request_id, entry.attempt)
+        break
+    entry.telling = False
+    found.done_with(entry)
+
+
+def message(entry: led.Entry) -> ttypes.Answer:
+    """Give the message of an answer."""
+    return ttypes.Answer(
+        entry.ask.request_id,
+        entry.attempt,
+        **packed(entry.answer),
+    )
+
+
+def packed(answer: led.Answer | None) -> dict[str, typing.Any]:
+    """Give the fields that hold an answer in a message."""
+    match answer:
+        case requests.Grant():
+            return {'grant': translation.pack_grant(answer)}
+        case requests.Denial():
+            return {'denial': translation.pack_denial(answer)}
+    return {}
--- a/libs/wire/geraniumweir/wire/memory.py
+++ b/libs/wire/geraniumweir/wire/memory.py
@@ -21,6 +21,7 @@
 
     :ivar delay: one way, in seconds.
     :ivar loss: share of messages that vanish, from 0 to 1.
+    :ivar repeats: share of calls that arrive twice, from 0 to 1.
     :ivar sent: messages by sender and type name, for counting.
     """
 
@@ -32,6 +33,7 @@
         """
         self.delay = delay
         self.loss = float(0)
+        self.repeats = float(0)
         self.sent: dict[tuple[ids.HostId, str], int] = {}
         self._random = random.Random(seed)  # noqa: S311
         self._hosts: dict[ids.HostId, MemoryPeers] = {}
@@ -76,6 +78,10 @@
             return False
         return self._random.random() >= self.loss
 
+    def arrives_twice(self) -> bool:
+        """Decide whether a call is repeated on its way."""
+        return self._random.random() < self.repeats
+
     def host(self, host_id: ids.HostId) -> typing.Optional['MemoryPeers']:
         """Give a live host."""
         return self._hosts.get(host_id)
@@ -158,6 +164,8 @@
         to: ids.HostId,
         message: peers.Message,
     ) -> peers.Message:
+        if self._network.arrives_twice():
+            self.send(to, message)
         answer = await self._deliver(to, message)
         receiver = self._network.host(to)
         if receiver is None or not self._network.passes(
