--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/learning.py
@@ -0,0 +1,261 @@
+"""Learns output lengths and the speeds of backend servers.
+
+Output lengths are learnt by (rule, customer), with the rule and then the pool
+to fall back on while there are few samples. Of each a decaying mean is kept
+for predicted durations, and a high quantile by stochastic approximation
+[1]_ for the KV room that a request is given.
+
+Speeds are ratios of two decaying sums, seconds by tokens, which stays steady
+where single requests differ a hundredfold. A fixed part of each prefill is
+counted as :data:`FIXED_TOKENS` more prompt tokens, so that plain services,
+which have no tokens, are learnt by the same sums.
+
+References
+==========
+.. [1] H. Robbins, S. Monro, "A Stochastic Approximation Method", Annals of
+   Mathematical Statistics 22(3), 1951.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import requests
+
+FIXED_TOKENS = 100
+_MOST_KEYS = 4096
+_MIN_SAMPLES = 3
+_MEMORY = 32
+_KEEP = 0.9
+_HIGH_QUANTILE = 0.9
+_HIGH_STEP = 0.1
+_FIRST_GUESS = 128.0
+_PREFILL_GUESS = 0.0003
+_DECODE_GUESS = 0.02
+
+_Key = typing.TypeVar('_Key', bound=typing.Hashable)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expected:
+    """An expected output length in tokens.
+
+    :ivar mean: what predicted durations use.
+    :ivar high: what is kept free in the KV cache.
+    """
+
+    mean: float
+    high: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Length:
+    samples: int = 0
+    mean: float = 0
+    high: float = 0
+
+    def add(self, tokens: float) -> None:
+        self.samples += 1
+        weight = 1 / min(self.samples, _MEMORY)
+        self.mean += (tokens - self.mean) * weight
+        if self.samples == 1:
+            self.high = tokens
+        above = float(tokens > self.high)
+        step = _HIGH_STEP * max(self.mean, 1)
+        self.high += step * (above - (1 - _HIGH_QUANTILE))
+        self.high = max(self.high, self.mean)
+
+
+class OutputLengths:
+    """Output lengths by rule and customer, in bounded memory.
+
+    >>> lengths = OutputLengths()
+    >>> lengths.learn(ids.RuleName('r'), ids.CustomerName('c'), 50)
+    >>> lengths.expect(ids.RuleName('r'), ids.CustomerName('c'), 0).mean
+    50.0
+    """
+
+    def __init__(self) -> None:
+        """Know nothing."""
+        self._lengths: collections.OrderedDict[tuple[str, ...], _Length] = (
+            collections.OrderedDict()
+        )
+
+    def learn(
+        self,
+        rule: ids.RuleName,
+        customer: ids.CustomerName,
+        tokens: int,
+    ) -> None:
+        """Take the length of a whole answer."""
+        for key in ((rule, customer), (rule,), ()):
+            length = self._lengths.setdefault(key, _Length())
+            self._lengths.move_to_end(key)
+            length.add(tokens)
+        if len(self._lengths) > _MOST_KEYS:
+            self._lengths.popitem(last=False)
+
+    def expect(
+        self,
+        rule: ids.RuleName,
+        customer: ids.CustomerName,
+        max_tokens: int,
+    ) -> Expected:
+        """Predict an output length.
+
+        :param max_tokens: most tokens the caller asked for, 0 if unsaid.
+        """
+        most = float(max_tokens) if max_tokens else float('inf')
+        for key in ((rule, customer), (rule,), ()):
+            length = self._lengths.get(key)
+            if length is None or length.samples < _enough(key):
+                continue
+            return Expected(min(length.mean, most), min(length.high, most))
+        guess = min(_FIRST_GUESS, most)
+        return Expected(guess, min(guess * 2, most))
+
+
+def _enough(key: tuple[str, ...]) -> int:
+    return _MIN_SAMPLES if len(key) == 1 else 1
+
+
+@dataclasses.dataclass(slots=True)
+class Ratio:
+    """A decaying sum of amounts by a decaying sum of weights.
+
+    >>> ratio = Ratio()
+    >>> ratio.add(2.0, 4.0)
+    >>> ratio.value()
+    0.5
+    """
+
+    amount: float = 0
+    weight: float = 0
+    samples: int = 0
+
+    def add(self, amount: float, weight: float) -> None:
+        """Take a sample."""
+        self.amount = self.amount * _KEEP + amount
+        self.weight = self.weight * _KEEP + weight
+        self.samples += 1
+
+    def value(self) -> float | None:
+        """Give the ratio, None without samples."""
+        return self.amount / self.weight if self.weight else None
+
+
+@dataclasses.dataclass(slots=True)
+class Speed:
+    """Speeds of a server or of a kind of servers, for one model.
+
+    :ivar prefill: seconds by uncached prompt token.
+    :ivar decode: seconds by output token.
+    """
+
+    prefill: Ratio = dataclasses.field(default_factory=Ratio)
+    decode: Ratio = dataclasses.field(default_factory=Ratio)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rates:
+    """Predicted seconds by token."""
+
+    prefill: float
+    decode: float
+
+    def seconds(self, prompt_tokens: float, output_tokens: float) -> float:
+        """Predict a duration on an idle server."""
+        prefill = self.prefill * (prompt_tokens + FIXED_TOKENS)
+        return prefill + self.decode * output_tokens
+
+
+class Speeds:
+    """Speeds by server and by hardware, for each model."""
+
+    def __init__(self) -> None:
+        """Know nothing."""
+        self._servers = _Bounded[tuple[ids.ServerId, str | None]]()
+        self._kinds = _Bounded[tuple[str, str | None]]()
+
+    def learn_prefill(
+        self,
+        server_id: ids.ServerId,
+        hardware: str,
+        model: str | None,
+        sample: tuple[float, float],
+    ) -> None:
+        """Take the seconds to a first token and the tokens before it."""
+        self._servers.at((server_id, model)).prefill.add(*sample)
+        self._kinds.at((hardware, model)).prefill.add(*sample)
+
+    def learn_decode(
+        self,
+        server_id: ids.ServerId,
+        hardware: str,
+        model: str | None,
+        sample: tuple[float, float],
+    ) -> None:
+        """Take the seconds after a first token and the tokens in them."""
+        self._servers.at((server_id, model)).decode.add(*sample)
+        self._kinds.at((hardware, model)).decode.add(*sample)
+
+    def of_kind(self, hardware: str, model: str | None) -> Rates:
+        """Predict for a kind of hardware."""
+        kind = self._kinds.find((hardware, model))
+        if kind is None:
+            return Rates(_PREFILL_GUESS, _DECODE_GUESS)
+        return Rates(
+            _first(kind.prefill.value(), _PREFILL_GUESS),
+            _first(kind.decode.value(), _DECODE_GUESS),
+        )
+
+    def of_server(
+        self,
+        server_id: ids.ServerId,
+        hardware: str,
+        model: str | None,
+    ) -> Rates:
+        """Predict for a server, by its kind while it is little known."""
+        kind = self.of_kind(hardware, model)
+        server = self._servers.find((server_id, model))
+        if server is None:
+            return kind
+        return Rates(
+            _known(server.prefill, kind.prefill),
+            _known(server.decode, kind.decode),
+        )
+
+
+class _Bounded(typing.Generic[_Key]):
+    """Speeds by key; the longest unused are forgotten."""
+
+    def __init__(self) -> None:
+        self._speeds: collections.OrderedDict[_Key, Speed] = (
+            collections.OrderedDict()
+        )
+
+    def at(self, key: _Key) -> Speed:
+        speed = self._speeds.setdefault(key, Speed())
+        self._speeds.move_to_end(key)
+        if len(self._speeds) > _MOST_KEYS:
+            self._speeds.popitem(last=False)
+        return speed
+
+    def find(self, key: _Key) -> Speed | None:
+        return self._speeds.get(key)
+
+
+def _known(ratio: Ratio, otherwise: float) -> float:
+    if ratio.samples < _MIN_SAMPLES:
+        return otherwise
+    return _first(ratio.value(), otherwise)
+
+
+def _first(ratio: float | None, otherwise: float) -> float:
+    return otherwise if ratio is None else ratio
+
+
+def length_of(lengths: OutputLengths, ask: requests.Ask) -> Expected:
+    """Predict the output length of an ask."""
+    return lengths.expect(ask.rule, ask.customer, ask.max_tokens)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/prefix.py
@@ -0,0 +1,171 @@
+"""Knows roughly which prompt prefixes each engine has cached.
+
+An engine's cache is guessed from the leader's own grants and corrected by the
+engine's cache events, which come late, repeated, out of order and with gaps.
+A block hash covers all blocks before it, so the longest cached prefix is the
+last known block, found by bisection. Each server's set is bounded and forgets
+the longest unused block, as engines do.
+
+References
+==========
+.. [1] L. Zheng et al., "SGLang: Efficient Execution of Structured Language
+   Model Programs", 2024 (prefix trees with LRU eviction, cache-aware order).
+"""
+
+import collections
+import dataclasses
+import typing
+
+from geraniumweir.common import ids
+
+MOST_BLOCKS = 512
+_MOST_HOLDERS = 16
+_DEFAULT_LIMIT = 8192
+_FULL_TRUST = 1.0
+_LEAST_TRUST = 0.5
+_TRUST_STEP = 0.1
+
+_Blocks = tuple[ids.BlockHash, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Cache:
+    """One server's blocks with the sequence at which each was last known."""
+
+    incarnation: ids.Incarnation
+    limit: int
+    blocks: collections.OrderedDict[ids.BlockHash, int] = dataclasses.field(
+        default_factory=collections.OrderedDict,
+    )
+    newest: int = 0
+    trust: float = _FULL_TRUST
+
+
+class PrefixIndex:
+    """Which blocks each server is thought to hold."""
+
+    def __init__(self, limit: int = _DEFAULT_LIMIT) -> None:
+        """Know of no blocks.
+
+        :param limit: most blocks kept for one server.
+        """
+        self._limit = limit
+        self._caches: dict[ids.ServerId, _Cache] = {}
+        self._holders: dict[ids.BlockHash, dict[ids.ServerId, None]] = {}
+
+    def start(
+        self,
+        server_id: ids.ServerId,
+        incarnation: ids.Incarnation,
+    ) -> None:
+        """Take that a server runs; a new incarnation has an empty cache."""
+        known = self._caches.get(server_id)
+        if known is None or known.incarnation != incarnation:
+            self.forget(server_id)
+            self._caches[server_id] = _Cache(incarnation, self._limit)
+
+    def forget(self, server_id: ids.ServerId) -> None:
+        """Drop all that is known of a server."""
+        cache = self._caches.pop(server_id, None)
+        for block in cache.blocks if cache else ():
+            self._unhold(block, server_id)
+
+    def granted(self, server_id: ids.ServerId, blocks: _Blocks) -> None:
+        """Take that a prompt goes to a server, which will cache it."""
+        cache = self._caches.get(server_id)
+        if cache is None:
+            return
+        self._store(server_id, cache, blocks[:MOST_BLOCKS], cache.newest)
+
+    def events(
+        self,
+        server_id: ids.ServerId,
+        incarnation: ids.Incarnation,
+        sequence: int,
+        changes: tuple[_Blocks, _Blocks],
+    ) -> None:
+        """Take an engine's cache events.
+
+        :param changes: the stored and the evicted blocks.
+        """
+        cache = self._caches.get(server_id)
+        if cache is None or cache.incarnation != incarnation:
+            return
+        _trust(cache, sequence)
+        cache.newest = max(cache.newest, sequence)
+        stored, evicted = changes
+        self._store(server_id, cache, stored, sequence)
+        for block in evicted:
+            # What is known from a later message stands.
+            if cache.blocks.get(block, sequence + 1) <= sequence:
+                cache.blocks.pop(block)
+                self._unhold(block, server_id)
+
+    def cached_share(self, server_id: ids.ServerId, blocks: _Blocks) -> float:
+        """Give the share of a prompt that a server is thought to hold."""
+        cache = self._caches.get(server_id)
+        if cache is None or not blocks or blocks[0] not in cache.blocks:
+            return 0
+        length = _longest(blocks, cache.blocks)
+        return cache.trust * length / len(blocks)
+
+    def holders(self, blocks: _Blocks) -> typing.Iterable[ids.ServerId]:
+        """List a few servers that hold the longest known prefix."""
+        if not blocks or blocks[0] not in self._holders:
+            return ()
+        length = _longest(blocks, self._holders)
+        return self._holders[blocks[length - 1]]
+
+    def size(self, server_id: ids.ServerId) -> int:
+        """Give the number of blocks kept for a server."""
+        cache = self._caches.get(server_id)
+        return len(cache.blocks) if cache else 0
+
+    def _store(
+        self,
+        server_id: ids.ServerId,
+        cache: _Cache,
+        blocks: _Blocks,
+        sequence: int,
+    ) -> None:
+        # Last to first, so that the ends of prompts are forgotten first.
+        for block in reversed(blocks):
+            cache.blocks[block] = max(cache.blocks.get(block, 0), sequence)
+            cache.blocks.move_to_end(block)
+            holders = self._holders.setdefault(block, {})
+            holders[server_id] = None
+            if len(holders) > _MOST_HOLDERS:
+                holders.pop(next(iter(holders)))
+        while len(cache.blocks) > cache.limit:
+            block, _ = cache.blocks.popitem(last=False)
+            self._unhold(block, server_id)
+
+    def _unhold(self, block: ids.BlockHash, server_id: ids.ServerId) -> None:
+        holders = self._holders.get(block)
+        if holders is None:
+            return
+        holders.pop(server_id, None)
+        if not holders:
+            self._holders.pop(block)
+
+
+def _trust(cache: _Cache, sequence: int) -> None:
+    if sequence > cache.newest + 1:
+        cache.trust = _LEAST_TRUST
+    elif sequence == cache.newest + 1:
+        cache.trust = min(_FULL_TRUST, cache.trust + _TRUST_STEP)
+
+
+def _longest(
+    blocks: _Blocks,
+    known: typing.Container[ids.BlockHash],
+) -> int:
+    """Bisect for the number of leading blocks that are known."""
+    low, high = 1, min(len(blocks), MOST_BLOCKS)
+    while low < high:
+        middle = (low + high + 1) // 2
+        if blocks[middle - 1] in known:
+            low = middle
+        else:
+            high = middle - 1
+    return low
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -23,6 +23,7 @@
     :ivar fingerprint: equal for the same content sent again.
     :ivar share: the customer's weight inside the tier.
     :ivar owner: the entry host that accepted the request.
+    :ivar streams: whether tokens come one by one, so that a stall shows.
     :ivar max_running: the rule's most calls on backend servers at a time.
     :ivar max_waiting: the rule's most calls in the queue at a time.
     """
@@ -41,6 +42,7 @@
     fingerprint: ids.Fingerprint = ids.Fingerprint(0)
     idempotent: bool = True
     share: float = 1
+    streams: bool = True
     max_running: int | None = None
     max_waiting: int | None = None
 
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/retries.py
@@ -0,0 +1,83 @@
+"""Keeps refused requests that come again from adding to an overload.
+
+A customer's repeats may be a tenth of its new requests and a few more. What
+goes beyond is refused while the pool is short of capacity. A repeat is
+content that was refused a short while ago.
+
+References
+==========
+.. [1] B. Beyer et al. (eds.), "Site Reliability Engineering", O'Reilly, 2016,
+   chapter 21, "Handling Overload" (retry budgets by client).
+"""
+
+import collections
+import dataclasses
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import suspects
+
+_MOST_REFUSED = 8192
+_MOST_CUSTOMERS = 4096
+_REMEMBER_SECONDS = 30.0
+_EARNED_BY_REQUEST = 0.1
+_MOST_SAVED = 20.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Budget:
+    saved: float = _MOST_SAVED
+
+
+class Retries:
+    """Retry budgets by customer."""
+
+    def __init__(self) -> None:
+        """Remember no refusal."""
+        self._refused: collections.OrderedDict[
+            tuple[ids.CustomerName, ids.Fingerprint], float
+        ] = collections.OrderedDict()
+        self._budgets: collections.OrderedDict[ids.CustomerName, _Budget] = (
+            collections.OrderedDict()
+        )
+
+    def refused(
+        self,
+        customer: ids.CustomerName,
+        fingerprint: ids.Fingerprint,
+        now: float,
+    ) -> None:
+        """Remember a refusal."""
+        if fingerprint == suspects.NO_FINGERPRINT:
+            return
+        self._refused[(customer, fingerprint)] = now
+        self._refused.move_to_end((customer, fingerprint))
+        if len(self._refused) > _MOST_REFUSED:
+            self._refused.popitem(last=False)
+
+    def within_budget(
+        self,
+        customer: ids.CustomerName,
+        fingerprint: ids.Fingerprint,
+        now: float,
+    ) -> bool:
+        """Count a request and tell whether its customer may send it.
+
+        :returns: False for a repeat for which nothing is saved.
+        """
+        budget = self._budget(customer)
+        before = self._refused.get((customer, fingerprint))
+        if before is None or now - before > _REMEMBER_SECONDS:
+            earned = budget.saved + _EARNED_BY_REQUEST
+            budget.saved = min(_MOST_SAVED, earned)
+            return True
+        if budget.saved < 1:
+            return False
+        budget.saved -= 1
+        return True
+
+    def _budget(self, customer: ids.CustomerName) -> _Budget:
+        budget = self._budgets.setdefault(customer, _Budget())
+        self._budgets.move_to_end(customer)
+        if len(self._budgets) > _MOST_CUSTOMERS:
+            self._budgets.popitem(last=False)
+        return budget
