--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/fairqueue.py
@@ -0,0 +1,251 @@
+"""The queue of waiting requests: by tier, fair, and by latest start.
+
+Inside a tier each customer has a virtual time, the slot seconds it was
+granted over its share, as in fair queueing [1]_; a customer that was away
+starts again at the least virtual time of those who wait, so that idleness
+earns no credit [2]_. Among the customers whose virtual time is within a
+window of the least one, the request with the earliest latest start goes
+first, which is the idea of earliest eligible virtual deadline first [3]_:
+deadlines decide in the short run, shares in the long run.
+
+Unlike servers take unlike time, so a request has a latest start for each
+server class, and each class has its own order; a request that a slow class
+can't end in time is skipped there by bisection.
+
+A decision looks at :data:`LOOK` customers at most, so it costs O(log n).
+
+References
+==========
+.. [1] A. Demers, S. Keshav, S. Shenker, "Analysis and Simulation of a Fair
+   Queueing Algorithm", SIGCOMM 1989.
+.. [2] P. Goyal, H. Vin, H. Cheng, "Start-time Fair Queueing", SIGCOMM 1996.
+.. [3] I. Stoica, H. Abdel-Wahab, "Earliest Eligible Virtual Deadline First",
+   Old Dominion University, TR-95-22, 1995.
+"""
+
+import dataclasses
+import itertools
+import operator
+import typing
+
+import sortedcontainers
+from geraniumweir.common import ids
+
+LOOK = 8
+_FURTHEST_LOOK = 32
+_BY_CUSTOMER = 2
+_MOST_IDLE = 4096
+
+_Class = typing.TypeVar('_Class', bound=typing.Hashable)
+_Item = typing.TypeVar('_Item', bound=typing.Hashable)
+_Flow = tuple[ids.Tier, ids.CustomerName]
+_Start = tuple[float, int, _Item]
+_FIRST = operator.itemgetter(0, 1)
+
+
+class _Lane(typing.Generic[_Item]):
+    """Requests of one tier that one server class can run."""
+
+    def __init__(self) -> None:
+        self.customers: dict[
+            ids.CustomerName, sortedcontainers.SortedKeyList
+        ] = {}
+        self.order = sortedcontainers.SortedList()
+
+
+@dataclasses.dataclass(slots=True)
+class _FlowState:
+    """A customer in a tier.
+
+    :ivar service: its virtual time.
+    :ivar lanes: server classes with the number of its requests there.
+    :ivar waiting: its requests in the queue.
+    """
+
+    service: float = 0
+    lanes: dict[typing.Any, int] = dataclasses.field(default_factory=dict)
+    waiting: int = 0
+
+
+class FairQueue(typing.Generic[_Class, _Item]):
+    """Waiting items by server class, tier, customer and latest start."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._lanes: dict[tuple[_Class, ids.Tier], _Lane[_Item]] = {}
+        self._flows: dict[_Flow, _FlowState] = {}
+        self._backlog: dict[ids.Tier, sortedcontainers.SortedList] = {
+            tier: sortedcontainers.SortedList() for tier in ids.Tier
+        }
+        self._floor: dict[ids.Tier, float] = dict.fromkeys(ids.Tier, float(0))
+
+    def add(
+        self,
+        item: _Item,
+        flow: _Flow,
+        sequence: int,
+        starts: typing.Mapping[_Class, float],
+    ) -> None:
+        """Add an item.
+
+        :param flow: its tier and customer.
+        :param sequence: breaks ties, first come first.
+        :param starts: latest start by each class that can run it.
+        """
+        state = self._enter(flow)
+        state.waiting += 1
+        for server_class, latest in starts.items():
+            self._insert(flow, state, server_class, (latest, sequence, item))
+
+    def add_class(
+        self,
+        item: _Item,
+        flow: _Flow,
+        sequence: int,
+        start: tuple[_Class, float],
+    ) -> None:
+        """Give an item that waits a further class that can run it."""
+        server_class, latest = start
+        entry = (latest, sequence, item)
+        self._insert(flow, self._flows[flow], server_class, entry)
+
+    def remove(
+        self,
+        item: _Item,
+        flow: _Flow,
+        sequence: int,
+        starts: typing.Mapping[_Class, float],
+    ) -> None:
+        """Remove an item, with the arguments it was added with."""
+        state = self._flows[flow]
+        for server_class, latest in starts.items():
+            self._delete(flow, state, server_class, (latest, sequence, item))
+        state.waiting -= 1
+        if not state.waiting:
+            self._leave(flow, state)
+
+    def charge(self, flow: _Flow, cost: float) -> None:
+        """Add to a customer's virtual time.
+
+        :param cost: slot seconds over the share; negative gives back.
+        """
+        state = self._flows.setdefault(
+            flow,
+            _FlowState(self._floor[flow[0]]),
+        )
+        before = state.service
+        state.service += cost
+        if state.waiting:
+            self._move(flow, state, before)
+        elif len(self._flows) > _MOST_IDLE:
+            self._forget_idle()
+
+    def candidates(
+        self,
+        server_class: _Class,
+        tier: ids.Tier,
+        now: float,
+        window: float,
+    ) -> list[_Item]:
+        """List the next items for a server class, first to last.
+
+        :param window: virtual time by which a customer may be ahead.
+        """
+        lane = self._lanes.get((server_class, tier))
+        if lane is None or not lane.order:
+            return []
+        bound = lane.order[0][0] + window
+        near: list[_Start[_Item]] = []
+        far: list[_Start[_Item]] = []
+        found = 0
+        for service, customer in itertools.islice(lane.order, _FURTHEST_LOOK):
+            starts = _next_starts(lane.customers[customer], now)
+            (near if service <= bound else far).extend(starts)
+            found += bool(starts)
+            if found >= LOOK:
+                break
+        near.sort(key=_FIRST)
+        return [start[2] for start in itertools.chain(near, far)]
+
+    def service(self, flow: _Flow) -> float:
+        """Give a customer's virtual time in a tier."""
+        state = self._flows.get(flow)
+        return state.service if state else self._floor[flow[0]]
+
+    def _enter(self, flow: _Flow) -> _FlowState:
+        tier, customer = flow
+        state = self._flows.setdefault(flow, _FlowState())
+        if not state.waiting:
+            state.service = max(state.service, self._floor[tier])
+            self._backlog[tier].add((state.service, customer))
+        return state
+
+    def _leave(self, flow: _Flow, state: _FlowState) -> None:
+        tier, customer = flow
+        self._backlog[tier].remove((state.service, customer))
+        if len(self._flows) > _MOST_IDLE:
+            self._forget_idle()
+
+    def _insert(
+        self,
+        flow: _Flow,
+        state: _FlowState,
+        server_class: _Class,
+        entry: _Start[_Item],
+    ) -> None:
+        tier, customer = flow
+        lane = self._lanes.setdefault((server_class, tier), _Lane())
+        if customer not in lane.customers:
+            lane.customers[customer] = sortedcontainers.SortedKeyList(
+                key=_FIRST,
+            )
+            lane.order.add((state.service, customer))
+        lane.customers[customer].add(entry)
+        state.lanes[server_class] = state.lanes.get(server_class, 0) + 1
+
+    def _delete(
+        self,
+        flow: _Flow,
+        state: _FlowState,
+        server_class: _Class,
+        entry: _Start[_Item],
+    ) -> None:
+        tier, customer = flow
+        lane = self._lanes[(server_class, tier)]
+        lane.customers[customer].remove(entry)
+        state.lanes[server_class] -= 1
+        if not state.lanes[server_class]:
+            state.lanes.pop(server_class)
+            lane.customers.pop(customer)
+            lane.order.remove((state.service, customer))
+
+    def _move(self, flow: _Flow, state: _FlowState, before: float) -> None:
+        tier, customer = flow
+        orders = [self._lanes[(kind, tier)].order for kind in state.lanes]
+        for order in (self._backlog[tier], *orders):
+            order.remove((before, customer))
+            order.add((state.service, customer))
+        self._floor[tier] = max(
+            self._floor[tier],
+            self._backlog[tier][0][0],
+        )
+
+    def _forget_idle(self) -> None:
+        # Who owes nothing starts at the floor again, remembered or not.
+        idle = [
+            flow
+            for flow, state in self._flows.items()
+            if not state.waiting and state.service <= self._floor[flow[0]]
+        ]
+        for flow in idle:
+            self._flows.pop(flow)
+
+
+def _next_starts(
+    starts: sortedcontainers.SortedKeyList,
+    now: float,
+) -> list[typing.Any]:
+    """Give the first few that can still start in time."""
+    return list(
+        itertools.islice(starts.irange_key(min_key=(now, -1)), _BY_CUSTOMER),
+    )
--- a/libs/scheduling/geraniumweir/scheduling/prefix.py
+++ b/libs/scheduling/geraniumweir/scheduling/prefix.py
@@ -137,8 +137,8 @@
             if len(holders) > _MOST_HOLDERS:
                 holders.pop(next(iter(holders)))
         while len(cache.blocks) > cache.limit:
-            block, _ = cache.blocks.popitem(last=False)
-            self._unhold(block, server_id)
+            oldest, _ = cache.blocks.popitem(last=False)
+            self._unhold(oldest, server_id)
 
     def _unhold(self, block: ids.BlockHash, server_id: ids.ServerId) -> None:
         holders = self._holders.get(block)
