--- a/libs/scheduling/geraniumweir/scheduling/fairqueue.py
+++ b/libs/scheduling/geraniumweir/scheduling/fairqueue.py
@@ -34,7 +34,7 @@
 LOOK = 8
 _FURTHEST_LOOK = 32
 _BY_CUSTOMER = 2
-_MOST_IDLE = 4096
+_MOST_IDLE = 16384
 
 _Class = typing.TypeVar('_Class', bound=typing.Hashable)
 _Item = typing.TypeVar('_Item', bound=typing.Hashable)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/fleet.py
@@ -0,0 +1,170 @@
+"""Follows the backend servers: announcements, classes, restarts."""
+
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.membership import servers
+from geraniumweir.scheduling import concurrency, placement, state, stragglers
+
+
+def sync(leader: state.LeaderState) -> list[state.Server]:
+    """Take the servers that may get new work now.
+
+    :returns: those that crashed: known ones with a new incarnation.
+    """
+    leader.synced = leader.now()
+    live = {server.server_id: server for server in leader.live()}
+    crashed = []
+    for announcement in live.values():
+        server = leader.servers.get(announcement.server_id)
+        if server is None:
+            _appear(leader, announcement)
+        elif _take(leader, server, announcement):
+            crashed.append(server)
+    for server_id, server in leader.servers.items():
+        if server.live and server_id not in live:
+            server.live = False
+            placement.refresh(leader, server)
+    leader.slots = sum(server.most() for server in leader.servers.values())
+    _forget_gone(leader, live)
+    return crashed
+
+
+def restarted(leader: state.LeaderState, server: state.Server) -> None:
+    """Take a server back after a crash, with a little work at first."""
+    server.health.probe()
+    leader.prefixes.start(
+        server.server_id,
+        server.announcement.incarnation,
+    )
+    placement.refresh(leader, server)
+
+
+def _appear(
+    leader: state.LeaderState,
+    announcement: servers.Announcement,
+) -> None:
+    slots = max(announcement.slots, 1)
+    server = state.Server(
+        announcement,
+        _class_of(leader, announcement),
+        concurrency.Limit(slots),
+        stragglers.Health(),
+    )
+    leader.servers[announcement.server_id] = server
+    leader.prefixes.start(announcement.server_id, announcement.incarnation)
+    orphans = leader.orphans.pop(announcement.server_id, {})
+    for running in orphans.values():
+        attach(leader, server, running)
+    placement.refresh(leader, server)
+
+
+def _take(
+    leader: state.LeaderState,
+    server: state.Server,
+    announcement: servers.Announcement,
+) -> bool:
+    """Take a known server's announcement; tell whether it crashed."""
+    before = server.announcement
+    if announcement is before and server.live:
+        return False
+    server.announcement = announcement
+    server.live = True
+    kind = _class_of(leader, announcement)
+    if kind is not server.kind:
+        leader.openings.drop(announcement.server_id)
+        server.kind = kind
+    if announcement.slots != server.limit.slots:
+        server.limit = concurrency.Limit(max(announcement.slots, 1))
+    placement.refresh(leader, server)
+    return announcement.incarnation > before.incarnation
+
+
+def _class_of(
+    leader: state.LeaderState,
+    announcement: servers.Announcement,
+) -> state.ServerClass:
+    """Find or make a server's class; who waits learns of a new one."""
+    models = (*announcement.models, *announcement.adapters)
+    key = (announcement.hardware, models, announcement.max_context)
+    kind = leader.classes.get(key)
+    if kind is not None:
+        return kind
+    kind = state.ServerClass(*key)
+    leader.classes[key] = kind
+    for waiting in leader.waiting.values():
+        if kind.serves(waiting.ask):
+            _widen(leader, waiting, kind)
+    return kind
+
+
+def _widen(
+    leader: state.LeaderState,
+    waiting: state.Waiting,
+    kind: state.ServerClass,
+) -> None:
+    latest = placement.latest_start(leader, waiting, kind)
+    waiting.latest[kind] = latest
+    waiting.best_start = max(waiting.best_start, latest)
+    if not waiting.held:
+        ask = waiting.ask
+        leader.queue.add_class(
+            waiting,
+            (ask.tier, ask.customer),
+            waiting.sequence,
+            (kind, latest),
+        )
+
+
+def attach(
+    leader: state.LeaderState,
+    server: state.Server,
+    running: state.Running,
+) -> None:
+    """Count a grant against its server."""
+    request_id = running.grant.request_id
+    server.running[request_id] = running
+    server.kv_used += running.kv_need
+    server.suspects += running.suspect
+    if running.first_token is None:
+        server.prefilling += running.uncached
+    if server.announcement.can_cancel and running.ask.idempotent:
+        leader.victims.add(
+            server.kind,
+            running.ask.tier,
+            running.uncached,
+            request_id,
+        )
+    placement.refresh(leader, server)
+
+
+def detach(
+    leader: state.LeaderState,
+    server: state.Server,
+    running: state.Running,
+) -> None:
+    """Take a grant off its server."""
+    request_id = running.grant.request_id
+    if server.running.pop(request_id, None) is None:
+        return
+    server.kv_used -= running.kv_need
+    server.suspects -= running.suspect
+    if running.first_token is None:
+        server.prefilling -= running.uncached
+    leader.victims.remove(request_id)
+    placement.refresh(leader, server)
+
+
+def _forget_gone(
+    leader: state.LeaderState,
+    live: typing.Mapping[ids.ServerId, servers.Announcement],
+) -> None:
+    if len(leader.servers) <= 2 * len(live) + _MOST_GONE:
+        return
+    for server_id, server in list(leader.servers.items()):
+        if not server.live and not server.running:
+            leader.servers.pop(server_id)
+            leader.prefixes.forget(server_id)
+
+
+_MOST_GONE = 64
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/openings.py
@@ -0,0 +1,89 @@
+"""Servers that may get one more request, by class.
+
+Two orders are kept for each class: by how soon a request of ordinary size
+would end there, and by free KV room. A few of the first and the roomiest of
+the second are candidates, so a choice costs O(log n) in servers, and room is
+found wherever there is any.
+"""
+
+import itertools
+import typing
+
+import sortedcontainers
+from geraniumweir.common import ids
+
+_LOOK = 3
+
+_Class = typing.TypeVar('_Class', bound=typing.Hashable)
+_Place = tuple[_Class, float, float]
+
+
+class Openings(typing.Generic[_Class]):
+    """Open servers by class, score and room.
+
+    >>> openings = Openings()
+    >>> openings.put(ids.ServerId('a'), 'fast', 2.0, 10)
+    >>> openings.put(ids.ServerId('b'), 'fast', 1.0, 5)
+    >>> list(openings.best('fast'))
+    ['b', 'a']
+    >>> openings.roomiest('fast')
+    'a'
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._scores: dict[_Class, sortedcontainers.SortedList] = {}
+        self._rooms: dict[_Class, sortedcontainers.SortedList] = {}
+        self._places: dict[ids.ServerId, _Place[_Class]] = {}
+
+    def put(
+        self,
+        server_id: ids.ServerId,
+        server_class: _Class,
+        score: float,
+        room: float,
+    ) -> None:
+        """Put a server where it belongs now.
+
+        :param score: seconds; the least is the best.
+        :param room: free KV tokens.
+        """
+        place = (server_class, score, room)
+        if self._places.get(server_id) == place:
+            return
+        self.drop(server_id)
+        self._places[server_id] = place
+        by_score = self._scores.setdefault(
+            server_class,
+            sortedcontainers.SortedList(),
+        )
+        by_score.add((score, server_id))
+        by_room = self._rooms.setdefault(
+            server_class,
+            sortedcontainers.SortedList(),
+        )
+        by_room.add((room, server_id))
+
+    def drop(self, server_id: ids.ServerId) -> None:
+        """Take a server out, if it is there."""
+        place = self._places.pop(server_id, None)
+        if place is None:
+            return
+        server_class, score, room = place
+        self._scores[server_class].remove((score, server_id))
+        self._rooms[server_class].remove((room, server_id))
+
+    def best(self, server_class: _Class) -> typing.Iterator[ids.ServerId]:
+        """Give the few servers of a class that would end soonest."""
+        by_score = self._scores.get(server_class, ())
+        for _, server_id in itertools.islice(by_score, _LOOK):
+            yield server_id
+
+    def roomiest(self, server_class: _Class) -> ids.ServerId | None:
+        """Give the server of a class with the most free KV room."""
+        by_room = self._rooms.get(server_class)
+        return by_room[-1][1] if by_room else None
+
+    def classes(self) -> list[_Class]:
+        """List the classes with an open server."""
+        return [kind for kind, servers in self._scores.items() if servers]
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -0,0 +1,209 @@
+"""Chooses the backend server that is predicted to end a request first.
+
+A prediction counts the prompt tokens that are not cached there, the prefill
+already granted and not yet done, the decode speed under the load that the
+request would find, and the learnt speeds. Only servers below their learnt
+limit are chosen from, so engines' own queues stay near empty.
+
+See Also
+========
+geraniumweir.scheduling.openings, geraniumweir.scheduling.learning
+"""
+
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import learning, state
+
+_REFERENCE_PROMPT = 500
+_REFERENCE_OUTPUT = 100
+_LOAD_SLOWDOWN = 0.3
+
+
+def refresh(leader: state.LeaderState, server: state.Server) -> None:
+    """Put a server where it belongs among the openings."""
+    if not server.is_open():
+        leader.openings.drop(server.server_id)
+        return
+    score = _seconds(
+        leader,
+        server,
+        None,
+        (_REFERENCE_PROMPT, _REFERENCE_OUTPUT),
+    )
+    leader.openings.put(
+        server.server_id,
+        server.kind,
+        score,
+        server.kv_free(),
+    )
+
+
+def starts(
+    leader: state.LeaderState,
+    waiting: state.Waiting,
+) -> dict[state.ServerClass, float]:
+    """Give a request's latest start on each class that can run it."""
+    return {
+        kind: latest_start(leader, waiting, kind)
+        for kind in leader.classes.values()
+        if kind.serves(waiting.ask)
+    }
+
+
+def latest_start(
+    leader: state.LeaderState,
+    waiting: state.Waiting,
+    kind: state.ServerClass,
+) -> float:
+    """Give the time at which a request must start on a class of servers."""
+    if waiting.probe:
+        return waiting.ask.deadline
+    rates = leader.speeds.of_kind(kind.hardware, waiting.ask.model)
+    seconds = rates.seconds(waiting.ask.prompt_tokens, waiting.expected.mean)
+    return waiting.ask.deadline - seconds * leader.cfg.safety
+
+
+def uncached_tokens(
+    leader: state.LeaderState,
+    server: state.Server,
+    waiting: state.Waiting,
+) -> float:
+    """Give the prompt tokens that a server would have to prefill."""
+    ask = waiting.ask
+    share = leader.prefixes.cached_share(server.server_id, ask.blocks)
+    return ask.prompt_tokens * (1 - share)
+
+
+def finish(
+    leader: state.LeaderState,
+    server: state.Server,
+    waiting: state.Waiting,
+) -> float:
+    """Predict the seconds until a request started now on a server ends."""
+    tokens = (
+        uncached_tokens(leader, server, waiting),
+        waiting.expected.mean,
+    )
+    return _seconds(leader, server, waiting.ask.model, tokens)
+
+
+def in_time(
+    leader: state.LeaderState,
+    server: state.Server,
+    waiting: state.Waiting,
+) -> bool:
+    """Tell whether a request started now on a server ends in time."""
+    if waiting.probe:
+        return True
+    seconds = finish(leader, server, waiting) * leader.cfg.safety
+    return leader.now() + seconds <= waiting.ask.deadline
+
+
+def has_room(server: state.Server, waiting: state.Waiting) -> bool:
+    """Tell whether a server's KV cache takes a request."""
+    if not server.running:
+        return True
+    return waiting.kv_need <= server.kv_free()
+
+
+def kept_for_another(server: state.Server, waiting: state.Waiting) -> bool:
+    """Tell whether a server is kept for a request that goes before."""
+    kept = server.reserved
+    if kept is None or kept is waiting:
+        return False
+    return kept.ask.tier <= waiting.ask.tier
+
+
+def choose(
+    leader: state.LeaderState,
+    waiting: state.Waiting,
+) -> state.Server | None:
+    """Choose an open server on which a request ends in time.
+
+    :returns: the one predicted to end it first, None if there is none.
+    """
+    best: state.Server | None = None
+    best_seconds = float('inf')
+    for server in _open_servers(leader, waiting):
+        if kept_for_another(server, waiting) or not has_room(server, waiting):
+            continue
+        seconds = finish(leader, server, waiting)
+        if seconds < best_seconds:
+            best, best_seconds = server, seconds
+    if best is None or not in_time(leader, best, waiting):
+        return None
+    return best
+
+
+def least_harm(
+    leader: state.LeaderState,
+    waiting: state.Waiting,
+) -> state.Server | None:
+    """Choose the open server with the fewest others running, for a suspect.
+
+    Suspects are rare, so all servers are looked at.
+    """
+    fit = [
+        server
+        for server in leader.servers.values()
+        if server.is_open()
+        and not server.suspects
+        and server.kind in waiting.latest
+        and not kept_for_another(server, waiting)
+        and has_room(server, waiting)
+    ]
+    return min(
+        fit,
+        key=lambda server: (len(server.running), server.server_id),
+        default=None,
+    )
+
+
+def _open_servers(
+    leader: state.LeaderState,
+    waiting: state.Waiting,
+) -> typing.Iterator[state.Server]:
+    seen: set[ids.ServerId] = set()
+    for server_id in _candidates(leader, waiting):
+        if server_id in seen:
+            continue
+        seen.add(server_id)
+        server = leader.servers.get(server_id)
+        if server is None or server.kind not in waiting.latest:
+            continue
+        if server.is_open():
+            yield server
+
+
+def _candidates(
+    leader: state.LeaderState,
+    waiting: state.Waiting,
+) -> typing.Iterator[ids.ServerId]:
+    yield from leader.prefixes.holders(waiting.ask.blocks)
+    for kind in waiting.latest:
+        yield from leader.openings.best(kind)
+        roomiest = leader.openings.roomiest(kind)
+        if roomiest is not None:
+            yield roomiest
+
+
+def _seconds(
+    leader: state.LeaderState,
+    server: state.Server,
+    model: str | None,
+    tokens: tuple[float, float],
+) -> float:
+    rates = leader.speeds.of_server(
+        server.server_id,
+        server.kind.hardware,
+        model,
+    )
+    prompt, output = tokens
+    load = len(server.running) / max(server.limit.whole(), 1)
+    slowed = learning.Rates(rates.prefill, rates.decode * _slowdown(load))
+    return slowed.seconds(prompt + server.prefilling, output)
+
+
+def _slowdown(load: float) -> float:
+    return 1 + _LOAD_SLOWDOWN * load
--- a/libs/scheduling/geraniumweir/scheduling/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/state.py
@@ -15,6 +15,7 @@
     concurrency,
     fairqueue,
     learning,
+    openings,
     prefix,
     requests,
     retries,
@@ -24,6 +25,8 @@
     victims,
 )
 
+_MOST_FAILURES = 32
+
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class ServerClass:
@@ -138,7 +141,9 @@
     reserved: Waiting | None = None
     crashed: int = -1
     failures: collections.deque[tuple[float, ids.Fingerprint]] = (
-        dataclasses.field(default_factory=lambda: collections.deque(maxlen=32))
+        dataclasses.field(
+            default_factory=lambda: collections.deque(maxlen=_MOST_FAILURES)
+        )
     )
     score: float = 0
     room: float = 0
@@ -224,8 +229,8 @@
     classes: dict[tuple[typing.Any, ...], ServerClass] = dataclasses.field(
         default_factory=dict,
     )
-    openings: dict[ServerClass, typing.Any] = dataclasses.field(
-        default_factory=dict,
+    openings: openings.Openings[ServerClass] = dataclasses.field(
+        default_factory=openings.Openings,
     )
     victims: victims.Victims[ServerClass] = dataclasses.field(
         default_factory=victims.Victims,
