--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/admitting.py
@@ -0,0 +1,165 @@
+"""Takes asks: refuses what can't be served, lets the rest wait."""
+
+import asyncio
+
+from geraniumweir.scheduling import (
+    granting,
+    learning,
+    placement,
+    records,
+    requests,
+    shedding,
+    state,
+    suspects,
+)
+
+_PROBE_EVERY = 16
+_WAIT_FACTOR = 2.0
+_WAIT_MARGIN = 0.5
+
+
+def admit(
+    leader: state.LeaderState,
+    ask: requests.Ask,
+) -> records.Waiting | requests.Denial:
+    """Take an ask that is neither waiting nor granted.
+
+    :returns: it as it waits, perhaps decided already, or a denial.
+    """
+    within_budget = leader.budgets.within_budget(
+        ask.customer,
+        ask.fingerprint,
+        leader.now(),
+    )
+    reason = _refuse_at_once(leader, ask)
+    if reason is not None:
+        return shedding.denial(leader, ask, reason)
+    waiting = _waiting(leader, ask)
+    if _too_late(leader, waiting):
+        return shedding.denial(leader, ask, requests.DenialReason.too_late)
+    if granting.try_now(leader, waiting):
+        return waiting
+    reason = _refuse_to_wait(leader, waiting, within_budget)
+    if reason is not None:
+        return shedding.denial(leader, ask, reason)
+    _wait(leader, waiting)
+    return waiting
+
+
+def _wait(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    full = len(leader.waiting) >= leader.cfg.queue_limit
+    room = not full or shedding.make_room(leader, waiting.ask)
+    granting.enqueue(leader, waiting)
+    if room or shedding.preempt(leader, waiting):
+        if not waiting.fut.done():
+            shedding.watch(leader, waiting)
+        return
+    shedding.refuse(leader, waiting, requests.DenialReason.queue_full)
+
+
+def _refuse_at_once(
+    leader: state.LeaderState,
+    ask: requests.Ask,
+) -> requests.DenialReason | None:
+    now = leader.now()
+    verdict = leader.suspects.verdict(ask.fingerprint, now)
+    if verdict is suspects.Verdict.quarantined:
+        return requests.DenialReason.quarantined
+    if ask.deadline <= now:
+        return requests.DenialReason.too_late
+    return None
+
+
+def _refuse_to_wait(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+    within_budget: bool,
+) -> requests.DenialReason | None:
+    ask = waiting.ask
+    if _over_waiting_limit(leader, ask):
+        return requests.DenialReason.rule_limit
+    if shedding.lower_is_served(leader, ask.tier):
+        return None
+    if not within_budget:
+        return requests.DenialReason.shed
+    if _queue_too_long(leader, waiting):
+        return requests.DenialReason.too_late
+    return None
+
+
+def _over_waiting_limit(
+    leader: state.LeaderState,
+    ask: requests.Ask,
+) -> bool:
+    if ask.max_waiting is None:
+        return False
+    rule = leader.rules.get(ask.rule, records.RuleCount())
+    return rule.waiting >= ask.max_waiting
+
+
+def _waiting(
+    leader: state.LeaderState,
+    ask: requests.Ask,
+) -> records.Waiting:
+    leader.sequence += 1
+    waiting = records.Waiting(
+        ask,
+        leader.sequence,
+        leader.now(),
+        asyncio.get_running_loop().create_future(),
+        learning.length_of(leader.lengths, ask),
+    )
+    _set_starts(leader, waiting)
+    return waiting
+
+
+def _set_starts(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> None:
+    waiting.latest = placement.starts(leader, waiting)
+    if not waiting.latest:
+        return
+    waiting.best_start = max(waiting.latest.values())
+    seconds = waiting.ask.deadline - waiting.best_start
+    waiting.cost = seconds / leader.cfg.safety
+
+
+def _too_late(leader: state.LeaderState, waiting: records.Waiting) -> bool:
+    """Tell whether a request can't end in time even on an idle server.
+
+    Now and then one is let in on an idle pool nevertheless: a prediction
+    that lets nothing in would never be put right.
+    """
+    if not waiting.latest or waiting.best_start >= leader.now():
+        return False
+    leader.too_late_in_row += 1
+    if leader.waiting or leader.too_late_in_row % _PROBE_EVERY:
+        return True
+    waiting.probe = True
+    _set_starts(leader, waiting)
+    return False
+
+
+def _queue_too_long(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether a request's turn will hardly come before it is too late.
+
+    The wait is the lesser of the work ahead of its tier and of its own
+    customer's work at a fair share, so that one customer's long queue does
+    not refuse another.
+    """
+    if not waiting.latest:
+        return False
+    ask = waiting.ask
+    fair = leader.cost_by_flow[waiting.flow]
+    fair *= leader.queue.backlogged(ask.tier) / max(leader.slots, 1)
+    higher = shedding.work_above(leader, ask.tier) / max(leader.slots, 1)
+    seconds = min(
+        higher + fair,
+        shedding.expected_wait(leader, ask.tier),
+    )
+    slack = waiting.best_start - leader.now()
+    return seconds > _WAIT_FACTOR * slack + _WAIT_MARGIN
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/adoption.py
@@ -0,0 +1,81 @@
+"""Takes over grants that another leader gave, and ends those of lost owners."""
+
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import (
+    fleet,
+    granting,
+    learning,
+    progressing,
+    records,
+    requests,
+    shedding,
+    state,
+    stragglers,
+)
+
+
+def adopt(leader: state.LeaderState, taken: requests.OpenGrant) -> None:
+    """Count a grant in use that another leader gave."""
+    request_id = taken.ask.request_id
+    if request_id in leader.running:
+        return
+    waiting = leader.waiting.get(request_id)
+    if waiting is not None:
+        granting.leave(leader, waiting)
+        granting.unreserve(leader, waiting)
+        waiting.fut.set_result(taken.grant)
+    running = _running(leader, taken)
+    granting.count_running(leader, running)
+    server_id = taken.grant.server_id
+    server = leader.servers.get(server_id)
+    if server is None:
+        orphans = leader.orphans.setdefault(server_id, {})
+        orphans[request_id] = running
+    else:
+        fleet.attach(leader, server, running)
+
+
+def owner_gone(leader: state.LeaderState, owner: ids.HostId) -> None:
+    """End the grants and the waiting requests of a lost entry host."""
+    for waiting in _of_owner(leader.waiting.values(), owner):
+        shedding.refuse(leader, waiting, requests.DenialReason.withdrawn)
+    for running in _of_owner(leader.running.values(), owner):
+        progressing.release(
+            leader,
+            requests.Release(
+                running.ask.request_id,
+                requests.Outcome.cancelled,
+            ),
+        )
+
+
+_Owned = typing.TypeVar('_Owned', records.Waiting, records.Running)
+
+
+def _of_owner(
+    owned: typing.Iterable[_Owned],
+    owner: ids.HostId,
+) -> list[_Owned]:
+    return [one for one in owned if one.ask.owner == owner]
+
+
+def _running(
+    leader: state.LeaderState,
+    taken: requests.OpenGrant,
+) -> records.Running:
+    expected = learning.length_of(leader.lengths, taken.ask)
+    return records.Running(
+        ask=taken.ask,
+        grant=taken.grant,
+        granted=leader.now() - taken.age,
+        expected=expected,
+        uncached=taken.ask.prompt_tokens,
+        ahead=0,
+        beside=1,
+        cost=0,
+        due=leader.now() + stragglers.patience(taken.age),
+        first_token=taken.first_token,
+        output_tokens=taken.output_tokens,
+    )
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/crashes.py
@@ -0,0 +1,75 @@
+"""Takes crashes of backend servers and what they say of their requests."""
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import (
+    fleet,
+    granting,
+    placement,
+    progressing,
+    records,
+    requests,
+    shedding,
+    state,
+)
+
+_RECENT_SECONDS = 120.0
+_SAME_MOMENT = 0.5
+
+
+def crashed(
+    leader: state.LeaderState,
+    server: records.Server,
+    incarnation: ids.Incarnation,
+) -> None:
+    """Take that an incarnation of a server is gone.
+
+    What ran on it is suspected, also what failed there since its last sign
+    of life: owners see a broken connection sooner than the crash is known.
+
+    :param incarnation: the newest that is gone; told again, it is ignored.
+    """
+    if incarnation <= server.crashed:
+        return
+    server.crashed = incarnation
+    lost = [
+        running
+        for running in server.running.values()
+        if running.grant.incarnation <= incarnation
+    ]
+    together = [running.ask.fingerprint for running in lost]
+    recent = max(
+        leader.now() - _RECENT_SECONDS,
+        server.last_good - _SAME_MOMENT,
+    )
+    together.extend(mark for at, mark in server.failures if at >= recent)
+    server.failures.clear()
+    for running in lost:
+        progressing.drop(leader, running)
+    condemned = leader.suspects.crashed(together, leader.now())
+    placement.refresh(leader, server)
+    _refuse_condemned(leader, set(condemned))
+    for running in lost:
+        granting.unpark(leader, running.ask.rule)
+
+
+def synced(leader: state.LeaderState) -> None:
+    """Follow the live servers and take the crashes that show."""
+    for server in fleet.sync(leader):
+        current = server.announcement.incarnation
+        crashed(leader, server, ids.Incarnation(current - 1))
+        fleet.restarted(leader, server)
+
+
+def _refuse_condemned(
+    leader: state.LeaderState,
+    condemned: set[ids.Fingerprint],
+) -> None:
+    if not condemned:
+        return
+    for waiting in list(leader.waiting.values()):
+        if waiting.ask.fingerprint in condemned:
+            shedding.refuse(
+                leader,
+                waiting,
+                requests.DenialReason.quarantined,
+            )
--- a/libs/scheduling/geraniumweir/scheduling/fairqueue.py
+++ b/libs/scheduling/geraniumweir/scheduling/fairqueue.py
@@ -38,7 +38,7 @@
 
 _Class = typing.TypeVar('_Class', bound=typing.Hashable)
 _Item = typing.TypeVar('_Item', bound=typing.Hashable)
-_Flow = tuple[ids.Tier, ids.CustomerName]
+Flow = tuple[ids.Tier, ids.CustomerName]
 _Start = tuple[float, int, _Item]
 _FIRST = operator.itemgetter(0, 1)
 
@@ -73,7 +73,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self._lanes: dict[tuple[_Class, ids.Tier], _Lane[_Item]] = {}
-        self._flows: dict[_Flow, _FlowState] = {}
+        self._flows: dict[Flow, _FlowState] = {}
         self._backlog: dict[ids.Tier, sortedcontainers.SortedList] = {
             tier: sortedcontainers.SortedList() for tier in ids.Tier
         }
@@ -82,7 +82,7 @@
     def add(
         self,
         item: _Item,
-        flow: _Flow,
+        flow: Flow,
         sequence: int,
         starts: typing.Mapping[_Class, float],
     ) -> None:
@@ -100,7 +100,7 @@
     def add_class(
         self,
         item: _Item,
-        flow: _Flow,
+        flow: Flow,
         sequence: int,
         start: tuple[_Class, float],
     ) -> None:
@@ -112,7 +112,7 @@
     def remove(
         self,
         item: _Item,
-        flow: _Flow,
+        flow: Flow,
         sequence: int,
         starts: typing.Mapping[_Class, float],
     ) -> None:
@@ -124,7 +124,7 @@
         if not state.waiting:
             self._leave(flow, state)
 
-    def charge(self, flow: _Flow, cost: float) -> None:
+    def charge(self, flow: Flow, cost: float) -> None:
         """Add to a customer's virtual time.
 
         :param cost: slot seconds over the share; negative gives back.
@@ -167,12 +167,16 @@
         near.sort(key=_FIRST)
         return [start[2] for start in itertools.chain(near, far)]
 
-    def service(self, flow: _Flow) -> float:
+    def service(self, flow: Flow) -> float:
         """Give a customer's virtual time in a tier."""
         state = self._flows.get(flow)
         return state.service if state else self._floor[flow[0]]
 
-    def _enter(self, flow: _Flow) -> _FlowState:
+    def backlogged(self, tier: ids.Tier) -> int:
+        """Give the number of customers that wait in a tier."""
+        return len(self._backlog[tier])
+
+    def _enter(self, flow: Flow) -> _FlowState:
         tier, customer = flow
         state = self._flows.setdefault(flow, _FlowState())
         if not state.waiting:
@@ -180,7 +184,7 @@
             self._backlog[tier].add((state.service, customer))
         return state
 
-    def _leave(self, flow: _Flow, state: _FlowState) -> None:
+    def _leave(self, flow: Flow, state: _FlowState) -> None:
         tier, customer = flow
         self._backlog[tier].remove((state.service, customer))
         if len(self._flows) > _MOST_IDLE:
@@ -188,7 +192,7 @@
 
     def _insert(
         self,
-        flow: _Flow,
+        flow: Flow,
         state: _FlowState,
         server_class: _Class,
         entry: _Start[_Item],
@@ -205,7 +209,7 @@
 
     def _delete(
         self,
-        flow: _Flow,
+        flow: Flow,
         state: _FlowState,
         server_class: _Class,
         entry: _Start[_Item],
@@ -219,7 +223,7 @@
             lane.customers.pop(customer)
             lane.order.remove((state.service, customer))
 
-    def _move(self, flow: _Flow, state: _FlowState, before: float) -> None:
+    def _move(self, flow: Flow, state: _FlowState, before: float) -> None:
         tier, customer = flow
         orders = [self._lanes[(kind, tier)].order for kind in state.lanes]
         for order in (self._backlog[tier], *orders):
--- a/libs/scheduling/geraniumweir/scheduling/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/fleet.py
@@ -4,33 +4,38 @@
 
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
-from geraniumweir.scheduling import concurrency, placement, state, stragglers
+from geraniumweir.scheduling import (
+    concurrency,
+    placement,
+    records,
+    state,
+    stragglers,
+)
+
+_MOST_GONE = 64
 
 
-def sync(leader: state.LeaderState) -> list[state.Server]:
+def sync(leader: state.LeaderState) -> list[records.Server]:
     """Take the servers that may get new work now.
 
     :returns: those that crashed: known ones with a new incarnation.
     """
     leader.synced = leader.now()
-    live = {server.server_id: server for server in leader.live()}
+    live = {ready.server_id: ready for ready in leader.live()}
     crashed = []
     for announcement in live.values():
-        server = leader.servers.get(announcement.server_id)
-        if server is None:
+        known = leader.servers.get(announcement.server_id)
+        if known is None:
             _appear(leader, announcement)
-        elif _take(leader, server, announcement):
-            crashed.append(server)
-    for server_id, server in leader.servers.items():
-        if server.live and server_id not in live:
-            server.live = False
-            placement.refresh(leader, server)
+        elif _take(leader, known, announcement):
+            crashed.append(known)
+    _close_missing(leader, live)
     leader.slots = sum(server.most() for server in leader.servers.values())
     _forget_gone(leader, live)
     return crashed
 
 
-def restarted(leader: state.LeaderState, server: state.Server) -> None:
+def restarted(leader: state.LeaderState, server: records.Server) -> None:
     """Take a server back after a crash, with a little work at first."""
     server.health.probe()
     leader.prefixes.start(
@@ -45,7 +50,7 @@
     announcement: servers.Announcement,
 ) -> None:
     slots = max(announcement.slots, 1)
-    server = state.Server(
+    server = records.Server(
         announcement,
         _class_of(leader, announcement),
         concurrency.Limit(slots),
@@ -61,7 +66,7 @@
 
 def _take(
     leader: state.LeaderState,
-    server: state.Server,
+    server: records.Server,
     announcement: servers.Announcement,
 ) -> bool:
     """Take a known server's announcement; tell whether it crashed."""
@@ -72,10 +77,11 @@
     server.live = True
     kind = _class_of(leader, announcement)
     if kind is not server.kind:
-        leader.openings.drop(announcement.server_id)
+        leader.open_servers.drop(announcement.server_id)
         server.kind = kind
-    if announcement.slots != server.limit.slots:
-        server.limit = concurrency.Limit(max(announcement.slots, 1))
+    slots = max(announcement.slots, 1)
+    if slots != server.limit.slots:
+        server.limit = concurrency.Limit(slots)
     placement.refresh(leader, server)
     return announcement.incarnation > before.incarnation
 
@@ -83,14 +89,14 @@
 def _class_of(
     leader: state.LeaderState,
     announcement: servers.Announcement,
-) -> state.ServerClass:
+) -> records.ServerClass:
     """Find or make a server's class; who waits learns of a new one."""
     models = (*announcement.models, *announcement.adapters)
     key = (announcement.hardware, models, announcement.max_context)
     kind = leader.classes.get(key)
     if kind is not None:
         return kind
-    kind = state.ServerClass(*key)
+    kind = records.ServerClass(*key)
     leader.classes[key] = kind
     for waiting in leader.waiting.values():
         if kind.serves(waiting.ask):
@@ -100,17 +106,16 @@
 
 def _widen(
     leader: state.LeaderState,
-    waiting: state.Waiting,
-    kind: state.ServerClass,
+    waiting: records.Waiting,
+    kind: records.ServerClass,
 ) -> None:
     latest = placement.latest_start(leader, waiting, kind)
     waiting.latest[kind] = latest
     waiting.best_start = max(waiting.best_start, latest)
     if not waiting.held:
-        ask = waiting.ask
         leader.queue.add_class(
             waiting,
-            (ask.tier, ask.customer),
+            waiting.flow,
             waiting.sequence,
             (kind, latest),
         )
@@ -118,18 +123,19 @@
 
 def attach(
     leader: state.LeaderState,
-    server: state.Server,
-    running: state.Running,
+    server: records.Server,
+    running: records.Running,
 ) -> None:
     """Count a grant against its server."""
     request_id = running.grant.request_id
     server.running[request_id] = running
     server.kv_used += running.kv_need
     server.suspects += running.suspect
+    server.stuck += running.stuck
     if running.first_token is None:
         server.prefilling += running.uncached
     if server.announcement.can_cancel and running.ask.idempotent:
-        leader.victims.add(
+        leader.preemptible.add(
             server.kind,
             running.ask.tier,
             running.uncached,
@@ -140,8 +146,8 @@
 
 def detach(
     leader: state.LeaderState,
-    server: state.Server,
-    running: state.Running,
+    server: records.Server,
+    running: records.Running,
 ) -> None:
     """Take a grant off its server."""
     request_id = running.grant.request_id
@@ -149,12 +155,23 @@
         return
     server.kv_used -= running.kv_need
     server.suspects -= running.suspect
+    server.stuck -= running.stuck
     if running.first_token is None:
         server.prefilling -= running.uncached
-    leader.victims.remove(request_id)
+    leader.preemptible.remove(request_id)
     placement.refresh(leader, server)
 
 
+def _close_missing(
+    leader: state.LeaderState,
+    live: typing.Mapping[ids.ServerId, servers.Announcement],
+) -> None:
+    for server_id, server in leader.servers.items():
+        if server.live and server_id not in live:
+            server.live = False
+            placement.refresh(leader, server)
+
+
 def _forget_gone(
     leader: state.LeaderState,
     live: typing.Mapping[ids.ServerId, servers.Announcement],
@@ -165,6 +182,3 @@
         if not server.live and not server.running:
             leader.servers.pop(server_id)
             leader.prefixes.forget(server_id)
-
-
-_MOST_GONE = 64
--- a/libs/scheduling/geraniumweir/scheduling/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -1,18 +1,39 @@
-"""A pool leader: keeps the queue and grants requests to backend servers.
+"""A pool leader: the one owner of a pool's capacity in a failure domain.
 
-Waiting requests are served in tier order, then by deadline; a server gets a
-request while it has a free slot.
+It keeps the queue of all waiting requests and grants them to backend servers.
+Decisions are synchronous; only those who ask wait. The state is soft: a new
+leader adopts the grants in use and lets the waiting ask again.
+
+See Also
+========
+geraniumweir.scheduling.admitting, geraniumweir.scheduling.granting,
+geraniumweir.scheduling.shedding, geraniumweir.scheduling.progressing
 """
 
 import asyncio
-import collections
+import random
 import typing
 
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
-from geraniumweir.scheduling import requests, settings
-
-_QUEUE_LIMIT = 1000
+from geraniumweir.scheduling import (
+    admitting,
+    adoption,
+    crashes,
+    granting,
+    placement,
+    progressing,
+    shedding,
+    ticking,
+)
+from geraniumweir.scheduling import (
+    records,
+    requests,
+    settings,
+    state,
+    suspects,
+)
+from geraniumweir.scheduling import summary as summaries
 
 
 class PoolLeader:
@@ -31,14 +52,16 @@
         :param live: gives the pool's backend servers that may get work.
         :param on_preempt: told of a stream that its owner is to cancel.
         """
-        self._cfg = cfg
-        self._now = now
-        self._on_preempt = on_preempt
-        self._live = live
-        self._waiting: dict[
-            ids.RequestId, tuple[requests.Ask, asyncio.Future[requests.Grant]]
-        ] = {}
-        self._running: dict[ids.RequestId, ids.ServerId] = {}
+        self._state = state.LeaderState(
+            cfg,
+            now,
+            live,
+            on_preempt,
+            settled=cfg.settle_seconds <= 0,
+            settle_by=now() + cfg.settle_seconds,
+            dice=random.Random(cfg.seed),
+            suspects=suspects.Suspects(cfg.quarantine_seconds),
+        )
 
     async def ask(
         self,
@@ -46,44 +69,68 @@
     ) -> requests.Grant | requests.Denial:
         """Wait for a backend server.
 
-        :param ask: what waits; its deadline is on the loop's clock.
+        A repeated ask of a waiting id joins it; of a granted id it gets the
+        same grant again.
+
+        :param ask: what waits; its deadline is on the leader's clock.
         :returns: a grant, or a denial once there can be none in time.
         """
-        if len(self._waiting) >= _QUEUE_LIMIT:
-            reason = requests.DenialReason.queue_full
-            return requests.Denial(ask.request_id, reason)
-        loop = asyncio.get_running_loop()
-        fut: asyncio.Future[requests.Grant] = loop.create_future()
-        self._waiting[ask.request_id] = (ask, fut)
-        self.grant_waiting()
-        try:
-            async with asyncio.timeout_at(ask.deadline):
-                return await fut
-        except TimeoutError:
-            reason = requests.DenialReason.too_late
-            return requests.Denial(ask.request_id, reason)
-        finally:
-            self._waiting.pop(ask.request_id, None)
+        ticking.arm(self._state)
+        ticking.look_first(self._state)
+        running = self._state.running.get(ask.request_id)
+        if running is not None:
+            return running.grant
+        waiting = self._state.waiting.get(ask.request_id)
+        if waiting is None:
+            admitted = admitting.admit(self._state, ask)
+            if isinstance(admitted, requests.Denial):
+                return admitted
+            waiting = admitted
+        return await self._joined(waiting)
 
-    def release(self, release: requests.Release) -> None:
-        """Take back a grant and serve who waits.
+    def withdraw(self, request_id: ids.RequestId) -> None:
+        """Drop a request whose caller went away while it waited.
 
-        :param release: how the work ended.
+        A request that is granted already is its owner's to release.
         """
-        self._running.pop(release.request_id, None)
-        self.grant_waiting()
-
-    def withdraw(self, request_id: ids.RequestId) -> None:
-        """Drop a request whose caller went away while it waited."""
+        waiting = self._state.waiting.get(request_id)
+        if waiting is not None:
+            reason = requests.DenialReason.withdrawn
+            shedding.refuse(self._state, waiting, reason)
 
     def progress(self, progress: requests.Progress) -> None:
         """Take how granted work goes on."""
+        progressing.progress(self._state, progress)
+
+    def release(self, release: requests.Release) -> None:
+        """Take back a grant and serve who waits; a repeat is ignored.
+
+        :param release: how the work ended.
+        """
+        if release.outcome is requests.Outcome.crashed:
+            running = self._state.running.get(release.request_id)
+            if running is not None:
+                self.server_crashed(
+                    running.grant.server_id,
+                    running.grant.incarnation,
+                )
+        progressing.release(self._state, release)
 
     def report(self, report: requests.LoadReport) -> None:
         """Take an engine's load report."""
+        server = self._state.servers.get(report.server_id)
+        if server is not None:
+            server.limit.report(report.waiting, report.age, self._state.now())
+            placement.refresh(self._state, server)
 
     def cache_events(self, events: requests.CacheEvents) -> None:
-        """Take an engine's cache events."""
+        """Take an engine's cache events, in whatever order they come."""
+        self._state.prefixes.events(
+            events.server_id,
+            events.incarnation,
+            events.sequence,
+            (events.stored, events.evicted),
+        )
 
     def server_crashed(
         self,
@@ -92,49 +139,63 @@
     ) -> None:
         """Take that a server crashed.
 
+        Its requests are taken off it and suspected; their owners learn of it
+        through their own failed dispatch.
+
         :param incarnation: the one that is gone.
         """
+        server = self._state.servers.get(server_id)
+        if server is not None:
+            crashes.crashed(self._state, server, incarnation)
+            granting.fill_open(self._state)
+
+    def owner_gone(self, owner: ids.HostId) -> None:
+        """End the grants and the waiting requests of a lost entry host."""
+        adoption.owner_gone(self._state, owner)
 
     def adopt(self, grants: typing.Sequence[requests.OpenGrant]) -> None:
         """Take over grants in use that another leader gave."""
+        ticking.look_first(self._state)
+        for taken in grants:
+            adoption.adopt(self._state, taken)
 
     def settled(self) -> None:
         """Start granting: all owners have handed over their grants."""
+        self._state.settled = True
+        ticking.look_first(self._state)
+        granting.fill_open(self._state)
 
     def summary(self) -> requests.PoolSummary:
         """Sum up the pool for other hosts."""
-        return requests.PoolSummary(self._cfg.pool)
+        return summaries.summarize(self._state)
 
     def grant_waiting(self) -> None:
-        """Grant as much as there are free slots; called on any change."""
-        order = sorted(
-            self._waiting.values(),
-            key=lambda entry: (entry[0].tier, entry[0].deadline),
-        )
-        for ask, fut in order:
-            server = self._free_server()
-            if server is None:
-                return
-            if fut.done():
-                continue
-            self._running[ask.request_id] = server.server_id
-            self._waiting.pop(ask.request_id, None)
-            fut.set_result(
-                requests.Grant(
-                    ask.request_id,
-                    server.server_id,
-                    server.incarnation,
-                    server.address,
-                ),
-            )
-
-    def _free_server(self) -> servers.Announcement | None:
-        load = collections.Counter(self._running.values())
-        free = [
-            server
-            for server in self._live()
-            if load[server.server_id] < server.slots
-        ]
-        if not free:
-            return None
-        return min(free, key=lambda server: load[server.server_id])
+        """Take that announcements or the configuration changed."""
+        ticking.changed(self._state)
+
+    @property
+    def suspects(self) -> suspects.Suspects:
+        """Give the suspects, to spread quarantines between hosts."""
+        return self._state.suspects
+
+    async def _joined(
+        self,
+        waiting: records.Waiting,
+    ) -> requests.Grant | requests.Denial:
+        waiting.joined += 1
+        try:
+            return await asyncio.shield(waiting.fut)
+        except asyncio.CancelledError:
+            waiting.joined -= 1
+            if not waiting.joined:
+                self._abandoned(waiting)
+            raise
+
+    def _abandoned(self, waiting: records.Waiting) -> None:
+        """End a request whose last asker went away before its answer."""
+        request_id = waiting.ask.request_id
+        self.withdraw(request_id)
+        running = self._state.running.get(request_id)
+        if running is not None and running.grant is waiting.fut.result():
+            not_sent = requests.Outcome.cancelled
+            self.release(requests.Release(request_id, not_sent))
--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -13,17 +13,17 @@
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.scheduling import learning, state
+from geraniumweir.scheduling import learning, records, state
 
 _REFERENCE_PROMPT = 500
 _REFERENCE_OUTPUT = 100
 _LOAD_SLOWDOWN = 0.3
 
 
-def refresh(leader: state.LeaderState, server: state.Server) -> None:
+def refresh(leader: state.LeaderState, server: records.Server) -> None:
     """Put a server where it belongs among the openings."""
     if not server.is_open():
-        leader.openings.drop(server.server_id)
+        leader.open_servers.drop(server.server_id)
         return
     score = _seconds(
         leader,
@@ -31,7 +31,7 @@
         None,
         (_REFERENCE_PROMPT, _REFERENCE_OUTPUT),
     )
-    leader.openings.put(
+    leader.open_servers.put(
         server.server_id,
         server.kind,
         score,
@@ -41,11 +41,12 @@
 
 def starts(
     leader: state.LeaderState,
-    waiting: state.Waiting,
-) -> dict[state.ServerClass, float]:
+    waiting: records.Waiting,
+) -> dict[records.ServerClass, float]:
     """Give a request's latest start on each class that can run it."""
+    cached = _cached_by_class(leader, waiting)
     return {
-        kind: latest_start(leader, waiting, kind)
+        kind: latest_start(leader, waiting, kind, cached.get(kind, 0))
         for kind in leader.classes.values()
         if kind.serves(waiting.ask)
     }
@@ -53,21 +54,26 @@
 
 def latest_start(
     leader: state.LeaderState,
-    waiting: state.Waiting,
-    kind: state.ServerClass,
+    waiting: records.Waiting,
+    kind: records.ServerClass,
+    cached: float = 0,
 ) -> float:
-    """Give the time at which a request must start on a class of servers."""
+    """Give the time at which a request must start on a class of servers.
+
+    :param cached: share of its prompt that such a server has cached.
+    """
     if waiting.probe:
         return waiting.ask.deadline
     rates = leader.speeds.of_kind(kind.hardware, waiting.ask.model)
-    seconds = rates.seconds(waiting.ask.prompt_tokens, waiting.expected.mean)
+    prompt = waiting.ask.prompt_tokens * (1 - cached)
+    seconds = rates.seconds(prompt, waiting.expected.mean)
     return waiting.ask.deadline - seconds * leader.cfg.safety
 
 
 def uncached_tokens(
     leader: state.LeaderState,
-    server: state.Server,
-    waiting: state.Waiting,
+    server: records.Server,
+    waiting: records.Waiting,
 ) -> float:
     """Give the prompt tokens that a server would have to prefill."""
     ask = waiting.ask
@@ -77,8 +83,8 @@
 
 def finish(
     leader: state.LeaderState,
-    server: state.Server,
-    waiting: state.Waiting,
+    server: records.Server,
+    waiting: records.Waiting,
 ) -> float:
     """Predict the seconds until a request started now on a server ends."""
     tokens = (
@@ -90,8 +96,8 @@
 
 def in_time(
     leader: state.LeaderState,
-    server: state.Server,
-    waiting: state.Waiting,
+    server: records.Server,
+    waiting: records.Waiting,
 ) -> bool:
     """Tell whether a request started now on a server ends in time."""
     if waiting.probe:
@@ -100,14 +106,14 @@
     return leader.now() + seconds <= waiting.ask.deadline
 
 
-def has_room(server: state.Server, waiting: state.Waiting) -> bool:
+def has_room(server: records.Server, waiting: records.Waiting) -> bool:
     """Tell whether a server's KV cache takes a request."""
     if not server.running:
         return True
     return waiting.kv_need <= server.kv_free()
 
 
-def kept_for_another(server: state.Server, waiting: state.Waiting) -> bool:
+def kept_for_another(server: records.Server, waiting: records.Waiting) -> bool:
     """Tell whether a server is kept for a request that goes before."""
     kept = server.reserved
     if kept is None or kept is waiting:
@@ -117,13 +123,13 @@
 
 def choose(
     leader: state.LeaderState,
-    waiting: state.Waiting,
-) -> state.Server | None:
+    waiting: records.Waiting,
+) -> records.Server | None:
     """Choose an open server on which a request ends in time.
 
     :returns: the one predicted to end it first, None if there is none.
     """
-    best: state.Server | None = None
+    best: records.Server | None = None
     best_seconds = float('inf')
     for server in _open_servers(leader, waiting):
         if kept_for_another(server, waiting) or not has_room(server, waiting):
@@ -138,8 +144,8 @@
 
 def least_harm(
     leader: state.LeaderState,
-    waiting: state.Waiting,
-) -> state.Server | None:
+    waiting: records.Waiting,
+) -> records.Server | None:
     """Choose the open server with the fewest others running, for a suspect.
 
     Suspects are rare, so all servers are looked at.
@@ -147,11 +153,7 @@
     fit = [
         server
         for server in leader.servers.values()
-        if server.is_open()
-        and not server.suspects
-        and server.kind in waiting.latest
-        and not kept_for_another(server, waiting)
-        and has_room(server, waiting)
+        if server.is_open() and _takes_suspect(server, waiting)
     ]
     return min(
         fit,
@@ -160,10 +162,33 @@
     )
 
 
+def _cached_by_class(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> dict[records.ServerClass, float]:
+    """Give the share of a prompt cached where most of it is, by class."""
+    blocks = waiting.ask.blocks
+    shares: dict[records.ServerClass, float] = {}
+    for server_id in leader.prefixes.holders(blocks):
+        server = leader.servers.get(server_id)
+        if server is not None and server.live:
+            share = leader.prefixes.cached_share(server_id, blocks)
+            shares[server.kind] = max(shares.get(server.kind, 0), share)
+    return shares
+
+
+def _takes_suspect(server: records.Server, waiting: records.Waiting) -> bool:
+    if server.suspects or server.kind not in waiting.latest:
+        return False
+    if kept_for_another(server, waiting):
+        return False
+    return has_room(server, waiting)
+
+
 def _open_servers(
     leader: state.LeaderState,
-    waiting: state.Waiting,
-) -> typing.Iterator[state.Server]:
+    waiting: records.Waiting,
+) -> typing.Iterator[records.Server]:
     seen: set[ids.ServerId] = set()
     for server_id in _candidates(leader, waiting):
         if server_id in seen:
@@ -178,19 +203,19 @@
 
 def _candidates(
     leader: state.LeaderState,
-    waiting: state.Waiting,
+    waiting: records.Waiting,
 ) -> typing.Iterator[ids.ServerId]:
     yield from leader.prefixes.holders(waiting.ask.blocks)
     for kind in waiting.latest:
-        yield from leader.openings.best(kind)
-        roomiest = leader.openings.roomiest(kind)
+        yield from leader.open_servers.best(kind)
+        roomiest = leader.open_servers.roomiest(kind)
         if roomiest is not None:
             yield roomiest
 
 
 def _seconds(
     leader: state.LeaderState,
-    server: state.Server,
+    server: records.Server,
     model: str | None,
     tokens: tuple[float, float],
 ) -> float:
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/progressing.py
@@ -0,0 +1,199 @@
+"""Learns from how granted work goes on and ends."""
+
+from geraniumweir.scheduling import (
+    fleet,
+    granting,
+    learning,
+    placement,
+    records,
+    requests,
+    state,
+    stragglers,
+)
+
+_STEPS_BETWEEN_REPORTS = 20
+
+
+def progress(leader: state.LeaderState, news: requests.Progress) -> None:
+    """Take how granted work goes on."""
+    running = leader.running.get(news.request_id)
+    if running is None:
+        return
+    server = leader.servers.get(running.grant.server_id)
+    if server is None:
+        return
+    moved = news.output_tokens > running.output_tokens
+    if news.first_token is not None and running.first_token is None:
+        _first_token(leader, server, running, news.first_token)
+        moved = True
+    if not moved:
+        return
+    running.output_tokens = max(running.output_tokens, news.output_tokens)
+    _moves(leader, server, running)
+
+
+def release(leader: state.LeaderState, ended: requests.Release) -> None:
+    """Take back a grant and serve who waits."""
+    running = leader.running.get(ended.request_id)
+    if running is None:
+        return
+    server = leader.servers.get(running.grant.server_id)
+    drop(leader, running)
+    if server is None:
+        granting.unpark(leader, running.ask.rule)
+        return
+    _correct_charge(leader, running, ended.outcome)
+    match ended.outcome:
+        case requests.Outcome.done:
+            _learn_end(leader, server, running, ended)
+        case requests.Outcome.not_sent:
+            server.health.stall(leader.now())
+        case requests.Outcome.failed | requests.Outcome.crashed:
+            failure = (leader.now(), running.ask.fingerprint)
+            server.failures.append(failure)
+            server.health.failed(leader.now())
+        case requests.Outcome.cancelled | requests.Outcome.preempted:
+            pass
+    placement.refresh(leader, server)
+    granting.unpark(leader, running.ask.rule)
+    granting.fill(leader, server)
+
+
+def drop(leader: state.LeaderState, running: records.Running) -> None:
+    """Take a grant out of all counts."""
+    ask = running.ask
+    leader.running.pop(ask.request_id)
+    leader.running_by_tier[ask.tier] -= 1
+    leader.running_prints[ask.fingerprint] -= 1
+    if not leader.running_prints[ask.fingerprint]:
+        leader.running_prints.pop(ask.fingerprint)
+    leader.rules[ask.rule].running -= 1
+    granting.forget_idle_rule(leader, ask.rule)
+    orphans = leader.orphans.get(running.grant.server_id, {})
+    orphans.pop(ask.request_id, None)
+    server = leader.servers.get(running.grant.server_id)
+    if server is not None:
+        fleet.detach(leader, server, running)
+
+
+def _first_token(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+    seconds: float,
+) -> None:
+    if running.ask.request_id in server.running:
+        server.prefilling -= running.uncached
+    running.first_token = seconds
+    running.first_seen = leader.now()
+    tokens = running.uncached + running.ahead + learning.FIXED_TOKENS
+    expected = _rates(leader, server, running).prefill * tokens
+    leader.speeds.learn_prefill(
+        server.server_id,
+        server.kind.hardware,
+        running.ask.model,
+        (seconds, tokens),
+    )
+    slowness = server.limit.prefill.slowness(seconds / tokens)
+    server.limit.observe(slowness, running.beside, leader.now())
+    server.health.compare(seconds, expected, leader.now())
+    placement.refresh(leader, server)
+
+
+def _moves(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+) -> None:
+    server.last_good = leader.now()
+    step = _rates(leader, server, running).decode * _STEPS_BETWEEN_REPORTS
+    running.due = leader.now() + stragglers.patience(step)
+    if running.stuck:
+        running.stuck = False
+        server.stuck -= 1
+        granting.watch_progress(leader, running)
+        placement.refresh(leader, server)
+
+
+def _learn_end(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+    ended: requests.Release,
+) -> None:
+    first_token = running.first_token or ended.first_token
+    if first_token is None and not ended.output_tokens:
+        first_token = ended.seconds
+    if running.first_token is None and first_token is not None:
+        running.first_token = first_token
+        _learn_late_first_token(leader, server, running)
+    if ended.output_tokens:
+        ask = running.ask
+        leader.lengths.learn(ask.rule, ask.customer, ended.output_tokens)
+        _learn_decode(leader, server, running, ended)
+    leader.suspects.ended_well(running.ask.fingerprint)
+    server.last_good = leader.now()
+    server.health.good()
+
+
+def _learn_late_first_token(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+) -> None:
+    """Learn a first token that was heard of only at the end."""
+    tokens = running.uncached + running.ahead + learning.FIXED_TOKENS
+    leader.speeds.learn_prefill(
+        server.server_id,
+        server.kind.hardware,
+        running.ask.model,
+        (running.first_token or 0, tokens),
+    )
+
+
+def _learn_decode(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+    ended: requests.Release,
+) -> None:
+    seconds = ended.seconds - (running.first_token or 0)
+    steps = ended.output_tokens - 1
+    if steps < 1 or seconds <= 0:
+        return
+    expected = _rates(leader, server, running).decode * steps
+    leader.speeds.learn_decode(
+        server.server_id,
+        server.kind.hardware,
+        running.ask.model,
+        (seconds, steps),
+    )
+    slowness = server.limit.decode.slowness(seconds / steps)
+    server.limit.observe(slowness, running.beside, leader.now())
+    server.health.compare(seconds, expected, leader.now())
+
+
+def _correct_charge(
+    leader: state.LeaderState,
+    running: records.Running,
+    outcome: requests.Outcome,
+) -> None:
+    """Charge the customer what was used in place of what was predicted."""
+    used = leader.now() - running.granted
+    if outcome is requests.Outcome.not_sent:
+        used = 0
+    ask = running.ask
+    flow = (ask.tier, ask.customer)
+    leader.queue.charge(flow, (used - running.cost) / ask.share)
+
+
+def _rates(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+) -> learning.Rates:
+    return leader.speeds.of_server(
+        server.server_id,
+        server.kind.hardware,
+        running.ask.model,
+    )
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -0,0 +1,275 @@
+"""Refuses and preempts, strictly from the lowest tier.
+
+A request that nears its latest start preempts a cancellable stream of a lower
+tier, the lowest first and there the one that wastes the least prefill; a
+non-idempotent call is never preempted. Only when nothing lower runs that
+could make way is a request refused, and then at once, with a spread-out time
+to come back.
+"""
+
+import asyncio
+import itertools
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import (
+    granting,
+    placement,
+    records,
+    requests,
+    state,
+)
+
+_GRACE = 0.25
+_NO_SERVER_SECONDS = 1.0
+_MOST_VICTIMS = 4
+_LEAST_RETRY = 0.2
+_LONGEST_RETRY = 10.0
+_SPREAD = 0.5
+_MS = 1000
+
+
+def watch(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    """See to it that a request is decided when its latest start comes."""
+    if not waiting.latest:
+        by = min(waiting.ask.deadline, waiting.arrived + _NO_SERVER_SECONDS)
+        _arm(leader, waiting, by, expire)
+        return
+    at = waiting.best_start - leader.cfg.preempt_slack
+    if at <= leader.now():
+        urgent(leader, waiting)
+    else:
+        _arm(leader, waiting, at, urgent)
+
+
+def urgent(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    """Serve a request that nears its latest start, or make way for it."""
+    if waiting.fut.done() or granting.try_now(leader, waiting):
+        return
+    preempt(leader, waiting)
+    if not waiting.fut.done():
+        _arm(leader, waiting, waiting.best_start, expire)
+
+
+def expire(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    """Decide a request at its latest start."""
+    if waiting.fut.done() or granting.try_now(leader, waiting):
+        return
+    if not waiting.extended and preempt(leader, waiting):
+        waiting.extended = True
+        if not waiting.fut.done():
+            _arm(leader, waiting, leader.now() + _GRACE, expire)
+        return
+    refuse(leader, waiting, _reason_at_end(leader, waiting))
+
+
+def _reason_at_end(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> requests.DenialReason:
+    """Tell what kept a request from being served until its latest start."""
+    if not waiting.latest:
+        return requests.DenialReason.no_server
+    if granting.over_running_limit(leader, waiting.ask):
+        return requests.DenialReason.rule_limit
+    if waiting.held and waiting.ask.fingerprint in leader.running_prints:
+        return requests.DenialReason.quarantined
+    return requests.DenialReason.too_late
+
+
+def refuse(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+    reason: requests.DenialReason,
+) -> None:
+    """End a request that waits."""
+    granting.leave(leader, waiting)
+    kept = granting.unreserve(leader, waiting)
+    waiting.fut.set_result(denial(leader, waiting.ask, reason))
+    if kept is not None:
+        granting.fill(leader, kept)
+
+
+def denial(
+    leader: state.LeaderState,
+    ask: requests.Ask,
+    reason: requests.DenialReason,
+) -> requests.Denial:
+    """Make a denial, with a time to come back, and remember it."""
+    now = leader.now()
+    if reason is not requests.DenialReason.withdrawn:
+        leader.budgets.refused(ask.customer, ask.fingerprint, now)
+    seconds = expected_wait(leader, ask.tier)
+    if reason is requests.DenialReason.quarantined:
+        seconds = leader.suspects.remaining(ask.fingerprint, now)
+    else:
+        seconds = min(max(seconds, _LEAST_RETRY), _LONGEST_RETRY)
+    # Spread out, so that those refused together don't come back together.
+    spread = leader.dice.uniform(1, 1 + 2 * _SPREAD)
+    return requests.Denial(ask.request_id, reason, int(seconds * spread * _MS))
+
+
+def expected_wait(leader: state.LeaderState, tier: ids.Tier) -> float:
+    """Give the seconds that the work ahead of a tier takes the pool."""
+    ahead = work_above(leader, tier) + leader.cost_by_tier[tier]
+    return max(ahead, 0) / max(leader.slots, 1)
+
+
+def work_above(leader: state.LeaderState, tier: ids.Tier) -> float:
+    """Give the predicted slot seconds of what waits in higher tiers."""
+    return sum(
+        cost for other, cost in leader.cost_by_tier.items() if other < tier
+    )
+
+
+def make_room(leader: state.LeaderState, ask: requests.Ask) -> bool:
+    """Shed the lowest, latest request if it is lower than a newcomer."""
+    for tier in reversed(ids.Tier):
+        if tier <= ask.tier:
+            return False
+        latest = next(reversed(leader.by_tier[tier].values()), None)
+        if latest is not None:
+            refuse(leader, latest, requests.DenialReason.shed)
+            return True
+    return False
+
+
+def lower_is_served(leader: state.LeaderState, tier: ids.Tier) -> bool:
+    """Tell whether anything of a lower tier runs or waits."""
+    return any(
+        leader.running_by_tier[lower] or leader.by_tier[lower]
+        for lower in ids.Tier
+        if lower > tier
+    )
+
+
+def preempt(leader: state.LeaderState, waiting: records.Waiting) -> bool:
+    """Have streams of a lower tier cancelled to make way for a request.
+
+    :returns: whether some are on their way out.
+    """
+    if not leader.settled or granting.over_running_limit(leader, waiting.ask):
+        return False
+    if waiting.held and waiting.ask.fingerprint in leader.running_prints:
+        return False
+    if waiting.preempting & leader.running.keys():
+        return True
+    chosen = _choose_victims(leader, waiting)
+    if not chosen:
+        return False
+    server_id = chosen[0].grant.server_id
+    granting.reserve(leader.servers[server_id], waiting)
+    for running in chosen:
+        leader.preemptible.remove(running.ask.request_id)
+        waiting.preempting.add(running.ask.request_id)
+    for running in chosen:
+        leader.on_preempt(
+            requests.Preempt(
+                running.ask.request_id,
+                running.ask.owner,
+                server_id,
+            ),
+        )
+    return True
+
+
+def _choose_victims(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> list[records.Running]:
+    for tier in reversed(ids.Tier):
+        if tier <= waiting.ask.tier:
+            return []
+        options = _options(leader, waiting, tier)
+        if options:
+            return min(options, key=_waste)
+    return []
+
+
+def _options(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+    tier: ids.Tier,
+) -> list[list[records.Running]]:
+    """List what could be cancelled together, starting from one tier."""
+    streams = itertools.chain.from_iterable(
+        leader.preemptible.least(kind, tier) for kind in waiting.latest
+    )
+    options = (
+        _with_company(leader, waiting, request_id) for request_id in streams
+    )
+    return [chosen for chosen in options if chosen]
+
+
+def _waste(chosen: typing.Iterable[records.Running]) -> float:
+    return sum(running.uncached for running in chosen)
+
+
+def _with_company(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+    request_id: ids.RequestId,
+) -> list[records.Running]:
+    """Find what must go, with a stream, so that a request fits its server."""
+    first = leader.running[request_id]
+    server = leader.servers[first.grant.server_id]
+    if not _could_take(leader, server, waiting):
+        return []
+    chosen = [first]
+    free = server.kv_free() + first.kv_need
+    for running in _others(leader, server, first, waiting):
+        if free >= waiting.kv_need or len(chosen) == _MOST_VICTIMS:
+            break
+        chosen.append(running)
+        free += running.kv_need
+    everything = len(chosen) == len(server.running)
+    return chosen if everything or free >= waiting.kv_need else []
+
+
+def _others(
+    leader: state.LeaderState,
+    server: records.Server,
+    first: records.Running,
+    waiting: records.Waiting,
+) -> list[records.Running]:
+    others = [
+        running
+        for request_id, running in server.running.items()
+        if running is not first
+        and running.ask.tier > waiting.ask.tier
+        and leader.preemptible.waste(request_id) is not None
+    ]
+    return sorted(
+        others,
+        key=lambda running: (-running.ask.tier, running.uncached),
+    )
+
+
+def _could_take(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether a server that lost a stream could end a request in time."""
+    if server.reserved is not None or server.most() < len(server.running):
+        return False
+    if waiting.held and server.suspects:
+        return False
+    return placement.in_time(leader, server, waiting)
+
+
+def _arm(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+    at: float,
+    action: typing.Callable[[state.LeaderState, records.Waiting], None],
+) -> None:
+    if waiting.timer is not None:
+        waiting.timer.cancel()
+    delay = max(at - leader.now(), 0)
+    waiting.timer = asyncio.get_running_loop().call_later(
+        delay,
+        action,
+        leader,
+        waiting,
+    )
--- a/libs/scheduling/geraniumweir/scheduling/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/state.py
@@ -1,7 +1,4 @@
-"""What a pool leader keeps: waiting and running requests, server records.
-
-The decisions are free functions over :class:`LeaderState`.
-"""
+"""All that a pool leader knows; the decisions are free functions over it."""
 
 import asyncio
 import collections
@@ -12,174 +9,18 @@
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
 from geraniumweir.scheduling import (
-    concurrency,
     fairqueue,
     learning,
     openings,
     prefix,
+    records,
     requests,
     retries,
     settings,
-    stragglers,
     suspects,
     victims,
 )
 
-_MOST_FAILURES = 32
-
-
-@dataclasses.dataclass(frozen=True, slots=True, eq=False)
-class ServerClass:
-    """Servers that are alike in what they can run and how fast.
-
-    Compared by identity: there is one object for each class.
-    """
-
-    hardware: str
-    models: tuple[str, ...]
-    max_context: int
-
-    def serves(self, ask: requests.Ask) -> bool:
-        """Tell whether a server of this class can run a request at all."""
-        if ask.model is not None and self.models:
-            if ask.model not in self.models:
-                return False
-        if not self.max_context:
-            return True
-        return ask.prompt_tokens + max(ask.max_tokens, 1) <= self.max_context
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Waiting:
-    """A request in the queue.
-
-    :ivar sequence: by order of arrival.
-    :ivar latest: latest start by server class, in seconds.
-    :ivar cost: predicted seconds of one slot on the best class.
-    :ivar probe: let in although it looks too late, to learn whether it is.
-    :ivar joined: asks that wait for the same answer.
-    :ivar held: a suspect, or kept back by its rule's limit.
-    """
-
-    ask: requests.Ask
-    sequence: int
-    arrived: float
-    fut: asyncio.Future[requests.Grant | requests.Denial]
-    expected: learning.Expected
-    latest: dict[ServerClass, float] = dataclasses.field(default_factory=dict)
-    best_start: float = float('-inf')
-    cost: float = 0
-    probe: bool = False
-    joined: int = 0
-    held: bool = False
-    extended: bool = False
-    timer: asyncio.TimerHandle | None = None
-    preempting: set[ids.RequestId] = dataclasses.field(default_factory=set)
-    reserved: ids.ServerId | None = None
-
-    @property
-    def kv_need(self) -> int:
-        """Give the KV tokens that it may come to hold."""
-        return self.ask.prompt_tokens + int(self.expected.high)
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Running:
-    """A grant in use.
-
-    :ivar granted: when, in seconds.
-    :ivar uncached: prompt tokens thought not to be cached at the server.
-    :ivar ahead: uncached tokens granted there before and not yet prefilled.
-    :ivar beside: requests that ran there then, this one included.
-    :ivar due: when the next sign of progress is late.
-    """
-
-    ask: requests.Ask
-    grant: requests.Grant
-    granted: float
-    expected: learning.Expected
-    uncached: float
-    ahead: float
-    beside: int
-    cost: float
-    due: float = 0
-    first_token: float | None = None
-    first_seen: float = 0
-    output_tokens: int = 0
-    suspect: bool = False
-    for_whom: Waiting | None = None
-
-    @property
-    def kv_need(self) -> int:
-        """Give the KV tokens that it may come to hold."""
-        return self.ask.prompt_tokens + int(self.expected.high)
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Server:
-    """A backend server as the leader sees it.
-
-    :ivar live: announced and allowed new work.
-    :ivar kv_used: KV tokens that its grants may come to hold.
-    :ivar prefilling: uncached prompt tokens granted, without first token.
-    :ivar reserved: the waiting request that its room is kept for.
-    :ivar crashed: the newest incarnation known to be gone.
-    :ivar failures: time and fingerprint of the last failed requests.
-    """
-
-    announcement: servers.Announcement
-    kind: ServerClass
-    limit: concurrency.Limit
-    health: stragglers.Health
-    live: bool = True
-    running: dict[ids.RequestId, Running] = dataclasses.field(
-        default_factory=dict,
-    )
-    kv_used: int = 0
-    prefilling: float = 0
-    suspects: int = 0
-    reserved: Waiting | None = None
-    crashed: int = -1
-    failures: collections.deque[tuple[float, ids.Fingerprint]] = (
-        dataclasses.field(
-            default_factory=lambda: collections.deque(maxlen=_MOST_FAILURES)
-        )
-    )
-    score: float = 0
-    room: float = 0
-
-    @property
-    def server_id(self) -> ids.ServerId:
-        """Give the server's id."""
-        return self.announcement.server_id
-
-    def most(self) -> int:
-        """Give how many requests it may run now."""
-        if not self.live or self.announcement.incarnation <= self.crashed:
-            return 0
-        return self.health.most(self.limit.whole())
-
-    def is_open(self) -> bool:
-        """Tell whether it may get one more request."""
-        return len(self.running) < self.most()
-
-    def kv_free(self) -> float:
-        """Give the KV tokens not granted."""
-        if not self.announcement.kv_tokens:
-            return float('inf')
-        return self.announcement.kv_tokens - self.kv_used
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class RuleCount:
-    """Requests of one rule; those over its running limit are parked."""
-
-    running: int = 0
-    waiting: int = 0
-    parked: dict[ids.RequestId, Waiting] = dataclasses.field(
-        default_factory=dict,
-    )
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class LeaderState:
@@ -193,46 +34,55 @@
     settle_by: float
     dice: random.Random
     suspects: suspects.Suspects
-    waiting: dict[ids.RequestId, Waiting] = dataclasses.field(
+    waiting: dict[ids.RequestId, records.Waiting] = dataclasses.field(
         default_factory=dict,
     )
-    by_tier: dict[ids.Tier, dict[ids.RequestId, Waiting]] = dataclasses.field(
-        default_factory=lambda: {tier: {} for tier in ids.Tier},
+    by_tier: dict[ids.Tier, dict[ids.RequestId, records.Waiting]] = (
+        dataclasses.field(
+            default_factory=lambda: {tier: {} for tier in ids.Tier},
+        )
     )
     cost_by_tier: dict[ids.Tier, float] = dataclasses.field(
         default_factory=lambda: dict.fromkeys(ids.Tier, float(0)),
     )
-    queue: fairqueue.FairQueue[ServerClass, Waiting] = dataclasses.field(
-        default_factory=fairqueue.FairQueue,
+    queue: fairqueue.FairQueue[records.ServerClass, records.Waiting] = (
+        dataclasses.field(
+            default_factory=fairqueue.FairQueue,
+        )
     )
-    held: dict[ids.RequestId, Waiting] = dataclasses.field(
+    held: dict[ids.RequestId, records.Waiting] = dataclasses.field(
         default_factory=dict,
     )
-    running: dict[ids.RequestId, Running] = dataclasses.field(
+    running: dict[ids.RequestId, records.Running] = dataclasses.field(
         default_factory=dict,
     )
     running_by_tier: dict[ids.Tier, int] = dataclasses.field(
         default_factory=lambda: dict.fromkeys(ids.Tier, 0),
     )
-    orphans: dict[ids.ServerId, dict[ids.RequestId, Running]] = (
+    orphans: dict[ids.ServerId, dict[ids.RequestId, records.Running]] = (
         dataclasses.field(default_factory=dict)
     )
-    running_suspects: set[ids.Fingerprint] = dataclasses.field(
-        default_factory=set,
+    running_prints: collections.Counter[ids.Fingerprint] = dataclasses.field(
+        default_factory=collections.Counter,
     )
-    rules: dict[ids.RuleName, RuleCount] = dataclasses.field(
-        default_factory=dict,
+    cost_by_flow: collections.Counter[fairqueue.Flow] = dataclasses.field(
+        default_factory=collections.Counter,
     )
-    servers: dict[ids.ServerId, Server] = dataclasses.field(
+    rules: dict[ids.RuleName, records.RuleCount] = dataclasses.field(
         default_factory=dict,
     )
-    classes: dict[tuple[typing.Any, ...], ServerClass] = dataclasses.field(
+    servers: dict[ids.ServerId, records.Server] = dataclasses.field(
         default_factory=dict,
     )
-    openings: openings.Openings[ServerClass] = dataclasses.field(
+    classes: dict[tuple[typing.Any, ...], records.ServerClass] = (
+        dataclasses.field(
+            default_factory=dict,
+        )
+    )
+    open_servers: openings.Openings[records.ServerClass] = dataclasses.field(
         default_factory=openings.Openings,
     )
-    victims: victims.Victims[ServerClass] = dataclasses.field(
+    preemptible: victims.Victims[records.ServerClass] = dataclasses.field(
         default_factory=victims.Victims,
     )
     lengths: learning.OutputLengths = dataclasses.field(
@@ -244,7 +94,7 @@
     prefixes: prefix.PrefixIndex = dataclasses.field(
         default_factory=prefix.PrefixIndex,
     )
-    retries: retries.Retries = dataclasses.field(
+    budgets: retries.Retries = dataclasses.field(
         default_factory=retries.Retries,
     )
     due: list[tuple[float, int, ids.RequestId]] = dataclasses.field(
--- a/libs/scheduling/geraniumweir/scheduling/stragglers.py
+++ b/libs/scheduling/geraniumweir/scheduling/stragglers.py
@@ -17,6 +17,7 @@
 _PATIENCE_FACTOR = 5.0
 _SLOW_FACTOR = 6.0
 _SLOW_IN_ROW = 3
+_FAILED_IN_ROW = 3
 
 
 class Standing(enum.Enum):
@@ -40,6 +41,7 @@
     pause: float = _FIRST_PAUSE
     until: float = 0
     slow_in_row: int = 0
+    failed_in_row: int = 0
 
     def most(self, limit: int) -> int:
         """Give how many requests the server may run.
@@ -82,6 +84,7 @@
     def good(self) -> None:
         """Take that a request ended well."""
         self.slow_in_row = 0
+        self.failed_in_row = 0
         if self.standing is not Standing.probation:
             return
         self.allowance *= _GROWTH
@@ -89,6 +92,16 @@
             self.standing = Standing.trusted
             self.pause = _FIRST_PAUSE
 
+    def failed(self, now: float) -> None:
+        """Take that a request failed; several in a row are a stall.
+
+        A server that fails at once would else look like the fastest.
+        """
+        self.failed_in_row += 1
+        if self.failed_in_row >= _FAILED_IN_ROW:
+            self.failed_in_row = 0
+            self.stall(now)
+
     def compare(self, seconds: float, expected: float, now: float) -> None:
         """Take how long something took against what was learnt."""
         if seconds < max(expected * _SLOW_FACTOR, 1):
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/summary.py
@@ -0,0 +1,57 @@
+"""Sums up a pool for other hosts: capacity, waits, lowest tier served."""
+
+import collections
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import requests, shedding, state
+
+
+def summarize(leader: state.LeaderState) -> requests.PoolSummary:
+    """Sum up a pool."""
+    waits = tuple(_wait(leader, tier) for tier in ids.Tier)
+    return requests.PoolSummary(
+        leader.cfg.pool,
+        _capacity(leader),
+        waits,
+        _lowest_served(leader),
+        max(wait.oldest for wait in waits),
+    )
+
+
+def _capacity(
+    leader: state.LeaderState,
+) -> tuple[requests.ModelCapacity, ...]:
+    slots: collections.Counter[str] = collections.Counter()
+    free: collections.Counter[str] = collections.Counter()
+    for server in leader.servers.values():
+        most = server.most()
+        for model in server.kind.models or ('',):
+            slots[model] += most
+            free[model] += max(most - len(server.running), 0)
+    return tuple(
+        requests.ModelCapacity(name, slots[name], free[name])
+        for name in sorted(slots)
+    )
+
+
+def _wait(leader: state.LeaderState, tier: ids.Tier) -> requests.TierWait:
+    queue = leader.by_tier[tier]
+    oldest = float(0)
+    if queue:
+        # In order of arrival, so the first is the oldest.
+        oldest = leader.now() - next(iter(queue.values())).arrived
+    return requests.TierWait(
+        tier,
+        len(queue),
+        oldest,
+        shedding.expected_wait(leader, tier),
+    )
+
+
+def _lowest_served(leader: state.LeaderState) -> ids.Tier | None:
+    served = [
+        tier
+        for tier in ids.Tier
+        if leader.running_by_tier[tier] or leader.by_tier[tier]
+    ]
+    return max(served, default=None)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/ticking.py
@@ -0,0 +1,86 @@
+"""What a pool leader does as time goes by: leases, stalls, pauses that end."""
+
+import asyncio
+import heapq
+
+from geraniumweir.scheduling import (
+    crashes,
+    granting,
+    placement,
+    records,
+    state,
+    stragglers,
+)
+
+_TICK_SECONDS = 0.25
+_MIN_SYNC_GAP = 0.02
+
+
+def arm(leader: state.LeaderState) -> None:
+    """Start ticking, unless it ticks already."""
+    if leader.ticker is None:
+        leader.ticker = asyncio.get_running_loop().call_later(
+            _TICK_SECONDS,
+            _tick,
+            leader,
+        )
+
+
+def changed(leader: state.LeaderState) -> None:
+    """Take that servers or settings may have changed.
+
+    Announcements come by the hundred in a second, so most of them wait for
+    the next tick.
+    """
+    if leader.now() - leader.synced >= _MIN_SYNC_GAP:
+        crashes.synced(leader)
+        granting.fill_open(leader)
+
+
+def look_first(leader: state.LeaderState) -> None:
+    """Follow the servers before an ask, unless that was done lately."""
+    if leader.now() - leader.synced > _TICK_SECONDS:
+        crashes.synced(leader)
+
+
+def beat(leader: state.LeaderState) -> None:
+    """Do what is due at a tick."""
+    if leader.now() >= leader.settle_by:
+        leader.settled = True
+    if leader.now() - leader.synced >= _TICK_SECONDS:
+        crashes.synced(leader)
+    _find_stalls(leader)
+    for server in leader.servers.values():
+        if server.health.wake(leader.now()):
+            placement.refresh(leader, server)
+    granting.fill_open(leader)
+
+
+def _tick(leader: state.LeaderState) -> None:
+    leader.ticker = None
+    beat(leader)
+    if leader.waiting or leader.running:
+        arm(leader)
+
+
+def _find_stalls(leader: state.LeaderState) -> None:
+    while leader.due and leader.due[0][0] <= leader.now():
+        _, _, request_id = heapq.heappop(leader.due)
+        running = leader.running.get(request_id)
+        if running is None:
+            continue
+        if running.due > leader.now():
+            granting.watch_progress(leader, running)
+        else:
+            _stalled(leader, running)
+
+
+def _stalled(leader: state.LeaderState, running: records.Running) -> None:
+    server = leader.servers.get(running.grant.server_id)
+    if server is None or running.stuck:
+        return
+    running.stuck = True
+    server.stuck += 1
+    server.health.stall(leader.now())
+    if server.health.standing is stragglers.Standing.stalled:
+        placement.refresh(leader, server)
