--- a/libs/scheduling/geraniumweir/scheduling/tests/test_broker.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_broker.py
@@ -196,7 +196,9 @@
     async def scenario() -> None:
         world = worlds.World({'a': (2, 1)})
         owner = world.others(world.leader_of('a'))[0]
-        first = [world.call(owner, f'r{n}', seconds=2) for n in range(2)]
+        first = [
+            world.call(owner, f'r{number}', seconds=2) for number in range(2)
+        ]
         await asyncio.sleep(0.5)
         withdrawn = world.call(owner, 'withdrawn')
         cancelled = world.call(owner, 'cancelled')
