--- a/libs/scheduling/geraniumweir/scheduling/admitting.py
+++ b/libs/scheduling/geraniumweir/scheduling/admitting.py
@@ -11,6 +11,7 @@
     shedding,
     state,
     suspects,
+    waitlist,
 )
 
 _PROBE_EVERY = 16
@@ -49,9 +50,10 @@
 def _wait(leader: state.LeaderState, waiting: records.Waiting) -> None:
     full = len(leader.waiting) >= leader.cfg.queue_limit
     room = not full or shedding.make_room(leader, waiting.ask)
-    granting.enqueue(leader, waiting)
+    waitlist.enqueue(leader, waiting)
     if room or shedding.preempt(leader, waiting):
         if not waiting.fut.done():
+            granting.keep_room(leader, waiting)
             shedding.watch(leader, waiting)
         return
     shedding.refuse(leader, waiting, requests.DenialReason.queue_full)
--- a/libs/scheduling/geraniumweir/scheduling/adoption.py
+++ b/libs/scheduling/geraniumweir/scheduling/adoption.py
@@ -13,6 +13,7 @@
     shedding,
     state,
     stragglers,
+    waitlist,
 )
 
 
@@ -23,8 +24,8 @@
         return
     waiting = leader.waiting.get(request_id)
     if waiting is not None:
-        granting.leave(leader, waiting)
-        granting.unreserve(leader, waiting)
+        waitlist.leave(leader, waiting)
+        waitlist.unreserve(leader, waiting)
         waiting.fut.set_result(taken.grant)
     running = _running(leader, taken)
     granting.count_running(leader, running)
@@ -73,6 +74,7 @@
         expected=expected,
         uncached=taken.ask.prompt_tokens,
         ahead=0,
+        prefill=0,
         beside=1,
         cost=0,
         due=leader.now() + stragglers.patience(taken.age),
--- a/libs/scheduling/geraniumweir/scheduling/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/fleet.py
@@ -133,7 +133,8 @@
     server.suspects += running.suspect
     server.stuck += running.stuck
     if running.first_token is None:
-        server.prefilling += running.uncached
+        begins = max(server.prefilled_at, leader.now())
+        server.prefilled_at = begins + running.prefill
     if server.announcement.can_cancel and running.ask.idempotent:
         leader.preemptible.add(
             server.kind,
@@ -157,7 +158,7 @@
     server.suspects -= running.suspect
     server.stuck -= running.stuck
     if running.first_token is None:
-        server.prefilling -= running.uncached
+        server.prefilled_at -= running.prefill
     leader.preemptible.remove(request_id)
     placement.refresh(leader, server)
 
--- a/libs/scheduling/geraniumweir/scheduling/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -19,93 +19,18 @@
     requests,
     state,
     stragglers,
-    suspects,
+    waitlist,
 )
 
 _HELD_LOOK = 8
-_NOTHING = 1e-9
-
-
-def enqueue(leader: state.LeaderState, waiting: records.Waiting) -> None:
-    """Add a request to those that wait."""
-    ask = waiting.ask
-    leader.waiting[ask.request_id] = waiting
-    leader.by_tier[ask.tier][ask.request_id] = waiting
-    leader.cost_by_tier[ask.tier] += waiting.cost
-    leader.cost_by_flow[waiting.flow] += waiting.cost
-    rule = leader.rules.setdefault(ask.rule, records.RuleCount())
-    rule.waiting += 1
-    if is_suspect(leader, ask):
-        waiting.held = True
-        leader.held[ask.request_id] = waiting
-    elif over_running_limit(leader, ask):
-        waiting.held = True
-        rule.parked[ask.request_id] = waiting
-    else:
-        _to_queue(leader, waiting)
-
-
-def leave(leader: state.LeaderState, waiting: records.Waiting) -> None:
-    """Take a request out of those that wait, if it is there."""
-    ask = waiting.ask
-    if leader.waiting.pop(ask.request_id, None) is None:
-        return
-    leader.by_tier[ask.tier].pop(ask.request_id)
-    leader.cost_by_tier[ask.tier] -= waiting.cost
-    leader.cost_by_flow[waiting.flow] -= waiting.cost
-    if not leader.by_tier[ask.tier]:
-        # Sums of floats drift; an empty tier has nothing ahead.
-        leader.cost_by_tier[ask.tier] = 0
-    if leader.cost_by_flow[waiting.flow] <= _NOTHING:
-        leader.cost_by_flow.pop(waiting.flow)
-    if waiting.timer is not None:
-        waiting.timer.cancel()
-    rule = leader.rules[ask.rule]
-    rule.waiting -= 1
-    rule.parked.pop(ask.request_id, None)
-    leader.held.pop(ask.request_id, None)
-    forget_idle_rule(leader, ask.rule)
-    if not waiting.held:
-        _from_queue(leader, waiting)
-
-
-def forget_idle_rule(leader: state.LeaderState, name: ids.RuleName) -> None:
-    """Drop the count of a rule that nothing runs or waits for."""
-    rule = leader.rules[name]
-    if not rule.running and not rule.waiting:
-        leader.rules.pop(name)
-
-
-def unreserve(
-    leader: state.LeaderState,
-    waiting: records.Waiting,
-) -> records.Server | None:
-    """Free the server that was kept for a request.
-
-    :returns: that server.
-    """
-    if waiting.reserved is None:
-        return None
-    server = leader.servers.get(waiting.reserved)
-    waiting.reserved = None
-    if server is not None and server.reserved is waiting:
-        server.reserved = None
-    return server
-
-
-def reserve(server: records.Server, waiting: records.Waiting) -> None:
-    """Keep a server's next room for a request."""
-    if server.reserved is None and waiting.reserved is None:
-        server.reserved = waiting
-        waiting.reserved = server.server_id
 
 
 def try_now(leader: state.LeaderState, waiting: records.Waiting) -> bool:
     """Grant a request if a server can end it in time from now."""
     ask = waiting.ask
-    if not leader.settled or over_running_limit(leader, ask):
+    if not leader.settled or waitlist.over_running_limit(leader, ask):
         return False
-    if is_suspect(leader, ask):
+    if waitlist.is_suspect(leader, ask):
         server = _server_for_suspect(leader, waiting)
     else:
         server = placement.choose(leader, waiting)
@@ -115,6 +40,14 @@
     return True
 
 
+def keep_room(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    """Keep a server for a request that lacks only KV room there."""
+    if leader.settled and not waiting.held:
+        server = placement.choose_crowded(leader, waiting)
+        if server is not None:
+            waitlist.reserve(server, waiting)
+
+
 def fill(leader: state.LeaderState, server: records.Server) -> int:
     """Grant a server as much as it may run now.
 
@@ -150,13 +83,13 @@
 ) -> None:
     """Grant a request a server's slot."""
     ask = waiting.ask
-    leave(leader, waiting)
-    kept = unreserve(leader, waiting)
+    waitlist.leave(leader, waiting)
+    kept = waitlist.unreserve(leader, waiting)
     running = _running(leader, waiting, server)
     leader.queue.charge(waiting.flow, running.cost / ask.share)
     expected = running.cost
     if ask.streams and ask.model is not None:
-        expected -= _decode_seconds(leader, server, waiting)
+        expected = running.ahead + running.prefill
     running.due = leader.now() + stragglers.patience(expected)
     count_running(leader, running)
     fleet.attach(leader, server, running)
@@ -200,9 +133,9 @@
         rule.parked.values(),
         key=lambda parked: (parked.ask.tier, parked.best_start),
     )
-    if not over_running_limit(leader, waiting.ask):
+    if not waitlist.over_running_limit(leader, waiting.ask):
         rule.parked.pop(waiting.ask.request_id)
-        _to_queue(leader, waiting)
+        waitlist.to_queue(leader, waiting)
         try_now(leader, waiting)
 
 
@@ -217,30 +150,20 @@
         server.announcement.incarnation,
         server.announcement.address,
     )
+    uncached = placement.uncached_tokens(leader, server, waiting)
+    rates = placement.rates_of(leader, server, waiting.ask.model)
     return records.Running(
         ask=waiting.ask,
         grant=grant_given,
         granted=leader.now(),
         expected=waiting.expected,
-        uncached=placement.uncached_tokens(leader, server, waiting),
-        ahead=server.prefilling,
+        uncached=uncached,
+        ahead=placement.prefill_ahead(leader, server),
+        prefill=rates.seconds(uncached, 0),
         beside=len(server.running) + 1,
         cost=placement.finish(leader, server, waiting),
-        suspect=is_suspect(leader, waiting.ask),
-    )
-
-
-def _decode_seconds(
-    leader: state.LeaderState,
-    server: records.Server,
-    waiting: records.Waiting,
-) -> float:
-    rates = leader.speeds.of_server(
-        server.server_id,
-        server.kind.hardware,
-        waiting.ask.model,
+        suspect=waitlist.is_suspect(leader, waiting.ask),
     )
-    return rates.decode * waiting.expected.mean
 
 
 def _pick(
@@ -282,7 +205,7 @@
     server: records.Server,
     waiting: records.Waiting,
 ) -> bool:
-    if _now_held(leader, waiting):
+    if waitlist.hold_if_needed(leader, waiting):
         return False
     if placement.kept_for_another(server, waiting):
         return False
@@ -290,52 +213,17 @@
         return False
     if placement.has_room(server, waiting):
         return True
-    if waiting.kv_need <= server.announcement.kv_tokens:
-        reserve(server, waiting)
+    if placement.fits(server, waiting):
+        waitlist.reserve(server, waiting)
     return False
 
 
-def _now_held(leader: state.LeaderState, waiting: records.Waiting) -> bool:
-    """Hold back one that became a suspect, or whose rule is at its limit."""
-    ask = waiting.ask
-    if is_suspect(leader, ask):
-        leader.held[ask.request_id] = waiting
-    elif over_running_limit(leader, ask):
-        leader.rules[ask.rule].parked[ask.request_id] = waiting
-    else:
-        return False
-    _from_queue(leader, waiting)
-    waiting.held = True
-    return True
-
-
-def _to_queue(leader: state.LeaderState, waiting: records.Waiting) -> None:
-    waiting.held = False
-    leader.queue.add(
-        waiting,
-        waiting.flow,
-        waiting.sequence,
-        waiting.latest,
-    )
-
-
-def _from_queue(leader: state.LeaderState, waiting: records.Waiting) -> None:
-    leader.queue.remove(
-        waiting,
-        waiting.flow,
-        waiting.sequence,
-        waiting.latest,
-    )
-
-
 def _fill_best(
     leader: state.LeaderState,
     kind: records.ServerClass,
 ) -> int:
-    granted = 0
-    for server_id in list(leader.open_servers.best(kind)):
-        granted += fill(leader, leader.servers[server_id])
-    return granted
+    best = list(leader.open_servers.best(kind))
+    return sum(fill(leader, leader.servers[name]) for name in best)
 
 
 def _place_held(leader: state.LeaderState) -> None:
@@ -372,20 +260,3 @@
     if server is None or not placement.in_time(leader, server, waiting):
         return None
     return server
-
-
-def is_suspect(leader: state.LeaderState, ask: requests.Ask) -> bool:
-    """Tell whether a request may crash the server that runs it."""
-    verdict = leader.suspects.verdict(ask.fingerprint, leader.now())
-    return verdict is not suspects.Verdict.clear
-
-
-def over_running_limit(
-    leader: state.LeaderState,
-    ask: requests.Ask,
-) -> bool:
-    """Tell whether a request's rule runs as many as it may."""
-    if ask.max_running is None:
-        return False
-    rule = leader.rules.get(ask.rule)
-    return rule is not None and rule.running >= ask.max_running
--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -25,12 +25,12 @@
     if not server.is_open():
         leader.open_servers.drop(server.server_id)
         return
-    score = _seconds(
-        leader,
-        server,
-        None,
-        (_REFERENCE_PROMPT, _REFERENCE_OUTPUT),
+    seconds = rates_of(leader, server, server.model).seconds(
+        _REFERENCE_PROMPT,
+        _REFERENCE_OUTPUT,
     )
+    seconds += prefill_ahead(leader, server)
+    score = seconds * _slowdown(server)
     leader.open_servers.put(
         server.server_id,
         server.kind,
@@ -87,11 +87,17 @@
     waiting: records.Waiting,
 ) -> float:
     """Predict the seconds until a request started now on a server ends."""
-    tokens = (
+    rates = rates_of(leader, server, waiting.ask.model)
+    seconds = rates.seconds(
         uncached_tokens(leader, server, waiting),
         waiting.expected.mean,
     )
-    return _seconds(leader, server, waiting.ask.model, tokens)
+    return seconds + prefill_ahead(leader, server)
+
+
+def prefill_ahead(leader: state.LeaderState, server: records.Server) -> float:
+    """Give the seconds of prefill granted to a server and not yet done."""
+    return max(server.prefilled_at - leader.now(), 0)
 
 
 def in_time(
@@ -134,7 +140,7 @@
     for server in _open_servers(leader, waiting):
         if kept_for_another(server, waiting) or not has_room(server, waiting):
             continue
-        seconds = finish(leader, server, waiting)
+        seconds = finish(leader, server, waiting) * _slowdown(server)
         if seconds < best_seconds:
             best, best_seconds = server, seconds
     if best is None or not in_time(leader, best, waiting):
@@ -142,6 +148,24 @@
     return best
 
 
+def choose_crowded(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> records.Server | None:
+    """Choose an open server that lacks only KV room for a request."""
+    for server in _open_servers(leader, waiting):
+        lacks_room = not has_room(server, waiting)
+        if lacks_room and server.reserved is None and fits(server, waiting):
+            if in_time(leader, server, waiting):
+                return server
+    return None
+
+
+def fits(server: records.Server, waiting: records.Waiting) -> bool:
+    """Tell whether a server's KV cache could hold a request by itself."""
+    return waiting.kv_need <= server.announcement.kv_tokens
+
+
 def least_harm(
     leader: state.LeaderState,
     waiting: records.Waiting,
@@ -213,22 +237,20 @@
             yield roomiest
 
 
-def _seconds(
+def rates_of(
     leader: state.LeaderState,
     server: records.Server,
     model: str | None,
-    tokens: tuple[float, float],
-) -> float:
-    rates = leader.speeds.of_server(
+) -> learning.Rates:
+    """Give a server's predicted speeds for a model."""
+    return leader.speeds.of_server(
         server.server_id,
         server.kind.hardware,
         model,
     )
-    prompt, output = tokens
-    load = len(server.running) / max(server.limit.whole(), 1)
-    slowed = learning.Rates(rates.prefill, rates.decode * _slowdown(load))
-    return slowed.seconds(prompt + server.prefilling, output)
 
 
-def _slowdown(load: float) -> float:
+def _slowdown(server: records.Server) -> float:
+    """Weigh servers by load; learnt speeds have the usual load in them."""
+    load = len(server.running) / max(server.limit.whole(), 1)
     return 1 + _LOAD_SLOWDOWN * load
--- a/libs/scheduling/geraniumweir/scheduling/progressing.py
+++ b/libs/scheduling/geraniumweir/scheduling/progressing.py
@@ -9,6 +9,7 @@
     requests,
     state,
     stragglers,
+    waitlist,
 )
 
 _STEPS_BETWEEN_REPORTS = 20
@@ -68,7 +69,7 @@
     if not leader.running_prints[ask.fingerprint]:
         leader.running_prints.pop(ask.fingerprint)
     leader.rules[ask.rule].running -= 1
-    granting.forget_idle_rule(leader, ask.rule)
+    waitlist.forget_idle_rule(leader, ask.rule)
     orphans = leader.orphans.get(running.grant.server_id, {})
     orphans.pop(ask.request_id, None)
     server = leader.servers.get(running.grant.server_id)
@@ -82,12 +83,9 @@
     running: records.Running,
     seconds: float,
 ) -> None:
-    if running.ask.request_id in server.running:
-        server.prefilling -= running.uncached
     running.first_token = seconds
-    running.first_seen = leader.now()
-    tokens = running.uncached + running.ahead + learning.FIXED_TOKENS
-    expected = _rates(leader, server, running).prefill * tokens
+    rate = _rates(leader, server, running).prefill
+    tokens = _tokens_before(running, rate)
     leader.speeds.learn_prefill(
         server.server_id,
         server.kind.hardware,
@@ -96,10 +94,16 @@
     )
     slowness = server.limit.prefill.slowness(seconds / tokens)
     server.limit.observe(slowness, running.beside, leader.now())
-    server.health.compare(seconds, expected, leader.now())
+    server.health.compare(seconds, rate * tokens, leader.now())
     placement.refresh(leader, server)
 
 
+def _tokens_before(running: records.Running, rate: float) -> float:
+    """Give the tokens prefilled before a first token, its own included."""
+    ahead = running.ahead / rate if rate else 0
+    return running.uncached + ahead + learning.FIXED_TOKENS
+
+
 def _moves(
     leader: state.LeaderState,
     server: records.Server,
@@ -142,7 +146,8 @@
     running: records.Running,
 ) -> None:
     """Learn a first token that was heard of only at the end."""
-    tokens = running.uncached + running.ahead + learning.FIXED_TOKENS
+    rate = _rates(leader, server, running).prefill
+    tokens = _tokens_before(running, rate)
     leader.speeds.learn_prefill(
         server.server_id,
         server.kind.hardware,
--- a/libs/scheduling/geraniumweir/scheduling/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/records.py
@@ -83,7 +83,8 @@
 
     :ivar granted: when, in seconds.
     :ivar uncached: prompt tokens thought not to be cached at the server.
-    :ivar ahead: uncached tokens granted there before and not yet prefilled.
+    :ivar ahead: seconds of prefill granted there before and not yet done.
+    :ivar prefill: predicted seconds of its own prefill.
     :ivar beside: requests that ran there then, this one included.
     :ivar due: when the next sign of progress is late.
     """
@@ -94,11 +95,11 @@
     expected: learning.Expected
     uncached: float
     ahead: float
+    prefill: float
     beside: int
     cost: float
     due: float = 0
     first_token: float | None = None
-    first_seen: float = 0
     output_tokens: int = 0
     suspect: bool = False
     stuck: bool = False
@@ -115,7 +116,7 @@
 
     :ivar live: announced and allowed new work.
     :ivar kv_used: KV tokens that its grants may come to hold.
-    :ivar prefilling: uncached prompt tokens granted, without first token.
+    :ivar prefilled_at: when the prefill granted so far should be done.
     :ivar stuck: requests on it that make no progress.
     :ivar reserved: the waiting request that its room is kept for.
     :ivar crashed: the newest incarnation known to be gone.
@@ -132,7 +133,7 @@
         default_factory=dict,
     )
     kv_used: int = 0
-    prefilling: float = 0
+    prefilled_at: float = 0
     suspects: int = 0
     stuck: int = 0
     reserved: Waiting | None = None
@@ -149,6 +150,11 @@
         """Give the server's id."""
         return self.announcement.server_id
 
+    @property
+    def model(self) -> str | None:
+        """Give the first model that it serves."""
+        return self.kind.models[0] if self.kind.models else None
+
     def most(self) -> int:
         """Give how many requests it may run now."""
         if not self.live or self.announcement.incarnation <= self.crashed:
--- a/libs/scheduling/geraniumweir/scheduling/shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -18,6 +18,7 @@
     records,
     requests,
     state,
+    waitlist,
 )
 
 _GRACE = 0.25
@@ -70,7 +71,7 @@
     """Tell what kept a request from being served until its latest start."""
     if not waiting.latest:
         return requests.DenialReason.no_server
-    if granting.over_running_limit(leader, waiting.ask):
+    if waitlist.over_running_limit(leader, waiting.ask):
         return requests.DenialReason.rule_limit
     if waiting.held and waiting.ask.fingerprint in leader.running_prints:
         return requests.DenialReason.quarantined
@@ -83,8 +84,8 @@
     reason: requests.DenialReason,
 ) -> None:
     """End a request that waits."""
-    granting.leave(leader, waiting)
-    kept = granting.unreserve(leader, waiting)
+    waitlist.leave(leader, waiting)
+    kept = waitlist.unreserve(leader, waiting)
     waiting.fut.set_result(denial(leader, waiting.ask, reason))
     if kept is not None:
         granting.fill(leader, kept)
@@ -148,7 +149,7 @@
 
     :returns: whether some are on their way out.
     """
-    if not leader.settled or granting.over_running_limit(leader, waiting.ask):
+    if not leader.settled or waitlist.over_running_limit(leader, waiting.ask):
         return False
     if waiting.held and waiting.ask.fingerprint in leader.running_prints:
         return False
@@ -158,7 +159,7 @@
     if not chosen:
         return False
     server_id = chosen[0].grant.server_id
-    granting.reserve(leader.servers[server_id], waiting)
+    waitlist.reserve(leader.servers[server_id], waiting)
     for running in chosen:
         leader.preemptible.remove(running.ask.request_id)
         waiting.preempting.add(running.ask.request_id)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/waitlist.py
@@ -0,0 +1,136 @@
+"""Keeps the requests that wait: in the queue, or held back from it.
+
+A suspect is held back until it can run alone of its kind, and a request whose
+rule runs as many as it may is parked until one of them ends. The others are
+in the fair queue.
+"""
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import records, requests, state, suspects
+
+_NOTHING = 1e-9
+
+
+def enqueue(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    """Add a request to those that wait."""
+    ask = waiting.ask
+    leader.waiting[ask.request_id] = waiting
+    leader.by_tier[ask.tier][ask.request_id] = waiting
+    leader.cost_by_tier[ask.tier] += waiting.cost
+    leader.cost_by_flow[waiting.flow] += waiting.cost
+    rule = leader.rules.setdefault(ask.rule, records.RuleCount())
+    rule.waiting += 1
+    if is_suspect(leader, ask):
+        waiting.held = True
+        leader.held[ask.request_id] = waiting
+    elif over_running_limit(leader, ask):
+        waiting.held = True
+        rule.parked[ask.request_id] = waiting
+    else:
+        to_queue(leader, waiting)
+
+
+def leave(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    """Take a request out of those that wait, if it is there."""
+    ask = waiting.ask
+    if leader.waiting.pop(ask.request_id, None) is None:
+        return
+    leader.by_tier[ask.tier].pop(ask.request_id)
+    leader.cost_by_tier[ask.tier] -= waiting.cost
+    leader.cost_by_flow[waiting.flow] -= waiting.cost
+    if not leader.by_tier[ask.tier]:
+        # Sums of floats drift; an empty tier has nothing ahead.
+        leader.cost_by_tier[ask.tier] = 0
+    if leader.cost_by_flow[waiting.flow] <= _NOTHING:
+        leader.cost_by_flow.pop(waiting.flow)
+    if waiting.timer is not None:
+        waiting.timer.cancel()
+    rule = leader.rules[ask.rule]
+    rule.waiting -= 1
+    rule.parked.pop(ask.request_id, None)
+    leader.held.pop(ask.request_id, None)
+    forget_idle_rule(leader, ask.rule)
+    if not waiting.held:
+        _from_queue(leader, waiting)
+
+
+def forget_idle_rule(leader: state.LeaderState, name: ids.RuleName) -> None:
+    """Drop the count of a rule that nothing runs or waits for."""
+    rule = leader.rules[name]
+    if not rule.running and not rule.waiting:
+        leader.rules.pop(name)
+
+
+def unreserve(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> records.Server | None:
+    """Free the server that was kept for a request.
+
+    :returns: that server.
+    """
+    if waiting.reserved is None:
+        return None
+    server = leader.servers.get(waiting.reserved)
+    waiting.reserved = None
+    if server is not None and server.reserved is waiting:
+        server.reserved = None
+    return server
+
+
+def reserve(server: records.Server, waiting: records.Waiting) -> None:
+    """Keep a server's next room for a request."""
+    if server.reserved is None and waiting.reserved is None:
+        server.reserved = waiting
+        waiting.reserved = server.server_id
+
+
+def hold_if_needed(leader: state.LeaderState, waiting: records.Waiting) -> bool:
+    """Hold back one that became a suspect, or whose rule is at its limit."""
+    ask = waiting.ask
+    if is_suspect(leader, ask):
+        leader.held[ask.request_id] = waiting
+    elif over_running_limit(leader, ask):
+        leader.rules[ask.rule].parked[ask.request_id] = waiting
+    else:
+        return False
+    _from_queue(leader, waiting)
+    waiting.held = True
+    return True
+
+
+def to_queue(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    """Let a request that was held back into the queue."""
+    waiting.held = False
+    leader.queue.add(
+        waiting,
+        waiting.flow,
+        waiting.sequence,
+        waiting.latest,
+    )
+
+
+def _from_queue(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    leader.queue.remove(
+        waiting,
+        waiting.flow,
+        waiting.sequence,
+        waiting.latest,
+    )
+
+
+def is_suspect(leader: state.LeaderState, ask: requests.Ask) -> bool:
+    """Tell whether a request may crash the server that runs it."""
+    verdict = leader.suspects.verdict(ask.fingerprint, leader.now())
+    return verdict is not suspects.Verdict.clear
+
+
+def over_running_limit(
+    leader: state.LeaderState,
+    ask: requests.Ask,
+) -> bool:
+    """Tell whether a request's rule runs as many as it may."""
+    if ask.max_running is None:
+        return False
+    rule = leader.rules.get(ask.rule)
+    return rule is not None and rule.running >= ask.max_running
