--- a/libs/scheduling/geraniumweir/scheduling/adoption.py
+++ b/libs/scheduling/geraniumweir/scheduling/adoption.py
@@ -25,7 +25,7 @@
     waiting = leader.waiting.get(request_id)
     if waiting is not None:
         waitlist.leave(leader, waiting)
-        waitlist.unreserve(leader, waiting)
+        waitlist.unpromise(leader, waiting)
         waiting.fut.set_result(taken.grant)
     running = _running(leader, taken)
     granting.count_running(leader, running)
--- a/libs/scheduling/geraniumweir/scheduling/concurrency.py
+++ b/libs/scheduling/geraniumweir/scheduling/concurrency.py
@@ -53,22 +53,20 @@
 
     :ivar slots: the most that the server announced.
     :ivar current: the learnt limit.
+    :ivar whole: the same as a number of requests.
     """
 
     slots: int
     current: float = 0
     prefill: Baseline = dataclasses.field(default_factory=Baseline)
     decode: Baseline = dataclasses.field(default_factory=Baseline)
+    whole: int = 1
     slow_in_row: int = 0
     lowered_at: float = float('-inf')
 
     def __post_init__(self) -> None:
         """Trust the announcement first."""
-        self.current = self.current or float(self.slots)
-
-    def whole(self) -> int:
-        """Give the limit as a number of requests, at least one."""
-        return max(1, min(int(self.current), self.slots))
+        self._set(self.current or float(self.slots))
 
     def observe(self, slowness: float, running: int, now: float) -> None:
         """Learn from an answer.
@@ -82,11 +80,8 @@
                 self._lower(running, now)
             return
         self.slow_in_row = 0
-        if running + 1 >= self.whole():
-            self.current = min(
-                float(self.slots),
-                self.current + 1 / max(self.current, 1),
-            )
+        if running + 1 >= self.whole:
+            self._set(self.current + 1 / max(self.current, 1))
 
     def report(self, waiting: int, age: float, now: float) -> None:
         """Learn from an engine's own queue.
@@ -95,7 +90,7 @@
         :param age: seconds since it counted them.
         """
         if waiting and age <= _FRESH_SECONDS:
-            self._lower(self.whole(), now)
+            self._lower(self.whole, now)
 
     def _lower(self, running: int, now: float) -> None:
         # One decrease shows its effect before the next is made.
@@ -103,4 +98,8 @@
             return
         self.lowered_at = now
         self.slow_in_row = 0
-        self.current = max(1.0, min(self.current, float(running)) * _DECREASE)
+        self._set(min(self.current, float(running)) * _DECREASE)
+
+    def _set(self, current: float) -> None:
+        self.current = max(1.0, min(current, float(self.slots)))
+        self.whole = int(self.current)
--- a/libs/scheduling/geraniumweir/scheduling/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -45,7 +45,7 @@
     if leader.settled and not waiting.held:
         server = placement.choose_crowded(leader, waiting)
         if server is not None:
-            waitlist.reserve(server, waiting)
+            waitlist.promise(leader, server, waiting)
 
 
 def fill(leader: state.LeaderState, server: records.Server) -> int:
@@ -84,7 +84,7 @@
     """Grant a request a server's slot."""
     ask = waiting.ask
     waitlist.leave(leader, waiting)
-    kept = waitlist.unreserve(leader, waiting)
+    kept = waitlist.unpromise(leader, waiting)
     running = _running(leader, waiting, server)
     leader.queue.charge(waiting.flow, running.cost / ask.share)
     expected = running.cost
@@ -177,9 +177,6 @@
         for waiting in _in_order(leader, server, tier):
             if _fits(leader, server, waiting):
                 return waiting
-        kept = server.reserved
-        if kept is not None and kept.ask.tier == tier:
-            return None
     return None
 
 
@@ -188,9 +185,9 @@
     server: records.Server,
     tier: ids.Tier,
 ) -> typing.Iterator[records.Waiting]:
-    kept = server.reserved
-    if kept is not None and kept.ask.tier == tier and not kept.held:
-        yield kept
+    for promised in list(server.promised.values()):
+        if promised.ask.tier == tier and not promised.held:
+            yield promised
     window = leader.cfg.fair_seconds * max(leader.slots, 1)
     yield from leader.queue.candidates(
         server.kind,
@@ -213,8 +210,9 @@
         return False
     if placement.has_room(server, waiting):
         return True
-    if placement.fits(server, waiting):
-        waitlist.reserve(server, waiting)
+    if waiting.promised_by is None and not server.promised:
+        if placement.fits(server, waiting):
+            waitlist.promise(leader, server, waiting)
     return False
 
 
@@ -222,7 +220,7 @@
     leader: state.LeaderState,
     kind: records.ServerClass,
 ) -> int:
-    best = list(leader.open_servers.best(kind))
+    best = leader.open_servers.best(kind)
     return sum(fill(leader, leader.servers[name]) for name in best)
 
 
--- a/libs/scheduling/geraniumweir/scheduling/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -167,6 +167,7 @@
 
     def summary(self) -> requests.PoolSummary:
         """Sum up the pool for other hosts."""
+        ticking.look_first(self._state)
         return summaries.summarize(self._state)
 
     def grant_waiting(self) -> None:
--- a/libs/scheduling/geraniumweir/scheduling/learning.py
+++ b/libs/scheduling/geraniumweir/scheduling/learning.py
@@ -145,18 +145,6 @@
         return self.amount / self.weight if self.weight else None
 
 
-@dataclasses.dataclass(slots=True)
-class Speed:
-    """Speeds of a server or of a kind of servers, for one model.
-
-    :ivar prefill: seconds by uncached prompt token.
-    :ivar decode: seconds by output token.
-    """
-
-    prefill: Ratio = dataclasses.field(default_factory=Ratio)
-    decode: Ratio = dataclasses.field(default_factory=Ratio)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rates:
     """Predicted seconds by token."""
@@ -170,6 +158,20 @@
         return prefill + self.decode * output_tokens
 
 
+@dataclasses.dataclass(slots=True)
+class Speed:
+    """Speeds of a server or of a kind of servers, for one model.
+
+    :ivar prefill: seconds by uncached prompt token.
+    :ivar decode: seconds by output token.
+    :ivar rates: what they predict, until the next sample.
+    """
+
+    prefill: Ratio = dataclasses.field(default_factory=Ratio)
+    decode: Ratio = dataclasses.field(default_factory=Ratio)
+    rates: Rates | None = None
+
+
 class Speeds:
     """Speeds by server and by hardware, for each model."""
 
@@ -186,8 +188,9 @@
         sample: tuple[float, float],
     ) -> None:
         """Take the seconds to a first token and the tokens before it."""
-        self._servers.at((server_id, model)).prefill.add(*sample)
-        self._kinds.at((hardware, model)).prefill.add(*sample)
+        for speed in self._speeds(server_id, hardware, model):
+            speed.prefill.add(*sample)
+            speed.rates = None
 
     def learn_decode(
         self,
@@ -197,18 +200,21 @@
         sample: tuple[float, float],
     ) -> None:
         """Take the seconds after a first token and the tokens in them."""
-        self._servers.at((server_id, model)).decode.add(*sample)
-        self._kinds.at((hardware, model)).decode.add(*sample)
+        for speed in self._speeds(server_id, hardware, model):
+            speed.decode.add(*sample)
+            speed.rates = None
 
     def of_kind(self, hardware: str, model: str | None) -> Rates:
         """Predict for a kind of hardware."""
         kind = self._kinds.find((hardware, model))
         if kind is None:
-            return Rates(_PREFILL_GUESS, _DECODE_GUESS)
-        return Rates(
-            _first(kind.prefill.value(), _PREFILL_GUESS),
-            _first(kind.decode.value(), _DECODE_GUESS),
-        )
+            return _GUESS
+        if kind.rates is None:
+            kind.rates = Rates(
+                _first(kind.prefill.value(), _PREFILL_GUESS),
+                _first(kind.decode.value(), _DECODE_GUESS),
+            )
+        return kind.rates
 
     def of_server(
         self,
@@ -217,14 +223,33 @@
         model: str | None,
     ) -> Rates:
         """Predict for a server, by its kind while it is little known."""
-        kind = self.of_kind(hardware, model)
         server = self._servers.find((server_id, model))
         if server is None:
-            return kind
-        return Rates(
+            return self.of_kind(hardware, model)
+        if server.rates is not None:
+            return server.rates
+        kind = self.of_kind(hardware, model)
+        rates = Rates(
             _known(server.prefill, kind.prefill),
             _known(server.decode, kind.decode),
         )
+        if _well_known(server):
+            server.rates = rates
+        return rates
+
+    def _speeds(
+        self,
+        server_id: ids.ServerId,
+        hardware: str,
+        model: str | None,
+    ) -> tuple[Speed, Speed]:
+        return (
+            self._servers.at((server_id, model)),
+            self._kinds.at((hardware, model)),
+        )
+
+
+_GUESS = Rates(_PREFILL_GUESS, _DECODE_GUESS)
 
 
 class _Bounded(typing.Generic[_Key]):
@@ -246,6 +271,10 @@
         return self._speeds.get(key)
 
 
+def _well_known(speed: Speed) -> bool:
+    return min(speed.prefill.samples, speed.decode.samples) >= _MIN_SAMPLES
+
+
 def _known(ratio: Ratio, otherwise: float) -> float:
     if ratio.samples < _MIN_SAMPLES:
         return otherwise
--- a/libs/scheduling/geraniumweir/scheduling/openings.py
+++ b/libs/scheduling/geraniumweir/scheduling/openings.py
@@ -6,7 +6,6 @@
 found wherever there is any.
 """
 
-import itertools
 import typing
 
 import sortedcontainers
@@ -24,10 +23,8 @@
     >>> openings = Openings()
     >>> openings.put(ids.ServerId('a'), 'fast', 2.0, 10)
     >>> openings.put(ids.ServerId('b'), 'fast', 1.0, 5)
-    >>> list(openings.best('fast'))
-    ['b', 'a']
-    >>> openings.roomiest('fast')
-    'a'
+    >>> openings.best('fast')
+    ['b', 'a', 'a']
     """
 
     def __init__(self) -> None:
@@ -73,16 +70,21 @@
         self._scores[server_class].remove((score, server_id))
         self._rooms[server_class].remove((room, server_id))
 
-    def best(self, server_class: _Class) -> typing.Iterator[ids.ServerId]:
-        """Give the few servers of a class that would end soonest."""
-        by_score = self._scores.get(server_class, ())
-        for _, server_id in itertools.islice(by_score, _LOOK):
-            yield server_id
+    def has(self, server_id: ids.ServerId) -> bool:
+        """Tell whether a server may get one more request."""
+        return server_id in self._places
 
-    def roomiest(self, server_class: _Class) -> ids.ServerId | None:
-        """Give the server of a class with the most free KV room."""
-        by_room = self._rooms.get(server_class)
-        return by_room[-1][1] if by_room else None
+    def best(self, server_class: _Class) -> list[ids.ServerId]:
+        """Give a few servers of a class worth a closer look.
+
+        :returns: those that would end soonest, then the roomiest.
+        """
+        by_score = self._scores.get(server_class)
+        if not by_score:
+            return []
+        found = [server_id for _, server_id in by_score[:_LOOK]]
+        found.append(self._rooms[server_class][-1][1])
+        return found
 
     def classes(self) -> list[_Class]:
         """List the classes with an open server."""
--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -10,9 +10,6 @@
 geraniumweir.scheduling.openings, geraniumweir.scheduling.learning
 """
 
-import typing
-
-from geraniumweir.common import ids
 from geraniumweir.scheduling import learning, records, state
 
 _REFERENCE_PROMPT = 500
@@ -120,11 +117,21 @@
 
 
 def kept_for_another(server: records.Server, waiting: records.Waiting) -> bool:
-    """Tell whether a server is kept for a request that goes before."""
-    kept = server.reserved
-    if kept is None or kept is waiting:
+    """Tell whether a server's room is kept for requests that go before."""
+    if not server.promised:
+        return False
+    before = [
+        other
+        for other in server.promised.values()
+        if other is not waiting and other.ask.tier <= waiting.ask.tier
+    ]
+    if not before:
         return False
-    return kept.ask.tier <= waiting.ask.tier
+    moving = len(server.running) - server.stuck
+    if moving + len(before) >= server.most():
+        return True
+    promised = sum(other.kv_need for other in before)
+    return server.kv_free() - promised < waiting.kv_need
 
 
 def choose(
@@ -155,7 +162,7 @@
     """Choose an open server that lacks only KV room for a request."""
     for server in _open_servers(leader, waiting):
         lacks_room = not has_room(server, waiting)
-        if lacks_room and server.reserved is None and fits(server, waiting):
+        if lacks_room and not server.promised and fits(server, waiting):
             if in_time(leader, server, waiting):
                 return server
     return None
@@ -191,12 +198,11 @@
     waiting: records.Waiting,
 ) -> dict[records.ServerClass, float]:
     """Give the share of a prompt cached where most of it is, by class."""
-    blocks = waiting.ask.blocks
     shares: dict[records.ServerClass, float] = {}
-    for server_id in leader.prefixes.holders(blocks):
+    warmest = leader.prefixes.warmest(waiting.ask.blocks)
+    for server_id, share in warmest.items():
         server = leader.servers.get(server_id)
         if server is not None and server.live:
-            share = leader.prefixes.cached_share(server_id, blocks)
             shares[server.kind] = max(shares.get(server.kind, 0), share)
     return shares
 
@@ -212,29 +218,17 @@
 def _open_servers(
     leader: state.LeaderState,
     waiting: records.Waiting,
-) -> typing.Iterator[records.Server]:
-    seen: set[ids.ServerId] = set()
-    for server_id in _candidates(leader, waiting):
-        if server_id in seen:
-            continue
-        seen.add(server_id)
-        server = leader.servers.get(server_id)
-        if server is None or server.kind not in waiting.latest:
-            continue
-        if server.is_open():
-            yield server
-
-
-def _candidates(
-    leader: state.LeaderState,
-    waiting: records.Waiting,
-) -> typing.Iterator[ids.ServerId]:
-    yield from leader.prefixes.holders(waiting.ask.blocks)
+) -> list[records.Server]:
+    """List the few open servers worth a closer look."""
+    found = [
+        server_id
+        for server_id in leader.prefixes.warmest(waiting.ask.blocks)
+        if leader.open_servers.has(server_id)
+    ]
     for kind in waiting.latest:
-        yield from leader.open_servers.best(kind)
-        roomiest = leader.open_servers.roomiest(kind)
-        if roomiest is not None:
-            yield roomiest
+        found.extend(leader.open_servers.best(kind))
+    servers = (leader.servers[server_id] for server_id in dict.fromkeys(found))
+    return [server for server in servers if server.kind in waiting.latest]
 
 
 def rates_of(
@@ -252,5 +246,5 @@
 
 def _slowdown(server: records.Server) -> float:
     """Weigh servers by load; learnt speeds have the usual load in them."""
-    load = len(server.running) / max(server.limit.whole(), 1)
+    load = len(server.running) / max(server.limit.whole, 1)
     return 1 + _LOAD_SLOWDOWN * load
--- a/libs/scheduling/geraniumweir/scheduling/prefix.py
+++ b/libs/scheduling/geraniumweir/scheduling/prefix.py
@@ -14,12 +14,14 @@
 
 import collections
 import dataclasses
+import itertools
 import typing
 
 from geraniumweir.common import ids
 
 MOST_BLOCKS = 512
 _MOST_HOLDERS = 16
+_LOOK = 4
 _DEFAULT_LIMIT = 8192
 _FULL_TRUST = 1.0
 _LEAST_TRUST = 0.5
@@ -109,12 +111,20 @@
         length = _longest(blocks, cache.blocks)
         return cache.trust * length / len(blocks)
 
-    def holders(self, blocks: _Blocks) -> typing.Iterable[ids.ServerId]:
-        """List a few servers that hold the longest known prefix."""
+    def warmest(self, blocks: _Blocks) -> dict[ids.ServerId, float]:
+        """Give a few servers that hold the longest known prefix.
+
+        :returns: the share of the prompt that each is thought to hold.
+        """
         if not blocks or blocks[0] not in self._holders:
-            return ()
+            return {}
         length = _longest(blocks, self._holders)
-        return self._holders[blocks[length - 1]]
+        share = length / len(blocks)
+        holders = reversed(self._holders[blocks[length - 1]])
+        return {
+            server_id: self._caches[server_id].trust * share
+            for server_id in itertools.islice(holders, _LOOK)
+        }
 
     def size(self, server_id: ids.ServerId) -> int:
         """Give the number of blocks kept for a server."""
--- a/libs/scheduling/geraniumweir/scheduling/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/records.py
@@ -47,6 +47,7 @@
     :ivar cost: predicted seconds of one slot on the best class.
     :ivar probe: let in although it looks too late, to learn whether it is.
     :ivar joined: asks that wait for the same answer.
+    :ivar promised_by: the server that keeps its next room for it.
     :ivar held: a suspect, or kept back by its rule's limit.
     """
 
@@ -64,7 +65,7 @@
     extended: bool = False
     timer: asyncio.TimerHandle | None = None
     preempting: set[ids.RequestId] = dataclasses.field(default_factory=set)
-    reserved: ids.ServerId | None = None
+    promised_by: ids.ServerId | None = None
 
     @property
     def kv_need(self) -> int:
@@ -103,6 +104,7 @@
     output_tokens: int = 0
     suspect: bool = False
     stuck: bool = False
+    preempted: bool = False
 
     @property
     def kv_need(self) -> int:
@@ -118,7 +120,7 @@
     :ivar kv_used: KV tokens that its grants may come to hold.
     :ivar prefilled_at: when the prefill granted so far should be done.
     :ivar stuck: requests on it that make no progress.
-    :ivar reserved: the waiting request that its room is kept for.
+    :ivar promised: waiting requests that its next room is kept for.
     :ivar crashed: the newest incarnation known to be gone.
     :ivar last_good: when it last made progress with anything.
     :ivar failures: time and fingerprint of the last failed requests.
@@ -136,7 +138,9 @@
     prefilled_at: float = 0
     suspects: int = 0
     stuck: int = 0
-    reserved: Waiting | None = None
+    promised: dict[ids.RequestId, Waiting] = dataclasses.field(
+        default_factory=dict,
+    )
     crashed: int = -1
     last_good: float = float('-inf')
     failures: collections.deque[tuple[float, ids.Fingerprint]] = (
@@ -159,7 +163,7 @@
         """Give how many requests it may run now."""
         if not self.live or self.announcement.incarnation <= self.crashed:
             return 0
-        return self.health.most(self.limit.whole())
+        return self.health.most(self.limit.whole)
 
     def is_open(self) -> bool:
         """Tell whether it may get one more request."""
--- a/libs/scheduling/geraniumweir/scheduling/shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -23,7 +23,7 @@
 
 _GRACE = 0.25
 _NO_SERVER_SECONDS = 1.0
-_MOST_VICTIMS = 4
+_MOST_VICTIMS = 8
 _LEAST_RETRY = 0.2
 _LONGEST_RETRY = 10.0
 _SPREAD = 0.5
@@ -85,7 +85,7 @@
 ) -> None:
     """End a request that waits."""
     waitlist.leave(leader, waiting)
-    kept = waitlist.unreserve(leader, waiting)
+    kept = waitlist.unpromise(leader, waiting)
     waiting.fut.set_result(denial(leader, waiting.ask, reason))
     if kept is not None:
         granting.fill(leader, kept)
@@ -159,8 +159,9 @@
     if not chosen:
         return False
     server_id = chosen[0].grant.server_id
-    waitlist.reserve(leader.servers[server_id], waiting)
+    waitlist.promise(leader, leader.servers[server_id], waiting)
     for running in chosen:
+        running.preempted = True
         leader.preemptible.remove(running.ask.request_id)
         waiting.preempting.add(running.ask.request_id)
     for running in chosen:
@@ -214,17 +215,40 @@
     """Find what must go, with a stream, so that a request fits its server."""
     first = leader.running[request_id]
     server = leader.servers[first.grant.server_id]
-    if not _could_take(leader, server, waiting):
+    if first.stuck or not _could_take(leader, server, waiting):
         return []
-    chosen = [first]
-    free = server.kv_free() + first.kv_need
-    for running in _others(leader, server, first, waiting):
-        if free >= waiting.kv_need or len(chosen) == _MOST_VICTIMS:
-            break
+    slots, tokens = _lacking(server, waiting)
+    streams = itertools.chain([first], _others(leader, server, first, waiting))
+    chosen = []
+    for running in itertools.islice(streams, _MOST_VICTIMS):
         chosen.append(running)
-        free += running.kv_need
-    everything = len(chosen) == len(server.running)
-    return chosen if everything or free >= waiting.kv_need else []
+        slots -= 1
+        tokens -= running.kv_need
+        if slots <= 0 and tokens <= 0:
+            return chosen
+    alone = len(chosen) == len(server.running) and not server.promised
+    return chosen if alone else []
+
+
+def _lacking(
+    server: records.Server,
+    waiting: records.Waiting,
+) -> tuple[int, float]:
+    """Give the slots and KV tokens that a server lacks for a request.
+
+    What is on its way out counts as gone, what is promised as there.
+    """
+    staying = [
+        running for running in server.running.values() if not running.preempted
+    ]
+    moving = sum(not running.stuck for running in staying)
+    promised = server.promised.values()
+    slots = moving + len(promised) + 1 - server.most()
+    if not server.announcement.kv_tokens:
+        return slots, 0
+    used = sum(running.kv_need for running in staying)
+    used += sum(other.kv_need for other in promised)
+    return slots, used + waiting.kv_need - server.announcement.kv_tokens
 
 
 def _others(
@@ -252,7 +276,7 @@
     waiting: records.Waiting,
 ) -> bool:
     """Tell whether a server that lost a stream could end a request in time."""
-    if server.reserved is not None or server.most() < len(server.running):
+    if not server.most():
         return False
     if waiting.held and server.suspects:
         return False
--- a/libs/scheduling/geraniumweir/scheduling/tests/scenes.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/scenes.py
@@ -55,11 +55,11 @@
             lambda: self.live,
             self.preempts.append,
         )
-        self._numbers = itertools.count(1)
+        self.numbers = itertools.count(1)
 
     def make(self, wait: float = 60, **fields: typing.Any) -> requests.Ask:
         """Make up an ask that is due in some seconds."""
-        number = next(self._numbers)
+        number = next(self.numbers)
         known: dict[str, typing.Any] = {
             'request_id': ids.RequestId(f'request-{number}'),
             'customer': ids.CustomerName('customer'),
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_invariants.py
@@ -0,0 +1,320 @@
+"""A state machine over a pool leader, for what must always hold.
+
+Servers come, go and crash, requests of all kinds arrive, owners answer
+preemptions late, repeat releases and hand over to a new leader; after each
+step the grants in use are counted anew from outside.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+import hypothesis
+from geraniumweir.common import ids, virtual
+from geraniumweir.scheduling import requests
+from geraniumweir.scheduling.tests import scenes
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+_KV_TOKENS = 1200
+_SLOTS = 3
+_QUEUE = 6
+_FOR_CAPACITY = {
+    requests.DenialReason.shed,
+    requests.DenialReason.too_late,
+    requests.DenialReason.queue_full,
+}
+_CALM_SECONDS = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Use:
+    """A grant in use as its owner sees it."""
+
+    ask: requests.Ask
+    grant: requests.Grant
+    since: float
+
+
+class LeaderMachine(stateful.RuleBasedStateMachine):
+    """Drives a leader and checks it from outside."""
+
+    def __init__(self) -> None:
+        """Start with two servers."""
+        super().__init__()
+        self.loop = virtual.VirtualTimeLoop()
+        self.runner = asyncio.Runner(loop_factory=lambda: self.loop)
+        self.used: dict[ids.RequestId, _Use] = {}
+        self.tasks: dict[
+            ids.RequestId, tuple[requests.Ask, asyncio.Task[scenes.Answer]]
+        ] = {}
+        self.incarnations: collections.Counter[str] = collections.Counter()
+        self.runner.run(self._begin())
+
+    async def _begin(self) -> None:
+        self.scene = scenes.Scene(queue_limit=_QUEUE)
+        self.scene.live = [self._engine('e0'), self._engine('e1')]
+
+    def _engine(self, name: str) -> scenes.servers.Announcement:
+        return scenes.engine(
+            name,
+            slots=_SLOTS,
+            kv_tokens=_KV_TOKENS,
+            incarnation=ids.Incarnation(1 + self.incarnations[name]),
+            can_cancel=name != 'e2',
+        )
+
+    @stateful.rule(
+        tier=st.sampled_from(ids.Tier),
+        customer=st.sampled_from(['anna', 'bert', 'carl']),
+        wait=st.sampled_from([3.0, 4.0, 6.0, 20.0]),
+        prompt_tokens=st.sampled_from([10, 50, 400]),
+        idempotent=st.booleans(),
+    )
+    def ask(
+        self,
+        tier: ids.Tier,
+        customer: str,
+        wait: float,
+        prompt_tokens: int,
+        idempotent: bool,
+    ) -> None:
+        """A request arrives."""
+        ask = self.scene.make(
+            wait,
+            tier=tier,
+            customer=ids.CustomerName(customer),
+            prompt_tokens=prompt_tokens,
+            idempotent=idempotent,
+        )
+        self._ask(ask)
+
+    def _ask(self, ask: requests.Ask) -> None:
+        task = self.loop.create_task(self.scene.leader.ask(ask))
+        self.tasks[ask.request_id] = (ask, task)
+        self._pass(0.001)
+
+    @stateful.precondition(lambda machine: machine.tasks)
+    @stateful.rule(pick=st.randoms(use_true_random=False))
+    def ask_again(self, pick: object) -> None:
+        """An owner repeats an ask that waits."""
+        ask, _ = pick.choice(list(self.tasks.values()))  # type: ignore
+        again = self.loop.create_task(self.scene.leader.ask(ask))
+        self._pass(0.001)
+        again.cancel()
+
+    @stateful.precondition(lambda machine: machine.tasks)
+    @stateful.rule(pick=st.randoms(use_true_random=False))
+    def withdraw(self, pick: object) -> None:
+        """A caller goes away."""
+        request_id = pick.choice(list(self.tasks))  # type: ignore
+        self.scene.leader.withdraw(request_id)
+        self._pass(0.001)
+
+    @stateful.precondition(lambda machine: machine.used)
+    @stateful.rule(
+        pick=st.randoms(use_true_random=False),
+        outcome=st.sampled_from(
+            [
+                requests.Outcome.done,
+                requests.Outcome.cancelled,
+                requests.Outcome.failed,
+                requests.Outcome.not_sent,
+            ],
+        ),
+        repeat=st.booleans(),
+    )
+    def release(
+        self,
+        pick: object,
+        outcome: requests.Outcome,
+        repeat: bool,
+    ) -> None:
+        """Granted work ends, and its end may be told twice."""
+        request_id = pick.choice(list(self.used))  # type: ignore
+        for _ in range(1 + repeat):
+            self._release(request_id, outcome)
+
+    def _release(
+        self,
+        request_id: ids.RequestId,
+        outcome: requests.Outcome,
+    ) -> None:
+        use = self.used.pop(request_id, None)
+        self.scene.leader.release(
+            requests.Release(request_id, outcome, 0.045, 128, 2.605),
+        )
+        self._pass(0.001)
+        if use and outcome is requests.Outcome.not_sent:
+            self._ask(use.ask)
+
+    @stateful.rule(late=st.booleans())
+    def answer_preemptions(self, late: bool) -> None:
+        """Owners cancel the streams that the leader wants cancelled."""
+        for preempt in list(self.scene.preempts):
+            if preempt.request_id in self.used:
+                if late:
+                    self._pass(0.1)
+                self._release(
+                    preempt.request_id,
+                    requests.Outcome.preempted,
+                )
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 0.5, 2.0]))
+    def wait(self, seconds: float) -> None:
+        """Time goes by."""
+        self._pass(seconds)
+
+    @stateful.rule(name=st.sampled_from(['e0', 'e1', 'e2']))
+    def come_or_go(self, name: str) -> None:
+        """A server shows up or leaves; its work goes on."""
+        live = [one for one in self.scene.live if one.server_id != name]
+        if len(live) == len(self.scene.live):
+            live.append(self._engine(name))
+        self.scene.live = live
+        self._pass(0.03)
+        self.scene.leader.grant_waiting()
+        self._pass(0.03)
+
+    @stateful.rule(name=st.sampled_from(['e0', 'e1', 'e2']))
+    def crash(self, name: str) -> None:
+        """A server crashes, and its owners notice."""
+        incarnation = ids.Incarnation(1 + self.incarnations[name])
+        self.incarnations[name] += 1
+        lost = [
+            request_id
+            for request_id, use in self.used.items()
+            if use.grant.server_id == name
+        ]
+        for request_id in lost:
+            self.used.pop(request_id)
+        self.scene.leader.server_crashed(ids.ServerId(name), incarnation)
+        for request_id in lost:
+            self.scene.leader.release(
+                requests.Release(request_id, requests.Outcome.crashed),
+            )
+        self.scene.change(name, incarnation=ids.Incarnation(incarnation + 1))
+        self._pass(0.3)
+
+    @stateful.rule()
+    def change_leader(self) -> None:
+        """A new leader takes over the grants and the waiting."""
+        self.runner.run(self._change_leader())
+        self._collect()
+
+    async def _change_leader(self) -> None:
+        before = self.scene
+        asks = [ask for ask, _ in self.tasks.values()]
+        for _, task in self.tasks.values():
+            task.cancel()
+        self.tasks.clear()
+        self.scene = scenes.Scene(queue_limit=_QUEUE, settle_seconds=5)
+        self.scene.live = before.live
+        self.scene.numbers = before.numbers
+        self.scene.leader.adopt(
+            [
+                requests.OpenGrant(use.ask, use.grant, 0.1)
+                for use in self.used.values()
+            ],
+        )
+        self.scene.leader.settled()
+        for waiting in asks:
+            coro = self.scene.leader.ask(waiting)
+            again = self.loop.create_task(coro)
+            self.tasks[waiting.request_id] = (waiting, again)
+        await asyncio.sleep(0.001)
+
+    def _pass(self, seconds: float) -> None:
+        end = self.loop.time() + seconds
+        # In small steps, so that each denial is looked at when it comes.
+        while self.loop.time() < end:
+            step = min(0.05, end - self.loop.time())
+            self.runner.run(asyncio.sleep(step))
+            self._collect()
+
+    def _collect(self) -> None:
+        for ask, task in list(self.tasks.values()):
+            if task.done():
+                self.tasks.pop(ask.request_id)
+                self._answered(ask, task.result())
+
+    def _answered(self, ask: requests.Ask, answer: scenes.Answer) -> None:
+        match answer:
+            case requests.Grant():
+                assert ask.request_id not in self.used
+                now = self.loop.time()
+                self.used[ask.request_id] = _Use(ask, answer, now)
+            case requests.Denial(reason=reason) if reason in _FOR_CAPACITY:
+                self._check_denial(ask)
+
+    def _check_denial(self, denied: requests.Ask) -> None:
+        """No lower tier runs where the denied request could have run."""
+        live = {one.server_id: one for one in self.scene.live}
+        capacity = self.scene.leader.summary().capacity[0]
+        if capacity.slots < _SLOTS * len(live):
+            # A server in probation or with failures is no fair chance.
+            return
+        for name, server in live.items():
+            uses = [
+                use for use in self.used.values() if use.grant.server_id == name
+            ]
+            if server.can_cancel and self._calm(uses):
+                assert not any(_spared(use, denied) for use in uses)
+
+    def _calm(self, uses: list[_Use]) -> bool:
+        """Tell whether a server was left as it is for a while.
+
+        Prefill granted just now may make it too slow for the request.
+        """
+        wanted = {one.request_id for one in self.scene.preempts}
+        return all(
+            self.loop.time() - use.since > _CALM_SECONDS
+            and use.ask.request_id not in wanted
+            for use in uses
+        )
+
+    @stateful.invariant()
+    def never_overcommitted(self) -> None:
+        """Slots and KV room hold what was granted."""
+        by_server = collections.defaultdict(list)
+        for use in self.used.values():
+            by_server[use.grant.server_id].append(use.ask)
+        for asks in by_server.values():
+            assert len(asks) <= _SLOTS
+            tokens = sum(ask.prompt_tokens for ask in asks)
+            assert tokens <= _KV_TOKENS
+
+    @stateful.invariant()
+    def preempts_only_what_may_be(self) -> None:
+        """Nothing non-idempotent is preempted, nor twice."""
+        wanted = [one.request_id for one in self.scene.preempts]
+        assert len(set(wanted)) == len(wanted)
+        for request_id in wanted:
+            use = self.used.get(request_id)
+            assert use is None or use.ask.idempotent
+
+    @stateful.invariant()
+    def free_servers_leave_nobody_waiting(self) -> None:
+        """With nothing in use on trusted servers, nobody waits."""
+        if self.used or not self.scene.live:
+            return
+        if self.scene.leader.summary().capacity[0].free:
+            assert not self.tasks
+
+    def teardown(self) -> None:
+        """Close the loop."""
+        self.runner.close()
+
+
+def _spared(use: _Use, denied: requests.Ask) -> bool:
+    return use.ask.idempotent and use.ask.tier > denied.tier
+
+
+TestLeader = LeaderMachine.TestCase
+TestLeader.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
--- a/libs/scheduling/geraniumweir/scheduling/waitlist.py
+++ b/libs/scheduling/geraniumweir/scheduling/waitlist.py
@@ -61,28 +61,32 @@
         leader.rules.pop(name)
 
 
-def unreserve(
+def unpromise(
     leader: state.LeaderState,
     waiting: records.Waiting,
 ) -> records.Server | None:
-    """Free the server that was kept for a request.
+    """Free the room that was kept for a request.
 
-    :returns: that server.
+    :returns: the server that kept it.
     """
-    if waiting.reserved is None:
+    if waiting.promised_by is None:
         return None
-    server = leader.servers.get(waiting.reserved)
-    waiting.reserved = None
-    if server is not None and server.reserved is waiting:
-        server.reserved = None
+    server = leader.servers.get(waiting.promised_by)
+    waiting.promised_by = None
+    if server is not None:
+        server.promised.pop(waiting.ask.request_id, None)
     return server
 
 
-def reserve(server: records.Server, waiting: records.Waiting) -> None:
+def promise(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> None:
     """Keep a server's next room for a request."""
-    if server.reserved is None and waiting.reserved is None:
-        server.reserved = waiting
-        waiting.reserved = server.server_id
+    unpromise(leader, waiting)
+    server.promised[waiting.ask.request_id] = waiting
+    waiting.promised_by = server.server_id
 
 
 def hold_if_needed(leader: state.LeaderState, waiting: records.Waiting) -> bool:
