--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -10,9 +10,6 @@
 geraniumweir.scheduling.openings, geraniumweir.scheduling.learning
 """
 
-import typing
-
-from geraniumweir.common import ids
 from geraniumweir.scheduling import learning, records, state
 
 _REFERENCE_PROMPT = 500
@@ -25,12 +22,12 @@
     if not server.is_open():
         leader.open_servers.drop(server.server_id)
         return
-    score = _seconds(
-        leader,
-        server,
-        None,
-        (_REFERENCE_PROMPT, _REFERENCE_OUTPUT),
+    seconds = rates_of(leader, server, server.model).seconds(
+        _REFERENCE_PROMPT,
+        _REFERENCE_OUTPUT,
     )
+    seconds += prefill_ahead(leader, server)
+    score = seconds * _slowdown(server)
     leader.open_servers.put(
         server.server_id,
         server.kind,
@@ -87,11 +84,17 @@
     waiting: records.Waiting,
 ) -> float:
     """Predict the seconds until a request started now on a server ends."""
-    tokens = (
+    rates = rates_of(leader, server, waiting.ask.model)
+    seconds = rates.seconds(
         uncached_tokens(leader, server, waiting),
         waiting.expected.mean,
     )
-    return _seconds(leader, server, waiting.ask.model, tokens)
+    return seconds + prefill_ahead(leader, server)
+
+
+def prefill_ahead(leader: state.LeaderState, server: records.Server) -> float:
+    """Give the seconds of prefill granted to a server and not yet done."""
+    return max(server.prefilled_at - leader.now(), 0)
 
 
 def in_time(
@@ -114,11 +117,21 @@
 
 
 def kept_for_another(server: records.Server, waiting: records.Waiting) -> bool:
-    """Tell whether a server is kept for a request that goes before."""
-    kept = server.reserved
-    if kept is None or kept is waiting:
+    """Tell whether a server's room is kept for requests that go before."""
+    if not server.promised:
         return False
-    return kept.ask.tier <= waiting.ask.tier
+    before = [
+        other
+        for other in server.promised.values()
+        if other is not waiting and other.ask.tier <= waiting.ask.tier
+    ]
+    if not before:
+        return False
+    moving = len(server.running) - server.stuck
+    if moving + len(before) >= server.most():
+        return True
+    promised = sum(other.kv_need for other in before)
+    return server.kv_free() - promised < waiting.kv_need
 
 
 def choose(
@@ -134,7 +147,7 @@
     for server in _open_servers(leader, waiting):
         if kept_for_another(server, waiting) or not has_room(server, waiting):
             continue
-        seconds = finish(leader, server, waiting)
+        seconds = finish(leader, server, waiting) * _slowdown(server)
         if seconds < best_seconds:
             best, best_seconds = server, seconds
     if best is None or not in_time(leader, best, waiting):
@@ -142,6 +155,24 @@
     return best
 
 
+def choose_crowded(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> records.Server | None:
+    """Choose an open server that lacks only KV room for a request."""
+    for server in _open_servers(leader, waiting):
+        lacks_room = not has_room(server, waiting)
+        if lacks_room and not server.promised and fits(server, waiting):
+            if in_time(leader, server, waiting):
+                return server
+    return None
+
+
+def fits(server: records.Server, waiting: records.Waiting) -> bool:
+    """Tell whether a server's KV cache could hold a request by itself."""
+    return waiting.kv_need <= server.announcement.kv_tokens
+
+
 def least_harm(
     leader: state.LeaderState,
     waiting: records.Waiting,
@@ -167,12 +198,11 @@
     waiting: records.Waiting,
 ) -> dict[records.ServerClass, float]:
     """Give the share of a prompt cached where most of it is, by class."""
-    blocks = waiting.ask.blocks
     shares: dict[records.ServerClass, float] = {}
-    for server_id in leader.prefixes.holders(blocks):
+    warmest = leader.prefixes.warmest(waiting.ask.blocks)
+    for server_id, share in warmest.items():
         server = leader.servers.get(server_id)
         if server is not None and server.live:
-            share = leader.prefixes.cached_share(server_id, blocks)
             shares[server.kind] = max(shares.get(server.kind, 0), share)
     return shares
 
@@ -188,47 +218,33 @@
 def _open_servers(
     leader: state.LeaderState,
     waiting: records.Waiting,
-) -> typing.Iterator[records.Server]:
-    seen: set[ids.ServerId] = set()
-    for server_id in _candidates(leader, waiting):
-        if server_id in seen:
-            continue
-        seen.add(server_id)
-        server = leader.servers.get(server_id)
-        if server is None or server.kind not in waiting.latest:
-            continue
-        if server.is_open():
-            yield server
-
-
-def _candidates(
-    leader: state.LeaderState,
-    waiting: records.Waiting,
-) -> typing.Iterator[ids.ServerId]:
-    yield from leader.prefixes.holders(waiting.ask.blocks)
+) -> list[records.Server]:
+    """List the few open servers worth a closer look."""
+    found = [
+        server_id
+        for server_id in leader.prefixes.warmest(waiting.ask.blocks)
+        if leader.open_servers.has(server_id)
+    ]
     for kind in waiting.latest:
-        yield from leader.open_servers.best(kind)
-        roomiest = leader.open_servers.roomiest(kind)
-        if roomiest is not None:
-            yield roomiest
+        found.extend(leader.open_servers.best(kind))
+    servers = (leader.servers[server_id] for server_id in dict.fromkeys(found))
+    return [server for server in servers if server.kind in waiting.latest]
 
 
-def _seconds(
+def rates_of(
     leader: state.LeaderState,
     server: records.Server,
     model: str | None,
-    tokens: tuple[float, float],
-) -> float:
-    rates = leader.speeds.of_server(
+) -> learning.Rates:
+    """Give a server's predicted speeds for a model."""
+    return leader.speeds.of_server(
         server.server_id,
         server.kind.hardware,
         model,
     )
-    prompt, output = tokens
-    load = len(server.running) / max(server.limit.whole(), 1)
-    slowed = learning.Rates(rates.prefill, rates.decode * _slowdown(load))
-    return slowed.seconds(prompt + server.prefilling, output)
 
 
-def _slowdown(load: float) -> float:
+def _slowdown(server: records.Server) -> float:
+    """Weigh servers by load; learnt speeds have the usual load in them."""
+    load = len(server.running) / max(server.limit.whole, 1)
     return 1 + _LOAD_SLOWDOWN * load
--- a/libs/scheduling/geraniumweir/scheduling/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/records.py
@@ -47,6 +47,7 @@
     :ivar cost: predicted seconds of one slot on the best class.
     :ivar probe: let in although it looks too late, to learn whether it is.
     :ivar joined: asks that wait for the same answer.
+    :ivar promised_by: the server that keeps its next room for it.
     :ivar held: a suspect, or kept back by its rule's limit.
     """
 
@@ -64,7 +65,7 @@
     extended: bool = False
     timer: asyncio.TimerHandle | None = None
     preempting: set[ids.RequestId] = dataclasses.field(default_factory=set)
-    reserved: ids.ServerId | None = None
+    promised_by: ids.ServerId | None = None
 
     @property
     def kv_need(self) -> int:
@@ -83,7 +84,8 @@
 
     :ivar granted: when, in seconds.
     :ivar uncached: prompt tokens thought not to be cached at the server.
-    :ivar ahead: uncached tokens granted there before and not yet prefilled.
+    :ivar ahead: seconds of prefill granted there before and not yet done.
+    :ivar prefill: predicted seconds of its own prefill.
     :ivar beside: requests that ran there then, this one included.
     :ivar due: when the next sign of progress is late.
     """
@@ -94,14 +96,15 @@
     expected: learning.Expected
     uncached: float
     ahead: float
+    prefill: float
     beside: int
     cost: float
     due: float = 0
     first_token: float | None = None
-    first_seen: float = 0
     output_tokens: int = 0
     suspect: bool = False
     stuck: bool = False
+    preempted: bool = False
 
     @property
     def kv_need(self) -> int:
@@ -115,9 +118,9 @@
 
     :ivar live: announced and allowed new work.
     :ivar kv_used: KV tokens that its grants may come to hold.
-    :ivar prefilling: uncached prompt tokens granted, without first token.
+    :ivar prefilled_at: when the prefill granted so far should be done.
     :ivar stuck: requests on it that make no progress.
-    :ivar reserved: the waiting request that its room is kept for.
+    :ivar promised: waiting requests that its next room is kept for.
     :ivar crashed: the newest incarnation known to be gone.
     :ivar last_good: when it last made progress with anything.
     :ivar failures: time and fingerprint of the last failed requests.
@@ -132,10 +135,12 @@
         default_factory=dict,
     )
     kv_used: int = 0
-    prefilling: float = 0
+    prefilled_at: float = 0
     suspects: int = 0
     stuck: int = 0
-    reserved: Waiting | None = None
+    promised: dict[ids.RequestId, Waiting] = dataclasses.field(
+        default_factory=dict,
+    )
     crashed: int = -1
     last_good: float = float('-inf')
     failures: collections.deque[tuple[float, ids.Fingerprint]] = (
@@ -149,11 +154,16 @@
         """Give the server's id."""
         return self.announcement.server_id
 
+    @property
+    def model(self) -> str | None:
+        """Give the first model that it serves."""
+        return self.kind.models[0] if self.kind.models else None
+
     def most(self) -> int:
         """Give how many requests it may run now."""
         if not self.live or self.announcement.incarnation <= self.crashed:
             return 0
-        return self.health.most(self.limit.whole())
+        return self.health.most(self.limit.whole)
 
     def is_open(self) -> bool:
         """Tell whether it may get one more request."""
