--- a/libs/scheduling/geraniumweir/scheduling/remote.py
+++ b/libs/scheduling/geraniumweir/scheduling/remote.py
@@ -61,6 +61,7 @@
             view=view,
             host_id=link.host_id,
         )
+        self._closed = False
         self._pools: dict[ids.PoolName, led.LedPool] = {}
         self._subscriptions = (
             view.changes.subscribe(lambda _: self._recheck()),
@@ -83,14 +84,18 @@
         return list(self._pools)
 
     def close(self) -> None:
-        """Stop leading; those who wait are told to ask elsewhere."""
+        """Stop leading; those who wait are told to ask elsewhere.
+
+        Asks that still come are answered ``not leader``.
+        """
+        self._closed = True
         for subscription in self._subscriptions:
             subscription.dispose()
         for pool in self.pools():
             self._hand_off(pool)
 
     def _led(self, pool: ids.PoolName) -> led.LedPool | None:
-        if self._leader_of(pool) != self._link.host_id:
+        if self._closed or self._leader_of(pool) != self._link.host_id:
             return None
         found = self._pools.get(pool)
         if found is None:
