--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -0,0 +1,260 @@
+"""Grants waiting requests to backend servers.
+
+There are two ways: a newcomer takes the server that is predicted to end it
+first, and a server with a free slot takes the request that goes before all
+others it can end in time. A request that lacks only KV room keeps a server
+for itself, so that smaller ones that go after it don't take the room for
+ever.
+"""
+
+import heapq
+import itertools
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import (
+    fleet,
+    placement,
+    records,
+    requests,
+    state,
+    stragglers,
+    waitlist,
+)
+
+_HELD_LOOK = 8
+
+
+def try_now(leader: state.LeaderState, waiting: records.Waiting) -> bool:
+    """Grant a request if a server can end it in time from now."""
+    ask = waiting.ask
+    if not leader.settled or waitlist.over_running_limit(leader, ask):
+        return False
+    if waitlist.is_suspect(leader, ask):
+        server = _server_for_suspect(leader, waiting)
+    else:
+        server = placement.choose(leader, waiting)
+    if server is None:
+        return False
+    grant(leader, waiting, server)
+    return True
+
+
+def keep_room(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    """Keep a server for a request that lacks only KV room there."""
+    if leader.settled and not waiting.held:
+        server = placement.choose_crowded(leader, waiting)
+        if server is not None:
+            waitlist.promise(leader, server, waiting)
+
+
+def fill(leader: state.LeaderState, server: records.Server) -> int:
+    """Grant a server as much as it may run now.
+
+    :returns: number of grants.
+    """
+    granted = 0
+    if not leader.settled:
+        return granted
+    _place_held(leader)
+    while server.is_open():
+        waiting = _pick(leader, server)
+        if waiting is None:
+            break
+        grant(leader, waiting, server)
+        granted += 1
+    return granted
+
+
+def fill_open(leader: state.LeaderState) -> None:
+    """Grant what a few open servers of each class can take."""
+    if not leader.waiting or not leader.settled:
+        return
+    for kind in leader.open_servers.classes():
+        granted = _fill_best(leader, kind)
+        while granted:
+            granted = _fill_best(leader, kind)
+
+
+def grant(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+    server: records.Server,
+) -> None:
+    """Grant a request a server's slot."""
+    ask = waiting.ask
+    waitlist.leave(leader, waiting)
+    kept = waitlist.unpromise(leader, waiting)
+    running = _running(leader, waiting, server)
+    leader.queue.charge(waiting.flow, running.cost / ask.share)
+    expected = running.cost
+    if ask.streams and ask.model is not None:
+        expected = running.ahead + running.prefill
+    running.due = leader.now() + stragglers.patience(expected)
+    count_running(leader, running)
+    fleet.attach(leader, server, running)
+    leader.prefixes.granted(server.server_id, ask.blocks)
+    waiting.fut.set_result(running.grant)
+    if kept is not None and kept is not server:
+        fill(leader, kept)
+
+
+def count_running(
+    leader: state.LeaderState,
+    running: records.Running,
+) -> None:
+    """Count a grant in use, whoever gave it."""
+    ask = running.ask
+    leader.running[ask.request_id] = running
+    leader.running_by_tier[ask.tier] += 1
+    leader.running_prints[ask.fingerprint] += 1
+    leader.rules.setdefault(ask.rule, records.RuleCount()).running += 1
+    watch_progress(leader, running)
+
+
+def watch_progress(
+    leader: state.LeaderState,
+    running: records.Running,
+) -> None:
+    """Look at a grant again when its next sign of progress is late."""
+    leader.sequence += 1
+    heapq.heappush(
+        leader.due,
+        (running.due, leader.sequence, running.ask.request_id),
+    )
+
+
+def unpark(leader: state.LeaderState, name: ids.RuleName) -> None:
+    """Let parked requests of a rule into the queue, as its limit allows."""
+    rule = leader.rules.get(name)
+    if rule is None or not rule.parked:
+        return
+    waiting = min(
+        rule.parked.values(),
+        key=lambda parked: (parked.ask.tier, parked.best_start),
+    )
+    if not waitlist.over_running_limit(leader, waiting.ask):
+        rule.parked.pop(waiting.ask.request_id)
+        waitlist.to_queue(leader, waiting)
+        try_now(leader, waiting)
+
+
+def _running(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+    server: records.Server,
+) -> records.Running:
+    grant_given = requests.Grant(
+        waiting.ask.request_id,
+        server.server_id,
+        server.announcement.incarnation,
+        server.announcement.address,
+    )
+    uncached = placement.uncached_tokens(leader, server, waiting)
+    rates = placement.rates_of(leader, server, waiting.ask.model)
+    return records.Running(
+        ask=waiting.ask,
+        grant=grant_given,
+        granted=leader.now(),
+        expected=waiting.expected,
+        uncached=uncached,
+        ahead=placement.prefill_ahead(leader, server),
+        prefill=rates.seconds(uncached, 0),
+        beside=len(server.running) + 1,
+        cost=placement.finish(leader, server, waiting),
+        suspect=waitlist.is_suspect(leader, waiting.ask),
+    )
+
+
+def _pick(
+    leader: state.LeaderState,
+    server: records.Server,
+) -> records.Waiting | None:
+    """Find the first request, in order, that a server can end in time."""
+    for tier in ids.Tier:
+        if not leader.by_tier[tier]:
+            continue
+        for waiting in _in_order(leader, server, tier):
+            if _fits(leader, server, waiting):
+                return waiting
+    return None
+
+
+def _in_order(
+    leader: state.LeaderState,
+    server: records.Server,
+    tier: ids.Tier,
+) -> typing.Iterator[records.Waiting]:
+    for promised in list(server.promised.values()):
+        if promised.ask.tier == tier and not promised.held:
+            yield promised
+    window = leader.cfg.fair_seconds * max(leader.slots, 1)
+    yield from leader.queue.candidates(
+        server.kind,
+        tier,
+        leader.now(),
+        window,
+    )
+
+
+def _fits(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    if waitlist.hold_if_needed(leader, waiting):
+        return False
+    if placement.kept_for_another(server, waiting):
+        return False
+    if not placement.in_time(leader, server, waiting):
+        return False
+    if placement.has_room(server, waiting):
+        return True
+    if waiting.promised_by is None and not server.promised:
+        if placement.fits(server, waiting):
+            waitlist.promise(leader, server, waiting)
+    return False
+
+
+def _fill_best(
+    leader: state.LeaderState,
+    kind: records.ServerClass,
+) -> int:
+    best = leader.open_servers.best(kind)
+    return sum(fill(leader, leader.servers[name]) for name in best)
+
+
+def _place_held(leader: state.LeaderState) -> None:
+    """Grant suspects, unless someone of a higher tier waits."""
+    if not leader.held:
+        return
+    order = sorted(
+        leader.held.values(),
+        key=lambda held: (held.ask.tier, held.best_start),
+    )
+    for waiting in order[:_HELD_LOOK]:
+        if _higher_waits(leader, waiting.ask.tier):
+            return
+        if waiting.fut.done():
+            continue
+        server = _server_for_suspect(leader, waiting)
+        if server is not None:
+            grant(leader, waiting, server)
+
+
+def _higher_waits(leader: state.LeaderState, tier: ids.Tier) -> bool:
+    higher = (leader.by_tier[other] for other in ids.Tier if other < tier)
+    waiting = itertools.chain.from_iterable(queue.values() for queue in higher)
+    return any(not other.held for other in waiting)
+
+
+def _server_for_suspect(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> records.Server | None:
+    if waiting.ask.fingerprint in leader.running_prints:
+        return None
+    server = placement.least_harm(leader, waiting)
+    if server is None or not placement.in_time(leader, server, waiting):
+        return None
+    return server
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/state.py
@@ -0,0 +1,107 @@
+"""All that a pool leader knows; the decisions are free functions over it."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.membership import servers
+from geraniumweir.scheduling import (
+    fairqueue,
+    learning,
+    openings,
+    prefix,
+    records,
+    requests,
+    retries,
+    settings,
+    suspects,
+    victims,
+)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class LeaderState:
+    """All that a pool leader knows."""
+
+    cfg: settings.LeaderSettings
+    now: typing.Callable[[], float]
+    live: typing.Callable[[], typing.Sequence[servers.Announcement]]
+    on_preempt: typing.Callable[[requests.Preempt], None]
+    settled: bool
+    settle_by: float
+    dice: random.Random
+    suspects: suspects.Suspects
+    waiting: dict[ids.RequestId, records.Waiting] = dataclasses.field(
+        default_factory=dict,
+    )
+    by_tier: dict[ids.Tier, dict[ids.RequestId, records.Waiting]] = (
+        dataclasses.field(
+            default_factory=lambda: {tier: {} for tier in ids.Tier},
+        )
+    )
+    cost_by_tier: dict[ids.Tier, float] = dataclasses.field(
+        default_factory=lambda: dict.fromkeys(ids.Tier, float(0)),
+    )
+    queue: fairqueue.FairQueue[records.ServerClass, records.Waiting] = (
+        dataclasses.field(
+            default_factory=fairqueue.FairQueue,
+        )
+    )
+    held: dict[ids.RequestId, records.Waiting] = dataclasses.field(
+        default_factory=dict,
+    )
+    running: dict[ids.RequestId, records.Running] = dataclasses.field(
+        default_factory=dict,
+    )
+    running_by_tier: dict[ids.Tier, int] = dataclasses.field(
+        default_factory=lambda: dict.fromkeys(ids.Tier, 0),
+    )
+    orphans: dict[ids.ServerId, dict[ids.RequestId, records.Running]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    running_prints: collections.Counter[ids.Fingerprint] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    cost_by_flow: collections.Counter[fairqueue.Flow] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    rules: dict[ids.RuleName, records.RuleCount] = dataclasses.field(
+        default_factory=dict,
+    )
+    servers: dict[ids.ServerId, records.Server] = dataclasses.field(
+        default_factory=dict,
+    )
+    classes: dict[tuple[typing.Any, ...], records.ServerClass] = (
+        dataclasses.field(
+            default_factory=dict,
+        )
+    )
+    open_servers: openings.Openings[records.ServerClass] = dataclasses.field(
+        default_factory=openings.Openings,
+    )
+    preemptible: victims.Victims[records.ServerClass] = dataclasses.field(
+        default_factory=victims.Victims,
+    )
+    lengths: learning.OutputLengths = dataclasses.field(
+        default_factory=learning.OutputLengths,
+    )
+    speeds: learning.Speeds = dataclasses.field(
+        default_factory=learning.Speeds,
+    )
+    prefixes: prefix.PrefixIndex = dataclasses.field(
+        default_factory=prefix.PrefixIndex,
+    )
+    budgets: retries.Retries = dataclasses.field(
+        default_factory=retries.Retries,
+    )
+    due: list[tuple[float, int, ids.RequestId]] = dataclasses.field(
+        default_factory=list,
+    )
+    slots: int = 0
+    sequence: int = 0
+    too_late_in_row: int = 0
+    synced: float = float('-inf')
+    ticker: asyncio.TimerHandle | None = None
