--- a/libs/configuration/geraniumweir/configuration/errors.py
+++ b/libs/configuration/geraniumweir/configuration/errors.py
@@ -50,3 +50,9 @@
     """A request to be explained that can't be read."""
 
     code = 'GW-1204'
+
+
+class SnapshotError(errors.GeraniumweirError):
+    """A snapshot of the state machine that can't be read."""
+
+    code = 'GW-1205'
