--- a/libs/configuration/geraniumweir/configuration/errors.py
+++ b/libs/configuration/geraniumweir/configuration/errors.py
@@ -56,3 +56,9 @@
     """A snapshot of the state machine that can't be read."""
 
     code = 'GW-1205'
+
+
+class PatchError(errors.GeraniumweirError):
+    """A difference that doesn't fit the version at hand."""
+
+    code = 'GW-1206'
--- a/libs/configuration/geraniumweir/configuration/tests/test_state.py
+++ b/libs/configuration/geraniumweir/configuration/tests/test_state.py
@@ -45,8 +45,9 @@
                 self.claims.pop(key)
 
     def change(self, change_id: str, base: int, text: bytes) -> typing.Any:
-        if change_id in self.first_answers:
-            return self.first_answers[change_id]
+        known = self.first_answers.get(change_id)
+        if known is not None:
+            return known
         is_accepted = base == len(self.documents)
         if is_accepted:
             self.documents.append(text)
