--- a/libs/configuration/geraniumweir/configuration/errors.py
+++ b/libs/configuration/geraniumweir/configuration/errors.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from geraniumweir.common import errors
+from geraniumweir.common import errors, ids
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,3 +62,31 @@
     """A difference that doesn't fit the version at hand."""
 
     code = 'GW-1206'
+
+
+class ClaimError(errors.GeraniumweirError):
+    """A claim that wasn't granted; nothing ran.
+
+    :cvar ran: always ``no``: no claim, no dispatch.
+    """
+
+    code = 'GW-7100'
+    ran: typing.ClassVar[ids.Ran] = ids.Ran.no
+
+
+class ClaimUnavailableError(ClaimError):
+    """No majority of the recorders could be reached in time."""
+
+    code = 'GW-7101'
+
+
+class ClaimsFullError(ClaimError):
+    """The table of claims is full and none may be forgotten yet."""
+
+    code = 'GW-7102'
+
+
+class KeyReusedError(ClaimError):
+    """The key was used before for a call with another content."""
+
+    code = 'GW-7103'
--- a/libs/configuration/geraniumweir/configuration/patches.py
+++ b/libs/configuration/geraniumweir/configuration/patches.py
@@ -59,7 +59,8 @@
     high = most
     while low < high:
         middle = (low + high + 1) // 2
-        if one[low:middle] == other[low:middle]:
+        part = slice(low, middle)
+        if one[part] == other[part]:
             low = middle
         else:
             high = middle - 1
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_limits.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_limits.py
@@ -14,6 +14,36 @@
 )
 
 
+class _Pair:
+    """A limiter beside plain dicts."""
+
+    def __init__(self, allowed: limits.Limits) -> None:
+        self.limiter = limits.Limiter()
+        self.allowed = allowed
+        self.waiting: dict[str, str] = {}
+        self.running: dict[str, str] = {}
+
+    def arrive(self, request_id: str, key: str) -> None:
+        breach = self.limiter.arrive(request_id, key, self.allowed, 0)
+        if breach is None and request_id not in self.running:
+            self.waiting.setdefault(request_id, key)
+
+    def start(self, request_id: str, _key: str) -> None:
+        own = self.waiting.get(request_id, '')
+        if own and self.limiter.may_run(own, self.allowed):
+            self.limiter.start(request_id, own)
+            self.running[request_id] = self.waiting.pop(request_id)
+
+    def end(self, request_id: str, _key: str) -> None:
+        self.limiter.end(request_id)
+        self.waiting.pop(request_id, None)
+        self.running.pop(request_id, None)
+
+    def counts(self, key: str) -> tuple[int, int]:
+        runs = list(self.running.values()).count(key)
+        return runs, list(self.waiting.values()).count(key)
+
+
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
 @hypothesis.given(
     strategies.lists(strategies.floats(0, 0.4), max_size=60),
@@ -44,29 +74,12 @@
     most_waiting: int,
 ) -> None:
     """Repeats count once and no limit is passed."""
-    limiter = limits.Limiter()
-    allowed = limits.Limits(None, most_running, most_waiting)
-    waiting: dict[str, str] = {}
-    running: dict[str, str] = {}
+    pair = _Pair(limits.Limits(None, most_running, most_waiting))
     for what, request_id, key in steps:
-        if what == 'arrive':
-            breach = limiter.arrive(request_id, key, allowed, 0)
-            if breach is None and request_id not in running:
-                waiting.setdefault(request_id, key)
-        elif what == 'start' and request_id in waiting:
-            own = waiting[request_id]
-            if limiter.may_run(own, allowed):
-                limiter.start(request_id, own)
-                running[request_id] = waiting.pop(request_id)
-        elif what == 'end':
-            limiter.end(request_id)
-            waiting.pop(request_id, None)
-            running.pop(request_id, None)
+        getattr(pair, what)(request_id, key)
         for name in ('one', 'two'):
-            found = limiter.counts(name)
-            runs = list(running.values()).count(name)
-            waits = list(waiting.values()).count(name)
-            assert found == (runs, waits)
+            runs, waits = pair.counts(name)
+            assert pair.limiter.counts(name) == (runs, waits)
             assert runs <= most_running
             assert waits <= max(most_waiting, 1)
 
--- a/libs/wire/geraniumweir/wire/gen/configuration/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/configuration/ttypes.py
@@ -1674,18 +1674,21 @@
     """
     Attributes:
      - have
+     - base
      - wait_ms
 
     """
 
     __slots__ = (
         'have',
+        'base',
         'wait_ms',
     )
 
 
-    def __init__(self, have=None, wait_ms=None,):
+    def __init__(self, have=None, base=None, wait_ms=None,):
         self.have = have
+        self.base = base
         self.wait_ms = wait_ms
 
     def read(self, iprot):
@@ -1703,6 +1706,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I64:
                     self.wait_ms = iprot.readI64()
                 else:
@@ -1721,8 +1729,12 @@
             oprot.writeFieldBegin('have', TType.I64, 1)
             oprot.writeI64(self.have)
             oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 2)
+            oprot.writeI64(self.base)
+            oprot.writeFieldEnd()
         if self.wait_ms is not None:
-            oprot.writeFieldBegin('wait_ms', TType.I64, 2)
+            oprot.writeFieldBegin('wait_ms', TType.I64, 3)
             oprot.writeI64(self.wait_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2083,7 +2095,8 @@
 FetchVersion.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'have', None, None, ),  # 1
-    (2, TType.I64, 'wait_ms', None, None, ),  # 2
+    (2, TType.I64, 'base', None, None, ),  # 2
+    (3, TType.I64, 'wait_ms', None, None, ),  # 3
 )
 all_structs.append(Patch)
 Patch.thrift_spec = (
--- a/libs/wire/idl/configuration.thrift
+++ b/libs/wire/idl/configuration.thrift
@@ -126,10 +126,12 @@
 
 // ---- following ------------------------------------------------------------
 
-// Asks for a newer version than `have`; the answer may wait.
+// Asks for a newer version than `have`; the answer may wait. `base` is the
+// version that the asker can patch, 0 for none.
 struct FetchVersion {
   1: i64 have
-  2: i64 wait_ms
+  2: i64 base
+  3: i64 wait_ms
 }
 
 // The bytes of the old document from 0 to `head` and the last `tail` ones
