--- a/libs/daemon/geraniumweir/daemon/host.py
+++ b/libs/daemon/geraniumweir/daemon/host.py
@@ -7,7 +7,8 @@
 from geraniumweir.configuration import document
 from geraniumweir.daemon import callpath, settings
 from geraniumweir.membership import servers
-from geraniumweir.scheduling import leader
+from geraniumweir.scheduling import leader, requests
+from geraniumweir.scheduling import settings as leader_settings
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,7 +36,12 @@
         """Give the leader of a pool, made on first use."""
         found = self.leaders.get(pool)
         if found is None:
-            found = leader.PoolLeader(lambda: self.servers_of(pool))
+            found = leader.PoolLeader(
+                leader_settings.LeaderSettings(pool),
+                self.timers.now,
+                lambda: self.servers_of(pool),
+                self._preempt,
+            )
             self.leaders[pool] = found
         return found
 
@@ -57,3 +63,6 @@
             and not doc.override(server.server_id).drain
             and not doc.override(server.server_id).forbid
         ]
+
+    def _preempt(self, preempt: requests.Preempt) -> None:
+        self.path.in_flight.preempt(preempt.request_id)
--- /dev/null
+++ b/libs/membership/geraniumweir/membership/sharing.py
@@ -0,0 +1,196 @@
+"""Shares the leases of backend servers inside a failure domain.
+
+The host that a server announced itself to tells the others of the domain:
+what is new at once, the rest in heartbeats as a short key and the time left.
+A host that doesn't know a key asks for the card. Only what a server itself
+said here is shared, so no lease goes round in circles.
+"""
+
+import asyncio
+import dataclasses
+import functools
+import typing
+
+import xxhash
+from geraniumweir.common import ids
+from geraniumweir.membership import (
+    hosts,
+    knowledge,
+    limits,
+    members,
+    servercards,
+    servers,
+)
+from geraniumweir.wire.gen.membership import ttypes
+
+NEXT_MS = 1000
+ANNOUNCE_TO = 3
+MAX_IN_MESSAGE = 512
+_GATHER_SECONDS = 0.02
+_REPEATS = (0.4, 0.8, 1.2, 1.6)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """What a server is told after its announcement.
+
+    :ivar next_ms: when to announce next, in milliseconds.
+    :ivar announce_to: backend addresses of hosts to turn to.
+    """
+
+    next_ms: int
+    announce_to: tuple[ids.Address, ...]
+
+
+class Sharing:
+    """Takes announcements and shares them.
+
+    :ivar registry: the servers of the domain.
+    """
+
+    def __init__(self, known: knowledge.Knowledge) -> None:
+        """Register the handlers."""
+        self._known = known
+        self.registry = servers.Registry(known.me.failure_domain)
+        self._heard: set[ids.ServerId] = set()
+        self._news: set[ids.ServerId] = set()
+        self._gathering: asyncio.TimerHandle | None = None
+        known.peers.handle(ttypes.ServerLeases, self._on_leases)
+        known.peers.handle(ttypes.ServersRequest, self._on_request)
+
+    def announce(self, announcement: servers.Announcement) -> Reply:
+        """Take an announcement from a server.
+
+        :raises errors.AnnouncementError: when it is nonsense, of another
+            failure domain, or one too many.
+        """
+        limits.check(announcement)
+        server_id = announcement.server_id
+        before = self.registry.lease(server_id)
+        self.registry.announce(announcement, self._known.now())
+        after = self.registry.lease(server_id)
+        self._heard.add(server_id)
+        if before is None or after is None or before.key != after.key:
+            self._tell(server_id, after)
+        return Reply(NEXT_MS, self._announce_to(server_id))
+
+    def renewals(self) -> list[ttypes.Renewal]:
+        """Give the leases that were lengthened here since the last call."""
+        now = self._known.now()
+        self.registry.sweep(now)
+        heard = sorted(self._heard)[:MAX_IN_MESSAGE]
+        self._heard.difference_update(heard)
+        return [
+            ttypes.Renewal(lease.key, servercards.left_ms(lease, now))
+            for lease in self._leases(heard)
+        ]
+
+    def take_renewals(
+        self,
+        sender: ids.HostId,
+        renewed: list[ttypes.Renewal],
+    ) -> None:
+        """Lengthen leases; ask for the cards that aren't known."""
+        now = self._known.now()
+        unknown = [
+            renewal.key
+            for renewal in renewed[:MAX_IN_MESSAGE]
+            if not self.registry.renew(
+                renewal.key,
+                renewal.left_ms / servercards.MILLIS,
+                now,
+            )
+        ]
+        if unknown:
+            self._known.peers.send(sender, ttypes.ServersRequest(unknown))
+
+    def _tell(
+        self, server_id: ids.ServerId, lease: servers.Lease | None
+    ) -> None:
+        self._gather(server_id)
+        said = lease.announcement if lease else None
+        if said and said.state is servers.ServerState.leaving:
+            # Some may be lost, and this one must be known in two seconds.
+            for again in _REPEATS:
+                self._known.timers.after(
+                    again,
+                    functools.partial(self._gather, server_id),
+                )
+
+    def _gather(self, server_id: ids.ServerId) -> None:
+        # Servers that start together share a message.
+        self._news.add(server_id)
+        if self._gathering is None:
+            self._gathering = self._known.timers.after(
+                _GATHER_SECONDS,
+                self._send_news,
+            )
+
+    def _send_news(self) -> None:
+        self._gathering = None
+        news = sorted(self._news)
+        self._news.clear()
+        now = self._known.now()
+        changed = [
+            servercards.write(lease, now) for lease in self._leases(news)
+        ]
+        self._send(ttypes.ServerLeases(changed))
+
+    def _leases(
+        self,
+        server_ids: typing.Iterable[ids.ServerId],
+    ) -> list[servers.Lease]:
+        found = map(self.registry.lease, server_ids)
+        return [lease for lease in found if lease is not None]
+
+    def _send(self, message: ttypes.ServerLeases) -> None:
+        counted = (members.State.live, members.State.suspected)
+        for host in self._known.members.others(*counted):
+            self._known.peers.send(host.host_id, message)
+
+    def _announce_to(
+        self,
+        server_id: ids.ServerId,
+    ) -> tuple[ids.Address, ...]:
+        able = [
+            host
+            for host in self._known.members.live()
+            if host.backend_address is not None and not host.draining
+        ]
+        weight = functools.partial(_weight, server_id)
+        chosen = sorted(able, key=weight)[:ANNOUNCE_TO]
+        return tuple(
+            host.backend_address
+            for host in chosen
+            if host.backend_address is not None
+        )
+
+    async def _on_leases(
+        self,
+        sender: ids.HostId,
+        message: ttypes.ServerLeases,
+    ) -> None:
+        now = self._known.now()
+        for card in message.changed[:MAX_IN_MESSAGE]:
+            left = card.left_ms / servercards.MILLIS
+            self.registry.take(servercards.read(card), left, now)
+
+    async def _on_request(
+        self,
+        sender: ids.HostId,
+        message: ttypes.ServersRequest,
+    ) -> None:
+        now = self._known.now()
+        found = map(self.registry.by_key, message.keys[:MAX_IN_MESSAGE])
+        changed = [
+            servercards.write(lease, now)
+            for lease in found
+            if lease is not None
+        ]
+        if changed:
+            self._known.peers.send(sender, ttypes.ServerLeases(changed))
+
+
+def _weight(server_id: ids.ServerId, host: hosts.Host) -> int:
+    text = f'{server_id} {host.host_id}'
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/libs/wire/geraniumweir/wire/memory.py
+++ b/libs/wire/geraniumweir/wire/memory.py
@@ -1,8 +1,9 @@
 """An in-memory network with the face of the peer layer, for tests.
 
 Links have a delay and can lose messages or be cut, each direction for
-itself. Everything is decided by a seeded generator, so that a failing run
-can be repeated.
+itself. Thrift structs are encoded and decoded on the way, so that a field
+of a wrong type shows here too. Everything is decided by a seeded generator,
+so that a failing run can be repeated.
 """
 
 import asyncio
@@ -11,7 +12,7 @@
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.wire import errors, peers
+from geraniumweir.wire import errors, framing, peers
 
 _DEFAULT_DELAY = 0.0005
 
@@ -21,6 +22,7 @@
 
     :ivar delay: one way, in seconds.
     :ivar loss: share of messages that vanish, from 0 to 1.
+    :ivar repeats: share of calls that arrive twice, from 0 to 1.
     :ivar sent: messages by sender and type name, for counting.
     """
 
@@ -32,6 +34,7 @@
         """
         self.delay = delay
         self.loss = float(0)
+        self.repeats = float(0)
         self.sent: dict[tuple[ids.HostId, str], int] = {}
         self._random = random.Random(seed)  # noqa: S311
         self._hosts: dict[ids.HostId, MemoryPeers] = {}
@@ -76,6 +79,10 @@
             return False
         return self._random.random() >= self.loss
 
+    def arrives_twice(self) -> bool:
+        """Decide whether a call is repeated on its way."""
+        return self._random.random() < self.repeats
+
     def host(self, host_id: ids.HostId) -> typing.Optional['MemoryPeers']:
         """Give a live host."""
         return self._hosts.get(host_id)
@@ -149,7 +156,7 @@
         if handler is None:
             raise errors.RemoteError(f'no handler of {type(message).__name__}')
         try:
-            return await handler(sender, copy.deepcopy(message))
+            return await handler(sender, _carried(message))
         except Exception as exc:
             raise errors.RemoteError(repr(exc)) from exc
 
@@ -158,6 +165,8 @@
         to: ids.HostId,
         message: peers.Message,
     ) -> peers.Message:
+        if self._network.arrives_twice():
+            self.send(to, message)
         answer = await self._deliver(to, message)
         receiver = self._network.host(to)
         if receiver is None or not self._network.passes(
@@ -167,7 +176,7 @@
         ):
             await asyncio.Event().wait()
         await asyncio.sleep(self._network.delay)
-        return copy.deepcopy(answer)
+        return _carried(answer)
 
     async def _deliver(
         self,
@@ -181,3 +190,10 @@
             # The sender can't tell a loss from a slow answer.
             return await asyncio.Event().wait()
         return await receiver.receive(self.host_id, message)
+
+
+def _carried(message: peers.Message) -> peers.Message:
+    """Copy a message the way it would come out of a connection."""
+    if hasattr(message, 'thrift_spec'):
+        return framing.decode(type(message), framing.encode(message))
+    return copy.deepcopy(message)
