Claims in the log behind the path of a call; a claim right after another no longer waits for good

Cause: Claimer forgot its proposing task only a turn of the loop after it was done; a claim made in between found it, started none and timed out after 2 s. Found by the differential test of logged against local claims (two claims in a row failed every time), which passes now.

--- a/libs/configuration/geraniumweir/configuration/claims.py
+++ b/libs/configuration/geraniumweir/configuration/claims.py
@@ -171,12 +171,14 @@
 
     def _add(self, item: _Item) -> None:
         self._items.append(item)
-        if self._task is None:
+        # One that is done is forgotten only a turn of the loop later.
+        if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._propose_all())
             self._task.add_done_callback(self._forget_task)
 
-    def _forget_task(self, _done: asyncio.Task[None]) -> None:
-        self._task = None
+    def _forget_task(self, done: asyncio.Task[None]) -> None:
+        if self._task is done:
+            self._task = None
 
     async def _propose_all(self) -> None:
         # One turn of the loop, for claims that come together.
