--- a/libs/daemon/geraniumweir/daemon/admission.py
+++ b/libs/daemon/geraniumweir/daemon/admission.py
@@ -205,7 +205,9 @@
     if req.path.startswith(SERVICES):
         path = f'{req.method} {req.raw_path}'
         digest = prompts.fingerprint(path.encode(), talk.body)
-        return _Content(dataclasses.replace(_NO_PROMPT, fingerprint=digest))
+        # To the scheduler a service's answer is one token behind no prompt.
+        prompt = dataclasses.replace(_NO_PROMPT, fingerprint=digest)
+        return _Content(prompt, max_tokens=1)
     payload = _payload(talk.body)
     try:
         prompt = prompts.read_prompt(payload)
--- a/libs/daemon/geraniumweir/daemon/host.py
+++ b/libs/daemon/geraniumweir/daemon/host.py
@@ -40,7 +40,7 @@
                 leader_settings.LeaderSettings(pool),
                 self.timers.now,
                 lambda: self.servers_of(pool),
-                _ignore_preempt,
+                self._preempt,
             )
             self.leaders[pool] = found
         return found
@@ -64,6 +64,5 @@
             and not doc.override(server.server_id).forbid
         ]
 
-
-def _ignore_preempt(_preempt: requests.Preempt) -> None:
-    """Leave the stream: this host can't cancel one yet."""
+    def _preempt(self, preempt: requests.Preempt) -> None:
+        self.path.in_flight.preempt(preempt.request_id)
--- a/libs/fakes/geraniumweir/fakes/tests/bed.py
+++ b/libs/fakes/geraniumweir/fakes/tests/bed.py
@@ -51,6 +51,16 @@
         fake = service.FakeService(cfg)
         return await self.stack.enter_async_context(fake.running())
 
+    async def announce(self, payload: typing.Mapping[str, object]) -> None:
+        """Announce a server, and let the pool leader follow.
+
+        A leader looks at the servers four times a second at least.
+        """
+        url = f'http://{self.entry.host.cfg.backend_address}/v1/announce'
+        async with self.session.post(url, json=payload) as resp:
+            assert resp.status == 200
+        await asyncio.sleep(0.3)
+
     def post(
         self,
         payload: typing.Mapping[str, typing.Any],
