--- a/libs/configuration/geraniumweir/configuration/claims.py
+++ b/libs/configuration/geraniumweir/configuration/claims.py
@@ -32,8 +32,10 @@
 _TIMEOUT = 2.0
 _PAUSE = 0.05
 _MS = 1000
-_SIGN_BIT = 1 << 63
-_UNSIGNED = 1 << 64
+_LONGEST_PAUSE = 0.5
+_FINGERPRINT_BITS = 64
+_UNSIGNED = 1 << _FINGERPRINT_BITS
+_SIGN_BIT = _UNSIGNED >> 1
 Propose = typing.Callable[[bytes], typing.Awaitable[bytes]]
 
 
@@ -71,7 +73,7 @@
     holder: ids.RequestId
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _Item:
     """One step on its way; ``fut`` is None where nobody waits."""
 
@@ -148,7 +150,7 @@
 
     async def drained(self) -> None:
         """Wait until nothing is left to propose."""
-        while self._task is not None:
+        while self._task is not None and not self._task.done():
             await asyncio.wait((self._task,))
 
     def _claim(self, call: Call) -> ttypes.Claim:
@@ -171,33 +173,33 @@
 
     def _add(self, item: _Item) -> None:
         self._items.append(item)
-        if self._task is None:
+        if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._propose_all())
-            self._task.add_done_callback(self._forget_task)
-
-    def _forget_task(self, _done: asyncio.Task[None]) -> None:
-        self._task = None
 
     async def _propose_all(self) -> None:
         # One turn of the loop, for claims that come together.
         await asyncio.sleep(0)
+        pause = _PAUSE
         while self._items:
             batch = self._next_batch()
             try:
                 await self._propose_batch(batch)
             except (common_errors.GeraniumweirError, TimeoutError) as exc:
                 self._put_back(batch, exc)
-                await asyncio.sleep(_PAUSE)
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, _LONGEST_PAUSE)
+            else:
+                pause = _PAUSE
 
     def _next_batch(self) -> list[_Item]:
         count = min(len(self._items), MOST_STEPS)
         return [self._items.popleft() for _ in range(count)]
 
     async def _propose_batch(self, batch: list[_Item]) -> None:
-        for item in batch:
-            item.was_proposed = True
         steps = [item.step for item in batch]
         command = commands.build(steps, self._now_ms())
+        for proposed in batch:
+            proposed.was_proposed = True
         found = commands.answers(await self._propose(command))
         for item, answer in zip(batch, found, strict=True):
             if item.fut is not None and not item.fut.done():
--- a/libs/configuration/geraniumweir/configuration/patches.py
+++ b/libs/configuration/geraniumweir/configuration/patches.py
@@ -27,7 +27,7 @@
     """
     most = min(len(old), len(new))
     head = _common(old, new, most)
-    tail = _common(old[::-1], new[::-1], most - head)
+    tail = _common(_reversed(old), _reversed(new), most - head)
     middle = new[head : len(new) - tail]
     return ttypes.Patch(base, head, tail, zlib.compress(middle), crc(new))
 
@@ -53,6 +53,12 @@
     return zlib.crc32(text)
 
 
+def _reversed(text: bytes) -> bytes:
+    turned = bytearray(text)
+    turned.reverse()
+    return bytes(turned)
+
+
 def _common(one: bytes, other: bytes, most: int) -> int:
     """Count the bytes that two beginnings share, at most so many."""
     low = 0
--- a/libs/wire/geraniumweir/wire/memory.py
+++ b/libs/wire/geraniumweir/wire/memory.py
@@ -52,6 +52,10 @@
         """Lose all messages in one direction."""
         self._cuts.add((sender, receiver))
 
+    def is_cut(self, sender: ids.HostId, receiver: ids.HostId) -> bool:
+        """Tell whether messages in one direction are lost."""
+        return (sender, receiver) in self._cuts
+
     def heal(self) -> None:
         """Undo all cuts."""
         self._cuts.clear()
