--- a/libs/fakes/geraniumweir/fakes/bench_following.py
+++ b/libs/fakes/geraniumweir/fakes/bench_following.py
@@ -37,6 +37,7 @@
     domains: int
     recorders: int
     loss: float = 0
+    changes: int = _CHANGES
 
 
 def text(version: int) -> str:
@@ -68,8 +69,8 @@
         bed.start(host_id)
     bed.accept()
     await asyncio.sleep(_SETTLE)
-    idle = await _traffic(bed, _CHANGES * _GAP)
-    busy = await _traffic(bed, _CHANGES * _GAP, _CHANGES)
+    idle = await _traffic(bed, case.changes * _GAP)
+    busy = await _traffic(bed, case.changes * _GAP, case.changes)
     await _all_in_force(bed)
     return _row(case, bed, idle, busy)
 
@@ -117,7 +118,7 @@
         if version > 1
     ]
     cuts = statistics.quantiles(delays, n=_PERCENT)
-    per_host = case.hosts * _CHANGES
+    per_host = case.hosts * case.changes
     return {
         'hosts': case.hosts,
         'domains': case.domains,
