--- a/libs/configuration/geraniumweir/configuration/claimtable.py
+++ b/libs/configuration/geraniumweir/configuration/claimtable.py
@@ -3,11 +3,11 @@
 A part of the state machine. A claim is granted once for a customer and key.
 While it runs it is never forgotten; when its owner doesn't end it in time its
 outcome becomes unknown. Ended claims are kept for a day, less where the table
-is full, but never less than ten minutes; when a full table has none that may
+is full, but never less than two minutes; when a full table has none that may
 go, new claims are refused, which costs availability and never a second run.
 
 After an ended claim is forgotten its key is free, so a caller that repeats a
-call later than that can run it again. Both bounds stand in docs/INTERFACES.md.
+call later than that can run it again. Both bounds are weighed in docs/design/claims.md.
 """
 
 import collections
@@ -62,7 +62,7 @@
 
     most: int = 65536
     longest_ms: int = _DAY_MS
-    shortest_ms: int = 10 * _MINUTE_MS
+    shortest_ms: int = 2 * _MINUTE_MS
     longest_ttl_ms: int = 60 * _MINUTE_MS
 
 
