--- /dev/null
+++ b/libs/store/geraniumweir/store/tests/test_folder.py
@@ -0,0 +1,190 @@
+"""What a damaged, foreign, held or failing folder leads to."""
+
+import asyncio
+import errno
+import pathlib
+import typing
+
+import pytest
+from geraniumweir.common import virtual
+from geraniumweir.store import (
+    disk,
+    entries,
+    errors,
+    folder,
+    guard,
+    memory_disk,
+)
+
+_Result = typing.TypeVar('_Result')
+
+
+async def _open(medium: disk.Disk) -> folder.Folder:
+    return await folder.open_folder(medium, guard.VirtualDelay(0), 200)
+
+
+async def _filled(medium: disk.Disk, count: int) -> folder.Folder:
+    opened = await _open(medium)
+    for index in range(1, count + 1):
+        opened.log.append([entries.Entry(index, 1, 0, b'x' * 40)])
+        await opened.log.sync()
+    return opened
+
+
+def test_damaged_middle_is_refused_with_its_place() -> None:
+    """A flipped byte before the last batch names file and offset."""
+
+    async def scenario() -> None:
+        medium = memory_disk.MemoryDisk()
+        await _filled(medium, 9)
+        medium.damage('log-000000000002', 100)
+        await _open(medium)
+
+    with pytest.raises(errors.CorruptError) as caught:
+        asyncio.run(scenario())
+    assert caught.value.name == 'log-000000000002'
+    assert 0 < caught.value.offset <= 100
+
+
+def test_damage_before_the_last_batch_of_the_last_file() -> None:
+    """A whole batch behind the damage shows that it's no torn write."""
+
+    async def scenario() -> None:
+        medium = memory_disk.MemoryDisk()
+        await _filled(medium, 2)
+        medium.damage('log-000000000001', 90)
+        await _open(medium)
+
+    with pytest.raises(errors.CorruptError, match='log-000000000001 at byte'):
+        asyncio.run(scenario())
+
+
+def test_missing_segment_is_refused() -> None:
+    """A gap among the segments is named."""
+
+    async def scenario() -> None:
+        medium = memory_disk.MemoryDisk()
+        await _filled(medium, 9)
+        medium.remove('log-000000000002')
+        await _open(medium)
+
+    with pytest.raises(errors.CorruptError, match='before this one'):
+        asyncio.run(scenario())
+
+
+def test_identity_goes_with_the_folder() -> None:
+    """An emptied folder is another recorder; files alone are refused."""
+
+    async def scenario() -> tuple[str, str, str]:
+        medium = memory_disk.MemoryDisk()
+        first = await _filled(medium, 1)
+        again = await _open(medium)
+        emptied = await _open(memory_disk.MemoryDisk())
+        medium.remove('identity')
+        with pytest.raises(errors.CorruptError, match='identity'):
+            await _open(medium)
+        return first.identity, again.identity, emptied.identity
+
+    first, again, emptied = asyncio.run(scenario())
+    assert first == again
+    assert first != emptied
+
+
+def test_other_format_is_refused() -> None:
+    """A folder of a later version is left alone."""
+
+    async def scenario() -> None:
+        medium = memory_disk.MemoryDisk()
+        folder.wholefiles.replace(medium, 'identity', b'2 abc')
+        await _open(medium)
+
+    with pytest.raises(errors.FormatError, match='format 2'):
+        asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('failure', [errno.ENOSPC, errno.EIO])
+def test_failed_disk_never_says_yes_again(failure: int) -> None:
+    """After one failure nothing is promised, though the disk recovers."""
+
+    async def scenario() -> None:
+        medium = memory_disk.MemoryDisk()
+        opened = await _filled(medium, 1)
+        medium.failing = failure
+        opened.log.append([entries.Entry(2, 1, 0, b'')])
+        with pytest.raises(errors.StoreFailedError):
+            await opened.log.sync()
+        medium.failing = 0
+        opened.log.append([entries.Entry(3, 1, 0, b'')])
+        for promise in (opened.log.sync, opened.ballot.settle):
+            with pytest.raises(errors.StoreFailedError):
+                await promise()
+        assert opened.log.synced_index == 1
+
+    asyncio.run(scenario())
+
+
+def test_waiting_syncs_share_one_fsync() -> None:
+    """A hundred waiters cost two fsyncs: one running, one for the rest."""
+
+    async def scenario() -> int:
+        medium = memory_disk.MemoryDisk()
+        opened = await folder.open_folder(medium, guard.VirtualDelay(0))
+        opened.log.append([entries.Entry(1, 1, 0, b'')])
+        await opened.log.sync()
+        before = medium.syncs
+
+        async def promise(index: int) -> None:
+            opened.log.append([entries.Entry(index, 1, 0, b'')])
+            await opened.log.sync()
+
+        await asyncio.gather(*(promise(index) for index in range(2, 102)))
+        return medium.syncs - before
+
+    assert asyncio.run(scenario()) <= 2
+
+
+def test_one_process_holds_a_real_folder(tmp_path: pathlib.Path) -> None:
+    """The lock refuses a second opener, and the files outlive the first."""
+
+    async def scenario() -> tuple[str, str, int]:
+        medium = disk.RealDisk(tmp_path)
+        first = await _filled(medium, 9)
+        with pytest.raises(errors.FolderInUseError):
+            disk.RealDisk(tmp_path)
+        medium.close()
+        medium = disk.RealDisk(tmp_path)
+        again = await _open(medium)
+        medium.close()
+        return first.identity, again.identity, again.log.last.index
+
+    first, again, index = asyncio.run(scenario())
+    assert first == again
+    assert index == 9
+
+
+def test_unwritable_folder_is_named(tmp_path: pathlib.Path) -> None:
+    """A file in the folder's place is a clear error."""
+    (tmp_path / 'data').write_text('')
+    with pytest.raises(errors.StoreError, match='data'):
+        disk.RealDisk(tmp_path / 'data')
+
+
+def test_running_sync_does_not_cover_what_came_later() -> None:
+    """An entry made or replaced during an fsync waits for the next one."""
+
+    async def scenario() -> list[int]:
+        medium = memory_disk.MemoryDisk()
+        opened = await folder.open_folder(medium, guard.VirtualDelay(0.01))
+        log = opened.log
+        log.append([entries.Entry(1, 1, 0, b''), entries.Entry(2, 1, 0, b'')])
+        first = asyncio.create_task(log.sync())
+        await asyncio.sleep(0.001)
+        log.append([entries.Entry(2, 2, 0, b'')])
+        second = asyncio.create_task(log.sync())
+        await first
+        seen = [log.synced_index]
+        assert not second.done()
+        await second
+        return [*seen, log.synced_index]
+
+    assert virtual.run(scenario()) == [1, 2]
