--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/applying.py
@@ -0,0 +1,102 @@
+"""Committed entries into the state machine, and snapshots out of it."""
+
+import asyncio
+
+from geraniumweir.consensus import core, logevents, machines, members
+from geraniumweir.store import entries, log, snapshots
+
+_BATCH = 256
+
+
+async def apply_committed(this: core.Core) -> None:
+    """Apply entries as they are committed, for as long as this one runs."""
+    while True:
+        await this.commit.reach(this.applied.height + 1)
+        _apply_some(this)
+        _start_snapshot(this)
+        # A long way to catch up mustn't hold up heartbeats.
+        await asyncio.sleep(0)
+
+
+async def jump(this: core.Core, snapshot: snapshots.Snapshot) -> None:
+    """Go on from a snapshot that the leader sent and that is durable."""
+    if snapshot.index <= this.applied.height:
+        return
+    last = this.folder.log.term_at(snapshot.index)
+    if last != snapshot.term:
+        this.history = members.History(
+            snapshot.index,
+            members.decode(snapshot.members),
+        )
+    log.match_snapshot(this.folder.log, snapshot)
+    this.env.machine.restore(snapshot.state)
+    this.applied.raise_to(snapshot.index)
+    this.commit.raise_to(snapshot.index)
+    this.changes.on_next(machines.Restored(snapshot.index))
+    this.env.report(logevents.SNAPSHOT_INSTALLED, index=snapshot.index)
+    await this.folder.log.sync()
+
+
+def _apply_some(this: core.Core) -> None:
+    left = this.commit.height - this.applied.height
+    batch = this.folder.log.read(this.applied.height, min(left, _BATCH))
+    for entry in batch:
+        answer = _apply(this, entry)
+        this.applied.raise_to(entry.index)
+        _answer_waiter(this, entry.index, answer)
+
+
+def _apply(this: core.Core, entry: entries.Entry) -> bytes:
+    if entry.kind != machines.Kind.command:
+        return b''
+    answer = this.env.machine.apply(entry.index, entry.payload)
+    change = machines.Applied(entry.index, entry.payload, answer)
+    this.changes.on_next(change)
+    return answer
+
+
+def _answer_waiter(this: core.Core, index: int, answer: bytes) -> None:
+    if this.reign is None:
+        return
+    fut = this.reign.waiters.pop(index, None)
+    if fut is not None and not fut.done():
+        fut.set_result(answer)
+
+
+def _start_snapshot(this: core.Core) -> None:
+    newest = this.folder.snapshots.newest.index
+    late = this.applied.height - newest
+    if late >= this.env.cfg.snapshot_entries and not this.taking_snapshot:
+        this.taking_snapshot = True
+        this.spawn(_take_snapshot(this))
+
+
+async def _take_snapshot(this: core.Core) -> None:
+    try:
+        await take_snapshot(this)
+    finally:
+        this.taking_snapshot = False
+
+
+async def take_snapshot(this: core.Core) -> int:
+    """Save the state as it is now and compact the log.
+
+    :returns: the index of the last entry that the snapshot covers.
+    """
+    index = this.applied.height
+    snapshot = snapshots.Snapshot(
+        index,
+        this.folder.log.term_at(index) or 0,
+        members.encode(this.history.at(index)),
+        this.env.machine.snapshot(),
+    )
+    await this.folder.snapshots.save(snapshot)
+    this.env.report(
+        logevents.SNAPSHOT_TAKEN,
+        size=len(snapshot.state),
+        index=index,
+    )
+    this.history.forget_before(index)
+    kept = max(index - this.env.cfg.trailing_entries, 0)
+    await this.folder.log.compact_to(kept)
+    return index
--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/changing.py
@@ -0,0 +1,201 @@
+"""Changes of the recorders, one at a time.
+
+A new recorder first learns: it gets the entries but has no vote, so a slow or
+empty one costs no majority. Only when it has caught up does it become a
+voter. Where an older recorder of the same host is still among the voters (its
+folder was emptied), that one is removed just before, so that the number of
+voters doesn't grow by one that never answers.
+
+References
+==========
+.. [1] D. Ongaro, PhD thesis, sections 4.1 to 4.2.2.
+.. [2] D. Ongaro, "bug in single-server membership changes", raft-dev, 2015:
+   a leader first commits an entry of its own term.
+"""
+
+import asyncio
+
+from geraniumweir.common import ids
+from geraniumweir.consensus import (
+    core,
+    errors,
+    handing,
+    leading,
+    machines,
+    members,
+    reign,
+)
+from geraniumweir.wire import errors as wire_errors
+from geraniumweir.wire.gen.consensus import ttypes
+
+
+async def add(
+    this: core.Core,
+    host_id: ids.HostId,
+    address: str,
+    timeout: float,
+) -> None:
+    """Make the host's data folder a recorder; a repeat goes on where it was.
+
+    :param address: where the host's peer layer listens, or empty if known.
+    :param timeout: for the learner to catch up and for each change, in
+        seconds.
+    :raises errors.RefusedError: when another change is under way, or the host
+        doesn't answer.
+    :raises errors.UncertainError: when it takes too long; the new recorder
+        may be there as a learner.
+    """
+    led = leading.current(this)
+    async with _one_change(led):
+        if address:
+            this.env.peers.learn(host_id, ids.parse_address(address))
+        identity = await _identify(this, host_id)
+        member = members.Member(identity, host_id, address, voter=False)
+        known = this.history.current.find(identity)
+        if known is None:
+            grown = this.history.current.with_member(member)
+            await _change(this, led, grown, timeout)
+        await _catch_up(this, led, identity, timeout)
+        await _drop_others(this, led, member, timeout)
+        await _promote(this, led, identity, timeout)
+
+
+async def remove(
+    this: core.Core,
+    host_id: ids.HostId,
+    timeout: float,
+) -> None:
+    """Remove the recorders of a host; none there is no error.
+
+    :param timeout: for each change, in seconds.
+    :raises errors.RefusedError: when another change is under way, or the
+        remaining recorders that answer are no majority.
+    :raises errors.NotLeaderError: when this recorder is to be removed itself;
+        it handed leadership on before.
+    """
+    led = leading.current(this)
+    async with _one_change(led):
+        for member in this.history.current.on_host(host_id):
+            left = this.history.current.without(member.identity)
+            _check_majority(this, led, left)
+            if member.identity == this.identity:
+                await handing.hand_on(this)
+                leading.current(this)
+                raise errors.RefusedError('nobody took over leadership')
+            await _change(this, led, left, timeout)
+
+
+def _one_change(led: reign.Reign) -> asyncio.Lock:
+    if led.changing.locked():
+        raise errors.RefusedError('another change of recorders is under way')
+    return led.changing
+
+
+async def _identify(
+    this: core.Core,
+    host_id: ids.HostId,
+) -> members.RecorderId:
+    if host_id == this.env.cfg.host_id:
+        return this.identity
+    try:
+        found = await this.env.peers.call(
+            host_id,
+            ttypes.Identify(),
+            this.env.cfg.election_max,
+        )
+    except wire_errors.PeerError as exc:
+        raise errors.RefusedError(f'{host_id}: {exc}') from exc
+    return members.RecorderId(found.identity)
+
+
+async def _change(
+    this: core.Core,
+    led: reign.Reign,
+    wanted: members.Members,
+    timeout: float,
+) -> None:
+    """Put new recorders into the log once the last change is committed."""
+    try:
+        async with asyncio.timeout(timeout):
+            await leading.until_committed(
+                this,
+                led,
+                max(led.start_index, this.history.index),
+            )
+    except TimeoutError as exc:
+        raise errors.NoQuorumError('the last change isn’t committed') from exc
+    if led.ended:
+        raise errors.NoQuorumError('leads no more')
+    await leading.propose(
+        this,
+        members.encode(wanted),
+        timeout,
+        machines.Kind.members,
+    )
+
+
+async def _catch_up(
+    this: core.Core,
+    led: reign.Reign,
+    identity: members.RecorderId,
+    timeout: float,
+) -> None:
+    """Wait until the learner has all that is committed now."""
+    progress = led.progress.get(identity)
+    if progress is None:
+        return
+    try:
+        async with asyncio.timeout(timeout):
+            while not led.ended and progress.match < this.commit.height:
+                await led.move()
+    except TimeoutError as exc:
+        raise errors.UncertainError(
+            f'{progress.member.host_id} is a learner and didn’t catch up',
+        ) from exc
+
+
+async def _drop_others(
+    this: core.Core,
+    led: reign.Reign,
+    member: members.Member,
+    timeout: float,
+) -> None:
+    for other in this.history.current.on_host(member.host_id):
+        if other.identity != member.identity:
+            left = this.history.current.without(other.identity)
+            _check_majority(this, led, left)
+            await _change(this, led, left, timeout)
+
+
+async def _promote(
+    this: core.Core,
+    led: reign.Reign,
+    identity: members.RecorderId,
+    timeout: float,
+) -> None:
+    known = this.history.current.find(identity)
+    if known is None or known.voter:
+        return
+    voter = members.Member(identity, known.host_id, known.address)
+    grown = this.history.current.with_member(voter)
+    await _change(this, led, grown, timeout)
+
+
+def _check_majority(
+    this: core.Core,
+    led: reign.Reign,
+    left: members.Members,
+) -> None:
+    """Refuse to remove a recorder that the majority can't spare."""
+    since = this.timers.now() - this.env.cfg.election_max
+    live = [
+        member
+        for member in left.voters
+        if member.identity == this.identity
+        or led.progress[member.identity].contact >= since
+    ]
+    if len(live) < left.majority:
+        raise errors.RefusedError(
+            f'of {len(left.voters)} recorders that would be left only'
+            f' {len(live)} answer',
+        )
--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/core.py
@@ -0,0 +1,244 @@
+"""What the tasks and handlers of one recorder share.
+
+Decisions are made in one go, without an ``await``; then the promise is made
+durable; then it is checked that it still holds; and only then anyone is told.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import math
+import random
+import typing
+
+import reactivex
+from geraniumweir.common import logevents as events
+from geraniumweir.common import ids, timers
+from geraniumweir.consensus import (
+    errors,
+    logevents,
+    machines,
+    members,
+    reign,
+    settings,
+    watermarks,
+)
+from geraniumweir.store import entries, folder
+from geraniumweir.wire import peers
+
+Report = typing.Callable[..., None]
+
+
+def report_nothing(_event: events.Event, **_fields: typing.Any) -> None:
+    """Log nothing."""
+
+
+class Role(enum.Enum):
+    """What a recorder is at the moment."""
+
+    follower = 'follower'
+    candidate = 'candidate'
+    leader = 'leader'
+    failed = 'failed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a recorder is given.
+
+    :ivar cfg: sizes and times.
+    :ivar peers: the way to other hosts.
+    :ivar machine: gets the committed commands.
+    :ivar rng: decides election timeouts.
+    :ivar report: logs events.
+    """
+
+    cfg: settings.Settings
+    peers: peers.Peers
+    machine: machines.StateMachine
+    rng: random.Random
+    report: Report = report_nothing
+
+
+class Core:
+    """The state of one recorder.
+
+    :ivar env: what it was given.
+    :ivar folder: its durable files.
+    :ivar role: what it is at the moment.
+    :ivar leader: the recorder it follows, or empty.
+    :ivar reign: its own leadership, or None.
+    :ivar history: who the recorders are.
+    :ivar commit: all entries up to it are committed.
+    :ivar applied: all entries up to it are in the state machine.
+    :ivar quiet_since: when the election timeout began, in loop time.
+    :ivar leader_heard: when the leader was last heard, in loop time.
+    :ivar changes: what is applied.
+    :ivar taking_snapshot: one is under way.
+    """
+
+    def __init__(self, env: Surroundings, opened: folder.Folder) -> None:
+        """Start as a follower with what the folder holds."""
+        newest = opened.snapshots.newest
+        self.env = env
+        self.folder = opened
+        self.timers = timers.TimerService()
+        self.role = Role.follower
+        self.leader = members.RecorderId('')
+        self.reign: reign.Reign | None = None
+        self.history = _read_history(opened)
+        self.commit = watermarks.Watermark(newest.index)
+        self.applied = watermarks.Watermark(newest.index)
+        self.quiet_since = self.timers.now()
+        self.leader_heard = -math.inf
+        self.changes: reactivex.Subject[machines.Change] = reactivex.Subject()
+        self.taking_snapshot = False
+        self._failure: BaseException | None = None
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+
+    @property
+    def identity(self) -> members.RecorderId:
+        """The identity of this recorder."""
+        return members.RecorderId(self.folder.identity)
+
+    @property
+    def term(self) -> int:
+        """The newest term known."""
+        return self.folder.ballot.term
+
+    @property
+    def failure(self) -> str:
+        """Why this recorder stopped for good, or empty."""
+        return str(self._failure or '')
+
+    def check_sound(self) -> None:
+        """Make sure that this recorder still may promise anything.
+
+        :raises errors.RecorderFailedError: when it may not.
+        """
+        failed = self._failure or self.folder.guarded.failure
+        if failed is not None:
+            self.fail(failed)
+            raise errors.RecorderFailedError(str(failed)) from failed
+
+    def fail(self, cause: BaseException) -> None:
+        """Stop for good: lead no more, vote no more."""
+        if self._failure is not None:
+            return
+        self._failure = cause
+        self.end_reign(str(cause))
+        self.role = Role.failed
+        self.env.report(logevents.FAILED, reason=str(cause))
+
+    def spawn(
+        self,
+        work: typing.Coroutine[typing.Any, typing.Any, typing.Any],
+    ) -> asyncio.Task[typing.Any]:
+        """Run a task of this recorder; its failure is the recorder's."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_end)
+        return task
+
+    def cancel_tasks(self) -> None:
+        """End all tasks."""
+        for task in self._tasks:
+            task.cancel()
+
+    def append(self, batch: typing.Sequence[entries.Entry]) -> None:
+        """Add entries to the log, making void what they replace.
+
+        :raises errors.UnsafeError: when that would void a committed entry.
+        """
+        if not batch:
+            return
+        first = batch[0].index
+        if first <= self.commit.height:
+            raise errors.UnsafeError(f'entry {first} is committed already')
+        if first <= self.folder.log.last.index:
+            self.history.void_from(first)
+        self.folder.log.append(batch)
+        for entry in batch:
+            if entry.kind == machines.Kind.members:
+                self._enter_members(entry)
+
+    def enter_term(self, term: int, reason: str) -> None:
+        """Follow in a newer term; do nothing when it is no newer."""
+        if term <= self.term:
+            return
+        self.folder.ballot.cast(term)
+        self.leader = members.RecorderId('')
+        self.follow(reason)
+
+    def follow(self, reason: str) -> None:
+        """Be a follower in the current term."""
+        self.end_reign(reason)
+        if self.role is not Role.failed:
+            self.role = Role.follower
+        self.quiet_since = self.timers.now()
+
+    def end_reign(self, reason: str) -> None:
+        """Lead no more, if this recorder did."""
+        if self.reign is None:
+            return
+        ended = self.reign
+        self.reign = None
+        self.leader = members.RecorderId('')
+        ended.end(reason)
+        self.env.report(
+            logevents.STEPPED_DOWN,
+            term=ended.term,
+            reason=reason,
+        )
+
+    def hears_leader(self) -> bool:
+        """Tell whether a leader was heard within the election timeout."""
+        if self.role is Role.leader:
+            return True
+        silence = self.timers.now() - self.leader_heard
+        return silence < self.env.cfg.election_min
+
+    def in_cluster(self, cluster: str) -> bool:
+        """Tell whether a message is of this recorder's log."""
+        own = self.history.current.cluster
+        return not own or own == cluster
+
+    def is_blank(self) -> bool:
+        """Tell whether this recorder holds nothing of any log."""
+        return self.folder.log.last.index == 0
+
+    def _enter_members(self, entry: entries.Entry) -> None:
+        current = members.decode(entry.payload)
+        self.history.record(entry.index, current)
+        for member in current.recorders:
+            if member.address:
+                self._learn(member)
+        self.env.report(
+            logevents.MEMBERS_CHANGED,
+            index=entry.index,
+            recorders=[member.host_id for member in current.recorders],
+        )
+
+    def _learn(self, member: members.Member) -> None:
+        self.env.peers.learn(
+            member.host_id,
+            ids.parse_address(member.address),
+        )
+
+    def _note_end(self, task: asyncio.Task[typing.Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        failed = task.exception()
+        if failed is not None:
+            self.fail(failed)
+
+
+def _read_history(opened: folder.Folder) -> members.History:
+    newest = opened.snapshots.newest
+    history = members.History(newest.index, members.decode(newest.members))
+    log = opened.log
+    for entry in log.read(newest.index, log.last.index):
+        if entry.kind == machines.Kind.members:
+            history.record(entry.index, members.decode(entry.payload))
+    return history
--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/following.py
@@ -0,0 +1,178 @@
+"""What a follower does with what the leader sends.
+
+References
+==========
+.. [1] D. Ongaro, J. Ousterhout, USENIX ATC 2014, section 5.3: an entry is
+   taken only where the one before it is the same.
+"""
+
+import dataclasses
+import typing
+
+from geraniumweir.consensus import (
+    applying,
+    core,
+    logevents,
+    members,
+    shipping,
+)
+from geraniumweir.store import entries, snapshots
+from geraniumweir.wire.gen.consensus import ttypes
+
+
+@dataclasses.dataclass(slots=True)
+class Incoming:
+    """A snapshot that is being received.
+
+    :ivar leader: who sends it.
+    :ivar index: of the last entry that it covers.
+    :ivar content: what came so far.
+    """
+
+    leader: str = ''
+    index: int = 0
+    content: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+async def take_entries(
+    this: core.Core,
+    message: ttypes.AppendEntries,
+) -> ttypes.AppendAnswer:
+    """Add a leader's entries, and answer once they are durable.
+
+    :raises errors.RecorderFailedError: when this one may promise nothing.
+    """
+    outcome = _hear(this, message)
+    if outcome != ttypes.Outcome.done:
+        return ttypes.AppendAnswer(this.term, outcome, 0)
+    hint = _place_for(this, message)
+    if hint is not None:
+        await this.folder.ballot.settle()
+        conflict = ttypes.Outcome.conflict
+        return ttypes.AppendAnswer(message.term, conflict, hint)
+    this.append(_new_entries(this, message))
+    match = message.previous_index + len(message.entries)
+    await this.folder.ballot.settle()
+    await this.folder.log.sync()
+    this.check_sound()
+    if this.term != message.term:
+        stale = ttypes.Outcome.stale_term
+        return ttypes.AppendAnswer(this.term, stale, 0)
+    this.commit.raise_to(min(message.commit, match))
+    return ttypes.AppendAnswer(message.term, ttypes.Outcome.done, match)
+
+
+async def take_piece(
+    this: core.Core,
+    piece: ttypes.SnapshotPiece,
+    incoming: Incoming,
+) -> ttypes.PieceAnswer:
+    """Take a piece of a snapshot, and install it with the last one.
+
+    The caller hands in one piece at a time.
+
+    :raises errors.RecorderFailedError: when this one may promise nothing.
+    """
+    outcome = _hear(this, piece)
+    if outcome != ttypes.Outcome.done:
+        return ttypes.PieceAnswer(this.term, outcome, 0, installed=False)
+    await this.folder.ballot.settle()
+    if this.commit.height < piece.index:
+        _collect(incoming, piece)
+        if len(incoming.content) == piece.total:
+            await _install(this, piece, incoming)
+    return ttypes.PieceAnswer(
+        piece.term,
+        outcome,
+        len(incoming.content),
+        installed=this.commit.height >= piece.index,
+    )
+
+
+def _hear(this: core.Core, message: typing.Any) -> int:
+    """Follow the sender if it may lead."""
+    this.check_sound()
+    if message.to != this.identity or not this.in_cluster(message.cluster):
+        return ttypes.Outcome.wrong_recorder
+    if message.term < this.term:
+        return ttypes.Outcome.stale_term
+    this.enter_term(message.term, 'another recorder leads')
+    if this.role is core.Role.candidate:
+        this.follow('another recorder leads')
+    if this.leader != message.leader:
+        this.leader = members.RecorderId(message.leader)
+        this.env.report(
+            logevents.FOLLOWS,
+            leader=message.leader,
+            term=message.term,
+        )
+    this.quiet_since = this.timers.now()
+    this.leader_heard = this.quiet_since
+    return ttypes.Outcome.done
+
+
+def _place_for(
+    this: core.Core,
+    message: ttypes.AppendEntries,
+) -> int | None:
+    """Tell where the leader must go on instead, or None when all is well."""
+    log = this.folder.log
+    if message.previous_index < log.base.index:
+        # Compacted, so committed, so the same at every leader.
+        return None
+    found = log.term_at(message.previous_index)
+    if found is None:
+        return log.last.index + 1
+    if found == message.previous_term:
+        return None
+    # Skip the whole term at once, but nothing that is committed.
+    index = message.previous_index
+    while index > this.commit.height + 1 and log.term_at(index - 1) == found:
+        index -= 1
+    return index
+
+
+def _new_entries(
+    this: core.Core,
+    message: ttypes.AppendEntries,
+) -> list[entries.Entry]:
+    """Drop what is here already; a late message mustn't cut off newer ones."""
+    log = this.folder.log
+    for place, entry in enumerate(message.entries):
+        if entry.index <= log.base.index:
+            continue
+        if log.term_at(entry.index) != entry.term:
+            return [_from_wire(new) for new in message.entries[place:]]
+    return []
+
+
+def _from_wire(entry: ttypes.LogEntry) -> entries.Entry:
+    return entries.Entry(entry.index, entry.term, entry.kind, entry.payload)
+
+
+def _collect(incoming: Incoming, piece: ttypes.SnapshotPiece) -> None:
+    if (incoming.leader, incoming.index) != (piece.leader, piece.index):
+        incoming.leader = piece.leader
+        incoming.index = piece.index
+        incoming.content = bytearray()
+    if piece.offset == len(incoming.content):
+        incoming.content += piece.content
+
+
+async def _install(
+    this: core.Core,
+    piece: ttypes.SnapshotPiece,
+    incoming: Incoming,
+) -> None:
+    state = bytes(incoming.content)
+    incoming.content = bytearray()
+    if shipping.checksum(state) != piece.checksum:
+        return
+    snapshot = snapshots.Snapshot(
+        piece.index,
+        piece.index_term,
+        piece.members,
+        state,
+    )
+    await this.folder.snapshots.save(snapshot)
+    await applying.jump(this, snapshot)
--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/serving.py
@@ -0,0 +1,244 @@
+"""Answers to other hosts: proposals, barriers, entries, snapshots, status."""
+
+import dataclasses
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.consensus import (
+    applying,
+    changing,
+    core,
+    errors,
+    leading,
+    machines,
+    members,
+    replication,
+)
+from geraniumweir.store import entries
+from geraniumweir.wire.gen.consensus import ttypes
+
+_MS = 1000
+_MAX_ENTRIES = 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecorderRow:
+    """One recorder as the leader sees it.
+
+    :ivar member: which one.
+    :ivar match_index: all entries up to it are durable there, as far as is
+        known; 0 when asked of a recorder that doesn't lead.
+    :ivar reachable: it answered within an election timeout.
+    """
+
+    member: members.Member
+    match_index: int
+    reachable: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """A recorder's view.
+
+    :ivar identity: of its data folder.
+    :ivar role: what it is at the moment.
+    :ivar term: the newest known.
+    :ivar leader: the host that leads, or empty.
+    :ivar commit: all entries up to it are committed.
+    :ivar applied: all entries up to it are in the state machine.
+    :ivar last_index: of the log's last entry.
+    :ivar recorders: all of them.
+    :ivar failure: why this one stopped for good, or empty.
+    """
+
+    identity: members.RecorderId
+    role: core.Role
+    term: int
+    leader: ids.HostId
+    commit: int
+    applied: int
+    last_index: int
+    recorders: tuple[RecorderRow, ...]
+    failure: str
+
+
+def status(this: core.Core) -> Status:
+    """Tell how this recorder sees things."""
+    leader = this.history.current.find(this.leader)
+    heard = leader is not None and this.hears_leader()
+    return Status(
+        identity=this.identity,
+        role=this.role,
+        term=this.term,
+        leader=leader.host_id if heard and leader else ids.HostId(''),
+        commit=this.commit.height,
+        applied=this.applied.height,
+        last_index=this.folder.log.last.index,
+        recorders=tuple(
+            _row(this, member) for member in this.history.current.recorders
+        ),
+        failure=this.failure,
+    )
+
+
+async def barrier(this: core.Core, timeout: float) -> int:
+    """Confirm leadership and apply all that was committed before."""
+    index = await leading.confirm(this, timeout)
+    await this.applied.reach(index)
+    return index
+
+
+def read_entries(
+    this: core.Core,
+    after: int,
+    limit: int,
+) -> list[entries.Entry]:
+    """Give committed entries behind an index.
+
+    :raises errors.CompactedError: when only a snapshot has them any more.
+    """
+    left = max(this.commit.height - after, 0)
+    try:
+        return this.folder.log.read(
+            after,
+            min(limit, left),
+            this.env.cfg.batch_bytes,
+        )
+    except LookupError as exc:
+        raise errors.CompactedError(str(exc)) from exc
+
+
+async def answer_propose(
+    this: core.Core,
+    ask: ttypes.Propose,
+) -> ttypes.ProposeAnswer:
+    """Answer a proposal of another host."""
+    work = leading.propose(this, ask.command, ask.timeout_ms / _MS)
+    return await _verdict(work)
+
+
+async def answer_barrier(
+    this: core.Core,
+    ask: ttypes.AskBarrier,
+) -> ttypes.ProposeAnswer:
+    """Answer a barrier of another host with the index to wait for."""
+    return await _verdict(barrier(this, ask.timeout_ms / _MS))
+
+
+async def answer_change(
+    this: core.Core,
+    ask: ttypes.ChangeRecorders,
+) -> ttypes.ProposeAnswer:
+    """Change the recorders for another host."""
+    timeout = ask.timeout_ms / _MS
+    host_id = ids.HostId(ask.host_id)
+    if ask.kind == ttypes.ChangeKind.add:
+        return await _verdict(
+            changing.add(this, host_id, ask.address, timeout),
+        )
+    return await _verdict(changing.remove(this, host_id, timeout))
+
+
+def answer_entries(
+    this: core.Core,
+    ask: ttypes.ReadEntries,
+) -> ttypes.EntriesAnswer:
+    """Give committed entries to another host."""
+    limit = min(ask.limit, _MAX_ENTRIES)
+    try:
+        batch = read_entries(this, ask.after_index, limit)
+    except errors.CompactedError:
+        return ttypes.EntriesAnswer([], this.commit.height, compacted=True)
+    rows = [replication.to_wire(entry) for entry in batch]
+    return ttypes.EntriesAnswer(rows, this.commit.height, compacted=False)
+
+
+def answer_snapshot(
+    this: core.Core,
+    ask: ttypes.FetchSnapshot,
+) -> ttypes.SnapshotContent:
+    """Give a piece of the newest snapshot.
+
+    A piece of another one than was asked for starts at its first byte.
+    """
+    newest = this.folder.snapshots.newest
+    offset = ask.offset if ask.index == newest.index else 0
+    end = offset + this.env.cfg.piece_bytes
+    return ttypes.SnapshotContent(
+        newest.index,
+        len(newest.state),
+        offset,
+        newest.state[offset:end],
+    )
+
+
+def answer_status(this: core.Core) -> ttypes.StatusAnswer:
+    """Give this recorder's view to another host."""
+    view = status(this)
+    rows = [
+        ttypes.RecorderStatus(
+            members.to_wire(row.member),
+            row.match_index,
+            row.reachable,
+        )
+        for row in view.recorders
+    ]
+    return ttypes.StatusAnswer(
+        view.identity,
+        view.role.value,
+        view.term,
+        view.leader,
+        view.commit,
+        view.applied,
+        view.last_index,
+        rows,
+        view.failure,
+    )
+
+
+async def _verdict(
+    work: typing.Awaitable[bytes | int | None],
+) -> ttypes.ProposeAnswer:
+    verdicts = ttypes.Verdict
+    try:
+        done = await work
+    except errors.NotLeaderError as exc:
+        return _refusal(verdicts.not_leader, exc, exc.leader, exc.address)
+    except errors.NoQuorumError as exc:
+        return _refusal(verdicts.no_quorum, exc)
+    except errors.UncertainError as exc:
+        return _refusal(verdicts.uncertain, exc)
+    except errors.RefusedError as exc:
+        return _refusal(verdicts.refused, exc)
+    except errors.ConsensusError as exc:
+        return _refusal(verdicts.failed, exc)
+    answer = done if isinstance(done, bytes) else b''
+    index = done if isinstance(done, int) else 0
+    return ttypes.ProposeAnswer(verdicts.done, answer, index, '', '', '')
+
+
+def _refusal(
+    verdict: int,
+    exc: errors.ConsensusError,
+    leader: str = '',
+    address: str = '',
+) -> ttypes.ProposeAnswer:
+    return ttypes.ProposeAnswer(
+        verdict,
+        b'',
+        0,
+        leader,
+        address,
+        exc.message,
+    )
+
+
+def _row(this: core.Core, member: members.Member) -> RecorderRow:
+    if member.identity == this.identity:
+        return RecorderRow(member, this.folder.log.synced_index, True)
+    if this.reign is None:
+        return RecorderRow(member, 0, False)
+    progress = this.reign.progress[member.identity]
+    silence = this.timers.now() - progress.contact
+    reachable = silence <= this.env.cfg.election_max
+    return RecorderRow(member, progress.match, reachable)
--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/settings.py
@@ -0,0 +1,38 @@
+"""Sizes and times of the replicated log."""
+
+import dataclasses
+
+from geraniumweir.common import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """What one recorder is told.
+
+    :ivar host_id: of the entry host it runs on.
+    :ivar heartbeat: seconds between messages of a leader.
+    :ivar election_min: shortest silence after which a leader counts as lost,
+        in seconds.
+    :ivar election_max: longest such silence; also after it a leader that
+        heard no majority steps down.
+    :ivar batch_entries: most entries in a message.
+    :ivar batch_bytes: about the most payload in a message.
+    :ivar window: most messages under way to one recorder.
+    :ivar piece_bytes: most of a snapshot in one message.
+    :ivar snapshot_entries: a snapshot is taken after so many entries.
+    :ivar trailing_entries: entries kept behind a snapshot, for followers
+        that are a little late.
+    :ivar segment_bytes: size of the log's files.
+    """
+
+    host_id: ids.HostId
+    heartbeat: float = 0.1
+    election_min: float = 0.5
+    election_max: float = 1.0
+    batch_entries: int = 1024
+    batch_bytes: int = 1 << 18
+    window: int = 4
+    piece_bytes: int = 1 << 18
+    snapshot_entries: int = 20_000
+    trailing_entries: int = 2000
+    segment_bytes: int = 1 << 24
--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/shipping.py
@@ -0,0 +1,104 @@
+"""Snapshots sent to a recorder that needs entries no longer in the log.
+
+They go in pieces of bounded size; a piece that was lost is sent again, and
+the receiver says with which byte to go on.
+
+References
+==========
+.. [1] D. Ongaro, PhD thesis, chapter 5, "Log compaction".
+"""
+
+import asyncio
+
+import xxhash
+from geraniumweir.consensus import core, logevents, reign
+from geraniumweir.store import snapshots
+from geraniumweir.wire import errors as wire_errors
+from geraniumweir.wire.gen.consensus import ttypes
+
+_SIGN_BITS = 63
+
+
+async def ship_snapshot(
+    this: core.Core,
+    led: reign.Reign,
+    progress: reign.Progress,
+) -> None:
+    """Send the newest snapshot; return when it is installed or lost."""
+    newest = this.folder.snapshots.newest
+    offset = 0
+    while not led.ended:
+        sent_at = this.timers.now()
+        piece = _piece(this, led, progress, newest, offset)
+        answer = await _call(this, progress, piece)
+        if answer is None:
+            await asyncio.sleep(this.env.cfg.heartbeat)
+            return
+        if answer.outcome != ttypes.Outcome.done:
+            this.enter_term(answer.term, 'a newer term was met')
+            progress.replaced = answer.outcome == ttypes.Outcome.wrong_recorder
+            return
+        led.contacted(progress, sent_at)
+        offset = answer.offset
+        if answer.installed:
+            _note_installed(this, progress, newest)
+            return
+
+
+def checksum(state: bytes) -> int:
+    """Give a checksum that fits a signed 64-bit field."""
+    return xxhash.xxh3_64_intdigest(state) >> (64 - _SIGN_BITS)
+
+
+async def _call(
+    this: core.Core,
+    progress: reign.Progress,
+    piece: ttypes.SnapshotPiece,
+) -> ttypes.PieceAnswer | None:
+    try:
+        return await this.env.peers.call(
+            progress.member.host_id,
+            piece,
+            this.env.cfg.election_max,
+        )
+    except wire_errors.PeerError:
+        return None
+
+
+def _piece(
+    this: core.Core,
+    led: reign.Reign,
+    progress: reign.Progress,
+    newest: snapshots.Snapshot,
+    offset: int,
+) -> ttypes.SnapshotPiece:
+    end = offset + this.env.cfg.piece_bytes
+    return ttypes.SnapshotPiece(
+        cluster=this.history.current.cluster,
+        to=progress.member.identity,
+        leader=this.identity,
+        term=led.term,
+        index=newest.index,
+        index_term=newest.term,
+        members=newest.members,
+        total=len(newest.state),
+        checksum=checksum(newest.state),
+        offset=offset,
+        content=newest.state[offset:end],
+    )
+
+
+def _note_installed(
+    this: core.Core,
+    progress: reign.Progress,
+    newest: snapshots.Snapshot,
+) -> None:
+    progress.match = max(progress.match, newest.index)
+    progress.next_index = progress.match + 1
+    progress.probing = False
+    progress.nudged = True
+    this.env.report(
+        logevents.SNAPSHOT_SENT,
+        index=newest.index,
+        host=progress.member.host_id,
+    )
