--- a/libs/consensus/geraniumweir/consensus/applying.py
+++ b/libs/consensus/geraniumweir/consensus/applying.py
@@ -8,6 +8,15 @@
 _BATCH = 256
 
 
+def restore(this: core.Core) -> None:
+    """Bring the state machine to what the data folder holds."""
+    newest = this.folder.snapshots.newest
+    if newest.index:
+        this.env.machine.restore(newest.state)
+    if this.folder.cut:
+        this.env.report(logevents.TAIL_CUT, lost=this.folder.cut)
+
+
 async def apply_committed(this: core.Core) -> None:
     """Apply entries as they are committed, for as long as this one runs."""
     while True:
--- a/libs/consensus/geraniumweir/consensus/client.py
+++ b/libs/consensus/geraniumweir/consensus/client.py
@@ -172,12 +172,13 @@
         uncertain = False
         reason = 'no recorder is known'
         tries = 0
-        while (left := until - self._timers.now()) > 0 and self._known:
+        while self._known:
+            left = until - self._timers.now()
+            if left <= 0:
+                break
             answer = await self._try(make_ask, min(left, patience))
-            if answer.verdict == ttypes.Verdict.done:
+            if _is_final(answer):
                 return answer
-            if answer.verdict == ttypes.Verdict.refused:
-                raise errors.RefusedError(answer.reason)
             uncertain |= answer.verdict == ttypes.Verdict.uncertain
             reason = answer.reason
             tries += 1
@@ -214,6 +215,12 @@
         self._known = [leader, *others]
 
 
+def _is_final(answer: ttypes.ProposeAnswer) -> bool:
+    if answer.verdict == ttypes.Verdict.refused:
+        raise errors.RefusedError(answer.reason)
+    return answer.verdict == ttypes.Verdict.done
+
+
 def _failed(
     verdict: int,
     exc: wire_errors.PeerError,
--- a/libs/consensus/geraniumweir/consensus/core.py
+++ b/libs/consensus/geraniumweir/consensus/core.py
@@ -60,6 +60,22 @@
     report: Report = report_nothing
 
 
+@dataclasses.dataclass(slots=True)
+class Incoming:
+    """A snapshot that is being received.
+
+    :ivar leader: who sends it.
+    :ivar index: of the last entry that it covers.
+    :ivar content: what came so far.
+    :ivar taking: held while a piece is taken.
+    """
+
+    leader: str = ''
+    index: int = 0
+    content: bytearray = dataclasses.field(default_factory=bytearray)
+    taking: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+
+
 class Core:
     """The state of one recorder.
 
@@ -75,6 +91,7 @@
     :ivar leader_heard: when the leader was last heard, in loop time.
     :ivar changes: what is applied.
     :ivar taking_snapshot: one is under way.
+    :ivar incoming: what came so far of a snapshot that the leader sends.
     """
 
     def __init__(self, env: Surroundings, opened: folder.Folder) -> None:
@@ -93,6 +110,7 @@
         self.leader_heard = -math.inf
         self.changes: reactivex.Subject[machines.Change] = reactivex.Subject()
         self.taking_snapshot = False
+        self.incoming = Incoming()
         self._failure: BaseException | None = None
         self._tasks: set[asyncio.Task[typing.Any]] = set()
 
@@ -198,33 +216,16 @@
         silence = self.timers.now() - self.leader_heard
         return silence < self.env.cfg.election_min
 
-    def in_cluster(self, cluster: str) -> bool:
-        """Tell whether a message is of this recorder's log."""
-        own = self.history.current.cluster
-        return not own or own == cluster
-
-    def is_blank(self) -> bool:
-        """Tell whether this recorder holds nothing of any log."""
-        return self.folder.log.last.index == 0
-
     def _enter_members(self, entry: entries.Entry) -> None:
         current = members.decode(entry.payload)
         self.history.record(entry.index, current)
-        for member in current.recorders:
-            if member.address:
-                self._learn(member)
+        learn_addresses(self.env.peers, current)
         self.env.report(
             logevents.MEMBERS_CHANGED,
             index=entry.index,
             recorders=[member.host_id for member in current.recorders],
         )
 
-    def _learn(self, member: members.Member) -> None:
-        self.env.peers.learn(
-            member.host_id,
-            ids.parse_address(member.address),
-        )
-
     def _note_end(self, task: asyncio.Task[typing.Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled():
@@ -234,6 +235,13 @@
             self.fail(failed)
 
 
+def learn_addresses(way: peers.Peers, current: members.Members) -> None:
+    """Let the peer layer know where the recorders listen."""
+    for member in current.recorders:
+        if member.address:
+            way.learn(member.host_id, ids.parse_address(member.address))
+
+
 def _read_history(opened: folder.Folder) -> members.History:
     newest = opened.snapshots.newest
     history = members.History(newest.index, members.decode(newest.members))
--- a/libs/consensus/geraniumweir/consensus/following.py
+++ b/libs/consensus/geraniumweir/consensus/following.py
@@ -6,7 +6,6 @@
    taken only where the one before it is the same.
 """
 
-import dataclasses
 import typing
 
 from geraniumweir.consensus import (
@@ -20,20 +19,6 @@
 from geraniumweir.wire.gen.consensus import ttypes
 
 
-@dataclasses.dataclass(slots=True)
-class Incoming:
-    """A snapshot that is being received.
-
-    :ivar leader: who sends it.
-    :ivar index: of the last entry that it covers.
-    :ivar content: what came so far.
-    """
-
-    leader: str = ''
-    index: int = 0
-    content: bytearray = dataclasses.field(default_factory=bytearray)
-
-
 async def take_entries(
     this: core.Core,
     message: ttypes.AppendEntries,
@@ -65,14 +50,20 @@
 async def take_piece(
     this: core.Core,
     piece: ttypes.SnapshotPiece,
-    incoming: Incoming,
 ) -> ttypes.PieceAnswer:
     """Take a piece of a snapshot, and install it with the last one.
 
-    The caller hands in one piece at a time.
-
     :raises errors.RecorderFailedError: when this one may promise nothing.
     """
+    async with this.incoming.taking:
+        return await _take_piece(this, piece, this.incoming)
+
+
+async def _take_piece(
+    this: core.Core,
+    piece: ttypes.SnapshotPiece,
+    incoming: core.Incoming,
+) -> ttypes.PieceAnswer:
     outcome = _hear(this, piece)
     if outcome != ttypes.Outcome.done:
         return ttypes.PieceAnswer(this.term, outcome, 0, installed=False)
@@ -92,7 +83,8 @@
 def _hear(this: core.Core, message: typing.Any) -> int:
     """Follow the sender if it may lead."""
     this.check_sound()
-    if message.to != this.identity or not this.in_cluster(message.cluster):
+    accepted = this.history.current.accepts(message.cluster)
+    if message.to != this.identity or not accepted:
         return ttypes.Outcome.wrong_recorder
     if message.term < this.term:
         return ttypes.Outcome.stale_term
@@ -150,7 +142,7 @@
     return entries.Entry(entry.index, entry.term, entry.kind, entry.payload)
 
 
-def _collect(incoming: Incoming, piece: ttypes.SnapshotPiece) -> None:
+def _collect(incoming: core.Incoming, piece: ttypes.SnapshotPiece) -> None:
     if (incoming.leader, incoming.index) != (piece.leader, piece.index):
         incoming.leader = piece.leader
         incoming.index = piece.index
@@ -162,7 +154,7 @@
 async def _install(
     this: core.Core,
     piece: ttypes.SnapshotPiece,
-    incoming: Incoming,
+    incoming: core.Incoming,
 ) -> None:
     state = bytes(incoming.content)
     incoming.content = bytearray()
--- a/libs/consensus/geraniumweir/consensus/founding.py
+++ b/libs/consensus/geraniumweir/consensus/founding.py
@@ -27,18 +27,37 @@
     if not first or own != min(first):
         return
     told = False
-    while this.is_blank():
+    while is_blank(this):
         answers = [await _identify(this, host_id) for host_id in first]
         if all(answer and answer.blank for answer in answers):
             await _write_first(this, first, answers)
             return
-        for host_id, answer in zip(first, answers):
-            if answer and not answer.blank and not told:
-                this.env.report(logevents.MUST_BE_ADDED, host=host_id)
-                told = True
+        told = told or _tell_who_has_a_log(this, first, answers)
         await asyncio.sleep(this.env.cfg.heartbeat)
 
 
+def is_blank(this: core.Core) -> bool:
+    """Tell whether this recorder holds nothing of any log."""
+    return this.folder.log.last.index == 0
+
+
+def identified(this: core.Core) -> ttypes.Identified:
+    """Tell who this recorder is."""
+    return ttypes.Identified(this.identity, is_blank(this))
+
+
+def _tell_who_has_a_log(
+    this: core.Core,
+    first: First,
+    answers: typing.Sequence[ttypes.Identified | None],
+) -> bool:
+    for host_id, answer in zip(first, answers):
+        if answer and not answer.blank:
+            this.env.report(logevents.MUST_BE_ADDED, host=host_id)
+            return True
+    return False
+
+
 async def _identify(
     this: core.Core,
     host_id: ids.HostId,
@@ -55,11 +74,6 @@
         return None
 
 
-def identified(this: core.Core) -> ttypes.Identified:
-    """Tell who this recorder is."""
-    return ttypes.Identified(this.identity, this.is_blank())
-
-
 async def _write_first(
     this: core.Core,
     first: First,
@@ -71,11 +85,16 @@
         if answer is not None
     )
     founded = members.Members(this.identity, recorders)
-    # Nobody may have voted in this term, so that no two logs share it.
-    term = max(this.term, 1)
-    kind = machines.Kind.members
-    if not this.is_blank():
+    if not is_blank(this):
         return
-    this.append([entries.Entry(1, term, kind, members.encode(founded))])
+    this.enter_term(1, 'founds the log')
+    first_entry = entries.Entry(
+        1,
+        this.term,
+        machines.Kind.members,
+        members.encode(founded),
+    )
+    this.append([first_entry])
+    await this.folder.ballot.settle()
     await this.folder.log.sync()
     this.env.report(logevents.FOUNDED, recorders=list(first))
--- a/libs/consensus/geraniumweir/consensus/leading.py
+++ b/libs/consensus/geraniumweir/consensus/leading.py
@@ -15,7 +15,6 @@
     errors,
     logevents,
     machines,
-    members,
     reign,
     replication,
 )
--- a/libs/consensus/geraniumweir/consensus/members.py
+++ b/libs/consensus/geraniumweir/consensus/members.py
@@ -60,6 +60,10 @@
         """How many voters must agree."""
         return len(self.voters) // 2 + 1
 
+    def accepts(self, cluster: str) -> bool:
+        """Tell whether a message is of this log, or this is none yet."""
+        return self.cluster in {'', cluster}
+
     def find(self, identity: RecorderId) -> Member | None:
         """Give a recorder by its identity."""
         for member in self.recorders:
--- a/libs/consensus/geraniumweir/consensus/recorder.py
+++ b/libs/consensus/geraniumweir/consensus/recorder.py
@@ -3,36 +3,24 @@
 This is the face of the library for a host with a data folder.
 """
 
-import asyncio
-import typing
-
 import reactivex
 from geraniumweir.common import ids
 from geraniumweir.consensus import (
     applying,
     changing,
     core,
-    errors,
-    following,
     founding,
     handing,
+    handlers,
     leading,
-    logevents,
     machines,
     serving,
     voting,
 )
 from geraniumweir.store import entries
-from geraniumweir.store import errors as store_errors
 from geraniumweir.store import folder as folders
 from geraniumweir.store import snapshots
-from geraniumweir.wire import peers
-from geraniumweir.wire.gen.consensus import ttypes
 
-_Handler = typing.Callable[
-    [typing.Any],
-    typing.Awaitable[typing.Any],
-]
 _TIMEOUT = 2.0
 
 
@@ -57,8 +45,6 @@
         """
         self._this = core.Core(env, opened)
         self._first = first
-        self._incoming = following.Incoming()
-        self._pieces = asyncio.Lock()
 
     @property
     def changes(self) -> reactivex.Observable[machines.Change]:
@@ -68,13 +54,8 @@
     def start(self) -> None:
         """Restore the state, answer messages and take part."""
         this = self._this
-        newest = this.folder.snapshots.newest
-        if newest.index:
-            this.env.machine.restore(newest.state)
-        if this.folder.cut:
-            this.env.report(logevents.TAIL_CUT, lost=this.folder.cut)
-        self._handle_recorders(this.env.peers)
-        self._handle_hosts(this.env.peers)
+        applying.restore(this)
+        handlers.register(this)
         this.spawn(applying.apply_committed(this))
         this.spawn(voting.watch(this))
         this.spawn(founding.found(this, self._first))
@@ -162,94 +143,3 @@
     def snapshot(self) -> snapshots.Snapshot:
         """Give the newest snapshot; index 0 when there is none."""
         return self._this.folder.snapshots.newest
-
-    def _handle_recorders(self, way: peers.Peers) -> None:
-        this = self._this
-        self._handle(
-            way,
-            ttypes.AskVote,
-            lambda ask: voting.answer_vote(this, ask),
-        )
-        self._handle(
-            way,
-            ttypes.AppendEntries,
-            lambda message: following.take_entries(this, message),
-        )
-        self._handle(way, ttypes.SnapshotPiece, self._take_piece)
-        self._handle(way, ttypes.CampaignNow, self._take_over)
-        self._handle(way, ttypes.Identify, self._identify)
-
-    def _handle_hosts(self, way: peers.Peers) -> None:
-        this = self._this
-        self._handle(
-            way,
-            ttypes.Propose,
-            lambda ask: serving.answer_propose(this, ask),
-        )
-        self._handle(
-            way,
-            ttypes.AskBarrier,
-            lambda ask: serving.answer_barrier(this, ask),
-        )
-        self._handle(
-            way,
-            ttypes.ChangeRecorders,
-            lambda ask: serving.answer_change(this, ask),
-        )
-        self._handle(way, ttypes.ReadEntries, self._read_entries)
-        self._handle(way, ttypes.FetchSnapshot, self._fetch_snapshot)
-        self._handle(way, ttypes.AskStatus, self._ask_status)
-
-    def _handle(
-        self,
-        way: peers.Peers,
-        message_type: type,
-        handler: _Handler,
-    ) -> None:
-        async def guarded(
-            _sender: ids.HostId,
-            message: peers.Message,
-        ) -> peers.Message | None:
-            try:
-                return await handler(message)
-            except (store_errors.StoreError, errors.UnsafeError) as exc:
-                self._this.fail(exc)
-                raise errors.RecorderFailedError(exc.message) from exc
-
-        way.handle(message_type, guarded)
-
-    async def _take_piece(
-        self,
-        piece: ttypes.SnapshotPiece,
-    ) -> ttypes.PieceAnswer:
-        async with self._pieces:
-            return await following.take_piece(
-                self._this,
-                piece,
-                self._incoming,
-            )
-
-    async def _take_over(self, ask: ttypes.CampaignNow) -> None:
-        await handing.take_over(self._this, ask)
-
-    async def _identify(self, _ask: ttypes.Identify) -> ttypes.Identified:
-        self._this.check_sound()
-        return founding.identified(self._this)
-
-    async def _read_entries(
-        self,
-        ask: ttypes.ReadEntries,
-    ) -> ttypes.EntriesAnswer:
-        return serving.answer_entries(self._this, ask)
-
-    async def _fetch_snapshot(
-        self,
-        ask: ttypes.FetchSnapshot,
-    ) -> ttypes.SnapshotContent:
-        return serving.answer_snapshot(self._this, ask)
-
-    async def _ask_status(
-        self,
-        _ask: ttypes.AskStatus,
-    ) -> ttypes.StatusAnswer:
-        return serving.answer_status(self._this)
--- a/libs/consensus/geraniumweir/consensus/replication.py
+++ b/libs/consensus/geraniumweir/consensus/replication.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
+import contextlib
 
-from geraniumweir.consensus import core, logevents, machines, reign, shipping
+from geraniumweir.consensus import core, logevents, reign, shipping
 from geraniumweir.store import entries
 from geraniumweir.wire import errors as wire_errors
 from geraniumweir.wire.gen.consensus import ttypes
@@ -100,11 +101,9 @@
         ):
             return
         progress.wake.clear()
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(None if late else due):
                 await progress.wake.wait()
-        except TimeoutError:
-            continue
 
 
 def _has_work(this: core.Core, progress: reign.Progress) -> bool:
--- a/libs/consensus/geraniumweir/consensus/serving.py
+++ b/libs/consensus/geraniumweir/consensus/serving.py
@@ -5,12 +5,10 @@
 
 from geraniumweir.common import ids
 from geraniumweir.consensus import (
-    applying,
     changing,
     core,
     errors,
     leading,
-    machines,
     members,
     replication,
 )
@@ -139,7 +137,7 @@
     return await _verdict(changing.remove(this, host_id, timeout))
 
 
-def answer_entries(
+async def answer_entries(
     this: core.Core,
     ask: ttypes.ReadEntries,
 ) -> ttypes.EntriesAnswer:
@@ -153,7 +151,7 @@
     return ttypes.EntriesAnswer(rows, this.commit.height, compacted=False)
 
 
-def answer_snapshot(
+async def answer_snapshot(
     this: core.Core,
     ask: ttypes.FetchSnapshot,
 ) -> ttypes.SnapshotContent:
@@ -172,7 +170,10 @@
     )
 
 
-def answer_status(this: core.Core) -> ttypes.StatusAnswer:
+async def answer_status(
+    this: core.Core,
+    _ask: ttypes.AskStatus,
+) -> ttypes.StatusAnswer:
     """Give this recorder's view to another host."""
     view = status(this)
     rows = [
@@ -199,30 +200,31 @@
 async def _verdict(
     work: typing.Awaitable[bytes | int | None],
 ) -> ttypes.ProposeAnswer:
-    verdicts = ttypes.Verdict
     try:
         done = await work
-    except errors.NotLeaderError as exc:
-        return _refusal(verdicts.not_leader, exc, exc.leader, exc.address)
-    except errors.NoQuorumError as exc:
-        return _refusal(verdicts.no_quorum, exc)
-    except errors.UncertainError as exc:
-        return _refusal(verdicts.uncertain, exc)
-    except errors.RefusedError as exc:
-        return _refusal(verdicts.refused, exc)
     except errors.ConsensusError as exc:
-        return _refusal(verdicts.failed, exc)
+        return _refusal(exc)
     answer = done if isinstance(done, bytes) else b''
     index = done if isinstance(done, int) else 0
-    return ttypes.ProposeAnswer(verdicts.done, answer, index, '', '', '')
-
-
-def _refusal(
-    verdict: int,
-    exc: errors.ConsensusError,
-    leader: str = '',
-    address: str = '',
-) -> ttypes.ProposeAnswer:
+    verdict = ttypes.Verdict.done
+    return ttypes.ProposeAnswer(verdict, answer, index, '', '', '')
+
+
+def _refusal(exc: errors.ConsensusError) -> ttypes.ProposeAnswer:
+    verdict = ttypes.Verdict.failed
+    leader = ''
+    address = ''
+    match exc:
+        case errors.NotLeaderError():
+            verdict = ttypes.Verdict.not_leader
+            leader = exc.leader
+            address = exc.address
+        case errors.NoQuorumError():
+            verdict = ttypes.Verdict.no_quorum
+        case errors.UncertainError():
+            verdict = ttypes.Verdict.uncertain
+        case errors.RefusedError():
+            verdict = ttypes.Verdict.refused
     return ttypes.ProposeAnswer(
         verdict,
         b'',
--- a/libs/consensus/geraniumweir/consensus/settings.py
+++ b/libs/consensus/geraniumweir/consensus/settings.py
@@ -3,6 +3,9 @@
 import dataclasses
 
 from geraniumweir.common import ids
+from geraniumweir.store import log
+
+_MESSAGE_BYTES = 262144
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,9 +33,9 @@
     election_min: float = 0.5
     election_max: float = 1.0
     batch_entries: int = 1024
-    batch_bytes: int = 1 << 18
+    batch_bytes: int = _MESSAGE_BYTES
     window: int = 4
-    piece_bytes: int = 1 << 18
+    piece_bytes: int = _MESSAGE_BYTES
     snapshot_entries: int = 20_000
     trailing_entries: int = 2000
-    segment_bytes: int = 1 << 24
+    segment_bytes: int = log.SEGMENT_BYTES
--- a/libs/consensus/geraniumweir/consensus/shipping.py
+++ b/libs/consensus/geraniumweir/consensus/shipping.py
@@ -16,7 +16,7 @@
 from geraniumweir.wire import errors as wire_errors
 from geraniumweir.wire.gen.consensus import ttypes
 
-_SIGN_BITS = 63
+_SIGN_BITS = 1
 
 
 async def ship_snapshot(
@@ -47,7 +47,7 @@
 
 def checksum(state: bytes) -> int:
     """Give a checksum that fits a signed 64-bit field."""
-    return xxhash.xxh3_64_intdigest(state) >> (64 - _SIGN_BITS)
+    return xxhash.xxh3_64_intdigest(state) >> _SIGN_BITS
 
 
 async def _call(
--- a/libs/consensus/geraniumweir/consensus/voting.py
+++ b/libs/consensus/geraniumweir/consensus/voting.py
@@ -72,7 +72,9 @@
 
 
 def _may_vote(this: core.Core, ask: ttypes.AskVote) -> bool:
-    if ask.to != this.identity or not this.in_cluster(ask.cluster):
+    if ask.to != this.identity or not this.history.current.accepts(
+        ask.cluster,
+    ):
         return False
     return ask.transfer or not this.hears_leader()
 
--- a/libs/wire/geraniumweir/wire/memory.py
+++ b/libs/wire/geraniumweir/wire/memory.py
@@ -1,11 +1,12 @@
 """An in-memory network with the face of the peer layer, for tests.
 
-Links have a delay and can lose messages or be cut, each direction for
-itself. Everything is decided by a seeded generator, so that a failing run
-can be repeated.
+Links have a delay and can lose, repeat or reorder messages or be cut, each
+direction for itself. Everything is decided by a seeded generator, so that a
+failing run can be repeated.
 """
 
 import asyncio
+import contextlib
 import copy
 import random
 import typing
@@ -14,13 +15,17 @@
 from geraniumweir.wire import errors, peers
 
 _DEFAULT_DELAY = 0.0005
+_Done = typing.TypeVar('_Done')
 
 
 class MemoryNetwork:
     """Hosts and the links between them.
 
     :ivar delay: one way, in seconds.
+    :ivar jitter: at most so many seconds more, drawn for each message, so
+        that one may overtake another.
     :ivar loss: share of messages that vanish, from 0 to 1.
+    :ivar repeats: share of messages that arrive a second time, from 0 to 1.
     :ivar sent: messages by sender and type name, for counting.
     """
 
@@ -31,7 +36,9 @@
         :param delay: one way, in seconds.
         """
         self.delay = delay
+        self.jitter = float(0)
         self.loss = float(0)
+        self.repeats = float(0)
         self.sent: dict[tuple[ids.HostId, str], int] = {}
         self._random = random.Random(seed)  # noqa: S311
         self._hosts: dict[ids.HostId, MemoryPeers] = {}
@@ -76,6 +83,16 @@
             return False
         return self._random.random() >= self.loss
 
+    def repeated(self) -> bool:
+        """Decide whether a message arrives a second time."""
+        return self.repeats > 0 and self._random.random() < self.repeats
+
+    def travel_time(self) -> float:
+        """Draw how long a message takes, in seconds."""
+        if self.jitter:
+            return self.delay + self._random.random() * self.jitter
+        return self.delay
+
     def host(self, host_id: ids.HostId) -> typing.Optional['MemoryPeers']:
         """Give a live host."""
         return self._hosts.get(host_id)
@@ -132,9 +149,7 @@
 
     def send(self, to: ids.HostId, message: peers.Message) -> None:
         """Send a message without an answer; it may be lost."""
-        task = asyncio.create_task(self._deliver(to, message))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self.start(self._deliver(to, message))
 
     async def receive(
         self,
@@ -153,20 +168,40 @@
         except Exception as exc:
             raise errors.RemoteError(repr(exc)) from exc
 
+    def start(
+        self,
+        work: typing.Coroutine[typing.Any, typing.Any, _Done],
+    ) -> asyncio.Task[_Done]:
+        """Run a task of this host."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _repeat(self, to: ids.HostId, message: peers.Message) -> None:
+        """Let a copy arrive later; its answer goes nowhere."""
+        await asyncio.sleep(2 * self._network.travel_time())
+        receiver = self._network.host(to)
+        if receiver is not None:
+            with contextlib.suppress(errors.RemoteError):
+                await receiver.receive(self.host_id, message)
+
     async def _exchange(
         self,
         to: ids.HostId,
         message: peers.Message,
     ) -> peers.Message:
-        answer = await self._deliver(to, message)
+        # Bound before the answer: one made by a host that was replaced since
+        # is lost with it.
         receiver = self._network.host(to)
+        answer = await self._deliver(to, message)
         if receiver is None or not self._network.passes(
             receiver,
             self.host_id,
             answer,
         ):
             await asyncio.Event().wait()
-        await asyncio.sleep(self._network.delay)
+        await asyncio.sleep(self._network.travel_time())
         return copy.deepcopy(answer)
 
     async def _deliver(
@@ -175,9 +210,13 @@
         message: peers.Message,
     ) -> peers.Message | None:
         passes = self._network.passes(self, to, message)
-        await asyncio.sleep(self._network.delay)
+        if passes and self._network.repeated():
+            self.start(self._repeat(to, message))
+        await asyncio.sleep(self._network.travel_time())
         receiver = self._network.host(to)
         if receiver is None or not passes:
             # The sender can't tell a loss from a slow answer.
             return await asyncio.Event().wait()
-        return await receiver.receive(self.host_id, message)
+        # As over TCP, a caller that gives up doesn't stop the handler.
+        handled = receiver.start(receiver.receive(self.host_id, message))
+        return await asyncio.shield(handled)
