--- a/libs/consensus/geraniumweir/consensus/changing.py
+++ b/libs/consensus/geraniumweir/consensus/changing.py
@@ -50,6 +50,8 @@
         if address:
             this.env.peers.learn(host_id, ids.parse_address(address))
         identity = await _identify(this, host_id)
+        for old in this.history.current.on_host(host_id):
+            address = address or old.address
         member = members.Member(identity, host_id, address, voter=False)
         known = this.history.current.find(identity)
         if known is None:
--- a/libs/consensus/geraniumweir/consensus/leading.py
+++ b/libs/consensus/geraniumweir/consensus/leading.py
@@ -68,6 +68,8 @@
     """
     index = this.folder.log.last.index + 1
     this.append([entries.Entry(index, led.term, kind, payload)])
+    if kind is machines.Kind.members:
+        follow_members(this, led)
     led.appended.set()
     for progress in led.progress.values():
         progress.wake.set()
--- a/libs/consensus/geraniumweir/consensus/tests/cluster.py
+++ b/libs/consensus/geraniumweir/consensus/tests/cluster.py
@@ -4,17 +4,33 @@
 import dataclasses
 import random
 import struct
-
-from geraniumweir.common import ids
-from geraniumweir.consensus import client, core, errors, recorder, settings
+import typing
+
+from geraniumweir.common import ids, virtual
+from geraniumweir.consensus import (
+    client,
+    core,
+    errors,
+    logevents,
+    machines,
+    recorder,
+    settings,
+)
 from geraniumweir.store import folder, guard, memory_disk
 from geraniumweir.wire import memory
 
 HOSTS = tuple(ids.HostId(name) for name in ('ant', 'bee', 'cow'))
 _FSYNC_SECONDS = 0.002
+_LONGEST_SECONDS = 600
+_Done = typing.TypeVar('_Done')
 _NUMBER = struct.Struct('<Q')
 
 
+def run(scenario: typing.Coroutine[typing.Any, typing.Any, _Done]) -> _Done:
+    """Run a scenario in virtual time; one without an end fails."""
+    return virtual.run(asyncio.wait_for(scenario, _LONGEST_SECONDS))
+
+
 class ListMachine:
     """Keeps the commands in a list; a command counts once only."""
 
@@ -60,9 +76,10 @@
         self.sizes = sizes
         self.nodes: dict[ids.HostId, Node] = {}
         self.disks: dict[ids.HostId, memory_disk.MemoryDisk] = {}
-        # Who led in which term, for election safety.
+        # Who led in which term, and what was applied at which index.
         self.leaders: dict[int, str] = {}
-        self.events: list[tuple[int, dict[str, object]]] = []
+        self.applied: dict[int, bytes] = {}
+        self.violations: list[str] = []
 
     async def start(self, hosts: tuple[ids.HostId, ...] = HOSTS) -> None:
         for host_id in hosts:
@@ -89,13 +106,16 @@
         )
         first = {name: address(name) for name in HOSTS}
         started = recorder.Recorder(surroundings, opened, first)
+        started.changes.subscribe(self._note_change)
         started.start()
         node = Node(started, machine, disk, opened.identity)
         self.nodes[host_id] = node
         return node
 
     def crash(self, host_id: ids.HostId) -> None:
-        """Cut a host's power."""
+        """Cut a host's power; one that is down stays so."""
+        if host_id not in self.nodes:
+            return
         node = self.nodes.pop(host_id)
         self.network.leave(host_id)
         self.disks[host_id] = node.disk.crash()
@@ -121,14 +141,9 @@
     async def leader(self) -> ids.HostId:
         """Wait until one recorder leads and a majority knows it."""
         while True:
-            for host_id, node in self.nodes.items():
-                if node.recorder.status().role is not core.Role.leader:
-                    continue
-                try:
-                    await node.recorder.read_barrier(1)
-                except errors.ConsensusError:
-                    continue
-                return host_id
+            for host_id, node in list(self.nodes.items()):
+                if await _leads(node.recorder):
+                    return host_id
             await asyncio.sleep(0.05)
 
     async def settled(self) -> list[list[bytes]]:
@@ -143,14 +158,31 @@
 
     def _report_of(self, identity: str) -> core.Report:
         def report(event: object, **fields: object) -> None:
-            number = event.number
-            self.events.append((number, {'identity': identity, **fields}))
-            if number == 520:
-                known = self.leaders.setdefault(fields['term'], identity)
-                assert known == identity, 'two leaders in a term'
+            if event is not logevents.LEADS:
+                return
+            known = self.leaders.setdefault(fields['term'], identity)
+            if known != identity:
+                self.violations.append(f'two leaders in term {fields}')
 
         return report
 
+    def _note_change(self, change: machines.Change) -> None:
+        if not isinstance(change, machines.Applied):
+            return
+        known = self.applied.setdefault(change.index, change.command)
+        if known != change.command:
+            self.violations.append(f'two commands at {change.index}')
+
+
+async def _leads(asked: recorder.Recorder) -> bool:
+    if asked.status().role is not core.Role.leader:
+        return False
+    try:
+        await asked.read_barrier(1)
+    except errors.ConsensusError:
+        return False
+    return True
+
 
 def address(host_id: ids.HostId) -> ids.Address:
     """Give the address of a host in the tests."""
--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/tests/test_faults.py
@@ -0,0 +1,199 @@
+"""Random crashes, cuts, losses, repeats and reordering, all together."""
+
+import asyncio
+import random
+
+import hypothesis
+import pytest
+from geraniumweir.common import virtual
+from geraniumweir.consensus.tests import cluster as clusters
+from geraniumweir.consensus.tests import histories
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+_HOST = st.sampled_from(clusters.HOSTS)
+_SMALL = {
+    'snapshot_entries': 15,
+    'trailing_entries': 4,
+    'batch_entries': 3,
+    'piece_bytes': 40,
+}
+
+
+async def _finish(
+    cluster: clusters.Cluster,
+    history: histories.History,
+) -> None:
+    """Mend everything and check all promises."""
+    cluster.network.heal()
+    cluster.network.loss = 0
+    for host_id in clusters.HOSTS:
+        # A disk that was about to fail makes its host a crashed one.
+        if cluster.disks[host_id].operations_left is not None:
+            cluster.crash(host_id)
+        if host_id not in cluster.nodes:
+            await cluster.boot(host_id)
+    await history.append(cluster.client(), 30)
+    lists = await cluster.settled()
+    assert not cluster.violations
+    assert all(applied == lists[0] for applied in lists)
+    history.check(lists[0])
+
+
+class FaultMachine(stateful.RuleBasedStateMachine):
+    """Whatever the order of faults, no promise is broken."""
+
+    @stateful.initialize(seed=st.integers(0, 1000))
+    def start(self, seed: int) -> None:
+        """Start three recorders over a bad network."""
+        self.loop = asyncio.Runner(loop_factory=virtual.VirtualTimeLoop)
+        self.history = histories.History()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.cluster = clusters.Cluster(seed, **_SMALL)
+        self.cluster.network.jitter = 0.01
+        self.cluster.network.repeats = 0.1
+        self.loop.run(self._start())
+
+    @stateful.rule(seconds=st.sampled_from((0.003, 0.05, 0.6, 2)))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.loop.run(asyncio.sleep(seconds))
+
+    @stateful.rule(count=st.integers(1, 8))
+    def append(self, count: int) -> None:
+        """Have a client ask for places at once."""
+        self.loop.run(self._append(count))
+
+    @stateful.rule(host_id=_HOST)
+    def read(self, host_id: str) -> None:
+        """Read at a recorder."""
+        node = self.cluster.nodes.get(host_id)
+        if node is not None:
+            self.loop.run(self.history.read(node))
+
+    @stateful.rule(host_id=_HOST)
+    def crash(self, host_id: str) -> None:
+        """Cut the power of a host."""
+        self.loop.run(self._crash(host_id))
+
+    @stateful.rule(host_id=_HOST, operations=st.integers(0, 6))
+    def fail_disk(self, host_id: str, operations: int) -> None:
+        """Let a disk fail in the midst of its next writes."""
+        node = self.cluster.nodes.get(host_id)
+        if node is not None:
+            node.disk.operations_left = operations
+
+    @stateful.rule(host_id=_HOST)
+    def boot(self, host_id: str) -> None:
+        """Start a host that is down."""
+        if host_id not in self.cluster.nodes:
+            self.loop.run(self.cluster.boot(host_id))
+
+    @stateful.rule(sender=_HOST, receiver=_HOST)
+    def cut(self, sender: str, receiver: str) -> None:
+        """Lose everything in one direction."""
+        self.cluster.network.cut(sender, receiver)
+
+    @stateful.rule(loss=st.sampled_from((0, 0.1, 0.4)))
+    def heal(self, loss: float) -> None:
+        """Undo the cuts, but perhaps lose some messages."""
+        self.cluster.network.heal()
+        self.cluster.network.loss = loss
+
+    @stateful.invariant()
+    def keeps_election_safety(self) -> None:
+        """No two leaders in a term, no two commands at an index."""
+        assert not self.cluster.violations
+
+    def teardown(self) -> None:
+        """Mend everything and check all promises."""
+        if hasattr(self, 'loop'):
+            self.loop.run(
+                asyncio.wait_for(_finish(self.cluster, self.history), 600),
+            )
+            self.loop.close()
+
+    async def _start(self) -> None:
+        await self.cluster.start()
+        self.client = self.cluster.client()
+        await self.cluster.leader()
+
+    async def _append(self, count: int) -> None:
+        for _ in range(count):
+            work = self.history.append(self.client, 2)
+            self.tasks.append(asyncio.create_task(work))
+
+    async def _crash(self, host_id: str) -> None:
+        self.cluster.crash(host_id)
+
+
+TestFaultMachine = FaultMachine.TestCase
+TestFaultMachine.settings = hypothesis.settings(
+    max_examples=40,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+async def _ask_on(
+    cluster: clusters.Cluster,
+    history: histories.History,
+    name: str,
+    until: float,
+) -> None:
+    caller = cluster.client(name)
+    loop = asyncio.get_running_loop()
+    while loop.time() < until:
+        await history.append(caller, 2)
+        await asyncio.sleep(cluster.rng.random() * 0.05)
+
+
+async def _break(cluster: clusters.Cluster, rng: random.Random) -> None:
+    host_id = rng.choice(clusters.HOSTS)
+    other = rng.choice(clusters.HOSTS)
+    match rng.randrange(6):
+        case 0:
+            cluster.crash(host_id)
+        case 1 if host_id in cluster.nodes:
+            cluster.nodes[host_id].disk.operations_left = rng.randrange(6)
+        case 2:
+            cluster.cut_off(host_id)
+        case 3:
+            cluster.network.cut(host_id, other)
+        case _:
+            cluster.network.heal()
+    for name in clusters.HOSTS:
+        if name not in cluster.nodes and rng.randrange(2):
+            await cluster.boot(name)
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_a_minute_of_faults(seed: int) -> None:
+    """Callers, reads and faults at the same time for a minute."""
+
+    async def scenario() -> None:
+        rng = random.Random(seed)
+        cluster = clusters.Cluster(seed, **_SMALL)
+        history = histories.History()
+        await cluster.start()
+        cluster.network.loss = 0.03
+        cluster.network.repeats = 0.05
+        cluster.network.jitter = 0.02
+        callers = [
+            asyncio.create_task(_ask_on(cluster, history, name, 60))
+            for name in ('eel', 'fox', 'gnu')
+        ]
+        while asyncio.get_running_loop().time() < 60:
+            await asyncio.sleep(rng.random())
+            await _break(cluster, rng)
+            for node in list(cluster.nodes.values()):
+                callers.append(asyncio.create_task(history.read(node)))
+        await asyncio.gather(*callers)
+        await _finish(cluster, history)
+        answered = [one for one in history.appends if one.place is not None]
+        assert len(answered) > 50
+        assert history.reads
+
+    clusters.run(scenario())
--- a/libs/consensus/geraniumweir/consensus/tests/test_recorders.py
+++ b/libs/consensus/geraniumweir/consensus/tests/test_recorders.py
@@ -4,12 +4,13 @@
 import errno
 
 import pytest
-from geraniumweir.common import ids, virtual
+from geraniumweir.common import ids
 from geraniumweir.consensus import core, errors
 from geraniumweir.consensus.tests import cluster as clusters
 
 _COW = clusters.HOSTS[2]
 _DOG = ids.HostId('dog')
+_SHORTEST_TIMEOUT = 0.5
 
 
 async def _started(seed: int = 0, **sizes: int) -> clusters.Cluster:
@@ -38,7 +39,7 @@
         for applied in await cluster.settled():
             assert applied == commands
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_proposals_share_syncs() -> None:
@@ -51,7 +52,7 @@
         await _fill(cluster, 100)
         return cluster.nodes[leading].disk.syncs - before
 
-    assert virtual.run(scenario()) <= 3
+    assert clusters.run(scenario()) <= 3
 
 
 def test_silently_cut_leader_says_so_within_two_seconds() -> None:
@@ -80,7 +81,7 @@
         for applied in await cluster.settled():
             assert applied == before + after
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_cut_leader_answers_no_barrier() -> None:
@@ -93,7 +94,7 @@
         with pytest.raises(errors.NoQuorumError):
             await cluster.nodes[cut].recorder.read_barrier(5)
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_returning_recorder_disturbs_nobody() -> None:
@@ -110,7 +111,7 @@
         await asyncio.sleep(5)
         return term, cluster.nodes[leading].recorder.status().term
 
-    before, after = virtual.run(scenario())
+    before, after = clusters.run(scenario())
     assert before == after
 
 
@@ -126,7 +127,7 @@
         await asyncio.sleep(30)
         return term, cluster.nodes[leading].recorder.status().term
 
-    before, after = virtual.run(scenario())
+    before, after = clusters.run(scenario())
     assert before == after
 
 
@@ -149,7 +150,7 @@
         await cluster.leader()
         assert cluster.nodes[third].recorder.status().commit > 0
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_emptied_founder_founds_no_second_log() -> None:
@@ -168,7 +169,7 @@
         for applied in await cluster.settled():
             assert applied == commands
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_second_recorder_lost_right_after_a_replacement() -> None:
@@ -189,7 +190,7 @@
             assert applied == commands
         assert len(cluster.nodes) == 2
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_replacing_an_emptied_folder_keeps_three_voters() -> None:
@@ -209,7 +210,7 @@
         identities = {row.member.identity for row in rows}
         assert cluster.nodes[_COW].identity in identities
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_removal_that_would_cost_the_majority_is_refused() -> None:
@@ -224,7 +225,7 @@
         with pytest.raises(errors.RefusedError, match='only 1 answer'):
             await cluster.nodes[leading].recorder.remove_recorder(others[1])
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_leader_removed_by_a_client_hands_on_first() -> None:
@@ -240,7 +241,7 @@
         assert old not in {row.member.host_id for row in rows}
         await _fill(cluster, 3)
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_two_changes_at_once_are_refused() -> None:
@@ -260,7 +261,7 @@
             errors.RefusedError,
         ]
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 @pytest.mark.parametrize('failure', [errno.EIO, errno.ENOSPC])
@@ -291,7 +292,7 @@
         left = next(iter(cluster.nodes.values()))
         assert not left.recorder.status().leader
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_late_follower_catches_up_by_snapshot() -> None:
@@ -306,9 +307,7 @@
         leading = await cluster.leader()
         late = next(name for name in clusters.HOSTS if name != leading)
         cluster.crash(late)
-        commands: list[bytes] = []
-        for batch in range(4):
-            commands += await _fill(cluster, 60, f'{batch}-')
+        commands = [*await _fill(cluster, 120), *await _fill(cluster, 120, 'y')]
         await asyncio.sleep(1)
         with pytest.raises(errors.CompactedError):
             cluster.nodes[leading].recorder.read_entries(0, 10)
@@ -318,7 +317,7 @@
             assert applied == commands
         assert cluster.nodes[late].recorder.snapshot().index > 0
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_client_reads_snapshot_and_entries() -> None:
@@ -327,6 +326,7 @@
     async def scenario() -> None:
         cluster = await _started(piece_bytes=7)
         before = await _fill(cluster, 10)
+        await cluster.settled()
         index = await cluster.nodes[_COW].recorder.take_snapshot()
         after = await _fill(cluster, 3, 'y')
         await cluster.settled()
@@ -338,7 +338,7 @@
         assert [entry.payload for entry in answer.entries] == after
         assert await reader.read_barrier() >= index + 3
 
-    virtual.run(scenario())
+    clusters.run(scenario())
 
 
 def test_graceful_stop_costs_no_election_timeout() -> None:
@@ -355,7 +355,7 @@
         await cluster.leader()
         return loop.time() - began
 
-    assert virtual.run(scenario()) < 0.5
+    assert clusters.run(scenario()) < _SHORTEST_TIMEOUT
 
 
 def test_all_restart_with_everything() -> None:
@@ -370,4 +370,4 @@
         for applied in await cluster.settled():
             assert applied == commands
 
-    virtual.run(scenario())
+    clusters.run(scenario())
--- a/libs/consensus/geraniumweir/consensus/voting.py
+++ b/libs/consensus/geraniumweir/consensus/voting.py
@@ -118,20 +118,20 @@
 ) -> bool:
     """Ask all voters and stop as soon as it is clear."""
     current = this.history.current
-    asked = [
-        asyncio.ensure_future(_ask(this, member, term, trial, transfer))
+    asked = {
+        this.spawn(_ask(this, member, term, trial, transfer))
         for member in current.voters
         if member.identity != this.identity
-    ]
+    }
     votes = 1
-    try:
-        for answer in asyncio.as_completed(asked):
-            if votes >= current.majority:
-                break
-            votes += await answer
-    finally:
-        for left in asked:
-            left.cancel()
+    while asked and votes < current.majority:
+        done, asked = await asyncio.wait(
+            asked,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        votes += sum(answer.result() for answer in done)
+    for left in asked:
+        left.cancel()
     expected = this.term + 1 if trial else this.term
     return votes >= current.majority and term == expected
 
