--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/founding.py
@@ -0,0 +1,100 @@
+"""The first entry of a log, made once by one of the first recorders.
+
+The founder is the one with the lowest host id, and it founds only when each of
+the first recorders has answered that it holds nothing. So a recorder whose
+folder was emptied can't found a second log beside the first: one of the others
+holds entries, or can't be asked.
+"""
+
+import asyncio
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.consensus import core, logevents, machines, members
+from geraniumweir.store import entries
+from geraniumweir.wire import errors as wire_errors
+from geraniumweir.wire.gen.consensus import ttypes
+
+First = typing.Mapping[ids.HostId, ids.Address]
+
+
+async def found(this: core.Core, first: First) -> None:
+    """Found the log if that is this recorder's part; return when it's not.
+
+    :param first: the first recorders and their addresses.
+    """
+    own = this.env.cfg.host_id
+    if not first or own != min(first):
+        return
+    told = False
+    while is_blank(this):
+        answers = [await _identify(this, host_id) for host_id in first]
+        if all(answer and answer.blank for answer in answers):
+            await _write_first(this, first, answers)
+            return
+        told = told or _tell_who_has_a_log(this, first, answers)
+        await asyncio.sleep(this.env.cfg.heartbeat)
+
+
+def is_blank(this: core.Core) -> bool:
+    """Tell whether this recorder holds nothing of any log."""
+    return this.folder.log.last.index == 0
+
+
+def identified(this: core.Core) -> ttypes.Identified:
+    """Tell who this recorder is."""
+    return ttypes.Identified(this.identity, is_blank(this))
+
+
+def _tell_who_has_a_log(
+    this: core.Core,
+    first: First,
+    answers: typing.Sequence[ttypes.Identified | None],
+) -> bool:
+    for host_id, answer in zip(first, answers):
+        if answer and not answer.blank:
+            this.env.report(logevents.MUST_BE_ADDED, host=host_id)
+            return True
+    return False
+
+
+async def _identify(
+    this: core.Core,
+    host_id: ids.HostId,
+) -> ttypes.Identified | None:
+    if host_id == this.env.cfg.host_id:
+        return identified(this)
+    try:
+        return await this.env.peers.call(
+            host_id,
+            ttypes.Identify(),
+            this.env.cfg.election_max,
+        )
+    except wire_errors.PeerError:
+        return None
+
+
+async def _write_first(
+    this: core.Core,
+    first: First,
+    answers: typing.Sequence[ttypes.Identified | None],
+) -> None:
+    recorders = tuple(
+        members.Member(answer.identity, host_id, str(first[host_id]))
+        for host_id, answer in zip(first, answers)
+        if answer is not None
+    )
+    founded = members.Members(this.identity, recorders)
+    if not is_blank(this):
+        return
+    this.enter_term(1, 'founds the log')
+    first_entry = entries.Entry(
+        1,
+        this.term,
+        machines.Kind.members,
+        members.encode(founded),
+    )
+    this.append([first_entry])
+    await this.folder.ballot.settle()
+    await this.folder.log.sync()
+    this.env.report(logevents.FOUNDED, recorders=list(first))
--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/recorder.py
@@ -0,0 +1,145 @@
+"""A recorder: one host's part in the replicated log.
+
+This is the face of the library for a host with a data folder.
+"""
+
+import reactivex
+from geraniumweir.common import ids
+from geraniumweir.consensus import (
+    applying,
+    changing,
+    core,
+    founding,
+    handing,
+    handlers,
+    leading,
+    machines,
+    serving,
+    voting,
+)
+from geraniumweir.store import entries
+from geraniumweir.store import folder as folders
+from geraniumweir.store import snapshots
+
+_TIMEOUT = 2.0
+
+
+class Recorder:
+    """Keeps a copy of the log and takes part in its elections.
+
+    A recorder that isn't among the current recorders (a new folder, or one
+    that was removed) only waits to be added.
+    """
+
+    def __init__(
+        self,
+        env: core.Surroundings,
+        opened: folders.Folder,
+        first: founding.First,
+    ) -> None:
+        """Start nothing yet.
+
+        :param env: what the recorder is given.
+        :param opened: the open data folder.
+        :param first: the first recorders of the log, by host id.
+        """
+        self._this = core.Core(env, opened)
+        self._first = first
+
+    @property
+    def changes(self) -> reactivex.Observable[machines.Change]:
+        """Everything applied to the state machine, in order."""
+        return self._this.changes
+
+    def start(self) -> None:
+        """Restore the state, answer messages and take part."""
+        this = self._this
+        applying.restore(this)
+        handlers.register(this)
+        this.spawn(applying.apply_committed(this))
+        this.spawn(voting.watch(this))
+        this.spawn(founding.found(this, self._first))
+
+    async def stop(self) -> None:
+        """Hand leadership on, then stop; the folder may be closed after."""
+        await handing.hand_on(self._this)
+        self.kill()
+
+    def kill(self) -> None:
+        """Stop at once, as a crash does."""
+        self._this.end_reign('stopped')
+        self._this.cancel_tasks()
+
+    async def propose(
+        self,
+        command: bytes,
+        timeout: float = _TIMEOUT,
+    ) -> bytes:
+        """Have a command applied on all recorders.
+
+        :param timeout: in seconds.
+        :returns: the state machine's answer, once a majority has the command
+            synced.
+        :raises errors.NotLeaderError: when another recorder leads.
+        :raises errors.NoQuorumError: when nobody leads; it wasn't taken.
+        :raises errors.UncertainError: when it may have been taken.
+        :raises errors.RecorderFailedError: when this one stopped for good.
+        """
+        return await leading.propose(self._this, command, timeout)
+
+    async def read_barrier(self, timeout: float = _TIMEOUT) -> int:
+        """Make sure that the state machine has all that was answered before.
+
+        :param timeout: in seconds.
+        :returns: the index that the state machine has reached.
+        :raises errors.NotLeaderError: when another recorder leads.
+        :raises errors.NoQuorumError: when no majority answered in time.
+        """
+        return await serving.barrier(self._this, timeout)
+
+    async def add_recorder(
+        self,
+        host_id: ids.HostId,
+        address: str = '',
+        timeout: float = _TIMEOUT,
+    ) -> None:
+        """Add the recorder on a host, or put a new one in its place.
+
+        :raises errors.RefusedError: when another change is under way, or the
+            host doesn't answer.
+        :raises errors.UncertainError: when it takes too long; a repeat goes
+            on where this one ended.
+        """
+        await changing.add(self._this, host_id, address, timeout)
+
+    async def remove_recorder(
+        self,
+        host_id: ids.HostId,
+        timeout: float = _TIMEOUT,
+    ) -> None:
+        """Remove the recorder on a host.
+
+        :raises errors.RefusedError: when the others that answer are no
+            majority.
+        """
+        await changing.remove(self._this, host_id, timeout)
+
+    async def take_snapshot(self) -> int:
+        """Write a snapshot now and compact the log; gives its index."""
+        self._this.check_sound()
+        return await applying.take_snapshot(self._this)
+
+    def status(self) -> serving.Status:
+        """Tell how this recorder sees things."""
+        return serving.status(self._this)
+
+    def read_entries(self, after: int, limit: int) -> list[entries.Entry]:
+        """Give committed entries behind an index.
+
+        :raises errors.CompactedError: when only a snapshot has them any more.
+        """
+        return serving.read_entries(self._this, after, limit)
+
+    def snapshot(self) -> snapshots.Snapshot:
+        """Give the newest snapshot; index 0 when there is none."""
+        return self._this.folder.snapshots.newest
--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/tests/cluster.py
@@ -0,0 +1,189 @@
+"""Recorders in virtual time over an in-memory network and disks."""
+
+import asyncio
+import dataclasses
+import random
+import struct
+import typing
+
+from geraniumweir.common import ids, virtual
+from geraniumweir.consensus import (
+    client,
+    core,
+    errors,
+    logevents,
+    machines,
+    recorder,
+    settings,
+)
+from geraniumweir.store import folder, guard, memory_disk
+from geraniumweir.wire import memory
+
+HOSTS = tuple(ids.HostId(name) for name in ('ant', 'bee', 'cow'))
+_FSYNC_SECONDS = 0.002
+_LONGEST_SECONDS = 600
+_Done = typing.TypeVar('_Done')
+_NUMBER = struct.Struct('<Q')
+
+
+def run(scenario: typing.Coroutine[typing.Any, typing.Any, _Done]) -> _Done:
+    """Run a scenario in virtual time; one without an end fails."""
+    return virtual.run(asyncio.wait_for(scenario, _LONGEST_SECONDS))
+
+
+class ListMachine:
+    """Keeps the commands in a list; a command counts once only."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+        self.known: set[bytes] = set()
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        if command not in self.known:
+            self.known.add(command)
+            self.commands.append(command)
+        return _NUMBER.pack(self.commands.index(command))
+
+    def snapshot(self) -> bytes:
+        return b'\n'.join(self.commands)
+
+    def restore(self, state: bytes) -> None:
+        self.commands = state.split(b'\n') if state else []
+        self.known = set(self.commands)
+
+
+def place(answer: bytes) -> int:
+    """Read the place that a command got."""
+    return int(_NUMBER.unpack(answer)[0])
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One running recorder."""
+
+    recorder: recorder.Recorder
+    machine: ListMachine
+    disk: memory_disk.MemoryDisk
+    identity: str
+
+
+class Cluster:
+    """Recorders that can crash, be cut off and lose their folders."""
+
+    def __init__(self, seed: int = 0, **sizes: int) -> None:
+        self.rng = random.Random(seed)
+        self.network = memory.MemoryNetwork(seed)
+        self.sizes = sizes
+        self.nodes: dict[ids.HostId, Node] = {}
+        self.disks: dict[ids.HostId, memory_disk.MemoryDisk] = {}
+        # Who led in which term, and what was applied at which index.
+        self.leaders: dict[int, str] = {}
+        self.applied: dict[int, bytes] = {}
+        self.violations: list[str] = []
+
+    async def start(self, hosts: tuple[ids.HostId, ...] = HOSTS) -> None:
+        for host_id in hosts:
+            await self.boot(host_id)
+
+    async def boot(self, host_id: ids.HostId) -> Node:
+        """Start a recorder on what its disk holds."""
+        seed = self.rng.getrandbits(32)
+        disk = self.disks.setdefault(host_id, memory_disk.MemoryDisk(seed))
+        way = self.network.join(host_id, address(host_id))
+        opened = await folder.open_folder(
+            disk,
+            guard.VirtualDelay(_FSYNC_SECONDS),
+            4096,
+            lambda: f'{host_id}-{seed}',
+        )
+        machine = ListMachine()
+        surroundings = core.Surroundings(
+            settings.Settings(host_id, **self.sizes),
+            way,
+            machine,
+            random.Random(seed),
+            self._report_of(opened.identity),
+        )
+        first = {name: address(name) for name in HOSTS}
+        started = recorder.Recorder(surroundings, opened, first)
+        started.changes.subscribe(self._note_change)
+        started.start()
+        node = Node(started, machine, disk, opened.identity)
+        self.nodes[host_id] = node
+        return node
+
+    def crash(self, host_id: ids.HostId) -> None:
+        """Cut a host's power; one that is down stays so."""
+        if host_id not in self.nodes:
+            return
+        node = self.nodes.pop(host_id)
+        self.network.leave(host_id)
+        self.disks[host_id] = node.disk.crash()
+        node.recorder.kill()
+
+    def empty(self, host_id: ids.HostId) -> None:
+        """Lose the folder of a host that is down."""
+        self.disks.pop(host_id)
+
+    def cut_off(self, host_id: ids.HostId) -> None:
+        """Lose everything from and to a host."""
+        for other in list(self.disks):
+            if other != host_id:
+                self.network.cut(host_id, other)
+                self.network.cut(other, host_id)
+
+    def client(self, name: str = 'eel') -> client.LogClient:
+        """Give a client on a host without a disk."""
+        host_id = ids.HostId(name)
+        way = self.network.join(host_id, address(host_id))
+        return client.LogClient(way, HOSTS)
+
+    async def leader(self) -> ids.HostId:
+        """Wait until one recorder leads and a majority knows it."""
+        while True:
+            for host_id, node in list(self.nodes.items()):
+                if await _leads(node.recorder):
+                    return host_id
+            await asyncio.sleep(0.05)
+
+    async def settled(self) -> list[list[bytes]]:
+        """Wait until all live recorders have applied the same, give it."""
+        while True:
+            leading = await self.leader()
+            goal = self.nodes[leading].recorder.status().commit
+            views = [node.recorder.status() for node in self.nodes.values()]
+            if all(view.applied >= goal for view in views):
+                return [node.machine.commands for node in self.nodes.values()]
+            await asyncio.sleep(0.05)
+
+    def _report_of(self, identity: str) -> core.Report:
+        def report(event: object, **fields: object) -> None:
+            if event is not logevents.LEADS:
+                return
+            known = self.leaders.setdefault(fields['term'], identity)
+            if known != identity:
+                self.violations.append(f'two leaders in term {fields}')
+
+        return report
+
+    def _note_change(self, change: machines.Change) -> None:
+        if not isinstance(change, machines.Applied):
+            return
+        known = self.applied.setdefault(change.index, change.command)
+        if known != change.command:
+            self.violations.append(f'two commands at {change.index}')
+
+
+async def _leads(asked: recorder.Recorder) -> bool:
+    if asked.status().role is not core.Role.leader:
+        return False
+    try:
+        await asked.read_barrier(1)
+    except errors.ConsensusError:
+        return False
+    return True
+
+
+def address(host_id: ids.HostId) -> ids.Address:
+    """Give the address of a host in the tests."""
+    return ids.Address('127.0.0.1', sum(host_id.encode()))
