--- a/libs/fakes/geraniumweir/fakes/bench_membership.py
+++ b/libs/fakes/geraniumweir/fakes/bench_membership.py
@@ -21,6 +21,7 @@
     membership,
     poolsummaries,
     servers,
+    suspicion,
 )
 from geraniumweir.wire import memory, peers
 from geraniumweir.wire.gen.peering import ttypes
@@ -157,7 +158,7 @@
     :param loaded: with backend servers and pools, or without.
     """
     chance = random.Random(_SEED)  # noqa: S311
-    nodes = await _start(domains, per_domain)
+    nodes = await start(memory.MemoryNetwork(_SEED), domains, per_domain)
     for second in range(WARM_SECONDS + COUNTED_SECONDS):
         if second == WARM_SECONDS:
             _check_whole(nodes)
@@ -168,18 +169,29 @@
     return _cost([node.peers for node in nodes])
 
 
-async def _start(domains: int, per_domain: int) -> list[Node]:
-    network = memory.MemoryNetwork(seed=_SEED)
+async def start(
+    network: memory.MemoryNetwork,
+    domains: int,
+    per_domain: int,
+    timing: suspicion.Timing | None = None,
+) -> list[Node]:
+    """Start the hosts within a second, all with the first one as seed."""
     nodes: list[Node] = []
+    used = timing or suspicion.Timing()
     for number in range(domains * per_domain):
-        node = _node(network, number, per_domain)
+        node = _node(network, number, per_domain, used)
         nodes.append(node)
         await node.member.start()
         await asyncio.sleep(1 / (domains * per_domain))
     return nodes
 
 
-def _node(network: memory.MemoryNetwork, number: int, per_domain: int) -> Node:
+def _node(
+    network: memory.MemoryNetwork,
+    number: int,
+    per_domain: int,
+    timing: suspicion.Timing,
+) -> Node:
     domain = number // per_domain
     address = ids.Address('10.0.0.1', number + 1)
     host = hosts.Host(
@@ -192,7 +204,7 @@
     )
     layer = CountingPeers(network.join(host.host_id, address))
     seeds = (ids.Address('10.0.0.1', 1),)
-    options = knowledge.Options(seeds=seeds, seed=number)
+    options = knowledge.Options(seeds, timing, number)
     member = membership.Membership(
         host,
         layer,
--- a/libs/membership/geraniumweir/membership/heartbeats.py
+++ b/libs/membership/geraniumweir/membership/heartbeats.py
@@ -19,7 +19,6 @@
 )
 from geraniumweir.wire.gen.membership import ttypes
 
-WITNESSES = 3
 _DEAD_EVERY = 10
 _MILLIS = 1000
 _MAX_AGE_MS = 60_000
@@ -128,7 +127,8 @@
         live = self._known.members.others(members.State.live)
         for suspect in self._known.members.others(members.State.suspected):
             message = ttypes.Inquiry(suspect.host_id, suspect.incarnation)
-            asked = self._random.sample(live, min(WITNESSES, len(live)))
+            count = min(self._known.timing.witnesses, len(live))
+            asked = self._random.sample(live, count)
             for witness in asked:
                 self._known.peers.send(witness.host_id, message)
 
--- a/libs/membership/geraniumweir/membership/suspicion.py
+++ b/libs/membership/geraniumweir/membership/suspicion.py
@@ -28,12 +28,14 @@
     :ivar suspect_after: silence of a host before others are asked.
     :ivar dead_after: silence on all ways before it is held for dead.
     :ivar stall: a tick later than this shows that this host stood still.
+    :ivar witnesses: hosts that are asked about a suspect each period.
     """
 
     period: float = 0.5
     suspect_after: float = 1.25
     dead_after: float = 3.0
     stall: float = 0.25
+    witnesses: int = 3
 
     @property
     def detection_bound(self) -> float:
