--- a/libs/fakes/geraniumweir/fakes/bench_membership.py
+++ b/libs/fakes/geraniumweir/fakes/bench_membership.py
@@ -34,7 +34,7 @@
 LETTER_HOSTS = 23
 LETTER_DOMAINS = 17
 WARM_SECONDS = 20
-COUNTED_SECONDS = 20
+COUNTED_SECONDS = 30
 SERVERS_PER_HOST = 4
 POOLS_PER_DOMAIN = 8
 # Addresses, sequence numbers and options of TCP over IPv4, for each message.
@@ -140,6 +140,7 @@
 
     :ivar messages: sent, mean of all hosts.
     :ivar sent: bytes, mean of all hosts.
+    :ivar least_sent: bytes of the host that sent least, never a delegate.
     :ivar most_sent: bytes of the host that sent most, always a delegate.
     :ivar most_packets: the same with the headers of TCP over IPv4.
     :ivar most_received: bytes of the host that received most.
@@ -147,6 +148,7 @@
 
     messages: float
     sent: float
+    least_sent: float
     most_sent: float
     most_packets: float
     most_received: float
@@ -282,6 +284,7 @@
     return Cost(
         sum(messages) / len(messages) / COUNTED_SECONDS,
         sum(sent) / len(sent) / COUNTED_SECONDS,
+        min(sent) / COUNTED_SECONDS,
         max(sent) / COUNTED_SECONDS,
         max(packets) / COUNTED_SECONDS,
         max(one.received_bytes for one in counted) / COUNTED_SECONDS,
@@ -296,6 +299,7 @@
         'yes' if loaded else 'no',
         cost.messages,
         cost.sent / _KILO,
+        cost.least_sent / _KILO,
         cost.most_sent / _KILO,
         cost.most_packets / _KILO,
         cost.most_received / _KILO,
@@ -327,6 +331,7 @@
         'load',
         'messages/s',
         'sent KB/s',
+        'least sent',
         'most sent',
         'with headers',
         'most received',
--- a/libs/membership/geraniumweir/membership/heartbeats.py
+++ b/libs/membership/geraniumweir/membership/heartbeats.py
@@ -23,7 +23,6 @@
 _MILLIS = 1000
 _MAX_AGE_MS = 60_000
 
-StallListener = typing.Callable[[float], None]
 Renewals = list[ttypes.Renewal]
 
 
@@ -55,7 +54,6 @@
         self._random = random.Random(seed)  # noqa: S311
         self._pulls = knowledge.Limiter(known.timing.period)
         self._last = known.now()
-        self.on_stall: list[StallListener] = []
         self.leases: LeaseCarrier | None = None
         known.peers.handle(ttypes.Heartbeat, self._on_heartbeat)
         known.peers.handle(ttypes.Inquiry, self._on_inquiry)
@@ -120,8 +118,9 @@
             return
         self._known.members.suspicion.excuse(gap, now)
         self._known.outside.excuse(gap, now)
-        for listener in self.on_stall:
-            listener(gap)
+        self._known.members.changes.on_next(
+            hosts.SelfStalled(self._known.me, gap),
+        )
 
     def _inquire(self) -> None:
         live = self._known.members.others(members.State.live)
--- a/libs/membership/geraniumweir/membership/hosts.py
+++ b/libs/membership/geraniumweir/membership/hosts.py
@@ -88,7 +88,18 @@
     reason: Departure
 
 
-HostEvent = HostJoined | HostChanged | HostSuspected | HostLeft
+@dataclasses.dataclass(frozen=True, slots=True)
+class SelfStalled:
+    """This host did nothing for a while, and suspects nobody for that.
+
+    :ivar seconds: how long it stood still.
+    """
+
+    host: Host
+    seconds: float
+
+
+HostEvent = HostJoined | HostChanged | HostSuspected | HostLeft | SelfStalled
 
 
 class HostView(typing.Protocol):
--- a/libs/membership/geraniumweir/membership/pools.py
+++ b/libs/membership/geraniumweir/membership/pools.py
@@ -2,8 +2,8 @@
 
 A leader sends a summary that changed to its domain's delegates. Their
 digests carry a number; the delegates of other domains ask for what is newer,
-and so do the hosts that follow those: every ten seconds, or every second
-while somebody wants a pool.
+and so do the hosts that follow those: every thirty seconds, or at once and
+then every second while somebody wants a pool.
 """
 
 import typing
@@ -13,6 +13,7 @@
 from geraniumweir.wire.gen.membership import ttypes
 
 REFRESH_TICKS = 10
+FOLLOW_TICKS = 30
 PULL_SECONDS = 2.0
 WANTED_SECONDS = 10.0
 
@@ -59,7 +60,10 @@
 
         Those whose leader isn't live, as far as is known here, are left out.
         """
-        self._wanted_until = self._known.now() + WANTED_SECONDS
+        now = self._known.now()
+        if now >= self._wanted_until:
+            self._pull_now()
+        self._wanted_until = now + WANTED_SECONDS
         found = [
             summary
             for summary in self.beyond.of_pool(pool)
@@ -78,10 +82,10 @@
         self._due.clear()
         if due:
             self._send([self._published[pool] for pool in due])
-        followed = self._known.followed()
         wanted = self._known.now() < self._wanted_until
-        if followed and (wanted or count % REFRESH_TICKS == 0):
-            self._ask(followed, inside=False)
+        first = (self._known.followed(), False) not in self._got
+        if wanted or first or count % FOLLOW_TICKS == 0:
+            self._pull_now()
 
     def compare(self, source: ids.HostId, version: int) -> None:
         """Ask the delegate of another domain for what is new there."""
@@ -106,6 +110,11 @@
             if summary.failure_domain == self._known.me.failure_domain:
                 self.inside.put(summary)
 
+    def _pull_now(self) -> None:
+        followed = self._known.followed()
+        if followed is not None:
+            self._ask(followed, inside=False)
+
     def _ask(self, to: ids.HostId, *, inside: bool) -> None:
         epoch, version = self._got.get((to, inside), (0, 0))
         message = ttypes.SummariesRequest(inside, epoch, version)
--- a/libs/membership/geraniumweir/membership/reports.py
+++ b/libs/membership/geraniumweir/membership/reports.py
@@ -27,6 +27,7 @@
             | hosts.HostLeft()
             | hosts.HostChanged()
             | hosts.HostSuspected()
+            | hosts.SelfStalled()
         ):
             return _describe_host(happened)
         case _:
@@ -45,6 +46,8 @@
             return logevents.HOST_JOINED, fields
         case hosts.HostSuspected():
             return logevents.HOST_SUSPECTED, fields
+        case hosts.SelfStalled(_, seconds):
+            return logevents.SELF_STALLED, {'seconds': round(seconds, 2)}
         case hosts.HostLeft(_, reason):
             return logevents.HOST_LEFT, {**fields, 'reason': reason.value}
         case hosts.HostChanged():
--- a/libs/membership/geraniumweir/membership/tests/test_domains.py
+++ b/libs/membership/geraniumweir/membership/tests/test_domains.py
@@ -183,10 +183,17 @@
         found['c0'].pools.publish(_summary('c', 100, 0))
         found['d0'].pools.publish(_summary('d', 0, 3))
         await asyncio.sleep(10)
-        first = found['a2'].pools.summaries(_POOL)
+        reader = next(
+            found[name]
+            for name in _names(found, 'a')
+            if not found[name].speaks_for_domain
+        )
+        reader.pools.summaries(_POOL)
+        await asyncio.sleep(0.01)
+        first = reader.pools.summaries(_POOL)
         found['d0'].pools.publish(_summary('d', 400, 0))
         await asyncio.sleep(4)
-        then = found['a2'].pools.summaries(_POOL)
+        then = reader.pools.summaries(_POOL)
         return (
             [one.failure_domain for one in first],
             [one.failure_domain for one in then],
--- a/libs/membership/geraniumweir/membership/tests/test_heartbeats.py
+++ b/libs/membership/geraniumweir/membership/tests/test_heartbeats.py
@@ -70,13 +70,11 @@
         await asyncio.sleep(8)
         cluster.forget_events(found)
         process.resume()
-        own = list(process.events)
         await asyncio.sleep(5)
-        own.extend(process.events)
-        return own, found.views('a')
+        return process.events, found.views('a')
 
     own, views = virtual.run(main())
-    assert not own
+    assert [type(one) for one in own] == [hosts.SelfStalled]
     assert views == {_whole(6)}
 
 
