--- a/libs/membership/geraniumweir/membership/membership.py
+++ b/libs/membership/geraniumweir/membership/membership.py
@@ -19,6 +19,7 @@
     hosts,
     knowledge,
     pools,
+    reports,
     rosters,
     seeds,
     sharing,
@@ -31,6 +32,7 @@
 class Membership:
     """A :class:`hosts.HostView` that is kept up to date.
 
+    :ivar progress: newest log index and version heard of; raise it here.
     :ivar pools: summaries of pools, to publish and to read.
     :ivar registry: backend servers of the domain.
     :ivar sharing: takes announcements and shares leases.
@@ -52,6 +54,7 @@
             timer_service,
             self._options.timing,
         )
+        self.progress = self._known.progress
         self._lists = rosters.Rosters(self._known)
         self._beats = heartbeats.Heartbeats(
             self._known,
@@ -85,9 +88,13 @@
         )
 
     @property
-    def progress(self) -> knowledge.Progress:
-        """Give the newest log index and version heard of; raise it here."""
-        return self._known.progress
+    def happenings(self) -> reactivex.Observable[reports.Reported]:
+        """Give all that is worth a line in the log."""
+        return reactivex.merge(
+            self.changes,
+            self.registry.changes,
+            self.seeds.failures,
+        )
 
     @property
     def notices(self) -> reactivex.Observable[bytes]:
--- a/libs/membership/geraniumweir/membership/reports.py
+++ b/libs/membership/geraniumweir/membership/reports.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from geraniumweir.common import eventlog
 from geraniumweir.common import logevents as catalogue
 from geraniumweir.membership import hosts, logevents, seeds, servers
 
@@ -34,6 +35,12 @@
             return _describe_server(happened)
 
 
+def log(happened: Reported) -> None:
+    """Log what happened; to be subscribed to ``Membership.happenings``."""
+    event, fields = describe(happened)
+    eventlog.emit(event, **fields)
+
+
 def _describe_host(happened: hosts.HostEvent) -> Report:
     host = happened.host
     fields: dict[str, typing.Any] = {
