--- a/libs/membership/geraniumweir/membership/tests/test_domains.py
+++ b/libs/membership/geraniumweir/membership/tests/test_domains.py
@@ -81,6 +81,25 @@
     assert lives == {10}
 
 
+def test_strangers_of_one_domain_are_introduced() -> None:
+    """Hosts that never met, as their link was cut, meet by other domains."""
+
+    async def main() -> tuple[set[str], set[str]]:
+        found = await cluster.domains_of('a', count=2)
+        found.cut(['b0'], ['b1'])
+        await found.start('b0', 'a0')
+        await found.start('b1', 'a0')
+        await asyncio.sleep(90)
+        apart = found.views('b')
+        found.network.heal()
+        await asyncio.sleep(5)
+        return apart, found.views('b')
+
+    apart, met = virtual.run(main())
+    assert apart == {'b0', 'b1'}
+    assert met == {'b0 b1'}
+
+
 def test_lost_delegates_are_replaced() -> None:
     """With both delegates of a domain gone its news still gets out."""
 
