--- a/libs/fakes/geraniumweir/fakes/bench_membership.py
+++ b/libs/fakes/geraniumweir/fakes/bench_membership.py
@@ -21,6 +21,7 @@
     membership,
     poolsummaries,
     servers,
+    suspicion,
 )
 from geraniumweir.wire import memory, peers
 from geraniumweir.wire.gen.peering import ttypes
@@ -33,7 +34,7 @@
 LETTER_HOSTS = 23
 LETTER_DOMAINS = 17
 WARM_SECONDS = 20
-COUNTED_SECONDS = 20
+COUNTED_SECONDS = 30
 SERVERS_PER_HOST = 4
 POOLS_PER_DOMAIN = 8
 # Addresses, sequence numbers and options of TCP over IPv4, for each message.
@@ -139,6 +140,7 @@
 
     :ivar messages: sent, mean of all hosts.
     :ivar sent: bytes, mean of all hosts.
+    :ivar least_sent: bytes of the host that sent least, never a delegate.
     :ivar most_sent: bytes of the host that sent most, always a delegate.
     :ivar most_packets: the same with the headers of TCP over IPv4.
     :ivar most_received: bytes of the host that received most.
@@ -146,6 +148,7 @@
 
     messages: float
     sent: float
+    least_sent: float
     most_sent: float
     most_packets: float
     most_received: float
@@ -157,7 +160,7 @@
     :param loaded: with backend servers and pools, or without.
     """
     chance = random.Random(_SEED)  # noqa: S311
-    nodes = await _start(domains, per_domain)
+    nodes = await start(memory.MemoryNetwork(_SEED), domains, per_domain)
     for second in range(WARM_SECONDS + COUNTED_SECONDS):
         if second == WARM_SECONDS:
             _check_whole(nodes)
@@ -168,18 +171,29 @@
     return _cost([node.peers for node in nodes])
 
 
-async def _start(domains: int, per_domain: int) -> list[Node]:
-    network = memory.MemoryNetwork(seed=_SEED)
+async def start(
+    network: memory.MemoryNetwork,
+    domains: int,
+    per_domain: int,
+    timing: suspicion.Timing | None = None,
+) -> list[Node]:
+    """Start the hosts within a second, all with the first one as seed."""
     nodes: list[Node] = []
+    used = timing or suspicion.Timing()
     for number in range(domains * per_domain):
-        node = _node(network, number, per_domain)
+        node = _node(network, number, per_domain, used)
         nodes.append(node)
         await node.member.start()
         await asyncio.sleep(1 / (domains * per_domain))
     return nodes
 
 
-def _node(network: memory.MemoryNetwork, number: int, per_domain: int) -> Node:
+def _node(
+    network: memory.MemoryNetwork,
+    number: int,
+    per_domain: int,
+    timing: suspicion.Timing,
+) -> Node:
     domain = number // per_domain
     address = ids.Address('10.0.0.1', number + 1)
     host = hosts.Host(
@@ -192,7 +206,7 @@
     )
     layer = CountingPeers(network.join(host.host_id, address))
     seeds = (ids.Address('10.0.0.1', 1),)
-    options = knowledge.Options(seeds=seeds, seed=number)
+    options = knowledge.Options(seeds, timing, number)
     member = membership.Membership(
         host,
         layer,
@@ -270,6 +284,7 @@
     return Cost(
         sum(messages) / len(messages) / COUNTED_SECONDS,
         sum(sent) / len(sent) / COUNTED_SECONDS,
+        min(sent) / COUNTED_SECONDS,
         max(sent) / COUNTED_SECONDS,
         max(packets) / COUNTED_SECONDS,
         max(one.received_bytes for one in counted) / COUNTED_SECONDS,
@@ -284,6 +299,7 @@
         'yes' if loaded else 'no',
         cost.messages,
         cost.sent / _KILO,
+        cost.least_sent / _KILO,
         cost.most_sent / _KILO,
         cost.most_packets / _KILO,
         cost.most_received / _KILO,
@@ -315,6 +331,7 @@
         'load',
         'messages/s',
         'sent KB/s',
+        'least sent',
         'most sent',
         'with headers',
         'most received',
--- a/libs/membership/geraniumweir/membership/reports.py
+++ b/libs/membership/geraniumweir/membership/reports.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from geraniumweir.common import eventlog
 from geraniumweir.common import logevents as catalogue
 from geraniumweir.membership import hosts, logevents, seeds, servers
 
@@ -27,12 +28,19 @@
             | hosts.HostLeft()
             | hosts.HostChanged()
             | hosts.HostSuspected()
+            | hosts.SelfStalled()
         ):
             return _describe_host(happened)
         case _:
             return _describe_server(happened)
 
 
+def log(happened: Reported) -> None:
+    """Log what happened; to be subscribed to ``Membership.happenings``."""
+    event, fields = describe(happened)
+    eventlog.emit(event, **fields)
+
+
 def _describe_host(happened: hosts.HostEvent) -> Report:
     host = happened.host
     fields: dict[str, typing.Any] = {
@@ -45,6 +53,8 @@
             return logevents.HOST_JOINED, fields
         case hosts.HostSuspected():
             return logevents.HOST_SUSPECTED, fields
+        case hosts.SelfStalled(_, seconds):
+            return logevents.SELF_STALLED, {'seconds': round(seconds, 2)}
         case hosts.HostLeft(_, reason):
             return logevents.HOST_LEFT, {**fields, 'reason': reason.value}
         case hosts.HostChanged():
--- a/libs/membership/geraniumweir/membership/tests/test_domains.py
+++ b/libs/membership/geraniumweir/membership/tests/test_domains.py
@@ -81,6 +81,25 @@
     assert lives == {10}
 
 
+def test_strangers_of_one_domain_are_introduced() -> None:
+    """Hosts that never met, as their link was cut, meet by other domains."""
+
+    async def main() -> tuple[set[str], set[str]]:
+        found = await cluster.domains_of('a', count=2)
+        found.cut(['b0'], ['b1'])
+        await found.start('b0', 'a0')
+        await found.start('b1', 'a0')
+        await asyncio.sleep(90)
+        apart = found.views('b')
+        found.network.heal()
+        await asyncio.sleep(5)
+        return apart, found.views('b')
+
+    apart, met = virtual.run(main())
+    assert apart == {'b0', 'b1'}
+    assert met == {'b0 b1'}
+
+
 def test_lost_delegates_are_replaced() -> None:
     """With both delegates of a domain gone its news still gets out."""
 
@@ -183,10 +202,17 @@
         found['c0'].pools.publish(_summary('c', 100, 0))
         found['d0'].pools.publish(_summary('d', 0, 3))
         await asyncio.sleep(10)
-        first = found['a2'].pools.summaries(_POOL)
+        reader = next(
+            found[name]
+            for name in _names(found, 'a')
+            if not found[name].speaks_for_domain
+        )
+        reader.pools.summaries(_POOL)
+        await asyncio.sleep(0.01)
+        first = reader.pools.summaries(_POOL)
         found['d0'].pools.publish(_summary('d', 400, 0))
         await asyncio.sleep(4)
-        then = found['a2'].pools.summaries(_POOL)
+        then = reader.pools.summaries(_POOL)
         return (
             [one.failure_domain for one in first],
             [one.failure_domain for one in then],
