--- a/libs/scheduling/geraniumweir/scheduling/tests/test_invariants.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_invariants.py
@@ -16,7 +16,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-_KV_TOKENS = 1200
+_KV_TOKENS = 1100
 _SLOTS = 3
 _QUEUE = 6
 _FOR_CAPACITY = {
@@ -48,6 +48,7 @@
         self.tasks: dict[
             ids.RequestId, tuple[requests.Ask, asyncio.Task[scenes.Answer]]
         ] = {}
+        self.prompt = True
         self.incarnations: collections.Counter[str] = collections.Counter()
         self.runner.run(self._begin())
 
@@ -94,6 +95,15 @@
         self.tasks[ask.request_id] = (ask, task)
         self._pass(0.001)
 
+    @stateful.rule(tier=st.sampled_from(list(ids.Tier)[:3]))
+    def press(self, tier: ids.Tier) -> None:
+        """Low work fills the servers, then something higher must be served."""
+        for _ in range(2 * _SLOTS):
+            self._ask(self.scene.make(20, tier=ids.Tier.low))
+        self._pass(1.2)
+        self._ask(self.scene.make(4, tier=tier))
+        self._pass(2)
+
     @stateful.precondition(lambda machine: machine.tasks)
     @stateful.rule(pick=st.randoms(use_true_random=False))
     def ask_again(self, pick: object) -> None:
@@ -148,16 +158,21 @@
         if use and outcome is requests.Outcome.not_sent:
             self._ask(use.ask)
 
-    @stateful.rule(late=st.booleans())
-    def answer_preemptions(self, late: bool) -> None:
-        """Owners cancel the streams that the leader wants cancelled."""
+    @stateful.rule(prompt=st.booleans())
+    def owners_are(self, prompt: bool) -> None:
+        """Owners cancel what the leader wants cancelled, at once or not."""
+        self.prompt = prompt
+        self._pass(0.05)
+
+    def _cancel_wanted(self) -> None:
         for preempt in list(self.scene.preempts):
             if preempt.request_id in self.used:
-                if late:
-                    self._pass(0.1)
-                self._release(
-                    preempt.request_id,
-                    requests.Outcome.preempted,
+                self.used.pop(preempt.request_id)
+                self.scene.leader.release(
+                    requests.Release(
+                        preempt.request_id,
+                        requests.Outcome.preempted,
+                    ),
                 )
 
     @stateful.rule(seconds=st.sampled_from([0.05, 0.5, 2.0]))
@@ -231,6 +246,8 @@
             step = min(0.05, end - self.loop.time())
             self.runner.run(asyncio.sleep(step))
             self._collect()
+            if self.prompt:
+                self._cancel_wanted()
 
     def _collect(self) -> None:
         for ask, task in list(self.tasks.values()):
@@ -249,6 +266,9 @@
 
     def _check_denial(self, denied: requests.Ask) -> None:
         """No lower tier runs where the denied request could have run."""
+        if any(one.request_id in self.used for one in self.scene.preempts):
+            # Owners are late with what should have made way.
+            return
         live = {one.server_id: one for one in self.scene.live}
         capacity = self.scene.leader.summary().capacity[0]
         if capacity.slots < _SLOTS * len(live):
@@ -266,12 +286,8 @@
 
         Prefill granted just now may make it too slow for the request.
         """
-        wanted = {one.request_id for one in self.scene.preempts}
-        return all(
-            self.loop.time() - use.since > _CALM_SECONDS
-            and use.ask.request_id not in wanted
-            for use in uses
-        )
+        now = self.loop.time()
+        return all(now - use.since > _CALM_SECONDS for use in uses)
 
     @stateful.invariant()
     def never_overcommitted(self) -> None:
