--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -116,15 +116,23 @@
     return waiting.kv_need <= server.kv_free()
 
 
-def kept_for_another(server: records.Server, waiting: records.Waiting) -> bool:
-    """Tell whether a server's room is kept for requests that go before."""
+def promised_before(
+    server: records.Server,
+    waiting: records.Waiting,
+) -> list[records.Waiting]:
+    """List who a server keeps room for and who goes before a request."""
     if not server.promised:
-        return False
-    before = [
+        return []
+    return [
         other
         for other in server.promised.values()
         if other is not waiting and other.ask.tier <= waiting.ask.tier
     ]
+
+
+def kept_for_another(server: records.Server, waiting: records.Waiting) -> bool:
+    """Tell whether a server's room is kept for requests that go before."""
+    before = promised_before(server, waiting)
     if not before:
         return False
     moving = len(server.running) - server.stuck
