--- a/libs/scheduling/geraniumweir/scheduling/ticking.py
+++ b/libs/scheduling/geraniumweir/scheduling/ticking.py
@@ -41,6 +41,7 @@
     """Follow the servers before an ask, unless that was done lately."""
     if leader.now() - leader.synced > _TICK_SECONDS:
         crashes.synced(leader)
+        granting.fill_open(leader)
 
 
 def beat(leader: state.LeaderState) -> None:
