--- /dev/null
+++ b/libs/membership/geraniumweir/membership/poolsummaries.py
@@ -0,0 +1,229 @@
+"""What pools in other failure domains could take, in a few numbers.
+
+A pool leader publishes its summary as often as it likes; only a change that
+matters gets a new number on the board, and a reader asks for what is newer
+than the number it has. So a steady pool costs nothing.
+"""
+
+import dataclasses
+import functools
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.wire.gen.membership import ttypes
+
+MAX_POOLS = 4096
+MAX_MODELS = 64
+_RELATIVE_STEP = 0.5
+_WAIT_STEP_MS = 50
+_SLOT_STEP = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolSummary:
+    """How one failure domain's share of a pool stands.
+
+    :ivar leader: the host whose pool leader speaks.
+    :ivar capacity: requests at a time, by model.
+    :ivar wait_ms: expected wait of a new request by tier, the highest first.
+    :ivar free: requests that could start at once, by model as in capacity.
+    :ivar lowest_tier: of those being served or admitted, None where none is.
+    """
+
+    failure_domain: ids.FailureDomain
+    pool: ids.PoolName
+    leader: ids.HostId
+    capacity: tuple[tuple[str, int], ...] = ()
+    wait_ms: tuple[int, ...] = ()
+    free: tuple[int, ...] = ()
+    lowest_tier: ids.Tier | None = None
+
+    @property
+    def free_slots(self) -> int:
+        """Give the free slots of the model that has most."""
+        return max(self.free, default=0)
+
+
+PoolKey = tuple[ids.FailureDomain, ids.PoolName]
+
+
+def key_of(summary: PoolSummary) -> PoolKey:
+    """Give what a summary is of."""
+    return summary.failure_domain, summary.pool
+
+
+def matters(before: PoolSummary, after: PoolSummary) -> bool:
+    """Tell whether a change is worth sending.
+
+    Waits and free slots must change by half; whether there is a free
+    slot, the leader, the capacity and the lowest tier always matter.
+    """
+    exact = ('leader', 'capacity', 'lowest_tier')
+    if any(getattr(before, name) != getattr(after, name) for name in exact):
+        return True
+    if _any_moved(before.free, after.free, _SLOT_STEP):
+        return True
+    if list(map(bool, before.free)) != list(map(bool, after.free)):
+        return True
+    return _any_moved(before.wait_ms, after.wait_ms, _WAIT_STEP_MS)
+
+
+def best_first(
+    found: typing.Iterable[PoolSummary],
+    tier: ids.Tier = ids.Tier.urgent,
+) -> list[PoolSummary]:
+    """Order summaries: free slots first, then the shortest wait.
+
+    :param tier: whose wait counts.
+    """
+
+    return sorted(found, key=functools.partial(_order, tier))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    """A summary and the numbers of its last changes.
+
+    :ivar settled: of the last change of leader or capacity.
+    """
+
+    summary: PoolSummary
+    version: int
+    settled: int
+
+
+class Board:
+    """Summaries with a number for each change.
+
+    :ivar epoch: of this board's life; numbers of another one mean nothing.
+    """
+
+    def __init__(self, epoch: int) -> None:
+        """Start empty."""
+        self.epoch = epoch
+        self.version = 0
+        self._entries: dict[PoolKey, _Entry] = {}
+
+    def put(self, summary: PoolSummary) -> bool:
+        """Take in a summary.
+
+        :returns: whether it matters and got a new number.
+        """
+        known = self._entries.get(key_of(summary))
+        if known is None and len(self._entries) >= MAX_POOLS:
+            return False
+        if known is not None and not matters(known.summary, summary):
+            return False
+        self.version += 1
+        settled = self.version
+        if known is not None and _same_standing(known.summary, summary):
+            settled = known.settled
+        entry = _Entry(summary, self.version, settled)
+        self._entries[key_of(summary)] = entry
+        return True
+
+    def since(self, epoch: int, version: int) -> list[ttypes.PoolSummary]:
+        """Give as messages what changed after a number of an epoch."""
+        after = version if epoch == self.epoch else 0
+        return [
+            write(entry.summary, whole=entry.settled > after)
+            for entry in self._entries.values()
+            if entry.version > after
+        ]
+
+    def merge(self, message: ttypes.PoolSummary) -> PoolSummary | None:
+        """Read a message, with what it leaves out taken from the board.
+
+        :returns: None where the board doesn't have it.
+        :raises ValueError: when it names a tier that there isn't.
+        """
+        summary = read(message)
+        if message.leader is not None:
+            return summary
+        known = self._entries.get(key_of(summary))
+        if known is None:
+            return None
+        return dataclasses.replace(
+            summary,
+            leader=known.summary.leader,
+            capacity=known.summary.capacity,
+        )
+
+    def of_pool(self, pool: ids.PoolName) -> list[PoolSummary]:
+        """List the summaries of a pool in all domains."""
+        return [
+            entry.summary
+            for entry in self._entries.values()
+            if entry.summary.pool == pool
+        ]
+
+
+def write(
+    summary: PoolSummary,
+    *,
+    whole: bool = True,
+) -> ttypes.PoolSummary:
+    """Turn a summary into a message.
+
+    :param whole: with leader and capacity, which seldom change.
+    """
+    capacity = [
+        ttypes.ModelCapacity(model, slots)
+        for model, slots in summary.capacity[:MAX_MODELS]
+    ]
+    return ttypes.PoolSummary(
+        failure_domain=summary.failure_domain,
+        pool=summary.pool,
+        wait_ms=list(summary.wait_ms),
+        free=list(summary.free),
+        lowest_tier=summary.lowest_tier,
+        leader=summary.leader if whole else None,
+        capacity=capacity if whole else None,
+    )
+
+
+def read(message: ttypes.PoolSummary) -> PoolSummary:
+    """Turn a message into a summary.
+
+    :raises ValueError: when it names a tier that there isn't.
+    """
+    lowest = message.lowest_tier
+    return PoolSummary(
+        failure_domain=ids.FailureDomain(message.failure_domain),
+        pool=ids.PoolName(message.pool),
+        leader=ids.HostId(message.leader or ''),
+        capacity=tuple(
+            (entry.model, entry.slots)
+            for entry in (message.capacity or [])[:MAX_MODELS]
+        ),
+        wait_ms=tuple(message.wait_ms[: len(ids.Tier)]),
+        free=tuple(message.free[:MAX_MODELS]),
+        lowest_tier=None if lowest is None else ids.Tier(lowest),
+    )
+
+
+def _same_standing(before: PoolSummary, after: PoolSummary) -> bool:
+    return before.leader == after.leader and before.capacity == after.capacity
+
+
+def _any_moved(
+    before: tuple[int, ...],
+    after: tuple[int, ...],
+    least: int,
+) -> bool:
+    if len(before) != len(after):
+        return True
+    return any(
+        abs(new - old) >= max(least, int(old * _RELATIVE_STEP))
+        for old, new in zip(before, after, strict=True)
+    )
+
+
+def _order(
+    tier: ids.Tier,
+    summary: PoolSummary,
+) -> tuple[bool, int, int, str]:
+    waits = summary.wait_ms
+    wait = waits[min(tier, len(waits) - 1)] if waits else 0
+    free = summary.free_slots
+    return free <= 0, wait, -free, summary.failure_domain
