--- a/libs/fakes/geraniumweir/fakes/bench_decisions.py
+++ b/libs/fakes/geraniumweir/fakes/bench_decisions.py
@@ -23,6 +23,7 @@
 _WAITING = (10, 100, 1000, 10000)
 _SERVERS = (10, 100, 1400)
 _SLOTS = 8
+_KV_TOKENS = 200000
 _ROUNDS = 400
 _HARDWARE = ('first', 'second', 'third')
 _CUSTOMERS = 40
@@ -59,25 +60,27 @@
     asks = _asks(random.Random(waiting * count), now)
     leader = _leader(waiting, count)
     free, granted = _fill_servers(leader, asks, count * _SLOTS)
-    held = [_begin(leader, next(asks))[0] for _ in range(waiting)]
-    asked: list[float] = []
+    held = [_begin(leader, next(asks)) for _ in range(waiting)]
     released: list[float] = []
     for request_id in granted[:_ROUNDS]:
-        coro, _, seconds = _begin(leader, next(asks))
-        held.append(coro)
-        asked.append(seconds)
+        held.append(_begin(leader, next(asks)))
         released.append(_release(leader, request_id))
-    for waiter in held:
-        waiter.close()
+    for coro, _, _ in held:
+        coro.close()
+    asked = [seconds for _, _, seconds in held[waiting:]]
     return Figures(
         waiting,
         count,
-        statistics.median(asked) * _MICRO,
-        statistics.median(released) * _MICRO,
-        statistics.median(free) * _MICRO,
+        _median(asked),
+        _median(released),
+        _median(free),
     )
 
 
+def _median(seconds: list[float]) -> float:
+    return statistics.median(seconds) * _MICRO
+
+
 def _leader(waiting: int, count: int) -> leaders.PoolLeader:
     live = [_server(number) for number in range(count)]
     return leaders.PoolLeader(
@@ -128,7 +131,7 @@
         requests.Outcome.done,
         first_token=0.1,
         output_tokens=100,
-        seconds=2.0,
+        seconds=2,
     )
     began = time.perf_counter()
     leader.release(done)
@@ -167,7 +170,7 @@
         models=('advisor',),
         hardware=_HARDWARE[number % len(_HARDWARE)],
         slots=_SLOTS,
-        kv_tokens=200000,
+        kv_tokens=_KV_TOKENS,
         can_cancel=True,
     )
 
--- a/libs/scheduling/geraniumweir/scheduling/adoption.py
+++ b/libs/scheduling/geraniumweir/scheduling/adoption.py
@@ -67,6 +67,8 @@
     taken: requests.OpenGrant,
 ) -> records.Running:
     expected = learning.length_of(leader.lengths, taken.ask)
+    # How it went on until now is not known, so it is given its whole time.
+    left = max(taken.ask.deadline - leader.now(), 0)
     return records.Running(
         ask=taken.ask,
         grant=taken.grant,
@@ -77,7 +79,7 @@
         prefill=0,
         beside=1,
         cost=0,
-        due=leader.now() + stragglers.patience(taken.age),
+        due=leader.now() + stragglers.patience(0) + left,
         first_token=taken.first_token,
         output_tokens=taken.output_tokens,
     )
--- a/libs/scheduling/geraniumweir/scheduling/shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -22,6 +22,7 @@
 )
 
 _GRACE = 0.25
+_LOOKS = 4
 _NO_SERVER_SECONDS = 1.0
 _MOST_VICTIMS = 8
 _LEAST_RETRY = 0.2
@@ -48,7 +49,13 @@
     if waiting.fut.done() or granting.try_now(leader, waiting):
         return
     preempt(leader, waiting)
-    if not waiting.fut.done():
+    if waiting.fut.done():
+        return
+    # What made way may go to one of a higher tier; then others must.
+    again = leader.now() + leader.cfg.preempt_slack / _LOOKS
+    if again < waiting.best_start:
+        _arm(leader, waiting, again, urgent)
+    else:
         _arm(leader, waiting, waiting.best_start, expire)
 
 
