--- a/libs/scheduling/geraniumweir/scheduling/shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -22,6 +22,7 @@
 )
 
 _GRACE = 0.25
+_LOOKS = 4
 _NO_SERVER_SECONDS = 1.0
 _MOST_VICTIMS = 8
 _LEAST_RETRY = 0.2
@@ -48,7 +49,13 @@
     if waiting.fut.done() or granting.try_now(leader, waiting):
         return
     preempt(leader, waiting)
-    if not waiting.fut.done():
+    if waiting.fut.done():
+        return
+    # What made way may go to one of a higher tier; then others must.
+    again = leader.now() + leader.cfg.preempt_slack / _LOOKS
+    if again < waiting.best_start:
+        _arm(leader, waiting, again, urgent)
+    else:
         _arm(leader, waiting, waiting.best_start, expire)
 
 
@@ -236,13 +243,14 @@
 ) -> tuple[int, float]:
     """Give the slots and KV tokens that a server lacks for a request.
 
-    What is on its way out counts as gone, what is promised as there.
+    What is on its way out counts as gone, what is promised to those that go
+    before as there.
     """
     staying = [
         running for running in server.running.values() if not running.preempted
     ]
     moving = sum(not running.stuck for running in staying)
-    promised = server.promised.values()
+    promised = placement.promised_before(server, waiting)
     slots = moving + len(promised) + 1 - server.most()
     if not server.announcement.kv_tokens:
         return slots, 0
