--- a/libs/fakes/geraniumweir/fakes/bench/baselines.py
+++ b/libs/fakes/geraniumweir/fakes/bench/baselines.py
@@ -36,6 +36,7 @@
         :param live: gives the backend servers that may get work.
         :param seed: for choices at random.
         """
+        self.messages: collections.Counter[str] = collections.Counter()
         self._live = live
         self._rng = random.Random(seed)
         self._reported: dict[ids.ServerId, int] = {}
@@ -61,6 +62,7 @@
 
     def take_load(self, load: policies.Load) -> None:
         """Keep the newest number of requests, which is old already."""
+        self.messages['report'] += policies.ENTRY_HOSTS
         self._reported[load.server_id] = load.running + load.waiting
 
     def take_cache_news(self, news: policies.CacheNews) -> None:
@@ -73,6 +75,9 @@
     def lose_leader(self) -> None:
         """Go on; there is no leader."""
 
+    def close(self) -> None:
+        """Stop nothing; nothing runs beside the calls."""
+
     @abc.abstractmethod
     def _choose(
         self,
--- /dev/null
+++ b/libs/fakes/geraniumweir/fakes/bench/bounds.py
@@ -0,0 +1,75 @@
+"""Bounds of the deterministic figures, kept in bounds.toml.
+
+A bound is a floor for what should be high and a ceiling for what should be
+low; each holds for the pool leader only. A change that improves a figure for
+good should move its bound along.
+"""
+
+import dataclasses
+import pathlib
+import tomllib
+import typing
+
+from geraniumweir.fakes.bench import figures
+
+FILE = pathlib.Path(__file__).with_name('bounds.toml')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Breach:
+    """A figure past its bound."""
+
+    scenario: str
+    name: str
+    limit: float
+    measured: float
+
+    def __str__(self) -> str:
+        """Say it in a line."""
+        return (
+            f'{self.scenario}: {self.name} is {self.measured},'
+            f' past its bound {self.limit}'
+        )
+
+
+def load(file: pathlib.Path = FILE) -> dict[str, dict[str, float]]:
+    """Read the bounds by scenario.
+
+    :param file: a TOML file with a table for each scenario.
+    """
+    return tomllib.loads(file.read_text())
+
+
+def check(
+    row: figures.Figures,
+    limits: typing.Mapping[str, float],
+) -> list[Breach]:
+    """List the figures of a run that are past their bounds.
+
+    :param limits: by name: ``min_NAME`` or ``max_NAME``.
+    """
+    measured = _measured(row)
+    breaches = []
+    for name, limit in limits.items():
+        side, _, figure = name.partition('_')
+        amount = measured[figure]
+        past = amount < limit if side == 'min' else amount > limit
+        if past:
+            breaches.append(Breach(row.scenario, name, limit, amount))
+    return breaches
+
+
+def _measured(row: figures.Figures) -> dict[str, float]:
+    measured: dict[str, float] = {
+        'goodput': row.goodput,
+        'of_bound': row.of_bound,
+        'thrown_away': row.waste.thrown_away,
+        'repeated': row.waste.repeated,
+        'higher_shed': row.higher_shed,
+        'dispatches_over_one': row.dispatches_over_one,
+        'crashes': row.crashes,
+    }
+    for name, tier in row.tiers.items():
+        measured[f'goodput_t{name}'] = tier.goodput
+        measured[f'longest_wait_t{name}'] = tier.longest_wait
+    return measured
--- a/libs/fakes/geraniumweir/fakes/bench/engine_model.py
+++ b/libs/fakes/geraniumweir/fakes/bench/engine_model.py
@@ -26,6 +26,7 @@
 
 _CRASH_AFTER_TOKENS = 5
 _LONGEST_DECODE = 4
+_RESTART_SECONDS = 5.0
 
 
 class JobEnd(enum.Enum):
@@ -34,6 +35,7 @@
     done = 'done'
     cancelled = 'cancelled'
     broken = 'broken'
+    preempted = 'preempted'
 
 
 class EngineDownError(ConnectionRefusedError):
@@ -130,13 +132,16 @@
         self._arm()
         return job
 
-    def cancel(self, job: Job) -> None:
-        """Stop work on a request; unknown or ended ones are ignored."""
+    def cancel(self, job: Job, end: JobEnd = JobEnd.cancelled) -> None:
+        """Stop work on a request; one that has ended is ignored.
+
+        :param end: why.
+        """
         if job in self.running:
             self.running.remove(job)
         elif job in self.waiting:
             self.waiting.remove(job)
-        _end(job, JobEnd.cancelled)
+        _end(job, end)
 
     def set_pace(self, pace: float) -> None:
         """Slow down without a sign of it.
@@ -152,6 +157,8 @@
         self.crashes += 1
         self.cut_off()
         self.cache.clear()
+        loop = asyncio.get_running_loop()
+        loop.call_later(_RESTART_SECONDS, self._restart)
 
     def cut_off(self) -> None:
         """Become unreachable; whatever was in flight is broken."""
@@ -163,15 +170,18 @@
         for job in lost:
             _end(job, JobEnd.broken)
 
-    def restart(self) -> None:
-        """Come back as a new incarnation."""
-        self.incarnation = ids.Incarnation(self.incarnation + 1)
+    def heal(self) -> None:
+        """Become reachable again after a cut."""
         self.reachable = True
 
     def kv_used(self) -> int:
         """Count reserved tokens of KV cache."""
         return sum(job.kv_tokens for job in self.running)
 
+    def _restart(self) -> None:
+        self.incarnation = ids.Incarnation(self.incarnation + 1)
+        self.reachable = True
+
     def _arm(self) -> None:
         if self._timer is not None or not self._pace or not self.reachable:
             return
--- a/libs/fakes/geraniumweir/fakes/bench/policies.py
+++ b/libs/fakes/geraniumweir/fakes/bench/policies.py
@@ -5,12 +5,15 @@
 they would come to the entry hosts.
 """
 
+import collections
 import dataclasses
 import typing
 
 from geraniumweir.common import ids
 from geraniumweir.fakes.bench import engine_model, prefix_cache, traffic
 
+ENTRY_HOSTS = 6
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
@@ -59,7 +62,12 @@
 
 
 class Policy(typing.Protocol):
-    """How calls are placed on engines."""
+    """How calls are placed on engines.
+
+    :ivar messages: between hosts and from engines to hosts, by kind.
+    """
+
+    messages: collections.Counter[str]
 
     async def place(self, call: traffic.Call) -> Placement | Rejection:
         """Decide, at once or after a wait."""
@@ -84,3 +92,6 @@
 
     def lose_leader(self) -> None:
         """Lose the pool leader's state, where there is one."""
+
+    def close(self) -> None:
+        """Stop whatever runs beside the calls."""
--- a/libs/fakes/geraniumweir/fakes/bench/traffic.py
+++ b/libs/fakes/geraniumweir/fakes/bench/traffic.py
@@ -219,7 +219,9 @@
         self._mix = mix
         self._rng = rng
         self._weights = [kind.weight for kind in mix.kinds]
-        self._prefixes = {kind.name: self._draw_prefixes(kind) for kind in mix.kinds}
+        self._prefixes = {
+            kind.name: self._draw_prefixes(kind) for kind in mix.kinds
+        }
 
     def intent(self, number: int, now: float) -> Intent:
         kind = self._rng.choices(self._mix.kinds, self._weights)[0]
