--- a/libs/fakes/geraniumweir/fakes/bench/engine_model.py
+++ b/libs/fakes/geraniumweir/fakes/bench/engine_model.py
@@ -52,12 +52,28 @@
     :ivar first_token_at: virtual time, or None.
     """
 
+    __slots__ = (
+        'admitted_at',
+        'call',
+        'computed',
+        'ended',
+        'first_token_at',
+        'output_tokens',
+        'position',
+        'prompt_tokens',
+        'recomputed',
+        'repeated',
+        'tokens',
+    )
+
     def __init__(self, call: traffic.Call) -> None:
         """Start undone.
 
         :param call: the request.
         """
         self.call = call
+        self.prompt_tokens = call.prompt_tokens
+        self.output_tokens = call.output_tokens
         self.ended: asyncio.Future[JobEnd] = (
             asyncio.get_running_loop().create_future()
         )
@@ -72,12 +88,12 @@
     @property
     def prefilling(self) -> bool:
         """Tell whether prompt tokens are left to compute."""
-        return self.position < self.call.prompt_tokens
+        return self.position < self.prompt_tokens
 
     @property
     def kv_tokens(self) -> int:
         """Count the tokens for which room is reserved."""
-        return self.call.prompt_tokens + self.call.output_tokens
+        return self.prompt_tokens + self.output_tokens
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -202,6 +218,8 @@
         self._timer = None
 
     def _admit(self) -> None:
+        if not self.waiting:
+            return
         used = self.kv_used()
         while self.waiting and len(self.running) < self.kind.slots:
             used += self.waiting[0].kv_tokens
@@ -213,7 +231,7 @@
             # The last token is always computed, to have its logits.
             job.position = min(
                 cached * prefix_cache.BLOCK_TOKENS,
-                job.call.prompt_tokens - 1,
+                job.prompt_tokens - 1,
             )
             self.running.append(job)
 
@@ -221,10 +239,10 @@
         prefills = next((job for job in self.running if job.prefilling), None)
         decodes = tuple(job for job in self.running if not job.prefilling)
         if prefills is not None:
-            left = prefills.call.prompt_tokens - prefills.position
+            left = prefills.prompt_tokens - prefills.position
             chunk = min(hardware.CHUNK_TOKENS, left)
             return _Step(prefills, chunk, decodes, 1)
-        shortest = min(job.call.output_tokens - job.tokens for job in decodes)
+        shortest = min(job.output_tokens - job.tokens for job in decodes)
         rounds = max(1, min(shortest, _LONGEST_DECODE))
         return _Step(None, 0, decodes, rounds)
 
@@ -232,9 +250,9 @@
         self._timer = None
         if step.prefills is not None and step.prefills in self.running:
             self._prefill(step.prefills, step.chunk)
+            self._settle(step.prefills)
         for job in step.decodes:
             job.tokens += step.rounds
-        for job in list(self.running):
             self._settle(job)
         self._arm()
 
@@ -254,11 +272,11 @@
             job.first_token_at = asyncio.get_running_loop().time()
 
     def _settle(self, job: Job) -> None:
-        if job not in self.running:
+        if job.ended.done() or job.prefilling:
             return
         if job.call.poison and job.tokens > _CRASH_AFTER_TOKENS:
             self.crash()
-        elif job.tokens >= job.call.output_tokens:
+        elif job.tokens >= job.output_tokens:
             self.running.remove(job)
             _end(job, JobEnd.done)
 
--- a/libs/fakes/geraniumweir/fakes/bench/hardware.py
+++ b/libs/fakes/geraniumweir/fakes/bench/hardware.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import types
 
 CHUNK_TOKENS = 256
 PREFILL_TOKENS_PER_SECOND = 4000
@@ -54,11 +55,8 @@
         return seconds / self.speed
 
 
-GENERATIONS = (
-    Hardware('g1', 1),
-    Hardware('g2', 2.5),
-    Hardware('g3', 6),
-)
+_SPEEDS = types.MappingProxyType({'g1': 1, 'g2': 2.5, 'g3': 6})
+GENERATIONS = tuple(Hardware(name, speed) for name, speed in _SPEEDS.items())
 
 
 def least_work(prompt_tokens: int, output_tokens: int) -> float:
--- a/libs/fakes/geraniumweir/fakes/bench/main.py
+++ b/libs/fakes/geraniumweir/fakes/bench/main.py
@@ -37,7 +37,8 @@
     breaches = _breaches(rows) if options.seed == SEED else []
     lines = [figures.as_table(rows), *map(str, breaches)]
     lines.append(f'{len(rows)} runs in {seconds:.0f} s, seed {options.seed}')
-    sys.stdout.write('\n'.join(lines) + '\n')
+    for line in lines:
+        sys.stdout.write(f'{line}\n')
     return 1 if breaches else 0
 
 
--- a/libs/fakes/geraniumweir/fakes/bench/oracle.py
+++ b/libs/fakes/geraniumweir/fakes/bench/oracle.py
@@ -71,7 +71,7 @@
     count: int,
 ) -> list[float]:
     full = sum(kind.speed for kind in kinds) * SLOT_SECONDS
-    slots = [full] * count
+    slots = [full for _ in range(count)]
     for fault in scenario.faults:
         match fault:
             case scenarios.PaceFault(server=number, pace=pace):
@@ -87,7 +87,7 @@
     fault: scenarios.PaceFault | scenarios.CutFault,
     speed: float,
 ) -> None:
-    for number in range(len(slots)):
+    for number, _ in enumerate(slots):
         start = max(fault.start, number * SLOT_SECONDS)
         end = min(fault.end, (number + 1) * SLOT_SECONDS)
         slots[number] -= speed * max(0, end - start)
@@ -115,5 +115,6 @@
         if part <= _TINY:
             return 0
         for row in rows:
-            row[end:] = [slack - part for slack in row[end:]]
+            for last in range(end, self._count + 1):
+                row[last] -= part
         return part
--- a/libs/fakes/geraniumweir/fakes/bench/scenarios.py
+++ b/libs/fakes/geraniumweir/fakes/bench/scenarios.py
@@ -49,7 +49,7 @@
 class CutFault:
     """Servers that can't be reached for a time."""
 
-    servers: tuple[int, ...]
+    servers: typing.Sequence[int]
     start: float
     end: float
 
@@ -96,7 +96,7 @@
         """Draw what the callers want, without the poison requests."""
         mix = traffic.load_mix(self.mix)
         capacity = sum(kind.speed for kind in self.hardware())
-        rate = self.load * capacity / traffic.mean_work(mix)
+        rate = self.load * capacity / traffic.mean_work(self.mix)
         return traffic.generate(mix, rate, self.seconds, self.surges, seed)
 
 
@@ -114,17 +114,15 @@
 def _read(name: str, table: dict[str, typing.Any]) -> Scenario:
     surges = [traffic.Surge(**surge) for surge in table.pop('surges', ())]
     faults = [_read_fault(fault) for fault in table.pop('faults', ())]
-    if 'engines' in table:
-        table['engines'] = tuple(table['engines'])
+    engines = table.pop('engines', _SIX_ALIKE)
     return Scenario(
         name,
         surges=tuple(surges),
         faults=tuple(faults),
+        engines=tuple(engines),
         **table,
     )
 
 
 def _read_fault(table: dict[str, typing.Any]) -> Fault:
-    if 'servers' in table:
-        table['servers'] = tuple(table['servers'])
     return _FAULTS[table.pop('kind')](**table)
--- a/libs/fakes/geraniumweir/fakes/bench/tier_order.py
+++ b/libs/fakes/geraniumweir/fakes/bench/tier_order.py
@@ -91,7 +91,7 @@
     for fault in scenario.faults:
         match fault:
             case scenarios.PaceFault(server=number):
-                numbers: tuple[int, ...] = (number,)
+                numbers: typing.Sequence[int] = (number,)
             case scenarios.CutFault(servers=numbers):
                 pass
             case _:
--- a/libs/fakes/geraniumweir/fakes/bench/traffic.py
+++ b/libs/fakes/geraniumweir/fakes/bench/traffic.py
@@ -21,6 +21,9 @@
 _MAX_FACTORS = (1, 2, 4)
 _SAMPLE = 3000
 
+# The shortest and the longest.
+Limits = typing.Sequence[int]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kind:
@@ -36,9 +39,9 @@
     tier: ids.Tier
     weight: float
     deadline: float
-    prompt: tuple[int, int]
-    output: tuple[int, int]
-    prefix: tuple[int, int] = (0, 0)
+    prompt: Limits
+    output: Limits
+    prefix: Limits = (0, 0)
     prefixes: int = 0
     says_max: bool = False
     idempotent: bool = True
@@ -155,18 +158,17 @@
 
 def _read_kind(table: dict[str, typing.Any]) -> Kind:
     table['tier'] = ids.Tier(table['tier'])
-    for key in ('prompt', 'output', 'prefix'):
-        if key in table:
-            table[key] = tuple(table[key])
     return Kind(**table)
 
 
-def mean_work(mix: Mix) -> float:
+@functools.cache
+def mean_work(mix_name: str) -> float:
     """Estimate the least work of a request, from a fixed sample.
 
+    :param mix_name: as for :func:`load_mix`.
     :returns: seconds of an engine at 1x, shared prefixes left out.
     """
-    draw = _Draw(mix, random.Random(0))
+    draw = _Draw(load_mix(mix_name), random.Random(0))
     intents = [draw.intent(number, 0) for number in range(_SAMPLE)]
     return sum(intent_work(intent) for intent in intents) / _SAMPLE
 
@@ -255,7 +257,7 @@
         prefixes = self._prefixes[kind.name]
         return self._rng.choice(prefixes) if prefixes else ()
 
-    def _spread(self, limits: tuple[int, int]) -> int:
+    def _spread(self, limits: Limits) -> int:
         low, high = (math.log(limit) for limit in limits)
         return round(math.exp(self._rng.uniform(low, high)))
 
