--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/.stamp
 PROJECTS := $(wildcard libs/*/pyproject.toml)
 
-.PHONY: setup demo test lint format clean
+.PHONY: setup demo test lint format bench clean
 
 setup: $(STAMP)
 
@@ -32,5 +32,10 @@
 test: lint
 	$(BIN)/python -m pytest
 
+# make bench BENCH_JSON=FILE also writes the figures as JSON.
+bench: setup
+	$(BIN)/python -m geraniumweir.fakes.bench.main \
+		$(if $(BENCH_JSON),--json $(BENCH_JSON))
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/libs/fakes/geraniumweir/fakes/bench/tests/test_bench.py
@@ -0,0 +1,98 @@
+"""The bench itself: the bounds hold, and the checks can fail."""
+
+import dataclasses
+import json
+
+import pytest
+from geraniumweir.common import ids
+from geraniumweir.fakes.bench import (
+    bounds,
+    driver,
+    figures,
+    ledger,
+    main,
+    scenarios,
+    traffic,
+)
+
+_CI_SUBSET = (
+    'steady',
+    'overload-3x',
+    'unlike-engines',
+    'poison',
+    'leader-lost',
+)
+_NAIVE = tuple(name for name in driver.POLICIES if name != driver.LEADER)
+
+
+def _short(name: str, **changes: object) -> scenarios.Scenario:
+    scenario = scenarios.load_all()[name]
+    return dataclasses.replace(scenario, **{'seconds': 12, **changes})
+
+
+@pytest.mark.parametrize('name', _CI_SUBSET)
+def test_figures_stay_within_their_bounds(name: str) -> None:
+    """No deterministic figure of the pool leader is past its bound."""
+    limits = bounds.load()[name]
+    row = main.measure(scenarios.load_all()[name], driver.LEADER, main.SEED)
+    assert limits
+    assert not [str(breach) for breach in bounds.check(row, limits)]
+
+
+def test_every_scenario_has_bounds() -> None:
+    """A new scenario can't be forgotten in bounds.toml."""
+    assert set(bounds.load()) == set(scenarios.load_all())
+
+
+@pytest.mark.parametrize('policy', driver.POLICIES)
+def test_two_runs_give_identical_figures(policy: str) -> None:
+    """The seed decides everything, also with faults and lost reports."""
+    scenario = _short('straggler', load=1.2)
+    first = main.as_json([main.measure(scenario, policy, 5)])
+    assert first == main.as_json([main.measure(scenario, policy, 5)])
+    assert first != main.as_json([main.measure(scenario, policy, 6)])
+
+
+@pytest.mark.parametrize('policy', _NAIVE)
+def test_naive_policies_break_the_tier_order(policy: str) -> None:
+    """The check of the tier order sees what the baselines do."""
+    row = main.measure(_short('overload-3x'), policy, 1)
+    assert row.higher_shed > 0
+    assert row.waste.thrown_away > 0.02
+    assert row.tiers['0'].goodput < 0.99
+
+
+def test_poison_crashes_engines_again_and_again() -> None:
+    """A policy without a quarantine lets one caller crash many engines."""
+    row = main.measure(_short('poison', seconds=30), 'round-robin', 1)
+    assert row.crashes > 2
+
+
+def test_second_dispatch_is_counted() -> None:
+    """A call that is dispatched twice shows."""
+    account = ledger.Ledger()
+    intent = _short('steady').intents(1)[0]
+    call = traffic.Call(ids.RequestId('r'), 0, intent, 0, 1)
+    account.dispatched(call)
+    assert account.dispatches_over_one() == 0
+    account.dispatched(call)
+    assert account.dispatches_over_one() == 1
+
+
+def test_breach_names_figure_and_limit() -> None:
+    """Both sides of a bound can fail."""
+    row = main.measure(_short('steady', seconds=3), 'two-choices', 1)
+    limits = {'min_goodput': 1.1, 'max_goodput_t0': -1, 'min_goodput_t1': 0}
+    names = [breach.name for breach in bounds.check(row, limits)]
+    assert names == ['min_goodput', 'max_goodput_t0']
+
+
+def test_json_holds_the_figures_of_the_table() -> None:
+    """What is written is what is printed."""
+    row = main.measure(_short('steady', seconds=3), 'round-robin', 1)
+    document = json.loads(main.as_json([row]))
+    assert document['schema'] == 1
+    assert document['runs'][0]['tiers']['0']['goodput'] == (
+        row.tiers['0'].goodput
+    )
+    assert 'round-robin' in figures.as_table([row])
