--- a/libs/daemon/geraniumweir/daemon/joined.py
+++ b/libs/daemon/geraniumweir/daemon/joined.py
@@ -57,7 +57,7 @@
     """
 
     host: entry_host.EntryHost
-    peers: tcp.TcpPeers
+    peers: channel.Channel
     members: membership.Membership
     follower: following.Follower
     log: client.LogClient
@@ -79,7 +79,8 @@
         be used.
     """
     cfg = host.cfg
-    peer_layer = await _listen(cfg, stack)
+    peer_layer = channel.Channel(await _listen(cfg, stack))
+    stack.push_async_callback(peer_layer.close)
     shelf = recording.open_shelf(cfg, stack)
     recorded = await recording.start(cfg, peer_layer, stack)
     members = _membership(host, peer_layer, recorded is not None)
@@ -104,9 +105,7 @@
     cfg: settings.Settings,
     stack: contextlib.AsyncExitStack,
 ) -> tcp.TcpPeers:
-    address = cfg.peer_address
-    if address is None:
-        raise ValueError('a host without a peer address stands alone')
+    address = _peer_address(cfg)
     peer_layer = tcp.TcpPeers(cfg.host_id, address)
     try:
         await peer_layer.start()
@@ -121,9 +120,15 @@
     return peer_layer
 
 
+def _peer_address(cfg: settings.Settings) -> ids.Address:
+    if cfg.peer_address is None:
+        raise ValueError('a host without a peer address stands alone')
+    return cfg.peer_address
+
+
 def _membership(
     host: entry_host.EntryHost,
-    peer_layer: tcp.TcpPeers,
+    peer_layer: channel.Channel,
     records: bool,
 ) -> membership.Membership:
     cfg = host.cfg
@@ -131,7 +136,7 @@
         cfg.host_id,
         cfg.failure_domain,
         cfg.region,
-        peer_layer.address,
+        _peer_address(cfg),
         # Grows with each start, also on a host without a disk.
         ids.Incarnation(int(time.time() * _MS)),
         cfg.backend_address,
@@ -145,7 +150,7 @@
 
 def _assemble(
     host: entry_host.EntryHost,
-    peer_layer: tcp.TcpPeers,
+    peer_layer: channel.Channel,
     members: membership.Membership,
     recorded: recording.Recording | None,
     shelf: recording.Shelf | None,
@@ -213,8 +218,7 @@
 ) -> entry_host.Links:
     host = joined.host
     domain = host.cfg.failure_domain
-    link = channel.Channel(joined.peers)
-    stack.push_async_callback(link.close)
+    link = joined.peers
     view = neighbours.LeaderView(joined.members)
     directory = neighbours.Directory(joined.members)
     service = remote.LeaderService(
--- a/libs/scheduling/geraniumweir/scheduling/channel.py
+++ b/libs/scheduling/geraniumweir/scheduling/channel.py
@@ -30,6 +30,17 @@
         self._handlers[message_type] = handler
         self._remote.handle(message_type, handler)
 
+    def learn(self, host_id: ids.HostId, address: ids.Address) -> None:
+        """Remember where a host listens."""
+        self._remote.learn(host_id, address)
+
+    async def introduce(self, address: ids.Address) -> ids.HostId:
+        """Connect to a seed and learn who it is.
+
+        :raises errors.UnreachableError: when nobody answers there.
+        """
+        return await self._remote.introduce(address)
+
     async def call(
         self,
         to: ids.HostId,
