A rule's rate holds over all entry hosts of a failure domain

Cause: the rate of a rule was read and never enforced. It goes with each ask now, and the pool leader counts it in a token bucket before anything else; a denial has its own reason and the bucket's time, and doesn't count as a shed nor spill. An ask that a leader has counted goes on without its rate: to another leader, to another failure domain, or asked again after a dispatch that reached no server.

--- a/libs/daemon/geraniumweir/daemon/admission.py
+++ b/libs/daemon/geraniumweir/daemon/admission.py
@@ -155,9 +155,17 @@
         share=decision.customer.share,
         max_running=route.max_running,
         max_waiting=route.max_waiting,
+        rate_per_s=_rate(route),
     )
 
 
+def _rate(route: document.Route) -> float | None:
+    if route.rate_per_s is None:
+        return None
+    # A rule may give it as a whole number.
+    return float(route.rate_per_s)
+
+
 def _claim_key(
     talk: exchange.Exchange,
     ask: requests.Ask,
--- a/libs/daemon/geraniumweir/daemon/dispatching.py
+++ b/libs/daemon/geraniumweir/daemon/dispatching.py
@@ -54,6 +54,11 @@
         """The call's id."""
         return self.talk.request_id
 
+    def note_counted(self) -> None:
+        """Keep the call from counting twice against its rule's rate."""
+        ask = dataclasses.replace(self.admitted.ask, rate_per_s=None)
+        self.admitted = dataclasses.replace(self.admitted, ask=ask)
+
     async def finish(self, ending: claiming.Ending) -> None:
         """Give the call's claim its ending, once."""
         if self.finished or self.admitted.claim is None:
@@ -152,6 +157,7 @@
             if not left:
                 raise refusals.broken(exc) from exc
             timeout.reschedule(job.admitted.ask.deadline)
+            job.note_counted()
             await asyncio.sleep(pause)
             pause *= 2
         else:
--- a/libs/scheduling/geraniumweir/scheduling/admitting.py
+++ b/libs/scheduling/geraniumweir/scheduling/admitting.py
@@ -1,6 +1,7 @@
 """Takes asks: refuses what can't be served, lets the rest wait."""
 
 import asyncio
+import math
 
 from geraniumweir.scheduling import (
     granting,
@@ -17,6 +18,7 @@
 _PROBE_EVERY = 16
 _WAIT_FACTOR = 2.0
 _WAIT_MARGIN = 0.5
+_MS = 1000
 
 
 def admit(
@@ -35,6 +37,9 @@
     reason = _refuse_at_once(leader, ask)
     if reason is not None:
         return shedding.denial(leader, ask, reason)
+    seconds = leader.rates.take(ask.rule, ask.rate_per_s, leader.now())
+    if seconds:
+        return _over_rate(ask, seconds)
     waiting = _waiting(leader, ask)
     if _too_late(leader, waiting):
         return shedding.denial(leader, ask, requests.DenialReason.too_late)
@@ -72,6 +77,15 @@
     return None
 
 
+def _over_rate(ask: requests.Ask, seconds: float) -> requests.Denial:
+    """Deny an ask over its rule's rate, which is no sign of overload."""
+    return requests.Denial(
+        ask.request_id,
+        requests.DenialReason.rule_limit,
+        math.ceil(seconds * _MS),
+    )
+
+
 def _refuse_to_wait(
     leader: state.LeaderState,
     waiting: records.Waiting,
--- a/libs/scheduling/geraniumweir/scheduling/asking.py
+++ b/libs/scheduling/geraniumweir/scheduling/asking.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.scheduling import (
@@ -134,7 +135,9 @@
                 await asyncio.sleep(_PAUSE)
                 continue
             place.hint = reply.leader
-            place.reached = place.reached or reply.leader is None
+            if reply.leader is None:
+                place.reached = True
+                _note_counted(place, reply)
             self._take(place, reply)
             return
         place.settle(None)
@@ -195,6 +198,15 @@
                 return
 
 
+def _note_counted(place: owned.Place, reply: ttypes.AskReply) -> None:
+    """Keep an ask from being counted against its rule's rate again."""
+    not_leader = requests.DenialReason.not_leader.value
+    if reply.denial is not None and reply.denial.reason == not_leader:
+        return
+    if place.ask.rate_per_s is not None:
+        place.ask = dataclasses.replace(place.ask, rate_per_s=None)
+
+
 def _is_from(
     found: owned.Place | owned.InUse,
     sender: ids.HostId,
--- a/libs/scheduling/geraniumweir/scheduling/broker.py
+++ b/libs/scheduling/geraniumweir/scheduling/broker.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import dataclasses
 import typing
 
 from geraniumweir.common import ids, timers
@@ -34,6 +35,17 @@
 _Answer = requests.Grant | requests.Denial
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Tried:
+    """What came of asking at home.
+
+    :ivar ask: as it may go on to other failure domains.
+    """
+
+    ask: requests.Ask
+    answer: _Answer
+
+
 class Broker:
     """Asks for grants on behalf of one entry host.
 
@@ -125,9 +137,11 @@
         return self._home.leader(found.ask.pool) if found.home else found.host
 
     async def _ask_everywhere(self, ask: requests.Ask) -> _Answer:
-        first = await self._ask_home(ask)
+        tried = await self._ask_home(ask)
+        first = tried.answer
         if not _may_spill(first):
             return first
+        ask = tried.ask
         others = self._directory.others(ask.pool)
         for pool in spill.in_order(ask, others):
             if self._clock.now() >= ask.deadline:
@@ -139,22 +153,24 @@
                 return answer
         return first
 
-    async def _ask_home(self, ask: requests.Ask) -> _Answer:
+    async def _ask_home(self, ask: requests.Ask) -> _Tried:
         until = self._clock.now() + _HOME_PATIENCE
         while ask.request_id not in self._withdrawn:
             host = self._home.leader(ask.pool)
             place = await self._ask_at(ask, host, at_home=True)
+            ask = place.ask
             answer = place.fut.result()
             if answer is not None and not _is_elsewhere(answer):
-                return answer
+                return _Tried(ask, answer)
             self._home.wrong(ask.pool, place.host, place.hint)
             if place.reached:
                 until = self._clock.now() + _HOME_PATIENCE
             elif self._clock.now() >= until:
                 no_server = requests.DenialReason.no_server
-                return requests.Denial(ask.request_id, no_server)
+                denial = requests.Denial(ask.request_id, no_server)
+                return _Tried(ask, denial)
             await asyncio.sleep(_PAUSE)
-        return _withdrawn(ask.request_id)
+        return _Tried(ask, _withdrawn(ask.request_id))
 
     async def _ask_there(
         self,
--- a/libs/scheduling/geraniumweir/scheduling/limits.py
+++ b/libs/scheduling/geraniumweir/scheduling/limits.py
@@ -102,6 +102,48 @@
     bucket: TokenBucket | None = None
 
 
+class Rates:
+    """Counts asks against the rates of rules, by rule.
+
+    An ask counts once, where it is asked first: its owner sends it without
+    its rate to any other leader. A new leader starts with full buckets, so
+    that a change of leader lets through at most one second's worth more.
+
+    >>> rates = Rates()
+    >>> [rates.take('rule', 1, now) for now in (0, 0.25)]
+    [0, 0.75]
+    """
+
+    def __init__(self) -> None:
+        """Start with full buckets."""
+        self._buckets: dict[Key, TokenBucket] = {}
+
+    def take(self, key: Key, rate: float | None, now: float) -> float:
+        """Count an ask.
+
+        :param rate: asks a second, or None where there is no limit.
+        :param now: in seconds.
+        :returns: 0 when it may go on, else the seconds until one may.
+        """
+        if rate is None:
+            return 0
+        found = self._buckets.get(key)
+        # A changed rule starts with a full bucket of its new rate.
+        if found is None or found.rate != rate:
+            self._drop_full(now)
+            found = TokenBucket(rate, now)
+            self._buckets[key] = found
+        return found.take(now)
+
+    def _drop_full(self, now: float) -> None:
+        if len(self._buckets) >= _MOST_IDLE:
+            self._buckets = {
+                key: bucket
+                for key, bucket in self._buckets.items()
+                if now - bucket.filled_at < 1
+            }
+
+
 class Limiter:
     """Counts what waits and runs, by key.
 
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -26,6 +26,8 @@
     :ivar streams: whether tokens come one by one, so that a stall shows.
     :ivar max_running: the rule's most calls on backend servers at a time.
     :ivar max_waiting: the rule's most calls in the queue at a time.
+    :ivar rate_per_s: the rule's most calls a second, or None where there is
+        no such limit or a leader has counted this call already.
     """
 
     request_id: ids.RequestId
@@ -45,6 +47,7 @@
     streams: bool = True
     max_running: int | None = None
     max_waiting: int | None = None
+    rate_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -208,6 +211,7 @@
     """The queue of one tier.
 
     :ivar waiting: number of requests.
+    :ivar running: number of grants in use; told on the leader's host only.
     :ivar oldest: seconds that the oldest has waited.
     :ivar expected: seconds that a newcomer of the tier is expected to wait.
     """
@@ -216,6 +220,7 @@
     waiting: int
     oldest: float
     expected: float
+    running: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/scheduling/geraniumweir/scheduling/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/state.py
@@ -11,6 +11,7 @@
 from geraniumweir.scheduling import (
     fairqueue,
     learning,
+    limits,
     openings,
     prefix,
     records,
@@ -71,6 +72,7 @@
     rules: dict[ids.RuleName, records.RuleCount] = dataclasses.field(
         default_factory=dict,
     )
+    rates: limits.Rates = dataclasses.field(default_factory=limits.Rates)
     servers: dict[ids.ServerId, records.Server] = dataclasses.field(
         default_factory=dict,
     )
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -36,6 +36,7 @@
      - max_running
      - max_waiting
      - attempt
+     - rate_per_s
 
     """
 
@@ -57,10 +58,11 @@
         'max_running',
         'max_waiting',
         'attempt',
+        'rate_per_s',
     )
 
 
-    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None,):
+    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None,):
         self.request_id = request_id
         self.owner = owner
         self.pool = pool
@@ -78,6 +80,7 @@
         self.max_running = max_running
         self.max_waiting = max_waiting
         self.attempt = attempt
+        self.rate_per_s = rate_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -178,6 +181,11 @@
                     self.attempt = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -259,6 +267,10 @@
             oprot.writeFieldBegin('attempt', TType.I64, 17)
             oprot.writeI64(self.attempt)
             oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 18)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2147,6 +2159,7 @@
     (15, TType.I32, 'max_running', None, None, ),  # 15
     (16, TType.I32, 'max_waiting', None, None, ),  # 16
     (17, TType.I64, 'attempt', None, None, ),  # 17
+    (18, TType.DOUBLE, 'rate_per_s', None, None, ),  # 18
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -23,6 +23,7 @@
   15: optional i32 max_running
   16: optional i32 max_waiting
   17: i64 attempt
+  18: optional double rate_per_s
 }
 
 struct Grant {
