Gauges tell the truth on hosts that work together; readyz says unsure and the version

Waiting and running by pool and tier where the pool is led, live hosts by failure domain, what the replicated log's recorder is and how far behind the others are, and how long ago its leader was heard of. The number of grants in use of a pool is counted, no longer summed over its models.

--- a/libs/daemon/geraniumweir/daemon/callers.py
+++ b/libs/daemon/geraniumweir/daemon/callers.py
@@ -54,7 +54,14 @@
         status = http.HTTPStatus.OK
         if not ready:
             status = http.HTTPStatus.SERVICE_UNAVAILABLE
-        return web.json_response({'ready': ready}, status=status)
+        detail = {
+            'ready': ready,
+            'draining': self._host.draining,
+            'version': self._host.in_force.version,
+            # A host that started cut off serves by what it found last.
+            'unsure': not self._host.sure,
+        }
+        return web.json_response(detail, status=status)
 
     async def no_such_path(self, req: web.Request) -> web.StreamResponse:
         refused = refusals.refuse(
--- a/libs/daemon/geraniumweir/daemon/gauges.py
+++ b/libs/daemon/geraniumweir/daemon/gauges.py
@@ -1,9 +1,18 @@
 """Reads an entry host's state for its gauges, when metrics are asked for."""
 
 import collections
+import operator
+import typing
 
+from geraniumweir.consensus import core, serving
 from geraniumweir.daemon import host as entry_host
+from geraniumweir.daemon import joined as joining
 from geraniumweir.observe import metricnames, metrics, traces
+from geraniumweir.scheduling import requests
+
+_Count = typing.Callable[[requests.TierWait], int]
+_WAITING: _Count = operator.attrgetter('waiting')
+_RUNNING: _Count = operator.attrgetter('running')
 
 
 def register(
@@ -17,13 +26,77 @@
     """
     meter.gauge(metricnames.CONFIG_VERSION, lambda: host.in_force.version)
     # A host that stands alone is its own majority, and all the hosts it knows.
-    meter.gauge(metricnames.CONFIG_SURE, lambda: 1)
+    meter.gauge(metricnames.CONFIG_SURE, lambda: int(host.sure))
     domain = host.cfg.failure_domain
     meter.gauge(metricnames.LIVE_HOSTS, lambda: {(domain,): 1})
     meter.gauge(metricnames.DRAINING, lambda: int(host.draining))
     meter.gauge(metricnames.OPEN_CALLS, lambda: len(host.path.in_flight))
     meter.gauge(metricnames.SPANS_DROPPED, tracing.dropped)
     meter.gauge(metricnames.SERVERS, lambda: _servers(host))
+    meter.gauge(
+        metricnames.WAITING,
+        lambda: _by_tier(host, _WAITING),
+    )
+    meter.gauge(
+        metricnames.RUNNING,
+        lambda: _by_tier(host, _RUNNING),
+    )
+
+
+def register_joined(meter: metrics.Metrics, joined: joining.Joined) -> None:
+    """Say how the gauges of a host that works together with others are read.
+
+    :param meter: of the host, with the gauges of :func:`register`.
+    """
+    follower = joined.follower
+    meter.gauge(metricnames.CONFIG_SURE, lambda: int(not follower.unsure))
+    meter.gauge(metricnames.CONFIG_HEARD, lambda: _heard(follower.sure_age()))
+    meter.gauge(metricnames.LIVE_HOSTS, lambda: _live(joined))
+    if joined.recording is None:
+        return
+    keeper = joined.recording.recorder
+    meter.gauge(metricnames.LOG_ROLE, lambda: _roles(keeper.status().role))
+    meter.gauge(
+        metricnames.LOG_UNAPPLIED,
+        lambda: keeper.status().commit - keeper.status().applied,
+    )
+    meter.gauge(metricnames.LOG_LAG, lambda: _lags(keeper.status()))
+
+
+def _heard(age: float | None) -> dict[metrics.Labels, float]:
+    return {} if age is None else {(): age}
+
+
+def _live(joined: joining.Joined) -> dict[metrics.Labels, float]:
+    live = joined.members.all_live()
+    return dict(collections.Counter((one.failure_domain,) for one in live))
+
+
+def _roles(now: core.Role) -> dict[metrics.Labels, float]:
+    return {(role.value,): int(role is now) for role in core.Role}
+
+
+def _lags(seen: serving.Status) -> dict[metrics.Labels, float]:
+    if seen.role is not core.Role.leader:
+        return {}
+    return {
+        (row.member.host_id,): max(seen.last_index - row.match_index, 0)
+        for row in seen.recorders
+    }
+
+
+def _by_tier(
+    host: entry_host.EntryHost,
+    count: _Count,
+) -> dict[metrics.Labels, float]:
+    found: dict[metrics.Labels, float] = {}
+    for pool in host.leads():
+        leader = host.led(pool)
+        if leader is None:
+            continue
+        for wait in leader.summary().waits:
+            found[pool, str(int(wait.tier))] = count(wait)
+    return found
 
 
 def _servers(host: entry_host.EntryHost) -> dict[metrics.Labels, float]:
--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -16,6 +16,7 @@
     announcements,
     callers,
     draining,
+    gauges,
     joinedops,
     logevents,
     observing,
@@ -83,6 +84,7 @@
         ops: operations.Operations = alone.StandaloneOperations(host, observed)
         if cfg.peer_address is not None:
             joined = await joining.join(host, stack)
+            gauges.register_joined(observed.meter, joined)
             ops = joinedops.JoinedOperations(joined, observed)
         await _listen(stack, operators.make_app(ops), cfg.operator_address)
         await _listen(stack, announcements.make_app(host), cfg.backend_address)
--- a/libs/daemon/geraniumweir/daemon/rows.py
+++ b/libs/daemon/geraniumweir/daemon/rows.py
@@ -115,7 +115,7 @@
     return dataclasses.replace(
         row,
         waiting=sum(wait.waiting for wait in summary.waits),
-        running=sum(part.slots - part.free for part in summary.capacity),
+        running=sum(wait.running for wait in summary.waits),
         lowest_tier=summary.lowest_served,
     )
 
--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/tests/test_gauges.py
@@ -0,0 +1,195 @@
+"""Gauges and the detail of ``/readyz`` on hosts that work together."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+
+import aiohttp
+from aiohttp import test_utils
+from geraniumweir.common import ids, timers
+from geraniumweir.configuration import document, reading
+from geraniumweir.daemon import callers, gauges, joined, settings
+from geraniumweir.daemon import host as entry_host
+from geraniumweir.membership import servers
+from geraniumweir.observe import metrics, traces
+from geraniumweir.scheduling import requests
+
+_POOL = ids.PoolName('lm-advisori')
+_PATIENCE_SECONDS = 30
+_RULES = """
+[[pool]]
+name = "lm-advisori"
+"""
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return int(sock.getsockname()[1])
+
+
+class _Host:
+    """An entry host of this process, joined but without HTTP faces."""
+
+    def __init__(self, *flags: str) -> None:
+        self._flags = flags
+        self.meter = metrics.Metrics()
+
+    async def start(self, stack: contextlib.AsyncExitStack) -> None:
+        cfg = settings.parse(
+            (
+                '--failure-domain=milano-a',
+                '--caller-address=127.0.0.1:0',
+                '--backend-address=127.0.0.1:0',
+                '--operator-address=127.0.0.1:0',
+                *self._flags,
+            ),
+            {},
+        )
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        self.host = entry_host.EntryHost(
+            cfg, timers.TimerService(), session, servers.Registry(), {}
+        )
+        tracing = traces.Tracing(traces.TraceSettings(cfg.host_id, None))
+        stack.callback(tracing.close)
+        gauges.register(self.meter, self.host, tracing)
+        self.joined = await joined.join(self.host, stack)
+        gauges.register_joined(self.meter, self.joined)
+        client = test_utils.TestClient(
+            test_utils.TestServer(callers.make_app(self.host)),
+        )
+        self.client = await stack.enter_async_context(client)
+
+    async def ready(self) -> dict[str, object]:
+        async with self.client.get('/readyz') as resp:
+            assert resp.status == 200
+            return dict(await resp.json())
+
+    def shown(self) -> set[str]:
+        return set(self.meter.exposition().splitlines())
+
+    async def until(self, line: str) -> None:
+        async with asyncio.timeout(_PATIENCE_SECONDS):
+            while line not in self.shown():
+                await asyncio.sleep(0.05)
+
+    async def until_sure(self, *, sure: bool) -> None:
+        async with asyncio.timeout(_PATIENCE_SECONDS):
+            while self.host.sure is not sure:
+                await asyncio.sleep(0.05)
+
+
+def test_host_that_started_cut_off_says_so() -> None:
+    """Its recorder doesn't answer: it serves, and is unsure."""
+
+    async def scenario() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            mine = _Host(
+                '--host-id=entry-1',
+                f'--peer-address=127.0.0.1:{_free_port()}',
+                f'--recorders=entry-9=127.0.0.1:{_free_port()}',
+            )
+            await mine.start(stack)
+            ready = await mine.ready()
+            assert ready['ready']
+            assert ready['unsure']
+            assert ready['version'] == 0
+            shown = mine.shown()
+            assert 'geraniumweir_config_sure 0.0' in shown
+            heard = 'geraniumweir_config_heard_seconds '
+            assert not any(line.startswith(heard) for line in shown)
+
+    asyncio.run(scenario())
+
+
+def test_joined_hosts_tell_of_each_other_and_of_the_log(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A recorder that leads, and a host beside it that becomes sure."""
+
+    async def scenario() -> None:
+        peer = f'127.0.0.1:{_free_port()}'
+        common = f'--recorders=entry-1={peer}'
+        first = _Host(
+            '--host-id=entry-1',
+            f'--peer-address={peer}',
+            f'--data-folder={tmp_path}',
+            common,
+        )
+        second = _Host(
+            '--host-id=entry-2',
+            f'--peer-address=127.0.0.1:{_free_port()}',
+            f'--peers={peer}',
+            common,
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            await first.start(stack)
+            await second.start(stack)
+            await first.until('geraniumweir_log_role{role="leader"} 1.0')
+            live = 'geraniumweir_live_hosts{failure_domain="milano-a"} 2.0'
+            for host in (first, second):
+                await host.until(live)
+                await host.until('geraniumweir_config_sure 1.0')
+                await host.until_sure(sure=True)
+                assert not (await host.ready())['unsure']
+            await first.until('geraniumweir_log_lag{recorder="entry-1"} 0.0')
+            await first.until('geraniumweir_log_unapplied 0.0')
+            # A host without a data folder says nothing of a log of its own.
+            assert not any('_log_' in line for line in second.shown())
+
+    asyncio.run(scenario())
+
+
+def test_waiting_and_running_are_told_by_tier_where_the_pool_is_led() -> None:
+    """One slot, so that one runs and one of another tier waits."""
+
+    async def scenario() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            mine = _Host(
+                '--host-id=entry-1',
+                f'--peer-address=127.0.0.1:{_free_port()}',
+            )
+            await mine.start(stack)
+            rules = document.InForce(
+                ids.Version(1), reading.read(_RULES), _RULES
+            )
+            mine.host.put_in_force(rules)
+            mine.host.announce(_server())
+            calls = [
+                asyncio.create_task(mine.host.scheduler(_POOL).ask(ask))
+                for ask in (_ask(mine.host, 1), _ask(mine.host, 2))
+            ]
+            pool = f'pool="{_POOL}"'
+            await mine.until(f'geraniumweir_running{{{pool},tier="1"}} 1.0')
+            await mine.until(f'geraniumweir_waiting{{{pool},tier="2"}} 1.0')
+            await mine.until(f'geraniumweir_waiting{{{pool},tier="1"}} 0.0')
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
+    asyncio.run(scenario())
+
+
+def _server() -> servers.Announcement:
+    return servers.Announcement(
+        server_id=ids.ServerId('advisor-1'),
+        incarnation=ids.Incarnation(1),
+        address=ids.Address('127.0.0.1', 1),
+        kind='service',
+        pool=_POOL,
+        failure_domain=ids.FailureDomain('milano-a'),
+        slots=1,
+    )
+
+
+def _ask(host: entry_host.EntryHost, tier: int) -> requests.Ask:
+    return requests.Ask(
+        request_id=ids.RequestId(f'r{tier}'),
+        owner=host.cfg.host_id,
+        pool=_POOL,
+        customer=ids.CustomerName('liceo-volta'),
+        rule=ids.RuleName('lookups'),
+        tier=ids.Tier(tier),
+        deadline=host.timers.now() + 60,
+    )
--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -96,13 +96,13 @@
     'geraniumweir_waiting',
     Kind.gauge,
     'Requests in the queue of a pool that this host leads.',
-    ('pool',),
+    ('pool', 'tier'),
 )
 RUNNING: typing.Final = Metric(
     'geraniumweir_running',
     Kind.gauge,
     'Open grants of a pool that this host leads.',
-    ('pool',),
+    ('pool', 'tier'),
 )
 SERVERS: typing.Final = Metric(
     'geraniumweir_servers',
@@ -118,7 +118,29 @@
 CONFIG_SURE: typing.Final = Metric(
     'geraniumweir_config_sure',
     Kind.gauge,
-    '1 where the version was checked against a majority, else 0.',
+    '1 where the version was checked against a majority, else 0 (unsure).',
+)
+CONFIG_HEARD: typing.Final = Metric(
+    'geraniumweir_config_heard_seconds',
+    Kind.gauge,
+    'Since the leader of the replicated log was heard of; absent if never.',
+)
+LOG_ROLE: typing.Final = Metric(
+    'geraniumweir_log_role',
+    Kind.gauge,
+    '1 for what this recorder is: follower, candidate, leader or failed.',
+    ('role',),
+)
+LOG_UNAPPLIED: typing.Final = Metric(
+    'geraniumweir_log_unapplied',
+    Kind.gauge,
+    'Committed entries of the replicated log that are not applied here yet.',
+)
+LOG_LAG: typing.Final = Metric(
+    'geraniumweir_log_lag',
+    Kind.gauge,
+    'Entries that a recorder lacks, as this one sees it while it leads.',
+    ('recorder',),
 )
 DRAINING: typing.Final = Metric(
     'geraniumweir_draining',
--- a/libs/scheduling/geraniumweir/scheduling/summary.py
+++ b/libs/scheduling/geraniumweir/scheduling/summary.py
@@ -45,6 +45,7 @@
         len(queue),
         oldest,
         shedding.expected_wait(leader, tier),
+        leader.running_by_tier[tier],
     )
 
 
