--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,9 @@
 		$(foreach lib,$(LIBS),-e $(lib))
 	touch $@
 
+# make demo DEPLOYMENT=borsafranca|noodhulp starts that deployment's system.
 demo: setup
-	$(BIN)/python -m geraniumweir.fakes.demo
+	$(BIN)/python -m geraniumweir.fakes.demo --deployment='$(DEPLOYMENT)'
 
 lint: setup
 	$(BIN)/ruff format --check .
--- a/libs/daemon/geraniumweir/daemon/joined.py
+++ b/libs/daemon/geraniumweir/daemon/joined.py
@@ -106,7 +106,11 @@
     stack: contextlib.AsyncExitStack,
 ) -> tcp.TcpPeers:
     address = _peer_address(cfg)
-    peer_layer = tcp.TcpPeers(cfg.host_id, address)
+    peer_layer = tcp.TcpPeers(
+        cfg.host_id,
+        address,
+        delay=cfg.test_link_delay,
+    )
     try:
         await peer_layer.start()
     except OSError as exc:
--- a/libs/daemon/geraniumweir/daemon/settings.py
+++ b/libs/daemon/geraniumweir/daemon/settings.py
@@ -18,6 +18,7 @@
 ENV_PREFIX = 'GERANIUMWEIR_'
 EXIT_BAD_SETTING = 2
 _DEFAULT_DRAIN_SECONDS = 30.0
+_MS = 1000
 _ADDRESSES = (
     ('caller', 'callers'),
     ('backend', 'backend servers'),
@@ -39,6 +40,8 @@
     :ivar recorders: the first recorders, by id.
     :ivar trace_file: where spans are appended, or None.
     :ivar trace_sample: share of calls traced, 0 to 1.
+    :ivar test_link_delay: added to each message to another host, in seconds;
+        for tests only.
     """
 
     host_id: ids.HostId
@@ -58,6 +61,7 @@
     )
     trace_file: str | None = None
     trace_sample: float = 1
+    test_link_delay: float = 0
 
 
 def parse(
@@ -89,6 +93,7 @@
         recorders=opts.recorders,
         trace_file=opts.trace_file,
         trace_sample=opts.trace_sample,
+        test_link_delay=opts.test_link_delay_ms / _MS,
     )
     for fault in _faults(cfg):
         parser.error(fault)
@@ -119,6 +124,7 @@
     _add_place(parser)
     _add_system(parser)
     _add_observing(parser)
+    _add_testing(parser)
     parser.add_argument(
         '--drain-timeout',
         type=_checked(settingvalues.seconds),
@@ -176,6 +182,16 @@
     )
 
 
+def _add_testing(parser: configargparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--test-link-delay-ms',
+        type=_checked(settingvalues.milliseconds),
+        default=0,
+        metavar='MS',
+        help='for tests only: holds back each message to another host',
+    )
+
+
 def _add_observing(parser: configargparse.ArgumentParser) -> None:
     parser.add_argument('--log-level', default='info', choices=_LEVELS)
     parser.add_argument('--log-format', default='text', choices=_FORMATS)
--- a/libs/daemon/geraniumweir/daemon/settingvalues.py
+++ b/libs/daemon/geraniumweir/daemon/settingvalues.py
@@ -44,6 +44,17 @@
     return _number(text, float('inf'), 'a number of seconds from 0 up')
 
 
+def milliseconds(text: str) -> float:
+    """Read a short time span.
+
+    :raises ValueError: when it is no number from 0 to 1000.
+
+    >>> milliseconds('0.5')
+    0.5
+    """
+    return _number(text, 1000, 'a number of ms from 0 to 1000')
+
+
 def share(text: str) -> float:
     """Read a share.
 
--- a/libs/fakes/geraniumweir/fakes/demo.py
+++ b/libs/fakes/geraniumweir/fakes/demo.py
@@ -1,15 +1,20 @@
-"""The main job on loopback: three failure domains serve two workloads.
-
-Two entry hosts in each failure domain are processes of their own; unlike fake
-engines and plain services run in this one, where they keep account of every
-call they saw. The table at the end says what became of the calls; the exit
-status is 0 only where nothing was lost, doubled or mixed up.
+"""The main job on loopback: some failure domains serve a workload.
+
+By default two entry hosts in each of three failure domains serve the mixed
+workloads of both users; ``--deployment`` starts the system of one of them
+instead, with its hosts, rules, pools and workload. Entry hosts are processes
+of their own; unlike fake engines and plain services run in this one, where
+they keep account of every call they saw. The table at the end says what
+became of the calls; the exit status is 0 only where nothing was lost, doubled
+or mixed up.
 """
 
+import argparse
 import asyncio
 import collections
 import contextlib
 import dataclasses
+import itertools
 import pathlib
 import sys
 import tempfile
@@ -18,6 +23,7 @@
 import aiohttp
 from geraniumweir.common import ids
 from geraniumweir.fakes import (
+    deployments,
     engine,
     generation,
     processes,
@@ -29,7 +35,7 @@
 
 _DOMAINS = ('milano-a', 'torino-b', 'bergamo-c')
 _HOSTS_PER_DOMAIN = 2
-_SERVICES = ('sportello-app', 'voorraad-api')
+_SERVICES = (ids.PoolName('sportello-app'), ids.PoolName('voorraad-api'))
 _SLOTS = 6
 _PROGRESS_SECONDS = 2.0
 
@@ -39,11 +45,15 @@
     """How much the demo does.
 
     :ivar seconds: over which the calls arrive.
+    :ivar deployment: whose system is started, or empty.
+    :ivar examples: folder of the deployments' files.
     """
 
     seed: int = 7
     calls: int = 700
     seconds: float = 14.0
+    deployment: str = ''
+    examples: pathlib.Path = pathlib.Path('examples')
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,41 +86,82 @@
         return lost / max(done, 1)
 
 
-def main() -> None:
-    """Run the demo and exit 0 only where the invariants held."""
-    sys.exit(asyncio.run(run_demo(Plan())))
+def main(argv: typing.Sequence[str] | None = None) -> None:
+    """Run the demo and exit 0 only where the invariants held.
+
+    :param argv: flags, by default those of the process.
+    """
+    parser = argparse.ArgumentParser(prog='demo', allow_abbrev=False)
+    parser.add_argument(
+        '--deployment',
+        choices=('', *deployments.NAMES),
+        default='',
+        help='whose system is started; empty: a mix of both workloads',
+    )
+    parser.add_argument(
+        '--examples',
+        type=pathlib.Path,
+        default=pathlib.Path('examples'),
+        metavar='FOLDER',
+        help='holds the files of the deployments',
+    )
+    opts = parser.parse_args(argv)
+    plan = Plan(deployment=opts.deployment, examples=opts.examples)
+    sys.exit(asyncio.run(run_demo(plan)))
 
 
 async def run_demo(plan: Plan) -> int:
-    """Serve a seeded mix of both workloads from end to end.
+    """Serve a seeded workload from end to end.
 
     :returns: the exit status.
     """
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(_session())
         folder = stack.enter_context(tempfile.TemporaryDirectory())
-        hosts = await _start_hosts(stack, pathlib.Path(folder))
+        system = _system(plan, pathlib.Path(folder))
+        hosts = await _start_hosts(stack, system)
         await processes.until_ready(session, hosts)
-        backends = await _start_backends(stack, hosts)
-        await processes.apply_rules(hosts[0], workloads.rules())
-        _say(f'{len(hosts)} entry hosts, {len(backends.engines)} engines')
-        calls = workloads.offer(plan.seed, plan.calls, plan.seconds)
-        counted = await _send(session, hosts, calls)
+        backends = await _start_backends(stack, system)
+        await processes.apply_rules(hosts[0], system.rules)
+        _say(_described(system, backends))
+        calls = workloads.offer(plan.seed, plan.calls, plan.seconds, system.mix)
+        counted = await _send(session, hosts, calls, system.manner)
         statuses = await asyncio.gather(*(host.stop() for host in hosts))
         backends.count_runs(counted)
         return _judge(counted, backends, statuses)
 
 
+def _system(plan: Plan, folder: pathlib.Path) -> deployments.Deployment:
+    if plan.deployment:
+        return deployments.read(plan.deployment, plan.examples, folder)
+    hosts = processes.plan_system(_DOMAINS, _HOSTS_PER_DOMAIN, folder)
+    return deployments.Deployment(
+        hosts=tuple(hosts),
+        rules=workloads.rules(),
+        engines=ids.PoolName('lm'),
+        services=_SERVICES,
+        mix=workloads.kinds(),
+    )
+
+
+def _described(system: deployments.Deployment, backends: _Backends) -> str:
+    domains = len(system.domains())
+    return (
+        f'{len(system.hosts)} entry hosts in {domains} failure domains, '
+        f'{len(backends.engines)} engines, {len(backends.services)} services'
+    )
+
+
 def _session() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
 
 
 async def _start_hosts(
     stack: contextlib.AsyncExitStack,
-    folder: pathlib.Path,
+    system: deployments.Deployment,
 ) -> list[processes.HostProcess]:
     hosts = []
-    for plan in processes.plan_system(_DOMAINS, _HOSTS_PER_DOMAIN, folder):
+    for plan in system.hosts:
         host = await processes.start(plan)
         stack.callback(host.kill)
         hosts.append(host)
@@ -119,35 +170,54 @@
 
 async def _start_backends(
     stack: contextlib.AsyncExitStack,
-    hosts: typing.Sequence[processes.HostProcess],
+    system: deployments.Deployment,
 ) -> _Backends:
-    backends = _Backends([], [])
-    for domain in _DOMAINS:
-        to = tuple(
-            host.addresses['backend'] for host in hosts if host.domain == domain
-        )
-        for name, speed in workloads.speeds().items():
-            fake = engine.FakeEngine(_engine(domain, name, speed, to))
-            backends.engines.append(fake)
-            await stack.enter_async_context(fake.running())
-        for pool in _SERVICES:
-            plain = service.FakeService(_service(domain, pool, to))
-            backends.services.append(plain)
-            await stack.enter_async_context(plain.running())
+    """Start the backend servers; they announce themselves at once."""
+    backends = _Backends(_engines(system), _services(system))
+    for fake in backends.engines:
+        await stack.enter_async_context(fake.running())
+    for plain in backends.services:
+        await stack.enter_async_context(plain.running())
     return backends
 
 
+def _engines(system: deployments.Deployment) -> list[engine.FakeEngine]:
+    """Make engines of each speed, in the failure domains by turns."""
+    speeds = itertools.cycle(workloads.speeds().items())
+    places = system.engine_domains(len(workloads.speeds()))
+    return [
+        engine.FakeEngine(_engine(system, number, domain, *speed))
+        for number, (domain, speed) in enumerate(zip(places, speeds))
+    ]
+
+
+def _services(system: deployments.Deployment) -> list[service.FakeService]:
+    return [
+        service.FakeService(
+            service.ServiceSettings(
+                ids.ServerId(f'{domain}-{pool}'),
+                pool,
+                domain,
+                system.backend_addresses(domain),
+            ),
+        )
+        for domain in system.domains()
+        for pool in system.services
+    ]
+
+
 def _engine(
-    domain: str,
+    system: deployments.Deployment,
+    number: int,
+    domain: ids.FailureDomain,
     name: str,
     speed: generation.Speed,
-    to: tuple[ids.Address, ...],
 ) -> engine.EngineSettings:
     return engine.EngineSettings(
-        ids.ServerId(f'{domain}-{name}'),
-        ids.PoolName('lm'),
-        ids.FailureDomain(domain),
-        to,
+        ids.ServerId(f'{domain}-{name}-{number}'),
+        system.engines,
+        domain,
+        system.backend_addresses(domain),
         slots=_SLOTS,
         speed=speed,
         hardware=name,
@@ -155,23 +225,11 @@
     )
 
 
-def _service(
-    domain: str,
-    pool: str,
-    to: tuple[ids.Address, ...],
-) -> service.ServiceSettings:
-    return service.ServiceSettings(
-        ids.ServerId(f'{domain}-{pool}'),
-        ids.PoolName(pool),
-        ids.FailureDomain(domain),
-        to,
-    )
-
-
 async def _send(
     session: aiohttp.ClientSession,
     hosts: typing.Sequence[processes.HostProcess],
     calls: typing.Sequence[workloads.Offered],
+    manner: sender.Manner,
 ) -> tally.Tally:
     counted = tally.Tally()
     progress = asyncio.create_task(_show_progress(counted, len(calls)))
@@ -181,7 +239,9 @@
             due = start + call.at - asyncio.get_running_loop().time()
             await asyncio.sleep(max(due, 0))
             host = hosts[call.number % len(hosts)]
-            group.create_task(sender.send(session, host, call, counted))
+            group.create_task(
+                sender.send(session, host, call, counted, manner),
+            )
     progress.cancel()
     return counted
 
--- a/libs/fakes/geraniumweir/fakes/processes.py
+++ b/libs/fakes/geraniumweir/fakes/processes.py
@@ -17,7 +17,7 @@
 _PAUSE_SECONDS = 0.1
 _STOP_SECONDS = 20.0
 _USER_TIME = 11
-_FACES = ('caller', 'backend', 'operator', 'peer')
+FACES = ('caller', 'backend', 'operator', 'peer')
 _MOST_RECORDERS = 3
 
 
@@ -218,11 +218,12 @@
 def _free_addresses() -> dict[str, ids.Address]:
     return {
         face: ids.Address('127.0.0.1', port)
-        for face, port in zip(_FACES, _free_ports(len(_FACES)))
+        for face, port in zip(FACES, free_ports(len(FACES)))
     }
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
+    """Find free ports of loopback, all different."""
     with contextlib.ExitStack() as stack:
         socks = [stack.enter_context(socket.socket()) for _ in range(count)]
         return [_bind(sock) for sock in socks]
--- a/libs/fakes/geraniumweir/fakes/sender.py
+++ b/libs/fakes/geraniumweir/fakes/sender.py
@@ -1,6 +1,7 @@
 """Sends one call of a workload as a caller would, and judges its answer."""
 
 import asyncio
+import dataclasses
 import json
 
 import aiohttp
@@ -13,19 +14,35 @@
 _PATIENCE = aiohttp.ClientTimeout(total=60)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Manner:
+    """How callers call.
+
+    :ivar keys: whether they send the keys of the examples, not their names.
+    :ivar one_way: seconds that the way to and from a host takes each.
+    """
+
+    keys: bool = False
+    one_way: float = 0
+
+
+PLAIN = Manner()
+
+
 async def send(
     session: aiohttp.ClientSession,
     host: processes.HostProcess,
     call: workloads.Offered,
     counted: tally.Tally,
+    manner: Manner = PLAIN,
 ) -> None:
     """Send a call and tally its end.
 
     A fifth of the acts that must not happen twice are sent again.
     """
-    counted.ends.append(await _send_once(session, host, call))
+    counted.ends.append(await _send_once(session, host, call, manner))
     if call.kind.once and call.number % 5 == 0:
-        again = await _send_once(session, host, call)
+        again = await _send_once(session, host, call, manner)
         if again.end is not tally.End.refused:
             counted.ends.append(again)
 
@@ -34,26 +51,33 @@
     session: aiohttp.ClientSession,
     host: processes.HostProcess,
     call: workloads.Offered,
+    manner: Manner,
 ) -> tally.Ended:
     start = asyncio.get_running_loop().time()
+    await asyncio.sleep(manner.one_way)
     try:
         async with session.request(
             call.kind.method,
-            host.url(call.kind.path or '/v1/chat/completions'),
-            headers=_headers(call),
+            host.url(workloads.path(call)),
+            headers=_headers(call, manner),
             data=_body(call),
             timeout=_PATIENCE,
         ) as resp:
-            return await _judge(resp, call, start)
+            # What comes back is late by the way back too.
+            return await _judge(resp, call, start - manner.one_way)
     except (aiohttp.ClientError, TimeoutError):
         return tally.Ended('', '?', tally.End.lost)
 
 
-def _headers(call: workloads.Offered) -> dict[str, str]:
-    headers = {
-        'X-Customer': call.kind.customer,
-        'X-Deadline-Ms': str(call.kind.deadline_ms),
-    }
+def _headers(call: workloads.Offered, manner: Manner) -> dict[str, str]:
+    customer = call.kind.customer
+    headers = {'X-Deadline-Ms': str(call.kind.deadline_ms)}
+    if manner.keys:
+        headers['Authorization'] = f'Bearer example-key-of-{customer}'
+    else:
+        headers['X-Customer'] = customer
+    if call.kind.x_kind:
+        headers['X-Kind'] = call.kind.x_kind
     if call.kind.once:
         headers['X-Idempotent'] = 'false'
         headers['Idempotency-Key'] = f'act-{call.number}'
--- a/libs/fakes/geraniumweir/fakes/workloads.py
+++ b/libs/fakes/geraniumweir/fakes/workloads.py
@@ -16,6 +16,7 @@
 
 _BYTES_PER_TOKEN = 4
 _FIFTHS = 5
+_CHAT = '/v1/chat/completions'
 _WORDS = ('tarp', 'water', 'kit', 'blanket', 'pallet', 'grant', 'essay', 'form')
 
 
@@ -31,6 +32,8 @@
     :ivar method: of a call to a plain service.
     :ivar path: of a call to a plain service, else empty.
     :ivar once: whether it must run at most once.
+    :ivar x_kind: of the header ``X-Kind``, which some rules go by.
+    :ivar completion: whether it goes to ``/v1/completions``.
     """
 
     name: str
@@ -44,6 +47,8 @@
     method: str = 'POST'
     path: str = ''
     once: bool = False
+    x_kind: str = ''
+    completion: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,9 +68,13 @@
 
 
 @functools.cache
-def kinds() -> tuple[Kind, ...]:
-    """Read the kinds of call."""
-    tables = tomllib.loads(_data('workloads.toml'))['kind']
+def kinds(workload: str = 'workloads') -> tuple[Kind, ...]:
+    """Read the kinds of call.
+
+    :param workload: ``workloads`` mixes both users', the others are named
+        like the deployments.
+    """
+    tables = tomllib.loads(_data(f'{workload}.toml'))['kind']
     return tuple(Kind(**table) for table in tables)
 
 
@@ -85,20 +94,27 @@
     return resources.files(data).joinpath(name).read_text()
 
 
-def offer(seed: int, count: int, seconds: float) -> list[Offered]:
+def offer(
+    seed: int,
+    count: int,
+    seconds: float,
+    mix: tuple[Kind, ...] | None = None,
+) -> list[Offered]:
     """Make a workload.
 
     :param count: of calls.
     :param seconds: over which they arrive, as a Poisson process.
+    :param mix: kinds of call, by default those of both users.
 
     >>> offer(1, 50, 2.0) == offer(1, 50, 2.0)
     True
     """
     rng = random.Random(seed)
-    weights = [kind.weight for kind in kinds()]
+    mix = mix or kinds()
+    weights = [kind.weight for kind in mix]
     arrivals = sorted(rng.uniform(0, seconds) for _ in range(count))
     return [
-        _one(rng, number, at, rng.choices(kinds(), weights)[0])
+        _one(rng, number, at, rng.choices(mix, weights)[0])
         for number, at in enumerate(arrivals)
     ]
 
@@ -131,11 +147,20 @@
     return ' '.join(words)[:size]
 
 
+def path(call: Offered) -> str:
+    """Give the path that a call goes to."""
+    if call.kind.path:
+        return call.kind.path
+    return '/v1/completions' if call.kind.completion else _CHAT
+
+
 def body(call: Offered) -> dict[str, typing.Any]:
     """Make the JSON of a call to an engine."""
-    return {
+    common = {
         'model': call.kind.model,
-        'messages': [{'role': 'user', 'content': call.prompt}],
         'stream': call.stream,
         'max_tokens': call.max_tokens,
     }
+    if call.kind.completion:
+        return common | {'prompt': call.prompt}
+    return common | {'messages': [{'role': 'user', 'content': call.prompt}]}
--- a/libs/wire/geraniumweir/wire/connection.py
+++ b/libs/wire/geraniumweir/wire/connection.py
@@ -58,13 +58,18 @@
         router: handling.Router,
         traffic: Traffic,
         cut: Cut,
+        delay: float = 0,
     ) -> None:
-        """Take over a greeted stream; :meth:`run` reads it."""
+        """Take over a greeted stream; :meth:`run` reads it.
+
+        :param delay: for tests, holds back what is sent, in seconds.
+        """
         self.peer = peer
         self._reader = streams[0]
         self._writer = streams[1]
         self._traffic = traffic
         self._cut = cut
+        self._delay = delay
         self._numbers = itertools.count(1)
         self._pending: dict[int, asyncio.Future[ttypes.Envelope]] = {}
         self._workers = handling.Workers(peer, router, self._reply)
@@ -189,7 +194,16 @@
             raise errors.BusyError(f'{buffered} bytes wait for {self.peer}')
         self._traffic.messages_out += 1
         self._traffic.bytes_out += len(frame)
-        if not self._cut.outgoing:
+        if self._cut.outgoing:
+            return
+        if self._delay:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._delay, self._write_late, frame)
+        else:
+            self._writer.write(frame)
+
+    def _write_late(self, frame: bytes) -> None:
+        if self.usable:
             self._writer.write(frame)
 
     def _fail_pending(self) -> None:
--- a/libs/wire/geraniumweir/wire/tcp.py
+++ b/libs/wire/geraniumweir/wire/tcp.py
@@ -40,15 +40,18 @@
         host_id: ids.HostId,
         address: ids.Address,
         chance: random.Random | None = None,
+        delay: float = 0,
     ) -> None:
         """Start without peers; :meth:`start` listens.
 
         :param address: where to listen; port 0 takes a free one.
         :param chance: spreads the pauses between attempts to connect.
+        :param delay: for tests, holds back what is sent, in seconds.
         """
         self.host_id = host_id
         self.address = address
         self._chance = chance or random.Random()
+        self._delay = delay
         self._links: dict[ids.HostId, link.Link] = {}
         self._router = handling.Router()
         self._tasks: set[asyncio.Task[typing.Any]] = set()
@@ -219,6 +222,7 @@
             self._router,
             known.traffic,
             known.cut,
+            self._delay,
         )
         known.address = _listening(hello) or known.address
         known.add(conn)
--- a/libs/wire/geraniumweir/wire/tests/test_tcp.py
+++ b/libs/wire/geraniumweir/wire/tests/test_tcp.py
@@ -359,3 +359,31 @@
             assert await _ping(one, _TWO) == 2
 
     asyncio.run(scenario())
+
+
+def test_delayed_messages_come_late_whole_and_in_order() -> None:
+    """Each way takes at least the delay that the test set."""
+
+    async def scenario() -> None:
+        slow = tcp.TcpPeers(_ONE, _ANY, random.Random(1), delay=_SHORT)
+        got: list[int] = []
+
+        async def keep(_sender: ids.HostId, ping: _Ping) -> None:
+            got.append(ping.protocol)
+
+        async with _host(_TWO) as two:
+            await slow.start()
+            slow.learn(_TWO, two.address)
+            loop = asyncio.get_running_loop()
+            await _ping(slow, _TWO)
+            start = loop.time()
+            await _ping(slow, _TWO)
+            assert loop.time() - start >= _SHORT
+            two.handle(_Ping, keep)
+            for number in range(9):
+                slow.send(_TWO, _Ping('', number, ''))
+            await _until(lambda: len(got) == 9)
+            assert got == sorted(got)
+            await slow.close()
+
+    asyncio.run(scenario())
