Wrong input reads better: customers, mistyped variables, drains, unreachable hosts

Found by trying it as a new user. A call without a customer is told how to name one; a variable that is no setting ends the start, as a mistyped GERANIUMWEIR_RECORDER started a host without recorders; a drain of an unknown backend server and an explanation for an unknown customer warn; an unreachable host is told with the reason and the setting; an announcement that is no JSON is told so.

--- a/libs/configuration/geraniumweir/configuration/explain.py
+++ b/libs/configuration/geraniumweir/configuration/explain.py
@@ -40,16 +40,20 @@
 
     :ivar rule: the one that decides, or None where none matches.
     :ivar passed: the rules before it, in order.
+    :ivar known: whether the customer is one; a call of nobody we know is
+        refused before any rule.
     """
 
     version: ids.Version
     rule: document.Rule | None
     passed: tuple[Passed, ...]
+    known: bool = True
 
     def as_json(self) -> dict[str, typing.Any]:
         """Give what operators see."""
         return {
             'version': self.version,
+            'customer_known': self.known,
             'rule': self.rule and self.rule.name,
             'then': _then_as_json(self.rule),
             'passed': [dataclasses.asdict(passed) for passed in self.passed],
@@ -72,13 +76,14 @@
     True
     """
     passed = []
+    known = in_force.document.customer(facts.customer) is not None
     for rule in in_force.document.rules:
         field = matching.mismatch(rule.when, facts)
         if field is None:
-            return Explanation(in_force.version, rule, tuple(passed))
+            return Explanation(in_force.version, rule, tuple(passed), known)
         wanted, got = _compared(field, rule.when, facts)
         passed.append(Passed(rule.name, field, wanted, got))
-    return Explanation(in_force.version, None, tuple(passed))
+    return Explanation(in_force.version, None, tuple(passed), known)
 
 
 def facts_from_json(
--- a/libs/ctl/geraniumweir/ctl/client.py
+++ b/libs/ctl/geraniumweir/ctl/client.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import http
+import os
 import typing
 
 import aiohttp
@@ -98,8 +99,10 @@
             async with request as resp:
                 return await _read(address, resp)
         except aiohttp.ClientConnectorError as exc:
+            reason = os.strerror(exc.os_error.errno or 0)
             raise errors.UnreachableError(
-                f'{address}: {exc.os_error.strerror}',
+                f'{address}: {reason}; --operator-address or '
+                'GERANIUMWEIR_OPERATOR_ADDRESS says where the hosts are',
             ) from exc
         except (aiohttp.ClientError, TimeoutError) as exc:
             reason = str(exc) or type(exc).__name__
--- a/libs/ctl/geraniumweir/ctl/configcommands.py
+++ b/libs/ctl/geraniumweir/ctl/configcommands.py
@@ -107,6 +107,7 @@
             output.document(explained)
         case output.Form.table:
             _print_explained(explained)
+            _warn(_unknown_customer(explained, request.get('customer')))
 
 
 def _print_explained(explained: client.Json) -> None:
@@ -130,6 +131,14 @@
     )
 
 
+def _unknown_customer(
+    explained: client.Json,
+    customer: typing.Any,
+) -> typing.Iterator[str]:
+    if customer and not explained.get('customer_known', True):
+        yield f'{customer!r} is no customer: its calls get 401, GW-1102'
+
+
 async def _wait_for(
     conn: client.Client,
     version: int,
--- a/libs/ctl/geraniumweir/ctl/tests/test_commands.py
+++ b/libs/ctl/geraniumweir/ctl/tests/test_commands.py
@@ -183,7 +183,8 @@
     assert _run('status', f'--operator-address={address}') == (
         errors.EXIT_UNREACHABLE
     )
-    assert address in capsys.readouterr().err
+    told = capsys.readouterr().err
+    assert f'{address}: Connection refused; --operator-address' in told
 
 
 @pytest.mark.parametrize(
@@ -238,6 +239,18 @@
     assert 'no rule matches' in told
 
 
+def test_explain_warns_of_a_customer_that_is_none(
+    rules: str,
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A rule decides, but its calls are refused before."""
+    request = tmp_path / 'request.json'
+    request.write_text('{"customer": "nobody", "path": "/v1/x"}')
+    assert _run('explain', str(request), f'--file={rules}') == 0
+    assert "'nobody' is no customer" in capsys.readouterr().err
+
+
 def test_trace_joins_the_spans_of_several_hosts(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
--- a/libs/daemon/geraniumweir/daemon/admission.py
+++ b/libs/daemon/geraniumweir/daemon/admission.py
@@ -72,7 +72,7 @@
         for customer in doc.customers:
             if customer.key_sha256 == digest:
                 return customer
-        raise refusals.unknown_customer('this key')
+        raise refusals.unknown_key()
     name = req.headers.get('X-Customer', '')
     found = doc.customer(ids.CustomerName(name))
     if found is None or found.key_sha256 is not None:
--- a/libs/daemon/geraniumweir/daemon/announcements.py
+++ b/libs/daemon/geraniumweir/daemon/announcements.py
@@ -94,7 +94,10 @@
 
 
 async def _payload(req: web.Request) -> dict[str, typing.Any]:
-    payload = json.loads(await req.read())
+    try:
+        payload = json.loads(await req.read())
+    except ValueError as exc:
+        raise ValueError(f'the body is not JSON: {exc}') from exc
     if not isinstance(payload, dict):
         raise ValueError('the body is not a JSON object')
     return payload
--- a/libs/daemon/geraniumweir/daemon/operators.py
+++ b/libs/daemon/geraniumweir/daemon/operators.py
@@ -5,6 +5,7 @@
 document adds ``faults``, each with its place.
 """
 
+import dataclasses
 import difflib
 import http
 import typing
@@ -125,12 +126,26 @@
             accepted = operations.Accepted(in_force.version, repeated=True)
             return web.json_response(operatorjson.plain(accepted))
         change_id = ids.ChangeId(f'drain-{uuid.uuid4().hex}')
+        change = operations.Change(in_force.version, change_id, text)
+        known = {row.server_id for row in await self._ops.servers()}
+        if not drain or server_id in known:
+            return await self._accept(change)
         return await self._accept(
-            operations.Change(in_force.version, change_id, text)
+            change,
+            f'no backend server {server_id!r} is known to this host; one that '
+            'announces itself by this id gets no work',
         )
 
-    async def _accept(self, change: operations.Change) -> web.Response:
+    async def _accept(
+        self,
+        change: operations.Change,
+        *warnings: str,
+    ) -> web.Response:
         accepted = await self._ops.change(change)
+        accepted = dataclasses.replace(
+            accepted,
+            warnings=(*accepted.warnings, *warnings),
+        )
         logs.log(
             logevents.OPERATOR_CHANGE,
             version=accepted.version,
--- a/libs/daemon/geraniumweir/daemon/refusals.py
+++ b/libs/daemon/geraniumweir/daemon/refusals.py
@@ -108,10 +108,24 @@
     return refuse(catalogue.BAD_REQUEST, message)
 
 
+def unknown_key() -> errors.Refused:
+    """Refuse a call with a key of nobody we know."""
+    return refuse(catalogue.UNKNOWN_CUSTOMER, 'no customer has this key')
+
+
 def unknown_customer(name: str) -> errors.Refused:
-    """Refuse a call of nobody we know."""
+    """Refuse a call of nobody we know.
+
+    Whether a customer of the name has a key isn't told.
+
+    :param name: empty where the call gives none.
+    """
+    message = f'there is no customer {name!r} without a key'
+    if not name:
+        message = 'the call names no customer'
     return refuse(
-        catalogue.UNKNOWN_CUSTOMER, f'no customer answers to {name!r}'
+        catalogue.UNKNOWN_CUSTOMER,
+        f'{message}; send Authorization: Bearer KEY, or X-Customer: NAME',
     )
 
 
--- a/libs/daemon/geraniumweir/daemon/settings.py
+++ b/libs/daemon/geraniumweir/daemon/settings.py
@@ -19,6 +19,8 @@
 EXIT_BAD_SETTING = 2
 _DEFAULT_DRAIN_SECONDS = 30.0
 _MS = 1000
+# geraniumctl reads these, perhaps in the same environment.
+_TOOL_VARIABLES = frozenset((f'{ENV_PREFIX}OUTPUT', f'{ENV_PREFIX}TIMEOUT'))
 _ADDRESSES = (
     ('caller', 'callers'),
     ('backend', 'backend servers'),
@@ -97,9 +99,25 @@
     )
     for fault in _faults(cfg):
         parser.error(fault)
+    for name in _unknown(variables, opts):
+        parser.error(f'variable {name}: there is no such setting')
     return cfg
 
 
+def _unknown(
+    variables: typing.Iterable[str],
+    opts: argparse.Namespace,
+) -> list[str]:
+    """List variables that look like settings and are none."""
+    known = {f'{ENV_PREFIX}{name.upper()}' for name in opts.__dict__}
+    known |= _TOOL_VARIABLES
+    return sorted(
+        name
+        for name in variables
+        if name.startswith(ENV_PREFIX) and name not in known
+    )
+
+
 class _OneLineParser(configargparse.ArgumentParser):
     """Ends with one line that names the setting at fault."""
 
--- a/libs/daemon/geraniumweir/daemon/tests/test_settings.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_settings.py
@@ -45,6 +45,7 @@
         ('TRACE_SAMPLE', '1.5', 'from 0 to 1'),
         ('LOG_LEVEL', 'loud', 'notice'),
         ('LOG_FORMAT', 'xml', 'json'),
+        ('TEST_LINK_DELAY_MS', '-1', 'from 0 to 1000'),
     ],
 )
 def test_wrong_setting_is_named_on_one_line(
@@ -91,3 +92,20 @@
         settings.parse((), env)
     assert exited.value.code == settings.EXIT_BAD_SETTING
     assert flag in capsys.readouterr().err
+
+
+def test_mistyped_variable_is_named(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A host doesn't start without what its operator thinks it has."""
+    with pytest.raises(SystemExit) as exited:
+        _parse(RECORDER='entry-1=127.0.0.1:7404')
+    line = capsys.readouterr().err
+    assert exited.value.code == settings.EXIT_BAD_SETTING
+    assert 'GERANIUMWEIR_RECORDER:' in line
+    assert line.count('\n') == 1
+
+
+def test_variables_of_the_operators_tool_are_no_fault() -> None:
+    """Both programs may run in one environment."""
+    assert _parse(OUTPUT='json', TIMEOUT='5').host_id == 'entry-1'
