--- a/libs/fakes/geraniumweir/fakes/bench_decisions.py
+++ b/libs/fakes/geraniumweir/fakes/bench_decisions.py
@@ -56,8 +56,7 @@
 
 
 async def _measure(waiting: int, count: int) -> Figures:
-    now = asyncio.get_running_loop().time()
-    asks = _asks(random.Random(waiting * count), now)
+    asks = _asks(random.Random(waiting * count))
     leader = _leader(waiting, count)
     free, granted = _fill_servers(leader, asks, count * _SLOTS)
     held = [_begin(leader, next(asks)) for _ in range(waiting)]
@@ -65,9 +64,9 @@
     for request_id in granted[:_ROUNDS]:
         held.append(_begin(leader, next(asks)))
         released.append(_release(leader, request_id))
-    for coro, _, _ in held:
-        coro.close()
-    asked = [seconds for _, _, seconds in held[waiting:]]
+    asked = [began[2] for began in held[waiting:]]
+    for waiter in held:
+        waiter[0].close()
     return Figures(
         waiting,
         count,
@@ -138,7 +137,8 @@
     return time.perf_counter() - began
 
 
-def _asks(dice: random.Random, now: float) -> typing.Iterator[requests.Ask]:
+def _asks(dice: random.Random) -> typing.Iterator[requests.Ask]:
+    now = asyncio.get_running_loop().time()
     for number in itertools.count():
         start = dice.randrange(_RULES)
         yield requests.Ask(
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_invariants.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_invariants.py
@@ -69,8 +69,8 @@
     @stateful.rule(
         tier=st.sampled_from(ids.Tier),
         customer=st.sampled_from(['anna', 'bert', 'carl']),
-        wait=st.sampled_from([3.6, 4.0, 6.0, 20.0]),
-        prompt_tokens=st.sampled_from([10, 50, 400]),
+        wait=st.sampled_from([3.8, 4.5, 6.0, 20.0]),
+        prompt_tokens=st.sampled_from([10, 50, 400, 600]),
         idempotent=st.booleans(),
     )
     def ask(
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_shedding.py
@@ -31,6 +31,27 @@
     virtual.run(scenario())
 
 
+def test_freed_slots_go_by_tier_then_latest_start() -> None:
+    """Neither arrival nor an earlier deadline passes a higher tier."""
+
+    async def scenario() -> None:
+        scene = scenes.Scene(scenes.engine('one', can_cancel=False))
+        running = await scene.grant()
+        order = (
+            (ids.Tier.low, 20),
+            (ids.Tier.high, 50),
+            (ids.Tier.high, 40),
+            (ids.Tier.urgent, 60),
+        )
+        tasks = [await scene.start(wait, tier=tier) for tier, wait in order]
+        for expected in (3, 2, 1, 0):
+            scene.end(running)
+            running = await scenes.granted(tasks[expected])
+            assert sum(task.done() for task in tasks) == 4 - expected
+
+    virtual.run(scenario())
+
+
 def test_nearing_deadline_preempts_the_least_waste() -> None:
     """The lowest tier makes way, there the least prefill."""
 
