--- a/libs/scheduling/geraniumweir/scheduling/fairqueue.py
+++ b/libs/scheduling/geraniumweir/scheduling/fairqueue.py
@@ -250,6 +250,7 @@
     now: float,
 ) -> list[typing.Any]:
     """Give the first few that can still start in time."""
-    return list(
-        itertools.islice(starts.irange_key(min_key=(now, -1)), _BY_CUSTOMER),
-    )
+    first = 0
+    if starts[0][0] < now:
+        first = starts.bisect_key_left((now, -1))
+    return starts[first : first + _BY_CUSTOMER]
