--- a/libs/scheduling/geraniumweir/scheduling/tests/test_invariants.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_invariants.py
@@ -45,6 +45,7 @@
         super().__init__()
         self.loop = virtual.VirtualTimeLoop()
         self.runner = asyncio.Runner(loop_factory=lambda: self.loop)
+        self.asked: dict[ids.RequestId, requests.Ask] = {}
         self.used: dict[ids.RequestId, _Use] = {}
         self.tasks: dict[
             ids.RequestId, tuple[requests.Ask, asyncio.Task[scenes.Answer]]
@@ -92,6 +93,7 @@
         self._ask(ask)
 
     def _ask(self, ask: requests.Ask) -> None:
+        self.asked[ask.request_id] = ask
         task = self.loop.create_task(self.scene.leader.ask(ask))
         self.tasks[ask.request_id] = (ask, task)
         self._pass(0.001)
@@ -99,8 +101,14 @@
     @stateful.rule(tier=st.sampled_from(list(ids.Tier)[:3]))
     def press(self, tier: ids.Tier) -> None:
         """Low work fills the servers, then something higher must be served."""
-        for _ in range(2 * _SLOTS):
-            self._ask(self.scene.make(20, tier=ids.Tier.low))
+        for number in range(2 * _SLOTS):
+            idempotent = number != _SLOTS
+            low = self.scene.make(
+                20,
+                tier=ids.Tier.low,
+                idempotent=idempotent,
+            )
+            self._ask(low)
         self._pass(1.2)
         self._ask(self.scene.make(4, tier=tier))
         self._pass(2)
@@ -307,8 +315,7 @@
         wanted = [one.request_id for one in self.scene.preempts]
         assert len(set(wanted)) == len(wanted)
         for request_id in wanted:
-            use = self.used.get(request_id)
-            assert use is None or use.ask.idempotent
+            assert self.asked[request_id].idempotent
 
     @stateful.invariant()
     def free_servers_leave_nobody_waiting(self) -> None:
