A preemption passes those that only wait for KV room

The state machine found a middle tier refused while a low one ran on a server whose next room was promised to a higher request that lacked more room than could be made. The swap leaves that promise as it was.

--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -120,9 +120,20 @@
     server: records.Server,
     waiting: records.Waiting,
 ) -> list[records.Waiting]:
-    """List who a server keeps room for and who goes before a request."""
+    """List who a server keeps room for and who goes before a request.
+
+    A request for which others were preempted there takes the room that they
+    left, so it passes those that only wait for room, and the likes of it
+    that can wait longer.
+    """
     if not server.promised:
         return []
+    if waiting.promised_by == server.server_id and waiting.preempting:
+        return [
+            other
+            for other in server.promised.values()
+            if other.preempting and _urgency(other) < _urgency(waiting)
+        ]
     return [
         other
         for other in server.promised.values()
@@ -130,6 +141,10 @@
     ]
 
 
+def _urgency(waiting: records.Waiting) -> tuple[int, float, int]:
+    return waiting.ask.tier, waiting.best_start, waiting.sequence
+
+
 def kept_for_another(server: records.Server, waiting: records.Waiting) -> bool:
     """Tell whether a server's room is kept for requests that go before."""
     before = promised_before(server, waiting)
--- a/libs/scheduling/geraniumweir/scheduling/shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -243,14 +243,18 @@
 ) -> tuple[int, float]:
     """Give the slots and KV tokens that a server lacks for a request.
 
-    What is on its way out counts as gone, what is promised to those that go
-    before as there.
+    What is on its way out counts as gone, those that go before and that it
+    makes way for count as there.
     """
     staying = [
         running for running in server.running.values() if not running.preempted
     ]
     moving = sum(not running.stuck for running in staying)
-    promised = placement.promised_before(server, waiting)
+    promised = [
+        other
+        for other in placement.promised_before(server, waiting)
+        if other.preempting
+    ]
     slots = moving + len(promised) + 1 - server.most()
     if not server.announcement.kv_tokens:
         return slots, 0
