--- a/libs/scheduling/geraniumweir/scheduling/tests/test_invariants.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_invariants.py
@@ -26,6 +26,7 @@
     requests.DenialReason.queue_full,
 }
 _CALM_SECONDS = 1.0
+_FRESH_SECONDS = 4.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -165,7 +166,9 @@
         )
         self._pass(0.001)
         if use and outcome is requests.Outcome.not_sent:
-            self._ask(use.ask)
+            # Past its deadline it would be refused whoever runs.
+            due = max(use.ask.deadline, self.loop.time() + _FRESH_SECONDS)
+            self._ask(dataclasses.replace(use.ask, deadline=due))
 
     @stateful.rule(prompt=st.booleans())
     def owners_are(self, prompt: bool) -> None:
