Events of configuration go through the one log path

configuration.logevents had a logger of its own, which put the event's bare number and no fields into the record; the formats of observe.logs read the event and its fields from there and can't write such a record. It now uses common.eventlog.emit, as observe.logs.log does, and a test refuses any other logger in the libraries.

--- a/libs/configuration/geraniumweir/configuration/claims.py
+++ b/libs/configuration/geraniumweir/configuration/claims.py
@@ -18,7 +18,7 @@
 import typing
 
 from geraniumweir.common import errors as common_errors
-from geraniumweir.common import ids
+from geraniumweir.common import eventlog, ids
 from geraniumweir.configuration import (
     claimtable,
     commands,
@@ -211,7 +211,7 @@
             item for item in batch if item.fut is None or not item.fut.done()
         ]
         self._items.extendleft(reversed(left))
-        logevents.emit(
+        eventlog.emit(
             logevents.CLAIMS_DELAYED,
             count=len(left),
             reason=str(exc),
--- a/libs/configuration/geraniumweir/configuration/following.py
+++ b/libs/configuration/geraniumweir/configuration/following.py
@@ -19,7 +19,7 @@
 import typing
 
 import reactivex
-from geraniumweir.common import ids
+from geraniumweir.common import eventlog, ids
 from geraniumweir.configuration import (
     document,
     errors,
@@ -217,7 +217,7 @@
             return False
         if self._sure_at is None:
             version = self.in_force.version
-            logevents.emit(logevents.SURE, source=source, version=version)
+            eventlog.emit(logevents.SURE, source=source, version=version)
         heard_at = self._now() - age
         self._sure_at = max(self._sure_at or heard_at, heard_at)
         return True
--- a/libs/configuration/geraniumweir/configuration/holding.py
+++ b/libs/configuration/geraniumweir/configuration/holding.py
@@ -11,7 +11,7 @@
 
 import reactivex
 from geraniumweir.common import errors as common_errors
-from geraniumweir.common import ids
+from geraniumweir.common import eventlog, ids
 from geraniumweir.configuration import (
     compiling,
     document,
@@ -125,7 +125,7 @@
     def _refuse(self, version: ids.Version, exc: errors.DocumentError) -> None:
         """Stay with the version at hand; the proposer ran a newer build."""
         self.seen = version
-        logevents.emit(
+        eventlog.emit(
             logevents.UNREADABLE,
             version=version,
             kept=self.in_force.version,
@@ -139,7 +139,7 @@
             await self._shelf.save(version, text)
         except common_errors.GeraniumweirError as exc:
             # In force everywhere goes before kept on one broken disk.
-            logevents.emit(
+            eventlog.emit(
                 logevents.NOT_KEPT,
                 version=version,
                 reason=exc.message,
@@ -156,7 +156,7 @@
         news = self._news
         self._news = asyncio.Event()
         news.set()
-        logevents.emit(logevents.IN_FORCE, version=newest.version)
+        eventlog.emit(logevents.IN_FORCE, version=newest.version)
         self._changes.on_next(newest)
 
 
--- a/libs/configuration/geraniumweir/configuration/logevents.py
+++ b/libs/configuration/geraniumweir/configuration/logevents.py
@@ -1,8 +1,5 @@
 """Events of configuration and claims, numbers 701 to 799."""
 
-import typing
-
-import logbook
 from geraniumweir.common import logevents
 
 IN_FORCE = logevents.Event(
@@ -30,24 +27,3 @@
     logevents.Level.warning,
     '{count} claims could not be logged yet: {reason}',
 )
-
-_LEVELS = {
-    logevents.Level.debug: logbook.DEBUG,
-    logevents.Level.info: logbook.INFO,
-    logevents.Level.notice: logbook.NOTICE,
-    logevents.Level.warning: logbook.WARNING,
-    logevents.Level.error: logbook.ERROR,
-}
-_log = logbook.Logger('geraniumweir.configuration')
-
-
-def emit(event: logevents.Event, **fields: typing.Any) -> None:
-    """Log an event.
-
-    :param fields: what the event's template names.
-    """
-    _log.log(
-        _LEVELS[event.level],
-        event.template.format(**fields),
-        extra={'event': event.number, **fields},
-    )
--- a/libs/daemon/geraniumweir/daemon/tests/test_catalogue_pages.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_catalogue_pages.py
@@ -15,6 +15,7 @@
 _METRIC_ROW = re.compile(
     r'^\| `(\w+)` \| (\w+) \| (.*?) *\| (.*?) *\|$', re.MULTILINE
 )
+_LOGGER = re.compile(r'\b(logbook\.Logger|logging\.getLogger)\(')
 _HUNDREDS = {
     'daemon': 1,
     'scheduling': 2,
@@ -83,3 +84,14 @@
         if isinstance(entry, metricnames.Metric)
     }
     assert set(_METRIC_ROW.findall(page)) == in_code
+
+
+def test_only_one_module_writes_to_the_log() -> None:
+    """A logger elsewhere would make lines that the formats can't write."""
+    loggers = {
+        str(path.relative_to(_ROOT))
+        for path in _ROOT.glob('libs/*/geraniumweir/**/*.py')
+        if 'tests' not in path.parts
+        and _LOGGER.search(path.read_text()) is not None
+    }
+    assert loggers == {'libs/common/geraniumweir/common/eventlog.py'}
