--- a/libs/daemon/geraniumweir/daemon/tests/test_catalogue.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_catalogue.py
@@ -10,6 +10,7 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parents[5]
 _ROW = re.compile(r'^\| (GW-\d{4}) \| (.*) \|$', re.MULTILINE)
+_LITERAL = re.compile(r"'(GW-\d{4})'")
 
 
 def _documented() -> dict[str, list[str]]:
@@ -19,6 +20,21 @@
     return {code: cells.split(' | ') for code, cells in rows}
 
 
+def _modules() -> list[pathlib.Path]:
+    return [
+        path
+        for path in _ROOT.glob('libs/*/geraniumweir/*/**/*.py')
+        if {'tests', 'gen', '__main__.py'}.isdisjoint(path.parts)
+    ]
+
+
+def _import_everything() -> None:
+    """Import every module there is, so that no error class is overlooked."""
+    for path in _modules():
+        parts = path.relative_to(_ROOT).with_suffix('').parts[2:]
+        importlib.import_module('.'.join(parts).removesuffix('.__init__'))
+
+
 def _classes(root: type) -> typing.Iterator[type]:
     yield root
     for found in root.__subclasses__():
@@ -38,8 +54,7 @@
 
 def test_every_error_has_its_own_documented_code() -> None:
     """No code stands twice in the code, none is missing in the page."""
-    for path in _ROOT.glob('libs/*/geraniumweir/*/errors.py'):
-        importlib.import_module(f'geraniumweir.{path.parent.name}.errors')
+    _import_everything()
     codes: dict[str, str] = {}
     for found in _classes(errors.GeraniumweirError):
         if '.tests.' in found.__module__:
@@ -48,3 +63,13 @@
         if 'code' in found.__dict__:
             codes[found.code] = found.__name__
     assert set(codes) <= set(_documented())
+
+
+def test_page_and_code_name_the_same_codes() -> None:
+    """No code in any module lacks in the page, and none is left over."""
+    named = {
+        code
+        for path in _modules()
+        for code in _LITERAL.findall(path.read_text())
+    }
+    assert named == set(_documented())
