--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 libs tools
+	$(BIN)/flake8 libs tools conftest.py
 	$(BIN)/lint-imports
 
 format: setup
