--- a/libs/fakes/geraniumweir/fakes/bench_decisions.py
+++ b/libs/fakes/geraniumweir/fakes/bench_decisions.py
@@ -56,7 +56,10 @@
 
 
 async def _measure(waiting: int, count: int) -> Figures:
-    asks = _asks(random.Random(waiting * count))
+    asks = _asks(
+        random.Random(waiting * count),
+        asyncio.get_running_loop().time(),
+    )
     leader = _leader(waiting, count)
     free, granted = _fill_servers(leader, asks, count * _SLOTS)
     held = [_begin(leader, next(asks)) for _ in range(waiting)]
@@ -64,13 +67,12 @@
     for request_id in granted[:_ROUNDS]:
         held.append(_begin(leader, next(asks)))
         released.append(_release(leader, request_id))
-    asked = [began[2] for began in held[waiting:]]
-    for waiter in held:
-        waiter[0].close()
+    for coro, _, _ in held:
+        coro.close()
     return Figures(
         waiting,
         count,
-        _median(asked),
+        _median([seconds for _, _, seconds in held[waiting:]]),
         _median(released),
         _median(free),
     )
@@ -137,8 +139,7 @@
     return time.perf_counter() - began
 
 
-def _asks(dice: random.Random) -> typing.Iterator[requests.Ask]:
-    now = asyncio.get_running_loop().time()
+def _asks(dice: random.Random, now: float) -> typing.Iterator[requests.Ask]:
     for number in itertools.count():
         start = dice.randrange(_RULES)
         yield requests.Ask(
