--- a/libs/daemon/geraniumweir/daemon/tests/test_operators.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_operators.py
@@ -10,14 +10,14 @@
 from geraniumweir.common import ids, timers
 from geraniumweir.daemon import (
     alone,
-    gauges,
+    observing,
     operations,
     operators,
     settings,
 )
 from geraniumweir.daemon import host as entry_host
 from geraniumweir.membership import servers
-from geraniumweir.observe import metrics, traces
+from geraniumweir.observe import traces
 
 _RULES = """# ours
 [[pool]]
@@ -71,17 +71,12 @@
             host = entry_host.EntryHost(
                 cfg, timers.TimerService(), session, servers.Registry(), {}
             )
-            tracing = traces.Tracing(
-                traces.TraceSettings(cfg.host_id, cfg.trace_file)
-            )
-            stack.callback(tracing.close)
-            meter = metrics.Metrics()
-            gauges.register(meter, host, tracing)
-            app = operators.make_app(kind(host, meter, tracing))
+            observed = observing.observe(host, stack)
+            app = operators.make_app(kind(host, observed))
             server = test_utils.TestServer(app)
             client = test_utils.TestClient(server)
             await stack.enter_async_context(client)
-            await scenario(client, host, tracing)
+            await scenario(client, host, observed.tracing)
 
     asyncio.run(whole())
 
--- a/libs/fakes/geraniumweir/fakes/tests/test_draining.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_draining.py
@@ -50,7 +50,7 @@
 
 async def _stream_over_sigterm() -> bytes:
     domain = ids.FailureDomain('milano-a')
-    host = await processes.start('entry-1', domain)
+    host = await processes.start(processes.plan_alone('entry-1', domain))
     cfg = engine.EngineSettings(
         ids.ServerId('advisor-1'),
         ids.PoolName('lm-advisori'),
