--- a/libs/fakes/geraniumweir/fakes/bench_configuration.py
+++ b/libs/fakes/geraniumweir/fakes/bench_configuration.py
@@ -58,7 +58,7 @@
     text = document_text(customers, rules)
     reading_s, doc = _timed(lambda: reading.read(text))
     compiling_s, compiled = _timed(lambda: compiling.CompiledDocument(doc))
-    requests = _requests(customers, rules)
+    requests = requests_for(customers, rules)
     plain_s, expected = _timed(
         lambda: [matching.first_match(doc.rules, one) for one in requests],
     )
@@ -79,7 +79,7 @@
     }
 
 
-def _requests(customers: int, rules: int) -> list[matching.Facts]:
+def requests_for(customers: int, rules: int) -> list[matching.Facts]:
     rand = random.Random(1)  # noqa: S311
     return [
         matching.Facts(
--- a/libs/fakes/geraniumweir/fakes/bench_decisions.py
+++ b/libs/fakes/geraniumweir/fakes/bench_decisions.py
@@ -57,14 +57,14 @@
 
 async def _measure(waiting: int, count: int) -> Figures:
     now = asyncio.get_running_loop().time()
-    asks = _asks(random.Random(waiting * count), now)
-    leader = _leader(waiting, count)
-    free, granted = _fill_servers(leader, asks, count * _SLOTS)
-    held = [_begin(leader, next(asks)) for _ in range(waiting)]
+    asks = make_asks(random.Random(waiting * count), now)
+    leader = make_leader(waiting, count)
+    free, granted = fill_servers(leader, asks, count * _SLOTS)
+    held = [begin(leader, next(asks)) for _ in range(waiting)]
     released: list[float] = []
     for request_id in granted[:_ROUNDS]:
-        held.append(_begin(leader, next(asks)))
-        released.append(_release(leader, request_id))
+        held.append(begin(leader, next(asks)))
+        released.append(release(leader, request_id))
     for coro, _, _ in held:
         coro.close()
     asked = [seconds for _, _, seconds in held[waiting:]]
@@ -81,7 +81,7 @@
     return statistics.median(seconds) * _MICRO
 
 
-def _leader(waiting: int, count: int) -> leaders.PoolLeader:
+def make_leader(waiting: int, count: int) -> leaders.PoolLeader:
     live = [_server(number) for number in range(count)]
     return leaders.PoolLeader(
         settings.LeaderSettings(_POOL, queue_limit=waiting * 2 + _ROUNDS),
@@ -91,7 +91,7 @@
     )
 
 
-def _fill_servers(
+def fill_servers(
     leader: leaders.PoolLeader,
     asks: typing.Iterator[requests.Ask],
     slots: int,
@@ -99,7 +99,7 @@
     free: list[float] = []
     granted: list[ids.RequestId] = []
     for ask in itertools.islice(asks, slots):
-        _, grant, seconds = _begin(leader, ask)
+        _, grant, seconds = begin(leader, ask)
         if grant is not None:
             free.append(seconds)
             granted.append(grant.request_id)
@@ -113,19 +113,19 @@
 ]
 
 
-def _begin(leader: leaders.PoolLeader, ask: requests.Ask) -> _Began:
+def begin(leader: leaders.PoolLeader, ask: requests.Ask) -> _Began:
     """Run an ask until it waits or is granted, and time that."""
     coro = leader.ask(ask)
-    began = time.perf_counter()
+    began = time.process_time()
     grant = None
     try:
         coro.send(None)
     except StopIteration as exc:
         grant = exc.value
-    return coro, grant, time.perf_counter() - began
+    return coro, grant, time.process_time() - began
 
 
-def _release(leader: leaders.PoolLeader, request_id: ids.RequestId) -> float:
+def release(leader: leaders.PoolLeader, request_id: ids.RequestId) -> float:
     done = requests.Release(
         request_id,
         requests.Outcome.done,
@@ -133,12 +133,12 @@
         output_tokens=100,
         seconds=2,
     )
-    began = time.perf_counter()
+    began = time.process_time()
     leader.release(done)
-    return time.perf_counter() - began
+    return time.process_time() - began
 
 
-def _asks(dice: random.Random, now: float) -> typing.Iterator[requests.Ask]:
+def make_asks(dice: random.Random, now: float) -> typing.Iterator[requests.Ask]:
     for number in itertools.count():
         start = dice.randrange(_RULES)
         yield requests.Ask(
--- a/libs/fakes/geraniumweir/fakes/bench_membership.py
+++ b/libs/fakes/geraniumweir/fakes/bench_membership.py
@@ -11,6 +11,7 @@
 import dataclasses
 import functools
 import random
+import time
 import typing
 
 import tabulate
@@ -56,9 +57,18 @@
 class CountingPeers:
     """Counts what a host sends and gets; the network does the rest."""
 
-    def __init__(self, inner: memory.MemoryPeers) -> None:
-        """Start at nothing."""
+    def __init__(
+        self,
+        inner: memory.MemoryPeers,
+        weigh: typing.Callable[[peers.Message], int],
+    ) -> None:
+        """Start at nothing.
+
+        :param weigh: gives the bytes of a message in its frame.
+        """
         self.host_id = inner.host_id
+        self._weigh = weigh
+        self.received = 0
         self.messages = 0
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -93,6 +103,7 @@
 
     def reset(self) -> None:
         """Begin to count anew."""
+        self.received = 0
         self.messages = 0
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -103,12 +114,13 @@
         sender: ids.HostId,
         message: peers.Message,
     ) -> peers.Message | None:
-        self.received_bytes += framed_size(message)
+        self.received += 1
+        self.received_bytes += self._weigh(message)
         return await handler(sender, message)
 
     def _count(self, message: peers.Message) -> None:
         self.messages += 1
-        self.sent_bytes += framed_size(message)
+        self.sent_bytes += self._weigh(message)
 
 
 def framed_size(message: peers.Message) -> int:
@@ -144,6 +156,9 @@
     :ivar most_sent: bytes of the host that sent most, always a delegate.
     :ivar most_packets: the same with the headers of TCP over IPv4.
     :ivar most_received: bytes of the host that received most.
+    :ivar least_packets: as ``most_packets``, of the host that sent least.
+    :ivar most_received_packets: bytes with headers.
+    :ivar processor: seconds of processor time, mean of all hosts.
     """
 
     messages: float
@@ -152,23 +167,48 @@
     most_sent: float
     most_packets: float
     most_received: float
+    least_packets: float
+    most_received_packets: float
+    processor: float
 
 
-async def measure(domains: int, per_domain: int, *, loaded: bool) -> Cost:
+async def measure(
+    domains: int,
+    per_domain: int,
+    *,
+    loaded: bool,
+    announcing: int = SERVERS_PER_HOST,
+    weighed: bool = True,
+) -> Cost:
     """Run hosts and count what they send.
 
     :param loaded: with backend servers and pools, or without.
+    :param announcing: backend servers that announce to each host.
+    :param weighed: without it no bytes are counted, so that the processor
+        time is that of membership alone.
     """
     chance = random.Random(_SEED)  # noqa: S311
-    nodes = await start(memory.MemoryNetwork(_SEED), domains, per_domain)
+    nodes = await start(
+        memory.MemoryNetwork(_SEED),
+        domains,
+        per_domain,
+        weigh=framed_size if weighed else _nothing,
+    )
+    used = time.process_time()
     for second in range(WARM_SECONDS + COUNTED_SECONDS):
         if second == WARM_SECONDS:
             _check_whole(nodes)
             _reset(nodes)
+            used = time.process_time()
         if loaded:
-            _load(nodes, chance)
+            _load(nodes, chance, announcing)
         await asyncio.sleep(1)
-    return _cost([node.peers for node in nodes])
+    used = time.process_time() - used
+    return _cost([node.peers for node in nodes], used)
+
+
+def _nothing(_message: peers.Message) -> int:
+    return 0
 
 
 async def start(
@@ -176,12 +216,13 @@
     domains: int,
     per_domain: int,
     timing: suspicion.Timing | None = None,
+    weigh: typing.Callable[[peers.Message], int] = framed_size,
 ) -> list[Node]:
     """Start the hosts within a second, all with the first one as seed."""
     nodes: list[Node] = []
     used = timing or suspicion.Timing()
     for number in range(domains * per_domain):
-        node = _node(network, number, per_domain, used)
+        node = _node(network, number, per_domain, used, weigh)
         nodes.append(node)
         await node.member.start()
         await asyncio.sleep(1 / (domains * per_domain))
@@ -193,6 +234,7 @@
     number: int,
     per_domain: int,
     timing: suspicion.Timing,
+    weigh: typing.Callable[[peers.Message], int],
 ) -> Node:
     domain = number // per_domain
     address = ids.Address('10.0.0.1', number + 1)
@@ -204,7 +246,7 @@
         ids.Incarnation(_FIRST_INCARNATION + number),
         address,
     )
-    layer = CountingPeers(network.join(host.host_id, address))
+    layer = CountingPeers(network.join(host.host_id, address), weigh)
     seeds = (ids.Address('10.0.0.1', 1),)
     options = knowledge.Options(seeds, timing, number)
     member = membership.Membership(
@@ -216,9 +258,13 @@
     return Node(member, layer, number, leads=number % per_domain == 0)
 
 
-def _load(nodes: typing.Iterable[Node], chance: random.Random) -> None:
+def _load(
+    nodes: typing.Iterable[Node],
+    chance: random.Random,
+    announcing: int,
+) -> None:
     for node in nodes:
-        for slot in range(SERVERS_PER_HOST):
+        for slot in range(announcing):
             node.member.sharing.announce(_announcement(node, slot))
         if node.leads:
             _publish(node, chance)
@@ -275,20 +321,28 @@
         node.peers.reset()
 
 
-def _cost(counted: list[CountingPeers]) -> Cost:
+def _cost(counted: list[CountingPeers], used: float) -> Cost:
     messages = [one.messages for one in counted]
     sent = [one.sent_bytes for one in counted]
-    packets = [
-        one.sent_bytes + one.messages * PACKET_HEADER_BYTES for one in counted
-    ]
-    return Cost(
-        sum(messages) / len(messages) / COUNTED_SECONDS,
-        sum(sent) / len(sent) / COUNTED_SECONDS,
-        min(sent) / COUNTED_SECONDS,
-        max(sent) / COUNTED_SECONDS,
-        max(packets) / COUNTED_SECONDS,
-        max(one.received_bytes for one in counted) / COUNTED_SECONDS,
+    packets = [_packets(one.sent_bytes, one.messages) for one in counted]
+    got = [_packets(one.received_bytes, one.received) for one in counted]
+    total = Cost(
+        sum(messages) / len(messages),
+        sum(sent) / len(sent),
+        min(sent),
+        max(sent),
+        max(packets),
+        max(one.received_bytes for one in counted),
+        min(packets),
+        max(got),
+        used / len(counted),
     )
+    by_second = (one / COUNTED_SECONDS for one in dataclasses.astuple(total))
+    return Cost(*by_second)
+
+
+def _packets(framed: int, messages: int) -> int:
+    return framed + messages * PACKET_HEADER_BYTES
 
 
 def _row(domains: int, per_domain: int, *, loaded: bool) -> list[object]:
--- a/libs/fakes/geraniumweir/fakes/bench_path.py
+++ b/libs/fakes/geraniumweir/fakes/bench_path.py
@@ -71,12 +71,12 @@
 
 async def _main() -> None:
     figures = {}
-    async with _stand(0) as stand:
+    async with stand(0) as stand:
         figures['idle resident KiB'] = stand.resident()
         figures |= await _first_tokens(stand)
         figures |= await _call_rate(stand)
         figures |= await _memory(stand)
-    async with _stand(_TOKEN_SECONDS) as stand:
+    async with stand(_TOKEN_SECONDS) as stand:
         figures |= await _gaps(stand)
         figures |= await _token_rate(stand)
     for name, figure in figures.items():
@@ -84,7 +84,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _stand(token_seconds: float) -> typing.AsyncIterator[Stand]:
+async def stand(token_seconds: float) -> typing.AsyncIterator[Stand]:
     async with contextlib.AsyncExitStack() as stack:
         connector = aiohttp.TCPConnector(limit=0)
         session = aiohttp.ClientSession(connector=connector)
@@ -124,7 +124,7 @@
     return f'http://127.0.0.1:{port}/v1/chat/completions'
 
 
-def _body(tokens: int, stream: bool = True, **more: typing.Any) -> Json:
+def body(tokens: int, stream: bool = True, **more: typing.Any) -> Json:
     prompt = [{'role': 'user', 'content': _QUESTION}]
     return {
         'model': 'advisor',
@@ -141,7 +141,7 @@
     start = loop.time()
     async with stand.session.post(
         url,
-        json=_body(2),
+        json=body(2),
         headers=_HEADERS,
     ) as resp:
         await resp.content.readany()
@@ -181,7 +181,7 @@
     times = []
     async with stand.session.post(
         url,
-        json=_body(_GAP_TOKENS),
+        json=body(_GAP_TOKENS),
         headers=_HEADERS,
     ) as resp:
         async for _ in resp.content.iter_any():
@@ -221,10 +221,10 @@
 ) -> None:
     for number in numbers:
         url = urls[number % len(urls)]
-        await _whole(stand, url, _body(1, stream=False))
+        await whole(stand, url, body(1, stream=False))
 
 
-async def _whole(stand: Stand, url: str, payload: Json) -> None:
+async def whole(stand: Stand, url: str, payload: Json) -> None:
     async with stand.session.post(
         url,
         json=payload,
@@ -240,9 +240,9 @@
     loop = asyncio.get_running_loop()
     start = loop.time()
     cpu = stand.cpu()
-    body = _body(_STREAM_TOKENS)
+    body = body(_STREAM_TOKENS)
     await asyncio.gather(
-        *(_whole(stand, stand.through, body) for _ in range(_STREAMS)),
+        *(whole(stand, stand.through, body) for _ in range(_STREAMS)),
     )
     tokens = _STREAMS * _STREAM_TOKENS
     used = stand.cpu() - cpu
@@ -260,7 +260,7 @@
         opened = 0
         for count in _OPEN:
             for _ in range(count - opened):
-                await stack.enter_async_context(_standing(stand))
+                await stack.enter_async_context(standing(stand))
             opened = count
             await asyncio.sleep(_SETTLE_SECONDS)
             grown = stand.resident() - before
@@ -276,7 +276,7 @@
         for _ in range(count):
             resp = stand.session.post(
                 stand.through,
-                json=_body(_STREAM_TOKENS, pad=_PAD_BYTES),
+                json=body(_STREAM_TOKENS, pad=_PAD_BYTES),
                 headers=_HEADERS,
             )
             await stack.enter_async_context(resp)
@@ -286,8 +286,8 @@
 
 
 @contextlib.asynccontextmanager
-async def _standing(stand: Stand) -> typing.AsyncIterator[None]:
-    body = _body(4, fault='stall', fault_after=1)
+async def standing(stand: Stand) -> typing.AsyncIterator[None]:
+    body = body(4, fault='stall', fault_after=1)
     async with stand.session.post(
         stand.through,
         json=body,
--- /dev/null
+++ b/libs/fakes/geraniumweir/fakes/slopes/configuring.py
@@ -0,0 +1,165 @@
+"""What documents, changes and claims cost a host."""
+
+import asyncio
+import time
+
+from geraniumweir.common import ids, virtual
+from geraniumweir.configuration import (
+    commands,
+    compiling,
+    patches,
+    reading,
+    state,
+)
+from geraniumweir.fakes import (
+    bench_configuration,
+    bench_following,
+    bench_membership,
+)
+from geraniumweir.fakes.slopes import results
+from geraniumweir.wire.gen.configuration import ttypes
+
+CUSTOMERS = (10, 100, 500, 1400)
+_RULES_SHARE = 0.3
+_BATCHES = (1, 8, 64, 512)
+_CLAIMS = 4096
+_TTL_MS = 60000
+_FOLLOWING = ((6, 3, 3), (12, 4, 3), (24, 4, 5), (48, 6, 5))
+_CHANGES = 20
+_DECISIONS = 500
+
+
+def main() -> None:
+    """Measure and print."""
+    documents = {size: _document(size) for size in CUSTOMERS}
+    claims = {size: _claims(size) for size in _BATCHES}
+    followed = {
+        case[0]: _followed(*case) for case in _FOLLOWING
+    }
+    results.write(
+        results.columns('configuring', 'customers', _DOCUMENT, documents)
+        + results.columns('configuring', 'claims a command', _CLAIM, claims)
+        + results.columns('configuring', 'hosts', _FOLLOW, followed),
+    )
+
+
+_DOCUMENT = {
+    'document': 'B',
+    'read': 's of processor',
+    'compile': 's of processor',
+    'decide': 's of processor',
+    'memory': 'B, document and compiled',
+    'patch': 's of processor, made and applied',
+    'patch_bytes': 'B a change and hop, with headers',
+}
+_CLAIM = {
+    'claim': 's of processor to apply one',
+    'claim_bytes': 'B each in a command',
+    'claim_memory': 'B each in the table',
+    'claim_snapshot': 'B each in a snapshot',
+}
+_FOLLOW = {
+    'follow_messages': 'messages/s sent, mean, idle',
+    'follow_bytes': 'B/s sent, mean, idle, with headers',
+    'change_messages': 'messages a host and change',
+    'change_bytes': 'B a host and change, with headers',
+    'change_delay': 's until in force everywhere, longest',
+}
+
+
+def text_of(customers: int, share: int = 2) -> str:
+    """Give a document in which one share is as told, near its middle."""
+    rules = max(int(customers * _RULES_SHARE), 1)
+    text = bench_configuration.document_text(customers, rules)
+    middle = text.index('share = 2', len(text) // 3)
+    return ''.join(
+        (text[:middle], f'share = {share}', text[middle + len('share = 2') :]),
+    )
+
+
+def _document(customers: int) -> dict[str, float]:
+    text = text_of(customers)
+    read, doc = results.processor(lambda: reading.read(text))
+    compiled_in, compiled = results.processor(
+        lambda: compiling.CompiledDocument(doc),
+    )
+    rules = max(int(customers * _RULES_SHARE), 1)
+    facts = bench_configuration.requests_for(customers, rules)[:_DECISIONS]
+    decided, _ = results.processor(
+        lambda: [compiled.first_match(one) for one in facts],
+    )
+    kept, _ = results.memory(
+        lambda: compiling.CompiledDocument(reading.read(text)),
+    )
+    old, new = text.encode(), text_of(customers, 7).encode()
+    patched, patch = results.processor(lambda: patches.make(1, old, new))
+    applied, _ = results.processor(lambda: patches.apply(patch, old))
+    answer = ttypes.VersionFetched(patch=patch, version=2)
+    return {
+        'document': len(old),
+        'read': read,
+        'compile': compiled_in,
+        'decide': decided / len(facts),
+        'memory': kept,
+        'patch': patched + applied,
+        'patch_bytes': bench_membership.framed_size(answer)
+        + bench_membership.PACKET_HEADER_BYTES,
+    }
+
+
+def claim_command(start: int, batch: int) -> bytes:
+    """Build a command of claims numbered from a start on."""
+    steps = [
+        ttypes.Step(
+            claim=ttypes.Claim(
+                f'customer-{number % CUSTOMERS[-1]}',
+                f'{number:032x}',
+                f'{number:032x}',
+                number,
+                'host-001',
+                _TTL_MS,
+            ),
+        )
+        for number in range(start, start + batch)
+    ]
+    return commands.build(steps, start)
+
+
+def _claims(batch: int) -> dict[str, float]:
+    made = [
+        claim_command(start, batch) for start in range(0, _CLAIMS, batch)
+    ]
+    machine = state.SystemState()
+    start = time.process_time()
+    for index, command in enumerate(made, 1):
+        machine.apply(index, command)
+    used = time.process_time() - start
+    second = state.SystemState()
+    kept, _ = results.memory(
+        lambda: [len(second.apply(1, command)) for command in made],
+    )
+    return {
+        'claim': used / _CLAIMS,
+        'claim_bytes': sum(map(len, made)) / _CLAIMS,
+        'claim_memory': kept / _CLAIMS,
+        'claim_snapshot': len(machine.snapshot()) / _CLAIMS,
+    }
+
+
+def _followed(hosts: int, domains: int, recorders: int) -> dict[str, float]:
+    case = bench_following.Case(hosts, domains, recorders, changes=_CHANGES)
+    row = bench_following.measure(case)
+    idle = row['idle messages a host and s']
+    busy = row['messages a host and change']
+    header = bench_membership.PACKET_HEADER_BYTES
+    return {
+        'follow_messages': idle,
+        'follow_bytes': row['idle bytes a host and s'] + idle * header,
+        'change_messages': busy,
+        'change_bytes': row['bytes a host and change'] + busy * header,
+        'change_delay': row['worst ms'] / 1000,
+    }
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/libs/fakes/geraniumweir/fakes/slopes/counting.py
@@ -0,0 +1,40 @@
+"""A network in memory that counts what goes over it, by sender."""
+
+import collections
+
+from geraniumweir.common import ids
+from geraniumweir.fakes import bench_membership
+from geraniumweir.wire import memory, peers
+
+
+class CountingNetwork(memory.MemoryNetwork):
+    """Counts messages and the bytes of their frames and headers.
+
+    :ivar packets: messages by sender.
+    :ivar octets: bytes by sender, with the headers of TCP over IPv4.
+    """
+
+    def __init__(self, seed: int = 1) -> None:
+        """Start with nothing sent."""
+        super().__init__(seed)
+        self.packets: collections.Counter[ids.HostId] = collections.Counter()
+        self.octets: collections.Counter[ids.HostId] = collections.Counter()
+
+    def passes(
+        self,
+        sender: memory.MemoryPeers,
+        receiver: ids.HostId,
+        message: peers.Message,
+    ) -> bool:
+        """Count a message."""
+        framed = bench_membership.framed_size(message)
+        self.packets[sender.host_id] += 1
+        self.octets[sender.host_id] += (
+            framed + bench_membership.PACKET_HEADER_BYTES
+        )
+        return super().passes(sender, receiver, message)
+
+    def reset(self) -> None:
+        """Begin to count anew."""
+        self.packets.clear()
+        self.octets.clear()
--- /dev/null
+++ b/libs/fakes/geraniumweir/fakes/slopes/membership.py
@@ -0,0 +1,68 @@
+"""What membership costs a host, counted in virtual time.
+
+Bytes are with 52 of headers for each message. The processor time is that of
+the logic alone; a message over sockets is in :mod:`wire`.
+"""
+
+from geraniumweir.common import virtual
+from geraniumweir.fakes import bench_membership
+from geraniumweir.fakes.slopes import results
+
+_HOSTS = (2, 4, 8, 16, 24)
+_DOMAINS = (1, 2, 4, 8, 17)
+_ANNOUNCING = (1, 4, 8, 12)
+_BIG_DOMAIN = 23
+_UNITS = {
+    'messages': 'messages/s sent, mean',
+    'ordinary_sent': 'B/s sent, host that sends least',
+    'busiest_sent': 'B/s sent, host that sends most',
+    'busiest_received': 'B/s received, host that receives most',
+    'processor': 's/s, mean',
+}
+
+
+def main() -> None:
+    """Measure and print."""
+    by_hosts = {size: _costs(1, size) for size in _HOSTS}
+    by_domains = {
+        size: _costs(size, bench_membership.HOSTS_PER_DOMAIN)
+        for size in _DOMAINS
+    }
+    by_servers = {
+        size: _costs(1, _BIG_DOMAIN, size) for size in _ANNOUNCING
+    }
+    results.write(
+        results.columns('membership.hosts', 'hosts', _UNITS, by_hosts)
+        + results.columns('membership.domains', 'domains', _UNITS, by_domains)
+        + results.columns('membership.servers', 'servers', _UNITS, by_servers),
+    )
+
+
+def _costs(
+    domains: int,
+    per_domain: int,
+    announcing: int = bench_membership.SERVERS_PER_HOST,
+) -> dict[str, float]:
+    counted, used = (
+        virtual.run(
+            bench_membership.measure(
+                domains,
+                per_domain,
+                loaded=True,
+                announcing=announcing,
+                weighed=weighed,
+            ),
+        )
+        for weighed in (True, False)
+    )
+    return {
+        'messages': counted.messages,
+        'ordinary_sent': counted.least_packets,
+        'busiest_sent': counted.most_packets,
+        'busiest_received': counted.most_received_packets,
+        'processor': used.processor,
+    }
+
+
+if __name__ == '__main__':
+    main()
