--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/.stamp
 PROJECTS := $(wildcard libs/*/pyproject.toml)
 
-.PHONY: setup demo test lint format bench bounds clean
+.PHONY: setup demo test lint format bench bounds slopes capacity-page clean
 
 setup: $(STAMP)
 
@@ -42,5 +42,14 @@
 	$(BIN)/python -m geraniumweir.fakes.bench.main \
 		--policy pool-leader --write-bounds
 
+# Measures what each part costs, by size, and fills in docs/CAPACITY.md.
+slopes: setup
+	$(BIN)/python tools/slopes.py docs/measured/slopes.json
+	$(BIN)/python tools/capacity_page.py
+
+# Fills in docs/CAPACITY.md from the figures that are there.
+capacity-page: setup
+	$(BIN)/python tools/capacity_page.py
+
 clean:
 	rm -rf $(VENV) build
--- a/libs/fakes/geraniumweir/fakes/bench_path.py
+++ b/libs/fakes/geraniumweir/fakes/bench_path.py
@@ -240,9 +240,9 @@
     loop = asyncio.get_running_loop()
     start = loop.time()
     cpu = stand.cpu()
-    body = body(_STREAM_TOKENS)
+    payload = body(_STREAM_TOKENS)
     await asyncio.gather(
-        *(whole(stand, stand.through, body) for _ in range(_STREAMS)),
+        *(whole(stand, stand.through, payload) for _ in range(_STREAMS)),
     )
     tokens = _STREAMS * _STREAM_TOKENS
     used = stand.cpu() - cpu
@@ -287,10 +287,10 @@
 
 @contextlib.asynccontextmanager
 async def standing(stand: Stand) -> typing.AsyncIterator[None]:
-    body = body(4, fault='stall', fault_after=1)
+    payload = body(4, fault='stall', fault_after=1)
     async with stand.session.post(
         stand.through,
-        json=body,
+        json=payload,
         headers=_HEADERS,
     ) as resp:
         await resp.content.readany()
--- a/libs/fakes/geraniumweir/fakes/slopes/callpath.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/callpath.py
@@ -8,8 +8,10 @@
 import contextlib
 import typing
 
-from geraniumweir.fakes import bench_path
-from geraniumweir.fakes.slopes import results
+import aiohttp
+from geraniumweir.common import ids
+from geraniumweir.fakes import bench_path, processes
+from geraniumweir.fakes.slopes import configuring, results
 
 _CALLERS = (1, 8, 32, 64)
 _CALLS = 1500
@@ -17,6 +19,7 @@
 _TOKENS = 150
 _TOKEN_SECONDS = 0.02
 _OPEN = (100, 200, 400, 800)
+_CUSTOMERS = (10, 100, 500, 1400)
 _SETTLE_SECONDS = 1.0
 _KIB = 1024
 
@@ -29,16 +32,16 @@
 async def _measure() -> list[results.Slope]:
     async with bench_path.stand(0) as stand:
         calls = [(size, await _call(stand, size)) for size in _CALLERS]
-        idle = stand.resident() * _KIB
         memory = await _memory(stand)
     async with bench_path.stand(_TOKEN_SECONDS) as slow:
         tokens = [(size, await _token(slow, size)) for size in _STREAMS]
+    resident = [(size, await _resident(size)) for size in _CUSTOMERS]
     processor = 's of processor'
     return [
         results.slope('callpath.call', processor, 'callers', calls),
         results.slope('callpath.token', processor, 'open streams', tokens),
         results.slope('callpath.stream', 'B', 'open streams', memory),
-        results.slope('callpath.idle', 'B resident', 'hosts', [(1, idle)]),
+        results.slope('callpath.resident', 'B', 'customers', resident),
     ]
 
 
@@ -89,5 +92,17 @@
     return found
 
 
+async def _resident(customers: int) -> float:
+    """Give the memory of an idle host that has a document in force."""
+    host = await processes.start('slopes', ids.FailureDomain('milano-a'))
+    try:
+        async with aiohttp.ClientSession() as session:
+            await processes.until_ready(session, [host])
+        await processes.apply_rules(host, configuring.text_of(customers))
+        return float(processes.resident_kb(host.process.pid) * _KIB)
+    finally:
+        host.kill()
+
+
 if __name__ == '__main__':
     main()
--- a/libs/fakes/geraniumweir/fakes/slopes/counting.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/counting.py
@@ -24,10 +24,12 @@
         self,
         sender: memory.MemoryPeers,
         receiver: ids.HostId,
-        message: peers.Message,
+        message: peers.Message | None,
     ) -> bool:
-        """Count a message."""
-        framed = bench_membership.framed_size(message)
+        """Count a message; an answer may hold none."""
+        framed = 0
+        if message is not None:
+            framed = bench_membership.framed_size(message)
         self.packets[sender.host_id] += 1
         self.octets[sender.host_id] += (
             framed + bench_membership.PACKET_HEADER_BYTES
--- a/libs/fakes/geraniumweir/fakes/slopes/main.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/main.py
@@ -16,6 +16,7 @@
 
 
 _MODULES = (
+    'delegates',
     'membership',
     'callpath',
     'consensus',
--- a/libs/fakes/geraniumweir/fakes/slopes/membership.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/membership.py
@@ -7,12 +7,13 @@
 from geraniumweir.common import virtual
 from geraniumweir.fakes import bench_membership
 from geraniumweir.fakes.slopes import results
+from geraniumweir.wire import memory as memory_network
 
 _HOSTS = (2, 4, 8, 16, 24)
 _DOMAINS = (1, 2, 4, 8, 17)
 _ANNOUNCING = (1, 4, 8, 12)
 _BIG_DOMAIN = 23
-_UNITS = {
+UNITS = {
     'messages': 'messages/s sent, mean',
     'ordinary_sent': 'B/s sent, host that sends least',
     'busiest_sent': 'B/s sent, host that sends most',
@@ -23,26 +24,42 @@
 
 def main() -> None:
     """Measure and print."""
-    by_hosts = {size: _costs(1, size) for size in _HOSTS}
+    by_hosts = {size: costs(1, size) for size in _HOSTS}
     by_domains = {
-        size: _costs(size, bench_membership.HOSTS_PER_DOMAIN)
+        size: costs(size, bench_membership.HOSTS_PER_DOMAIN)
         for size in _DOMAINS
     }
     by_servers = {
-        size: _costs(1, _BIG_DOMAIN, size) for size in _ANNOUNCING
+        size: costs(1, _BIG_DOMAIN, size) for size in _ANNOUNCING
     }
+    memory = [(size, _memory(size)) for size in _HOSTS]
     results.write(
-        results.columns('membership.hosts', 'hosts', _UNITS, by_hosts)
-        + results.columns('membership.domains', 'domains', _UNITS, by_domains)
-        + results.columns('membership.servers', 'servers', _UNITS, by_servers),
+        results.columns('membership.hosts', 'hosts', UNITS, by_hosts)
+        + results.columns('membership.domains', 'domains', UNITS, by_domains)
+        + results.columns('membership.servers', 'servers', UNITS, by_servers)
+        + [results.slope('membership.memory', 'B a host', 'hosts', memory)],
     )
 
 
-def _costs(
+def _memory(hosts: int) -> float:
+    """Give what one host keeps, with its timers and the network's parts."""
+    network = memory_network.MemoryNetwork(1)
+
+    def started() -> list[bench_membership.Node]:
+        return virtual.run(bench_membership.start(network, 1, hosts))
+
+    return results.memory(started)[0] / hosts
+
+
+def costs(
     domains: int,
     per_domain: int,
     announcing: int = bench_membership.SERVERS_PER_HOST,
 ) -> dict[str, float]:
+    """Run hosts twice: bytes counted, and processor time alone.
+
+    :param announcing: backend servers that announce to each host.
+    """
     counted, used = (
         virtual.run(
             bench_membership.measure(
