--- a/libs/configuration/geraniumweir/configuration/claimtable.py
+++ b/libs/configuration/geraniumweir/configuration/claimtable.py
@@ -7,7 +7,8 @@
 go, new claims are refused, which costs availability and never a second run.
 
 After an ended claim is forgotten its key is free, so a caller that repeats a
-call later than that can run it again. Both bounds are weighed in docs/design/claims.md.
+call later than that can run it again. Both bounds are weighed in
+docs/design/claims.md.
 """
 
 import collections
--- a/libs/fakes/geraniumweir/fakes/bench_configuration.py
+++ b/libs/fakes/geraniumweir/fakes/bench_configuration.py
@@ -16,6 +16,7 @@
 from geraniumweir.configuration import (
     claims,
     compiling,
+    document,
     matching,
     reading,
     state,
@@ -58,7 +59,21 @@
     text = document_text(customers, rules)
     reading_s, doc = _timed(lambda: reading.read(text))
     compiling_s, compiled = _timed(lambda: compiling.CompiledDocument(doc))
-    requests = requests_for(customers, rules)
+    return {
+        'customers': customers,
+        'rules': rules,
+        'bytes': len(text),
+        'read ms': reading_s * _MS,
+        'compile ms': compiling_s * _MS,
+        **_matching(doc, compiled, requests_for(customers, rules)),
+    }
+
+
+def _matching(
+    doc: document.Document,
+    compiled: compiling.CompiledDocument,
+    requests: list[matching.Facts],
+) -> dict[str, float]:
     plain_s, expected = _timed(
         lambda: [matching.first_match(doc.rules, one) for one in requests],
     )
@@ -68,11 +83,6 @@
     if found != expected:
         raise AssertionError('the matchers differ')
     return {
-        'customers': customers,
-        'rules': rules,
-        'bytes': len(text),
-        'read ms': reading_s * _MS,
-        'compile ms': compiling_s * _MS,
         'plain us': plain_s / _REQUESTS * _US,
         'compiled us': fast_s / _REQUESTS * _US,
         'ratio': plain_s / fast_s,
@@ -80,6 +90,7 @@
 
 
 def requests_for(customers: int, rules: int) -> list[matching.Facts]:
+    """Make seeded requests of all customers."""
     rand = random.Random(1)  # noqa: S311
     return [
         matching.Facts(
@@ -115,7 +126,7 @@
 
 async def _claims_a_second(callers: int) -> int:
     claimer = claims.Claimer(ids.HostId('h'), _Log().propose, int)
-    counts = [0] * callers
+    counts = [0 for _ in range(callers)]
     tasks = [
         asyncio.create_task(_claim_on(claimer, caller, counts))
         for caller in range(callers)
--- a/libs/fakes/geraniumweir/fakes/bench_decisions.py
+++ b/libs/fakes/geraniumweir/fakes/bench_decisions.py
@@ -60,14 +60,7 @@
     asks = make_asks(random.Random(waiting * count), now)
     leader = make_leader(waiting, count)
     free, granted = fill_servers(leader, asks, count * _SLOTS)
-    held = [begin(leader, next(asks)) for _ in range(waiting)]
-    released: list[float] = []
-    for request_id in granted[:_ROUNDS]:
-        held.append(begin(leader, next(asks)))
-        released.append(release(leader, request_id))
-    for coro, _, _ in held:
-        coro.close()
-    asked = [seconds for _, _, seconds in held[waiting:]]
+    asked, released = _busy(leader, asks, waiting, granted[:_ROUNDS])
     return Figures(
         waiting,
         count,
@@ -77,6 +70,37 @@
     )
 
 
+def _busy(
+    leader: leaders.PoolLeader,
+    asks: typing.Iterator[requests.Ask],
+    waiting: int,
+    granted: list[ids.RequestId],
+) -> tuple[list[float], list[float]]:
+    """Time asks and releases while all servers are busy."""
+    held = [begin(leader, next(asks)) for _ in range(waiting)]
+    more, released = rounds(leader, zip(granted, asks))
+    for coro, _, _ in held + more:
+        coro.close()
+    return [seconds for _, _, seconds in more], released
+
+
+def rounds(
+    leader: leaders.PoolLeader,
+    coming: typing.Iterable[tuple[ids.RequestId, requests.Ask]],
+) -> tuple[list['_Began'], list[float]]:
+    """Let one more wait, then end a grant, and so on.
+
+    :param coming: the grant to end and the ask.
+    :returns: what was begun, and the seconds of each release.
+    """
+    held = []
+    released = []
+    for request_id, ask in coming:
+        held.append(begin(leader, ask))
+        released.append(release(leader, request_id))
+    return held, released
+
+
 def _median(seconds: list[float]) -> float:
     return statistics.median(seconds) * _MICRO
 
--- a/libs/fakes/geraniumweir/fakes/slopes/scheduling.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/scheduling.py
@@ -79,21 +79,14 @@
     _, granted = bench_decisions.fill_servers(leader, asks, servers * _SLOTS)
     held = [bench_decisions.begin(leader, next(asks)) for _ in range(waiting)]
     coming = list(zip(granted[:_ROUNDS], asks))
-    used, more = results.processor(lambda: _rounds(leader, coming))
+    used, (more, _) = results.processor(
+        lambda: bench_decisions.rounds(leader, coming)
+    )
     for coro, _, _ in held + more:
         coro.close()
     return used / len(coming)
 
 
-def _rounds(leader: typing.Any, coming: typing.Any) -> list[typing.Any]:
-    """Let one more wait, then end a grant, and so on."""
-    held = []
-    for request_id, ask in coming:
-        held.append(bench_decisions.begin(leader, ask))
-        bench_decisions.release(leader, request_id)
-    return held
-
-
 async def _idle(servers: int) -> float:
     leader = bench_decisions.make_leader(1, servers)
     bench_decisions.fill_servers(leader, _asks(1), 1)
