--- a/libs/scheduling/geraniumweir/scheduling/asking.py
+++ b/libs/scheduling/geraniumweir/scheduling/asking.py
@@ -131,13 +131,15 @@
                 reply = await self._link.call(place.host, message, _ASK_TIMEOUT)
             except errors.UnreachableError:
                 break
-            except errors.PeerError:
+            except errors.PeerError as exc:
+                place.failed = isinstance(exc, errors.RemoteError)
                 await asyncio.sleep(_PAUSE)
                 continue
             place.hint = reply.leader
             if reply.leader is None:
                 place.reached = True
                 _note_counted(place, reply)
+                self._mine.heard[place.host] = self._clock.now()
             self._take(place, reply)
             return
         place.settle(None)
--- a/libs/scheduling/geraniumweir/scheduling/broker.py
+++ b/libs/scheduling/geraniumweir/scheduling/broker.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import dataclasses
+import math
 import typing
 
 from geraniumweir.common import ids, timers
@@ -163,15 +164,26 @@
             if answer is not None and not _is_elsewhere(answer):
                 return _Tried(ask, answer)
             self._home.wrong(ask.pool, place.host, place.hint)
-            if place.reached:
-                until = self._clock.now() + _HOME_PATIENCE
-            elif self._clock.now() >= until:
+            until = max(until, self._heard_at(place) + _HOME_PATIENCE)
+            if self._clock.now() >= until:
                 no_server = requests.DenialReason.no_server
                 denial = requests.Denial(ask.request_id, no_server)
                 return _Tried(ask, denial)
             await asyncio.sleep(_PAUSE)
         return _Tried(ask, _withdrawn(ask.request_id))
 
+    def _heard_at(self, place: owned.Place) -> float:
+        """Tell when the place's leader last showed that it is there.
+
+        A leader that answers other calls is there, so an ask that came to
+        nothing was lost on the way and is worth repeating.
+        """
+        if place.reached:
+            return self._clock.now()
+        if place.failed:
+            return -math.inf
+        return self._mine.heard.get(place.host, -math.inf)
+
     async def _ask_there(
         self,
         ask: requests.Ask,
