--- a/libs/daemon/geraniumweir/daemon/operators.py
+++ b/libs/daemon/geraniumweir/daemon/operators.py
@@ -132,8 +132,8 @@
             return await self._accept(change)
         return await self._accept(
             change,
-            f'no backend server {server_id!r} is known to this host; one that '
-            'announces itself by this id gets no work',
+            f'no backend server {server_id!r} announces itself in the '
+            'failure domain of this host; if one does, it gets no work',
         )
 
     async def _accept(
--- a/libs/daemon/geraniumweir/daemon/tests/test_operators.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_operators.py
@@ -200,6 +200,20 @@
     _run(scenario)
 
 
+def test_drain_of_a_server_that_nobody_knows_warns() -> None:
+    """It is accepted, as the server may come; its undoing needs no word."""
+
+    async def scenario(client: test_utils.TestClient, *_rest: object) -> None:
+        path = '/v1/servers/advisr-1/drain'
+        answer = (await _ask(client, 'POST', path, None))[1]
+        assert answer['version'] == 1
+        assert "'advisr-1' announces itself" in answer['warnings'][0]
+        undone = (await _ask(client, 'POST', path, {'drain': False}))[1]
+        assert not undone['warnings']
+
+    _run(scenario)
+
+
 def test_rows_and_metrics_show_the_same_state() -> None:
     """Servers, pools and gauges agree."""
 
--- a/libs/fakes/geraniumweir/fakes/demo.py
+++ b/libs/fakes/geraniumweir/fakes/demo.py
@@ -106,6 +106,9 @@
         help='holds the files of the deployments',
     )
     opts = parser.parse_args(argv)
+    files = opts.examples / opts.deployment
+    if opts.deployment and not files.is_dir():
+        parser.error(f'argument --examples: there is no folder {files}')
     plan = Plan(deployment=opts.deployment, examples=opts.examples)
     sys.exit(asyncio.run(run_demo(plan)))
 
