--- a/libs/daemon/geraniumweir/daemon/gauges.py
+++ b/libs/daemon/geraniumweir/daemon/gauges.py
@@ -51,7 +51,9 @@
     follower = joined.follower
     meter.gauge(metricnames.CONFIG_SURE, lambda: int(not follower.unsure))
     meter.gauge(metricnames.CONFIG_HEARD, lambda: _heard(follower.sure_age()))
-    meter.gauge(metricnames.LIVE_HOSTS, lambda: _live(joined))
+    # A failure domain whose hosts are all gone goes on being told, as 0.
+    seen: set[metrics.Labels] = set()
+    meter.gauge(metricnames.LIVE_HOSTS, lambda: _live(joined, seen))
     if joined.recording is None:
         return
     keeper = joined.recording.recorder
@@ -67,9 +69,14 @@
     return {} if age is None else {(): age}
 
 
-def _live(joined: joining.Joined) -> dict[metrics.Labels, float]:
+def _live(
+    joined: joining.Joined,
+    seen: set[metrics.Labels],
+) -> dict[metrics.Labels, float]:
     live = joined.members.all_live()
-    return dict(collections.Counter((one.failure_domain,) for one in live))
+    counted = collections.Counter((one.failure_domain,) for one in live)
+    seen.update(counted)
+    return {labels: counted[labels] for labels in seen}
 
 
 def _roles(now: core.Role) -> dict[metrics.Labels, float]:
--- a/libs/daemon/geraniumweir/daemon/joinedops.py
+++ b/libs/daemon/geraniumweir/daemon/joinedops.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from geraniumweir.common import errors as common_errors
 from geraniumweir.common import ids
@@ -11,8 +12,15 @@
 from geraniumweir.configuration import reading
 from geraniumweir.consensus import errors as log_errors
 from geraniumweir.daemon import joined as joining
-from geraniumweir.daemon import observing, operations, recorderrows, rows
+from geraniumweir.daemon import (
+    neighbours,
+    observing,
+    operations,
+    recorderrows,
+    rows,
+)
 from geraniumweir.observe import tracefile
+from geraniumweir.scheduling import home
 from geraniumweir.wire.gen.configuration import ttypes
 
 _TIMEOUT = 3.0
@@ -91,7 +99,7 @@
         """List the pools that this host knows of, also in other domains."""
         found = []
         for pool in self._host.in_force.document.pools:
-            found.append(rows.own_pool_row(self._host, pool))
+            found.append(self._own_pool(pool))
             found.extend(
                 rows.distant_pool_row(pool, summary)
                 for summary in self._joined.members.pools.summaries(pool.name)
@@ -179,6 +187,19 @@
         """Write the metrics as Prometheus text."""
         return self._observed.meter.exposition()
 
+    def _own_pool(self, pool: document.Pool) -> operations.PoolRow:
+        row = rows.own_pool_row(self._host, pool)
+        if row.leader is not None:
+            return row
+        cfg = self._host.cfg
+        leader = home.by_view(
+            cfg.failure_domain,
+            pool.name,
+            neighbours.LeaderView(self._joined.members),
+            cfg.host_id,
+        )
+        return dataclasses.replace(row, leader=leader)
+
     def _state(self) -> changes.Changes:
         kept = self._joined.recording
         if kept is None:
@@ -205,7 +226,8 @@
     except log_errors.RefusedError as exc:
         raise operations.NotNowError(exc.message) from exc
     except log_errors.ConsensusError as exc:
-        raise operations.NoMajorityError(exc.message, exc.ran) from exc
+        message = f'no majority of the recorders answered: {exc.message}'
+        raise operations.NoMajorityError(message, exc.ran) from exc
     except common_errors.GeraniumweirError as exc:
         raise operations.NoMajorityError(
             exc.message,
--- a/libs/daemon/geraniumweir/daemon/tests/test_gauges.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_gauges.py
@@ -3,92 +3,30 @@
 import asyncio
 import contextlib
 import pathlib
-import socket
 
-import aiohttp
-from aiohttp import test_utils
-from geraniumweir.common import ids, timers
+from geraniumweir.common import ids
 from geraniumweir.configuration import document, reading
-from geraniumweir.daemon import callers, gauges, joined, settings
 from geraniumweir.daemon import host as entry_host
+from geraniumweir.daemon.tests import joinedbed
 from geraniumweir.membership import servers
-from geraniumweir.observe import metrics, traces
 from geraniumweir.scheduling import requests
 
 _POOL = ids.PoolName('lm-advisori')
-_PATIENCE_SECONDS = 30
 _RULES = """
 [[pool]]
 name = "lm-advisori"
 """
 
 
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return int(sock.getsockname()[1])
-
-
-class _Host:
-    """An entry host of this process, joined but without HTTP faces."""
-
-    def __init__(self, *flags: str) -> None:
-        self._flags = flags
-        self.meter = metrics.Metrics()
-
-    async def start(self, stack: contextlib.AsyncExitStack) -> None:
-        cfg = settings.parse(
-            (
-                '--failure-domain=milano-a',
-                '--caller-address=127.0.0.1:0',
-                '--backend-address=127.0.0.1:0',
-                '--operator-address=127.0.0.1:0',
-                *self._flags,
-            ),
-            {},
-        )
-        session = await stack.enter_async_context(aiohttp.ClientSession())
-        self.host = entry_host.EntryHost(
-            cfg, timers.TimerService(), session, servers.Registry(), {}
-        )
-        tracing = traces.Tracing(traces.TraceSettings(cfg.host_id, None))
-        stack.callback(tracing.close)
-        gauges.register(self.meter, self.host, tracing)
-        self.joined = await joined.join(self.host, stack)
-        gauges.register_joined(self.meter, self.joined)
-        client = test_utils.TestClient(
-            test_utils.TestServer(callers.make_app(self.host)),
-        )
-        self.client = await stack.enter_async_context(client)
-
-    async def ready(self) -> dict[str, object]:
-        async with self.client.get('/readyz') as resp:
-            assert resp.status == 200
-            return dict(await resp.json())
-
-    def shown(self) -> set[str]:
-        return set(self.meter.exposition().splitlines())
-
-    async def until(self, line: str) -> None:
-        async with asyncio.timeout(_PATIENCE_SECONDS):
-            while line not in self.shown():
-                await asyncio.sleep(0.05)
-
-    async def until_sure(self, *, sure: bool) -> None:
-        async with asyncio.timeout(_PATIENCE_SECONDS):
-            while self.host.sure is not sure:
-                await asyncio.sleep(0.05)
-
-
 def test_host_that_started_cut_off_says_so() -> None:
     """Its recorder doesn't answer: it serves, and is unsure."""
 
     async def scenario() -> None:
         async with contextlib.AsyncExitStack() as stack:
-            mine = _Host(
+            mine = joinedbed.Host(
                 '--host-id=entry-1',
-                f'--peer-address=127.0.0.1:{_free_port()}',
-                f'--recorders=entry-9=127.0.0.1:{_free_port()}',
+                f'--peer-address=127.0.0.1:{joinedbed.free_port()}',
+                f'--recorders=entry-9=127.0.0.1:{joinedbed.free_port()}',
             )
             await mine.start(stack)
             ready = await mine.ready()
@@ -109,17 +47,17 @@
     """A recorder that leads, and a host beside it that becomes sure."""
 
     async def scenario() -> None:
-        peer = f'127.0.0.1:{_free_port()}'
+        peer = f'127.0.0.1:{joinedbed.free_port()}'
         common = f'--recorders=entry-1={peer}'
-        first = _Host(
+        first = joinedbed.Host(
             '--host-id=entry-1',
             f'--peer-address={peer}',
             f'--data-folder={tmp_path}',
             common,
         )
-        second = _Host(
+        second = joinedbed.Host(
             '--host-id=entry-2',
-            f'--peer-address=127.0.0.1:{_free_port()}',
+            f'--peer-address=127.0.0.1:{joinedbed.free_port()}',
             f'--peers={peer}',
             common,
         )
@@ -146,9 +84,9 @@
 
     async def scenario() -> None:
         async with contextlib.AsyncExitStack() as stack:
-            mine = _Host(
+            mine = joinedbed.Host(
                 '--host-id=entry-1',
-                f'--peer-address=127.0.0.1:{_free_port()}',
+                f'--peer-address=127.0.0.1:{joinedbed.free_port()}',
             )
             await mine.start(stack)
             rules = document.InForce(
@@ -171,6 +109,33 @@
     asyncio.run(scenario())
 
 
+def test_failure_domain_whose_hosts_are_gone_counts_as_none() -> None:
+    """An alarm on the number of hosts has a number to look at."""
+
+    async def scenario() -> None:
+        first = joinedbed.free_port()
+        here = joinedbed.Host(
+            '--host-id=entry-1',
+            f'--peer-address=127.0.0.1:{first}',
+        )
+        there = joinedbed.Host(
+            '--host-id=entry-2',
+            f'--peer-address=127.0.0.1:{joinedbed.free_port()}',
+            f'--peers=127.0.0.1:{first}',
+            domain='torino-b',
+        )
+        line = 'geraniumweir_live_hosts{failure_domain="torino-b"}'
+        async with contextlib.AsyncExitStack() as stack:
+            await here.start(stack)
+            async with contextlib.AsyncExitStack() as other:
+                await there.start(other)
+                await here.until(f'{line} 1.0')
+                await there.joined.members.leave()
+            await here.until(f'{line} 0.0')
+
+    asyncio.run(scenario())
+
+
 def _server() -> servers.Announcement:
     return servers.Announcement(
         server_id=ids.ServerId('advisor-1'),
