--- a/libs/fakes/geraniumweir/fakes/slopes/callpath.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/callpath.py
@@ -97,7 +97,8 @@
 
 async def _resident(customers: int) -> float:
     """Give the memory of an idle host that has a document in force."""
-    host = await processes.start('slopes', ids.FailureDomain('milano-a'))
+    plan = processes.plan_alone('slopes', ids.FailureDomain('milano-a'))
+    host = await processes.start(plan)
     try:
         async with aiohttp.ClientSession() as session:
             await processes.until_ready(session, [host])
