--- a/libs/fakes/geraniumweir/fakes/tests/test_rule_rate.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_rule_rate.py
@@ -23,3 +23,17 @@
             assert 1 <= int(resp.headers['Retry-After']) <= 4
 
     bed.run(scenario, inprocess.RULES.replace('tier = 2', _RATE))
+
+
+def test_call_that_reached_no_server_counts_once() -> None:
+    """It is told of the server, not of the rate, when it asks again."""
+
+    async def scenario(field: bed.Bed) -> None:
+        fake = await field.engine()
+        gone = fake.announcement() | {'address': '127.0.0.1:1'}
+        await field.announce(gone | {'incarnation': 2})
+        async with field.post(bed.plain(), X_Deadline_Ms='5000') as resp:
+            error = (await resp.json())['error']
+        assert error['code'] != 'GW-2104'
+
+    bed.run(scenario, inprocess.RULES.replace('tier = 2', _RATE))
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_rule_limits.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_rule_limits.py
@@ -76,6 +76,21 @@
     virtual.run(scenario())
 
 
+def test_call_that_spills_counts_where_it_came_in() -> None:
+    """The other failure domain's bucket is for its own callers."""
+
+    async def scenario() -> None:
+        world = worlds.World({'a': (1, 0), 'b': (1, 1)})
+        own = await _call(world.leader_of('b'), 'own', rate_per_s=0.01)
+        assert isinstance(own, requests.Grant)
+        come = await _call(world.leader_of('a'), 'come', rate_per_s=0.01)
+        assert isinstance(come, requests.Grant)
+        more = await _call(world.leader_of('a'), 'more', rate_per_s=0.01)
+        assert len(_denied([more])) == 1
+
+    virtual.run(scenario())
+
+
 def test_two_entry_hosts_share_one_running_limit() -> None:
     """Asks over it wait, with slots free."""
 
