--- a/libs/daemon/geraniumweir/daemon/joined.py
+++ b/libs/daemon/geraniumweir/daemon/joined.py
@@ -53,10 +53,12 @@
 class Joined:
     """The parts of a host that works together with others.
 
+    :ivar layer: the peer layer itself, whose links a test may cut.
     :ivar recording: None where this host has no data folder.
     """
 
     host: entry_host.EntryHost
+    layer: tcp.TcpPeers
     peers: channel.Channel
     members: membership.Membership
     follower: following.Follower
@@ -79,12 +81,19 @@
         be used.
     """
     cfg = host.cfg
-    peer_layer = channel.Channel(await _listen(cfg, stack))
+    layer = await _listen(cfg, stack)
+    peer_layer = channel.Channel(layer)
     stack.push_async_callback(peer_layer.close)
     shelf = recording.open_shelf(cfg, stack)
     recorded = await recording.start(cfg, peer_layer, stack)
     members = _membership(host, peer_layer, recorded is not None)
-    joined = _assemble(host, peer_layer, members, recorded, shelf)
+    joined = _assemble(
+        host,
+        (layer, peer_layer),
+        members,
+        recorded,
+        shelf,
+    )
     _wire(joined, stack)
     await members.start()
     stack.callback(members.stop)
@@ -150,11 +159,12 @@
 
 def _assemble(
     host: entry_host.EntryHost,
-    peer_layer: channel.Channel,
+    ways: tuple[tcp.TcpPeers, channel.Channel],
     members: membership.Membership,
     recorded: recording.Recording | None,
     shelf: recording.Shelf | None,
 ) -> Joined:
+    layer, peer_layer = ways
     log = client.LogClient(peer_layer, _first_recorders(host.cfg))
     near = neighbours.Neighbours(members, lambda: _recorders(host, members))
     follower = following.Follower(
@@ -166,6 +176,7 @@
     )
     return Joined(
         host=host,
+        layer=layer,
         peers=peer_layer,
         members=members,
         follower=follower,
--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -23,6 +23,7 @@
     operators,
     settings,
     settingvalues,
+    testlinks,
 )
 from geraniumweir.daemon import host as entry_host
 from geraniumweir.daemon import joined as joining
@@ -84,7 +85,10 @@
         if cfg.peer_address is not None:
             joined = await joining.join(host, stack)
             ops = joinedops.JoinedOperations(joined, observed)
-        await _listen(stack, operators.make_app(ops), cfg.operator_address)
+        face = operators.make_app(ops)
+        if cfg.test_links and joined is not None:
+            testlinks.add_routes(face, joined.layer)
+        await _listen(stack, face, cfg.operator_address)
         await _listen(stack, announcements.make_app(host), cfg.backend_address)
         await _listen(stack, callers.make_app(host), cfg.caller_address)
         logs.log(
--- a/libs/daemon/geraniumweir/daemon/settings.py
+++ b/libs/daemon/geraniumweir/daemon/settings.py
@@ -37,6 +37,8 @@
         it stands alone.
     :ivar peers: addresses of some other entry hosts, to start from.
     :ivar recorders: the first recorders, by id.
+    :ivar test_links: whether operators may cut links to other hosts, which
+        only tests of partitions want.
     :ivar trace_file: where spans are appended, or None.
     :ivar trace_sample: share of calls traced, 0 to 1.
     """
@@ -58,6 +60,7 @@
     )
     trace_file: str | None = None
     trace_sample: float = 1
+    test_links: bool = False
 
 
 def parse(
@@ -89,6 +92,7 @@
         recorders=opts.recorders,
         trace_file=opts.trace_file,
         trace_sample=opts.trace_sample,
+        test_links=opts.test_links,
     )
     for fault in _faults(cfg):
         parser.error(fault)
@@ -174,6 +178,11 @@
         metavar='PATH',
         help='absent on a host without a disk',
     )
+    parser.add_argument(
+        '--test-links',
+        action='store_true',
+        help='let operators cut links to other hosts; for tests only',
+    )
 
 
 def _add_observing(parser: configargparse.ArgumentParser) -> None:
--- a/libs/fakes/geraniumweir/fakes/processes.py
+++ b/libs/fakes/geraniumweir/fakes/processes.py
@@ -5,6 +5,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import socket
 import sys
 import tempfile
@@ -19,6 +20,9 @@
 _USER_TIME = 11
 _FACES = ('caller', 'backend', 'operator', 'peer')
 _MOST_RECORDERS = 3
+# Below the ports that the system hands to connections, so that a host can
+# start again at its own.
+_PORTS = range(12000, 32000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,20 +138,29 @@
     return tuple(flags)
 
 
-async def start(plan: HostPlan) -> HostProcess:
-    """Start a daemon."""
+async def start(
+    plan: HostPlan,
+    log: pathlib.Path | None = None,
+) -> HostProcess:
+    """Start a daemon.
+
+    :param log: what it says is appended there; by default it's shown.
+    """
     flags = [f'--host-id={plan.host_id}', f'--failure-domain={plan.domain}']
     flags.extend(
         f'--{face}-address={address}'
         for face, address in plan.addresses.items()
     )
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        '-m',
-        'geraniumweir.daemon',
-        *flags,
-        *plan.flags,
-    )
+    with contextlib.ExitStack() as stack:
+        sink = None if log is None else stack.enter_context(log.open('ab'))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'geraniumweir.daemon',
+            *flags,
+            *plan.flags,
+            stderr=sink,
+        )
     return HostProcess(plan, process)
 
 
@@ -229,5 +242,9 @@
 
 
 def _bind(sock: socket.socket) -> int:
-    sock.bind(('127.0.0.1', 0))
-    return int(sock.getsockname()[1])
+    chance = random.SystemRandom()
+    while True:
+        port = chance.choice(_PORTS)
+        with contextlib.suppress(OSError):
+            sock.bind(('127.0.0.1', port))
+            return port
