--- a/libs/daemon/geraniumweir/daemon/neighbours.py
+++ b/libs/daemon/geraniumweir/daemon/neighbours.py
@@ -10,7 +10,7 @@
 import reactivex
 from geraniumweir.common import ids
 from geraniumweir.membership import membership, poolsummaries
-from geraniumweir.scheduling import requests, views
+from geraniumweir.scheduling import rendezvous, requests, views
 
 _MS = 1000
 
@@ -40,17 +40,36 @@
         self._members = members
 
     def others(self, pool: ids.PoolName) -> list[views.RemotePool]:
-        """List the other failure domains' pools of a name."""
+        """List the other failure domains' pools of a name.
+
+        Summaries come only of pools that were asked, to hosts that wanted
+        them; where there is none, it's known all the same who would lead.
+        """
         own = self._members.me.failure_domain
-        return [
-            views.RemotePool(
-                found.failure_domain,
-                found.leader,
-                from_members(found),
+        found = {
+            summary.failure_domain: views.RemotePool(
+                summary.failure_domain,
+                summary.leader,
+                from_members(summary),
             )
-            for found in self._members.pools.summaries(pool)
-            if found.failure_domain != own
-        ]
+            for summary in self._members.pools.summaries(pool)
+        }
+        silent = {host.failure_domain for host in self._members.all_live()}
+        for domain in sorted(silent.difference(found)):
+            leader = self._leader(domain, pool)
+            if leader is not None:
+                unknown = requests.PoolSummary(pool)
+                found[domain] = views.RemotePool(domain, leader, unknown)
+        found.pop(own, None)
+        return list(found.values())
+
+    def _leader(
+        self,
+        domain: ids.FailureDomain,
+        pool: ids.PoolName,
+    ) -> ids.HostId | None:
+        hosts = [host.host_id for host in self._members.eligible(domain)]
+        return rendezvous.leader_of(domain, pool, hosts)
 
 
 class Neighbours:
--- a/libs/scheduling/geraniumweir/scheduling/admitting.py
+++ b/libs/scheduling/geraniumweir/scheduling/admitting.py
@@ -69,6 +69,8 @@
         return requests.DenialReason.quarantined
     if ask.deadline <= now:
         return requests.DenialReason.too_late
+    if leader.settled and leader.served_at < now - shedding.NO_SERVER_SECONDS:
+        return requests.DenialReason.no_server
     return None
 
 
--- a/libs/scheduling/geraniumweir/scheduling/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/fleet.py
@@ -22,6 +22,8 @@
     """
     leader.synced = leader.now()
     live = {ready.server_id: ready for ready in leader.live()}
+    if live:
+        leader.served_at = leader.now()
     crashed = []
     for announcement in live.values():
         known = leader.servers.get(announcement.server_id)
--- a/libs/scheduling/geraniumweir/scheduling/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -59,6 +59,7 @@
             on_preempt,
             settled=cfg.settle_seconds <= 0,
             settle_by=now() + cfg.settle_seconds,
+            served_at=now(),
             dice=random.Random(cfg.seed),
             suspects=suspects.Suspects(cfg.quarantine_seconds),
         )
--- a/libs/scheduling/geraniumweir/scheduling/shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -23,7 +23,8 @@
 
 _GRACE = 0.25
 _LOOKS = 4
-_NO_SERVER_SECONDS = 1.0
+# A pool without servers is waited for this long; they may just be unheard of.
+NO_SERVER_SECONDS = 1.0
 _MOST_VICTIMS = 8
 _LEAST_RETRY = 0.2
 _LONGEST_RETRY = 10.0
@@ -34,7 +35,7 @@
 def watch(leader: state.LeaderState, waiting: records.Waiting) -> None:
     """See to it that a request is decided when its latest start comes."""
     if not waiting.latest:
-        by = min(waiting.ask.deadline, waiting.arrived + _NO_SERVER_SECONDS)
+        by = min(waiting.ask.deadline, waiting.arrived + NO_SERVER_SECONDS)
         _arm(leader, waiting, by, expire)
         return
     at = waiting.best_start - leader.cfg.preempt_slack
@@ -52,7 +53,7 @@
     live = {server.kind for server in leader.servers.values() if server.live}
     if not leader.settled or len(live) == len(leader.classes):
         return
-    before = leader.now() - _NO_SERVER_SECONDS
+    before = leader.now() - NO_SERVER_SECONDS
     for waiting in list(leader.waiting.values()):
         if waiting.arrived <= before and live.isdisjoint(waiting.latest):
             refuse(leader, waiting, requests.DenialReason.no_server)
--- a/libs/scheduling/geraniumweir/scheduling/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/state.py
@@ -32,6 +32,7 @@
     on_preempt: typing.Callable[[requests.Preempt], None]
     settled: bool
     settle_by: float
+    served_at: float
     dice: random.Random
     suspects: suspects.Suspects
     waiting: dict[ids.RequestId, records.Waiting] = dataclasses.field(
