A host that is alone greets its seeds twice a second; changes ask for a majority first

Cause: a host that started before its seeds listened tried again only after ten seconds. Meanwhile it stood alone: it led all pools of its domain beside the true leader, and refused what other failure domains could have served.

A change sent in a failure domain just cut off was answered ran: unknown, for its proposal went into a connection whose other end was silent. Now a read barrier comes first; without a majority nothing is proposed, and ran: no.

--- a/libs/daemon/geraniumweir/daemon/joinedops.py
+++ b/libs/daemon/geraniumweir/daemon/joinedops.py
@@ -50,8 +50,13 @@
         return document.InForce(found.version, reading.read(text), text)
 
     async def change(self, change: operations.Change) -> operations.Accepted:
-        """Put a change in force; returns once a majority has it synced."""
+        """Put a change in force; returns once a majority has it synced.
+
+        A majority is asked for before anything is proposed: where there is
+        none, it's then sure that the change was not accepted.
+        """
         checked = await asyncio.to_thread(reading.check, change.document)
+        await _turned(self._joined.log.read_barrier(_TIMEOUT))
         command = commands.change(
             change.change_id,
             change.base,
--- a/libs/fakes/geraniumweir/fakes/system.py
+++ b/libs/fakes/geraniumweir/fakes/system.py
@@ -177,6 +177,12 @@
             while await self.version(host_id) != version:
                 await asyncio.sleep(_POLL_SECONDS)
 
+    async def until_joined(self) -> None:
+        """Wait until all hosts that run know each other."""
+        for host_id in list(self.running):
+            while not await self._knows_all(host_id):
+                await asyncio.sleep(_POLL_SECONDS)
+
     async def log_leader(self, among: typing.Iterable[str] = ()) -> str:
         """Wait until recorders agree on a running leader, and name it."""
         while True:
@@ -253,6 +259,11 @@
         self.services.append(plain)
         await self.stack.enter_async_context(plain.running())
 
+    async def _knows_all(self, host_id: str) -> bool:
+        answer = await self.ask(host_id, 'GET', '/v1/hosts')
+        rows = answer.body.get('hosts', ())
+        return {row['host_id'] for row in rows} >= set(self.running)
+
     async def _pools_served(self, host_id: str) -> set[str]:
         answer = await self.ask(host_id, 'GET', '/v1/servers')
         return {row['pool'] for row in answer.body.get('servers', ())}
@@ -296,6 +307,7 @@
         first = next(iter(plans))
         await made.change_until_accepted(first, 0, 'first')
         await made.until_in_force(1)
+        await made.until_joined()
         yield made
 
 
--- a/libs/membership/geraniumweir/membership/membership.py
+++ b/libs/membership/geraniumweir/membership/membership.py
@@ -148,8 +148,8 @@
     async def start(self) -> None:
         """Greet the seeds and begin to send.
 
-        A seed that doesn't answer is tried again every ten seconds; a host
-        without any goes on alone.
+        A seed that doesn't answer is tried again; a host without any goes on
+        alone.
         """
         period = self._options.timing.period
         self._every(period, self._beats.tick)
--- a/libs/membership/geraniumweir/membership/seeds.py
+++ b/libs/membership/geraniumweir/membership/seeds.py
@@ -2,7 +2,8 @@
 
 All are greeted at the start. One that isn't among the live hosts is tried
 again now and then, so that hosts that forgot each other in a long partition
-still find together.
+still find together; often while none is live, in the own failure domain or
+outside it, as when all hosts start at a time and none hears the first words.
 """
 
 import asyncio
@@ -13,7 +14,9 @@
 from geraniumweir.wire import errors as wire_errors
 from reactivex import subject
 
-RETRY_SECONDS = 10.0
+RETRY_SECONDS = 0.5
+# Of the ticks, one in so many is used by a host that isn't alone.
+_SELDOM = 20
 TIMEOUT = 2.0
 
 
@@ -53,25 +56,31 @@
 
         :param count: of ticks.
         """
-        live = [
-            *self._known.members.live(),
-            *self._known.outside.all_live(),
-        ]
-        known = {host.address for host in live}
+        near = self._known.members.live()
+        far = self._known.outside.all_live()
+        alone = len(near) == 1 or not far
+        if count % _SELDOM and not alone:
+            return
+        known = {host.address for host in (*near, *far)}
         missing = [seed for seed in self._addresses if seed not in known]
         if missing and (self._joining is None or self._joining.done()):
-            seed = missing[count % len(missing)]
-            self._joining = asyncio.create_task(self._greet(seed))
+            turn = count if alone else count // _SELDOM
+            seed = missing[turn % len(missing)]
+            quiet = bool(count % _SELDOM)
+            greeting = self._greet(seed, quiet=quiet)
+            self._joining = asyncio.create_task(greeting)
 
     def stop(self) -> None:
         """Give up an attempt under way."""
         if self._joining is not None:
             self._joining.cancel()
 
-    async def _greet(self, seed: ids.Address) -> None:
+    async def _greet(self, seed: ids.Address, *, quiet: bool = False) -> None:
         if seed == self._known.me.address:
             return
         try:
             await self._lists.greet(seed, TIMEOUT)
         except (wire_errors.PeerError, errors.CardError) as exc:
+            if quiet:
+                return
             self.failures.on_next(SeedSilent(seed, str(exc)))
