--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -85,10 +85,11 @@
         if cfg.peer_address is not None:
             joined = await joining.join(host, stack)
             ops = joinedops.JoinedOperations(joined, observed)
-        face = operators.make_app(ops)
-        if cfg.test_links and joined is not None:
-            testlinks.add_routes(face, joined.layer)
-        await _listen(stack, face, cfg.operator_address)
+        await _listen(
+            stack,
+            _operators_app(ops, cfg, joined),
+            cfg.operator_address,
+        )
         await _listen(stack, announcements.make_app(host), cfg.backend_address)
         await _listen(stack, callers.make_app(host), cfg.caller_address)
         logs.log(
@@ -103,6 +104,17 @@
     logs.log(logevents.STOPPED, left=left)
 
 
+def _operators_app(
+    ops: operations.Operations,
+    cfg: settings.Settings,
+    joined: joining.Joined | None,
+) -> web.Application:
+    app = operators.make_app(ops)
+    if cfg.test_links and joined is not None:
+        testlinks.add_routes(app, joined.layer)
+    return app
+
+
 async def _leave(
     host: entry_host.EntryHost,
     joined: joining.Joined | None,
--- a/libs/daemon/geraniumweir/daemon/testlinks.py
+++ b/libs/daemon/geraniumweir/daemon/testlinks.py
@@ -5,6 +5,7 @@
 these hosts; the links to all others are whole again.
 """
 
+import functools
 import json
 
 from aiohttp import web
@@ -19,12 +20,12 @@
 
     :param app: the operators' application.
     """
+    app.router.add_put(PATH, functools.partial(_cut, layer))
 
-    async def cut(req: web.Request) -> web.Response:
-        named = json.loads(await req.read())['cut']
-        layer.heal()
-        for host_id in named:
-            layer.cut(ids.HostId(host_id))
-        return web.json_response({'cut': named})
 
-    app.router.add_put(PATH, cut)
+async def _cut(layer: tcp.TcpPeers, req: web.Request) -> web.Response:
+    named = json.loads(await req.read())['cut']
+    layer.heal()
+    for host_id in named:
+        layer.cut(ids.HostId(host_id))
+    return web.json_response({'cut': named})
--- a/libs/fakes/geraniumweir/fakes/callers.py
+++ b/libs/fakes/geraniumweir/fakes/callers.py
@@ -13,7 +13,8 @@
 _OK = 200
 _CHAT = '/v1/chat/completions'
 _ORDER = '/services/van/orders'
-_PATIENCE = aiohttp.ClientTimeout(total=25)
+_LONGEST_SECONDS = 25
+_PATIENCE = aiohttp.ClientTimeout(total=_LONGEST_SECONDS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,9 +135,7 @@
     request_id = resp.headers.get('X-Request-Id', '')
     error = _error(resp, body)
     if error is not None:
-        return Got(
-            host_id, request_id, code=error['code'], ran=error['ran']
-        )
+        return Got(host_id, request_id, code=error['code'], ran=error['ran'])
     whole = True
     if path == _CHAT:
         events = body.removesuffix(_DONE).split(b'\n\n')[:-1]
--- a/libs/fakes/geraniumweir/fakes/processes.py
+++ b/libs/fakes/geraniumweir/fakes/processes.py
@@ -22,7 +22,8 @@
 _MOST_RECORDERS = 3
 # Below the ports that the system hands to connections, so that a host can
 # start again at its own.
-_PORTS = range(12000, 32000)
+_FIRST_PORT = 12000
+_LAST_PORT = 32000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,7 +245,7 @@
 def _bind(sock: socket.socket) -> int:
     chance = random.SystemRandom()
     while True:
-        port = chance.choice(_PORTS)
+        port = chance.randint(_FIRST_PORT, _LAST_PORT)
         with contextlib.suppress(OSError):
             sock.bind(('127.0.0.1', port))
             return port
--- a/libs/fakes/geraniumweir/fakes/soak.py
+++ b/libs/fakes/geraniumweir/fakes/soak.py
@@ -28,7 +28,10 @@
 _CALLERS = 6
 _CHANGES = 6
 _PAUSE_SECONDS = 0.02
-_SPEED = generation.Speed(0.002, 1e6)
+_TOKEN_SECONDS = 0.002
+_PREFILL_RATE = 1e6
+_TOKENS = 20
+_KILLS = 20
 _CYCLE_SECONDS = 20
 
 
@@ -66,7 +69,7 @@
 def main() -> None:
     """Run it and exit 0 only where nothing was lost, doubled or went back."""
     parser = argparse.ArgumentParser(prog='geraniumweir.fakes.soak')
-    parser.add_argument('--kills', type=int, default=20)
+    parser.add_argument('--kills', type=int, default=_KILLS)
     parser.add_argument('--seed', type=int, default=1)
     opts = parser.parse_args()
     sys.exit(asyncio.run(soak(opts.kills, opts.seed)))
@@ -81,12 +84,15 @@
     found = Findings()
     async with asyncio.timeout(_CYCLE_SECONDS * (kills + 1)):
         async with system.started(per_domain=2) as made:
-            await made.add_engines(_SPEED, slots=8)
+            await made.add_engines(
+                generation.Speed(_TOKEN_SECONDS, _PREFILL_RATE),
+                slots=8,
+            )
             await made.until_served(made.running)
             async with watching.versions(made) as watch:
                 async with _loaded(made, found):
                     await _cycles(made, found, kills, random.Random(seed))
-            return await _judge(made, found, watch)
+                return await _judge(made, found, watch)
 
 
 @contextlib.asynccontextmanager
@@ -122,7 +128,7 @@
             continue
         began = clock()
         text = f'{host_id} {number}'
-        got = await callers.chat(made, host_id, callers.question(text, 20))
+        got = await callers.chat(made, host_id, callers.question(text, _TOKENS))
         found.got.append(got)
         if not got.honest and found.down.get(host_id, 0) < began:
             found.lost_calls.append(got)
--- a/libs/fakes/geraniumweir/fakes/system.py
+++ b/libs/fakes/geraniumweir/fakes/system.py
@@ -22,8 +22,9 @@
 ENGINES = ids.PoolName('lm')
 ORDERS = ids.PoolName('van')
 _POLL_SECONDS = 0.02
-_PATIENCE = aiohttp.ClientTimeout(total=20)
-_ASK = aiohttp.ClientTimeout(total=3)
+_OK = 200
+_LONGEST_SECONDS = 20
+_PATIENCE = aiohttp.ClientTimeout(total=_LONGEST_SECONDS)
 _RULES = """# change {0}
 [[customer]]
 name = "hal-a"
@@ -106,7 +107,9 @@
 
     def of(self, domain: str) -> list[str]:
         """List the hosts of a failure domain."""
-        return [one for one, plan in self.plans.items() if plan.domain == domain]
+        return [
+            one for one, plan in self.plans.items() if plan.domain == domain
+        ]
 
     async def part(self, domain: str) -> None:
         """Cut a failure domain off from all others."""
@@ -114,12 +117,12 @@
         outside = [one for one in self.plans if one not in inside]
         for host_id in self.running:
             lost = outside if host_id in inside else inside
-            await self._cut(host_id, lost)
+            await _cut(self, host_id, lost)
 
     async def heal(self) -> None:
         """Make all links whole again."""
         for host_id in self.running:
-            await self._cut(host_id, [])
+            await _cut(self, host_id, [])
 
     async def ask(
         self,
@@ -157,7 +160,7 @@
         """
         while True:
             answer = await self.change(host_id, base, change_id)
-            if answer.status == 200:
+            if answer.status == _OK:
                 return int(answer.body['version'])
             assert answer.status in {0, 503}, answer
             await asyncio.sleep(_POLL_SECONDS)
@@ -180,7 +183,7 @@
     async def until_joined(self) -> None:
         """Wait until all hosts that run know each other."""
         for host_id in list(self.running):
-            while not await self._knows_all(host_id):
+            while not await _knows_all(self, host_id):
                 await asyncio.sleep(_POLL_SECONDS)
 
     async def log_leader(self, among: typing.Iterable[str] = ()) -> str:
@@ -212,7 +215,7 @@
     async def until_served(self, hosts: typing.Iterable[str]) -> None:
         """Wait until hosts know a backend server of each pool."""
         for host_id in hosts:
-            while await self._pools_served(host_id) != {ENGINES, ORDERS}:
+            while await _pools_served(self, host_id) != {ENGINES, ORDERS}:
                 await asyncio.sleep(_POLL_SECONDS)
 
     async def add_engines(
@@ -225,7 +228,7 @@
             to = tuple(
                 self.plans[one].addresses['backend'] for one in self.of(domain)
             )
-            await self._add(domain, to, speed, slots)
+            await _add(self, domain, to, speed, slots)
 
     def seen(self) -> list[str]:
         """List the requests that backend servers got, with repeats."""
@@ -237,41 +240,45 @@
         """Count how often services ran a key."""
         return sum(plain.runs[key] for plain in self.services)
 
-    async def _add(
-        self,
-        domain: str,
-        to: tuple[ids.Address, ...],
-        speed: generation.Speed,
-        slots: int,
-    ) -> None:
-        place = ids.FailureDomain(domain)
-        engine_id = ids.ServerId(f'{domain}-engine')
-        cfg = engine.EngineSettings(
-            engine_id, ENGINES, place, to, slots=slots, speed=speed
-        )
-        fake = engine.FakeEngine(cfg)
-        self.engines.append(fake)
-        await self.stack.enter_async_context(fake.running())
-        service_id = ids.ServerId(f'{domain}-van')
-        plain = service.FakeService(
-            service.ServiceSettings(service_id, ORDERS, place, to),
-        )
-        self.services.append(plain)
-        await self.stack.enter_async_context(plain.running())
 
-    async def _knows_all(self, host_id: str) -> bool:
-        answer = await self.ask(host_id, 'GET', '/v1/hosts')
-        rows = answer.body.get('hosts', ())
-        return {row['host_id'] for row in rows} >= set(self.running)
+async def _add(
+    made: System,
+    domain: str,
+    to: tuple[ids.Address, ...],
+    speed: generation.Speed,
+    slots: int,
+) -> None:
+    place = ids.FailureDomain(domain)
+    engine_id = ids.ServerId(f'{domain}-engine')
+    cfg = engine.EngineSettings(
+        engine_id, ENGINES, place, to, slots=slots, speed=speed
+    )
+    fake = engine.FakeEngine(cfg)
+    made.engines.append(fake)
+    await made.stack.enter_async_context(fake.running())
+    service_id = ids.ServerId(f'{domain}-van')
+    plain = service.FakeService(
+        service.ServiceSettings(service_id, ORDERS, place, to),
+    )
+    made.services.append(plain)
+    await made.stack.enter_async_context(plain.running())
+
+
+async def _pools_served(made: System, host_id: str) -> set[str]:
+    answer = await made.ask(host_id, 'GET', '/v1/servers')
+    return {row['pool'] for row in answer.body.get('servers', ())}
+
+
+async def _knows_all(made: System, host_id: str) -> bool:
+    answer = await made.ask(host_id, 'GET', '/v1/hosts')
+    rows = answer.body.get('hosts', ())
+    return {row['host_id'] for row in rows} >= set(made.running)
 
-    async def _pools_served(self, host_id: str) -> set[str]:
-        answer = await self.ask(host_id, 'GET', '/v1/servers')
-        return {row['pool'] for row in answer.body.get('servers', ())}
 
-    async def _cut(self, host_id: str, lost: typing.Sequence[str]) -> None:
-        body = {'cut': list(lost)}
-        answer = await self.ask(host_id, 'PUT', '/v1/test/links', body)
-        assert answer.status == 200, answer
+async def _cut(made: System, host_id: str, lost: typing.Sequence[str]) -> None:
+    body = {'cut': list(lost)}
+    answer = await made.ask(host_id, 'PUT', '/v1/test/links', body)
+    assert answer.status == _OK, answer
 
 
 def rules(change_id: str) -> str:
@@ -316,10 +323,10 @@
 
     :param seconds: after which it hangs.
     """
+    asyncio.run(_run(scenario, per_domain, seconds))
 
-    async def bounded() -> None:
-        async with asyncio.timeout(seconds):
-            async with started(per_domain) as made:
-                await scenario(made)
 
-    asyncio.run(bounded())
+async def _run(scenario: Scenario, per_domain: int, seconds: float) -> None:
+    async with asyncio.timeout(seconds):
+        async with started(per_domain) as made:
+            await scenario(made)
--- a/libs/fakes/geraniumweir/fakes/tests/test_system_calls.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_system_calls.py
@@ -42,10 +42,10 @@
         got = await asyncio.gather(*chats)
         ordered = await asyncio.gather(*orders)
         others = [one for one in got if one.host_id != leader]
-        assert [one for one in others if not one.honest] == []
+        assert all(one.honest for one in others)
         seen = set(made.seen())
         started = [one for one in others if one.request_id in seen]
-        assert [one for one in started if not one.whole] == []
+        assert all(one.whole for one in started)
         assert len(started) > 1
         assert any(one.broken for one in got if one.host_id == leader)
         runs = [made.runs(f'van-{number}') for number in range(12)]
@@ -53,9 +53,9 @@
         for number, answers in enumerate(ordered):
             if any(one.whole or one.ran == 'yes' for one in answers):
                 assert runs[number] == 1
-        assert callers.doubled(made) == []
+        assert not callers.doubled(made)
         everything = [*got, *(one for all_got in ordered for one in all_got)]
-        assert callers.lies(made, everything) == []
+        assert not callers.lies(made, everything)
 
     system.run(scenario, per_domain=2)
 
@@ -83,7 +83,7 @@
         before = len(leaving.account.seen)
         got = await load
         assert len(leaving.account.seen) == before
-        assert [one for one in got if not one.whole] == []
+        assert all(one.whole for one in got)
         elsewhere = [len(one.account.seen) for one in made.engines[1:]]
         assert min(elsewhere) > 0
 
@@ -144,15 +144,15 @@
         got = await asyncio.gather(*calls)
         made.running.pop(leader)
         assert status == 0
-        assert [one for one in got if not one.honest] == []
+        assert all(one.honest for one in got)
         seen = set(made.seen())
         started = [one for one in got if one.request_id in seen]
-        assert [one for one in started if not one.whole] == []
+        assert all(one.whole for one in started)
         assert len(started) > 8
         other = next(one for one in hosts if one != leader)
         assert await made.change_until_accepted(other, 1, 'after') == 2
-        assert callers.doubled(made) == []
-        assert callers.lies(made, got) == []
+        assert not callers.doubled(made)
+        assert not callers.lies(made, got)
 
     system.run(scenario, per_domain=2)
 
--- a/libs/fakes/geraniumweir/fakes/tests/test_system_state.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_system_state.py
@@ -8,6 +8,7 @@
 
 _QUICK = generation.Speed(0.001, 1e6)
 _OPERATORS = 8
+_TRIES = 200
 _ROUNDS = 6
 
 
@@ -24,7 +25,7 @@
                     await _race(made, base, wins)
             await made.until_in_force(_ROUNDS + 1)
         assert wins == {base + 1: 1 for base in range(1, _ROUNDS + 1)}
-        assert watch.gone_back == []
+        assert not watch.gone_back
         await _judge_history(made)
 
     system.run(scenario)
@@ -50,17 +51,11 @@
 ) -> None:
     hosts = list(made.plans)
     answers = await asyncio.gather(
-        *(
-            _insist(made, hosts[number:] + hosts[:number], base, number)
-            for number in (one % len(hosts) for one in range(_OPERATORS))
-        ),
+        *(_insist(made, hosts, base, number) for number in range(_OPERATORS)),
     )
     wins.update(version for version in answers if version is not None)
 
 
-_serial = iter(range(10**9))
-
-
 async def _insist(
     made: system.System,
     hosts: typing.Sequence[str],
@@ -71,9 +66,9 @@
 
     :returns: the version that it became, None where another one won.
     """
-    change_id = f'{base}-{number}-{next(_serial)}'
-    for attempt in range(200):
-        host_id = hosts[attempt % len(hosts)]
+    change_id = f'{base}-{number}'
+    for attempt in range(_TRIES):
+        host_id = hosts[(number + attempt) % len(hosts)]
         answer = await made.change(host_id, base, change_id)
         if answer.status == 200:
             return int(answer.body['version'])
@@ -166,10 +161,10 @@
             await made.heal()
             await made.until_in_force(2)
             got += await callers.order_until_known(made, inside, 'van-1')
-        assert watch.gone_back == []
+        assert not watch.gone_back
         assert [made.runs(key) for key in ('van-1', 'van-2')] == [1, 1]
-        assert callers.doubled(made) == []
-        assert callers.lies(made, got) == []
+        assert not callers.doubled(made)
+        assert not callers.lies(made, got)
 
     system.run(scenario, per_domain=2)
 
@@ -246,9 +241,9 @@
             assert answer.status in {409, 503}, answer
             got.append(await late_order)
             await made.until_in_force(2)
-        assert watch.gone_back == []
+        assert not watch.gone_back
         assert await _history(made, old) == [(1, 'first'), (2, 'successor')]
         assert made.runs('van') == 1
-        assert callers.lies(made, got) == []
+        assert not callers.lies(made, got)
 
     system.run(scenario)
