A new pool leader knows the suspects that others spread

Cause: cases that came from other hosts went to the leaders of that moment only; a pool that changed its leader, or was led for the first time, forgot them.

--- a/libs/daemon/geraniumweir/daemon/joined.py
+++ b/libs/daemon/geraniumweir/daemon/joined.py
@@ -32,6 +32,7 @@
     leader,
     remote,
     reporting,
+    suspects,
     takeover,
 )
 from geraniumweir.scheduling import settings as leader_settings
@@ -202,11 +203,14 @@
     host = joined.host
     host.registry = joined.members.registry
     host.path.claims = loggedclaims.LoggedClaims(joined.claimer)
-    host.links = _links(joined, stack)
+    # A pool leader is soft state: a new one takes the cases from here.
+    heard = suspects.Suspects(0)
+    host.links = _links(joined, heard, stack)
     publisher = publishing.Publisher(
         joined.members,
         host.links.service,
         host.timers,
+        heard,
     )
     stack.callback(publisher.close)
     _follow(joined, stack)
@@ -225,6 +229,7 @@
 
 def _links(
     joined: Joined,
+    heard: suspects.Suspects,
     stack: contextlib.AsyncExitStack,
 ) -> entry_host.Links:
     host = joined.host
@@ -236,7 +241,7 @@
         link,
         view,
         domain,
-        lambda pool, on_preempt: _make_leader(host, pool, on_preempt),
+        lambda pool, on_preempt: _make_leader(host, pool, on_preempt, heard),
         host.timers,
     )
     stack.callback(service.close)
@@ -251,17 +256,21 @@
     host: entry_host.EntryHost,
     pool: ids.PoolName,
     on_preempt: remote.OnPreempt,
+    heard: suspects.Suspects,
 ) -> leader.PoolLeader:
     cfg = leader_settings.LeaderSettings(
         pool,
         settle_seconds=takeover.SETTLE_WINDOW,
     )
-    return leader.PoolLeader(
+    made = leader.PoolLeader(
         cfg,
         host.timers.now,
         lambda: host.servers_of(pool),
         on_preempt,
     )
+    now = host.timers.now()
+    made.suspects.merge(heard.export(now), now)
+    return made
 
 
 def _follow(joined: Joined, stack: contextlib.AsyncExitStack) -> None:
--- a/libs/daemon/geraniumweir/daemon/publishing.py
+++ b/libs/daemon/geraniumweir/daemon/publishing.py
@@ -23,8 +23,13 @@
         members: membership.Membership,
         service: remote.LeaderService,
         clock: timers.TimerService,
+        heard: suspects.Suspects,
     ) -> None:
-        """Publish every half second from now on."""
+        """Publish every half second from now on.
+
+        :param heard: takes all cases, for pools that this host leads later.
+        """
+        self._heard = heard
         self._members = members
         self._service = service
         self._clock = clock
@@ -69,6 +74,7 @@
             key for key in self._told if key in map(_key, cases)
         }
         if new:
+            self._heard.merge(new, self._clock.now())
             self._spread(new[:_MOST_CASES])
 
     def _spread(self, cases: typing.Sequence[suspects.Case]) -> None:
@@ -85,6 +91,7 @@
             eventlog.emit(logevents.CASES_NOT_READ, reason=exc.message)
             return
         self._told.update(map(_key, cases))
+        self._heard.merge(cases, self._clock.now())
         for pool in self._service.pools():
             leader = self._service.leader(pool)
             if leader is not None:
--- a/libs/fakes/geraniumweir/fakes/tests/test_system_calls.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_system_calls.py
@@ -178,6 +178,14 @@
         assert {(one.code, one.ran) for one in refused} == {
             (_QUARANTINED, 'no'),
         }
+        # The pool's next leader has heard of it too.
+        domain = system.DOMAINS[1]
+        leader = await made.pool_leader(domain, system.ENGINES)
+        await made.kill(leader)
+        hosts.remove(leader)
+        next_host = next(one for one in made.of(domain) if one != leader)
+        refused.append(await callers.chat(made, next_host, poison))
+        assert refused[-1].code == _QUARANTINED, refused[-1]
         ran = [one for one in made.seen() if one in _ids(sent + refused)]
         assert sorted(ran) == sorted(_ids(sent))
         harmless = callers.question('harmless', 5)
