--- a/libs/fakes/geraniumweir/fakes/soak.py
+++ b/libs/fakes/geraniumweir/fakes/soak.py
@@ -44,11 +44,13 @@
     """What a run showed.
 
     :ivar accepted: change ids by the version that they became.
+    :ivar kept: change ids by version, as the log's leaders told them.
     :ivar keys: how each order ended, by its key.
     :ivar down: hosts killed so far, with the loop's time when they were back.
     """
 
     accepted: dict[int, str] = dataclasses.field(default_factory=dict)
+    kept: dict[int, str] = dataclasses.field(default_factory=dict)
     got: list[callers.Got] = dataclasses.field(default_factory=list)
     keys: dict[str, list[callers.Got]] = dataclasses.field(
         default_factory=dict,
@@ -167,6 +169,8 @@
             await _change(made, found, host_id, f'{cycle}-{number}')
         leader = await made.log_leader()
         await _kill(made, found, leader, f'{cycle}-kill')
+        # Histories are bounded, so they are read as they grow.
+        found.kept.update(await _history(made))
         await made.start(leader)
         await made.until_in_force(max(found.accepted))
         await made.until_joined()
@@ -217,13 +221,14 @@
     found: Findings,
     watch: watching.Watch,
 ) -> int:
-    kept = await _history(made)
+    kept = found.kept
     broken = {
         'accepted changes lost': sum(
             kept.get(version) != change_id
             for version, change_id in found.accepted.items()
         ),
         'versions that do not follow': len(kept) - len(found.accepted) - 1,
+        'resent changes answered otherwise': await _resend(made, found),
         'versions gone back': len(watch.gone_back),
         'calls lost by a host that lived': len(found.lost_calls),
         'requests doubled': len(callers.doubled(made)),
@@ -235,6 +240,16 @@
     return int(any(broken.values()))
 
 
+async def _resend(made: system.System, found: Findings) -> int:
+    """Send all changes again, to other hosts, and count other answers."""
+    hosts = itertools.cycle(made.plans)
+    otherwise = 0
+    for version, change_id in found.accepted.items():
+        answer = await made.change(next(hosts), version - 1, change_id)
+        otherwise += answer.body.get('version') != version
+    return otherwise
+
+
 def _unserved(made: system.System, found: Findings) -> int:
     return sum(
         not made.runs(key)
--- a/libs/fakes/geraniumweir/fakes/tests/test_system_calls.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_system_calls.py
@@ -21,6 +21,8 @@
         domain = system.DOMAINS[0]
         leader = await made.pool_leader(domain, system.ENGINES)
         hosts = made.of(domain)
+        for held in made.services:
+            held.go_on.clear()
         chats = [
             asyncio.create_task(
                 callers.chat(
@@ -33,12 +35,21 @@
         ]
         orders = [
             asyncio.create_task(
-                callers.order_until_known(made, hosts, f'van-{number}'),
+                callers.order_until_known(
+                    made,
+                    hosts[number % 2 :] + hosts[: number % 2],
+                    f'van-{number}',
+                ),
             )
             for number in range(12)
         ]
         await _until_running(made, domain)
+        # The leader's orders are under way; their callers turn to the other.
+        while sum(len(one.seen) for one in made.services) < 12:
+            await asyncio.sleep(0.01)
         await made.kill(leader)
+        for let in made.services:
+            let.go_on.set()
         got = await asyncio.gather(*chats)
         ordered = await asyncio.gather(*orders)
         others = [one for one in got if one.host_id != leader]
