--- a/libs/fakes/geraniumweir/fakes/tests/test_system_state.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_system_state.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+import contextlib
 import typing
 
+import aiohttp
 from geraniumweir.fakes import callers, generation, system, watching
 
 _QUICK = generation.Speed(0.001, 1e6)
@@ -247,3 +249,38 @@
         assert not callers.lies(made, got)
 
     system.run(scenario)
+
+
+def test_host_without_a_disk_is_ready_only_with_a_version() -> None:
+    """Started while cut off, it takes its neighbour's and isn't sure."""
+
+    async def scenario(made: system.System) -> None:
+        await made.add_engines(_QUICK)
+        await made.until_served(made.running)
+        domain = system.DOMAINS[2]
+        diskless = made.of(domain)[1]
+        await made.kill(diskless)
+        await made.part(domain)
+        await made.start(diskless)
+        await _until_ready(made, diskless)
+        assert await made.version(diskless) == 1
+        await made.until_served([diskless])
+        got = await callers.chat(made, diskless, callers.question('a', 5))
+        assert got.whole, got
+        status = await made.ask(diskless, 'GET', '/v1/status')
+        assert status.body['version'] == 1
+        await made.heal()
+        await made.change_until_accepted(diskless, 1, 'healed')
+        await made.until_in_force(2)
+
+    system.run(scenario, per_domain=2)
+
+
+async def _until_ready(made: system.System, host_id: str) -> None:
+    address = made.plans[host_id].addresses['caller']
+    while True:
+        with contextlib.suppress(aiohttp.ClientError):
+            async with made.session.get(f'http://{address}/readyz') as resp:
+                if resp.status == 200:
+                    return
+        await asyncio.sleep(0.005)
