Crashes that several leaders saw are added, each told by its leader

Cause: of two leaders' cases against one content the graver stood, so a request that crashed a server in each of two failure domains before the first case had spread counted one crash at each, and ran a third time. Told cases were also forgotten with each pool published, and told again every half second where a host led several pools. Before: sent again at once in another failure domain, a request was run by the hosts of all three. Each leader counts its own crashes under its own name; the sum condemns.

--- a/libs/daemon/geraniumweir/daemon/joined.py
+++ b/libs/daemon/geraniumweir/daemon/joined.py
@@ -241,7 +241,12 @@
         link,
         view,
         domain,
-        lambda pool, on_preempt: _make_leader(host, pool, on_preempt, heard),
+        lambda pool, on_preempt: _make_leader(
+            joined,
+            pool,
+            on_preempt,
+            heard,
+        ),
         host.timers,
     )
     stack.callback(service.close)
@@ -253,13 +258,16 @@
 
 
 def _make_leader(
-    host: entry_host.EntryHost,
+    joined: Joined,
     pool: ids.PoolName,
     on_preempt: remote.OnPreempt,
     heard: suspects.Suspects,
 ) -> leader.PoolLeader:
+    host = joined.host
+    me = joined.members.me
     cfg = leader_settings.LeaderSettings(
         pool,
+        f'{me.host_id}/{me.incarnation}/{pool}',
         settle_seconds=takeover.SETTLE_WINDOW,
     )
     made = leader.PoolLeader(
--- a/libs/daemon/geraniumweir/daemon/publishing.py
+++ b/libs/daemon/geraniumweir/daemon/publishing.py
@@ -11,8 +11,9 @@
 
 _PERIOD = 0.5
 _MOST_CASES = 64
+_MOST_TOLD = 4096
 
-_CaseKey = tuple[ids.Fingerprint, int, bool]
+_CaseKey = tuple[ids.Fingerprint, str, int, bool]
 
 
 class Publisher:
@@ -52,6 +53,8 @@
         self._published = led
         for pool in led:
             self._publish_pool(pool)
+        if len(self._told) > _MOST_TOLD:
+            self._forget_told()
 
     def _publish_pool(self, pool: ids.PoolName) -> None:
         leader = self._service.leader(pool)
@@ -70,11 +73,7 @@
         """Tell all hosts of the cases that are new or graver."""
         cases = known.export(self._clock.now())
         new = [case for case in cases if _key(case) not in self._told]
-        self._told = {_key(case) for case in cases} | {
-            key for key in self._told if key in map(_key, cases)
-        }
         if new:
-            self._heard.merge(new, self._clock.now())
             self._spread(new[:_MOST_CASES])
 
     def _spread(self, cases: typing.Sequence[suspects.Case]) -> None:
@@ -82,21 +81,33 @@
         try:
             self._members.spread(casefiles.write(cases), seconds)
         except member_errors.NoticeError as exc:
+            # They stay new, and are tried again.
             eventlog.emit(logevents.CASES_NOT_SPREAD, reason=exc.message)
+        else:
+            self._merge(cases)
 
     def _take_cases(self, payload: bytes) -> None:
         try:
             cases = casefiles.read(payload)
         except wire_errors.FrameError as exc:
             eventlog.emit(logevents.CASES_NOT_READ, reason=exc.message)
-            return
+        else:
+            self._merge(cases)
+
+    def _merge(self, cases: typing.Sequence[suspects.Case]) -> None:
+        """Let all pools led here, now or later, know of cases."""
+        now = self._clock.now()
         self._told.update(map(_key, cases))
-        self._heard.merge(cases, self._clock.now())
+        self._heard.merge(cases, now)
         for pool in self._service.pools():
             leader = self._service.leader(pool)
             if leader is not None:
-                leader.suspects.merge(cases, self._clock.now())
+                leader.suspects.merge(cases, now)
+
+    def _forget_told(self) -> None:
+        heard = self._heard.export(self._clock.now())
+        self._told.intersection_update(map(_key, heard))
 
 
 def _key(case: suspects.Case) -> _CaseKey:
-    return case.fingerprint, case.crashes, case.quarantined
+    return case.fingerprint, case.origin, case.crashes, case.quarantined
--- a/libs/fakes/geraniumweir/fakes/tests/test_system_calls.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_system_calls.py
@@ -178,7 +178,6 @@
         hosts = list(made.plans)
         sent = [await callers.chat(made, hosts[0], poison)]
         await _crash_who_ran(made, sent[0])
-        await asyncio.sleep(_SPREAD_SECONDS)
         sent.append(await callers.chat(made, hosts[-1], poison))
         assert sent[1].ran != 'no', sent[1]
         await _crash_who_ran(made, sent[1])
--- a/libs/scheduling/geraniumweir/scheduling/casefiles.py
+++ b/libs/scheduling/geraniumweir/scheduling/casefiles.py
@@ -27,6 +27,7 @@
             float(case.score),
             float(case.seconds),
             case.quarantined,
+            case.origin,
         )
         for case in cases
     ]
@@ -45,6 +46,7 @@
             case.score,
             case.seconds,
             case.quarantined,
+            case.origin or '',
         )
         for case in framing.decode(ttypes.Cases, payload).cases or ()
     ]
--- a/libs/scheduling/geraniumweir/scheduling/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -61,7 +61,7 @@
             settle_by=now() + cfg.settle_seconds,
             served_at=now(),
             dice=random.Random(cfg.seed),
-            suspects=suspects.Suspects(cfg.quarantine_seconds),
+            suspects=suspects.Suspects(cfg.quarantine_seconds, cfg.origin),
         )
 
     async def ask(
--- a/libs/scheduling/geraniumweir/scheduling/settings.py
+++ b/libs/scheduling/geraniumweir/scheduling/settings.py
@@ -9,6 +9,7 @@
 class LeaderSettings:
     """What a pool leader's decisions are tuned by.
 
+    :ivar origin: names this leader among all that there ever were.
     :ivar queue_limit: most requests that wait.
     :ivar settle_seconds: a leader that was not told that all owners handed
         over their open grants starts granting after this time; 0 for one
@@ -23,6 +24,7 @@
     """
 
     pool: ids.PoolName = ids.PoolName('')
+    origin: str = ''
     queue_limit: int = 10000
     settle_seconds: float = 0
     fair_seconds: float = 0.5
--- a/libs/scheduling/geraniumweir/scheduling/suspects.py
+++ b/libs/scheduling/geraniumweir/scheduling/suspects.py
@@ -8,10 +8,16 @@
 evidence, so neighbours that share crashes by chance are not condemned. This
 is group testing [1]_ with groups of one.
 
+Leaders tell each other what they saw. Each counts its own crashes, and the
+counts of all are added: a grow-only counter [2]_, which may be told again, late
+and in any order. So two crashes count as two wherever they were seen.
+
 References
 ==========
 .. [1] R. Dorfman, "The Detection of Defective Members of Large Populations",
    Annals of Mathematical Statistics 14(4), 1943.
+.. [2] M. Shapiro, N. Preguica, C. Baquero, M. Zawirski, "Conflict-Free
+   Replicated Data Types", SSS 2011.
 """
 
 import collections
@@ -40,11 +46,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Case:
-    """What is known against a fingerprint.
+    """What one leader knows against a fingerprint.
 
+    :ivar crashes: that the leader saw.
     :ivar score: share of the blame for crashes.
     :ivar seconds: for which it counts, from now.
     :ivar quarantined: whether it is refused for this time.
+    :ivar origin: names the leader.
     """
 
     fingerprint: ids.Fingerprint
@@ -52,24 +60,39 @@
     score: float
     seconds: float
     quarantined: bool
+    origin: str = ''
 
 
 @dataclasses.dataclass(slots=True)
-class _Entry:
+class _Seen:
     crashes: int = 0
     score: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    by_origin: dict[str, _Seen] = dataclasses.field(default_factory=dict)
     until: float = 0
     quarantined: bool = False
 
+    def is_proved(self) -> bool:
+        """Tell whether all that was seen condemns it."""
+        seen = self.by_origin.values()
+        if sum(one.crashes for one in seen) < _CONDEMNED_CRASHES:
+            return False
+        return sum(one.score for one in seen) >= _CONDEMNED_SCORE
+
 
 class Suspects:
     """Fingerprints under suspicion, in bounded memory."""
 
-    def __init__(self, quarantine_seconds: float) -> None:
+    def __init__(self, quarantine_seconds: float, origin: str = '') -> None:
         """Suspect nobody.
 
         :param quarantine_seconds: for which a condemned one is refused.
+        :param origin: names this leader, and no other one.
         """
+        self.origin = origin
         self._quarantine_seconds = quarantine_seconds
         self._cases: collections.OrderedDict[ids.Fingerprint, _Entry] = (
             collections.OrderedDict()
@@ -134,23 +157,26 @@
         return [
             Case(
                 fingerprint,
-                entry.crashes,
-                entry.score,
+                seen.crashes,
+                seen.score,
                 entry.until - now,
                 entry.quarantined,
+                origin,
             )
             for fingerprint, entry in self._cases.items()
+            for origin, seen in entry.by_origin.items()
             if entry.until > now
         ]
 
     def merge(self, cases: typing.Iterable[Case], now: float) -> None:
-        """Take another host's cases; the graver view stands."""
+        """Take other leaders' cases; of one leader's, the graver stands."""
         for case in cases:
             entry = self._entry(case.fingerprint)
-            entry.crashes = max(entry.crashes, case.crashes)
-            entry.score = max(entry.score, case.score)
+            seen = entry.by_origin.setdefault(case.origin, _Seen())
+            seen.crashes = max(seen.crashes, case.crashes)
+            seen.score = max(seen.score, case.score)
             entry.until = max(entry.until, now + case.seconds)
-            entry.quarantined = entry.quarantined or case.quarantined
+            entry.quarantined |= case.quarantined or entry.is_proved()
 
     def _blame(
         self,
@@ -172,12 +198,12 @@
     ) -> bool:
         entry = self._entry(fingerprint)
         discount = _GOOD_RECORD_DISCOUNT if fingerprint in self._good else 1
-        entry.crashes += 1
-        entry.score += weight * discount
+        seen = entry.by_origin.setdefault(self.origin, _Seen())
+        seen.crashes += 1
+        seen.score += weight * discount
         entry.until = max(entry.until, now + _SUSPECT_SECONDS)
         before = entry.quarantined
-        if entry.crashes >= _CONDEMNED_CRASHES:
-            entry.quarantined = entry.score >= _CONDEMNED_SCORE
+        entry.quarantined |= entry.is_proved()
         if entry.quarantined:
             entry.until = now + self._quarantine_seconds
         return entry.quarantined and not before
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_faults.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from geraniumweir.common import ids, virtual
-from geraniumweir.scheduling import requests
+from geraniumweir.scheduling import requests, suspects
 from geraniumweir.scheduling.tests import scenes
 
 _POISON = ids.Fingerprint(1313)
@@ -229,3 +229,19 @@
         assert reason is requests.DenialReason.quarantined
 
     virtual.run(scenario())
+
+
+def test_crashes_that_two_leaders_saw_are_added() -> None:
+    """One each is enough, whichever hears of the other's, and how often."""
+    one = suspects.Suspects(300, 'one')
+    two = suspects.Suspects(300, 'two')
+    one.crashed([_POISON], 0)
+    two.crashed([_POISON], 0)
+    for _ in range(3):
+        assert one.verdict(_POISON, 1) is suspects.Verdict.suspect
+        one.merge(one.export(1), 1)
+    one.merge(two.export(1), 1)
+    two.merge(one.export(1), 1)
+    quarantined = suspects.Verdict.quarantined
+    assert one.verdict(_POISON, 2) is quarantined
+    assert two.verdict(_POISON, 2) is quarantined
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -1944,6 +1944,7 @@
      - score
      - seconds
      - quarantined
+     - origin
 
     """
 
@@ -1953,15 +1954,17 @@
         'score',
         'seconds',
         'quarantined',
+        'origin',
     )
 
 
-    def __init__(self, fingerprint=None, crashes=None, score=None, seconds=None, quarantined=None,):
+    def __init__(self, fingerprint=None, crashes=None, score=None, seconds=None, quarantined=None, origin=None,):
         self.fingerprint = fingerprint
         self.crashes = crashes
         self.score = score
         self.seconds = seconds
         self.quarantined = quarantined
+        self.origin = origin
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1997,6 +2000,11 @@
                     self.quarantined = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2027,6 +2035,10 @@
             oprot.writeFieldBegin('quarantined', TType.BOOL, 5)
             oprot.writeBool(self.quarantined)
             oprot.writeFieldEnd()
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 6)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2277,6 +2289,7 @@
     (3, TType.DOUBLE, 'score', None, None, ),  # 3
     (4, TType.DOUBLE, 'seconds', None, None, ),  # 4
     (5, TType.BOOL, 'quarantined', None, None, ),  # 5
+    (6, TType.STRING, 'origin', 'UTF8', None, ),  # 6
 )
 all_structs.append(Cases)
 Cases.thrift_spec = (
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -145,6 +145,8 @@
   3: double score
   4: double seconds
   5: bool quarantined
+  // The leader that saw it.
+  6: string origin
 }
 
 struct Cases {
