--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/tests/test_neighbours.py
@@ -0,0 +1,37 @@
+"""What scheduling hears of other failure domains."""
+
+import types
+
+from geraniumweir.common import ids
+from geraniumweir.daemon import neighbours
+from geraniumweir.membership import hosts
+
+_NOWHERE = ids.Address('127.0.0.1', 1)
+_POOL = ids.PoolName('lm')
+
+
+def _host(name: str) -> hosts.Host:
+    return hosts.Host(
+        ids.HostId(name),
+        ids.FailureDomain(name[0]),
+        ids.Region('r'),
+        _NOWHERE,
+        ids.Incarnation(1),
+        _NOWHERE,
+    )
+
+
+def test_pools_are_known_before_their_summaries_come() -> None:
+    """A domain nobody told of is asked at the host that would lead there."""
+    live = [_host('a1'), _host('a2'), _host('b1'), _host('c1')]
+    members = types.SimpleNamespace(
+        me=live[0],
+        pools=types.SimpleNamespace(summaries=lambda _pool: ()),
+        all_live=lambda: live,
+        eligible=lambda domain: [
+            host for host in live if host.failure_domain == domain != 'c'
+        ],
+    )
+    found = neighbours.Directory(members).others(_POOL)
+    assert [(one.domain, one.leader) for one in found] == [('b', 'b1')]
+    assert found[0].summary.pool == _POOL
--- a/libs/membership/geraniumweir/membership/tests/test_heartbeats.py
+++ b/libs/membership/geraniumweir/membership/tests/test_heartbeats.py
@@ -26,6 +26,21 @@
     assert virtual.run(main()) == {_whole(6)}
 
 
+def test_host_that_started_before_its_seed_is_not_alone_for_long() -> None:
+    """Two hosts whose first greetings met nobody find each other."""
+
+    async def main() -> set[str]:
+        found = cluster.Cluster()
+        await found.start('a00')
+        found.crash('a00')
+        await found.start('a01', 'a00')
+        await found.start('a00')
+        await asyncio.sleep(2)
+        return found.views('a')
+
+    assert virtual.run(main()) == {'a00 a01'}
+
+
 def test_crash_is_detected_within_bound() -> None:
     """A crash is seen by all within the bound, and by none as a leave."""
 
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_placement.py
@@ -149,6 +149,29 @@
     virtual.run(scenario())
 
 
+def test_pool_whose_servers_left_sends_requests_on() -> None:
+    """Who waits is denied soon, and who comes later at once."""
+
+    async def scenario() -> None:
+        scene = scenes.Scene(scenes.engine('one', slots=1))
+        await scene.grant()
+        waiting = await scene.start()
+        await asyncio.sleep(2)
+        assert not waiting.done()
+        scene.live = []
+        reason = await scenes.denied(waiting)
+        assert reason is requests.DenialReason.no_server
+        # Well before the minute that both may wait.
+        assert scene.loop.time() < 10
+        await asyncio.sleep(2)
+        asked_at = scene.loop.time()
+        later = await scene.start()
+        assert await scenes.denied(later) is requests.DenialReason.no_server
+        assert scene.loop.time() == asked_at
+
+    virtual.run(scenario())
+
+
 def test_prefix_affinity_and_its_correction() -> None:
     """A prompt goes where it is cached, until an event says otherwise."""
 
