--- a/libs/daemon/geraniumweir/daemon/tests/test_neighbours.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_neighbours.py
@@ -29,7 +29,9 @@
         pools=types.SimpleNamespace(summaries=lambda _pool: ()),
         all_live=lambda: live,
         eligible=lambda domain: [
-            host for host in live if host.failure_domain == domain != 'c'
+            host
+            for host in live
+            if domain != 'c' and host.failure_domain == domain
         ],
     )
     found = neighbours.Directory(members).others(_POOL)
