--- a/libs/fakes/geraniumweir/fakes/tests/test_system_state.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_system_state.py
@@ -86,8 +86,8 @@
     hosts = list(made.plans)
     # The one that was killed has its log only once the leader has shown how
     # far it's committed.
-    for host_id in hosts:
-        while len(await _history(made, host_id)) <= _ROUNDS:
+    for late in hosts:
+        while len(await _history(made, late)) <= _ROUNDS:
             await asyncio.sleep(0.02)
     kept = [await _history(made, host_id) for host_id in hosts]
     assert kept[0] == kept[1] == kept[2]
