--- a/libs/fakes/geraniumweir/fakes/slopes/announcing.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/announcing.py
@@ -27,7 +27,8 @@
 async def _costs(servers: int) -> dict[str, float]:
     connector = aiohttp.TCPConnector(limit=_MOST_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
-        host = await processes.start('slopes', ids.FailureDomain('milano-a'))
+        plan = processes.plan_alone('slopes', ids.FailureDomain('milano-a'))
+        host = await processes.start(plan)
         try:
             await processes.until_ready(session, [host])
             await processes.apply_rules(host, inprocess.RULES)
--- a/libs/wire/geraniumweir/wire/memory.py
+++ b/libs/wire/geraniumweir/wire/memory.py
@@ -154,7 +154,7 @@
 
     def send(self, to: ids.HostId, message: peers.Message) -> None:
         """Send a message without an answer; it may be lost."""
-        self.start(self._deliver(to, message))
+        self.start(self._post(to, message))
 
     async def receive(
         self,
@@ -209,23 +209,38 @@
         await asyncio.sleep(self._network.travel_time())
         return _carried(answer)
 
+    async def _post(self, to: ids.HostId, message: peers.Message) -> None:
+        """Deliver a message that nobody waits for."""
+        receiver = await self._travel(to, message)
+        if receiver is not None:
+            with contextlib.suppress(errors.RemoteError):
+                await receiver.receive(self.host_id, message)
+
     async def _deliver(
         self,
         to: ids.HostId,
         message: peers.Message,
     ) -> peers.Message | None:
-        passes = self._network.passes(self, to, message)
-        if passes and self._network.repeated():
-            self.start(self._repeat(to, message))
-        await asyncio.sleep(self._network.travel_time())
-        receiver = self._network.host(to)
-        if receiver is None or not passes:
+        receiver = await self._travel(to, message)
+        if receiver is None:
             # The sender can't tell a loss from a slow answer.
             return await asyncio.Event().wait()
         # As over TCP, a caller that gives up doesn't stop the handler.
         handled = receiver.start(receiver.receive(self.host_id, message))
         return await asyncio.shield(handled)
 
+    async def _travel(
+        self,
+        to: ids.HostId,
+        message: peers.Message,
+    ) -> typing.Optional['MemoryPeers']:
+        """Give the host that a message reaches, or None when it is lost."""
+        passes = self._network.passes(self, to, message)
+        if passes and self._network.repeated():
+            self.start(self._repeat(to, message))
+        await asyncio.sleep(self._network.travel_time())
+        return self._network.host(to) if passes else None
+
 
 def _carried(message: peers.Message) -> peers.Message:
     """Copy a message the way it would come out of a connection."""
