--- a/libs/daemon/geraniumweir/daemon/joined.py
+++ b/libs/daemon/geraniumweir/daemon/joined.py
@@ -32,6 +32,7 @@
     leader,
     remote,
     reporting,
+    suspects,
     takeover,
 )
 from geraniumweir.scheduling import settings as leader_settings
@@ -53,10 +54,12 @@
 class Joined:
     """The parts of a host that works together with others.
 
+    :ivar layer: the peer layer itself, whose links a test may cut.
     :ivar recording: None where this host has no data folder.
     """
 
     host: entry_host.EntryHost
+    layer: tcp.TcpPeers
     peers: channel.Channel
     members: membership.Membership
     follower: following.Follower
@@ -79,12 +82,19 @@
         be used.
     """
     cfg = host.cfg
-    peer_layer = channel.Channel(await _listen(cfg, stack))
+    layer = await _listen(cfg, stack)
+    peer_layer = channel.Channel(layer)
     stack.push_async_callback(peer_layer.close)
     shelf = recording.open_shelf(cfg, stack)
     recorded = await recording.start(cfg, peer_layer, stack)
     members = _membership(host, peer_layer, recorded is not None)
-    joined = _assemble(host, peer_layer, members, recorded, shelf)
+    joined = _assemble(
+        host,
+        (layer, peer_layer),
+        members,
+        recorded,
+        shelf,
+    )
     _wire(joined, stack)
     await members.start()
     stack.callback(members.stop)
@@ -154,11 +164,12 @@
 
 def _assemble(
     host: entry_host.EntryHost,
-    peer_layer: channel.Channel,
+    ways: tuple[tcp.TcpPeers, channel.Channel],
     members: membership.Membership,
     recorded: recording.Recording | None,
     shelf: recording.Shelf | None,
 ) -> Joined:
+    layer, peer_layer = ways
     log = client.LogClient(peer_layer, _first_recorders(host.cfg))
     near = neighbours.Neighbours(members, lambda: _recorders(host, members))
     follower = following.Follower(
@@ -170,6 +181,7 @@
     )
     return Joined(
         host=host,
+        layer=layer,
         peers=peer_layer,
         members=members,
         follower=follower,
@@ -195,11 +207,14 @@
     host = joined.host
     host.registry = joined.members.registry
     host.path.claims = loggedclaims.LoggedClaims(joined.claimer)
-    host.links = _links(joined, stack)
+    # A pool leader is soft state: a new one takes the cases from here.
+    heard = suspects.Suspects(0)
+    host.links = _links(joined, heard, stack)
     publisher = publishing.Publisher(
         joined.members,
         host.links.service,
         host.timers,
+        heard,
     )
     stack.callback(publisher.close)
     _follow(joined, stack)
@@ -218,6 +233,7 @@
 
 def _links(
     joined: Joined,
+    heard: suspects.Suspects,
     stack: contextlib.AsyncExitStack,
 ) -> entry_host.Links:
     host = joined.host
@@ -229,7 +245,12 @@
         link,
         view,
         domain,
-        lambda pool, on_preempt: _make_leader(host, pool, on_preempt),
+        lambda pool, on_preempt: _make_leader(
+            joined,
+            pool,
+            on_preempt,
+            heard,
+        ),
         host.timers,
     )
     stack.callback(service.close)
@@ -241,20 +262,27 @@
 
 
 def _make_leader(
-    host: entry_host.EntryHost,
+    joined: Joined,
     pool: ids.PoolName,
     on_preempt: remote.OnPreempt,
+    heard: suspects.Suspects,
 ) -> leader.PoolLeader:
+    host = joined.host
+    me = joined.members.me
     cfg = leader_settings.LeaderSettings(
         pool,
+        f'{me.host_id}/{me.incarnation}/{pool}',
         settle_seconds=takeover.SETTLE_WINDOW,
     )
-    return leader.PoolLeader(
+    made = leader.PoolLeader(
         cfg,
         host.timers.now,
         lambda: host.servers_of(pool),
         on_preempt,
     )
+    now = host.timers.now()
+    made.suspects.merge(heard.export(now), now)
+    return made
 
 
 def _follow(joined: Joined, stack: contextlib.AsyncExitStack) -> None:
--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -24,6 +24,7 @@
     operators,
     settings,
     settingvalues,
+    testlinks,
 )
 from geraniumweir.daemon import host as entry_host
 from geraniumweir.daemon import joined as joining
@@ -86,7 +87,11 @@
             joined = await joining.join(host, stack)
             gauges.register_joined(observed.meter, joined)
             ops = joinedops.JoinedOperations(joined, observed)
-        await _listen(stack, operators.make_app(ops), cfg.operator_address)
+        await _listen(
+            stack,
+            _operators_app(ops, cfg, joined),
+            cfg.operator_address,
+        )
         await _listen(stack, announcements.make_app(host), cfg.backend_address)
         await _listen(stack, callers.make_app(host), cfg.caller_address)
         logs.log(
@@ -101,6 +106,17 @@
     logs.log(logevents.STOPPED, left=left)
 
 
+def _operators_app(
+    ops: operations.Operations,
+    cfg: settings.Settings,
+    joined: joining.Joined | None,
+) -> web.Application:
+    app = operators.make_app(ops)
+    if cfg.test_links and joined is not None:
+        testlinks.add_routes(app, joined.layer)
+    return app
+
+
 async def _leave(
     host: entry_host.EntryHost,
     joined: joining.Joined | None,
--- a/libs/scheduling/geraniumweir/scheduling/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -59,8 +59,9 @@
             on_preempt,
             settled=cfg.settle_seconds <= 0,
             settle_by=now() + cfg.settle_seconds,
+            served_at=now(),
             dice=random.Random(cfg.seed),
-            suspects=suspects.Suspects(cfg.quarantine_seconds),
+            suspects=suspects.Suspects(cfg.quarantine_seconds, cfg.origin),
         )
 
     async def ask(
--- a/libs/scheduling/geraniumweir/scheduling/shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -23,7 +23,8 @@
 
 _GRACE = 0.25
 _LOOKS = 4
-_NO_SERVER_SECONDS = 1.0
+# A pool without servers is waited for this long; they may just be unheard of.
+NO_SERVER_SECONDS = 1.0
 _MOST_VICTIMS = 8
 _LEAST_RETRY = 0.2
 _LONGEST_RETRY = 10.0
@@ -34,7 +35,7 @@
 def watch(leader: state.LeaderState, waiting: records.Waiting) -> None:
     """See to it that a request is decided when its latest start comes."""
     if not waiting.latest:
-        by = min(waiting.ask.deadline, waiting.arrived + _NO_SERVER_SECONDS)
+        by = min(waiting.ask.deadline, waiting.arrived + NO_SERVER_SECONDS)
         _arm(leader, waiting, by, expire)
         return
     at = waiting.best_start - leader.cfg.preempt_slack
@@ -44,6 +45,20 @@
         _arm(leader, waiting, at, urgent)
 
 
+def give_up(leader: state.LeaderState) -> None:
+    """Refuse what the servers that left could have served.
+
+    No other live server can; another failure domain may, and is asked next.
+    """
+    live = {server.kind for server in leader.servers.values() if server.live}
+    if not leader.settled or len(live) == len(leader.classes):
+        return
+    before = leader.now() - NO_SERVER_SECONDS
+    for waiting in list(leader.waiting.values()):
+        if waiting.arrived <= before and live.isdisjoint(waiting.latest):
+            refuse(leader, waiting, requests.DenialReason.no_server)
+
+
 def urgent(leader: state.LeaderState, waiting: records.Waiting) -> None:
     """Serve a request that nears its latest start, or make way for it."""
     if waiting.fut.done() or granting.try_now(leader, waiting):
