Learnt concurrency limit: against the kind's predicted speed, with a floor

Cause: the least seconds by token ever seen came from cached prompts on empty engines, so ordinary answers counted as slow and limits fell from 16 to 3-8. Now: measured against what all servers of the kind take, three in a row, half of the slots always stay, half a slot back with each good answer; two reports of an engine's queue in a row lower it.

--- a/libs/scheduling/geraniumweir/scheduling/concurrency.py
+++ b/libs/scheduling/geraniumweir/scheduling/concurrency.py
@@ -2,9 +2,14 @@
 
 Engines admit in arrival order and know no tiers, so what waits inside one
 can't be overtaken: the limit keeps their own queues near empty. It falls by a
-part when answers are far slower than the best that the server has shown, and
-grows by one for a window of good answers [1]_; comparing with the least
-latency seen is the idea of delay-based congestion control [2]_.
+part when answers are far slower than predicted for as many as ran beside
+them, or when the engine reports a queue of its own again and again, and it
+comes back with good answers [1]_. Comparing with what is expected without
+queueing is the idea of delay-based congestion control [2]_; the expectation
+is the learnt speed of all servers of the kind, because the least latency ever
+seen is that of a cached prompt on an empty engine, against which all else is
+slow. A part of the announced slots always stays, so that wrong evidence
+can't close a server.
 
 References
 ==========
@@ -18,35 +23,16 @@
 import dataclasses
 
 _DECREASE = 0.85
+_INCREASE = 0.5
 _TOLERANCE = 4.0
-_DRIFT = 1.01
+_LEAST_SECONDS = 1.0
+_FLOOR = 0.5
 _MIN_GAP = 1.0
-_PATIENCE = 2
+_PATIENCE = 3
+_PATIENCE_OF_REPORTS = 2
 _FRESH_SECONDS = 3.0
 
 
-@dataclasses.dataclass(slots=True)
-class Baseline:
-    """The least seconds by token seen, which drifts up slowly."""
-
-    least: float = 0
-
-    def slowness(self, sample: float) -> float:
-        """Compare a sample with the least and learn from it.
-
-        >>> baseline = Baseline()
-        >>> baseline.slowness(0.5)
-        1.0
-        >>> round(baseline.slowness(1.0), 1)
-        2.0
-        """
-        if self.least == 0 or sample < self.least:
-            self.least = sample
-        else:
-            self.least = min(self.least * _DRIFT, sample)
-        return sample / self.least if self.least else 1.0
-
-
 @dataclasses.dataclass(slots=True)
 class Limit:
     """A server's concurrency limit.
@@ -58,48 +44,58 @@
 
     slots: int
     current: float = 0
-    prefill: Baseline = dataclasses.field(default_factory=Baseline)
-    decode: Baseline = dataclasses.field(default_factory=Baseline)
     whole: int = 1
     slow_in_row: int = 0
+    queued_in_row: int = 0
     lowered_at: float = float('-inf')
 
     def __post_init__(self) -> None:
         """Trust the announcement first."""
         self._set(self.current or float(self.slots))
 
-    def observe(self, slowness: float, running: int, now: float) -> None:
+    def observe(self, seconds: float, expected: float, now: float) -> None:
         """Learn from an answer.
 
-        :param slowness: of :meth:`Baseline.slowness`.
-        :param running: requests that ran beside it, itself included.
+        :param seconds: that a first token or the tokens after it took.
+        :param expected: seconds predicted for servers of this kind.
+
+        >>> limit = Limit(16)
+        >>> for _ in range(3):
+        ...     limit.observe(9, 1, now=0)
+        >>> limit.whole
+        13
         """
-        if slowness > _TOLERANCE:
+        if seconds > max(expected * _TOLERANCE, _LEAST_SECONDS):
             self.slow_in_row += 1
             if self.slow_in_row >= _PATIENCE:
-                self._lower(running, now)
+                self._lower(now)
             return
         self.slow_in_row = 0
-        if running + 1 >= self.whole:
-            self._set(self.current + 1 / max(self.current, 1))
+        self._set(self.current + _INCREASE)
 
     def report(self, waiting: int, age: float, now: float) -> None:
         """Learn from an engine's own queue.
 
+        One report may only show what came in the middle of a step.
+
         :param waiting: requests that wait inside the engine.
         :param age: seconds since it counted them.
         """
-        if waiting and age <= _FRESH_SECONDS:
-            self._lower(self.whole, now)
+        if age > _FRESH_SECONDS:
+            return
+        self.queued_in_row = self.queued_in_row + 1 if waiting else 0
+        if self.queued_in_row >= _PATIENCE_OF_REPORTS:
+            self._lower(now)
 
-    def _lower(self, running: int, now: float) -> None:
+    def _lower(self, now: float) -> None:
         # One decrease shows its effect before the next is made.
         if now - self.lowered_at < _MIN_GAP:
             return
         self.lowered_at = now
         self.slow_in_row = 0
-        self._set(min(self.current, float(running)) * _DECREASE)
+        self._set(self.current * _DECREASE)
 
     def _set(self, current: float) -> None:
-        self.current = max(1.0, min(current, float(self.slots)))
+        least = max(1.0, self.slots * _FLOOR)
+        self.current = max(least, min(current, float(self.slots)))
         self.whole = int(self.current)
--- a/libs/scheduling/geraniumweir/scheduling/progressing.py
+++ b/libs/scheduling/geraniumweir/scheduling/progressing.py
@@ -92,8 +92,8 @@
         running.ask.model,
         (seconds, tokens),
     )
-    slowness = server.limit.prefill.slowness(seconds / tokens)
-    server.limit.observe(slowness, running.beside, leader.now())
+    usual = leader.speeds.of_kind(server.kind.hardware, running.ask.model)
+    server.limit.observe(seconds, usual.prefill * tokens, leader.now())
     server.health.compare(seconds, rate * tokens, leader.now())
     placement.refresh(leader, server)
 
@@ -173,8 +173,8 @@
         running.ask.model,
         (seconds, steps),
     )
-    slowness = server.limit.decode.slowness(seconds / steps)
-    server.limit.observe(slowness, running.beside, leader.now())
+    usual = leader.speeds.of_kind(server.kind.hardware, running.ask.model)
+    server.limit.observe(seconds, usual.decode * steps, leader.now())
     server.health.compare(seconds, expected, leader.now())
 
 
