Prefix affinity that acts: wait for a holder, cost of repeated prefill

Cause: decode speeds learnt by server differ by 30% between equal engines from noise and outweighed a second of saved prefill; a freed server took the first in order wherever its prefix was; a full holder was never waited for. Now: a server's speed is its kind's unless it differs by 1.6 times; a choice counts the repeated prefill twice more; a request waits up to four times the saved prefill for a holder, while the open server could still end it in time; a freed server prefers one whose prefix it holds, past a head that can wait, at most three times; a gap in cache events costs a fifth of the trust, not half of it.

--- a/libs/scheduling/geraniumweir/scheduling/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -23,6 +23,8 @@
 )
 
 _HELD_LOOK = 8
+_MOST_PASSED = 3
+_PASS_SLACK = 1.0
 
 
 def try_now(leader: state.LeaderState, waiting: records.Waiting) -> bool:
@@ -174,12 +176,50 @@
     for tier in ids.Tier:
         if not leader.by_tier[tier]:
             continue
-        for waiting in _in_order(leader, server, tier):
-            if _fits(leader, server, waiting):
-                return waiting
+        waiting = _pick_of_tier(leader, server, tier)
+        if waiting is not None:
+            return waiting
     return None
 
 
+def _pick_of_tier(
+    leader: state.LeaderState,
+    server: records.Server,
+    tier: ids.Tier,
+) -> records.Waiting | None:
+    """Find the first of a tier, or one after it whose prefix is here."""
+    first: records.Waiting | None = None
+    for waiting in _in_order(leader, server, tier):
+        if first is not None and not placement.holds(leader, server, waiting):
+            continue
+        if not _fits(leader, server, waiting):
+            continue
+        if first is not None:
+            first.passed += 1
+            return waiting
+        if waiting.promised_by == server.server_id:
+            return waiting
+        if placement.waits_for_holder(leader, server, waiting):
+            continue
+        first = waiting
+        if not _may_be_passed(leader, server, first):
+            return first
+    return first
+
+
+def _may_be_passed(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether one whose prefix is on the server may go before."""
+    if waiting.passed >= _MOST_PASSED:
+        return False
+    if waiting.best_start - leader.now() < _PASS_SLACK:
+        return False
+    return not placement.holds(leader, server, waiting)
+
+
 def _in_order(
     leader: state.LeaderState,
     server: records.Server,
--- a/libs/scheduling/geraniumweir/scheduling/learning.py
+++ b/libs/scheduling/geraniumweir/scheduling/learning.py
@@ -28,6 +28,8 @@
 _MIN_SAMPLES = 3
 _MEMORY = 32
 _KEEP = 0.9
+_KEEP_OF_KIND = 0.98
+_NOISE = 1.6
 _HIGH_QUANTILE = 0.9
 _HIGH_STEP = 0.1
 _FIRST_GUESS = 128.0
@@ -133,11 +135,12 @@
     amount: float = 0
     weight: float = 0
     samples: int = 0
+    keep: float = _KEEP
 
     def add(self, amount: float, weight: float) -> None:
         """Take a sample."""
-        self.amount = self.amount * _KEEP + amount
-        self.weight = self.weight * _KEEP + weight
+        self.amount = self.amount * self.keep + amount
+        self.weight = self.weight * self.keep + weight
         self.samples += 1
 
     def value(self) -> float | None:
@@ -230,8 +233,8 @@
             return server.rates
         kind = self.of_kind(hardware, model)
         rates = Rates(
-            _known(server.prefill, kind.prefill),
-            _known(server.decode, kind.decode),
+            _near(_known(server.prefill, kind.prefill), kind.prefill),
+            _near(_known(server.decode, kind.decode), kind.decode),
         )
         if _well_known(server):
             server.rates = rates
@@ -243,10 +246,10 @@
         hardware: str,
         model: str | None,
     ) -> tuple[Speed, Speed]:
-        return (
-            self._servers.at((server_id, model)),
-            self._kinds.at((hardware, model)),
-        )
+        kind = self._kinds.at((hardware, model))
+        kind.prefill.keep = _KEEP_OF_KIND
+        kind.decode.keep = _KEEP_OF_KIND
+        return self._servers.at((server_id, model)), kind
 
 
 _GUESS = Rates(_PREFILL_GUESS, _DECODE_GUESS)
@@ -281,6 +284,13 @@
     return _first(ratio.value(), otherwise)
 
 
+def _near(rate: float, usual: float) -> float:
+    """Take a rate for the kind's unless it differs by more than noise."""
+    if usual / _NOISE <= rate <= usual * _NOISE:
+        return usual
+    return rate
+
+
 def _first(ratio: float | None, otherwise: float) -> float:
     return otherwise if ratio is None else ratio
 
--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -15,6 +15,10 @@
 _REFERENCE_PROMPT = 500
 _REFERENCE_OUTPUT = 100
 _LOAD_SLOWDOWN = 0.3
+_REPEAT_WEIGHT = 2.0
+_LEAST_SAVED = 0.1
+_WAIT_FACTOR = 4.0
+_WAIT_MARGIN = 0.5
 
 
 def refresh(leader: state.LeaderState, server: records.Server) -> None:
@@ -170,14 +174,97 @@
     for server in _open_servers(leader, waiting):
         if kept_for_another(server, waiting) or not has_room(server, waiting):
             continue
-        seconds = finish(leader, server, waiting) * _slowdown(server)
+        if not in_time(leader, server, waiting):
+            continue
+        seconds = _cost(leader, server, waiting)
         if seconds < best_seconds:
             best, best_seconds = server, seconds
-    if best is None or not in_time(leader, best, waiting):
+    if best is None or waits_for_holder(leader, best, waiting):
         return None
     return best
 
 
+def _cost(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> float:
+    """Give the predicted seconds, and what its prefill costs the others.
+
+    Prefill holds up all that runs beside it and pushes others' prefixes out.
+    """
+    seconds = finish(leader, server, waiting) * _slowdown(server)
+    rates = rates_of(leader, server, waiting.ask.model)
+    uncached = uncached_tokens(leader, server, waiting)
+    return seconds + _REPEAT_WEIGHT * rates.prefill * uncached
+
+
+def saved_seconds(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> float:
+    """Give the seconds of prefill that a server's cache saves a request."""
+    ask = waiting.ask
+    share = leader.prefixes.cached_share(server.server_id, ask.blocks)
+    if not share:
+        return 0
+    return rates_of(leader, server, ask.model).prefill * (
+        share * ask.prompt_tokens
+    )
+
+
+def holds(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether a server's cache saves a request much prefill."""
+    return saved_seconds(leader, server, waiting) >= _LEAST_SAVED
+
+
+def waits_for_holder(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether a request rather waits for a server that has its prefix.
+
+    It waits a few times as long as the prefill takes that is saved, and only
+    while the open server could still end it in time.
+    """
+    ask = waiting.ask
+    if waiting.probe or not ask.blocks:
+        return False
+    share = _best_share(leader, server, waiting)
+    rates = rates_of(leader, server, ask.model)
+    saved = rates.prefill * share * ask.prompt_tokens
+    saved -= saved_seconds(leader, server, waiting)
+    now = leader.now()
+    if saved < _LEAST_SAVED or now - waiting.arrived > _WAIT_FACTOR * saved:
+        return False
+    seconds = finish(leader, server, waiting) * leader.cfg.safety
+    return now + seconds + _WAIT_MARGIN < ask.deadline
+
+
+def _best_share(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> float:
+    """Give the largest share of a prompt that another fit server holds."""
+    best: float = 0
+    for server_id, share in leader.prefixes.warmest(
+        waiting.ask.blocks
+    ).items():
+        holder = leader.servers.get(server_id)
+        if holder is None or holder is server or not holder.most():
+            continue
+        if holder.kind in waiting.latest:
+            best = max(best, share)
+    return best
+
+
 def choose_crowded(
     leader: state.LeaderState,
     waiting: records.Waiting,
--- a/libs/scheduling/geraniumweir/scheduling/prefix.py
+++ b/libs/scheduling/geraniumweir/scheduling/prefix.py
@@ -24,7 +24,7 @@
 _LOOK = 4
 _DEFAULT_LIMIT = 8192
 _FULL_TRUST = 1.0
-_LEAST_TRUST = 0.5
+_LEAST_TRUST = 0.8
 _TRUST_STEP = 0.1
 
 _Blocks = tuple[ids.BlockHash, ...]
--- a/libs/scheduling/geraniumweir/scheduling/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/records.py
@@ -47,6 +47,7 @@
     :ivar cost: predicted seconds of one slot on the best class.
     :ivar probe: let in although it looks too late, to learn whether it is.
     :ivar joined: asks that wait for the same answer.
+    :ivar passed: times that one whose prefix was cached went before it.
     :ivar promised_by: the server that keeps its next room for it.
     :ivar held: a suspect, or kept back by its rule's limit.
     """
@@ -61,6 +62,7 @@
     cost: float = 0
     probe: bool = False
     joined: int = 0
+    passed: int = 0
     held: bool = False
     extended: bool = False
     timer: asyncio.TimerHandle | None = None
