Lower tiers leave servers to the higher ones that wait

Cause: nearly every violation had a lower call dispatched while a higher one waited. Under overload the heads of a tier are its tightest requests; on a server with prefill ahead none of the few looked at ends in time, so the next tier got the slot, and newcomers didn't look at who waits at all. Now: a server looks further along a tier (past the prefill ahead, 1 s, 4 s), and a lower tier, newcomer or not, gets nothing on a server that some request of a higher tier could still use, unless that one waits for a holder of its prefix or has room promised elsewhere.

--- a/libs/scheduling/geraniumweir/scheduling/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -25,6 +25,7 @@
 _HELD_LOOK = 8
 _MOST_PASSED = 3
 _PASS_SLACK = 1.0
+_LATER = (0.0, 1.0, 4.0)
 
 
 def try_now(leader: state.LeaderState, waiting: records.Waiting) -> bool:
@@ -36,7 +37,7 @@
         server = _server_for_suspect(leader, waiting)
     else:
         server = placement.choose(leader, waiting)
-    if server is None:
+    if server is None or _higher_first(leader, server, ask.tier):
         return False
     grant(leader, waiting, server)
     return True
@@ -179,9 +180,47 @@
         waiting = _pick_of_tier(leader, server, tier)
         if waiting is not None:
             return waiting
+        if _needs(leader, server, tier):
+            return None
     return None
 
 
+def _higher_first(
+    leader: state.LeaderState,
+    server: records.Server,
+    tier: ids.Tier,
+) -> bool:
+    """Tell whether a server is left to those of higher tiers who wait."""
+    return any(
+        leader.by_tier[higher] and _needs(leader, server, higher)
+        for higher in ids.Tier
+        if higher < tier
+    )
+
+
+def _needs(
+    leader: state.LeaderState,
+    server: records.Server,
+    tier: ids.Tier,
+) -> bool:
+    """Tell whether one of a tier waits that a server could still serve.
+
+    It may not fit now, for want of KV room or because of prefill granted
+    before; what a lower tier adds there would keep it out for longer.
+    """
+    in_line = leader.queue.candidates(
+        server.kind,
+        tier,
+        leader.now(),
+        float('inf'),
+    )
+    return any(
+        waiting.promised_by in {None, server.server_id}
+        and not placement.waits_for_holder(leader, server, waiting)
+        for waiting in in_line
+    )
+
+
 def _pick_of_tier(
     leader: state.LeaderState,
     server: records.Server,
@@ -229,12 +268,19 @@
         if promised.ask.tier == tier and not promised.held:
             yield promised
     window = leader.cfg.fair_seconds * max(leader.slots, 1)
-    yield from leader.queue.candidates(
-        server.kind,
-        tier,
-        leader.now(),
-        window,
-    )
+    ahead = placement.prefill_ahead(leader, server) * leader.cfg.safety
+    seen: set[int] = set()
+    for later in _LATER:
+        in_line = leader.queue.candidates(
+            server.kind,
+            tier,
+            leader.now() + ahead + later,
+            window,
+        )
+        for waiting in in_line:
+            if waiting.sequence not in seen:
+                seen.add(waiting.sequence)
+                yield waiting
 
 
 def _fits(
