A broken stream makes a weak suspect at once; quarantines double

Cause: a broken stream alone made no suspect until the new incarnation showed 5 s later; the caller was back sooner, for a third crash and more. After its quarantine a fingerprint was as good as new. Now: a suspect at once, alone on its server; after the second break it waits until the restart explains it or 8 s are over; breaks on several servers within a second are a cut and suspect nobody (domain-cut-off unchanged). A crash that shows later blames those that did not end well since.

--- a/libs/scheduling/geraniumweir/scheduling/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -338,7 +338,10 @@
     leader: state.LeaderState,
     waiting: records.Waiting,
 ) -> records.Server | None:
-    if waiting.ask.fingerprint in leader.running_prints:
+    mark = waiting.ask.fingerprint
+    if mark in leader.running_prints:
+        return None
+    if leader.suspects.waits(mark, leader.now()):
         return None
     server = placement.least_harm(leader, waiting)
     if server is None or not placement.in_time(leader, server, waiting):
--- a/libs/scheduling/geraniumweir/scheduling/progressing.py
+++ b/libs/scheduling/geraniumweir/scheduling/progressing.py
@@ -50,9 +50,7 @@
         case requests.Outcome.not_sent:
             server.health.stall(leader.now())
         case requests.Outcome.failed | requests.Outcome.crashed:
-            failure = (leader.now(), running.ask.fingerprint)
-            server.failures.append(failure)
-            server.health.failed(leader.now())
+            _failed(leader, server, running)
         case requests.Outcome.cancelled | requests.Outcome.preempted:
             pass
     placement.refresh(leader, server)
@@ -60,6 +58,19 @@
     granting.fill(leader, server)
 
 
+def _failed(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+) -> None:
+    """Take that a server answered with an error or broke off."""
+    now = leader.now()
+    mark = running.ask.fingerprint
+    server.failures.append((now, mark))
+    server.health.failed(now)
+    leader.suspects.broke_off(mark, server.server_id, now)
+
+
 def drop(leader: state.LeaderState, running: records.Running) -> None:
     """Take a grant out of all counts."""
     ask = running.ask
--- a/libs/scheduling/geraniumweir/scheduling/suspects.py
+++ b/libs/scheduling/geraniumweir/scheduling/suspects.py
@@ -8,6 +8,11 @@
 evidence, so neighbours that share crashes by chance are not condemned. This
 is group testing [1]_ with groups of one.
 
+A stream that breaks off is a weak suspect at once, because callers come back
+before a restart is known; after the second it waits until that is known.
+Streams that break off on several servers at a time show a cut, not a request.
+A quarantine that ends leaves a suspect, and the next one lasts twice as long.
+
 References
 ==========
 .. [1] R. Dorfman, "The Detection of Defective Members of Large Populations",
@@ -28,6 +33,13 @@
 _CONDEMNED_SCORE = 1.0
 _GOOD_RECORD_DISCOUNT = 0.5
 _CONDEMNED_CRASHES = 2
+_LONGEST_QUARANTINE = 86400.0
+_GROWTH = 2
+_MOST_DOUBLINGS = 16
+_WEAK_SECONDS = 30.0
+_WAIT_SECONDS = 8.0
+_CUT_SECONDS = 1.0
+_LEAST_REMAINING = 1.0
 
 
 class Verdict(enum.Enum):
@@ -56,10 +68,20 @@
 
 @dataclasses.dataclass(slots=True)
 class _Entry:
+    """What is known of a fingerprint; times are in seconds.
+
+    :ivar until: end of the suspicion.
+    :ivar condemned_until: end of the quarantine.
+    :ivar broken: streams that broke off, not yet explained by a crash.
+    :ivar broken_at: when the last of them did.
+    """
+
     crashes: int = 0
     score: float = 0
     until: float = 0
-    quarantined: bool = False
+    condemned_until: float = 0
+    broken: int = 0
+    broken_at: float = float('-inf')
 
 
 class Suspects:
@@ -74,6 +96,8 @@
         self._cases: collections.OrderedDict[ids.Fingerprint, _Entry] = (
             collections.OrderedDict()
         )
+        self._last_broken: tuple[float, ids.ServerId] | None = None
+        self._cut_until = float('-inf')
         self._good: collections.OrderedDict[ids.Fingerprint, None] = (
             collections.OrderedDict()
         )
@@ -83,17 +107,55 @@
         entry = self._cases.get(fingerprint)
         if entry is None:
             return Verdict.clear
-        if entry.until <= now:
-            self._cases.pop(fingerprint)
-            return Verdict.clear
-        if entry.quarantined:
+        if entry.condemned_until > now:
             return Verdict.quarantined
-        return Verdict.suspect
+        if entry.until > now:
+            return Verdict.suspect
+        self._cases.pop(fingerprint)
+        return Verdict.clear
+
+    def waits(self, fingerprint: ids.Fingerprint, now: float) -> bool:
+        """Tell whether a suspect waits until its last breaks are explained."""
+        entry = self._cases.get(fingerprint)
+        if entry is None or not entry.broken:
+            return False
+        if entry.crashes + entry.broken < _CONDEMNED_CRASHES:
+            return False
+        return now < entry.broken_at + _WAIT_SECONDS
+
+    def broke_off(
+        self,
+        fingerprint: ids.Fingerprint,
+        server_id: ids.ServerId,
+        now: float,
+    ) -> None:
+        """Take that a stream broke off and that no crash is known yet."""
+        last = self._last_broken
+        self._last_broken = (now, server_id)
+        if last is not None and last[1] != server_id:
+            if now - last[0] <= _CUT_SECONDS:
+                self._cut(now)
+        if fingerprint == NO_FINGERPRINT or now < self._cut_until:
+            return
+        entry = self._entry(fingerprint)
+        entry.broken += 1
+        entry.broken_at = now
+        entry.until = max(entry.until, now + _WEAK_SECONDS)
+
+    def _cut(self, now: float) -> None:
+        """Clear those whose streams broke off together on many servers."""
+        self._cut_until = now + _CUT_SECONDS
+        for fingerprint, entry in list(self._cases.items()):
+            if entry.broken_at >= now - _CUT_SECONDS:
+                entry.broken = 0
+                if not entry.crashes:
+                    self._cases.pop(fingerprint)
 
     def remaining(self, fingerprint: ids.Fingerprint, now: float) -> float:
-        """Give the seconds for which a case still counts."""
+        """Give the seconds for which a fingerprint is refused."""
         entry = self._cases.get(fingerprint)
-        return max(entry.until - now, 0) if entry else 0
+        seconds = entry.condemned_until - now if entry else 0
+        return max(seconds, _LEAST_REMAINING)
 
     def crashed(
         self,
@@ -110,11 +172,12 @@
             known
             for known in ran
             if self.verdict(known, now) is not Verdict.clear
+            and self._cases[known].crashes
         ]
         if len(prior) == 1:
             # The lone suspect explains the crash; its neighbours go free.
             return self._blame(prior, _CONDEMNED_SCORE, now)
-        blamed = prior or sorted(ran)
+        blamed = prior or self._not_cleared(ran) or sorted(ran)
         return self._blame(blamed, 1 / max(len(blamed), 1), now)
 
     def ended_well(self, fingerprint: ids.Fingerprint) -> None:
@@ -122,7 +185,7 @@
         if fingerprint == NO_FINGERPRINT:
             return
         entry = self._cases.get(fingerprint)
-        if entry is not None and not entry.quarantined:
+        if entry is not None and not entry.condemned_until:
             self._cases.pop(fingerprint)
         self._good[fingerprint] = None
         self._good.move_to_end(fingerprint)
@@ -132,15 +195,9 @@
     def export(self, now: float) -> list[Case]:
         """List the cases for other hosts, with the seconds left."""
         return [
-            Case(
-                fingerprint,
-                entry.crashes,
-                entry.score,
-                entry.until - now,
-                entry.quarantined,
-            )
+            _case(fingerprint, entry, now)
             for fingerprint, entry in self._cases.items()
-            if entry.until > now
+            if entry.crashes and entry.until > now
         ]
 
     def merge(self, cases: typing.Iterable[Case], now: float) -> None:
@@ -149,8 +206,18 @@
             entry = self._entry(case.fingerprint)
             entry.crashes = max(entry.crashes, case.crashes)
             entry.score = max(entry.score, case.score)
-            entry.until = max(entry.until, now + case.seconds)
-            entry.quarantined = entry.quarantined or case.quarantined
+            until = now + case.seconds
+            if case.quarantined:
+                _condemn(entry, until)
+            entry.until = max(entry.until, until)
+
+    def _not_cleared(
+        self,
+        ran: typing.Iterable[ids.Fingerprint],
+    ) -> list[ids.Fingerprint]:
+        """List those that have not ended well since their stream broke."""
+        known = (one for one in ran if one in self._cases)
+        return sorted(one for one in known if self._cases[one].broken)
 
     def _blame(
         self,
@@ -173,14 +240,25 @@
         entry = self._entry(fingerprint)
         discount = _GOOD_RECORD_DISCOUNT if fingerprint in self._good else 1
         entry.crashes += 1
+        entry.broken = max(entry.broken - 1, 0)
         entry.score += weight * discount
         entry.until = max(entry.until, now + _SUSPECT_SECONDS)
-        before = entry.quarantined
-        if entry.crashes >= _CONDEMNED_CRASHES:
-            entry.quarantined = entry.score >= _CONDEMNED_SCORE
-        if entry.quarantined:
-            entry.until = now + self._quarantine_seconds
-        return entry.quarantined and not before
+        before = entry.condemned_until > now
+        if entry.crashes < _CONDEMNED_CRASHES:
+            return False
+        if entry.score < _CONDEMNED_SCORE:
+            return False
+        _condemn(entry, now + self._sentence(entry.crashes))
+        return not before
+
+    def _sentence(self, crashes: int) -> float:
+        """Give the seconds of a quarantine, doubling with each crash."""
+        doublings = min(crashes - _CONDEMNED_CRASHES, _MOST_DOUBLINGS)
+        seconds = self._quarantine_seconds * _GROWTH**doublings
+        return min(
+            seconds,
+            max(_LONGEST_QUARANTINE, self._quarantine_seconds),
+        )
 
     def _entry(self, fingerprint: ids.Fingerprint) -> _Entry:
         entry = self._cases.get(fingerprint)
@@ -195,7 +273,25 @@
     def _drop_one(self) -> None:
         # The oldest that is not quarantined goes, else the oldest.
         for fingerprint, entry in self._cases.items():
-            if not entry.quarantined:
+            if not entry.condemned_until:
                 self._cases.pop(fingerprint)
                 return
         self._cases.popitem(last=False)
+
+
+def _condemn(entry: _Entry, until: float) -> None:
+    """Put in quarantine; it stays a suspect for a while after that."""
+    entry.condemned_until = max(entry.condemned_until, until)
+    entry.until = max(entry.until, until + _SUSPECT_SECONDS)
+
+
+def _case(fingerprint: ids.Fingerprint, entry: _Entry, now: float) -> Case:
+    quarantined = entry.condemned_until > now
+    until = entry.condemned_until if quarantined else entry.until
+    return Case(
+        fingerprint,
+        entry.crashes,
+        entry.score,
+        until - now,
+        quarantined,
+    )
