A new leader doubts lengths it hardly knows and takes over cached prefixes

Cause: after one or two adopted long streams the pool-wide length was their mean, and tier 0 was refused as too late with 6 s left. Now the pool's length needs 32 answers, and while a rule has fewer than five a prediction that says too late is taken for a short answer's. Prompts of adopted grants enter the prefix index.

--- a/libs/scheduling/geraniumweir/scheduling/admitting.py
+++ b/libs/scheduling/geraniumweir/scheduling/admitting.py
@@ -17,6 +17,7 @@
 _PROBE_EVERY = 16
 _WAIT_FACTOR = 2.0
 _WAIT_MARGIN = 0.5
+_SHORT_ANSWER = 16.0
 
 
 def admit(
@@ -123,10 +124,22 @@
     if not waiting.latest:
         return
     waiting.best_start = max(waiting.latest.values())
+    if not waiting.expected.sure and waiting.best_start < leader.now():
+        _doubt(leader, waiting)
     seconds = waiting.ask.deadline - waiting.best_start
     waiting.cost = seconds / leader.cfg.safety
 
 
+def _doubt(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    """Take an answer whose length is hardly known for a short one."""
+    waiting.expected = learning.Expected(
+        min(waiting.expected.mean, _SHORT_ANSWER),
+        waiting.expected.high,
+    )
+    waiting.latest = placement.starts(leader, waiting)
+    waiting.best_start = max(waiting.latest.values())
+
+
 def _too_late(leader: state.LeaderState, waiting: records.Waiting) -> bool:
     """Tell whether a request can't end in time even on an idle server.
 
--- a/libs/scheduling/geraniumweir/scheduling/adoption.py
+++ b/libs/scheduling/geraniumweir/scheduling/adoption.py
@@ -36,6 +36,7 @@
         orphans[request_id] = running
     else:
         fleet.attach(leader, server, running)
+        leader.prefixes.granted(server_id, taken.ask.blocks)
 
 
 def owner_gone(leader: state.LeaderState, owner: ids.HostId) -> None:
--- a/libs/scheduling/geraniumweir/scheduling/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/fleet.py
@@ -61,6 +61,7 @@
     orphans = leader.orphans.pop(announcement.server_id, {})
     for running in orphans.values():
         attach(leader, server, running)
+        leader.prefixes.granted(server.server_id, running.ask.blocks)
     placement.refresh(leader, server)
 
 
--- a/libs/scheduling/geraniumweir/scheduling/learning.py
+++ b/libs/scheduling/geraniumweir/scheduling/learning.py
@@ -26,6 +26,7 @@
 FIXED_TOKENS = 100
 _MOST_KEYS = 4096
 _MIN_SAMPLES = 3
+_SURE_SAMPLES = 5
 _MEMORY = 32
 _KEEP = 0.9
 _KEEP_OF_KIND = 0.98
@@ -45,10 +46,12 @@
 
     :ivar mean: what predicted durations use.
     :ivar high: what is kept free in the KV cache.
+    :ivar sure: whether answers enough of the rule are behind it.
     """
 
     mean: float
     high: float
+    sure: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -113,12 +116,21 @@
             length = self._lengths.get(key)
             if length is None or length.samples < _enough(key):
                 continue
-            return Expected(min(length.mean, most), min(length.high, most))
+            sure = self._samples((rule,)) >= _SURE_SAMPLES
+            mean = min(length.mean, most)
+            return Expected(mean, min(length.high, most), sure)
         guess = min(_FIRST_GUESS, most)
-        return Expected(guess, min(guess * 2, most))
+        return Expected(guess, min(guess * 2, most), sure=False)
+
+    def _samples(self, key: tuple[str, ...]) -> int:
+        length = self._lengths.get(key)
+        return length.samples if length else 0
 
 
 def _enough(key: tuple[str, ...]) -> int:
+    # Other rules' lengths say little: they must be many.
+    if not key:
+        return _MEMORY
     return _MIN_SAMPLES if len(key) == 1 else 1
 
 
