Prompts in prefill are waited for; caches' sizes are learnt; affinity weighs more

Now a request waits until its prefix is computed, evictions in sequence tell a cache's size, and the weight of repeated prefill is 5, the wait for a holder 10 times what is saved, a head is passed ten times at most.

--- a/libs/scheduling/geraniumweir/scheduling/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -23,7 +23,7 @@
 )
 
 _HELD_LOOK = 8
-_MOST_PASSED = 3
+_MOST_PASSED = 10
 _PASS_SLACK = 1.0
 _LATER = (0.0, 1.0, 4.0)
 
@@ -96,6 +96,7 @@
     running.due = leader.now() + stragglers.patience(expected)
     count_running(leader, running)
     fleet.attach(leader, server, running)
+    placement.warms(leader, server, running)
     leader.prefixes.granted(server.server_id, ask.blocks)
     waiting.fut.set_result(running.grant)
     if kept is not None and kept is not server:
@@ -294,6 +295,8 @@
         return False
     if not placement.in_time(leader, server, waiting):
         return False
+    if placement.is_warming(leader, server, waiting):
+        return False
     if placement.has_room(server, waiting):
         return True
     if waiting.promised_by is None and not server.promised:
--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -15,10 +15,11 @@
 _REFERENCE_PROMPT = 500
 _REFERENCE_OUTPUT = 100
 _LOAD_SLOWDOWN = 0.3
-_REPEAT_WEIGHT = 2.0
+_REPEAT_WEIGHT = 5.0
 _LEAST_SAVED = 0.1
-_WAIT_FACTOR = 4.0
+_WAIT_FACTOR = 10.0
 _WAIT_MARGIN = 0.5
+_MOST_WARMING = 256
 
 
 def refresh(leader: state.LeaderState, server: records.Server) -> None:
@@ -176,6 +177,8 @@
             continue
         if not in_time(leader, server, waiting):
             continue
+        if is_warming(leader, server, waiting):
+            continue
         seconds = _cost(leader, server, waiting)
         if seconds < best_seconds:
             best, best_seconds = server, seconds
@@ -223,6 +226,46 @@
     return saved_seconds(leader, server, waiting) >= _LEAST_SAVED
 
 
+def warms(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+) -> None:
+    """Take that a server begins to compute a prompt that others may share."""
+    if not running.ask.blocks or running.prefill < _LEAST_SAVED:
+        return
+    first = running.ask.blocks[0]
+    if len(server.warming) >= _MOST_WARMING:
+        server.warming.clear()
+    server.warming[first] = leader.now() + running.ahead + running.prefill
+
+
+def warmed(server: records.Server, running: records.Running) -> None:
+    """Take that a prompt is computed."""
+    if running.ask.blocks:
+        server.warming.pop(running.ask.blocks[0], None)
+
+
+def is_warming(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether a request rather waits until its prefix is computed.
+
+    An engine looks a prompt up when it takes it in: what another request
+    still computes then, it computes again.
+    """
+    blocks = waiting.ask.blocks
+    if not blocks or waiting.probe:
+        return False
+    left = server.warming.get(blocks[0], 0) - leader.now()
+    if left <= 0 or not holds(leader, server, waiting):
+        return False
+    seconds = finish(leader, server, waiting) * leader.cfg.safety
+    return leader.now() + left + seconds + _WAIT_MARGIN < waiting.ask.deadline
+
+
 def waits_for_holder(
     leader: state.LeaderState,
     server: records.Server,
--- a/libs/scheduling/geraniumweir/scheduling/prefix.py
+++ b/libs/scheduling/geraniumweir/scheduling/prefix.py
@@ -26,6 +26,9 @@
 _FULL_TRUST = 1.0
 _LEAST_TRUST = 0.8
 _TRUST_STEP = 0.1
+_SIZE_SLACK = 1.05
+_SIZE_DRIFT = 1.01
+_LEAST_LIMIT = MOST_BLOCKS
 
 _Blocks = tuple[ids.BlockHash, ...]
 
@@ -102,6 +105,8 @@
             if cache.blocks.get(block, sequence + 1) <= sequence:
                 cache.blocks.pop(block)
                 self._unhold(block, server_id)
+        if evicted:
+            self._learn_size(server_id, cache)
 
     def cached_share(self, server_id: ids.ServerId, blocks: _Blocks) -> float:
         """Give the share of a prompt that a server is thought to hold."""
@@ -131,6 +136,21 @@
         cache = self._caches.get(server_id)
         return len(cache.blocks) if cache else 0
 
+    def _learn_size(self, server_id: ids.ServerId, cache: _Cache) -> None:
+        """Take that a cache is full.
+
+        Of evictions that are never heard of, this takes back the most.
+        """
+        known = max(int(len(cache.blocks) * _SIZE_SLACK), _LEAST_LIMIT)
+        grown = int(cache.limit * _SIZE_DRIFT) + 1
+        cache.limit = min(grown, known, self._limit)
+        self._trim(server_id, cache)
+
+    def _trim(self, server_id: ids.ServerId, cache: _Cache) -> None:
+        while len(cache.blocks) > cache.limit:
+            oldest, _ = cache.blocks.popitem(last=False)
+            self._unhold(oldest, server_id)
+
     def _store(
         self,
         server_id: ids.ServerId,
@@ -146,9 +166,7 @@
             holders[server_id] = None
             if len(holders) > _MOST_HOLDERS:
                 holders.pop(next(iter(holders)))
-        while len(cache.blocks) > cache.limit:
-            oldest, _ = cache.blocks.popitem(last=False)
-            self._unhold(oldest, server_id)
+        self._trim(server_id, cache)
 
     def _unhold(self, block: ids.BlockHash, server_id: ids.ServerId) -> None:
         holders = self._holders.get(block)
--- a/libs/scheduling/geraniumweir/scheduling/progressing.py
+++ b/libs/scheduling/geraniumweir/scheduling/progressing.py
@@ -95,6 +95,7 @@
     seconds: float,
 ) -> None:
     running.first_token = seconds
+    placement.warmed(server, running)
     rate = _rates(leader, server, running).prefill
     tokens = _tokens_before(running, rate)
     leader.speeds.learn_prefill(
--- a/libs/scheduling/geraniumweir/scheduling/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/records.py
@@ -123,6 +123,7 @@
     :ivar prefilled_at: when the prefill granted so far should be done.
     :ivar stuck: requests on it that make no progress.
     :ivar promised: waiting requests that its next room is kept for.
+    :ivar warming: first blocks of prompts in prefill, and when it should end.
     :ivar crashed: the newest incarnation known to be gone.
     :ivar last_good: when it last made progress with anything.
     :ivar failures: time and fingerprint of the last failed requests.
@@ -143,6 +144,9 @@
     promised: dict[ids.RequestId, Waiting] = dataclasses.field(
         default_factory=dict,
     )
+    warming: dict[ids.BlockHash, float] = dataclasses.field(
+        default_factory=dict,
+    )
     crashed: int = -1
     last_good: float = float('-inf')
     failures: collections.deque[tuple[float, ids.Fingerprint]] = (
