--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -15,9 +15,9 @@
 _REFERENCE_PROMPT = 500
 _REFERENCE_OUTPUT = 100
 _LOAD_SLOWDOWN = 0.3
-_REPEAT_WEIGHT = 5.0
+_REPEAT_WEIGHT = 10.0
 _LEAST_SAVED = 0.1
-_WAIT_FACTOR = 10.0
+_WAIT_FACTOR = 20.0
 _WAIT_MARGIN = 0.5
 _MOST_WARMING = 256
 
