--- a/libs/scheduling/geraniumweir/scheduling/fairqueue.py
+++ b/libs/scheduling/geraniumweir/scheduling/fairqueue.py
@@ -33,7 +33,7 @@
 
 LOOK = 8
 _FURTHEST_LOOK = 32
-_BY_CUSTOMER = 4
+_BY_CUSTOMER = 2
 _MOST_IDLE = 16384
 
 _Class = typing.TypeVar('_Class', bound=typing.Hashable)
--- a/libs/scheduling/geraniumweir/scheduling/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/fleet.py
@@ -136,6 +136,9 @@
     if running.first_token is None:
         begins = max(server.prefilled_at, leader.now())
         server.prefilled_at = begins + running.prefill
+        if running.ask.streams:
+            server.unborn[request_id] = running
+            server.unborn_prefill += running.prefill
     if server.announcement.can_cancel and running.ask.idempotent:
         leader.preemptible.add(
             server.kind,
@@ -160,10 +163,26 @@
     server.stuck -= running.stuck
     if running.first_token is None:
         server.prefilled_at -= running.prefill
+    born(leader, server, running)
     leader.preemptible.remove(request_id)
     placement.refresh(leader, server)
 
 
+def born(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+) -> None:
+    """Take that a prompt is computed, or will not be."""
+    if server.unborn.pop(running.ask.request_id, None) is None:
+        return
+    server.born_at = leader.now()
+    server.unborn_prefill -= running.prefill
+    if not server.unborn:
+        # Sums of floats drift.
+        server.unborn_prefill = 0
+
+
 def _close_missing(
     leader: state.LeaderState,
     live: typing.Mapping[ids.ServerId, servers.Announcement],
--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -10,6 +10,8 @@
 geraniumweir.scheduling.openings, geraniumweir.scheduling.learning
 """
 
+import typing
+
 from geraniumweir.scheduling import learning, records, state
 
 _REFERENCE_PROMPT = 500
@@ -20,6 +22,9 @@
 _WAIT_FACTOR = 20.0
 _WAIT_MARGIN = 0.5
 _MOST_WARMING = 256
+_MOST_DONE = 0.8
+_OVERDUE_FACTOR = 4.0
+_OVERDUE_SECONDS = 0.5
 
 
 def refresh(leader: state.LeaderState, server: records.Server) -> None:
@@ -98,8 +103,20 @@
 
 
 def prefill_ahead(leader: state.LeaderState, server: records.Server) -> float:
-    """Give the seconds of prefill granted to a server and not yet done."""
-    return max(server.prefilled_at - leader.now(), 0)
+    """Give the seconds of prefill granted to a server and not yet done.
+
+    By the predictions, and by the first tokens that did not come yet.
+    """
+    by_clock = max(server.prefilled_at - leader.now(), 0)
+    if not server.unborn:
+        return by_clock
+    first = next(iter(server.unborn.values()))
+    spent = leader.now() - max(first.granted, server.born_at)
+    if spent > first.prefill * _OVERDUE_FACTOR + _OVERDUE_SECONDS:
+        # Its owner tells of no first tokens, or it stands still.
+        return by_clock
+    done = min(spent, first.prefill * _MOST_DONE)
+    return max(by_clock, server.unborn_prefill - done)
 
 
 def in_time(
@@ -110,7 +127,23 @@
     """Tell whether a request started now on a server ends in time."""
     if waiting.probe:
         return True
-    seconds = finish(leader, server, waiting) * leader.cfg.safety
+    return in_time_without(leader, server, waiting, ())
+
+
+def in_time_without(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+    gone: typing.Iterable[records.Running],
+) -> bool:
+    """Tell the same for a server from which some requests are cancelled."""
+    freed = sum(
+        running.prefill
+        for running in gone
+        if running.ask.request_id in server.unborn
+    )
+    freed = min(freed, prefill_ahead(leader, server))
+    seconds = (finish(leader, server, waiting) - freed) * leader.cfg.safety
     return leader.now() + seconds <= waiting.ask.deadline
 
 
--- a/libs/scheduling/geraniumweir/scheduling/progressing.py
+++ b/libs/scheduling/geraniumweir/scheduling/progressing.py
@@ -96,6 +96,7 @@
 ) -> None:
     running.first_token = seconds
     placement.warmed(server, running)
+    fleet.born(leader, server, running)
     rate = _rates(leader, server, running).prefill
     tokens = _tokens_before(running, rate)
     leader.speeds.learn_prefill(
--- a/libs/scheduling/geraniumweir/scheduling/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/records.py
@@ -123,6 +123,9 @@
     :ivar prefilled_at: when the prefill granted so far should be done.
     :ivar stuck: requests on it that make no progress.
     :ivar promised: waiting requests that its next room is kept for.
+    :ivar unborn: requests on it that have no first token yet, in order.
+    :ivar unborn_prefill: predicted seconds of their prefill.
+    :ivar born_at: when the last first token came.
     :ivar warming: first blocks of prompts in prefill, and when it should end.
     :ivar crashed: the newest incarnation known to be gone.
     :ivar last_good: when it last made progress with anything.
@@ -144,6 +147,11 @@
     promised: dict[ids.RequestId, Waiting] = dataclasses.field(
         default_factory=dict,
     )
+    unborn: dict[ids.RequestId, Running] = dataclasses.field(
+        default_factory=dict,
+    )
+    unborn_prefill: float = 0
+    born_at: float = float('-inf')
     warming: dict[ids.BlockHash, float] = dataclasses.field(
         default_factory=dict,
     )
--- a/libs/scheduling/geraniumweir/scheduling/shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -25,6 +25,8 @@
 _LOOKS = 4
 _NO_SERVER_SECONDS = 1.0
 _MOST_VICTIMS = 8
+_MOST_AHEAD = 2.0
+_LOOK_SECONDS = 0.5
 _LEAST_RETRY = 0.2
 _LONGEST_RETRY = 10.0
 _SPREAD = 0.5
@@ -37,17 +39,41 @@
         by = min(waiting.ask.deadline, waiting.arrived + _NO_SERVER_SECONDS)
         _arm(leader, waiting, by, expire)
         return
-    at = waiting.best_start - leader.cfg.preempt_slack
+    at = waiting.best_start - leader.cfg.preempt_slack - _MOST_AHEAD
     if at <= leader.now():
         urgent(leader, waiting)
     else:
         _arm(leader, waiting, at, urgent)
 
 
+def _least_ahead(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> float:
+    """Give the least seconds of prefill ahead on a few servers at hand.
+
+    A latest start is that on an idle server; all of them may be busy.
+    """
+    streams = itertools.chain.from_iterable(
+        leader.preemptible.least(kind, tier)
+        for kind in waiting.latest
+        for tier in ids.Tier
+        if tier > waiting.ask.tier
+    )
+    places = (leader.running[one].grant.server_id for one in streams)
+    near = (leader.servers[place] for place in dict.fromkeys(places))
+    ahead = [placement.prefill_ahead(leader, server) for server in near]
+    return min(ahead, default=0) * leader.cfg.safety
+
+
 def urgent(leader: state.LeaderState, waiting: records.Waiting) -> None:
     """Serve a request that nears its latest start, or make way for it."""
     if waiting.fut.done() or granting.try_now(leader, waiting):
         return
+    left = waiting.best_start - leader.cfg.preempt_slack - leader.now()
+    if left > _least_ahead(leader, waiting):
+        _arm(leader, waiting, leader.now() + min(left, _LOOK_SECONDS), urgent)
+        return
     preempt(leader, waiting)
     if waiting.fut.done():
         return
@@ -222,7 +248,7 @@
     """Find what must go, with a stream, so that a request fits its server."""
     first = leader.running[request_id]
     server = leader.servers[first.grant.server_id]
-    if first.stuck or not _could_take(leader, server, waiting):
+    if first.stuck or not _could_take(server, waiting):
         return []
     slots, tokens = _lacking(server, waiting)
     streams = itertools.chain([first], _others(leader, server, first, waiting))
@@ -232,9 +258,13 @@
         slots -= 1
         tokens -= running.kv_need
         if slots <= 0 and tokens <= 0:
-            return chosen
-    alone = len(chosen) == len(server.running) and not server.promised
-    return chosen if alone else []
+            break
+    else:
+        if len(chosen) < len(server.running) or server.promised:
+            return []
+    if placement.in_time_without(leader, server, waiting, chosen):
+        return chosen
+    return []
 
 
 def _lacking(
@@ -282,17 +312,11 @@
     )
 
 
-def _could_take(
-    leader: state.LeaderState,
-    server: records.Server,
-    waiting: records.Waiting,
-) -> bool:
-    """Tell whether a server that lost a stream could end a request in time."""
+def _could_take(server: records.Server, waiting: records.Waiting) -> bool:
+    """Tell whether a server that lost a stream may run a request."""
     if not server.most():
         return False
-    if waiting.held and server.suspects:
-        return False
-    return placement.in_time(leader, server, waiting)
+    return not (waiting.held and server.suspects)
 
 
 def _arm(
