--- a/libs/scheduling/geraniumweir/scheduling/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -24,6 +24,7 @@
 
 _HELD_LOOK = 8
 _MOST_PASSED = 10
+_HOLDER_LOOK = 12
 _PASS_SLACK = 1.0
 _LATER = (0.0, 1.0, 4.0)
 
@@ -229,8 +230,12 @@
 ) -> records.Waiting | None:
     """Find the first of a tier, or one after it whose prefix is here."""
     first: records.Waiting | None = None
+    looked = 0
     for waiting in _in_order(leader, server, tier):
-        if first is not None and not placement.holds(leader, server, waiting):
+        looked += first is not None
+        if looked > _HOLDER_LOOK:
+            break
+        if looked and not placement.holds(leader, server, waiting):
             continue
         if not _fits(leader, server, waiting):
             continue
--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -330,9 +330,7 @@
 ) -> float:
     """Give the largest share of a prompt that another fit server holds."""
     best: float = 0
-    for server_id, share in leader.prefixes.warmest(
-        waiting.ask.blocks
-    ).items():
+    for server_id, share in leader.prefixes.warmest(waiting.ask.blocks).items():
         holder = leader.servers.get(server_id)
         if holder is None or holder is server or not holder.most():
             continue
