--- a/libs/daemon/geraniumweir/daemon/admission.py
+++ b/libs/daemon/geraniumweir/daemon/admission.py
@@ -40,11 +40,13 @@
     """What the body says.
 
     :ivar max_tokens: most output tokens asked for, 0 if unsaid.
+    :ivar streams: whether the answer comes token by token.
     """
 
     prompt: prompts.Prompt
     model: str | None = None
     max_tokens: int = 0
+    streams: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,6 +155,7 @@
         fingerprint=content.prompt.fingerprint,
         idempotent=facts.idempotent and route.idempotent,
         share=decision.customer.share,
+        streams=content.streams,
         max_running=route.max_running,
         max_waiting=route.max_waiting,
     )
@@ -216,7 +219,8 @@
     most = payload.get('max_completion_tokens', payload.get('max_tokens'))
     if not isinstance(most, int | None) or isinstance(most, bool):
         raise refusals.bad_request(f'max_tokens {most!r} is no whole number')
-    return _Content(prompt, _model(payload), max(most or 0, 0))
+    streams = payload.get('stream') is True
+    return _Content(prompt, _model(payload), max(most or 0, 0), streams)
 
 
 def _model(payload: dict[str, typing.Any]) -> str | None:
--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -35,6 +35,7 @@
         max_running=ask.max_running,
         max_waiting=ask.max_waiting,
         attempt=attempt,
+        streams=ask.streams,
     )
 
 
@@ -60,6 +61,7 @@
         share=message.share,
         max_running=message.max_running,
         max_waiting=message.max_waiting,
+        streams=message.streams is not False,
     )
 
 
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -36,6 +36,7 @@
      - max_running
      - max_waiting
      - attempt
+     - streams
 
     """
 
@@ -57,10 +58,11 @@
         'max_running',
         'max_waiting',
         'attempt',
+        'streams',
     )
 
 
-    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None,):
+    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, streams=None,):
         self.request_id = request_id
         self.owner = owner
         self.pool = pool
@@ -78,6 +80,7 @@
         self.max_running = max_running
         self.max_waiting = max_waiting
         self.attempt = attempt
+        self.streams = streams
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -178,6 +181,11 @@
                     self.attempt = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.BOOL:
+                    self.streams = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -259,6 +267,10 @@
             oprot.writeFieldBegin('attempt', TType.I64, 17)
             oprot.writeI64(self.attempt)
             oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.BOOL, 19)
+            oprot.writeBool(self.streams)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2147,6 +2159,8 @@
     (15, TType.I32, 'max_running', None, None, ),  # 15
     (16, TType.I32, 'max_waiting', None, None, ),  # 16
     (17, TType.I64, 'attempt', None, None, ),  # 17
+    None,  # 18
+    (19, TType.BOOL, 'streams', None, None, ),  # 19
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -23,6 +23,8 @@
   15: optional i32 max_running
   16: optional i32 max_waiting
   17: i64 attempt
+  // Unsaid by hosts of an older release: it may stream.
+  19: optional bool streams
 }
 
 struct Grant {
