--- a/libs/scheduling/geraniumweir/scheduling/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -24,9 +24,9 @@
 
 _HELD_LOOK = 8
 _MOST_PASSED = 10
-_HOLDER_LOOK = 12
+_MOST_LOOKED = 20
 _PASS_SLACK = 1.0
-_LATER = (0.0, 1.0, 4.0)
+_LATER = (0, 1, 4)
 
 
 def try_now(leader: state.LeaderState, waiting: records.Waiting) -> bool:
@@ -229,29 +229,33 @@
     tier: ids.Tier,
 ) -> records.Waiting | None:
     """Find the first of a tier, or one after it whose prefix is here."""
-    first: records.Waiting | None = None
-    looked = 0
-    for waiting in _in_order(leader, server, tier):
-        looked += first is not None
-        if looked > _HOLDER_LOOK:
-            break
-        if looked and not placement.holds(leader, server, waiting):
-            continue
-        if not _fits(leader, server, waiting):
-            continue
-        if first is not None:
-            first.passed += 1
-            return waiting
-        if waiting.promised_by == server.server_id:
-            return waiting
-        if placement.waits_for_holder(leader, server, waiting):
-            continue
-        first = waiting
-        if not _may_be_passed(leader, server, first):
-            return first
+    in_line = itertools.islice(_in_order(leader, server, tier), _MOST_LOOKED)
+    first = next(
+        (one for one in in_line if _goes_first(leader, server, one)),
+        None,
+    )
+    if first is None or not _may_be_passed(leader, server, first):
+        return first
+    for waiting in in_line:
+        if placement.holds(leader, server, waiting):
+            if _fits(leader, server, waiting):
+                first.passed += 1
+                return waiting
     return first
 
 
+def _goes_first(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    if not _fits(leader, server, waiting):
+        return False
+    if waiting.promised_by == server.server_id:
+        return True
+    return not placement.waits_for_holder(leader, server, waiting)
+
+
 def _may_be_passed(
     leader: state.LeaderState,
     server: records.Server,
@@ -260,6 +264,8 @@
     """Tell whether one whose prefix is on the server may go before."""
     if waiting.passed >= _MOST_PASSED:
         return False
+    if waiting.promised_by == server.server_id:
+        return False
     if waiting.best_start - leader.now() < _PASS_SLACK:
         return False
     return not placement.holds(leader, server, waiting)
--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -23,6 +23,7 @@
 _WAIT_MARGIN = 0.5
 _MOST_WARMING = 256
 _MOST_DONE = 0.8
+_RISK = 0.15
 _OVERDUE_FACTOR = 4.0
 _OVERDUE_SECONDS = 0.5
 
@@ -206,11 +207,7 @@
     best: records.Server | None = None
     best_seconds = float('inf')
     for server in _open_servers(leader, waiting):
-        if kept_for_another(server, waiting) or not has_room(server, waiting):
-            continue
-        if not in_time(leader, server, waiting):
-            continue
-        if is_warming(leader, server, waiting):
+        if not _may_take(leader, server, waiting):
             continue
         seconds = _cost(leader, server, waiting)
         if seconds < best_seconds:
@@ -220,6 +217,42 @@
     return best
 
 
+def _may_take(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether an open server may take a newcomer."""
+    if kept_for_another(server, waiting) or not has_room(server, waiting):
+        return False
+    if not in_time(leader, server, waiting):
+        return False
+    if _is_risky(leader, server, waiting):
+        return False
+    return not is_warming(leader, server, waiting)
+
+
+def _is_risky(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether a lower tier rather makes way elsewhere later.
+
+    Prefill ahead takes longer than predicted where much else runs.
+    """
+    ask = waiting.ask
+    now = leader.now()
+    if now >= waiting.best_start - leader.cfg.preempt_slack:
+        return False
+    if prefill_ahead(leader, server) < _RISK * (ask.deadline - now):
+        return False
+    return any(
+        count and tier > ask.tier
+        for tier, count in leader.running_by_tier.items()
+    )
+
+
 def _cost(
     leader: state.LeaderState,
     server: records.Server,
@@ -312,15 +345,18 @@
     ask = waiting.ask
     if waiting.probe or not ask.blocks:
         return False
-    share = _best_share(leader, server, waiting)
+    waited = leader.now() - waiting.arrived
+    needed = max(waited / _WAIT_FACTOR, _LEAST_SAVED)
     rates = rates_of(leader, server, ask.model)
-    saved = rates.prefill * share * ask.prompt_tokens
+    whole = rates.prefill * ask.prompt_tokens
+    if whole < needed:
+        return False
+    saved = whole * _best_share(leader, server, waiting)
     saved -= saved_seconds(leader, server, waiting)
-    now = leader.now()
-    if saved < _LEAST_SAVED or now - waiting.arrived > _WAIT_FACTOR * saved:
+    if saved < needed:
         return False
     seconds = finish(leader, server, waiting) * leader.cfg.safety
-    return now + seconds + _WAIT_MARGIN < ask.deadline
+    return leader.now() + seconds + _WAIT_MARGIN < ask.deadline
 
 
 def _best_share(
