--- a/libs/scheduling/geraniumweir/scheduling/admitting.py
+++ b/libs/scheduling/geraniumweir/scheduling/admitting.py
@@ -17,6 +17,7 @@
 _PROBE_EVERY = 16
 _WAIT_FACTOR = 2.0
 _WAIT_MARGIN = 0.5
+_HOPE = 0.5
 _SHORT_ANSWER = 16.0
 
 
@@ -148,6 +149,11 @@
     """
     if not waiting.latest or waiting.best_start >= leader.now():
         return False
+    if shedding.lower_is_served(leader, waiting.ask.tier):
+        waiting.hope = _HOPE
+        _set_starts(leader, waiting)
+        if waiting.best_start >= leader.now():
+            return False
     leader.too_late_in_row += 1
     if leader.waiting or leader.too_late_in_row % _PROBE_EVERY:
         return True
--- a/libs/scheduling/geraniumweir/scheduling/placement.py
+++ b/libs/scheduling/geraniumweir/scheduling/placement.py
@@ -23,7 +23,7 @@
 _WAIT_MARGIN = 0.5
 _MOST_WARMING = 256
 _MOST_DONE = 0.8
-_RISK = 0.15
+_RISK = 0.17
 _OVERDUE_FACTOR = 4.0
 _OVERDUE_SECONDS = 0.5
 
@@ -75,6 +75,7 @@
     rates = leader.speeds.of_kind(kind.hardware, waiting.ask.model)
     prompt = waiting.ask.prompt_tokens * (1 - cached)
     seconds = rates.seconds(prompt, waiting.expected.mean)
+    seconds *= waiting.hope
     return waiting.ask.deadline - seconds * leader.cfg.safety
 
 
@@ -100,7 +101,7 @@
         uncached_tokens(leader, server, waiting),
         waiting.expected.mean,
     )
-    return seconds + prefill_ahead(leader, server)
+    return seconds * waiting.hope + prefill_ahead(leader, server)
 
 
 def prefill_ahead(leader: state.LeaderState, server: records.Server) -> float:
--- a/libs/scheduling/geraniumweir/scheduling/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/records.py
@@ -46,6 +46,8 @@
     :ivar latest: latest start by server class, in seconds.
     :ivar cost: predicted seconds of one slot on the best class.
     :ivar probe: let in although it looks too late, to learn whether it is.
+    :ivar hope: factor on predicted durations, below 1 where a server that a
+        lower tier leaves is quicker than usual.
     :ivar joined: asks that wait for the same answer.
     :ivar passed: times that one whose prefix was cached went before it.
     :ivar promised_by: the server that keeps its next room for it.
@@ -61,6 +63,7 @@
     best_start: float = float('-inf')
     cost: float = 0
     probe: bool = False
+    hope: float = 1
     joined: int = 0
     passed: int = 0
     held: bool = False
