--- a/libs/daemon/geraniumweir/daemon/settings.py
+++ b/libs/daemon/geraniumweir/daemon/settings.py
@@ -18,6 +18,9 @@
 ENV_PREFIX = 'GERANIUMWEIR_'
 EXIT_BAD_SETTING = 2
 _DEFAULT_DRAIN_SECONDS = 30.0
+_MS = 1000
+# geraniumctl reads these, perhaps in the same environment.
+_TOOL_VARIABLES = frozenset((f'{ENV_PREFIX}OUTPUT', f'{ENV_PREFIX}TIMEOUT'))
 _ADDRESSES = (
     ('caller', 'callers'),
     ('backend', 'backend servers'),
@@ -39,6 +42,8 @@
     :ivar recorders: the first recorders, by id.
     :ivar trace_file: where spans are appended, or None.
     :ivar trace_sample: share of calls traced, 0 to 1.
+    :ivar test_link_delay: added to each message to another host, in seconds;
+        for tests only.
     """
 
     host_id: ids.HostId
@@ -58,6 +63,7 @@
     )
     trace_file: str | None = None
     trace_sample: float = 1
+    test_link_delay: float = 0
 
 
 def parse(
@@ -89,12 +95,29 @@
         recorders=opts.recorders,
         trace_file=opts.trace_file,
         trace_sample=opts.trace_sample,
+        test_link_delay=opts.test_link_delay_ms / _MS,
     )
     for fault in _faults(cfg):
         parser.error(fault)
+    for name in _unknown(variables, opts):
+        parser.error(f'variable {name}: there is no such setting')
     return cfg
 
 
+def _unknown(
+    variables: typing.Iterable[str],
+    opts: argparse.Namespace,
+) -> list[str]:
+    """List variables that look like settings and are none."""
+    known = {f'{ENV_PREFIX}{name.upper()}' for name in opts.__dict__}
+    known |= _TOOL_VARIABLES
+    return sorted(
+        name
+        for name in variables
+        if name.startswith(ENV_PREFIX) and name not in known
+    )
+
+
 class _OneLineParser(configargparse.ArgumentParser):
     """Ends with one line that names the setting at fault."""
 
@@ -119,6 +142,7 @@
     _add_place(parser)
     _add_system(parser)
     _add_observing(parser)
+    _add_testing(parser)
     parser.add_argument(
         '--drain-timeout',
         type=_checked(settingvalues.seconds),
@@ -176,6 +200,16 @@
     )
 
 
+def _add_testing(parser: configargparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--test-link-delay-ms',
+        type=_checked(settingvalues.milliseconds),
+        default=0,
+        metavar='MS',
+        help='for tests only: holds back each message to another host',
+    )
+
+
 def _add_observing(parser: configargparse.ArgumentParser) -> None:
     parser.add_argument('--log-level', default='info', choices=_LEVELS)
     parser.add_argument('--log-format', default='text', choices=_FORMATS)
--- a/libs/fakes/geraniumweir/fakes/bench_configuration.py
+++ b/libs/fakes/geraniumweir/fakes/bench_configuration.py
@@ -59,7 +59,7 @@
     text = document_text(customers, rules)
     reading_s, doc = _timed(lambda: reading.read(text))
     compiling_s, compiled = _timed(lambda: compiling.CompiledDocument(doc))
-    plain_s, fast_s = _compare(doc, compiled, _requests(customers, rules))
+    plain_s, fast_s = _compare(doc, compiled, requests_for(customers, rules))
     return {
         'customers': customers,
         'rules': rules,
@@ -88,7 +88,8 @@
     return plain_s, fast_s
 
 
-def _requests(customers: int, rules: int) -> list[matching.Facts]:
+def requests_for(customers: int, rules: int) -> list[matching.Facts]:
+    """Make seeded requests of all customers."""
     rand = random.Random(1)  # noqa: S311
     return [
         matching.Facts(
--- a/libs/fakes/geraniumweir/fakes/bench_path.py
+++ b/libs/fakes/geraniumweir/fakes/bench_path.py
@@ -71,25 +71,26 @@
 
 async def _main() -> None:
     figures = {}
-    async with _stand(0) as stand:
-        figures['idle resident KiB'] = stand.resident()
-        figures |= await _first_tokens(stand)
-        figures |= await _call_rate(stand)
-        figures |= await _memory(stand)
-    async with _stand(_TOKEN_SECONDS) as stand:
-        figures |= await _gaps(stand)
-        figures |= await _token_rate(stand)
+    async with stand(0) as used:
+        figures['idle resident KiB'] = used.resident()
+        figures |= await _first_tokens(used)
+        figures |= await _call_rate(used)
+        figures |= await _memory(used)
+    async with stand(_TOKEN_SECONDS) as used:
+        figures |= await _gaps(used)
+        figures |= await _token_rate(used)
     for name, figure in figures.items():
         sys.stdout.write(f'{name}: {figure:.6g}\n')
 
 
 @contextlib.asynccontextmanager
-async def _stand(token_seconds: float) -> typing.AsyncIterator[Stand]:
+async def stand(token_seconds: float) -> typing.AsyncIterator[Stand]:
     async with contextlib.AsyncExitStack() as stack:
         connector = aiohttp.TCPConnector(limit=0)
         session = aiohttp.ClientSession(connector=connector)
         await stack.enter_async_context(session)
-        host = await processes.start('bench', ids.FailureDomain('milano-a'))
+        plan = processes.plan_alone('bench', ids.FailureDomain('milano-a'))
+        host = await processes.start(plan)
         stack.callback(host.kill)
         await processes.until_ready(session, [host])
         await processes.apply_rules(host, inprocess.RULES)
@@ -124,7 +125,7 @@
     return f'http://127.0.0.1:{port}/v1/chat/completions'
 
 
-def _body(tokens: int, stream: bool = True, **more: typing.Any) -> Json:
+def body(tokens: int, stream: bool = True, **more: typing.Any) -> Json:
     prompt = [{'role': 'user', 'content': _QUESTION}]
     return {
         'model': 'advisor',
@@ -141,7 +142,7 @@
     start = loop.time()
     async with stand.session.post(
         url,
-        json=_body(2),
+        json=body(2),
         headers=_HEADERS,
     ) as resp:
         await resp.content.readany()
@@ -181,7 +182,7 @@
     times = []
     async with stand.session.post(
         url,
-        json=_body(_GAP_TOKENS),
+        json=body(_GAP_TOKENS),
         headers=_HEADERS,
     ) as resp:
         async for _ in resp.content.iter_any():
@@ -221,10 +222,10 @@
 ) -> None:
     for number in numbers:
         url = urls[number % len(urls)]
-        await _whole(stand, url, _body(1, stream=False))
+        await whole(stand, url, body(1, stream=False))
 
 
-async def _whole(stand: Stand, url: str, payload: Json) -> None:
+async def whole(stand: Stand, url: str, payload: Json) -> None:
     async with stand.session.post(
         url,
         json=payload,
@@ -240,9 +241,9 @@
     loop = asyncio.get_running_loop()
     start = loop.time()
     cpu = stand.cpu()
-    body = _body(_STREAM_TOKENS)
+    payload = body(_STREAM_TOKENS)
     await asyncio.gather(
-        *(_whole(stand, stand.through, body) for _ in range(_STREAMS)),
+        *(whole(stand, stand.through, payload) for _ in range(_STREAMS)),
     )
     tokens = _STREAMS * _STREAM_TOKENS
     used = stand.cpu() - cpu
@@ -260,7 +261,7 @@
         opened = 0
         for count in _OPEN:
             for _ in range(count - opened):
-                await stack.enter_async_context(_standing(stand))
+                await stack.enter_async_context(standing(stand))
             opened = count
             await asyncio.sleep(_SETTLE_SECONDS)
             grown = stand.resident() - before
@@ -276,7 +277,7 @@
         for _ in range(count):
             resp = stand.session.post(
                 stand.through,
-                json=_body(_STREAM_TOKENS, pad=_PAD_BYTES),
+                json=body(_STREAM_TOKENS, pad=_PAD_BYTES),
                 headers=_HEADERS,
             )
             await stack.enter_async_context(resp)
@@ -286,11 +287,11 @@
 
 
 @contextlib.asynccontextmanager
-async def _standing(stand: Stand) -> typing.AsyncIterator[None]:
-    body = _body(4, fault='stall', fault_after=1)
+async def standing(stand: Stand) -> typing.AsyncIterator[None]:
+    payload = body(4, fault='stall', fault_after=1)
     async with stand.session.post(
         stand.through,
-        json=body,
+        json=payload,
         headers=_HEADERS,
     ) as resp:
         await resp.content.readany()
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -36,6 +36,7 @@
      - max_running
      - max_waiting
      - attempt
+     - rate_per_s
      - streams
 
     """
@@ -58,11 +59,12 @@
         'max_running',
         'max_waiting',
         'attempt',
+        'rate_per_s',
         'streams',
     )
 
 
-    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, streams=None,):
+    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None, streams=None,):
         self.request_id = request_id
         self.owner = owner
         self.pool = pool
@@ -80,6 +82,7 @@
         self.max_running = max_running
         self.max_waiting = max_waiting
         self.attempt = attempt
+        self.rate_per_s = rate_per_s
         self.streams = streams
 
     def read(self, iprot):
@@ -181,6 +184,11 @@
                     self.attempt = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.BOOL:
                     self.streams = iprot.readBool()
@@ -267,6 +275,10 @@
             oprot.writeFieldBegin('attempt', TType.I64, 17)
             oprot.writeI64(self.attempt)
             oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 18)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.BOOL, 19)
             oprot.writeBool(self.streams)
@@ -2159,7 +2171,7 @@
     (15, TType.I32, 'max_running', None, None, ),  # 15
     (16, TType.I32, 'max_waiting', None, None, ),  # 16
     (17, TType.I64, 'attempt', None, None, ),  # 17
-    None,  # 18
+    (18, TType.DOUBLE, 'rate_per_s', None, None, ),  # 18
     (19, TType.BOOL, 'streams', None, None, ),  # 19
 )
 all_structs.append(Grant)
