--- a/libs/scheduling/geraniumweir/scheduling/admitting.py
+++ b/libs/scheduling/geraniumweir/scheduling/admitting.py
@@ -19,6 +19,8 @@
 _WAIT_FACTOR = 2.0
 _WAIT_MARGIN = 0.5
 _MS = 1000
+_HOPE = 0.5
+_SHORT_ANSWER = 16.0
 
 
 def admit(
@@ -40,6 +42,10 @@
     seconds = leader.rates.take(ask.rule, ask.rate_per_s, leader.now())
     if seconds:
         return _over_rate(ask, seconds)
+    if _serves_nothing(leader):
+        # Counted above: the call may be served by another failure domain.
+        reason = requests.DenialReason.no_server
+        return shedding.denial(leader, ask, reason)
     waiting = _waiting(leader, ask)
     if _too_late(leader, waiting):
         return shedding.denial(leader, ask, requests.DenialReason.too_late)
@@ -74,11 +80,14 @@
         return requests.DenialReason.quarantined
     if ask.deadline <= now:
         return requests.DenialReason.too_late
-    if leader.settled and leader.served_at < now - shedding.NO_SERVER_SECONDS:
-        return requests.DenialReason.no_server
     return None
 
 
+def _serves_nothing(leader: state.LeaderState) -> bool:
+    before = leader.now() - shedding.NO_SERVER_SECONDS
+    return leader.settled and leader.served_at < before
+
+
 def _over_rate(ask: requests.Ask, seconds: float) -> requests.Denial:
     """Deny an ask over its rule's rate, which is no sign of overload."""
     return requests.Denial(
@@ -139,10 +148,22 @@
     if not waiting.latest:
         return
     waiting.best_start = max(waiting.latest.values())
+    if not waiting.expected.sure and waiting.best_start < leader.now():
+        _doubt(leader, waiting)
     seconds = waiting.ask.deadline - waiting.best_start
     waiting.cost = seconds / leader.cfg.safety
 
 
+def _doubt(leader: state.LeaderState, waiting: records.Waiting) -> None:
+    """Take an answer whose length is hardly known for a short one."""
+    waiting.expected = learning.Expected(
+        min(waiting.expected.mean, _SHORT_ANSWER),
+        waiting.expected.high,
+    )
+    waiting.latest = placement.starts(leader, waiting)
+    waiting.best_start = max(waiting.latest.values())
+
+
 def _too_late(leader: state.LeaderState, waiting: records.Waiting) -> bool:
     """Tell whether a request can't end in time even on an idle server.
 
@@ -151,6 +172,11 @@
     """
     if not waiting.latest or waiting.best_start >= leader.now():
         return False
+    if shedding.lower_is_served(leader, waiting.ask.tier):
+        waiting.hope = _HOPE
+        _set_starts(leader, waiting)
+        if waiting.best_start >= leader.now():
+            return False
     leader.too_late_in_row += 1
     if leader.waiting or leader.too_late_in_row % _PROBE_EVERY:
         return True
--- a/libs/scheduling/geraniumweir/scheduling/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/fleet.py
@@ -63,6 +63,7 @@
     orphans = leader.orphans.pop(announcement.server_id, {})
     for running in orphans.values():
         attach(leader, server, running)
+        leader.prefixes.granted(server.server_id, running.ask.blocks)
     placement.refresh(leader, server)
 
 
@@ -137,6 +138,9 @@
     if running.first_token is None:
         begins = max(server.prefilled_at, leader.now())
         server.prefilled_at = begins + running.prefill
+        if running.ask.streams:
+            server.unborn[request_id] = running
+            server.unborn_prefill += running.prefill
     if server.announcement.can_cancel and running.ask.idempotent:
         leader.preemptible.add(
             server.kind,
@@ -161,10 +165,26 @@
     server.stuck -= running.stuck
     if running.first_token is None:
         server.prefilled_at -= running.prefill
+    born(leader, server, running)
     leader.preemptible.remove(request_id)
     placement.refresh(leader, server)
 
 
+def born(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+) -> None:
+    """Take that a prompt is computed, or will not be."""
+    if server.unborn.pop(running.ask.request_id, None) is None:
+        return
+    server.born_at = leader.now()
+    server.unborn_prefill -= running.prefill
+    if not server.unborn:
+        # Sums of floats drift.
+        server.unborn_prefill = 0
+
+
 def _close_missing(
     leader: state.LeaderState,
     live: typing.Mapping[ids.ServerId, servers.Announcement],
--- a/libs/scheduling/geraniumweir/scheduling/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -23,6 +23,10 @@
 )
 
 _HELD_LOOK = 8
+_MOST_PASSED = 10
+_MOST_LOOKED = 20
+_PASS_SLACK = 1.0
+_LATER = (0, 1, 4)
 
 
 def try_now(leader: state.LeaderState, waiting: records.Waiting) -> bool:
@@ -34,7 +38,7 @@
         server = _server_for_suspect(leader, waiting)
     else:
         server = placement.choose(leader, waiting)
-    if server is None:
+    if server is None or _higher_first(leader, server, ask.tier):
         return False
     grant(leader, waiting, server)
     return True
@@ -93,6 +97,7 @@
     running.due = leader.now() + stragglers.patience(expected)
     count_running(leader, running)
     fleet.attach(leader, server, running)
+    placement.warms(leader, server, running)
     leader.prefixes.granted(server.server_id, ask.blocks)
     waiting.fut.set_result(running.grant)
     if kept is not None and kept is not server:
@@ -174,10 +179,96 @@
     for tier in ids.Tier:
         if not leader.by_tier[tier]:
             continue
-        for waiting in _in_order(leader, server, tier):
+        waiting = _pick_of_tier(leader, server, tier)
+        if waiting is not None:
+            return waiting
+        if _needs(leader, server, tier):
+            return None
+    return None
+
+
+def _higher_first(
+    leader: state.LeaderState,
+    server: records.Server,
+    tier: ids.Tier,
+) -> bool:
+    """Tell whether a server is left to those of higher tiers who wait."""
+    return any(
+        leader.by_tier[higher] and _needs(leader, server, higher)
+        for higher in ids.Tier
+        if higher < tier
+    )
+
+
+def _needs(
+    leader: state.LeaderState,
+    server: records.Server,
+    tier: ids.Tier,
+) -> bool:
+    """Tell whether one of a tier waits that a server could still serve.
+
+    It may not fit now, for want of KV room or because of prefill granted
+    before; what a lower tier adds there would keep it out for longer.
+    """
+    in_line = leader.queue.candidates(
+        server.kind,
+        tier,
+        leader.now(),
+        float('inf'),
+    )
+    return any(
+        waiting.promised_by in {None, server.server_id}
+        and not placement.waits_for_holder(leader, server, waiting)
+        for waiting in in_line
+    )
+
+
+def _pick_of_tier(
+    leader: state.LeaderState,
+    server: records.Server,
+    tier: ids.Tier,
+) -> records.Waiting | None:
+    """Find the first of a tier, or one after it whose prefix is here."""
+    in_line = itertools.islice(_in_order(leader, server, tier), _MOST_LOOKED)
+    first = next(
+        (one for one in in_line if _goes_first(leader, server, one)),
+        None,
+    )
+    if first is None or not _may_be_passed(leader, server, first):
+        return first
+    for waiting in in_line:
+        if placement.holds(leader, server, waiting):
             if _fits(leader, server, waiting):
+                first.passed += 1
                 return waiting
-    return None
+    return first
+
+
+def _goes_first(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    if not _fits(leader, server, waiting):
+        return False
+    if waiting.promised_by == server.server_id:
+        return True
+    return not placement.waits_for_holder(leader, server, waiting)
+
+
+def _may_be_passed(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether one whose prefix is on the server may go before."""
+    if waiting.passed >= _MOST_PASSED:
+        return False
+    if waiting.promised_by == server.server_id:
+        return False
+    if waiting.best_start - leader.now() < _PASS_SLACK:
+        return False
+    return not placement.holds(leader, server, waiting)
 
 
 def _in_order(
@@ -189,12 +280,19 @@
         if promised.ask.tier == tier and not promised.held:
             yield promised
     window = leader.cfg.fair_seconds * max(leader.slots, 1)
-    yield from leader.queue.candidates(
-        server.kind,
-        tier,
-        leader.now(),
-        window,
-    )
+    ahead = placement.prefill_ahead(leader, server) * leader.cfg.safety
+    seen: set[int] = set()
+    for later in _LATER:
+        in_line = leader.queue.candidates(
+            server.kind,
+            tier,
+            leader.now() + ahead + later,
+            window,
+        )
+        for waiting in in_line:
+            if waiting.sequence not in seen:
+                seen.add(waiting.sequence)
+                yield waiting
 
 
 def _fits(
@@ -208,6 +306,8 @@
         return False
     if not placement.in_time(leader, server, waiting):
         return False
+    if placement.is_warming(leader, server, waiting):
+        return False
     if placement.has_room(server, waiting):
         return True
     if waiting.promised_by is None and not server.promised:
@@ -252,7 +352,10 @@
     leader: state.LeaderState,
     waiting: records.Waiting,
 ) -> records.Server | None:
-    if waiting.ask.fingerprint in leader.running_prints:
+    mark = waiting.ask.fingerprint
+    if mark in leader.running_prints:
+        return None
+    if leader.suspects.waits(mark, leader.now()):
         return None
     server = placement.least_harm(leader, waiting)
     if server is None or not placement.in_time(leader, server, waiting):
--- a/libs/scheduling/geraniumweir/scheduling/learning.py
+++ b/libs/scheduling/geraniumweir/scheduling/learning.py
@@ -26,8 +26,11 @@
 FIXED_TOKENS = 100
 _MOST_KEYS = 4096
 _MIN_SAMPLES = 3
+_SURE_SAMPLES = 5
 _MEMORY = 32
 _KEEP = 0.9
+_KEEP_OF_KIND = 0.98
+_NOISE = 1.6
 _HIGH_QUANTILE = 0.9
 _HIGH_STEP = 0.1
 _FIRST_GUESS = 128.0
@@ -43,10 +46,12 @@
 
     :ivar mean: what predicted durations use.
     :ivar high: what is kept free in the KV cache.
+    :ivar sure: whether answers enough of the rule are behind it.
     """
 
     mean: float
     high: float
+    sure: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -111,12 +116,21 @@
             length = self._lengths.get(key)
             if length is None or length.samples < _enough(key):
                 continue
-            return Expected(min(length.mean, most), min(length.high, most))
+            sure = self._samples((rule,)) >= _SURE_SAMPLES
+            mean = min(length.mean, most)
+            return Expected(mean, min(length.high, most), sure)
         guess = min(_FIRST_GUESS, most)
-        return Expected(guess, min(guess * 2, most))
+        return Expected(guess, min(guess * 2, most), sure=False)
+
+    def _samples(self, key: tuple[str, ...]) -> int:
+        length = self._lengths.get(key)
+        return length.samples if length else 0
 
 
 def _enough(key: tuple[str, ...]) -> int:
+    # Other rules' lengths say little: they must be many.
+    if not key:
+        return _MEMORY
     return _MIN_SAMPLES if len(key) == 1 else 1
 
 
@@ -133,11 +147,12 @@
     amount: float = 0
     weight: float = 0
     samples: int = 0
+    keep: float = _KEEP
 
     def add(self, amount: float, weight: float) -> None:
         """Take a sample."""
-        self.amount = self.amount * _KEEP + amount
-        self.weight = self.weight * _KEEP + weight
+        self.amount = self.amount * self.keep + amount
+        self.weight = self.weight * self.keep + weight
         self.samples += 1
 
     def value(self) -> float | None:
@@ -230,8 +245,8 @@
             return server.rates
         kind = self.of_kind(hardware, model)
         rates = Rates(
-            _known(server.prefill, kind.prefill),
-            _known(server.decode, kind.decode),
+            _near(_known(server.prefill, kind.prefill), kind.prefill),
+            _near(_known(server.decode, kind.decode), kind.decode),
         )
         if _well_known(server):
             server.rates = rates
@@ -243,10 +258,10 @@
         hardware: str,
         model: str | None,
     ) -> tuple[Speed, Speed]:
-        return (
-            self._servers.at((server_id, model)),
-            self._kinds.at((hardware, model)),
-        )
+        kind = self._kinds.at((hardware, model))
+        kind.prefill.keep = _KEEP_OF_KIND
+        kind.decode.keep = _KEEP_OF_KIND
+        return self._servers.at((server_id, model)), kind
 
 
 _GUESS = Rates(_PREFILL_GUESS, _DECODE_GUESS)
@@ -281,6 +296,13 @@
     return _first(ratio.value(), otherwise)
 
 
+def _near(rate: float, usual: float) -> float:
+    """Take a rate for the kind's unless it differs by more than noise."""
+    if usual / _NOISE <= rate <= usual * _NOISE:
+        return usual
+    return rate
+
+
 def _first(ratio: float | None, otherwise: float) -> float:
     return otherwise if ratio is None else ratio
 
--- a/libs/scheduling/geraniumweir/scheduling/progressing.py
+++ b/libs/scheduling/geraniumweir/scheduling/progressing.py
@@ -50,9 +50,7 @@
         case requests.Outcome.not_sent:
             server.health.stall(leader.now())
         case requests.Outcome.failed | requests.Outcome.crashed:
-            failure = (leader.now(), running.ask.fingerprint)
-            server.failures.append(failure)
-            server.health.failed(leader.now())
+            _failed(leader, server, running)
         case requests.Outcome.cancelled | requests.Outcome.preempted:
             pass
     placement.refresh(leader, server)
@@ -60,6 +58,19 @@
     granting.fill(leader, server)
 
 
+def _failed(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+) -> None:
+    """Take that a server answered with an error or broke off."""
+    now = leader.now()
+    mark = running.ask.fingerprint
+    server.failures.append((now, mark))
+    server.health.failed(now)
+    leader.suspects.broke_off(mark, server.server_id, now)
+
+
 def drop(leader: state.LeaderState, running: records.Running) -> None:
     """Take a grant out of all counts."""
     ask = running.ask
@@ -84,6 +95,8 @@
     seconds: float,
 ) -> None:
     running.first_token = seconds
+    placement.warmed(server, running)
+    fleet.born(leader, server, running)
     rate = _rates(leader, server, running).prefill
     tokens = _tokens_before(running, rate)
     leader.speeds.learn_prefill(
@@ -92,8 +105,8 @@
         running.ask.model,
         (seconds, tokens),
     )
-    slowness = server.limit.prefill.slowness(seconds / tokens)
-    server.limit.observe(slowness, running.beside, leader.now())
+    usual = leader.speeds.of_kind(server.kind.hardware, running.ask.model)
+    server.limit.observe(seconds, usual.prefill * tokens, leader.now())
     server.health.compare(seconds, rate * tokens, leader.now())
     placement.refresh(leader, server)
 
@@ -173,8 +186,8 @@
         running.ask.model,
         (seconds, steps),
     )
-    slowness = server.limit.decode.slowness(seconds / steps)
-    server.limit.observe(slowness, running.beside, leader.now())
+    usual = leader.speeds.of_kind(server.kind.hardware, running.ask.model)
+    server.limit.observe(seconds, usual.decode * steps, leader.now())
     server.health.compare(seconds, expected, leader.now())
 
 
--- a/libs/scheduling/geraniumweir/scheduling/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/records.py
@@ -46,7 +46,10 @@
     :ivar latest: latest start by server class, in seconds.
     :ivar cost: predicted seconds of one slot on the best class.
     :ivar probe: let in although it looks too late, to learn whether it is.
+    :ivar hope: factor on predicted durations, below 1 where a server that a
+        lower tier leaves is quicker than usual.
     :ivar joined: asks that wait for the same answer.
+    :ivar passed: times that one whose prefix was cached went before it.
     :ivar promised_by: the server that keeps its next room for it.
     :ivar held: a suspect, or kept back by its rule's limit.
     """
@@ -60,7 +63,9 @@
     best_start: float = float('-inf')
     cost: float = 0
     probe: bool = False
+    hope: float = 1
     joined: int = 0
+    passed: int = 0
     held: bool = False
     extended: bool = False
     timer: asyncio.TimerHandle | None = None
@@ -121,6 +126,10 @@
     :ivar prefilled_at: when the prefill granted so far should be done.
     :ivar stuck: requests on it that make no progress.
     :ivar promised: waiting requests that its next room is kept for.
+    :ivar unborn: requests on it that have no first token yet, in order.
+    :ivar unborn_prefill: predicted seconds of their prefill.
+    :ivar born_at: when the last first token came.
+    :ivar warming: first blocks of prompts in prefill, and when it should end.
     :ivar crashed: the newest incarnation known to be gone.
     :ivar last_good: when it last made progress with anything.
     :ivar failures: time and fingerprint of the last failed requests.
@@ -141,6 +150,14 @@
     promised: dict[ids.RequestId, Waiting] = dataclasses.field(
         default_factory=dict,
     )
+    unborn: dict[ids.RequestId, Running] = dataclasses.field(
+        default_factory=dict,
+    )
+    unborn_prefill: float = 0
+    born_at: float = float('-inf')
+    warming: dict[ids.BlockHash, float] = dataclasses.field(
+        default_factory=dict,
+    )
     crashed: int = -1
     last_good: float = float('-inf')
     failures: collections.deque[tuple[float, ids.Fingerprint]] = (
--- a/libs/scheduling/geraniumweir/scheduling/suspects.py
+++ b/libs/scheduling/geraniumweir/scheduling/suspects.py
@@ -12,6 +12,11 @@
 counts of all are added: a grow-only counter [2]_, which may be told again, late
 and in any order. So two crashes count as two wherever they were seen.
 
+A stream that breaks off is a weak suspect at once, because callers come back
+before a restart is known; after the second it waits until that is known.
+Streams that break off on several servers at a time show a cut, not a request.
+A quarantine that ends leaves a suspect, and the next one lasts twice as long.
+
 References
 ==========
 .. [1] R. Dorfman, "The Detection of Defective Members of Large Populations",
@@ -34,6 +39,13 @@
 _CONDEMNED_SCORE = 1.0
 _GOOD_RECORD_DISCOUNT = 0.5
 _CONDEMNED_CRASHES = 2
+_LONGEST_QUARANTINE = 86400.0
+_GROWTH = 2
+_MOST_DOUBLINGS = 16
+_WEAK_SECONDS = 30.0
+_WAIT_SECONDS = 8.0
+_CUT_SECONDS = 1.0
+_LEAST_REMAINING = 1.0
 
 
 class Verdict(enum.Enum):
@@ -71,15 +83,31 @@
 
 @dataclasses.dataclass(slots=True)
 class _Entry:
+    """What is known of a fingerprint; times are in seconds.
+
+    :ivar by_origin: what each leader saw, by its name.
+    :ivar until: end of the suspicion.
+    :ivar condemned_until: end of the quarantine.
+    :ivar broken: streams that broke off, not yet explained by a crash.
+    :ivar broken_at: when the last of them did.
+    """
+
     by_origin: dict[str, _Seen] = dataclasses.field(default_factory=dict)
     until: float = 0
-    quarantined: bool = False
+    condemned_until: float = 0
+    broken: int = 0
+    broken_at: float = float('-inf')
+
+    @property
+    def crashes(self) -> int:
+        """Count the crashes that all leaders saw."""
+        return sum(seen.crashes for seen in self.by_origin.values())
 
     def is_proved(self) -> bool:
         """Tell whether all that was seen condemns it."""
-        seen = self.by_origin.values()
-        if sum(one.crashes for one in seen) < _CONDEMNED_CRASHES:
+        if self.crashes < _CONDEMNED_CRASHES:
             return False
+        seen = self.by_origin.values()
         return sum(one.score for one in seen) >= _CONDEMNED_SCORE
 
 
@@ -97,6 +125,8 @@
         self._cases: collections.OrderedDict[ids.Fingerprint, _Entry] = (
             collections.OrderedDict()
         )
+        self._last_broken: tuple[float, ids.ServerId] | None = None
+        self._cut_until = float('-inf')
         self._good: collections.OrderedDict[ids.Fingerprint, None] = (
             collections.OrderedDict()
         )
@@ -106,17 +136,55 @@
         entry = self._cases.get(fingerprint)
         if entry is None:
             return Verdict.clear
-        if entry.until <= now:
-            self._cases.pop(fingerprint)
-            return Verdict.clear
-        if entry.quarantined:
+        if entry.condemned_until > now:
             return Verdict.quarantined
-        return Verdict.suspect
+        if entry.until > now:
+            return Verdict.suspect
+        self._cases.pop(fingerprint)
+        return Verdict.clear
+
+    def waits(self, fingerprint: ids.Fingerprint, now: float) -> bool:
+        """Tell whether a suspect waits until its last breaks are explained."""
+        entry = self._cases.get(fingerprint)
+        if entry is None or not entry.broken:
+            return False
+        if entry.crashes + entry.broken < _CONDEMNED_CRASHES:
+            return False
+        return now < entry.broken_at + _WAIT_SECONDS
+
+    def broke_off(
+        self,
+        fingerprint: ids.Fingerprint,
+        server_id: ids.ServerId,
+        now: float,
+    ) -> None:
+        """Take that a stream broke off and that no crash is known yet."""
+        last = self._last_broken
+        self._last_broken = (now, server_id)
+        if last is not None and last[1] != server_id:
+            if now - last[0] <= _CUT_SECONDS:
+                self._cut(now)
+        if fingerprint == NO_FINGERPRINT or now < self._cut_until:
+            return
+        entry = self._entry(fingerprint)
+        entry.broken += 1
+        entry.broken_at = now
+        entry.until = max(entry.until, now + _WEAK_SECONDS)
+
+    def _cut(self, now: float) -> None:
+        """Clear those whose streams broke off together on many servers."""
+        self._cut_until = now + _CUT_SECONDS
+        for fingerprint, entry in list(self._cases.items()):
+            if entry.broken_at >= now - _CUT_SECONDS:
+                entry.broken = 0
+                if not entry.crashes:
+                    self._cases.pop(fingerprint)
 
     def remaining(self, fingerprint: ids.Fingerprint, now: float) -> float:
-        """Give the seconds for which a case still counts."""
+        """Give the seconds for which a fingerprint is refused."""
         entry = self._cases.get(fingerprint)
-        return max(entry.until - now, 0) if entry else 0
+        seconds = entry.condemned_until - now if entry else 0
+        return max(seconds, _LEAST_REMAINING)
 
     def crashed(
         self,
@@ -133,11 +201,12 @@
             known
             for known in ran
             if self.verdict(known, now) is not Verdict.clear
+            and self._cases[known].crashes
         ]
         if len(prior) == 1:
             # The lone suspect explains the crash; its neighbours go free.
             return self._blame(prior, _CONDEMNED_SCORE, now)
-        blamed = prior or sorted(ran)
+        blamed = prior or self._not_cleared(ran) or sorted(ran)
         return self._blame(blamed, 1 / max(len(blamed), 1), now)
 
     def ended_well(self, fingerprint: ids.Fingerprint) -> None:
@@ -145,7 +214,7 @@
         if fingerprint == NO_FINGERPRINT:
             return
         entry = self._cases.get(fingerprint)
-        if entry is not None and not entry.quarantined:
+        if entry is not None and not entry.condemned_until:
             self._cases.pop(fingerprint)
         self._good[fingerprint] = None
         self._good.move_to_end(fingerprint)
@@ -155,17 +224,10 @@
     def export(self, now: float) -> list[Case]:
         """List the cases for other hosts, with the seconds left."""
         return [
-            Case(
-                fingerprint,
-                seen.crashes,
-                seen.score,
-                entry.until - now,
-                entry.quarantined,
-                origin,
-            )
+            _case(fingerprint, entry, origin, now)
             for fingerprint, entry in self._cases.items()
-            for origin, seen in entry.by_origin.items()
-            if entry.until > now
+            if entry.crashes and entry.until > now
+            for origin in entry.by_origin
         ]
 
     def merge(self, cases: typing.Iterable[Case], now: float) -> None:
@@ -173,10 +235,24 @@
         for case in cases:
             entry = self._entry(case.fingerprint)
             seen = entry.by_origin.setdefault(case.origin, _Seen())
+            is_news = case.crashes > seen.crashes
             seen.crashes = max(seen.crashes, case.crashes)
             seen.score = max(seen.score, case.score)
-            entry.until = max(entry.until, now + case.seconds)
-            entry.quarantined |= case.quarantined or entry.is_proved()
+            until = now + case.seconds
+            entry.until = max(entry.until, until)
+            if case.quarantined:
+                _condemn(entry, until)
+            # What is told again must not begin a quarantine again.
+            elif is_news and entry.is_proved():
+                _condemn(entry, now + self._sentence(entry.crashes))
+
+    def _not_cleared(
+        self,
+        ran: typing.Iterable[ids.Fingerprint],
+    ) -> list[ids.Fingerprint]:
+        """List those that have not ended well since their stream broke."""
+        known = (one for one in ran if one in self._cases)
+        return sorted(one for one in known if self._cases[one].broken)
 
     def _blame(
         self,
@@ -201,12 +277,22 @@
         seen = entry.by_origin.setdefault(self.origin, _Seen())
         seen.crashes += 1
         seen.score += weight * discount
+        entry.broken = max(entry.broken - 1, 0)
         entry.until = max(entry.until, now + _SUSPECT_SECONDS)
-        before = entry.quarantined
-        entry.quarantined |= entry.is_proved()
-        if entry.quarantined:
-            entry.until = now + self._quarantine_seconds
-        return entry.quarantined and not before
+        before = entry.condemned_until > now
+        if not entry.is_proved():
+            return False
+        _condemn(entry, now + self._sentence(entry.crashes))
+        return not before
+
+    def _sentence(self, crashes: int) -> float:
+        """Give the seconds of a quarantine, doubling with each crash."""
+        doublings = min(crashes - _CONDEMNED_CRASHES, _MOST_DOUBLINGS)
+        seconds = self._quarantine_seconds * _GROWTH**doublings
+        return min(
+            seconds,
+            max(_LONGEST_QUARANTINE, self._quarantine_seconds),
+        )
 
     def _entry(self, fingerprint: ids.Fingerprint) -> _Entry:
         entry = self._cases.get(fingerprint)
@@ -221,7 +307,32 @@
     def _drop_one(self) -> None:
         # The oldest that is not quarantined goes, else the oldest.
         for fingerprint, entry in self._cases.items():
-            if not entry.quarantined:
+            if not entry.condemned_until:
                 self._cases.pop(fingerprint)
                 return
         self._cases.popitem(last=False)
+
+
+def _condemn(entry: _Entry, until: float) -> None:
+    """Put in quarantine; it stays a suspect for a while after that."""
+    entry.condemned_until = max(entry.condemned_until, until)
+    entry.until = max(entry.until, until + _SUSPECT_SECONDS)
+
+
+def _case(
+    fingerprint: ids.Fingerprint,
+    entry: _Entry,
+    origin: str,
+    now: float,
+) -> Case:
+    quarantined = entry.condemned_until > now
+    until = entry.condemned_until if quarantined else entry.until
+    seen = entry.by_origin[origin]
+    return Case(
+        fingerprint,
+        seen.crashes,
+        seen.score,
+        until - now,
+        quarantined,
+        origin,
+    )
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -37,6 +37,7 @@
      - max_waiting
      - attempt
      - rate_per_s
+     - streams
 
     """
 
@@ -59,10 +60,11 @@
         'max_waiting',
         'attempt',
         'rate_per_s',
+        'streams',
     )
 
 
-    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None,):
+    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None, streams=None,):
         self.request_id = request_id
         self.owner = owner
         self.pool = pool
@@ -81,6 +83,7 @@
         self.max_waiting = max_waiting
         self.attempt = attempt
         self.rate_per_s = rate_per_s
+        self.streams = streams
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -186,6 +189,11 @@
                     self.rate_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.BOOL:
+                    self.streams = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -271,6 +279,10 @@
             oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 18)
             oprot.writeDouble(self.rate_per_s)
             oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.BOOL, 19)
+            oprot.writeBool(self.streams)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2172,6 +2184,7 @@
     (16, TType.I32, 'max_waiting', None, None, ),  # 16
     (17, TType.I64, 'attempt', None, None, ),  # 17
     (18, TType.DOUBLE, 'rate_per_s', None, None, ),  # 18
+    (19, TType.BOOL, 'streams', None, None, ),  # 19
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -24,6 +24,8 @@
   16: optional i32 max_waiting
   17: i64 attempt
   18: optional double rate_per_s
+  // Unsaid by hosts of an older release: it may stream.
+  19: optional bool streams
 }
 
 struct Grant {
