--- a/libs/consensus/geraniumweir/consensus/tests/test_rules.py
+++ b/libs/consensus/geraniumweir/consensus/tests/test_rules.py
@@ -1,6 +1,7 @@
 """Single rules of agreement, shown to a recorder by scripted peers."""
 
 import asyncio
+import copy
 
 import pytest
 from geraniumweir.common import ids
@@ -19,6 +20,7 @@
         self.votes = False
         self.holds = 0
         self.host = played
+        self.cluster = cluster
         self.peers: list[memory.MemoryPeers] = []
         self.node = cluster.nodes[played]
         for host_id in clusters.HOSTS:
@@ -171,12 +173,13 @@
         cluster.crash(leading)
         script.node = await cluster.boot(leading)
         ask = script.ask_vote(last, last.term + 1)
+        rival = copy.copy(ask)
+        rival.candidate = 'another'
+        other = await script.peers[1].call(leading, rival, 1)
         again = await script.peers[0].call(leading, ask, 1)
-        ask.candidate = 'another'
-        other = await script.peers[1].call(leading, ask, 1)
-        return [first.granted, again.granted, other.granted]
+        return [first.granted, other.granted, again.granted]
 
-    assert clusters.run(scenario()) == [True, True, False]
+    assert clusters.run(scenario()) == [True, False, True]
 
 
 def test_entries_of_a_leader_that_was_voted_out_are_not_acknowledged() -> None:
@@ -243,3 +246,22 @@
         assert b'stale' not in script.node.machine.commands
 
     clusters.run(scenario())
+
+
+def test_leader_counts_its_own_copy_only_once_synced() -> None:
+    """With one follower's copy a commit waits for the leader's fsync."""
+
+    async def scenario() -> tuple[bool, bool]:
+        script = await _scripted()
+        network = script.cluster.network
+        network.cut(script.peers[1].host_id, script.host)
+        script.cluster.fsync_seconds = (0.8, 0.8)
+        script.holds = 1000
+        recorder = script.node.recorder
+        waiting = asyncio.create_task(recorder.propose(b'slow', 5))
+        await asyncio.sleep(0.7)
+        early = waiting.done()
+        await asyncio.sleep(0.2)
+        return early, waiting.done()
+
+    assert clusters.run(scenario()) == (False, True)
