--- a/libs/consensus/geraniumweir/consensus/core.py
+++ b/libs/consensus/geraniumweir/consensus/core.py
@@ -141,12 +141,17 @@
 
     def fail(self, cause: BaseException) -> None:
         """Stop for good: lead no more, vote no more."""
-        if self._failure is not None:
-            return
+        if self._failure is None:
+            self.halt(cause)
+            self.env.report(logevents.FAILED, reason=str(cause))
+
+    def halt(self, cause: BaseException) -> None:
+        """Promise nothing any more and end all tasks."""
         self._failure = cause
         self.end_reign(str(cause))
         self.role = Role.failed
-        self.env.report(logevents.FAILED, reason=str(cause))
+        for task in self._tasks:
+            task.cancel()
 
     def spawn(
         self,
@@ -158,11 +163,6 @@
         task.add_done_callback(self._note_end)
         return task
 
-    def cancel_tasks(self) -> None:
-        """End all tasks."""
-        for task in self._tasks:
-            task.cancel()
-
     def append(self, batch: typing.Sequence[entries.Entry]) -> None:
         """Add entries to the log, making void what they replace.
 
@@ -235,6 +235,11 @@
             self.fail(failed)
 
 
+def stopped() -> errors.RecorderFailedError:
+    """Give what a recorder says once it was told to stop."""
+    return errors.RecorderFailedError('stopped')
+
+
 def learn_addresses(way: peers.Peers, current: members.Members) -> None:
     """Let the peer layer know where the recorders listen."""
     for member in current.recorders:
--- a/libs/consensus/geraniumweir/consensus/handing.py
+++ b/libs/consensus/geraniumweir/consensus/handing.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 
 from geraniumweir.consensus import core, reign, voting
 from geraniumweir.wire.gen.consensus import ttypes
@@ -45,11 +46,18 @@
         if target and target.match == this.folder.log.last.index:
             ask = ttypes.CampaignNow(target.member.identity, led.term)
             this.env.peers.send(target.member.host_id, ask)
-            await asyncio.sleep(this.env.cfg.heartbeat)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(this.env.cfg.heartbeat):
+                    await _until_ended(led)
         else:
             await led.move()
 
 
+async def _until_ended(led: reign.Reign) -> None:
+    while not led.ended:
+        await led.move()
+
+
 def _furthest(this: core.Core, led: reign.Reign) -> reign.Progress | None:
     voters = [
         progress
--- a/libs/consensus/geraniumweir/consensus/recorder.py
+++ b/libs/consensus/geraniumweir/consensus/recorder.py
@@ -61,14 +61,17 @@
         this.spawn(founding.found(this, self._first))
 
     async def stop(self) -> None:
-        """Hand leadership on, then stop; the folder may be closed after."""
+        """Hand leadership on, then stop.
+
+        After this :meth:`geraniumweir.store.guard.OneThread.close` waits for
+        the last write, and then the disk may be closed.
+        """
         await handing.hand_on(self.core)
         self.kill()
 
     def kill(self) -> None:
         """Stop at once, as a crash does."""
-        self.core.end_reign('stopped')
-        self.core.cancel_tasks()
+        self.core.halt(core.stopped())
 
     async def propose(
         self,
--- a/libs/consensus/geraniumweir/consensus/serving.py
+++ b/libs/consensus/geraniumweir/consensus/serving.py
@@ -1,5 +1,6 @@
 """Answers to other hosts: proposals, barriers, entries, snapshots, status."""
 
+import asyncio
 import dataclasses
 import typing
 
@@ -80,9 +81,16 @@
 
 
 async def barrier(this: core.Core, timeout: float) -> int:
-    """Confirm leadership and apply all that was committed before."""
+    """Confirm leadership and apply all that was committed before.
+
+    :param timeout: for each of the two, in seconds.
+    """
     index = await leading.confirm(this, timeout)
-    await this.applied.reach(index)
+    try:
+        async with asyncio.timeout(timeout):
+            await this.applied.reach(index)
+    except TimeoutError as exc:
+        raise errors.NoQuorumError('not applied in time') from exc
     return index
 
 
--- a/libs/consensus/geraniumweir/consensus/tests/test_recorders.py
+++ b/libs/consensus/geraniumweir/consensus/tests/test_recorders.py
@@ -360,6 +360,21 @@
     assert clusters.run(scenario()) < _SHORTEST_TIMEOUT
 
 
+def test_stopped_recorder_answers_nothing() -> None:
+    """It neither votes nor takes entries, though the host is still there."""
+
+    async def scenario() -> None:
+        cluster = await _started()
+        leading = await cluster.leader()
+        others = [name for name in clusters.HOSTS if name != leading]
+        await cluster.nodes[others[0]].recorder.stop()
+        cluster.crash(leading)
+        await asyncio.sleep(30)
+        assert not cluster.nodes[others[1]].recorder.status().leader
+
+    clusters.run(scenario())
+
+
 def test_all_restart_with_everything() -> None:
     """After a power cut of all, all that was answered is there."""
 
--- a/libs/store/geraniumweir/store/guard.py
+++ b/libs/store/geraniumweir/store/guard.py
@@ -26,6 +26,10 @@
         loop = asyncio.get_running_loop()
         return await loop.run_in_executor(self._pool, action)
 
+    def close(self) -> None:
+        """Let what was begun end, and take nothing more."""
+        self._pool.shutdown(wait=True)
+
 
 class VirtualDelay:
     """Runs actions on the loop after a delay, for tests in virtual time."""
--- a/libs/wire/geraniumweir/wire/tests/test_memory.py
+++ b/libs/wire/geraniumweir/wire/tests/test_memory.py
@@ -63,3 +63,28 @@
 
     with pytest.raises(errors.UnreachableError):
         virtual.run(scenario())
+
+
+def test_repeats_and_a_replaced_host() -> None:
+    """A message may arrive twice, and an answer dies with its host."""
+
+    async def scenario() -> list[int]:
+        network, one = _pair()
+        network.repeats = 1
+        seen: list[int] = []
+
+        async def note(_sender: ids.HostId, ping: _Ping) -> _Ping:
+            seen.append(ping.number)
+            await asyncio.sleep(0.1)
+            return ping
+
+        address = ids.Address('127.0.0.1', 2)
+        network.join(_TWO, address).handle(_Ping, note)
+        waiting = asyncio.create_task(one.call(_TWO, _Ping(1), 1))
+        await asyncio.sleep(0.05)
+        network.join(_TWO, address)
+        with pytest.raises(errors.PeerTimeoutError):
+            await waiting
+        return seen
+
+    assert virtual.run(scenario()) == [1, 1]
