--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/.stamp
 PROJECTS := $(wildcard libs/*/pyproject.toml)
 
-.PHONY: setup demo test lint format clean
+.PHONY: setup demo test lint format bench bounds clean
 
 setup: $(STAMP)
 
@@ -23,7 +23,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 libs tools
+	$(BIN)/flake8 libs tools conftest.py
 	$(BIN)/lint-imports
 
 format: setup
@@ -32,5 +32,15 @@
 test: lint
 	$(BIN)/python -m pytest
 
+# make bench BENCH_JSON=FILE also writes the figures as JSON.
+bench: setup
+	$(BIN)/python -m geraniumweir.fakes.bench.main \
+		$(if $(BENCH_JSON),--json $(BENCH_JSON))
+
+# Takes the pool leader's present figures as the bounds.
+bounds: setup
+	$(BIN)/python -m geraniumweir.fakes.bench.main \
+		--policy pool-leader --write-bounds
+
 clean:
 	rm -rf $(VENV) build
--- a/libs/daemon/geraniumweir/daemon/announcements.py
+++ b/libs/daemon/geraniumweir/daemon/announcements.py
@@ -7,9 +7,8 @@
 from aiohttp import web
 from geraniumweir.common import ids
 from geraniumweir.daemon import host as entry_host
-from geraniumweir.membership import servers
-
-_NEXT_MS = 1000
+from geraniumweir.daemon import reports
+from geraniumweir.membership import errors, servers
 
 
 def make_app(host: entry_host.EntryHost) -> web.Application:
@@ -20,6 +19,7 @@
     front = _Front(host)
     app = web.Application()
     app.router.add_post('/v1/announce', front.announce)
+    app.router.add_post('/v1/reports', front.report)
     return app
 
 
@@ -58,21 +58,55 @@
 
     def __init__(self, host: entry_host.EntryHost) -> None:
         self._host = host
+        self._offsets = reports.ClockOffsets()
 
     async def announce(self, req: web.Request) -> web.Response:
         try:
-            announcement = read_announcement(json.loads(await req.read()))
+            announcement = read_announcement(await _payload(req))
+            known = self._host.server(announcement.server_id)
+            reply = self._host.announce(announcement)
         except ValueError as exc:
-            return web.json_response(
-                {'error': {'code': 'GW-6101', 'message': str(exc)}},
-                status=http.HTTPStatus.BAD_REQUEST,
-            )
-        now = self._host.timers.now()
-        self._host.registry.announce(announcement, now)
-        self._host.leader_of(announcement.pool).grant_waiting()
+            return _fault(exc)
+        if known and known.incarnation != announcement.incarnation:
+            self._offsets.forget(announcement.server_id)
         return web.json_response(
             {
-                'next_ms': _NEXT_MS,
-                'announce_to': [str(self._host.cfg.backend_address)],
+                'next_ms': reply.next_ms,
+                'announce_to': list(map(str, reply.announce_to)),
             }
         )
+
+    async def report(self, req: web.Request) -> web.Response:
+        now = self._host.timers.now()
+        try:
+            payload = await _payload(req)
+            load = reports.read_load(payload, self._offsets, now)
+            events = reports.read_cache_events(payload)
+        except ValueError as exc:
+            return _fault(exc)
+        server = self._host.server(ids.ServerId(payload.get('server_id', '')))
+        if server is not None:
+            if load is not None:
+                self._host.report_load(server.pool, load)
+            if events is not None:
+                self._host.report_cache(server.pool, events)
+        return web.json_response({'known': server is not None})
+
+
+async def _payload(req: web.Request) -> dict[str, typing.Any]:
+    payload = json.loads(await req.read())
+    if not isinstance(payload, dict):
+        raise ValueError('the body is not a JSON object')
+    return payload
+
+
+def _fault(exc: ValueError) -> web.Response:
+    code = 'GW-6101'
+    message = str(exc)
+    if isinstance(exc, errors.AnnouncementError):
+        code = exc.code
+        message = exc.message
+    return web.json_response(
+        {'error': {'code': code, 'message': message}},
+        status=http.HTTPStatus.BAD_REQUEST,
+    )
--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -2,18 +2,43 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import sys
 import typing
 
-import aiohttp
 from aiohttp import web
-from geraniumweir.common import ids, timers
-from geraniumweir.daemon import announcements, callers, operators, settings
+from geraniumweir.backends import calls
+from geraniumweir.common import errors, ids, timers
+from geraniumweir.common import logevents as levels
+from geraniumweir.daemon import (
+    alone,
+    announcements,
+    callers,
+    draining,
+    joinedops,
+    logevents,
+    observing,
+    operations,
+    operators,
+    settings,
+    settingvalues,
+)
 from geraniumweir.daemon import host as entry_host
-from geraniumweir.membership import servers
+from geraniumweir.daemon import joined as joining
+from geraniumweir.membership import hosts, servers
+from geraniumweir.observe import logs
+from geraniumweir.store import errors as store_errors
 
 _EXIT_FAILED = 1
+# Calls in flight have had --drain-timeout before this begins.
+_SHUTDOWN_SECONDS = 1.0
+
+
+class BusyAddressError(errors.GeraniumweirError):
+    """An address of the settings can't be listened on."""
+
+    code = 'GW-1501'
 
 
 def main(argv: typing.Sequence[str] | None = None) -> None:
@@ -22,18 +47,30 @@
     :param argv: flags, by default those of the process.
     """
     cfg = settings.parse(argv)
+    _check_files(cfg)
+    handler = logs.setup(
+        levels.Level(cfg.log_level),
+        logs.Format(cfg.log_format),
+        host=cfg.host_id,
+    )
     try:
         asyncio.run(serve(cfg))
-    except OSError as exc:
-        sys.stderr.write(f'geraniumweird: {exc}\n')
+    except (
+        BusyAddressError,
+        joining.BusyPeerAddressError,
+        store_errors.StoreError,
+    ) as exc:
+        sys.stderr.write(f'geraniumweird: {exc.message}\n')
         sys.exit(_EXIT_FAILED)
+    finally:
+        handler.pop_application()
 
 
 async def serve(cfg: settings.Settings) -> None:
     """Serve until SIGTERM or SIGINT, then drain.
 
     :param cfg: the host's settings.
-    :raises OSError: when an address can't be listened on.
+    :raises BusyAddressError: when an address can't be listened on.
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -41,20 +78,57 @@
         loop.add_signal_handler(signum, stop.set)
     async with contextlib.AsyncExitStack() as stack:
         host = await _make_host(cfg, stack)
-        await _listen(stack, operators.make_app(host), cfg.operator_address)
+        observed = observing.observe(host, stack)
+        joined: joining.Joined | None = None
+        ops: operations.Operations = alone.StandaloneOperations(host, observed)
+        if cfg.peer_address is not None:
+            joined = await joining.join(host, stack)
+            ops = joinedops.JoinedOperations(joined, observed)
+        await _listen(stack, operators.make_app(ops), cfg.operator_address)
         await _listen(stack, announcements.make_app(host), cfg.backend_address)
         await _listen(stack, callers.make_app(host), cfg.caller_address)
+        logs.log(
+            logevents.STARTED,
+            caller=cfg.caller_address,
+            backend=cfg.backend_address,
+            operator=cfg.operator_address,
+        )
         await stop.wait()
-        host.draining = True
+        logs.log(logevents.DRAINING, seconds=cfg.drain_timeout)
+        left = await _leave(host, joined)
+    logs.log(logevents.STOPPED, left=left)
+
+
+async def _leave(
+    host: entry_host.EntryHost,
+    joined: joining.Joined | None,
+) -> int:
+    if joined is None:
+        return await draining.drain(host)
+    joined.members.set_roles(joined.members.me.roles | hosts.Role.draining)
+    left = await draining.drain(host)
+    await joining.farewell(joined)
+    return left
+
+
+def _check_files(cfg: settings.Settings) -> None:
+    if cfg.data_folder is not None:
+        _settle('data-folder', settingvalues.folder_fault(cfg.data_folder))
+    if cfg.trace_file is not None:
+        _settle('trace-file', settingvalues.file_fault(cfg.trace_file))
+
+
+def _settle(setting: str, fault: str | None) -> None:
+    if fault is not None:
+        sys.stderr.write(f'geraniumweird: argument --{setting}: {fault}\n')
+        sys.exit(settings.EXIT_BAD_SETTING)
 
 
 async def _make_host(
     cfg: settings.Settings,
     stack: contextlib.AsyncExitStack,
 ) -> entry_host.EntryHost:
-    connector = aiohttp.TCPConnector(limit=0)
-    session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-    await stack.enter_async_context(session)
+    session = await stack.enter_async_context(calls.make_session())
     return entry_host.EntryHost(
         cfg=cfg,
         timers=timers.TimerService(),
@@ -69,7 +143,17 @@
     app: web.Application,
     address: ids.Address,
 ) -> None:
-    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=_SHUTDOWN_SECONDS,
+    )
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    await web.TCPSite(runner, address.host, address.port).start()
+    try:
+        await web.TCPSite(runner, address.host, address.port).start()
+    except OSError as exc:
+        reason = os.strerror(exc.errno or 0)
+        message = f'can not listen on {address}: {reason}'
+        raise BusyAddressError(message) from exc
--- /dev/null
+++ b/libs/daemon/geraniumweir/daemon/rows.py
@@ -0,0 +1,162 @@
+"""Turns what an entry host knows into the rows that operators see."""
+
+import dataclasses
+
+from geraniumweir.common import ids
+from geraniumweir.configuration import document
+from geraniumweir.daemon import host as entry_host
+from geraniumweir.daemon import operations, settings
+from geraniumweir.membership import poolsummaries, servers
+
+
+def host_row(host: entry_host.EntryHost) -> operations.HostRow:
+    """Describe a host that stands alone."""
+    cfg = host.cfg
+    state = operations.HostState.live
+    if host.draining:
+        state = operations.HostState.draining
+    return operations.HostRow(
+        cfg.host_id,
+        cfg.failure_domain,
+        cfg.region,
+        state,
+        host.in_force.version,
+        sure=True,
+        recorder=False,
+        leads=tuple(host.leads()),
+    )
+
+
+def status(host: entry_host.EntryHost, started: float) -> operations.Status:
+    """Tell how a host that stands alone stands.
+
+    :param started: on the timer service's clock, in seconds.
+    """
+    cfg = host.cfg
+    return operations.Status(
+        host_id=cfg.host_id,
+        failure_domain=cfg.failure_domain,
+        region=cfg.region,
+        program=settings.VERSION,
+        version=host.in_force.version,
+        sure=True,
+        draining=host.draining,
+        log_leader=None,
+        majority=None,
+        log_index=0,
+        uptime_seconds=host.timers.now() - started,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogView:
+    """The replicated log as one host sees it.
+
+    :ivar leader: the recorder that leads, or None where unknown.
+    :ivar majority: whether a majority of the recorders answers.
+    :ivar index: newest entry applied here.
+    """
+
+    leader: ids.HostId | None
+    majority: bool
+    index: int
+
+
+def joined_status(
+    host: entry_host.EntryHost,
+    started: float,
+    log: LogView,
+) -> operations.Status:
+    """Tell how a host that works together with others stands.
+
+    :param started: on the timer service's clock, in seconds.
+    """
+    return dataclasses.replace(
+        status(host, started),
+        sure=host.sure,
+        log_leader=log.leader,
+        majority=log.majority,
+        log_index=log.index,
+    )
+
+
+def server_row(
+    host: entry_host.EntryHost,
+    server: servers.Announcement,
+    running: int | None = None,
+) -> operations.ServerRow:
+    """Describe a backend server.
+
+    :param running: open grants, where this host leads the server's pool.
+    """
+    override = host.in_force.document.override(server.server_id)
+    return operations.ServerRow(
+        server_id=server.server_id,
+        incarnation=server.incarnation,
+        pool=server.pool,
+        failure_domain=server.failure_domain,
+        address=str(server.address),
+        state=server_state(server, override),
+        slots=server.slots,
+        running=running,
+    )
+
+
+def own_pool_row(
+    host: entry_host.EntryHost,
+    pool: document.Pool,
+) -> operations.PoolRow:
+    """Describe a pool in this host's failure domain."""
+    row = pool_row(host, pool)
+    found = host.led(pool.name)
+    if found is None:
+        return dataclasses.replace(row, leader=None)
+    summary = found.summary()
+    return dataclasses.replace(
+        row,
+        waiting=sum(wait.waiting for wait in summary.waits),
+        running=sum(part.slots - part.free for part in summary.capacity),
+        lowest_tier=summary.lowest_served,
+    )
+
+
+def distant_pool_row(
+    pool: document.Pool,
+    summary: poolsummaries.PoolSummary,
+) -> operations.PoolRow:
+    """Describe a pool in another failure domain, by the last word of it."""
+    return operations.PoolRow(
+        pool=pool.name,
+        kind=pool.kind,
+        failure_domain=summary.failure_domain,
+        leader=summary.leader,
+        servers=0,
+        lowest_tier=summary.lowest_tier,
+    )
+
+
+def pool_row(
+    host: entry_host.EntryHost,
+    pool: document.Pool,
+) -> operations.PoolRow:
+    """Describe a pool that this host leads, as one that stands alone does."""
+    cfg = host.cfg
+    return operations.PoolRow(
+        pool=pool.name,
+        kind=pool.kind,
+        failure_domain=cfg.failure_domain,
+        leader=cfg.host_id,
+        servers=len(host.servers_of(pool.name)),
+    )
+
+
+def server_state(
+    server: servers.Announcement,
+    override: document.ServerOverride,
+) -> str:
+    """Name how a backend server stands, the operators' word first."""
+    if override.forbid:
+        return 'forbidden'
+    if override.drain:
+        return 'drained'
+    return server.state.value
--- a/libs/store/geraniumweir/store/guard.py
+++ b/libs/store/geraniumweir/store/guard.py
@@ -27,7 +27,7 @@
         return await loop.run_in_executor(self._pool, action)
 
     def close(self) -> None:
-        """Let what was begun end, and take nothing more."""
+        """Wait for the action that runs, and end the thread."""
         self._pool.shutdown(wait=True)
 
 
--- a/libs/store/geraniumweir/store/tests/test_folder.py
+++ b/libs/store/geraniumweir/store/tests/test_folder.py
@@ -14,6 +14,7 @@
     folder,
     guard,
     memory_disk,
+    snapshots,
 )
 
 _Result = typing.TypeVar('_Result')
@@ -59,6 +60,27 @@
         asyncio.run(scenario())
 
 
+def test_entry_replaced_after_its_segment_went() -> None:
+    """The oldest segment may start by making void what came before it."""
+
+    async def scenario() -> tuple[entries.Position, list[entries.Entry]]:
+        medium = memory_disk.MemoryDisk()
+        opened = await _filled(medium, 2)
+        for index in (2, 3):
+            opened.log.append([entries.Entry(index, 2, 0, b'y' * 40)])
+            await opened.log.sync()
+        taken = snapshots.Snapshot(2, 2, b'', b'')
+        await opened.snapshots.save(taken)
+        await opened.log.compact_to(2)
+        assert 'log-000000000001' not in medium.names()
+        again = await _open(medium)
+        return again.log.base, again.log.read(2, 9)
+
+    base, kept = asyncio.run(scenario())
+    assert base == entries.Position(2, 2)
+    assert [entry.index for entry in kept] == [3]
+
+
 def test_missing_segment_is_refused() -> None:
     """A gap among the segments is named."""
 
--- a/libs/wire/geraniumweir/wire/memory.py
+++ b/libs/wire/geraniumweir/wire/memory.py
@@ -1,8 +1,9 @@
 """An in-memory network with the face of the peer layer, for tests.
 
 Links have a delay and can lose, repeat or reorder messages or be cut, each
-direction for itself. Everything is decided by a seeded generator, so that a
-failing run can be repeated.
+direction for itself. Thrift structs are encoded and decoded on the way, so
+that a field of a wrong type shows here too. Everything is decided by a seeded
+generator, so that a failing run can be repeated.
 """
 
 import asyncio
@@ -12,7 +13,7 @@
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.wire import errors, peers
+from geraniumweir.wire import errors, framing, peers
 
 _DEFAULT_DELAY = 0.0005
 _Done = typing.TypeVar('_Done')
@@ -59,6 +60,10 @@
         """Lose all messages in one direction."""
         self._cuts.add((sender, receiver))
 
+    def is_cut(self, sender: ids.HostId, receiver: ids.HostId) -> bool:
+        """Tell whether messages in one direction are lost."""
+        return (sender, receiver) in self._cuts
+
     def heal(self) -> None:
         """Undo all cuts."""
         self._cuts.clear()
@@ -164,7 +169,7 @@
         if handler is None:
             raise errors.RemoteError(f'no handler of {type(message).__name__}')
         try:
-            return await handler(sender, copy.deepcopy(message))
+            return await handler(sender, _carried(message))
         except Exception as exc:
             raise errors.RemoteError(repr(exc)) from exc
 
@@ -202,7 +207,7 @@
         ):
             await asyncio.Event().wait()
         await asyncio.sleep(self._network.travel_time())
-        return copy.deepcopy(answer)
+        return _carried(answer)
 
     async def _deliver(
         self,
@@ -220,3 +225,10 @@
         # As over TCP, a caller that gives up doesn't stop the handler.
         handled = receiver.start(receiver.receive(self.host_id, message))
         return await asyncio.shield(handled)
+
+
+def _carried(message: peers.Message) -> peers.Message:
+    """Copy a message the way it would come out of a connection."""
+    if hasattr(message, 'thrift_spec'):
+        return framing.decode(type(message), framing.encode(message))
+    return copy.deepcopy(message)
