--- a/libs/daemon/geraniumweir/daemon/admission.py
+++ b/libs/daemon/geraniumweir/daemon/admission.py
@@ -72,7 +72,7 @@
         for customer in doc.customers:
             if customer.key_sha256 == digest:
                 return customer
-        raise refusals.unknown_customer('this key')
+        raise refusals.unknown_key()
     name = req.headers.get('X-Customer', '')
     found = doc.customer(ids.CustomerName(name))
     if found is None or found.key_sha256 is not None:
@@ -155,9 +155,17 @@
         share=decision.customer.share,
         max_running=route.max_running,
         max_waiting=route.max_waiting,
+        rate_per_s=_rate(route),
     )
 
 
+def _rate(route: document.Route) -> float | None:
+    if route.rate_per_s is None:
+        return None
+    # A rule may give it as a whole number.
+    return float(route.rate_per_s)
+
+
 def _claim_key(
     talk: exchange.Exchange,
     ask: requests.Ask,
--- a/libs/fakes/geraniumweir/fakes/bench_decisions.py
+++ b/libs/fakes/geraniumweir/fakes/bench_decisions.py
@@ -56,33 +56,56 @@
 
 
 async def _measure(waiting: int, count: int) -> Figures:
-    asks = _asks(
-        random.Random(waiting * count),
-        asyncio.get_running_loop().time(),
-    )
-    leader = _leader(waiting, count)
-    free, granted = _fill_servers(leader, asks, count * _SLOTS)
-    held = [_begin(leader, next(asks)) for _ in range(waiting)]
-    released: list[float] = []
-    for request_id in granted[:_ROUNDS]:
-        held.append(_begin(leader, next(asks)))
-        released.append(_release(leader, request_id))
-    for coro, _, _ in held:
-        coro.close()
+    now = asyncio.get_running_loop().time()
+    asks = make_asks(random.Random(waiting * count), now)
+    leader = make_leader(waiting, count)
+    free, granted = fill_servers(leader, asks, count * _SLOTS)
+    asked, released = _busy(leader, asks, waiting, granted[:_ROUNDS])
     return Figures(
         waiting,
         count,
-        _median([seconds for _, _, seconds in held[waiting:]]),
+        _median(asked),
         _median(released),
         _median(free),
     )
 
 
+def _busy(
+    leader: leaders.PoolLeader,
+    asks: typing.Iterator[requests.Ask],
+    waiting: int,
+    granted: list[ids.RequestId],
+) -> tuple[list[float], list[float]]:
+    """Time asks and releases while all servers are busy."""
+    held = [begin(leader, next(asks)) for _ in range(waiting)]
+    more, released = rounds(leader, zip(granted, asks))
+    for coro, _, _ in held + more:
+        coro.close()
+    return [seconds for _, _, seconds in more], released
+
+
+def rounds(
+    leader: leaders.PoolLeader,
+    coming: typing.Iterable[tuple[ids.RequestId, requests.Ask]],
+) -> tuple[list['_Began'], list[float]]:
+    """Let one more wait, then end a grant, and so on.
+
+    :param coming: the grant to end and the ask.
+    :returns: what was begun, and the seconds of each release.
+    """
+    held = []
+    released = []
+    for request_id, ask in coming:
+        held.append(begin(leader, ask))
+        released.append(release(leader, request_id))
+    return held, released
+
+
 def _median(seconds: list[float]) -> float:
     return statistics.median(seconds) * _MICRO
 
 
-def _leader(waiting: int, count: int) -> leaders.PoolLeader:
+def make_leader(waiting: int, count: int) -> leaders.PoolLeader:
     live = [_server(number) for number in range(count)]
     return leaders.PoolLeader(
         settings.LeaderSettings(_POOL, queue_limit=waiting * 2 + _ROUNDS),
@@ -92,7 +115,7 @@
     )
 
 
-def _fill_servers(
+def fill_servers(
     leader: leaders.PoolLeader,
     asks: typing.Iterator[requests.Ask],
     slots: int,
@@ -100,7 +123,7 @@
     free: list[float] = []
     granted: list[ids.RequestId] = []
     for ask in itertools.islice(asks, slots):
-        _, grant, seconds = _begin(leader, ask)
+        _, grant, seconds = begin(leader, ask)
         if grant is not None:
             free.append(seconds)
             granted.append(grant.request_id)
@@ -114,19 +137,19 @@
 ]
 
 
-def _begin(leader: leaders.PoolLeader, ask: requests.Ask) -> _Began:
+def begin(leader: leaders.PoolLeader, ask: requests.Ask) -> _Began:
     """Run an ask until it waits or is granted, and time that."""
     coro = leader.ask(ask)
-    began = time.perf_counter()
+    began = time.process_time()
     grant = None
     try:
         coro.send(None)
     except StopIteration as exc:
         grant = exc.value
-    return coro, grant, time.perf_counter() - began
+    return coro, grant, time.process_time() - began
 
 
-def _release(leader: leaders.PoolLeader, request_id: ids.RequestId) -> float:
+def release(leader: leaders.PoolLeader, request_id: ids.RequestId) -> float:
     done = requests.Release(
         request_id,
         requests.Outcome.done,
@@ -134,12 +157,12 @@
         output_tokens=100,
         seconds=2,
     )
-    began = time.perf_counter()
+    began = time.process_time()
     leader.release(done)
-    return time.perf_counter() - began
+    return time.process_time() - began
 
 
-def _asks(dice: random.Random, now: float) -> typing.Iterator[requests.Ask]:
+def make_asks(dice: random.Random, now: float) -> typing.Iterator[requests.Ask]:
     for number in itertools.count():
         start = dice.randrange(_RULES)
         yield requests.Ask(
--- a/libs/scheduling/geraniumweir/scheduling/asking.py
+++ b/libs/scheduling/geraniumweir/scheduling/asking.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.scheduling import (
@@ -137,6 +138,7 @@
             place.hint = reply.leader
             if reply.leader is None:
                 place.reached = True
+                _note_counted(place, reply)
                 self._mine.heard[place.host] = self._clock.now()
             self._take(place, reply)
             return
@@ -198,6 +200,15 @@
                 return
 
 
+def _note_counted(place: owned.Place, reply: ttypes.AskReply) -> None:
+    """Keep an ask from being counted against its rule's rate again."""
+    not_leader = requests.DenialReason.not_leader.value
+    if reply.denial is not None and reply.denial.reason == not_leader:
+        return
+    if place.ask.rate_per_s is not None:
+        place.ask = dataclasses.replace(place.ask, rate_per_s=None)
+
+
 def _is_from(
     found: owned.Place | owned.InUse,
     sender: ids.HostId,
--- a/libs/scheduling/geraniumweir/scheduling/broker.py
+++ b/libs/scheduling/geraniumweir/scheduling/broker.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import dataclasses
 import math
 import typing
 
@@ -35,6 +36,17 @@
 _Answer = requests.Grant | requests.Denial
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Tried:
+    """What came of asking at home.
+
+    :ivar ask: as it may go on to other failure domains.
+    """
+
+    ask: requests.Ask
+    answer: _Answer
+
+
 class Broker:
     """Asks for grants on behalf of one entry host.
 
@@ -126,9 +138,11 @@
         return self._home.leader(found.ask.pool) if found.home else found.host
 
     async def _ask_everywhere(self, ask: requests.Ask) -> _Answer:
-        first = await self._ask_home(ask)
+        tried = await self._ask_home(ask)
+        first = tried.answer
         if not _may_spill(first):
             return first
+        ask = tried.ask
         others = self._directory.others(ask.pool)
         for pool in spill.in_order(ask, others):
             if self._clock.now() >= ask.deadline:
@@ -140,21 +154,23 @@
                 return answer
         return first
 
-    async def _ask_home(self, ask: requests.Ask) -> _Answer:
+    async def _ask_home(self, ask: requests.Ask) -> _Tried:
         until = self._clock.now() + _HOME_PATIENCE
         while ask.request_id not in self._withdrawn:
             host = self._home.leader(ask.pool)
             place = await self._ask_at(ask, host, at_home=True)
+            ask = place.ask
             answer = place.fut.result()
             if answer is not None and not _is_elsewhere(answer):
-                return answer
+                return _Tried(ask, answer)
             self._home.wrong(ask.pool, place.host, place.hint)
             until = max(until, self._heard_at(place) + _HOME_PATIENCE)
             if self._clock.now() >= until:
                 no_server = requests.DenialReason.no_server
-                return requests.Denial(ask.request_id, no_server)
+                denial = requests.Denial(ask.request_id, no_server)
+                return _Tried(ask, denial)
             await asyncio.sleep(_PAUSE)
-        return _withdrawn(ask.request_id)
+        return _Tried(ask, _withdrawn(ask.request_id))
 
     def _heard_at(self, place: owned.Place) -> float:
         """Tell when the place's leader last showed that it is there.
