--- a/libs/store/geraniumweir/store/entries.py
+++ b/libs/store/geraniumweir/store/entries.py
@@ -23,6 +23,8 @@
 
 
 START = Position(0, 0)
+# Of a position whose entry is gone and isn't needed.
+UNKNOWN_TERM = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/store/geraniumweir/store/log.py
+++ b/libs/store/geraniumweir/store/log.py
@@ -144,12 +144,15 @@
 
         :raises errors.StoreFailedError: when the disk fails.
         """
-        term = self.term_at(index)
-        if term is None or index <= self.base.index:
-            return
-        self._entries = self._entries[index - self.base.index :]
-        self.base = entries.Position(index, term)
-        await self._guard.run(self._remove_files)
+        if self.base.index < index <= self.last.index:
+            self.forget_to(index)
+            await self._guard.run(self._remove_files)
+
+    def forget_to(self, index: int) -> None:
+        """Start behind an entry; the files stay as they are."""
+        place = index - self.base.index
+        self.base = self._entries[place - 1].position
+        self._entries = self._entries[place:]
 
     def _void_from(self, index: int) -> None:
         self._voided += 1
@@ -211,7 +214,8 @@
 
     :raises errors.CorruptError: when entries between the two are missing.
     """
-    if log.base.index > snapshot.index:
+    known = log.base.term != entries.UNKNOWN_TERM
+    if log.base.index + (not known) > snapshot.index:
         raise errors.CorruptError(
             'log',
             0,
@@ -220,6 +224,8 @@
         )
     if log.term_at(snapshot.index) != snapshot.term:
         log.reset(entries.Position(snapshot.index, snapshot.term))
+    elif not known:
+        log.forget_to(snapshot.index)
 
 
 def _within(
--- a/libs/store/geraniumweir/store/segments.py
+++ b/libs/store/geraniumweir/store/segments.py
@@ -172,10 +172,12 @@
         state.base = entry.position
         state.tail.clear()
         return
-    place = entry.index - state.base.index - 1
-    if not 0 <= place <= len(state.tail):
+    if entry.index > state.last.index + 1:
         raise ValueError(f'entry {entry.index} after {state.last.index}')
-    del state.tail[place:]
+    if entry.index <= state.base.index:
+        # It replaces one whose segment is gone, so a snapshot must cover it.
+        state.base = entries.Position(entry.index - 1, entries.UNKNOWN_TERM)
+    del state.tail[entry.index - state.base.index - 1 :]
     state.tail.append(entry)
 
 
