--- a/libs/scheduling/geraniumweir/scheduling/admitting.py
+++ b/libs/scheduling/geraniumweir/scheduling/admitting.py
@@ -36,16 +36,9 @@
         ask.fingerprint,
         leader.now(),
     )
-    reason = _refuse_at_once(leader, ask)
-    if reason is not None:
-        return shedding.denial(leader, ask, reason)
-    seconds = leader.rates.take(ask.rule, ask.rate_per_s, leader.now())
-    if seconds:
-        return _over_rate(ask, seconds)
-    if _serves_nothing(leader):
-        # Counted above: the call may be served by another failure domain.
-        reason = requests.DenialReason.no_server
-        return shedding.denial(leader, ask, reason)
+    denied = _deny_at_once(leader, ask)
+    if denied is not None:
+        return denied
     waiting = _waiting(leader, ask)
     if _too_late(leader, waiting):
         return shedding.denial(leader, ask, requests.DenialReason.too_late)
@@ -70,6 +63,23 @@
     shedding.refuse(leader, waiting, requests.DenialReason.queue_full)
 
 
+def _deny_at_once(
+    leader: state.LeaderState,
+    ask: requests.Ask,
+) -> requests.Denial | None:
+    reason = _refuse_at_once(leader, ask)
+    if reason is not None:
+        return shedding.denial(leader, ask, reason)
+    seconds = leader.rates.take(ask.rule, ask.rate_per_s, leader.now())
+    if seconds:
+        return _over_rate(ask, seconds)
+    if _serves_nothing(leader):
+        # Counted above: another failure domain may serve the call.
+        reason = requests.DenialReason.no_server
+        return shedding.denial(leader, ask, reason)
+    return None
+
+
 def _refuse_at_once(
     leader: state.LeaderState,
     ask: requests.Ask,
