--- a/libs/consensus/geraniumweir/consensus/applying.py
+++ b/libs/consensus/geraniumweir/consensus/applying.py
@@ -48,10 +48,15 @@
 
 def _apply_some(this: core.Core) -> None:
     left = this.commit.height - this.applied.height
-    batch = this.folder.log.read(this.applied.height, min(left, _BATCH))
+    batch = this.folder.log.read(
+        this.applied.height,
+        min(left, _BATCH),
+        this.env.cfg.batch_bytes,
+    )
     for entry in batch:
         answer = _apply(this, entry)
         this.applied.raise_to(entry.index)
+        this.saving.unsaved_bytes += len(entry.payload)
         _answer_waiter(this, entry.index, answer)
 
 
@@ -73,18 +78,24 @@
 
 
 def _start_snapshot(this: core.Core) -> None:
-    newest = this.folder.snapshots.newest.index
-    late = this.applied.height - newest
-    if late >= this.env.cfg.snapshot_entries and not this.taking_snapshot:
-        this.taking_snapshot = True
+    if not this.saving.under_way and _is_snapshot_due(this):
+        this.saving.under_way = True
         this.spawn(_take_snapshot(this))
 
 
+def _is_snapshot_due(this: core.Core) -> bool:
+    cfg = this.env.cfg
+    late = this.applied.height - this.folder.snapshots.newest.index
+    if late >= cfg.snapshot_entries:
+        return True
+    return this.saving.unsaved_bytes >= cfg.snapshot_bytes
+
+
 async def _take_snapshot(this: core.Core) -> None:
     try:
         await take_snapshot(this)
     finally:
-        this.taking_snapshot = False
+        this.saving.under_way = False
 
 
 async def take_snapshot(this: core.Core) -> int:
@@ -93,6 +104,7 @@
     :returns: the index of the last entry that the snapshot covers.
     """
     index = this.applied.height
+    this.saving.unsaved_bytes = 0
     snapshot = snapshots.Snapshot(
         index,
         this.folder.log.term_at(index) or 0,
@@ -106,6 +118,10 @@
         index=index,
     )
     this.history.forget_before(index)
-    kept = max(index - this.env.cfg.trailing_entries, 0)
+    kept = this.folder.log.start_of_tail(
+        index,
+        this.env.cfg.trailing_entries,
+        this.env.cfg.trailing_bytes,
+    )
     await this.folder.log.compact_to(kept)
     return index
--- a/libs/consensus/geraniumweir/consensus/core.py
+++ b/libs/consensus/geraniumweir/consensus/core.py
@@ -76,6 +76,18 @@
     taking: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
 
+@dataclasses.dataclass(slots=True)
+class Saving:
+    """How far a recorder is with its snapshots.
+
+    :ivar under_way: one is being taken.
+    :ivar unsaved_bytes: of entries applied since it last took one.
+    """
+
+    under_way: bool = False
+    unsaved_bytes: int = 0
+
+
 class Core:
     """The state of one recorder.
 
@@ -90,7 +102,7 @@
     :ivar quiet_since: when the election timeout began, in loop time.
     :ivar leader_heard: when the leader was last heard, in loop time.
     :ivar changes: what is applied.
-    :ivar taking_snapshot: one is under way.
+    :ivar saving: how far it is with its snapshots.
     :ivar incoming: what came so far of a snapshot that the leader sends.
     """
 
@@ -109,7 +121,7 @@
         self.quiet_since = self.timers.now()
         self.leader_heard = -math.inf
         self.changes: reactivex.Subject[machines.Change] = reactivex.Subject()
-        self.taking_snapshot = False
+        self.saving = Saving()
         self.incoming = Incoming()
         self._failure: BaseException | None = None
         self._tasks: set[asyncio.Task[typing.Any]] = set()
--- a/libs/consensus/geraniumweir/consensus/settings.py
+++ b/libs/consensus/geraniumweir/consensus/settings.py
@@ -6,6 +6,8 @@
 from geraniumweir.store import log
 
 _MESSAGE_BYTES = 262144
+_SNAPSHOT_BYTES = 4194304
+_TRAILING_BYTES = 2097152
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,8 +25,11 @@
     :ivar window: most messages under way to one recorder.
     :ivar piece_bytes: most of a snapshot in one message.
     :ivar snapshot_entries: a snapshot is taken after so many entries.
-    :ivar trailing_entries: entries kept behind a snapshot, for followers
+    :ivar snapshot_bytes: and after so many bytes of entries, whichever comes
+        first; entries may be whole documents.
+    :ivar trailing_entries: most entries kept behind a snapshot, for followers
         that are a little late.
+    :ivar trailing_bytes: most bytes of such entries.
     :ivar segment_bytes: size of the log's files.
     """
 
@@ -37,5 +42,7 @@
     window: int = 4
     piece_bytes: int = _MESSAGE_BYTES
     snapshot_entries: int = 20_000
+    snapshot_bytes: int = _SNAPSHOT_BYTES
     trailing_entries: int = 2000
+    trailing_bytes: int = _TRAILING_BYTES
     segment_bytes: int = log.SEGMENT_BYTES
--- a/libs/store/geraniumweir/store/log.py
+++ b/libs/store/geraniumweir/store/log.py
@@ -118,6 +118,23 @@
         batch = self._entries[place : place + limit]
         return batch if max_bytes is None else _within(batch, max_bytes)
 
+    def start_of_tail(self, end: int, limit: int, max_bytes: int) -> int:
+        """Give the index behind which the last entries up to an end begin.
+
+        :param end: index of the last of them.
+        :param limit: at most so many entries.
+        :param max_bytes: at most so much payload, be it of no entry.
+        """
+        start = end
+        lowest = max(end - limit, self.base.index)
+        while start > lowest:
+            entry = self._entries[start - self.base.index - 1]
+            max_bytes -= len(entry.payload)
+            if max_bytes < 0:
+                break
+            start -= 1
+        return start
+
     async def sync(self) -> None:
         """Wait until everything appended before this call is durable.
 
