Read only the tables of a document that changed

Cause: each change made every host read the whole document, and most changes touch one table.

The text is cut before its [[...]] headers; pieces that the last two documents had as well are taken over. Whatever is unusual or faulty is read as a whole. Lines are looked for only when there is a fault; what spans several tables is checked first without places.

--- a/libs/configuration/geraniumweir/configuration/checking.py
+++ b/libs/configuration/geraniumweir/configuration/checking.py
@@ -1,5 +1,6 @@
 """Checks what spans several tables of a document."""
 
+import dataclasses
 import typing
 
 from geraniumweir.configuration import document, tables
@@ -8,28 +9,56 @@
 _SERVICE_PATHS = '/services/'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Clash:
+    """A fault of one table in view of the others."""
+
+    table: str
+    name: str
+    field: str
+    reason: str
+
+
 def check(doc: document.Document, collector: tables.Collector) -> None:
     """Add the faults of a document whose tables were read.
 
     :param collector: gets the faults; knows the tables' places.
     """
-    _check_keys(doc.customers, collector)
+    for clash in _clashes(doc):
+        place = collector.place(clash.table, clash.name, clash.field)
+        collector.add(place, clash.reason)
+
+
+def is_sound(doc: document.Document) -> bool:
+    """Tell whether a document whose tables were read has no such fault."""
+    return next(_clashes(doc), None) is None
+
+
+def _clashes(doc: document.Document) -> typing.Iterator[_Clash]:
+    yield from _clashes_of_keys(doc.customers)
     names = {customer.name for customer in doc.customers}
     pools = {pool.name: pool for pool in doc.pools}
     for rule in doc.rules:
-        place = collector.place('rule', rule.name)
         for name in rule.when.customer:
             if name not in names:
                 reason = f'there is no customer {name!r}'
-                collector.add(place.inside('when.customer'), reason)
-        match rule.then:
-            case document.Route(pool=pool) if pool in pools:
-                reason = _misfit(rule.when.path, pools[pool])
-                if reason:
-                    collector.add(place.inside('then.route'), reason)
-            case document.Route(pool=pool) if pool:
-                reason = f'there is no pool {pool!r}'
-                collector.add(place.inside('then.route'), reason)
+                yield _Clash('rule', rule.name, 'when.customer', reason)
+        reason = _misrouted(rule, pools)
+        if reason:
+            yield _Clash('rule', rule.name, 'then.route', reason)
+
+
+def _misrouted(
+    rule: document.Rule,
+    pools: typing.Mapping[str, document.Pool],
+) -> str:
+    """Say why a rule can't send to its pool, if so."""
+    match rule.then:
+        case document.Route(pool=pool) if pool in pools:
+            return _misfit(rule.when.path, pools[pool])
+        case document.Route(pool=pool) if pool:
+            return f'there is no pool {pool!r}'
+    return ''
 
 
 def _misfit(path: str | None, pool: document.Pool) -> str:
@@ -42,15 +71,14 @@
     return ''
 
 
-def _check_keys(
+def _clashes_of_keys(
     customers: typing.Iterable[document.Customer],
-    collector: tables.Collector,
-) -> None:
+) -> typing.Iterator[_Clash]:
     owners: dict[str, str] = {}
     for customer in customers:
         if customer.key_sha256 is None:
             continue
         owner = owners.setdefault(customer.key_sha256, customer.name)
         if owner != customer.name:
-            place = collector.place('customer', customer.name, 'key_sha256')
-            collector.add(place, f'is the key of customer {owner!r} too')
+            reason = f'is the key of customer {owner!r} too'
+            yield _Clash('customer', customer.name, 'key_sha256', reason)
--- a/libs/configuration/geraniumweir/configuration/reading.py
+++ b/libs/configuration/geraniumweir/configuration/reading.py
@@ -1,8 +1,9 @@
 """Reads a document from TOML.
 
 Every fault is collected before the document is refused, each with its line,
-its place and what would be accepted. :mod:`tables` reads single fields,
-:mod:`rules` a rule, :mod:`checking` what spans several tables and
+its place and what would be accepted. Tables that were the same in the last
+documents aren't read again, see :mod:`pieces`. :mod:`tables` reads single
+fields, :mod:`rules` a rule, :mod:`checking` what spans several tables and
 :mod:`covering` finds rules that never match.
 
 References
@@ -22,6 +23,7 @@
     document,
     errors,
     lines,
+    pieces,
     rules,
     tables,
 )
@@ -57,7 +59,8 @@
     geraniumweir.configuration.errors.DocumentError: GW-1201: line 1: pol: \
 unknown key; accepted are customer, pool, rule, server
     """
-    return _read(text)[0]
+    _refuse_unreadable(text)
+    return _read_pieces(text) or _read_whole(text)[0]
 
 
 def check(text: str) -> Checked:
@@ -66,7 +69,8 @@
     :param text: TOML.
     :raises errors.DocumentError: with every fault found.
     """
-    doc, collector = _read(text)
+    _refuse_unreadable(text)
+    doc, collector = _read_whole(text)
     warnings = []
     for name, earlier in covering.covered(doc.rules):
         place = collector.place('rule', name)
@@ -76,7 +80,61 @@
     return Checked(doc, tuple(warnings))
 
 
-def _read(text: str) -> tuple[document.Document, tables.Collector]:
+def read_whole(text: str) -> document.Document:
+    """Read a document without regard to those read before.
+
+    :param text: TOML.
+    :raises errors.DocumentError: with every fault found.
+    """
+    _refuse_unreadable(text)
+    return _read_whole(text)[0]
+
+
+def forget() -> None:
+    """Let the next document be read as if it were the first."""
+    _known.forget()
+
+
+def _read_pieces(text: str) -> document.Document | None:
+    """Read what is new, or give None when all must be read."""
+    found = _known.read(text, _read_piece)
+    if found is None:
+        return None
+    names = {(piece.table, piece.name) for piece in found}
+    doc = document.Document(
+        customers=_of('customer', found),
+        pools=_of('pool', found),
+        rules=_of('rule', found),
+        servers=_of('server', found),
+    )
+    is_good = len(names) == len(found) and checking.is_sound(doc)
+    return doc if is_good else None
+
+
+def _of(table: str, found: list[pieces.Piece]) -> tuple[typing.Any, ...]:
+    return tuple(piece.entry for piece in found if piece.table == table)
+
+
+def _read_piece(text: str) -> pieces.Piece | None:
+    try:
+        root = tomllib.loads(text)
+    except (RecursionError, ValueError):
+        return None
+    collector = tables.Collector(text)
+    match list(root.items()):
+        case [(key, [dict(table)])] if key in _READERS:
+            fields = _named(table, tables.Place(key), collector)
+        case _:
+            return None
+    if fields is None:
+        return None
+    entry = _READERS[key](fields)
+    if collector.faults:
+        return None
+    return pieces.Piece(text, key, fields.place.name or '', entry)
+
+
+def _read_whole(text: str) -> tuple[document.Document, tables.Collector]:
     root = _parse(text)
     collector = tables.Collector(text)
     for key in root:
@@ -96,11 +154,14 @@
     return doc, collector
 
 
-def _parse(text: str) -> dict[str, typing.Any]:
+def _refuse_unreadable(text: str) -> None:
     if len(text) > MAX_DOCUMENT:
         raise _bad_file(f'is longer than {MAX_DOCUMENT} characters')
     if not _is_encodable(text):
         raise _bad_file('holds half a surrogate pair, which is no text')
+
+
+def _parse(text: str) -> dict[str, typing.Any]:
     try:
         return tomllib.loads(text)
     except RecursionError as exc:
@@ -192,3 +253,12 @@
         bool(fields.flag('drain')),
         bool(fields.flag('forbid')),
     )
+
+
+_READERS: dict[str, typing.Callable[[tables.Fields], typing.Any]] = {
+    'customer': _customer,
+    'pool': _pool,
+    'rule': rules.read_rule,
+    'server': _server,
+}
+_known = pieces.Pieces()
--- a/libs/configuration/geraniumweir/configuration/tables.py
+++ b/libs/configuration/geraniumweir/configuration/tables.py
@@ -57,7 +57,8 @@
         :param text: the document.
         """
         self.faults: list[errors.Fault] = []
-        self._lines = lines.Lines(text)
+        self._text = text
+        self._found: lines.Lines | None = None
         self._named: dict[tuple[str, str], Place] = {}
 
     def add(self, place: Place, reason: str) -> None:
@@ -67,12 +68,13 @@
 
     def add_at_root(self, key: str, reason: str) -> None:
         """Add a fault of a key outside all tables."""
-        line = self._lines.find('', 0, key) or self._lines.find(key, 0)
+        found = self._lines()
+        line = found.find('', 0, key) or found.find(key, 0)
         self.faults.append(errors.Fault(key, reason, line))
 
     def line(self, place: Place) -> int | None:
         """Give the line of a place."""
-        return self._lines.find(place.table, place.number, place.field)
+        return self._lines().find(place.table, place.number, place.field)
 
     def enter(self, place: Place) -> None:
         """Remember a named table; two of one name are a fault."""
@@ -87,6 +89,12 @@
         found = self._named[(table, name)]
         return found.inside(field) if field else found
 
+    def _lines(self) -> lines.Lines:
+        """Look for lines only when there is a fault to place."""
+        if self._found is None:
+            self._found = lines.Lines(self._text)
+        return self._found
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
