Look through all leases only when one can have run out

Cause: each renewal of a lease looked through all leases of the domain and wrote and hashed the whole announcement anew; in a domain of 23 hosts that is some 250 renewals a second a host.

--- a/libs/membership/geraniumweir/membership/servers.py
+++ b/libs/membership/geraniumweir/membership/servers.py
@@ -15,6 +15,7 @@
 
 import dataclasses
 import enum
+import math
 
 import reactivex
 import xxhash
@@ -146,6 +147,8 @@
         self._leases: dict[ids.ServerId, Lease] = {}
         self._by_key: dict[int, ids.ServerId] = {}
         self._expired: set[ids.ServerId] = set()
+        # Before this time no lease runs out and none is forgotten.
+        self._quiet_until = math.inf
         self._changes: subject.Subject[ServerEvent] = subject.Subject()
 
     @property
@@ -192,7 +195,11 @@
             until = max(until, known.until)
         if until <= now:
             return False
-        self._keep(Lease(settled, until, key_of(settled)))
+        if known and settled is known.announcement:
+            key = known.key
+        else:
+            key = key_of(settled)
+        self._keep(Lease(settled, until, key))
         return self._tell(known, settled)
 
     def renew(self, key: int, left: float, now: float) -> bool:
@@ -232,6 +239,12 @@
 
     def sweep(self, now: float) -> None:
         """Tell of leases that ran out and forget what is long over."""
+        if now < self._quiet_until:
+            return
+        self._expire(now)
+        self._quiet_until = min(map(self._due, self._leases), default=math.inf)
+
+    def _expire(self, now: float) -> None:
         for server_id, lease in list(self._leases.items()):
             if lease.until > now:
                 continue
@@ -241,6 +254,12 @@
             if now - lease.until >= REMEMBER_SECONDS:
                 self._forget(lease)
 
+    def _due(self, server_id: ids.ServerId) -> float:
+        until = self._leases[server_id].until
+        if server_id in self._expired:
+            return until + REMEMBER_SECONDS
+        return until
+
     def _check_domain(self, announcement: Announcement) -> None:
         domain = announcement.failure_domain
         if self._domain is not None and domain != self._domain:
@@ -265,6 +284,7 @@
         known = self._leases.get(lease.server_id)
         if known is not None:
             self._by_key.pop(known.key, None)
+        self._quiet_until = min(self._quiet_until, lease.until)
         self._leases[lease.server_id] = lease
         self._by_key[lease.key] = lease.server_id
 
