A log opens again when its first segment begins with entries over removed ones

Cause: a follower that makes void the end of its log writes the new entries into the segment at hand. The replay now goes on behind the newer entry.

Conclusion: no durable file changes; folders that were refused open.

--- a/libs/store/geraniumweir/store/segments.py
+++ b/libs/store/geraniumweir/store/segments.py
@@ -43,12 +43,14 @@
     :ivar tail: all entries behind it that aren't void.
     :ivar files: the segments, oldest first.
     :ivar cut: bytes of a torn write that were removed.
+    :ivar is_cut: whether the base is where the first segment begins.
     """
 
     base: entries.Position = entries.START
     tail: list[entries.Entry] = dataclasses.field(default_factory=list)
     files: list[Segment] = dataclasses.field(default_factory=list)
     cut: int = 0
+    is_cut: bool = False
 
     @property
     def last(self) -> entries.Position:
@@ -159,6 +161,7 @@
 ) -> None:
     if not state.files:
         state.base = before
+        state.is_cut = True
     elif state.files[-1].number + 1 != number:
         raise ValueError('a segment before this one is missing')
     elif state.last != before:
@@ -169,6 +172,8 @@
     segment = state.files[-1]
     segment.highest = max(segment.highest, entry.index)
     if entry.kind == entries.RESET:
+        state.is_cut = False
+    if entry.kind == entries.RESET or _is_over_removed(state, entry):
         state.base = entry.position
         state.tail.clear()
         return
@@ -179,6 +184,15 @@
     state.tail.append(entry)
 
 
+def _is_over_removed(state: Replayed, entry: entries.Entry) -> bool:
+    """Tell whether an entry replaced one in a segment that was removed.
+
+    The segments left may hold entries that made void the end of a removed
+    one. A snapshot covers both; the log goes on behind the newer one.
+    """
+    return state.is_cut and 0 < entry.index <= state.base.index
+
+
 def _cut(folder: disk.Disk, state: Replayed, name: str, end: int) -> None:
     if end == 0:
         # Not even its first frame was synced.
--- a/libs/store/geraniumweir/store/tests/test_crashes.py
+++ b/libs/store/geraniumweir/store/tests/test_crashes.py
@@ -151,7 +151,7 @@
         log = self.folder.log
         newest = self.folder.snapshots.newest
         before = entries.decode(newest.state)
-        behind = log.read(newest.index, len(self.model) + 1)
+        behind = log.read(newest.index, log.last.index)
         return before + behind
 
 
--- a/libs/store/geraniumweir/store/tests/test_folder.py
+++ b/libs/store/geraniumweir/store/tests/test_folder.py
@@ -14,6 +14,7 @@
     folder,
     guard,
     memory_disk,
+    snapshots,
 )
 
 _Result = typing.TypeVar('_Result')
@@ -72,6 +73,26 @@
         asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('count', range(2, 9))
+def test_entries_over_those_of_a_removed_segment(count: int) -> None:
+    """What made void the end of a segment may outlive the segment."""
+
+    async def scenario() -> list[entries.Entry]:
+        medium = memory_disk.MemoryDisk()
+        opened = await _filled(medium, count)
+        for index in range(count - 1, count + 2):
+            opened.log.append([entries.Entry(index, 2, 0, b'y')])
+        await opened.log.sync()
+        taken = snapshots.Snapshot(count, 2, b'', b'')
+        await opened.snapshots.save(taken)
+        await opened.log.compact_to(count)
+        again = (await _open(medium)).log
+        return again.read(count, 100)
+
+    found = asyncio.run(scenario())
+    assert found == [entries.Entry(count + 1, 2, 0, b'y')]
+
+
 def test_identity_goes_with_the_folder() -> None:
     """An emptied folder is another recorder; files alone are refused."""
 
