--- a/libs/fakes/geraniumweir/fakes/capacity/control.py
+++ b/libs/fakes/geraniumweir/fakes/capacity/control.py
@@ -1,5 +1,7 @@
 """Control: what membership, following and the log cost each role."""
 
+from geraniumweir.common import ids
+from geraniumweir.consensus import settings
 from geraniumweir.fakes.capacity import letter
 from geraniumweir.fakes.capacity.figures import Figures
 from geraniumweir.fakes.capacity.parts import Part
@@ -56,7 +58,7 @@
     sent = slopes.largest('configuring.change_messages')
     reading = sum(
         slopes.at(f'configuring.{step}', size)
-        for step in ('read', 'compile', 'patch')
+        for step in ('read_change', 'compile', 'patch')
     )
     return Part(
         'changes read, put in force, passed on',
@@ -64,7 +66,8 @@
         rate * sent,
         rate * sent * slopes.at('configuring.patch_bytes', size),
         rate * reading,
-        _KEPT_TEXTS * slopes.at('configuring.document', size),
+        _KEPT_TEXTS * slopes.at('configuring.document', size)
+        + slopes.at('configuring.read_kept', size),
     )
 
 
@@ -219,15 +222,20 @@
 
 
 def _log_kept(slopes: Figures) -> Part:
-    """Give the log's memory after a day of changes and nothing else.
+    """Give the most that the log keeps, and the snapshot that ends it.
 
-    A snapshot, which ends it, is taken by the number of entries.
+    While a snapshot is written, one more change may come, and the one before
+    is kept as well.
     """
+    cfg = settings.Settings(ids.HostId(''))
     each = slopes.at('consensus.change.disk_bytes', letter.CUSTOMERS)
+    versions = slopes.at('consensus.change.snapshot', letter.CUSTOMERS)
+    claims = slopes.largest('configuring.claim_snapshot') * _CLAIMS_KEPT
+    log = cfg.snapshot_bytes + cfg.trailing_bytes + 2 * each
     return Part(
-        "log entries in memory, a day's changes without a snapshot",
+        'log entries, and two snapshots while one is written',
         'store.log, consensus.applying',
-        memory=letter.CHANGES_A_DAY * each,
+        memory=log + 2 * (versions + claims),
     )
 
 
--- a/libs/fakes/geraniumweir/fakes/slopes/configuring.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/configuring.py
@@ -1,5 +1,6 @@
 """What documents, changes and claims cost a host."""
 
+import functools
 import statistics
 import typing
 
@@ -44,10 +45,12 @@
 
 _DOCUMENT = {
     'document': 'B',
-    'read': 's of processor',
+    'read': 's of processor, whole',
+    'read_change': 's of processor, one table changed',
     'compile': 's of processor',
     'decide': 's of processor',
     'memory': 'B, document and compiled',
+    'read_kept': 'B, to read the next change',
     'patch': 's of processor, made and applied',
     'patch_bytes': 'B a change and hop, with headers',
 }
@@ -90,21 +93,38 @@
 
 
 def _reading(text: str, customers: int) -> dict[str, float]:
-    doc = reading.read(text)
+    doc = reading.read_whole(text)
+    reading.forget()
     compiled = compiling.CompiledDocument(doc)
     facts = bench_configuration.requests_for(customers, _rules(customers))
     deciding = _used(lambda: [compiled.first_match(one) for one in facts])
     kept, _ = results.memory(
-        lambda: compiling.CompiledDocument(reading.read(text)),
+        lambda: compiling.CompiledDocument(reading.read_whole(text)),
     )
+    plain, _ = results.memory(lambda: reading.read_whole(text))
+    with_pieces, _ = results.memory(lambda: reading.read(text))
     return {
-        'read': _used(lambda: reading.read(text)),
+        'read': _used(lambda: reading.read_whole(text)),
+        'read_change': _read_changes(customers),
         'compile': _used(lambda: compiling.CompiledDocument(doc)),
         'decide': deciding / len(facts),
         'memory': kept,
+        'read_kept': with_pieces - plain,
     }
 
 
+def _read_changes(customers: int) -> float:
+    """Give the time to read a document behind one that differs a little."""
+    reading.read(text_of(customers))
+    # Each share once: what was read lately isn't read again.
+    shares = range(_OTHER_SHARE, _OTHER_SHARE + _REPEATS)
+    changed = [text_of(customers, share) for share in shares]
+    return statistics.median(
+        results.processor(functools.partial(reading.read, text))[0]
+        for text in changed
+    )
+
+
 def _used(make: typing.Callable[[], object]) -> float:
     """Give the median processor time of a few calls, in seconds."""
     return statistics.median(
--- a/libs/fakes/geraniumweir/fakes/tests/test_capacity.py
+++ b/libs/fakes/geraniumweir/fakes/tests/test_capacity.py
@@ -85,7 +85,7 @@
 def test_changes_cost_their_rate_times_one_change() -> None:
     """Twice the changes cost twice; the texts kept stay the same."""
     slopes = _flat(
-        configuring_read=0.2,
+        configuring_read_change=0.2,
         configuring_compile=0.05,
         configuring_change_messages=3,
         configuring_patch_bytes=100,
@@ -112,7 +112,7 @@
 
 def test_a_slow_reading_misses_the_burst_and_the_time() -> None:
     """What takes five seconds on each of three hosts is late."""
-    rows = days.rows(_flat(configuring_read=5))
+    rows = days.rows(_flat(configuring_read_change=5))
     missed = [event for event, comes_to, _ in rows if '**missed**' in comes_to]
     assert missed == [
         'a change a second for a minute: each host',
