--- a/libs/fakes/geraniumweir/fakes/bench_following.py
+++ b/libs/fakes/geraniumweir/fakes/bench_following.py
@@ -117,7 +117,7 @@
         for version, accepted_at in bed.accepted_at.items()
         if version > 1
     ]
-    cuts = statistics.quantiles(delays, n=_PERCENT)
+    cuts = statistics.quantiles(delays, n=_PERCENT, method='inclusive')
     per_host = case.hosts * case.changes
     return {
         'hosts': case.hosts,
