--- a/libs/daemon/geraniumweir/daemon/hoststates.py
+++ b/libs/daemon/geraniumweir/daemon/hoststates.py
@@ -5,7 +5,7 @@
 
 from geraniumweir.common import ids
 from geraniumweir.daemon import host as entry_host
-from geraniumweir.daemon import operations
+from geraniumweir.daemon import operations, rows
 from geraniumweir.membership import hosts, membership
 from geraniumweir.wire import errors, peers
 from geraniumweir.wire.gen.operations import ttypes
@@ -70,14 +70,11 @@
 
 
 def _row(one: hosts.Host, found: ttypes.HostState) -> operations.HostRow:
-    state = operations.HostState.live
-    if found.draining:
-        state = operations.HostState.draining
     return operations.HostRow(
         one.host_id,
         one.failure_domain,
         one.region,
-        state,
+        rows.state_of(draining=found.draining),
         ids.Version(found.version),
         sure=found.sure,
         recorder=found.recorder,
--- a/libs/daemon/geraniumweir/daemon/joined.py
+++ b/libs/daemon/geraniumweir/daemon/joined.py
@@ -62,6 +62,7 @@
     layer: tcp.TcpPeers
     peers: channel.Channel
     members: membership.Membership
+    neighbours: neighbours.Neighbours
     follower: following.Follower
     log: client.LogClient
     claimer: claims.Claimer
@@ -170,8 +171,8 @@
     shelf: recording.Shelf | None,
 ) -> Joined:
     layer, peer_layer = ways
-    log = client.LogClient(peer_layer, _first_recorders(host.cfg))
-    near = neighbours.Neighbours(members, lambda: _recorders(host, members))
+    log = client.LogClient(peer_layer, host.cfg.recorders)
+    near = neighbours.Neighbours(members, host.cfg.recorders)
     follower = following.Follower(
         peer_layer,
         near,
@@ -184,6 +185,7 @@
         layer=layer,
         peers=peer_layer,
         members=members,
+        neighbours=near,
         follower=follower,
         log=log,
         claimer=claims.Claimer(host.cfg.host_id, log.propose, wall_ms),
@@ -221,7 +223,7 @@
     subscriptions = (
         joined.members.happenings.subscribe(member_reports.log),
         joined.members.changes.subscribe(
-            lambda _: joined.log.know(known_recorders(joined)),
+            lambda _: joined.log.know(joined.neighbours.recorders()),
         ),
         joined.members.registry.changes.subscribe(
             lambda happened: _tell_leader(host, happened),
@@ -331,27 +333,6 @@
     return await asyncio.to_thread(reading.read, text)
 
 
-def _first_recorders(cfg: settings.Settings) -> list[ids.HostId]:
-    return list(cfg.recorders)
-
-
-def known_recorders(joined: Joined) -> set[ids.HostId]:
-    """List the hosts that are recorders, as far as this one knows."""
-    return _recorders(joined.host, joined.members)
-
-
-def _recorders(
-    host: entry_host.EntryHost,
-    members: membership.Membership,
-) -> set[ids.HostId]:
-    live = {
-        one.host_id
-        for one in members.all_live()
-        if hosts.Role.recorder in one.roles
-    }
-    return live | set(host.cfg.recorders)
-
-
 def _is_recorder(
     host: entry_host.EntryHost,
     recorded: recording.Recording | None,
--- a/libs/daemon/geraniumweir/daemon/joinedops.py
+++ b/libs/daemon/geraniumweir/daemon/joinedops.py
@@ -149,7 +149,7 @@
         """List the recorders, as their leader sees them."""
         return await recorderrows.rows(
             self._joined.log,
-            sorted(joining.known_recorders(self._joined)),
+            sorted(self._joined.neighbours.recorders()),
         )
 
     async def add_recorder(
--- a/libs/daemon/geraniumweir/daemon/neighbours.py
+++ b/libs/daemon/geraniumweir/daemon/neighbours.py
@@ -9,7 +9,7 @@
 
 import reactivex
 from geraniumweir.common import ids
-from geraniumweir.membership import membership, poolsummaries
+from geraniumweir.membership import hosts, membership, poolsummaries
 from geraniumweir.scheduling import rendezvous, requests, views
 
 _MS = 1000
@@ -68,8 +68,8 @@
         domain: ids.FailureDomain,
         pool: ids.PoolName,
     ) -> ids.HostId | None:
-        hosts = [host.host_id for host in self._members.eligible(domain)]
-        return rendezvous.leader_of(domain, pool, hosts)
+        able = [host.host_id for host in self._members.eligible(domain)]
+        return rendezvous.leader_of(domain, pool, able)
 
 
 class Neighbours:
@@ -78,18 +78,22 @@
     def __init__(
         self,
         members: membership.Membership,
-        recorders: typing.Callable[[], typing.Collection[ids.HostId]],
+        first: typing.Iterable[ids.HostId],
     ) -> None:
         """Look at a host's membership.
 
-        :param recorders: gives the recorders that are known.
+        :param first: the first recorders, known from the settings.
         """
         self._members = members
-        self._recorders = recorders
+        self._first = frozenset(first)
 
-    def recorders(self) -> typing.Collection[ids.HostId]:
-        """List the recorders."""
-        return self._recorders()
+    def recorders(self) -> frozenset[ids.HostId]:
+        """List the hosts that are recorders, as far as this one knows."""
+        return self._first.union(
+            host.host_id
+            for host in self._members.all_live()
+            if hosts.Role.recorder in host.roles
+        )
 
     def local(self) -> list[ids.HostId]:
         """List the live hosts of the own failure domain."""
--- a/libs/daemon/geraniumweir/daemon/rows.py
+++ b/libs/daemon/geraniumweir/daemon/rows.py
@@ -9,17 +9,21 @@
 from geraniumweir.membership import poolsummaries, servers
 
 
+def state_of(*, draining: bool) -> operations.HostState:
+    """Name how a host that answers stands."""
+    if draining:
+        return operations.HostState.draining
+    return operations.HostState.live
+
+
 def host_row(host: entry_host.EntryHost) -> operations.HostRow:
     """Describe a host that stands alone."""
     cfg = host.cfg
-    state = operations.HostState.live
-    if host.draining:
-        state = operations.HostState.draining
     return operations.HostRow(
         cfg.host_id,
         cfg.failure_domain,
         cfg.region,
-        state,
+        state_of(draining=host.draining),
         host.in_force.version,
         sure=True,
         recorder=False,
