--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -26,7 +26,6 @@
 _IDLE_SECONDS = 4.0
 _READ_AHEAD = 16384
 _UNNAMED = ('Accept-Encoding', 'User-Agent', 'Accept', 'Content-Type')
-_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_SECONDS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,22 +52,32 @@
         """Leave the connection to :class:`Answer`."""
 
 
-def make_session() -> aiohttp.ClientSession:
+def make_session(
+    connect_seconds: float = _CONNECT_SECONDS,
+    idle_seconds: float = _IDLE_SECONDS,
+) -> aiohttp.ClientSession:
     """Make the session that all calls of a process share.
 
     It keeps idle connections for less time than servers commonly do, reads
     ahead little, decodes nothing and never repeats a request by itself.
+
+    :param connect_seconds: longest time to make a connection.
+    :param idle_seconds: longest time to keep one idle.
     """
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=_IDLE_SECONDS
+            limit=0,
+            keepalive_timeout=idle_seconds,
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=_UNNAMED,
         read_bufsize=_READ_AHEAD,
         response_class=_HeldResponse,
-        timeout=_TIMEOUT,
+        timeout=aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=connect_seconds,
+        ),
     )
     # The library repeats a GET, PUT or DELETE on a fresh connection when a
     # kept one turns out closed; the server may have run the first.
--- a/libs/configuration/geraniumweir/configuration/commands.py
+++ b/libs/configuration/geraniumweir/configuration/commands.py
@@ -39,6 +39,17 @@
     return build([ttypes.Step(fence=asked)], at_ms)
 
 
+def publish(version: ids.Version, document: bytes, at_ms: int) -> bytes:
+    """Build the command that publishes a document.
+
+    :param version: that the document carries itself.
+    :param document: the proposer has checked it.
+    :param at_ms: wall clock, milliseconds since 1970.
+    """
+    asked = ttypes.Publish(version, document)
+    return build([ttypes.Step(publish=asked)], at_ms)
+
+
 def build(steps: list[ttypes.Step], at_ms: int) -> bytes:
     """Build a command of many steps."""
     return framing.encode(ttypes.Command(at_ms, steps))
@@ -79,4 +90,4 @@
 
 
 def _asked(step: ttypes.Step) -> tuple[typing.Any, ...]:
-    return (step.change, step.claim, step.finish, step.fence)
+    return (step.change, step.claim, step.finish, step.fence, step.publish)
--- a/libs/configuration/geraniumweir/configuration/state.py
+++ b/libs/configuration/geraniumweir/configuration/state.py
@@ -26,6 +26,7 @@
     commands,
     errors,
     fencing,
+    published,
 )
 from geraniumweir.wire import errors as wire_errors
 from geraniumweir.wire import framing
@@ -47,8 +48,9 @@
 
 
 class SystemState:
-    """Configuration, claims and fencing numbers.
+    """Configuration, claims, fencing numbers and the published document.
 
+    :ivar published: the newest document that carries its own version.
     :ivar now_ms: the log's time, milliseconds since 1970.
     :ivar applied: index of the last command applied or restored.
 
@@ -69,6 +71,7 @@
         self._changes = changes.Changes(self._bounds.answers)
         self._claims = claimtable.ClaimTable(self._bounds.claims)
         self._fences = fencing.Fences()
+        self.published = published.Published()
         self._versions: subject.Subject[changes.Accepted] = subject.Subject()
 
     @property
@@ -136,7 +139,7 @@
         self._tell(before)
 
     def _parts(self) -> tuple[typing.Any, ...]:
-        return (self._changes, self._claims, self._fences)
+        return (self._changes, self._claims, self._fences, self.published)
 
     def _step(self, step: ttypes.Step) -> ttypes.StepAnswer:
         answer = ttypes.StepAnswer()
@@ -148,6 +151,8 @@
             answer.finish = self._claims.finish(step.finish, self.now_ms)
         elif step.fence is not None:
             answer.fence = self._fences.reserve(step.fence)
+        elif step.publish is not None:
+            answer.publish = self.published.apply(step.publish)
         return answer
 
     def _tell(self, before: int) -> None:
--- a/libs/consensus/geraniumweir/consensus/changing.py
+++ b/libs/consensus/geraniumweir/consensus/changing.py
@@ -34,10 +34,12 @@
     host_id: ids.HostId,
     address: str,
     timeout: float,
+    lost: ids.HostId | None = None,
 ) -> None:
     """Make the host's data folder a recorder; a repeat goes on where it was.
 
     :param address: where the host's peer layer listens, or empty if known.
+    :param lost: a host whose recorders it takes the place of.
     :param timeout: for the learner to catch up and for each change, in
         seconds.
     :raises errors.RefusedError: when another change is under way, or the host
@@ -47,19 +49,49 @@
     """
     led = leading.current(this)
     async with _one_change(led):
-        if address:
-            this.env.peers.learn(host_id, ids.parse_address(address))
-        identity = await _identify(this, host_id)
-        for old in this.history.current.on_host(host_id):
-            address = address or old.address
-        member = members.Member(identity, host_id, address, voter=False)
-        known = this.history.current.find(identity)
-        if known is None:
-            grown = this.history.current.with_member(member)
-            await _change(this, led, grown, timeout)
-        await _catch_up(this, led, identity, timeout)
-        await _drop_others(this, led, member, timeout)
-        await _promote(this, led, identity, timeout)
+        member = await _learner(this, led, host_id, address, timeout)
+        await _catch_up(this, led, member.identity, timeout)
+        await _drop_others(this, led, member, lost, timeout)
+        await _promote(this, led, member.identity, timeout)
+
+
+async def learn(
+    this: core.Core,
+    host_id: ids.HostId,
+    address: str,
+    timeout: float,
+) -> None:
+    """Make the host's data folder a learner, which stays without a vote.
+
+    :raises errors.ConsensusError: as :func:`add`.
+    """
+    led = leading.current(this)
+    async with _one_change(led):
+        member = await _learner(this, led, host_id, address, timeout)
+        for other in this.history.current.on_host(host_id):
+            if other.identity != member.identity and not other.voter:
+                left = this.history.current.without(other.identity)
+                await _change(this, led, left, timeout)
+
+
+async def _learner(
+    this: core.Core,
+    led: reign.Reign,
+    host_id: ids.HostId,
+    address: str,
+    timeout: float,
+) -> members.Member:
+    """Find a host's recorder among the members, or put it there."""
+    if address:
+        this.env.peers.learn(host_id, ids.parse_address(address))
+    identity = await _identify(this, host_id)
+    for old in this.history.current.on_host(host_id):
+        address = address or old.address
+    member = members.Member(identity, host_id, address, voter=False)
+    if this.history.current.find(identity) is None:
+        grown = this.history.current.with_member(member)
+        await _change(this, led, grown, timeout)
+    return member
 
 
 async def remove(
@@ -160,10 +192,13 @@
     this: core.Core,
     led: reign.Reign,
     member: members.Member,
+    lost: ids.HostId | None,
     timeout: float,
 ) -> None:
-    for other in this.history.current.on_host(member.host_id):
-        if other.identity != member.identity:
+    """Remove the recorders whose place a learner takes."""
+    replaced = {member.host_id, lost}
+    for other in this.history.current.recorders:
+        if other.host_id in replaced and other.identity != member.identity:
             left = this.history.current.without(other.identity)
             _check_majority(this, led, left)
             await _change(this, led, left, timeout)
--- a/libs/consensus/geraniumweir/consensus/client.py
+++ b/libs/consensus/geraniumweir/consensus/client.py
@@ -44,6 +44,11 @@
         new = set(recorders).difference(self._known)
         self._known.extend(sorted(new))
 
+    def prefer(self, recorder: ids.HostId) -> None:
+        """Ask a recorder first: it is known to lead."""
+        others = [host_id for host_id in self._known if host_id != recorder]
+        self._known = [recorder, *others]
+
     async def propose(
         self,
         command: bytes,
--- a/libs/consensus/geraniumweir/consensus/leading.py
+++ b/libs/consensus/geraniumweir/consensus/leading.py
@@ -144,7 +144,11 @@
         led.drop(gone)
     for identity in set(wanted) - set(led.progress):
         next_index = this.folder.log.last.index + 1
-        progress = reign.Progress(wanted[identity], next_index)
+        progress = reign.Progress(
+            wanted[identity],
+            next_index,
+            since=this.timers.now(),
+        )
         sender = replication.replicate(this, led, progress)
         led.keep_sender(progress, this.spawn(sender))
 
--- a/libs/consensus/geraniumweir/consensus/recorder.py
+++ b/libs/consensus/geraniumweir/consensus/recorder.py
@@ -14,6 +14,7 @@
     handlers,
     leading,
     machines,
+    members,
     serving,
     voting,
 )
@@ -132,6 +133,55 @@
         self.core.check_sound()
         return await applying.take_snapshot(self.core)
 
+    async def add_learner(
+        self,
+        host_id: ids.HostId,
+        address: str,
+        timeout: float = _TIMEOUT,
+    ) -> None:
+        """Let the data folder of a host follow the log without a vote.
+
+        :raises errors.RefusedError: as :meth:`add_recorder`.
+        :raises errors.UncertainError: as :meth:`add_recorder`.
+        """
+        await changing.learn(self.core, host_id, address, timeout)
+
+    async def replace_recorder(
+        self,
+        host_id: ids.HostId,
+        address: str,
+        lost: ids.HostId,
+        timeout: float = _TIMEOUT,
+    ) -> None:
+        """Put the recorder on a host in the place of a lost host's.
+
+        :raises errors.RefusedError: as :meth:`add_recorder`.
+        :raises errors.UncertainError: as :meth:`add_recorder`.
+        """
+        await changing.add(self.core, host_id, address, timeout, lost)
+
+    @property
+    def identity(self) -> members.RecorderId:
+        """The identity of the data folder."""
+        return self.core.identity
+
+    @property
+    def failure(self) -> str:
+        """Why this recorder stopped for good, or empty."""
+        return self.core.failure
+
+    def is_leading(self) -> bool:
+        """Tell whether this recorder leads, as far as it knows."""
+        return self.core.role is core.Role.leader
+
+    def is_member(self) -> bool:
+        """Tell whether this is one of the recorders, by its own log."""
+        return self.core.history.current.find(self.identity) is not None
+
+    def leader(self) -> ids.HostId:
+        """Give the host whose recorder leads and is heard, or empty."""
+        return serving.heard_leader(self.core)
+
     def status(self) -> serving.Status:
         """Tell how this recorder sees things."""
         return serving.status(self.core)
--- a/libs/consensus/geraniumweir/consensus/reign.py
+++ b/libs/consensus/geraniumweir/consensus/reign.py
@@ -17,6 +17,7 @@
     :ivar member: which one.
     :ivar next_index: the entry to send next.
     :ivar match: all entries up to it are durable there.
+    :ivar since: when this leader began to send to it.
     :ivar contact: when the last message that it answered was sent.
     :ivar probing: True until it is known where to go on.
     :ivar replaced: its host has another data folder now.
@@ -29,6 +30,7 @@
     member: members.Member
     next_index: int
     match: int = 0
+    since: float = -math.inf
     contact: float = -math.inf
     probing: bool = True
     replaced: bool = False
--- a/libs/consensus/geraniumweir/consensus/serving.py
+++ b/libs/consensus/geraniumweir/consensus/serving.py
@@ -28,11 +28,13 @@
     :ivar match_index: all entries up to it are durable there, as far as is
         known; 0 when asked of a recorder that doesn't lead.
     :ivar reachable: it answered within an election timeout.
+    :ivar silence: seconds since it answered, as far as is known.
     """
 
     member: members.Member
     match_index: int
     reachable: bool
+    silence: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,23 +65,34 @@
 
 def status(this: core.Core) -> Status:
     """Tell how this recorder sees things."""
-    leader = this.history.current.find(this.leader)
-    heard = leader is not None and this.hears_leader()
     return Status(
         identity=this.identity,
         role=this.role,
         term=this.term,
-        leader=leader.host_id if heard and leader else ids.HostId(''),
+        leader=heard_leader(this),
         commit=this.commit.height,
         applied=this.applied.height,
         last_index=this.folder.log.last.index,
-        recorders=tuple(
-            _row(this, member) for member in this.history.current.recorders
-        ),
+        recorders=rows(this),
         failure=this.failure,
     )
 
 
+def rows(this: core.Core) -> tuple[RecorderRow, ...]:
+    """Give all recorders as this one sees them."""
+    return tuple(
+        _row(this, member) for member in this.history.current.recorders
+    )
+
+
+def heard_leader(this: core.Core) -> ids.HostId:
+    """Give the host of the leader that is heard, or empty."""
+    leader = this.history.current.find(this.leader)
+    if leader is None or not this.hears_leader():
+        return ids.HostId('')
+    return leader.host_id
+
+
 async def barrier(this: core.Core, timeout: float) -> int:
     """Confirm leadership and apply all that was committed before.
 
@@ -155,8 +168,8 @@
         batch = read_entries(this, ask.after_index, limit)
     except errors.CompactedError:
         return ttypes.EntriesAnswer([], this.commit.height, compacted=True)
-    rows = [replication.to_wire(entry) for entry in batch]
-    return ttypes.EntriesAnswer(rows, this.commit.height, compacted=False)
+    found = [replication.to_wire(entry) for entry in batch]
+    return ttypes.EntriesAnswer(found, this.commit.height, compacted=False)
 
 
 async def answer_snapshot(
@@ -184,7 +197,7 @@
 ) -> ttypes.StatusAnswer:
     """Give this recorder's view to another host."""
     view = status(this)
-    rows = [
+    wire_rows = [
         ttypes.RecorderStatus(
             members.to_wire(row.member),
             row.match_index,
@@ -200,7 +213,7 @@
         view.commit,
         view.applied,
         view.last_index,
-        rows,
+        wire_rows,
         view.failure,
     )
 
@@ -251,4 +264,6 @@
     progress = this.reign.progress[member.identity]
     silence = this.timers.now() - progress.contact
     reachable = silence <= this.env.cfg.election_max
-    return RecorderRow(member, progress.match, reachable)
+    # One that was added a moment ago hasn't been silent for longer.
+    silence = min(silence, this.timers.now() - progress.since)
+    return RecorderRow(member, progress.match, reachable, silence)
--- /dev/null
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -0,0 +1,132 @@
+"""Makes the pool leaders of a host that coordinates, alone or for others."""
+
+import dataclasses
+import typing
+
+import reactivex
+from geraniumweir.common import ids, timers
+from geraniumweir.control import roster
+from geraniumweir.routing import finding
+from geraniumweir.scheduling import (
+    broker,
+    channel,
+    leader,
+    quotas,
+    remote,
+    settings,
+    views,
+)
+from reactivex import abc
+
+# All pools of the hosts that reach each other are led from one place, so that
+# unlike servers of several failure domains are one capacity.
+AREA = ids.FailureDomain('all')
+# A new leader grants nothing for so long, in seconds, while entry hosts hand
+# over what they have; they do so as soon as they see it, a few milliseconds.
+_SETTLE_SECONDS = 0.25
+
+Index = typing.Callable[[], finding.Index | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What coordinating needs.
+
+    :ivar share: part of quotas, and of slots, that may be granted here.
+    :ivar shares_slots: whether the share applies to slots too.
+    """
+
+    link: channel.Channel
+    view: views.HostView
+    roster: roster.Roster
+    index: Index
+    share: typing.Callable[[], float]
+    shares_slots: bool
+
+
+def serve(
+    parts: Parts,
+    clock: timers.TimerService,
+) -> remote.LeaderService:
+    """Lead pools whenever this host coordinates."""
+    counted = quotas.Quotas(
+        lambda customer: _allowance(parts.index(), customer),
+        parts.share,
+    )
+    return remote.LeaderService(
+        parts.link,
+        parts.view,
+        AREA,
+        lambda pool, on_preempt: _leader(parts, pool, on_preempt, clock),
+        clock,
+        quotas.Gate(counted, clock.now),
+    )
+
+
+def ask_through(
+    link: channel.Channel,
+    view: views.HostView,
+    clock: timers.TimerService,
+) -> broker.Broker:
+    """Ask whoever coordinates, on behalf of this host."""
+    return broker.Broker(link, AREA, view, _NoOthers(), clock)
+
+
+def follow(
+    service: remote.LeaderService,
+    changes: reactivex.Observable[typing.Any],
+) -> abc.DisposableBase:
+    """Let leaders look again whenever servers or the document change."""
+    return changes.subscribe(lambda _: _look_again(service))
+
+
+def _look_again(service: remote.LeaderService) -> None:
+    for pool in service.pools():
+        found = service.leader(pool)
+        if found is not None:
+            found.grant_waiting()
+
+
+def _leader(
+    parts: Parts,
+    pool: ids.PoolName,
+    on_preempt: remote.OnPreempt,
+    clock: timers.TimerService,
+) -> leader.PoolLeader:
+    cfg = settings.LeaderSettings(
+        pool,
+        f'{parts.link.host_id}/{pool}',
+        settle_seconds=_SETTLE_SECONDS,
+        # Most streams can't be resumed by their callers.
+        preempts=False,
+    )
+    return leader.PoolLeader(
+        cfg,
+        clock.now,
+        lambda: parts.roster.of_pool(
+            pool,
+            parts.share() if parts.shares_slots else 1,
+        ),
+        on_preempt,
+    )
+
+
+def _allowance(
+    index: finding.Index | None,
+    name: ids.CustomerName,
+) -> quotas.Allowance | None:
+    customer = index.customer_named(name) if index is not None else None
+    quota = customer.quota if customer is not None else None
+    if quota is None or not quota.per_second:
+        return None
+    return quotas.Allowance(quota.per_second, quota.burst)
+
+
+class _NoOthers:
+    """There are no pools elsewhere; see :class:`views.PoolDirectory`."""
+
+    def others(
+        self,
+        _pool: ids.PoolName,
+    ) -> typing.Sequence[views.RemotePool]:
+        return ()
--- /dev/null
+++ b/libs/control/geraniumweir/control/documents.py
@@ -0,0 +1,135 @@
+"""Publishing and reading the newest document from any control host."""
+
+import time
+
+from geraniumweir.common import eventlog, ids
+from geraniumweir.configuration import commands, published
+from geraniumweir.consensus import client
+from geraniumweir.consensus import errors as log_errors
+from geraniumweir.control import errors, hosts, logevents, recorders
+from geraniumweir.wire import errors as wire_errors
+from geraniumweir.wire import peers
+from geraniumweir.wire.gen.control import ttypes
+
+_MS = 1000
+# Callers of control turn to another host after a second without an answer;
+# an answer within it, whatever it says, saves them the wait. In seconds.
+_PUBLISH_SECONDS = 0.9
+_READ_SECONDS = 0.8
+
+
+class Documents:
+    """The published document, over the log."""
+
+    def __init__(
+        self,
+        link: peers.Peers,
+        log: recorders.Recorders,
+        known: hosts.ControlHosts,
+    ) -> None:
+        """Answer the other control hosts' reads from now on."""
+        self._link = link
+        self._log = log
+        self._known = known
+        self._client = client.LogClient(link, [])
+        link.handle(ttypes.ReadNewest, self._on_read)
+
+    async def publish(self, version: ids.Version, document: bytes) -> None:
+        """Store a document; done once a majority of recorders synced it.
+
+        :param document: has been checked.
+        :raises errors.NotStoredError: when it isn't sure that it was.
+        """
+        self._learn()
+        at_ms = int(time.time() * _MS)
+        command = commands.publish(version, document, at_ms)
+        try:
+            answer = await self._client.propose(command, _PUBLISH_SECONDS)
+        except log_errors.ConsensusError as exc:
+            eventlog.emit(
+                logevents.DOCUMENT_NOT_STORED,
+                version=version,
+                reason=exc.message,
+            )
+            raise errors.NotStoredError(exc.message) from exc
+        taken = commands.answers(answer)[0].publish.taken
+        eventlog.emit(
+            logevents.DOCUMENT_PUBLISHED,
+            version=version,
+            taken=taken,
+        )
+
+    async def newest(self) -> published.PublishedDocument | None:
+        """Read the newest document, all that was stored before included.
+
+        :returns: None before the first.
+        :raises errors.UnsureError: when no majority could be asked.
+        """
+        self._learn()
+        try:
+            index = await self._client.read_barrier(_READ_SECONDS)
+        except log_errors.ConsensusError as exc:
+            raise _unsure(exc.message) from exc
+        if self._has_applied(index):
+            return recorders.newest_of(self._log)
+        return await self._ask_others(index)
+
+    def _learn(self) -> None:
+        self._client.know(host.host_id for host in self._known.known())
+        leader = self._log.leader()
+        if leader:
+            self._client.prefer(leader)
+
+    def _has_applied(self, index: int) -> bool:
+        running = self._log.running
+        return running is not None and (
+            running.recorder.core.applied.height >= index
+        )
+
+    async def _ask_others(
+        self,
+        index: int,
+    ) -> published.PublishedDocument | None:
+        """Read at a host that leads the log; this one lags behind it."""
+        leader = self._log.leader()
+        others = [host.host_id for host in self._known.known()]
+        for host_id in sorted(others, key=lambda one: one != leader):
+            if host_id == self._link.host_id:
+                continue
+            try:
+                found = await self._link.call(
+                    host_id,
+                    ttypes.ReadNewest(index),
+                    _READ_SECONDS,
+                )
+            except wire_errors.PeerError:
+                continue
+            if found.known:
+                return _unpacked(found)
+        raise _unsure('no recorder has applied the newest entry')
+
+    async def _on_read(
+        self,
+        _sender: ids.HostId,
+        ask: ttypes.ReadNewest,
+    ) -> ttypes.Newest:
+        if not self._has_applied(ask.index):
+            return ttypes.Newest(known=False, version=0, document=b'')
+        newest = recorders.newest_of(self._log)
+        if newest is None:
+            return ttypes.Newest(known=True, version=-1, document=b'')
+        return ttypes.Newest(True, newest.version, newest.packed)
+
+
+def _unpacked(found: ttypes.Newest) -> published.PublishedDocument | None:
+    if found.version < 0:
+        return None
+    return published.PublishedDocument(
+        ids.Version(found.version),
+        found.document,
+    )
+
+
+def _unsure(reason: str) -> errors.UnsureError:
+    eventlog.emit(logevents.READ_UNSURE, reason=reason)
+    return errors.UnsureError(reason)
--- /dev/null
+++ b/libs/control/geraniumweir/control/enrolments.py
@@ -0,0 +1,267 @@
+"""Backend servers by their own reports, as a control host knows them.
+
+Each run of a server has an id of its own, so a report that was held up can
+only be about its own run. Within a run the sequence decides which report is
+newer; leaving and gone are never taken back. A server that reports no more is
+kept, marked silent: it may be cut off from control hosts alone and still do
+its work.
+
+Every change gets a revision, so that a reader is told only what is new.
+"""
+
+import dataclasses
+import enum
+
+import xxhash
+from geraniumweir.common import ids
+from geraniumweir.wire.gen.control import ttypes
+
+# A silent server that nobody heard of for so long is forgotten, in seconds.
+# Longer than any cut that was asked to be survived (7 s).
+FORGET_SECONDS = 30.0
+# A server that has gone is remembered, so that a report of its that was held
+# up doesn't bring it back, in seconds.
+REMEMBER_SECONDS = 120.0
+_DIGEST_SHIFT = 1
+
+
+class State(enum.IntEnum):
+    """What a server last said of itself; grows within its run."""
+
+    ready = 1
+    leaving = 2
+    gone = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Enrolment:
+    """One run of a backend server.
+
+    :ivar server_id: of this run.
+    :ivar sequence: grows with each report.
+    :ivar silent: no report came for longer than a lease.
+    """
+
+    server_id: ids.ServerId
+    pool: ids.PoolName
+    address: ids.Address
+    failure_domain: ids.FailureDomain
+    slots: int
+    sequence: int
+    state: State = State.ready
+    silent: bool = False
+    models: tuple[str, ...] = ()
+
+    def to_wire(self) -> ttypes.Enrolment:
+        """Make the struct."""
+        return ttypes.Enrolment(
+            server_id=self.server_id,
+            pool=self.pool,
+            address=str(self.address),
+            failure_domain=self.failure_domain,
+            slots=self.slots,
+            sequence=self.sequence,
+            state=int(self.state),
+            silent=self.silent,
+            models=list(self.models),
+        )
+
+
+def from_wire(found: ttypes.Enrolment) -> Enrolment:
+    """Read the struct.
+
+    :raises ValueError: when the address or the state is malformed.
+    """
+    return Enrolment(
+        server_id=ids.ServerId(found.server_id),
+        pool=ids.PoolName(found.pool),
+        address=ids.parse_address(found.address),
+        failure_domain=ids.FailureDomain(found.failure_domain),
+        slots=found.slots,
+        sequence=found.sequence,
+        state=State(found.state),
+        silent=found.silent,
+        models=tuple(found.models),
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Row:
+    """An enrolment and what this host knows about it.
+
+    :ivar revision: of its last change.
+    :ivar heard: when it was last told of, in seconds.
+    :ivar teller: the control host that hears the server itself.
+    """
+
+    enrolment: Enrolment
+    revision: int
+    heard: float
+    teller: ids.HostId
+
+
+class Enrolments:
+    """All backend servers that one control host knows.
+
+    :ivar revision: of the last change.
+    """
+
+    def __init__(self, host_id: ids.HostId, lease: float) -> None:
+        """Know of none.
+
+        :param host_id: this host's.
+        :param lease: longest pause between reports, in seconds.
+        """
+        self.revision = 0
+        self._me = host_id
+        self._lease = lease
+        self._rows: dict[ids.ServerId, _Row] = {}
+        self._digest: int | None = None
+
+    def report(self, said: Enrolment, now: float) -> bool:
+        """Take a server's own report.
+
+        :returns: whether other control hosts must be told: of the change, or
+            that the server reports here now.
+        """
+        known = self._rows.get(said.server_id)
+        if known is not None and known.enrolment.sequence > said.sequence:
+            return False
+        moved = known is None or known.teller != self._me
+        return self._take(said, now, self._me) or moved
+
+    def leave(self, server_id: ids.ServerId, now: float) -> Enrolment | None:
+        """Take that a server says it is going.
+
+        :returns: what others must be told, or None when there is nothing.
+        """
+        known = self._rows.get(server_id)
+        if known is None or known.enrolment.state is State.gone:
+            return None
+        gone = dataclasses.replace(known.enrolment, state=State.gone)
+        self._put(gone, now, self._me)
+        return gone
+
+    def merge(self, told: Enrolment, now: float, teller: ids.HostId) -> bool:
+        """Take what another control host knows.
+
+        The higher sequence says whether the server is silent; at the same
+        one silence is the later news.
+
+        :returns: whether it was news.
+        """
+        known = self._rows.get(told.server_id)
+        if known is None or told.sequence > known.enrolment.sequence:
+            return self._take(told, now, teller)
+        before = known.enrolment
+        same = told.sequence == before.sequence
+        settled = dataclasses.replace(
+            before,
+            state=max(before.state, told.state),
+            silent=before.silent or (same and told.silent),
+        )
+        if settled == before:
+            return False
+        self._put(settled, now, known.teller)
+        return True
+
+    def expire(
+        self,
+        now: float,
+        absent: frozenset[ids.HostId] = frozenset(),
+    ) -> list[Enrolment]:
+        """Mark silent servers and forget old ones.
+
+        :param absent: control hosts that aren't heard; servers that reported
+            there have had a lease's time to report elsewhere.
+        :returns: those that fell silent.
+        """
+        fallen = []
+        for server_id, row in list(self._rows.items()):
+            if _is_forgotten(row, now):
+                self._rows.pop(server_id)
+                self._digest = None
+            elif self._falls_silent(row, now, absent):
+                silent = dataclasses.replace(row.enrolment, silent=True)
+                self._put(silent, now, row.teller)
+                fallen.append(silent)
+        return fallen
+
+    def forget(self, server_id: ids.ServerId) -> None:
+        """Drop what is known of a server."""
+        self._rows.pop(server_id, None)
+        self._digest = None
+
+    def get(self, server_id: ids.ServerId) -> Enrolment | None:
+        """Give what is known of a server."""
+        row = self._rows.get(server_id)
+        return None if row is None else row.enrolment
+
+    def known(self) -> list[Enrolment]:
+        """List all, also those that have gone, by id."""
+        return [row.enrolment for _, row in sorted(self._rows.items())]
+
+    def since(self, revision: int) -> list[Enrolment]:
+        """List those that changed after a revision."""
+        return [
+            row.enrolment
+            for row in self._rows.values()
+            if row.revision > revision
+        ]
+
+    def digest(self) -> int:
+        """Give a number that is the same where the same is known."""
+        if self._digest is None:
+            text = repr([_content(found) for found in self.known()])
+            digest = xxhash.xxh3_64_intdigest(text.encode())
+            self._digest = digest >> _DIGEST_SHIFT
+        return self._digest
+
+    def _falls_silent(
+        self,
+        row: _Row,
+        now: float,
+        absent: frozenset[ids.HostId],
+    ) -> bool:
+        found = row.enrolment
+        if found.silent or found.state is State.gone:
+            return False
+        if row.teller == self._me:
+            return now - row.heard > self._lease
+        return row.teller in absent
+
+    def _take(self, said: Enrolment, now: float, teller: ids.HostId) -> bool:
+        known = self._rows.get(said.server_id)
+        if known is None:
+            self._put(said, now, teller)
+            return True
+        before = known.enrolment
+        state = max(before.state, said.state)
+        settled = dataclasses.replace(said, state=state)
+        if dataclasses.replace(settled, sequence=before.sequence) != before:
+            self._put(settled, now, teller)
+            return True
+        # Only the sequence is newer: readers need not hear of it.
+        known.enrolment = settled
+        known.heard = now
+        known.teller = teller
+        return False
+
+    def _put(self, found: Enrolment, now: float, teller: ids.HostId) -> None:
+        self.revision += 1
+        self._rows[found.server_id] = _Row(found, self.revision, now, teller)
+        self._digest = None
+
+
+def _content(found: Enrolment) -> tuple[str, int, bool]:
+    """Give what two hosts compare.
+
+    The sequence isn't among it: it grows with each report at one host only.
+    """
+    return (found.server_id, int(found.state), found.silent)
+
+
+def _is_forgotten(row: _Row, now: float) -> bool:
+    if row.enrolment.state is State.gone:
+        return now - row.heard > REMEMBER_SECONDS
+    return row.enrolment.silent and now - row.heard > FORGET_SECONDS
--- /dev/null
+++ b/libs/control/geraniumweir/control/feed.py
@@ -0,0 +1,113 @@
+"""What control hosts tell those that watch them.
+
+A watch is answered when there is something newer than the watcher has, or
+when its wait is over. The document goes compressed, and only when its version
+is newer.
+"""
+
+import asyncio
+import contextlib
+import uuid
+
+from geraniumweir.common import ids, timers
+from geraniumweir.configuration import published
+from geraniumweir.control import (
+    enrolments,
+    hosts,
+    recorders,
+    standing,
+)
+from geraniumweir.wire import peers
+from geraniumweir.wire.gen.control import ttypes
+
+_MS = 1000
+_LONGEST_WAIT_SECONDS = 2.0
+# Enrolments come one by one; readers are told of those that come within this
+# time together, in seconds. A tenth of a watch's usual round between domains
+# would be 0.1 ms; a millisecond still counts for nothing beside the two
+# seconds in which a leaving server must be known everywhere.
+_GATHER_SECONDS = 0.001
+
+
+class Feed:
+    """Answers watches."""
+
+    def __init__(
+        self,
+        link: peers.Peers,
+        log: recorders.Recorders,
+        table: enrolments.Enrolments,
+        known: hosts.ControlHosts,
+        entry_hosts: standing.EntryHosts,
+    ) -> None:
+        """Answer from now on."""
+        self._epoch = uuid.uuid4().hex
+        self._log = log
+        self._table = table
+        self._known = known
+        self._entry_hosts = entry_hosts
+        self._clock = timers.TimerService()
+        self._news = asyncio.Event()
+        self._newest: published.PublishedDocument | None = None
+        log.documents.subscribe(self._put)
+        link.handle(ttypes.Watch, self._on_watch)
+
+    def notify(self) -> None:
+        """Wake the watchers: an enrolment changed."""
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def _put(self, document: published.PublishedDocument) -> None:
+        # A recorder that was opened again replays what is older.
+        if self._newest is None or document.version > self._newest.version:
+            self._newest = document
+            self.notify()
+
+    async def _on_watch(
+        self,
+        sender: ids.HostId,
+        watch: ttypes.Watch,
+    ) -> ttypes.News:
+        self._entry_hosts.heard(sender, self._clock.now())
+        wait = min(watch.wait_ms / _MS, _LONGEST_WAIT_SECONDS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait):
+                await self._until_news(watch)
+        self._entry_hosts.heard(sender, self._clock.now())
+        return self._answer(watch)
+
+    async def _until_news(self, watch: ttypes.Watch) -> None:
+        while not self._has_news(watch):
+            await self._news.wait()
+        await asyncio.sleep(_GATHER_SECONDS)
+
+    def _has_news(self, watch: ttypes.Watch) -> bool:
+        if watch.epoch != self._epoch or watch.revision < self._table.revision:
+            return True
+        return self._is_newer(watch)
+
+    def _is_newer(self, watch: ttypes.Watch) -> bool:
+        # What this host knows counts only while it hears the leader: it may
+        # have been down or cut off since.
+        if self._newest is None or not self._log.leader():
+            return False
+        return self._newest.version > watch.version
+
+    def _answer(self, watch: ttypes.Watch) -> ttypes.News:
+        whole = watch.epoch != self._epoch
+        changed = self._table.known()
+        if not whole:
+            changed = self._table.since(watch.revision)
+        news = ttypes.News(
+            epoch=self._epoch,
+            revision=self._table.revision,
+            version=watch.version,
+            sure=bool(self._log.leader()),
+            whole=whole,
+            servers=[found.to_wire() for found in changed],
+            hosts=[host.to_wire() for host in self._known.known()],
+        )
+        if self._newest is not None and self._is_newer(watch):
+            news.version = self._newest.version
+            news.document = self._newest.packed
+        return news
--- /dev/null
+++ b/libs/control/geraniumweir/control/host.py
@@ -0,0 +1,220 @@
+"""Puts the parts of a control host together."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import typing
+
+import reactivex
+from geraniumweir.common import errors as common_errors
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.configuration import published, recordings
+from geraniumweir.control import (
+    coordination,
+    documents,
+    enrolments,
+    feed,
+    growing,
+    hosts,
+    logevents,
+    presence,
+    recorders,
+    roster,
+    standing,
+    watching,
+)
+from geraniumweir.routing import finding
+from geraniumweir.scheduling import channel
+from geraniumweir.wire import tcp
+from reactivex import subject
+
+# Reports that a server may miss before it counts as silent.
+_MISSED_REPORTS = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """What a control host is told.
+
+    :ivar seeds: peer addresses of some control hosts, by host id.
+    :ivar founds: whether the seeds may found a log: the first start of all.
+    :ivar bears: losses of recorders at once to bear.
+    :ivar report_seconds: the usual pause between a server's reports.
+    """
+
+    me: hosts.ControlHost
+    folder: pathlib.Path
+    seeds: typing.Mapping[ids.HostId, ids.Address]
+    founds: bool
+    bears: int
+    report_seconds: float
+
+
+class ControlHost:
+    """The parts of a control host.
+
+    :ivar servers: the enrolled backend servers.
+    :ivar documents: publishes and reads the document.
+    :ivar hosts: the control hosts known.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        layer: tcp.TcpPeers,
+        read: watching.Read,
+    ) -> None:
+        """Put them together; :meth:`run` starts them."""
+        self._cfg = cfg
+        self._read = read
+        self._clock = timers.TimerService()
+        self._link = channel.Channel(layer)
+        self.hosts = _known(cfg, layer, self._clock.now())
+        lease = cfg.report_seconds * _MISSED_REPORTS
+        self.servers = enrolments.Enrolments(cfg.me.host_id, lease)
+        self.index: finding.Index | None = None
+        self._changes: subject.Subject[None] = subject.Subject()
+        self.log = recorders.Recorders(
+            self._link,
+            _place(cfg),
+            self.hosts,
+            cfg.me,
+            growing.wanted(cfg.bears),
+        )
+        self.standing = standing.Standing(self._link, self.log, self._clock)
+        self.documents = documents.Documents(
+            self._link,
+            self.log,
+            self.hosts,
+        )
+        self._presence = presence.Presence(
+            self._link,
+            cfg.me,
+            self.hosts,
+            self.servers,
+            self.log,
+            self.standing.entry_hosts,
+        )
+        self._feed = feed.Feed(
+            self._link,
+            self.log,
+            self.servers,
+            self.hosts,
+            self.standing.entry_hosts,
+        )
+        self._presence.on_change = self._servers_changed
+        self.log.documents.subscribe(self._put)
+        self._service = coordination.serve(
+            coordination.Parts(
+                link=self._link,
+                view=self.standing,
+                roster=roster.Roster(self.servers, lambda: self.index),
+                index=lambda: self.index,
+                share=self.standing.share,
+                shares_slots=False,
+            ),
+            self._clock,
+        )
+        coordination.follow(self._service, self._changes)
+
+    @property
+    def changes(self) -> reactivex.Observable[None]:
+        """Fires when servers or the document changed."""
+        return self._changes
+
+    async def run(self, stack: contextlib.AsyncExitStack) -> None:
+        """Start everything; the stack stops it in the opposite order."""
+        stack.push_async_callback(self._link.close)
+        stack.callback(self.standing.close)
+        stack.callback(self._service.close)
+        for work in (self.log.run(), self._presence.run()):
+            task = asyncio.create_task(work)
+            stack.push_async_callback(_end, task)
+
+    def report(self, said: enrolments.Enrolment) -> hosts.ControlHost:
+        """Take a backend server's report.
+
+        :returns: where it should report next: in its own failure domain.
+        """
+        before = self.servers.revision
+        if self.servers.report(said, self._clock.now()):
+            found = self.servers.get(said.server_id)
+            self._presence.tell([found] if found is not None else [])
+        if self.servers.revision != before:
+            self._servers_changed()
+        return self._near(said.failure_domain)
+
+    def leave(self, server_id: ids.ServerId) -> None:
+        """Take that a backend server is going."""
+        gone = self.servers.leave(server_id, self._clock.now())
+        if gone is not None:
+            self._presence.tell([gone])
+            self._servers_changed()
+
+    def _near(self, domain: ids.FailureDomain) -> hosts.ControlHost:
+        if domain == self._cfg.me.failure_domain:
+            return self._cfg.me
+        now = self._clock.now()
+        near = [
+            host
+            for host in self.hosts.known()
+            if host.failure_domain == domain
+            and self.hosts.silence(host.host_id, now) < self._cfg.report_seconds
+        ]
+        return near[0] if near else self._cfg.me
+
+    def _servers_changed(self) -> None:
+        self._feed.notify()
+        self._changes.on_next(None)
+
+    def _put(self, document: published.PublishedDocument) -> None:
+        if self.index is not None and document.version <= self.index.version:
+            return
+        before = -1 if self.index is None else self.index.version
+        try:
+            self.index = finding.Index(self._read(document.content()))
+        except common_errors.GeraniumweirError as exc:
+            eventlog.emit(
+                logevents.DOCUMENT_UNREADABLE,
+                version=document.version,
+                reason=exc.message,
+            )
+            return
+        eventlog.emit(
+            logevents.DOCUMENT_IN_FORCE,
+            version=document.version,
+            before=before,
+        )
+        self._changes.on_next(None)
+
+
+def _known(
+    cfg: Settings,
+    layer: tcp.TcpPeers,
+    now: float,
+) -> hosts.ControlHosts:
+    known = hosts.ControlHosts()
+    known.learn(cfg.me, now)
+    for host_id, address in cfg.seeds.items():
+        if host_id != cfg.me.host_id:
+            layer.learn(host_id, address)
+            seed = hosts.ControlHost(
+                host_id,
+                address,
+                address,
+                ids.FailureDomain(''),
+            )
+            known.learn(seed, now)
+    return known
+
+
+def _place(cfg: Settings) -> recordings.Place:
+    first = dict(cfg.seeds) if cfg.founds else {}
+    return recordings.Place(cfg.me.host_id, cfg.folder, first)
+
+
+async def _end(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
--- /dev/null
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -0,0 +1,66 @@
+"""Events of control hosts and of those that watch them, 75x to 79x."""
+
+import typing
+
+from geraniumweir.common import logevents
+
+_Event = logevents.Event
+_Level = logevents.Level
+
+SERVER_KNOWN: typing.Final = _Event(
+    750,
+    _Level.notice,
+    'server {server} of {pool} at {address} is {state}, sequence {sequence},'
+    ' silent {silent}',
+)
+RECORDER_OPENED: typing.Final = _Event(
+    751, _Level.notice, 'recorder {identity} runs'
+)
+RECORDER_REOPENS: typing.Final = _Event(
+    752, _Level.warning, 'the recorder stopped and is opened again: {reason}'
+)
+RECORDERS_CHANGE: typing.Final = _Event(
+    753, _Level.notice, 'recorders change: {change}'
+)
+RECORDERS_UNCHANGED: typing.Final = _Event(
+    754, _Level.warning, 'recorders could not change: {change}: {reason}'
+)
+COORDINATES: typing.Final = _Event(
+    755, _Level.notice, 'this host coordinates; leads the log: {leads}'
+)
+COORDINATES_NO_MORE: typing.Final = _Event(
+    756, _Level.notice, 'this host coordinates no more'
+)
+DOCUMENT_PUBLISHED: typing.Final = _Event(
+    757, _Level.notice, 'version {version} published, taken: {taken}'
+)
+DOCUMENT_REFUSED: typing.Final = _Event(
+    758, _Level.notice, 'document refused: {reason}'
+)
+DOCUMENT_NOT_STORED: typing.Final = _Event(
+    759, _Level.warning, 'version {version} not surely stored: {reason}'
+)
+WATCHES: typing.Final = _Event(
+    760, _Level.notice, 'watches control host {host}'
+)
+WATCH_LOST: typing.Final = _Event(
+    761, _Level.warning, 'lost control host {host}: {reason}'
+)
+COORDINATOR: typing.Final = _Event(
+    762, _Level.notice, 'coordinator is {host}, was {before}'
+)
+DOCUMENT_IN_FORCE: typing.Final = _Event(
+    763, _Level.notice, 'version {version} in force, was {before}'
+)
+DOCUMENT_UNREADABLE: typing.Final = _Event(
+    764, _Level.error, 'version {version} can not be read: {reason}'
+)
+READ_UNSURE: typing.Final = _Event(
+    765, _Level.warning, 'the newest document is not sure: {reason}'
+)
+CONTROL_HOST_SILENT: typing.Final = _Event(
+    766, _Level.warning, 'control host {host} is not heard: {reason}'
+)
+CONTROL_HOST_HEARD: typing.Final = _Event(
+    767, _Level.notice, 'control host {host} is heard'
+)
--- /dev/null
+++ b/libs/control/geraniumweir/control/recorders.py
@@ -0,0 +1,226 @@
+"""Keeps the recorder of a control host running and the recorders complete.
+
+A recorder whose disk failed stops for good; the folder is opened again after
+a pause, as after a restart of the process. A recorder that isn't a member of
+the log asks the leader to take it in; the leader decides.
+"""
+
+import asyncio
+import contextlib
+
+import reactivex
+from geraniumweir.common import errors as common_errors
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.configuration import published, recordings
+from geraniumweir.consensus import errors, serving
+from geraniumweir.control import growing, hosts, logevents
+from geraniumweir.wire import errors as wire_errors
+from geraniumweir.wire import peers
+from geraniumweir.wire.gen.control import ttypes
+from reactivex import subject
+
+# Looks at the recorder this often, in seconds: half of the shortest election
+# timeout, so that a change is seen before anyone could act on the old state.
+_LOOK_SECONDS = 0.25
+# A disk that was full or failing is tried again this often, in seconds.
+_REOPEN_SECONDS = 0.5
+_CHANGE_SECONDS = 3.0
+# A host's word that it leads counts for so long, in seconds: three of the
+# exchanges in which it says so.
+_TOLD_SECONDS = 1.5
+_ASK_SECONDS = 0.5
+
+
+class Recorders:
+    """The log as one control host takes part in it.
+
+    :ivar running: the recorder, or None while it can't run.
+    """
+
+    def __init__(
+        self,
+        link: peers.Peers,
+        place: recordings.Place,
+        known: hosts.ControlHosts,
+        me: hosts.ControlHost,
+        number: int,
+    ) -> None:
+        """Start nothing yet.
+
+        :param number: of recorders wanted.
+        """
+        self.running: recordings.Recording | None = None
+        self._link = link
+        self._place = place
+        self._known = known
+        self._me = me
+        self._number = number
+        self._clock = timers.TimerService()
+        self._told = ids.HostId('')
+        self._told_at = float('-inf')
+        self._joins: dict[ids.HostId, growing.Join] = {}
+        self._documents: subject.Subject[published.PublishedDocument] = (
+            subject.Subject()
+        )
+        link.handle(ttypes.JoinLog, self._on_join)
+
+    @property
+    def documents(self) -> reactivex.Observable[published.PublishedDocument]:
+        """Tell of each newer document."""
+        return self._documents
+
+    def leader(self) -> ids.HostId:
+        """Give the host that leads the log and is heard, or empty."""
+        if self.running is not None and self.running.recorder.leader():
+            return self.running.recorder.leader()
+        if self._clock.now() - self._told_at > _TOLD_SECONDS:
+            return ids.HostId('')
+        return self._told
+
+    def tell_leader(self, host_id: ids.HostId) -> None:
+        """Take a host's word that it leads.
+
+        It counts where the recorder here hears no leader: it may be a new
+        one that isn't in the log yet.
+        """
+        self._told = host_id
+        self._told_at = self._clock.now()
+
+    def is_leading(self) -> bool:
+        """Tell whether this host leads the log."""
+        return self.running is not None and self.running.recorder.is_leading()
+
+    async def run(self) -> None:
+        """Keep the recorder running until cancelled."""
+        while True:
+            try:
+                await self._run_once()
+            except common_errors.GeraniumweirError as exc:
+                eventlog.emit(logevents.RECORDER_REOPENS, reason=exc.message)
+            except OSError as exc:
+                eventlog.emit(logevents.RECORDER_REOPENS, reason=str(exc))
+            await asyncio.sleep(_REOPEN_SECONDS)
+
+    async def _run_once(self) -> None:
+        async with recordings.opened(self._place, self._link) as running:
+            self.running = running
+            news = running.state.published.changes.subscribe(
+                self._documents.on_next,
+            )
+            newest = running.state.published.newest()
+            if newest is not None:
+                self._documents.on_next(newest)
+            eventlog.emit(
+                logevents.RECORDER_OPENED,
+                identity=running.recorder.identity,
+            )
+            try:
+                await self._watch(running)
+            finally:
+                self.running = None
+                news.dispose()
+        eventlog.emit(
+            logevents.RECORDER_REOPENS,
+            reason=running.recorder.failure,
+        )
+
+    async def _watch(self, running: recordings.Recording) -> None:
+        while not running.recorder.failure:
+            await asyncio.sleep(_LOOK_SECONDS)
+            if running.recorder.is_leading():
+                await self._grow(running)
+            elif not running.recorder.leader():
+                await self._ask_in(running)
+
+    async def _grow(self, running: recordings.Recording) -> None:
+        now = self._clock.now()
+        joins = [
+            join
+            for join in self._joins.values()
+            if now - join.at <= growing.JOIN_SECONDS
+        ]
+        seats = [
+            self._seat(row, now) for row in serving.rows(running.recorder.core)
+        ]
+        change = growing.decide(seats, joins, self._number)
+        if change is None:
+            return
+        eventlog.emit(logevents.RECORDERS_CHANGE, change=str(change))
+        try:
+            await _carry_out(running, change)
+        except errors.ConsensusError as exc:
+            eventlog.emit(
+                logevents.RECORDERS_UNCHANGED,
+                change=str(change),
+                reason=exc.message,
+            )
+
+    def _seat(self, row: serving.RecorderRow, now: float) -> growing.Seat:
+        known = self._known.get(row.member.host_id)
+        domain = ids.FailureDomain('')
+        if known is not None:
+            domain = known.failure_domain
+        return growing.Seat(row.member, domain, row.silence)
+
+    async def _ask_in(self, running: recordings.Recording) -> None:
+        """Ask for a place in the log, whoever leads it."""
+        join = ttypes.JoinLog(
+            self._me.host_id,
+            str(self._me.address),
+            running.recorder.identity,
+            self._me.failure_domain,
+        )
+        others = [host for host in self._known.known() if host != self._me]
+        await asyncio.gather(
+            *(self._ask_in_at(host.host_id, join) for host in others),
+        )
+
+    async def _ask_in_at(
+        self,
+        host_id: ids.HostId,
+        join: ttypes.JoinLog,
+    ) -> None:
+        with contextlib.suppress(wire_errors.PeerError):
+            await self._link.call(host_id, join, _ASK_SECONDS)
+
+    async def _on_join(
+        self,
+        _sender: ids.HostId,
+        message: ttypes.JoinLog,
+    ) -> ttypes.JoinReply:
+        host_id = ids.HostId(message.host_id)
+        self._link.learn(host_id, ids.parse_address(message.address))
+        self._joins[host_id] = growing.Join(
+            host_id,
+            message.address,
+            message.identity,
+            ids.FailureDomain(message.failure_domain),
+            self._clock.now(),
+        )
+        return ttypes.JoinReply(self.is_leading())
+
+
+async def _carry_out(
+    running: recordings.Recording,
+    change: growing.Change,
+) -> None:
+    keeper = running.recorder
+    seconds = _CHANGE_SECONDS
+    match change:
+        case growing.Add(host_id, address):
+            await keeper.add_recorder(host_id, address, seconds)
+        case growing.Replace(host_id, address, lost):
+            await keeper.replace_recorder(host_id, address, lost, seconds)
+        case growing.Learn(host_id, address):
+            await keeper.add_learner(host_id, address, seconds)
+        case growing.Remove(host_id):
+            await keeper.remove_recorder(host_id, seconds)
+
+
+def newest_of(
+    recorders: Recorders,
+) -> published.PublishedDocument | None:
+    """Give the newest document that this host has applied."""
+    if recorders.running is None:
+        return None
+    return recorders.running.state.published.newest()
--- /dev/null
+++ b/libs/control/geraniumweir/control/standing.py
@@ -0,0 +1,154 @@
+"""Who coordinates the pools, as a control host sees it.
+
+The host that leads the log coordinates. A control host that hears no leader
+stands in for it, for the entry hosts that can reach this one: a failure
+domain that is cut off goes on with one queue for each pool.
+
+A coordinator grants each customer's quota for the entry hosts that it hears.
+What the others may spend is left to whoever coordinates there, so that the
+parts add up to the whole however the hosts are cut off from each other.
+"""
+
+import reactivex
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.control import logevents, recorders
+from geraniumweir.wire import peers
+from geraniumweir.wire.gen.control import ttypes
+from reactivex import subject
+
+# How often it is looked who leads, in seconds: a tenth of an election.
+_LOOK_SECONDS = 0.1
+# An entry host that said nothing for so long isn't heard, in seconds: six of
+# its pings, so that one lost packet, sent again after 0.2 s, is no silence.
+HEARD_SECONDS = 1.2
+# One that said nothing for so long is taken for gone, in seconds: longer than
+# the cuts that are asked to be survived, so that its quota isn't given to
+# others while it spends it.
+GONE_SECONDS = 15.0
+
+
+class EntryHosts:
+    """The entry hosts that a control host hears of."""
+
+    def __init__(self) -> None:
+        """Know of none."""
+        self._heard: dict[ids.HostId, float] = {}
+        self._told = 0
+        self._told_at = float('-inf')
+
+    def heard(self, host_id: ids.HostId, now: float) -> None:
+        """Note a sign of life."""
+        self._heard[host_id] = now
+
+    def left(self, host_id: ids.HostId) -> None:
+        """Take a farewell."""
+        self._heard.pop(host_id, None)
+
+    def told(self, number: int, now: float) -> None:
+        """Take the number that the log's leader counts."""
+        self._told = number
+        self._told_at = now
+
+    def number(self, now: float) -> int:
+        """Give how many there are."""
+        for host_id, at in list(self._heard.items()):
+            if now - at > GONE_SECONDS:
+                self._heard.pop(host_id)
+        told = self._told if now - self._told_at < GONE_SECONDS else 0
+        return max(len(self._heard), told)
+
+    def number_heard(self, now: float) -> int:
+        """Give how many were heard lately."""
+        return sum(now - at <= HEARD_SECONDS for at in self._heard.values())
+
+    def share(self, now: float) -> float:
+        """Give the part of the entry hosts that is heard.
+
+        >>> some = EntryHosts()
+        >>> some.heard(ids.HostId('a'), 0), some.heard(ids.HostId('b'), 5)
+        (None, None)
+        >>> some.share(5)
+        0.5
+        """
+        number = self.number(now)
+        return self.number_heard(now) / number if number else 1
+
+
+class Standing:
+    """The coordinator as this host sees it; see :class:`views.HostView`.
+
+    :ivar entry_hosts: those that watch or ping this host.
+    """
+
+    def __init__(
+        self,
+        link: peers.Peers,
+        log: recorders.Recorders,
+        clock: timers.TimerService,
+    ) -> None:
+        """Look who leads from now on, and answer pings."""
+        self.entry_hosts = EntryHosts()
+        self._host_id = link.host_id
+        self._log = log
+        self._clock = clock
+        self._changes: subject.Subject[None] = subject.Subject()
+        self._leader = ids.HostId('')
+        self._looks = clock.every(_LOOK_SECONDS).subscribe(
+            lambda _: self._look(),
+        )
+        link.handle(ttypes.Ping, self._on_ping)
+
+    @property
+    def changes(self) -> reactivex.Observable[None]:
+        """Fires when another host coordinates."""
+        return self._changes
+
+    def live(self, _domain: ids.FailureDomain) -> list[ids.HostId]:
+        """Give the coordinator: the log's leader, or else this host."""
+        return [self._leader or self._host_id]
+
+    def owners(self, _domain: ids.FailureDomain) -> list[ids.HostId]:
+        """List nobody: entry hosts hand over by themselves, at once."""
+        return []
+
+    def coordinates(self) -> bool:
+        """Tell whether this host coordinates."""
+        return self._leader in {'', self._host_id}
+
+    def share(self) -> float:
+        """Give the part of each quota that is granted here."""
+        return self.entry_hosts.share(self._clock.now())
+
+    def close(self) -> None:
+        """Look no more."""
+        self._looks.dispose()
+
+    def _look(self) -> None:
+        leader = self._log.leader()
+        if leader == self._leader:
+            return
+        before = self.coordinates()
+        self._leader = leader
+        if self.coordinates() and not before:
+            leads = self._log.is_leading()
+            eventlog.emit(logevents.COORDINATES, leads=leads)
+        elif before and not self.coordinates():
+            eventlog.emit(logevents.COORDINATES_NO_MORE)
+        self._changes.on_next(None)
+
+    async def _on_ping(
+        self,
+        sender: ids.HostId,
+        ping: ttypes.Ping,
+    ) -> ttypes.Pong:
+        now = self._clock.now()
+        if ping.leaving:
+            self.entry_hosts.left(sender)
+        else:
+            self.entry_hosts.heard(sender, now)
+        return ttypes.Pong(
+            leads=self._log.is_leading(),
+            stands_in=not self._leader,
+            hosts=self.entry_hosts.number(now),
+            heard=self.entry_hosts.number_heard(now),
+        )
--- /dev/null
+++ b/libs/control/geraniumweir/control/tests/test_enrolments.py
@@ -0,0 +1,150 @@
+"""Backend servers' reports: order, leaving, silence, and agreement of hosts."""
+
+import dataclasses
+
+from geraniumweir.common import ids
+from geraniumweir.control import enrolments
+from hypothesis import strategies as st
+from hypothesis import stateful
+
+_A = ids.HostId('a')
+_B = ids.HostId('b')
+_LEASE = 4.0
+
+
+def _report(sequence: int, **changes: object) -> enrolments.Enrolment:
+    said = enrolments.Enrolment(
+        server_id=ids.ServerId('s'),
+        pool=ids.PoolName('pool'),
+        address=ids.Address('10.0.0.1', 8080),
+        failure_domain=ids.FailureDomain('x'),
+        slots=4,
+        sequence=sequence,
+    )
+    return dataclasses.replace(said, **changes)
+
+
+def _table(host: ids.HostId = _A) -> enrolments.Enrolments:
+    return enrolments.Enrolments(host, _LEASE)
+
+
+def test_late_report_changes_nothing() -> None:
+    """One that was overtaken by leaving doesn't bring the server back."""
+    table = _table()
+    table.report(_report(1), 0)
+    leaving = enrolments.State.leaving
+    assert table.report(_report(3, state=leaving), 1)
+    assert not table.report(_report(2), 2)
+    assert table.get(ids.ServerId('s')).state is leaving
+
+
+def test_leaving_is_never_taken_back() -> None:
+    """A newer report that says ready is of the same run, so it is wrong."""
+    table = _table()
+    table.report(_report(1, state=enrolments.State.leaving), 0)
+    table.report(_report(2), 1)
+    assert table.get(ids.ServerId('s')).state is enrolments.State.leaving
+
+
+def test_gone_outlasts_a_report_that_was_held_up() -> None:
+    """It came after the farewell and was sent before it."""
+    table = _table()
+    table.report(_report(1), 0)
+    assert table.leave(ids.ServerId('s'), 1) is not None
+    table.report(_report(2), 5)
+    assert table.get(ids.ServerId('s')).state is enrolments.State.gone
+
+
+def test_server_falls_silent_and_is_heard_again() -> None:
+    """It stays known meanwhile: it may be cut off from control hosts only."""
+    table = _table()
+    table.report(_report(1), 0)
+    assert not table.expire(_LEASE)
+    assert table.expire(_LEASE + 1)
+    assert table.get(ids.ServerId('s')).silent
+    assert table.report(_report(2), 6)
+    assert not table.get(ids.ServerId('s')).silent
+
+
+def test_silent_server_is_forgotten_in_the_end() -> None:
+    """Nothing says that it is still there."""
+    table = _table()
+    table.report(_report(1), 0)
+    table.expire(_LEASE + 1)
+    table.expire(_LEASE + 2 + enrolments.FORGET_SECONDS)
+    assert table.get(ids.ServerId('s')) is None
+
+
+def test_host_that_a_server_left_for_another_does_not_call_it_silent() -> None:
+    """The other one tells when the server begins to report there."""
+    one, two = _table(_A), _table(_B)
+    one.report(_report(1), 0)
+    two.merge(_report(1), 0, _A)
+    assert two.report(_report(2), 1)
+    one.merge(two.get(ids.ServerId('s')), 1, _B)
+    assert not one.expire(_LEASE + 1)
+
+
+def test_servers_of_an_absent_host_fall_silent() -> None:
+    """Nobody else would ever say so."""
+    table = _table()
+    table.merge(_report(1), 0, _B)
+    assert not table.expire(60)
+    assert table.expire(61, frozenset({_B}))
+
+
+def test_reader_is_told_only_what_changed() -> None:
+    """Reports that say the same again are no change."""
+    table = _table()
+    table.report(_report(1), 0)
+    seen = table.revision
+    table.report(_report(2), 1)
+    assert not table.since(seen)
+    table.report(_report(3, slots=2), 2)
+    assert [found.slots for found in table.since(seen)] == [2]
+
+
+class Agreement(stateful.RuleBasedStateMachine):
+    """Hosts that told each other everything agree, in whatever order."""
+
+    def __init__(self) -> None:
+        """Start with two hosts and one run of a server."""
+        super().__init__()
+        self.now = 0.0
+        self.sequence = 0
+        self.tables = {_A: _table(_A), _B: _table(_B)}
+        self.said_gone = False
+
+    @stateful.rule(host=st.sampled_from([_A, _B]), leaving=st.booleans())
+    def report(self, host: ids.HostId, leaving: bool) -> None:
+        """The server reports to one of them."""
+        self.sequence += 1
+        state = enrolments.State.ready
+        if leaving:
+            state = enrolments.State.leaving
+        self.tables[host].report(_report(self.sequence, state=state), self.now)
+
+    @stateful.rule(host=st.sampled_from([_A, _B]))
+    def leave(self, host: ids.HostId) -> None:
+        """The server says farewell to one of them."""
+        self.tables[host].leave(ids.ServerId('s'), self.now)
+
+    @stateful.rule(seconds=st.floats(0, 10))
+    def wait(self, seconds: float) -> None:
+        """Time goes by."""
+        self.now += seconds
+        for table in self.tables.values():
+            table.expire(self.now)
+
+    @stateful.rule()
+    def exchange(self) -> None:
+        """Each tells the other all it knows, twice."""
+        for _ in range(2):
+            for teller, hearer in ((_A, _B), (_B, _A)):
+                for found in self.tables[teller].known():
+                    self.tables[hearer].merge(found, self.now, teller)
+        first, second = self.tables.values()
+        assert first.digest() == second.digest()
+
+
+TestAgreement = Agreement.TestCase
--- /dev/null
+++ b/libs/control/geraniumweir/control/watching.py
@@ -0,0 +1,247 @@
+"""How a host follows the document and the backend servers.
+
+It watches one control host, a near one first, and turns to another one when
+that is silent or hears no leader of the log. What it learnt stays: versions
+only grow, a server that is leaving stays so, and one that the next control
+host doesn't list yet is kept for a while, as that one may only just have
+started.
+"""
+
+import asyncio
+import dataclasses
+import typing
+import zlib
+
+import reactivex
+from geraniumweir.common import errors as common_errors
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.control import enrolments, hosts, logevents
+from geraniumweir.routing import finding, tables
+from geraniumweir.wire import errors, peers
+from geraniumweir.wire.gen.control import ttypes
+from reactivex import subject
+
+# A watch is held this long, in seconds. With the answer's way there and back
+# it bounds how long a dead control host goes unnoticed; a change must be in
+# force 2 s after it was acknowledged.
+_WAIT_SECONDS = 0.5
+_ANSWER_SECONDS = 0.4
+_MS = 1000
+# A control host that failed is tried again after so long, in seconds.
+_AVOID_SECONDS = 2.0
+_PAUSE_SECONDS = 0.05
+# A server that the control host doesn't list is kept for so long, in seconds:
+# servers report every 1 to 2 s, so one that is there is listed by then.
+_UNLISTED_SECONDS = 8.0
+# Servers hear nothing of a host's lease here; only control hosts hold one.
+_NO_LEASE = float('inf')
+
+Read = typing.Callable[[bytes], tables.Document]
+
+
+@dataclasses.dataclass(slots=True)
+class _Avoided:
+    """When control hosts last failed, or heard no leader, in seconds."""
+
+    failed: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
+    unsure: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
+
+
+class Watcher:
+    """What a host knows from the control hosts.
+
+    :ivar hosts: the control hosts.
+    :ivar servers: the backend servers.
+    :ivar index: the document in force, or None before the first.
+    :ivar sure_at: when a control host that hears the log's leader last told
+        what there is, in seconds.
+    """
+
+    def __init__(
+        self,
+        link: peers.Peers,
+        domain: ids.FailureDomain,
+        seeds: typing.Sequence[ids.Address],
+        read: Read,
+    ) -> None:
+        """Know nothing yet.
+
+        :param seeds: peer addresses of some control hosts.
+        :param read: reads a document that was checked when it was published.
+        """
+        self.hosts = hosts.ControlHosts()
+        self.servers = enrolments.Enrolments(link.host_id, _NO_LEASE)
+        self.index: finding.Index | None = None
+        self.sure_at = float('-inf')
+        self._link = link
+        self._domain = domain
+        self._seeds = list(seeds)
+        self._read = read
+        self._clock = timers.TimerService()
+        self._avoided = _Avoided()
+        self._place = ids.HostId('')
+        self._epoch = ''
+        self._revision = 0
+        self._unlisted: dict[ids.ServerId, float] = {}
+        self._changes: subject.Subject[None] = subject.Subject()
+
+    @property
+    def changes(self) -> reactivex.Observable[None]:
+        """Fires when servers or the document changed."""
+        return self._changes
+
+    @property
+    def version(self) -> ids.Version:
+        """The version in force, -1 before the first."""
+        return ids.Version(-1) if self.index is None else self.index.version
+
+    def learn_seeds(self, seeds: typing.Sequence[ids.Address]) -> None:
+        """Take other seeds; those of before stay known."""
+        self._seeds = list(dict.fromkeys([*seeds, *self._seeds]))
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            host_id = self._choose()
+            if host_id is None:
+                await self._meet_seeds()
+                continue
+            await self._watch(host_id)
+
+    def take(self, sender: ids.HostId, news: ttypes.News) -> None:
+        """Take what a control host told."""
+        now = self._clock.now()
+        self._learn_hosts(sender, news, now)
+        changed = self._take_servers(sender, news, now)
+        changed = self._drop_unlisted(now) or changed
+        if news.document is not None and news.version > self.version:
+            changed = self._put(news.version, news.document) or changed
+        if news.sure and news.version <= self.version:
+            self.sure_at = now
+        if changed:
+            self._changes.on_next(None)
+
+    async def _watch(self, host_id: ids.HostId) -> None:
+        if host_id != self._place:
+            eventlog.emit(logevents.WATCHES, host=host_id)
+            self._place = host_id
+            self._epoch = ''
+        watch = ttypes.Watch(
+            self.version,
+            self._epoch,
+            self._revision,
+            int(_WAIT_SECONDS * _MS),
+        )
+        timeout = _WAIT_SECONDS + _ANSWER_SECONDS
+        try:
+            news = await self._link.call(host_id, watch, timeout)
+        except errors.PeerError as exc:
+            eventlog.emit(
+                logevents.WATCH_LOST,
+                host=host_id,
+                reason=exc.message,
+            )
+            self._avoided.failed[host_id] = self._clock.now()
+            await asyncio.sleep(_PAUSE_SECONDS)
+            return
+        self.take(host_id, news)
+
+    def _choose(self) -> ids.HostId | None:
+        now = self._clock.now()
+        near = self.hosts.near_first(self._domain)
+        ranked = sorted(near, key=lambda host: self._dislike(host, now))
+        return ranked[0].host_id if ranked else None
+
+    def _dislike(
+        self,
+        host: hosts.ControlHost,
+        now: float,
+    ) -> tuple[float, bool]:
+        failed = self._avoided.failed.get(host.host_id, float('-inf'))
+        # Where all failed, the one that failed first is tried again first.
+        worst = failed if now - failed < _AVOID_SECONDS else float('-inf')
+        unsure = self._avoided.unsure.get(host.host_id, float('-inf'))
+        return worst, now - unsure < _AVOID_SECONDS
+
+    async def _meet_seeds(self) -> None:
+        for address in self._seeds:
+            try:
+                host_id = await self._link.introduce(address)
+            except errors.PeerError:
+                continue
+            # Its full card comes with its first answer.
+            card = hosts.ControlHost(
+                host_id,
+                address,
+                address,
+                ids.FailureDomain(''),
+            )
+            self.hosts.learn(card, self._clock.now())
+        await asyncio.sleep(_PAUSE_SECONDS)
+
+    def _learn_hosts(
+        self,
+        sender: ids.HostId,
+        news: ttypes.News,
+        now: float,
+    ) -> None:
+        for told in news.hosts:
+            host = hosts.from_wire(told)
+            self.hosts.learn(host, now)
+            self.hosts.heard(host.host_id, now)
+            self._link.learn(host.host_id, host.address)
+        self.hosts.forget_old(now)
+        self._avoided.failed.pop(sender, None)
+        if news.sure:
+            self._avoided.unsure.pop(sender, None)
+        else:
+            self._avoided.unsure[sender] = now
+
+    def _take_servers(
+        self,
+        sender: ids.HostId,
+        news: ttypes.News,
+        now: float,
+    ) -> bool:
+        self._epoch = news.epoch
+        self._revision = news.revision
+        listed = [enrolments.from_wire(told) for told in news.servers]
+        merged = [self.servers.merge(found, now, sender) for found in listed]
+        for found in listed:
+            self._unlisted.pop(found.server_id, None)
+        if news.whole:
+            names = {found.server_id for found in listed}
+            for known in self.servers.known():
+                if known.server_id not in names:
+                    self._unlisted.setdefault(known.server_id, now)
+        return any(merged)
+
+    def _drop_unlisted(self, now: float) -> bool:
+        old = [
+            server_id
+            for server_id, since in self._unlisted.items()
+            if now - since > _UNLISTED_SECONDS
+        ]
+        for server_id in old:
+            self._unlisted.pop(server_id)
+            self.servers.forget(server_id)
+        return bool(old)
+
+    def _put(self, version: int, packed: bytes) -> bool:
+        try:
+            document = self._read(zlib.decompress(packed))
+        except (common_errors.GeraniumweirError, zlib.error) as exc:
+            eventlog.emit(
+                logevents.DOCUMENT_UNREADABLE,
+                version=version,
+                reason=str(exc),
+            )
+            return False
+        before = self.version
+        self.index = finding.Index(document)
+        eventlog.emit(
+            logevents.DOCUMENT_IN_FORCE,
+            version=version,
+            before=before,
+        )
+        return True
--- a/libs/daemon/geraniumweir/daemon/joined.py
+++ b/libs/daemon/geraniumweir/daemon/joined.py
@@ -11,7 +11,13 @@
 import time
 
 from geraniumweir.common import errors, eventlog, ids
-from geraniumweir.configuration import claims, document, following, reading
+from geraniumweir.configuration import (
+    claims,
+    document,
+    following,
+    reading,
+    recordings,
+)
 from geraniumweir.consensus import client
 from geraniumweir.daemon import (
     hoststates,
@@ -68,7 +74,7 @@
     claimer: claims.Claimer
     orderer: ordering.Orderer
     states: hoststates.HostStates
-    recording: recording.Recording | None
+    recording: recordings.Recording | None
 
 
 async def join(
@@ -167,7 +173,7 @@
     host: entry_host.EntryHost,
     ways: tuple[tcp.TcpPeers, channel.Channel],
     members: membership.Membership,
-    recorded: recording.Recording | None,
+    recorded: recordings.Recording | None,
     shelf: recording.Shelf | None,
 ) -> Joined:
     layer, peer_layer = ways
@@ -335,7 +341,7 @@
 
 def _is_recorder(
     host: entry_host.EntryHost,
-    recorded: recording.Recording | None,
+    recorded: recordings.Recording | None,
 ) -> bool:
     if recorded is None:
         return False
--- a/libs/daemon/geraniumweir/daemon/neighbours.py
+++ b/libs/daemon/geraniumweir/daemon/neighbours.py
@@ -31,6 +31,10 @@
         """List the hosts of a domain that may lead; one that drains may not."""
         return [host.host_id for host in self._members.eligible(domain)]
 
+    def owners(self, domain: ids.FailureDomain) -> list[ids.HostId]:
+        """List the hosts of a domain that may have grants."""
+        return self.live(domain)
+
 
 class Directory:
     """Pools of other failure domains; see :class:`views.PoolDirectory`."""
--- a/libs/daemon/geraniumweir/daemon/recording.py
+++ b/libs/daemon/geraniumweir/daemon/recording.py
@@ -7,14 +7,11 @@
 import asyncio
 import contextlib
 import pathlib
-import random
 
-from geraniumweir.common import errors, eventlog, ids
-from geraniumweir.configuration import state
-from geraniumweir.consensus import core, recorder
-from geraniumweir.consensus import settings as log_settings
+from geraniumweir.common import errors, ids
+from geraniumweir.configuration import recordings
 from geraniumweir.daemon import settings
-from geraniumweir.store import disk, folder, guard, wholefiles
+from geraniumweir.store import disk, wholefiles
 from geraniumweir.store import errors as store_errors
 from geraniumweir.wire import peers
 
@@ -59,27 +56,6 @@
             raise KeepError(str(exc)) from exc
 
 
-class Recording:
-    """The recorder of this host; see :class:`following.LocalRecorder`.
-
-    :ivar recorder: its part in the replicated log.
-    :ivar state: what the log amounts to here.
-    """
-
-    def __init__(
-        self,
-        keeper: recorder.Recorder,
-        machine: state.SystemState,
-    ) -> None:
-        """Hold both together."""
-        self.recorder = keeper
-        self.state = machine
-
-    def is_sure(self) -> bool:
-        """Tell whether it leads a majority or hears who does."""
-        return bool(self.recorder.status().leader)
-
-
 def open_shelf(
     cfg: settings.Settings,
     stack: contextlib.AsyncExitStack,
@@ -100,7 +76,7 @@
     cfg: settings.Settings,
     peer_layer: peers.Peers,
     stack: contextlib.AsyncExitStack,
-) -> Recording | None:
+) -> recordings.Recording | None:
     """Start the recorder of a host with a data folder.
 
     One that isn't among the first recorders waits until it is added.
@@ -109,20 +85,10 @@
     """
     if cfg.data_folder is None:
         return None
-    medium = disk.RealDisk(pathlib.Path(cfg.data_folder, 'log'))
-    stack.callback(medium.close)
-    thread = guard.OneThread()
-    stack.callback(thread.close)
-    opened = await folder.open_folder(medium, thread)
-    machine = state.SystemState()
-    env = core.Surroundings(
-        cfg=log_settings.Settings(cfg.host_id),
-        peers=peer_layer,
-        machine=machine,
-        rng=random.Random(f'{cfg.host_id}/{opened.identity}'),
-        report=eventlog.emit,
+    place = recordings.Place(
+        cfg.host_id,
+        pathlib.Path(cfg.data_folder, 'log'),
+        cfg.recorders,
     )
-    keeper = recorder.Recorder(env, opened, cfg.recorders)
-    keeper.start()
-    stack.push_async_callback(keeper.stop)
-    return Recording(keeper, machine)
+    running = recordings.opened(place, peer_layer)
+    return await stack.enter_async_context(running)
--- a/libs/fakes/geraniumweir/fakes/slopes/remote.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/remote.py
@@ -38,6 +38,9 @@
     def live(self, _domain: ids.FailureDomain) -> list[ids.HostId]:
         return [LEADER]
 
+    def owners(self, _domain: ids.FailureDomain) -> list[ids.HostId]:
+        return [LEADER]
+
 
 class _Silent:
     def subscribe(self, _on_next: typing.Any) -> '_Silent':
--- /dev/null
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -0,0 +1,315 @@
+"""An admitted request on its way: wait, dispatch, repeat or go on, answer.
+
+A request goes to one server at a time. It goes to another one only where the
+last surely didn't run it, or where the route allows that it runs again, and
+while its time, the route's attempts and the retry budget last. A stream that
+may be resumed goes on at another server behind the last event that the caller
+has.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+import aiohttp
+from aiohttp import web
+
+from geraniumweir.common import ids
+from geraniumweir.gateway import (
+    attempts,
+    codec,
+    events,
+    logevents,
+    outcomes,
+    refusals,
+    retrybudget,
+    story,
+    talk,
+)
+from geraniumweir.routing import tables
+from geraniumweir.scheduling import requests
+
+# Servers that turn a request away, one after another: two more tries find one
+# that takes it, or there is none.
+_MOST_REJECTED = 3
+
+
+class Scheduler(typing.Protocol):
+    """Who grants capacity; see :class:`broker.Broker`."""
+
+    async def ask(
+        self,
+        ask: requests.Ask,
+    ) -> requests.Grant | requests.Denial:
+        """Wait for a grant."""
+
+    def withdraw(self, request_id: ids.RequestId) -> None:
+        """End the waiting of a request whose caller went away."""
+
+    def progress(self, progress: requests.Progress) -> None:
+        """Tell how granted work goes on."""
+
+    def release(self, release: requests.Release) -> None:
+        """Give a grant back."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Means:
+    """What all requests of a host share."""
+
+    session: aiohttp.ClientSession
+    codec: codec.Codec
+    scheduler: Scheduler
+    budgets: retrybudget.RetryBudgets
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that a route leads to a pool.
+
+    :ivar deadline: when its answer is due, on the loop's clock.
+    :ivar event_tokens: tokens that one event of its stream holds.
+    """
+
+    call: codec.Call
+    body: bytes
+    route: tables.Route
+    customer: tables.Customer | None
+    ask: requests.Ask
+    deadline: float
+    event_tokens: int
+
+
+@dataclasses.dataclass(slots=True)
+class Course:
+    """How far a request has come.
+
+    :ivar runs: servers that ran it, or may have.
+    :ivar rejected: servers that surely didn't.
+    :ivar arrivals: at servers, whatever became of them.
+    :ivar sent: it is at a server now.
+    :ivar failure: the last failure that a server itself answered.
+    """
+
+    runs: int = 0
+    rejected: int = 0
+    arrivals: int = 0
+    sent: bool = False
+    failure: outcomes.Whole | None = None
+
+
+class Forwarding:
+    """One admitted request."""
+
+    def __init__(
+        self,
+        means: Means,
+        admitted: Admitted,
+        caller: talk.Talk,
+        told: story.Story,
+    ) -> None:
+        """Begin nothing yet."""
+        self._means = means
+        self._admitted = admitted
+        self._talk = caller
+        self._story = told
+        self._course = Course()
+        self._stream = attempts.Stream(
+            events.Splitter(admitted.call.last_event),
+        )
+
+    async def serve(self) -> web.StreamResponse:
+        """Answer the request.
+
+        :raises geraniumweir.common.errors.Refused: when it gets no answer of a server.
+        :raises ConnectionError: when the caller has gone.
+        """
+        try:
+            async with asyncio.timeout_at(self._admitted.deadline):
+                return await self._until_answered()
+        except TimeoutError:
+            return self._overdue()
+
+    def _overdue(self) -> web.StreamResponse:
+        if self._stream.begun:
+            return self._broken('its time is over')
+        if self._course.failure is not None:
+            return self._talk.whole(self._course.failure)
+        if self._course.sent or self._course.runs:
+            raise refusals.timed_out()
+        raise refusals.waited_in_vain()
+
+    def _broken(self, reason: str) -> web.StreamResponse:
+        self._story.tell(logevents.BROKEN, talk.now(), reason=reason)
+        return self._talk.break_off()
+
+    async def _until_answered(self) -> web.StreamResponse:
+        while True:
+            answer = await self._means.scheduler.ask(self._next_ask())
+            if isinstance(answer, requests.Denial):
+                return self._denied(answer)
+            self._story.granted = talk.now() - self._story.arrived
+            outcome = await self._dispatch(answer)
+            resp = self._settle(answer, outcome)
+            if resp is not None:
+                return resp
+
+    def _next_ask(self) -> requests.Ask:
+        """Give the ask; what was counted once takes no quota again."""
+        ask = self._admitted.ask
+        if self._course.runs:
+            ask = dataclasses.replace(ask, quota_cost=0)
+        return ask
+
+    def _denied(self, denial: requests.Denial) -> web.StreamResponse:
+        if self._stream.begun:
+            return self._broken(denial.reason.value)
+        if self._course.failure is not None:
+            return self._talk.whole(self._course.failure)
+        if self._course.runs:
+            raise refusals.may_have_run('failed', 'a server failed')
+        raise refusals.denied(denial)
+
+    def _settle(
+        self,
+        grant: requests.Grant,
+        outcome: outcomes.Outcome,
+    ) -> web.StreamResponse | None:
+        """Answer the caller, or give None to try again."""
+        match outcome:
+            case outcomes.Whole():
+                return self._talk.whole(outcome)
+            case outcomes.Streamed():
+                return typing.cast(web.StreamResponse, self._talk.resp)
+            case outcomes.NotRun(reason=reason):
+                self._note(grant, reason)
+                return self._not_run(outcome)
+            case outcomes.Failed(reason=reason):
+                self._note(grant, reason)
+                return self._failed(outcome)
+
+    def _note(self, grant: requests.Grant, reason: str) -> None:
+        self._story.tell(
+            logevents.TRIED,
+            talk.now(),
+            server=grant.server_id,
+            reason=reason,
+        )
+
+    def _not_run(self, outcome: outcomes.NotRun) -> web.StreamResponse | None:
+        self._course.rejected += 1
+        self._course.arrivals += outcome.arrived
+        if self._course.rejected < _MOST_REJECTED and self._has_budget():
+            return None
+        if self._stream.begun:
+            return self._broken(outcome.reason)
+        if self._course.failure is not None:
+            return self._talk.whole(self._course.failure)
+        if self._course.runs:
+            raise refusals.may_have_run('failed', outcome.reason)
+        raise refusals.not_taken(outcome.reason)
+
+    def _failed(self, outcome: outcomes.Failed) -> web.StreamResponse | None:
+        self._course.runs += 1
+        self._course.arrivals += 1
+        self._course.failure = outcome.answer or self._course.failure
+        if self._may_run_again() and self._has_budget():
+            return None
+        if self._stream.begun:
+            return self._broken(outcome.reason)
+        if self._course.failure is not None:
+            return self._talk.whole(self._course.failure)
+        raise refusals.may_have_run('failed', outcome.reason)
+
+    def _may_run_again(self) -> bool:
+        route = self._admitted.route
+        if self._course.runs >= route.attempts:
+            return False
+        return route.repeatable or route.resumable
+
+    def _has_budget(self) -> bool:
+        if not self._course.arrivals:
+            return True
+        pool = self._admitted.ask.pool
+        return self._means.budgets.take(pool, talk.now())
+
+    async def _dispatch(self, grant: requests.Grant) -> outcomes.Outcome:
+        started = talk.now()
+        attempt = self._attempt(grant, started)
+        self._story.servers.append(grant.server_id)
+        self._course.sent = True
+        ended = requests.Outcome.cancelled
+        try:
+            outcome = await attempt.run()
+            ended = _ended(outcome)
+            return outcome
+        finally:
+            # Where its time is over, a server has had the request.
+            self._course.sent = ended is requests.Outcome.cancelled
+            self._release(grant, attempt, ended, talk.now() - started)
+
+    def _attempt(
+        self,
+        grant: requests.Grant,
+        started: float,
+    ) -> attempts.Attempt:
+        admitted = self._admitted
+        customer = admitted.customer
+        return attempts.Attempt(
+            session=self._means.session,
+            codec=self._means.codec,
+            call=admitted.call,
+            body=admitted.body,
+            dispatch=codec.Dispatch(
+                server_id=grant.server_id,
+                customer=None if customer is None else customer.name,
+                seconds_left=admitted.deadline - started,
+                last_event=self._stream.splitter.last,
+            ),
+            address=grant.address,
+            talk=self._talk,
+            stream=self._stream,
+            story=self._story,
+            on_first=self._on_first,
+        )
+
+    def _on_first(self, seconds: float) -> None:
+        if self._admitted.ask.streams:
+            self._means.scheduler.progress(
+                requests.Progress(
+                    self._admitted.ask.request_id,
+                    seconds,
+                    self._admitted.event_tokens,
+                ),
+            )
+
+    def _release(
+        self,
+        grant: requests.Grant,
+        attempt: attempts.Attempt,
+        ended: requests.Outcome,
+        seconds: float,
+    ) -> None:
+        tokens = self._stream.splitter.count * self._admitted.event_tokens
+        self._means.scheduler.release(
+            requests.Release(
+                grant.request_id,
+                ended,
+                attempt.first,
+                tokens,
+                seconds,
+            ),
+        )
+
+
+def _ended(outcome: outcomes.Outcome) -> requests.Outcome:
+    match outcome:
+        case outcomes.Whole() | outcomes.Streamed():
+            return requests.Outcome.done
+        case outcomes.NotRun():
+            return requests.Outcome.not_sent
+        case outcomes.Failed(answer=None):
+            return requests.Outcome.failed
+        case outcomes.Failed():
+            # The server works; the failure is its application's own.
+            return requests.Outcome.done
--- /dev/null
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -0,0 +1,205 @@
+"""Puts the parts of an entry host together, and drains it."""
+
+import asyncio
+import contextlib
+import dataclasses
+import typing
+
+from aiohttp import web
+from geraniumweir.backends import calls
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.control import (
+    coordinating,
+    coordination,
+    roster,
+    watching,
+)
+from geraniumweir.gateway import (
+    admission,
+    codec,
+    forwarding,
+    logevents,
+    readiness,
+    retrybudget,
+    serving,
+)
+from geraniumweir.observe import metrics
+from geraniumweir.scheduling import channel
+from geraniumweir.wire import tcp
+
+# Idle connections to servers are kept for less than servers commonly do.
+_BACKEND_IDLE_SECONDS = 4.0
+# A lost opening packet is sent again only after a second; another server is
+# the better choice long before. In seconds, some hundred round trips.
+_CONNECT_SECONDS = 0.3
+# After readiness was taken back, new connections still come for two probes of
+# a second each.
+_LISTEN_SECONDS = 2.5
+# What is left of the grace time when connections are broken off, in seconds.
+_BREAK_SECONDS = 0.4
+_LOOK_SECONDS = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """What an entry host is told.
+
+    :ivar seeds: peer addresses of some control hosts.
+    :ivar sure_seconds: what the control hosts last said counts as the newest
+        for so long.
+    :ivar grace_seconds: from the order to stop until the process is killed.
+    """
+
+    host_id: ids.HostId
+    failure_domain: ids.FailureDomain
+    callers: ids.Address
+    ready: ids.Address
+    seeds: tuple[ids.Address, ...]
+    budget: retrybudget.Budget
+    sure_seconds: float
+    grace_seconds: float
+
+
+class EntryHost:
+    """The parts of an entry host."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        layer: tcp.TcpPeers,
+        names: codec.Codec,
+        read: watching.Read,
+        meter: metrics.Metrics,
+    ) -> None:
+        """Put them together; :meth:`run` starts them."""
+        self._cfg = cfg
+        self._clock = timers.TimerService()
+        self._link = channel.Channel(layer)
+        self.watcher = watching.Watcher(
+            self._link,
+            cfg.failure_domain,
+            cfg.seeds,
+            read,
+        )
+        self._coordinator = coordinating.Coordinator(
+            self._link,
+            cfg.failure_domain,
+            self.watcher.hosts,
+        )
+        self._service = coordination.serve(
+            coordination.Parts(
+                link=self._link,
+                view=self._coordinator,
+                roster=roster.Roster(self.watcher.servers, self._index),
+                index=self._index,
+                share=self._coordinator.share,
+                shares_slots=True,
+            ),
+            self._clock,
+        )
+        coordination.follow(self._service, self.watcher.changes)
+        self._broker = coordination.ask_through(
+            self._link,
+            self._coordinator,
+            self._clock,
+        )
+        self._names = names
+        self._meter = meter
+        self._readiness = readiness.Readiness(self.knowledge)
+        self._front: serving.Front | None = None
+
+    def knowledge(self) -> admission.Knowledge:
+        """Give what this host decides by now."""
+        age = self._clock.now() - self.watcher.sure_at
+        return admission.Knowledge(
+            self.watcher.index,
+            age <= self._cfg.sure_seconds,
+        )
+
+    async def run(
+        self,
+        stack: contextlib.AsyncExitStack,
+        stop: asyncio.Event,
+    ) -> None:
+        """Serve until told to stop, then drain.
+
+        :param stack: stops what is left.
+        """
+        session = await stack.enter_async_context(
+            calls.make_session(_CONNECT_SECONDS, _BACKEND_IDLE_SECONDS),
+        )
+        means = forwarding.Means(
+            session,
+            self._names,
+            self._broker,
+            retrybudget.RetryBudgets(
+                self._cfg.budget,
+                self._coordinator.hosts,
+            ),
+        )
+        front = serving.Front(
+            self._cfg.host_id,
+            self.knowledge,
+            means,
+            self._meter,
+        )
+        self._start(stack)
+        await listen(stack, self._readiness.server(), self._cfg.ready)
+        callers = await listen(stack, front.server(), self._cfg.callers)
+        eventlog.emit(
+            logevents.SERVING,
+            callers=str(self._cfg.callers),
+            ready=str(self._cfg.ready),
+        )
+        await stop.wait()
+        await self._drain(front, callers)
+
+    def _index(self) -> typing.Any:
+        return self.watcher.index
+
+    def _start(self, stack: contextlib.AsyncExitStack) -> None:
+        stack.push_async_callback(self._link.close)
+        stack.callback(self._service.close)
+        stack.callback(self._broker.close)
+        for work in (self.watcher.run(), self._coordinator.run()):
+            task = asyncio.create_task(work)
+            stack.callback(task.cancel)
+
+    async def _drain(
+        self,
+        front: serving.Front,
+        callers: web.ServerRunner,
+    ) -> None:
+        """End all requests with their answers, then all connections."""
+        started = self._clock.now()
+        end = started + self._cfg.grace_seconds - _BREAK_SECONDS
+        self._readiness.leave()
+        front.traffic.closing = True
+        eventlog.emit(
+            logevents.DRAINING,
+            open=front.traffic.open,
+            seconds=self._cfg.grace_seconds,
+        )
+        await asyncio.sleep(_LISTEN_SECONDS)
+        for site in list(callers.sites):
+            await site.stop()
+        while front.traffic.open and self._clock.now() < end:
+            await asyncio.sleep(_LOOK_SECONDS)
+        await self._coordinator.leave()
+        eventlog.emit(logevents.STOPPED, open=front.traffic.open)
+
+
+async def listen(
+    stack: contextlib.AsyncExitStack,
+    server: web.Server,
+    address: ids.Address,
+) -> web.ServerRunner:
+    """Serve at an address until the stack ends.
+
+    :raises OSError: when it can't be listened on.
+    """
+    runner = web.ServerRunner(server, shutdown_timeout=0)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, address.host, address.port).start()
+    return runner
--- /dev/null
+++ b/libs/gateway/geraniumweir/gateway/story.py
@@ -0,0 +1,63 @@
+"""What happened to one request, for its line in the log."""
+
+import dataclasses
+
+from geraniumweir.common import eventlog, logevents
+
+_MS = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class Story:
+    """The inputs and outcomes of the decisions about a request.
+
+    :ivar arrived: in seconds on the loop's clock.
+    :ivar version: of the document that decided.
+    :ivar granted: seconds from arrival to the last grant, None for none.
+    :ivar first: seconds from arrival to the first byte of an answer.
+    :ivar servers: that it was sent to, in order.
+    """
+
+    request: str
+    arrived: float
+    version: int = -1
+    route: str = ''
+    pool: str = ''
+    customer: str = ''
+    tier: int = -1
+    target: float = 0
+    granted: float | None = None
+    first: float | None = None
+    servers: list[str] = dataclasses.field(default_factory=list)
+
+    def tell(
+        self,
+        event: logevents.Event,
+        now: float,
+        **outcome: object,
+    ) -> None:
+        """Log an event with all that is known so far.
+
+        :param now: in seconds on the loop's clock.
+        """
+        if not eventlog.enabled(event):
+            return
+        eventlog.emit(
+            event,
+            request=self.request,
+            **outcome,
+            version=self.version,
+            route=self.route,
+            pool=self.pool,
+            customer=self.customer,
+            tier=self.tier,
+            target_ms=int(self.target * _MS),
+            granted_ms=_ms(self.granted),
+            first_ms=_ms(self.first),
+            ms=_ms(now - self.arrived),
+            servers=self.servers,
+        )
+
+
+def _ms(seconds: float | None) -> int | None:
+    return None if seconds is None else int(seconds * _MS)
--- a/libs/scheduling/geraniumweir/scheduling/led.py
+++ b/libs/scheduling/geraniumweir/scheduling/led.py
@@ -17,6 +17,16 @@
 Answer = requests.Grant | requests.Denial
 
 
+class Gate(typing.Protocol):
+    """What an ask must pass before the leader sees it."""
+
+    def admit(self, ask: requests.Ask) -> requests.Denial | None:
+        """Let an ask through, or deny it."""
+
+    def undo(self, ask: requests.Ask) -> None:
+        """Take back that an ask was let through: it wasn't served."""
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Entry:
     """One ask.
@@ -26,6 +36,7 @@
         was handed over.
     :ivar held: its owner's call is still open and takes the answer.
     :ivar telling: the answer is on its way to the owner.
+    :ivar admitted: the gate let it through here.
     """
 
     ask: requests.Ask
@@ -34,6 +45,7 @@
     answer: Answer | None = None
     held: bool = False
     telling: bool = False
+    admitted: bool = False
 
 
 class LedPool:
@@ -50,17 +62,20 @@
         pool_leader: leader.PoolLeader,
         now: typing.Callable[[], float],
         on_answer: typing.Callable[['LedPool', Entry], None],
+        gate: Gate | None = None,
     ) -> None:
         """Start without asks.
 
         :param now: gives the time in seconds.
         :param on_answer: told of each decision.
+        :param gate: what asks must pass first.
         """
         self.pool = pool
         self.leader = pool_leader
         self.entries: dict[ids.RequestId, Entry] = {}
         self._now = now
         self._on_answer = on_answer
+        self._gate = gate
         self._heard: dict[ids.HostId, float] = {}
 
     def join(self, ask: requests.Ask, attempt: int) -> Entry | None:
@@ -173,11 +188,26 @@
         return self.entries.get(entry.ask.request_id) is entry
 
     async def _decide(self, entry: Entry) -> None:
-        answer = await self.leader.ask(entry.ask)
+        answer = await self._admitted(entry)
         if self.has(entry):
             entry.answer = answer
+            if isinstance(answer, requests.Denial):
+                self._undo(entry)
             self._on_answer(self, entry)
 
+    async def _admitted(self, entry: Entry) -> Answer:
+        if self._gate is not None:
+            denial = self._gate.admit(entry.ask)
+            if denial is not None:
+                return denial
+            entry.admitted = True
+        return await self.leader.ask(entry.ask)
+
+    def _undo(self, entry: Entry) -> None:
+        if entry.admitted and self._gate is not None:
+            entry.admitted = False
+            self._gate.undo(entry.ask)
+
     def _drop(
         self,
         entry: Entry,
@@ -186,6 +216,8 @@
     ) -> None:
         request_id = entry.ask.request_id
         self.entries.pop(request_id, None)
+        if outcome is requests.Outcome.not_sent or entry.answer is None:
+            self._undo(entry)
         if entry.answer is None:
             self.leader.withdraw(request_id)
             # The grant may be made and not yet be told here.
--- a/libs/scheduling/geraniumweir/scheduling/remote.py
+++ b/libs/scheduling/geraniumweir/scheduling/remote.py
@@ -44,17 +44,20 @@
         domain: ids.FailureDomain,
         make_leader: MakeLeader,
         clock: timers.TimerService,
+        gate: led.Gate | None = None,
     ) -> None:
         """Answer entry hosts from now on.
 
         :param make_leader: gives a fresh leader of a pool, whose settle
             window should be :data:`takeover.SETTLE_WINDOW`.
+        :param gate: what asks must pass before the leaders see them.
         """
         self._link = link
         self._view = view
         self._domain = domain
         self._make_leader = make_leader
         self._clock = clock
+        self._gate = gate
         self._leader_of = functools.partial(
             home.by_view,
             domain,
@@ -104,10 +107,11 @@
                 self._make_leader(pool, self._preempt),
                 self._clock.now,
                 self._answered,
+                self._gate,
             )
             self._pools[pool] = found
             eventlog.emit(logevents.LEADS, pool=pool)
-            hosts = self._view.live(self._domain)
+            hosts = self._view.owners(self._domain)
             work = takeover.settle(self._link, found, hosts, self._clock)
             self._link.start(work)
         return found
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -28,6 +28,9 @@
     :ivar max_waiting: the rule's most calls in the queue at a time.
     :ivar rate_per_s: the rule's most calls a second, or None where there is
         no such limit or a leader has counted this call already.
+    :ivar quota_cost: what it takes of its customer's quota, 0 for nothing.
+    :ivar target: the first token is worth most until then, on the same clock
+        as the deadline; infinite where there is no such time.
     """
 
     request_id: ids.RequestId
@@ -48,6 +51,8 @@
     max_running: int | None = None
     max_waiting: int | None = None
     rate_per_s: float | None = None
+    quota_cost: float = 0
+    target: float = float('inf')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +75,7 @@
     too_late = 'too_late'
     queue_full = 'queue_full'
     rule_limit = 'rule_limit'
+    over_quota = 'over_quota'
     quarantined = 'quarantined'
     no_server = 'no_server'
     not_leader = 'not_leader'
--- a/libs/scheduling/geraniumweir/scheduling/settings.py
+++ b/libs/scheduling/geraniumweir/scheduling/settings.py
@@ -18,6 +18,8 @@
         its tier by what the pool does in this time.
     :ivar preempt_slack: seconds before its latest start at which a waiting
         request may preempt a lower tier.
+    :ivar preempts: whether streams of a lower tier are cancelled for others.
+        A stream that its caller can't resume is lost by it.
     :ivar safety: predicted durations are multiplied by it before they are
         held against a deadline.
     :ivar seed: of the jitter in ``retry_after_ms``.
@@ -29,6 +31,7 @@
     settle_seconds: float = 0
     fair_seconds: float = 0.5
     preempt_slack: float = 0.3
+    preempts: bool = True
     safety: float = 1.1
     quarantine_seconds: float = 300
     seed: int = 0
--- a/libs/scheduling/geraniumweir/scheduling/shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -197,7 +197,9 @@
 
     :returns: whether some are on their way out.
     """
-    if not leader.settled or waitlist.over_running_limit(leader, waiting.ask):
+    if not leader.cfg.preempts or not leader.settled:
+        return False
+    if waitlist.over_running_limit(leader, waiting.ask):
         return False
     if waiting.held and waiting.ask.fingerprint in leader.running_prints:
         return False
--- a/libs/scheduling/geraniumweir/scheduling/tests/world.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/world.py
@@ -37,6 +37,9 @@
     def live(self, domain: ids.FailureDomain) -> list[ids.HostId]:
         return self.hosts.get(domain, [])
 
+    def owners(self, domain: ids.FailureDomain) -> list[ids.HostId]:
+        return self.live(domain)
+
     def see(self, domain: ids.FailureDomain, hosts: list[ids.HostId]) -> None:
         self.hosts[domain] = hosts
         self.changes.on_next(None)
--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -4,6 +4,7 @@
 thrift's signed integers and back.
 """
 
+import math
 import typing
 
 from geraniumweir.common import ids
@@ -37,6 +38,8 @@
         attempt=attempt,
         rate_per_s=ask.rate_per_s,
         streams=ask.streams,
+        quota_cost=float(ask.quota_cost) if ask.quota_cost else None,
+        target_left=_left(ask.target, now),
     )
 
 
@@ -64,9 +67,19 @@
         max_waiting=message.max_waiting,
         rate_per_s=message.rate_per_s,
         streams=message.streams is not False,
+        quota_cost=message.quota_cost or 0,
+        target=_until(message.target_left, now),
     )
 
 
+def _left(until: float, now: float) -> float | None:
+    return None if math.isinf(until) else float(until - now)
+
+
+def _until(left: float | None, now: float) -> float:
+    return math.inf if left is None else now + left
+
+
 def pack_grant(grant: requests.Grant) -> ttypes.Grant:
     """Give the message of a grant."""
     return ttypes.Grant(grant.server_id, grant.incarnation, str(grant.address))
--- a/libs/scheduling/geraniumweir/scheduling/views.py
+++ b/libs/scheduling/geraniumweir/scheduling/views.py
@@ -21,6 +21,9 @@
     def live(self, domain: ids.FailureDomain) -> typing.Sequence[ids.HostId]:
         """List the hosts of a failure domain that can lead a pool."""
 
+    def owners(self, domain: ids.FailureDomain) -> typing.Sequence[ids.HostId]:
+        """List the hosts that a new leader asks for what they have."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RemotePool:
--- a/libs/wire/geraniumweir/wire/gen/configuration/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/configuration/ttypes.py
@@ -420,6 +420,86 @@
         return not (self == other)
 
 
+class Publish(object):
+    """
+    Attributes:
+     - version
+     - document
+
+    """
+
+    __slots__ = (
+        'version',
+        'document',
+    )
+
+
+    def __init__(self, version=None, document=None,):
+        self.version = version
+        self.document = document
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Publish')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 2)
+            oprot.writeBinary(self.document)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Step(object):
     """
     Attributes:
@@ -427,6 +507,7 @@
      - claim
      - finish
      - fence
+     - publish
 
     """
 
@@ -435,14 +516,16 @@
         'claim',
         'finish',
         'fence',
+        'publish',
     )
 
 
-    def __init__(self, change=None, claim=None, finish=None, fence=None,):
+    def __init__(self, change=None, claim=None, finish=None, fence=None, publish=None,):
         self.change = change
         self.claim = claim
         self.finish = finish
         self.fence = fence
+        self.publish = publish
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -477,6 +560,12 @@
                     self.fence.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.publish = Publish()
+                    self.publish.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -503,6 +592,10 @@
             oprot.writeFieldBegin('fence', TType.STRUCT, 4)
             self.fence.write(oprot)
             oprot.writeFieldEnd()
+        if self.publish is not None:
+            oprot.writeFieldBegin('publish', TType.STRUCT, 5)
+            self.publish.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -925,6 +1018,86 @@
         return not (self == other)
 
 
+class PublishAnswer(object):
+    """
+    Attributes:
+     - taken
+     - version
+
+    """
+
+    __slots__ = (
+        'taken',
+        'version',
+    )
+
+
+    def __init__(self, taken=None, version=None,):
+        self.taken = taken
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.taken = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PublishAnswer')
+        if self.taken is not None:
+            oprot.writeFieldBegin('taken', TType.BOOL, 1)
+            oprot.writeBool(self.taken)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StepAnswer(object):
     """
     Attributes:
@@ -932,6 +1105,7 @@
      - claim
      - finish
      - fence
+     - publish
 
     """
 
@@ -940,14 +1114,16 @@
         'claim',
         'finish',
         'fence',
+        'publish',
     )
 
 
-    def __init__(self, change=None, claim=None, finish=None, fence=None,):
+    def __init__(self, change=None, claim=None, finish=None, fence=None, publish=None,):
         self.change = change
         self.claim = claim
         self.finish = finish
         self.fence = fence
+        self.publish = publish
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -982,6 +1158,12 @@
                     self.fence.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.publish = PublishAnswer()
+                    self.publish.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1008,6 +1190,10 @@
             oprot.writeFieldBegin('fence', TType.STRUCT, 4)
             self.fence.write(oprot)
             oprot.writeFieldEnd()
+        if self.publish is not None:
+            oprot.writeFieldBegin('publish', TType.STRUCT, 5)
+            self.publish.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1482,6 +1668,8 @@
      - fence_number
      - fence_issuer
      - longest_lease_ms
+     - published_version
+     - published
 
     """
 
@@ -1495,10 +1683,12 @@
         'fence_number',
         'fence_issuer',
         'longest_lease_ms',
+        'published_version',
+        'published',
     )
 
 
-    def __init__(self, format=None, now_ms=None, history=None, answers=None, running=None, ended=None, fence_number=None, fence_issuer=None, longest_lease_ms=None,):
+    def __init__(self, format=None, now_ms=None, history=None, answers=None, running=None, ended=None, fence_number=None, fence_issuer=None, longest_lease_ms=None, published_version=None, published=None,):
         self.format = format
         self.now_ms = now_ms
         self.history = history
@@ -1508,6 +1698,8 @@
         self.fence_number = fence_number
         self.fence_issuer = fence_issuer
         self.longest_lease_ms = longest_lease_ms
+        self.published_version = published_version
+        self.published = published
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1587,6 +1779,16 @@
                     self.longest_lease_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.published_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.published = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1645,6 +1847,14 @@
             oprot.writeFieldBegin('longest_lease_ms', TType.I64, 9)
             oprot.writeI64(self.longest_lease_ms)
             oprot.writeFieldEnd()
+        if self.published_version is not None:
+            oprot.writeFieldBegin('published_version', TType.I64, 10)
+            oprot.writeI64(self.published_version)
+            oprot.writeFieldEnd()
+        if self.published is not None:
+            oprot.writeFieldBegin('published', TType.STRING, 11)
+            oprot.writeBinary(self.published)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2000,6 +2210,12 @@
     (1, TType.STRING, 'issuer', 'UTF8', None, ),  # 1
     (2, TType.I64, 'lease_ms', None, None, ),  # 2
 )
+all_structs.append(Publish)
+Publish.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'document', 'BINARY', None, ),  # 2
+)
 all_structs.append(Step)
 Step.thrift_spec = (
     None,  # 0
@@ -2007,6 +2223,7 @@
     (2, TType.STRUCT, 'claim', [Claim, None], None, ),  # 2
     (3, TType.STRUCT, 'finish', [Finish, None], None, ),  # 3
     (4, TType.STRUCT, 'fence', [ReserveFence, None], None, ),  # 4
+    (5, TType.STRUCT, 'publish', [Publish, None], None, ),  # 5
 )
 all_structs.append(Command)
 Command.thrift_spec = (
@@ -2037,6 +2254,12 @@
     (1, TType.I64, 'number', None, None, ),  # 1
     (2, TType.I64, 'wait_ms', None, None, ),  # 2
 )
+all_structs.append(PublishAnswer)
+PublishAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'taken', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+)
 all_structs.append(StepAnswer)
 StepAnswer.thrift_spec = (
     None,  # 0
@@ -2044,6 +2267,7 @@
     (2, TType.STRUCT, 'claim', [ClaimAnswer, None], None, ),  # 2
     (3, TType.STRUCT, 'finish', [FinishAnswer, None], None, ),  # 3
     (4, TType.STRUCT, 'fence', [FenceAnswer, None], None, ),  # 4
+    (5, TType.STRUCT, 'publish', [PublishAnswer, None], None, ),  # 5
 )
 all_structs.append(CommandAnswer)
 CommandAnswer.thrift_spec = (
@@ -2090,6 +2314,8 @@
     (7, TType.I64, 'fence_number', None, None, ),  # 7
     (8, TType.STRING, 'fence_issuer', 'UTF8', None, ),  # 8
     (9, TType.I64, 'longest_lease_ms', None, None, ),  # 9
+    (10, TType.I64, 'published_version', None, None, ),  # 10
+    (11, TType.STRING, 'published', 'BINARY', None, ),  # 11
 )
 all_structs.append(FetchVersion)
 FetchVersion.thrift_spec = (
--- /dev/null
+++ b/libs/wire/geraniumweir/wire/gen/control/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -38,6 +38,8 @@
      - attempt
      - rate_per_s
      - streams
+     - quota_cost
+     - target_left
 
     """
 
@@ -61,10 +63,12 @@
         'attempt',
         'rate_per_s',
         'streams',
+        'quota_cost',
+        'target_left',
     )
 
 
-    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None, streams=None,):
+    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None, streams=None, quota_cost=None, target_left=None,):
         self.request_id = request_id
         self.owner = owner
         self.pool = pool
@@ -84,6 +88,8 @@
         self.attempt = attempt
         self.rate_per_s = rate_per_s
         self.streams = streams
+        self.quota_cost = quota_cost
+        self.target_left = target_left
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -194,6 +200,16 @@
                     self.streams = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.DOUBLE:
+                    self.quota_cost = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.DOUBLE:
+                    self.target_left = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -283,6 +299,14 @@
             oprot.writeFieldBegin('streams', TType.BOOL, 19)
             oprot.writeBool(self.streams)
             oprot.writeFieldEnd()
+        if self.quota_cost is not None:
+            oprot.writeFieldBegin('quota_cost', TType.DOUBLE, 20)
+            oprot.writeDouble(self.quota_cost)
+            oprot.writeFieldEnd()
+        if self.target_left is not None:
+            oprot.writeFieldBegin('target_left', TType.DOUBLE, 21)
+            oprot.writeDouble(self.target_left)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2185,6 +2209,8 @@
     (17, TType.I64, 'attempt', None, None, ),  # 17
     (18, TType.DOUBLE, 'rate_per_s', None, None, ),  # 18
     (19, TType.BOOL, 'streams', None, None, ),  # 19
+    (20, TType.DOUBLE, 'quota_cost', None, None, ),  # 20
+    (21, TType.DOUBLE, 'target_left', None, None, ),  # 21
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
--- a/libs/wire/idl/configuration.thrift
+++ b/libs/wire/idl/configuration.thrift
@@ -34,11 +34,18 @@
   2: i64 lease_ms
 }
 
+// Asks for a document that carries its own version; the highest one wins.
+struct Publish {
+  1: i64 version
+  2: binary document
+}
+
 union Step {
   1: Change change
   2: Claim claim
   3: Finish finish
   4: ReserveFence fence
+  5: Publish publish
 }
 
 // at_ms is the proposer's wall clock.
@@ -71,11 +78,18 @@
   2: i64 wait_ms
 }
 
+// version: the highest now.
+struct PublishAnswer {
+  1: bool taken
+  2: i64 version
+}
+
 union StepAnswer {
   1: ChangeAnswer change
   2: ClaimAnswer claim
   3: FinishAnswer finish
   4: FenceAnswer fence
+  5: PublishAnswer publish
 }
 
 // invalid: the command could not be read; nothing was done.
@@ -122,6 +136,9 @@
   7: i64 fence_number
   8: string fence_issuer
   9: i64 longest_lease_ms
+  // A document that carries its own version, compressed.
+  10: optional i64 published_version
+  11: optional binary published
 }
 
 // ---- following ------------------------------------------------------------
--- /dev/null
+++ b/libs/wire/idl/control.thrift
@@ -0,0 +1,112 @@
+// What control hosts say to each other and to entry hosts: the document in
+// force, the enrolled backend servers and who coordinates.
+namespace py control
+
+// A backend server's enrolment. The sequence grows with each report of the
+// same server; a server that has gone never returns under its id.
+struct Enrolment {
+  1: string server_id
+  2: string pool
+  3: string address
+  4: string failure_domain
+  5: i32 slots
+  6: i64 sequence
+  // 1 ready, 2 leaving, 3 gone.
+  7: i8 state
+  // No report came for longer than a lease; work may still succeed there.
+  8: bool silent
+  9: list<string> models
+}
+
+// A control host. Each address is IP:PORT; servers and operators use the
+// second.
+struct ControlHost {
+  1: string host_id
+  2: string address
+  3: string control_address
+  4: string failure_domain
+}
+
+// Between control hosts, once a second, each way as the answer to the other.
+// The digest is that of the enrolments. entry_hosts: how many there are, as
+// the log's leader counts them.
+struct Presence {
+  1: ControlHost me
+  2: list<ControlHost> hosts
+  3: i64 digest
+  4: i32 entry_hosts
+  5: bool leads
+}
+
+// Enrolments that changed at a control host, told to the others.
+struct Enrolled {
+  1: list<Enrolment> servers
+}
+
+// Asks another control host for all it knows; its answer is Enrolled.
+struct AskEnrolled {
+}
+
+// Asks for what is newer than the asker has; the answer may wait. The epoch
+// names the answerer's run, the revision counts its enrolment changes.
+struct Watch {
+  1: i64 version
+  2: string epoch
+  3: i64 revision
+  4: i32 wait_ms
+}
+
+// sure: the answerer hears the log's leader. whole: servers are all there
+// are, not only the changed ones. The document is compressed.
+struct News {
+  1: string epoch
+  2: i64 revision
+  3: i64 version
+  4: optional binary document
+  5: bool sure
+  6: bool whole
+  7: list<Enrolment> servers
+  8: list<ControlHost> hosts
+}
+
+// From an entry host to a control host, several times a second.
+struct Ping {
+  1: string failure_domain
+  2: bool leaving
+}
+
+// leads: the answerer leads the log. stands_in: it coordinates because it
+// hears no leader. hosts: entry hosts there are; heard: of them, heard by the
+// answerer lately.
+struct Pong {
+  1: bool leads
+  2: bool stands_in
+  3: i32 hosts
+  4: i32 heard
+}
+
+// A control host with a data folder that isn't among the recorders asks the
+// log's leader to take it in.
+struct JoinLog {
+  1: string host_id
+  2: string address
+  3: string identity
+  4: string failure_domain
+}
+
+struct JoinReply {
+  1: bool leads
+}
+
+// Reads the newest document from a recorder that has applied an entry.
+struct ReadNewest {
+  1: i64 index
+}
+
+// known: the entry was applied there. version: -1 before the first document,
+// which is compressed.
+struct Newest {
+  1: bool known
+  2: i64 version
+  3: binary document
+}
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -26,6 +26,9 @@
   18: optional double rate_per_s
   // Unsaid by hosts of an older release: it may stream.
   19: optional bool streams
+  // What it takes of its customer's quota, and when its first token is due.
+  20: optional double quota_cost
+  21: optional double target_left
 }
 
 struct Grant {
