A pool leader that plans for first tokens on time

Now a queue is ordered by the latest useful start, what can't be served in time gives way by tier, rank and length, and what has no turn within its caller's patience is refused at once. Servers are weighed by the time a slot is held and by how scarce their free slots are; first tokens are predicted by a line fitted for each server.

Ruled out: too few slots (44 of a fast engine's slots for a mean demand of 32).

--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -0,0 +1,199 @@
+"""Grants the capacity of one pool so that first tokens come on time.
+
+The face is that of :class:`geraniumweir.scheduling.leader.PoolLeader`. The
+state is soft: a new leader adopts the grants in use.
+
+See Also
+========
+geraniumweir.scheduling.ontime.granting
+"""
+
+import asyncio
+import random
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.membership import servers
+from geraniumweir.scheduling import requests, settings, suspects
+from geraniumweir.scheduling.ontime import (
+    fleet,
+    granting,
+    lessons,
+    records,
+    state,
+)
+
+_MS = 1000
+
+
+class OnTimeLeader:
+    """Grants the capacity of one pool."""
+
+    def __init__(
+        self,
+        cfg: settings.LeaderSettings,
+        now: typing.Callable[[], float],
+        live: typing.Callable[[], typing.Sequence[servers.Announcement]],
+    ) -> None:
+        """Start with an empty queue.
+
+        :param now: gives the time in seconds, the loop's clock.
+        :param live: gives the pool's backend servers that may get work.
+        """
+        self._state = state.LeaderState(
+            now=now,
+            live=live,
+            suspects=suspects.Suspects(cfg.quarantine_seconds, cfg.origin),
+            dice=random.Random(cfg.seed),
+            settle_by=now() + cfg.settle_seconds,
+            served_at=now(),
+        )
+
+    async def ask(
+        self,
+        ask: requests.Ask,
+    ) -> requests.Grant | requests.Denial:
+        """Wait for a backend server.
+
+        A repeated ask of a waiting id joins it; of a granted id it gets the
+        same grant again.
+
+        :param ask: what waits; its times are on the leader's clock.
+        """
+        running = self._state.running.get(ask.request_id)
+        if running is not None:
+            return running.grant
+        waiting = self._state.waiting.get(ask.request_id)
+        if waiting is None:
+            denied = self._deny_at_once(ask)
+            if denied is not None:
+                return denied
+            waiting = self._enqueue(ask)
+            granting.fill(self._state)
+        return await self._joined(waiting)
+
+    def withdraw(self, request_id: ids.RequestId) -> None:
+        """Drop a request whose caller went away while it waited."""
+        waiting = self._state.waiting.get(request_id)
+        if waiting is not None:
+            withdrawn = requests.DenialReason.withdrawn
+            state.refuse(self._state, waiting, withdrawn)
+
+    def progress(self, progress: requests.Progress) -> None:
+        """Take that the first token of granted work came."""
+        running = self._state.running.get(progress.request_id)
+        if running is not None and progress.first_token is not None:
+            lessons.first_token(self._state, running, progress.first_token)
+
+    def release(self, release: requests.Release) -> None:
+        """Take back a grant and serve who waits; a repeat is ignored."""
+        running = self._state.running.pop(release.request_id, None)
+        if running is None:
+            return
+        lessons.ended(self._state, running, release)
+        server = self._state.servers.get(running.grant.server_id)
+        if server is not None:
+            server.running.pop(release.request_id, None)
+            server.unborn.pop(release.request_id, None)
+        granting.fill(self._state)
+
+    def server_crashed(
+        self,
+        server_id: ids.ServerId,
+        _incarnation: ids.Incarnation,
+    ) -> None:
+        """Take that a server crashed; its requests are suspected."""
+        server = self._state.servers.pop(server_id, None)
+        if server is not None:
+            lost = [one.ask.fingerprint for one in server.running.values()]
+            self._state.suspects.crashed(lost, self._state.now())
+            granting.fill(self._state)
+
+    def owner_gone(self, owner: ids.HostId) -> None:
+        """End the grants and the waiting requests of a lost entry host."""
+        for waiting in list(self._state.waiting.values()):
+            if waiting.ask.owner == owner:
+                self.withdraw(waiting.ask.request_id)
+        cancelled = requests.Outcome.cancelled
+        for running in list(self._state.running.values()):
+            if running.ask.owner == owner:
+                request_id = running.ask.request_id
+                self.release(requests.Release(request_id, cancelled))
+
+    def adopt(self, grants: typing.Sequence[requests.OpenGrant]) -> None:
+        """Take over grants in use that another leader gave."""
+        fleet.sync(self._state)
+        for taken in grants:
+            if taken.ask.request_id not in self._state.running:
+                self._adopt(taken)
+
+    def settled(self) -> None:
+        """Keep to the settle window: owners hand over by themselves."""
+
+    def grant_waiting(self) -> None:
+        """Take that announcements or the configuration changed."""
+        fleet.changed(self._state)
+        granting.fill(self._state)
+
+    async def _joined(
+        self,
+        waiting: records.Waiting,
+    ) -> requests.Grant | requests.Denial:
+        waiting.joined += 1
+        try:
+            return await asyncio.shield(waiting.fut)
+        except asyncio.CancelledError:
+            waiting.joined -= 1
+            if not waiting.joined:
+                self._abandoned(waiting)
+            raise
+
+    def _abandoned(self, waiting: records.Waiting) -> None:
+        """End a request whose last asker went away before its answer."""
+        request_id = waiting.ask.request_id
+        self.withdraw(request_id)
+        running = self._state.running.get(request_id)
+        if running is not None and running.grant is waiting.fut.result():
+            cancelled = requests.Outcome.cancelled
+            self.release(requests.Release(request_id, cancelled))
+
+    def _deny_at_once(self, ask: requests.Ask) -> requests.Denial | None:
+        now = self._state.now()
+        known = self._state.suspects
+        verdict = known.verdict(ask.fingerprint, now)
+        if verdict is suspects.Verdict.quarantined:
+            reason = requests.DenialReason.quarantined
+            wait = known.remaining(ask.fingerprint, now)
+            return requests.Denial(ask.request_id, reason, int(wait * _MS))
+        if ask.deadline <= now:
+            too_late = requests.DenialReason.too_late
+            return state.denial(self._state, ask, too_late)
+        return None
+
+    def _enqueue(self, ask: requests.Ask) -> records.Waiting:
+        self._state.sequence += 1
+        waiting = records.Waiting(
+            ask,
+            self._state.sequence,
+            self._state.now(),
+            lessons.expected_tokens(self._state, ask),
+            asyncio.get_running_loop().create_future(),
+        )
+        self._state.waiting[ask.request_id] = waiting
+        return waiting
+
+    def _adopt(self, taken: requests.OpenGrant) -> None:
+        waiting = self._state.waiting.pop(taken.ask.request_id, None)
+        if waiting is not None:
+            waiting.fut.set_result(taken.grant)
+        running = records.Running(
+            ask=taken.ask,
+            grant=taken.grant,
+            granted=self._state.now() - taken.age,
+            read_tokens=taken.ask.prompt_tokens,
+            predicted=taken.age,
+            tokens=lessons.expected_tokens(self._state, taken.ask),
+            first_token=taken.first_token,
+        )
+        server = self._state.servers.get(taken.grant.server_id)
+        state.run(self._state, server, running)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/lessons.py
@@ -0,0 +1,83 @@
+"""Learns from how granted work goes on and ends."""
+
+from geraniumweir.scheduling import requests
+from geraniumweir.scheduling.ontime import fleet, records, state
+
+# Answers are about half as long as the most that callers allow them to be.
+_USUAL_PART = 0.5
+# Lengths differ a hundredfold; their mean is over some ten answers.
+_LENGTH_WEIGHT = 0.1
+
+
+def expected_tokens(leader: state.LeaderState, ask: requests.Ask) -> float:
+    """Give the output tokens to expect: as said, as usual, or half."""
+    most = ask.max_tokens or float('inf')
+    usual = leader.lengths.get(ask.rule, ask.max_tokens * _USUAL_PART)
+    return min(ask.likely_tokens or usual, most)
+
+
+def first_token(
+    leader: state.LeaderState,
+    running: records.Running,
+    seconds: float,
+) -> None:
+    """Take that the first token came, so many seconds after the grant."""
+    if running.first_token is not None:
+        return
+    running.first_token = seconds
+    server = leader.servers.get(running.grant.server_id)
+    if server is None:
+        return
+    server.unborn.pop(running.ask.request_id, None)
+    leader.learnt.learn_first(server.speed, running.read_tokens, seconds)
+    server.condition.good()
+
+
+def ended(
+    leader: state.LeaderState,
+    running: records.Running,
+    release: requests.Release,
+) -> None:
+    """Take how work ended."""
+    server = leader.servers.get(running.grant.server_id)
+    if server is None:
+        return
+    now = leader.now()
+    mark = running.ask.fingerprint
+    match release.outcome:
+        case requests.Outcome.done:
+            _whole(leader, server, running, release)
+            server.condition.answered(well=True)
+            leader.suspects.ended_well(mark)
+        case requests.Outcome.answered_failure:
+            server.condition.answered(well=False)
+        case requests.Outcome.not_sent:
+            server.condition.unreachable(now)
+        case requests.Outcome.wrong_server:
+            fleet.replaced(leader, server)
+        case requests.Outcome.failed | requests.Outcome.crashed:
+            server.condition.broke_off(now)
+            leader.suspects.broke_off(mark, server.server_id, now)
+        case requests.Outcome.cancelled | requests.Outcome.preempted:
+            pass
+
+
+def _whole(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+    release: requests.Release,
+) -> None:
+    if release.first_token is not None:
+        first_token(leader, running, release.first_token)
+    first = running.first_token or 0
+    leader.learnt.learn_end(
+        server.speed,
+        release.output_tokens,
+        release.seconds - first,
+        release.seconds,
+    )
+    rule = running.ask.rule
+    usual = leader.lengths.get(rule, release.output_tokens)
+    change = (release.output_tokens - usual) * _LENGTH_WEIGHT
+    leader.lengths[rule] = usual + change
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
@@ -0,0 +1,115 @@
+"""Which server a request goes to.
+
+Engines differ in speed and each runs a fixed number of requests well. A
+request goes where it keeps a slot for the least, weighed by how scarce free
+slots are there, so that fast engines are shared out first while they have
+room and slow ones take what they can still answer in time.
+"""
+
+import dataclasses
+import math
+import typing
+
+from geraniumweir.scheduling.ontime import records, speeds
+
+# What a server with no free slot left would count for, as a part of its
+# slots: the scarcer the free ones, the dearer the last of them.
+_LEAST_FREE = 0.15
+# A first token is predicted from a mean; this part of the time to the target
+# is used for it, which half of the predictions' errors stay within.
+_USED = 0.8
+# An answer must be predicted to end within this part of its time: lengths are
+# known at the median only and often twice as long.
+_USED_OF_DEADLINE = 0.6
+# How much dearer a server is for each part of its answers that are failures.
+_FAILURE_PRICE = 8.0
+# A first token that is overdue by so long tells that a server hangs, in
+# seconds, and so many times the usual time.
+_HANGS_SECONDS = 0.75
+_HANGS_FACTOR = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """A server for a request.
+
+    :ivar first: seconds predicted to the first token.
+    :ivar on_time: the first token is predicted before its target.
+    :ivar score: the less, the better.
+    """
+
+    server: records.Server
+    first: float
+    on_time: bool
+    score: float
+
+
+def best(
+    servers: typing.Iterable[records.Server],
+    waiting: records.Waiting,
+    learnt: speeds.Speeds,
+    now: float,
+) -> Place | None:
+    """Choose among the servers that have a free slot.
+
+    :returns: one where the first token comes in time, if there is any, else
+        the one where it comes first; None where no server can run it.
+    """
+    places = [
+        place(server, waiting, learnt, now)
+        for server in servers
+        if server.free(now) > 0 and not hangs(server, now)
+    ]
+    able = [found for found in places if not math.isinf(found.score)]
+    in_time = [found for found in able if found.on_time]
+    if in_time:
+        return min(in_time, key=_by_score)
+    return min(able, key=_by_first, default=None)
+
+
+def place(
+    server: records.Server,
+    waiting: records.Waiting,
+    learnt: speeds.Speeds,
+    now: float,
+) -> Place:
+    """Predict how a request does on a server."""
+    ask = waiting.ask
+    read = ask.prompt_tokens + server.unread_tokens()
+    first = learnt.first_token(server.speed, read)
+    first += max(server.overdue(now), 0)
+    held = first
+    if ask.streams:
+        held += learnt.decode(server.speed) * waiting.tokens
+    left = ask.deadline - now
+    score = math.inf
+    if held <= left * _USED_OF_DEADLINE:
+        score = held * _scarcity(server, now)
+        score *= 1 + _FAILURE_PRICE * server.condition.failing
+    on_time = now + first <= now + (ask.target - now) * _USED
+    return Place(server, first, on_time, score)
+
+
+def hangs(server: records.Server, now: float) -> bool:
+    """Tell whether a server has stopped giving first tokens."""
+    late = server.overdue(now)
+    if late < _HANGS_SECONDS:
+        return False
+    usual = max(
+        (one.predicted for one in server.unborn.values()),
+        default=0,
+    )
+    return late > usual * _HANGS_FACTOR
+
+
+def _scarcity(server: records.Server, now: float) -> float:
+    free = server.free(now) / server.slots
+    return 1 / (free + _LEAST_FREE)
+
+
+def _by_score(found: Place) -> tuple[float, str]:
+    return found.score, found.server.server_id
+
+
+def _by_first(found: Place) -> tuple[float, str]:
+    return found.first, found.server.server_id
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -0,0 +1,95 @@
+"""What the leader keeps of requests and backend servers."""
+
+import asyncio
+import dataclasses
+
+from geraniumweir.common import ids
+from geraniumweir.membership import servers
+from geraniumweir.scheduling import requests
+from geraniumweir.scheduling.ontime import conditions, speeds
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiting:
+    """A request in the queue.
+
+    :ivar sequence: by order of arrival.
+    :ivar tokens: output tokens expected.
+    :ivar joined: asks that wait for the same answer.
+    """
+
+    ask: requests.Ask
+    sequence: int
+    arrived: float
+    tokens: float
+    fut: asyncio.Future[requests.Grant | requests.Denial]
+    joined: int = 0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Running:
+    """A grant in use.
+
+    :ivar granted: when, in seconds.
+    :ivar read_tokens: prompt tokens to read before its first token, those of
+        others ahead of it included.
+    :ivar predicted: seconds from the grant to its first token.
+    :ivar tokens: output tokens expected.
+    """
+
+    ask: requests.Ask
+    grant: requests.Grant
+    granted: float
+    read_tokens: float
+    predicted: float
+    tokens: float
+    first_token: float | None = None
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Server:
+    """A backend server as the leader sees it.
+
+    :ivar live: announced and allowed new work.
+    :ivar unborn: of the running ones, those without a first token.
+    """
+
+    announcement: servers.Announcement
+    speed: speeds.Speed = dataclasses.field(default_factory=speeds.Speed)
+    condition: conditions.Condition = dataclasses.field(
+        default_factory=conditions.Condition,
+    )
+    live: bool = True
+    running: dict[ids.RequestId, Running] = dataclasses.field(
+        default_factory=dict,
+    )
+    unborn: dict[ids.RequestId, Running] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    @property
+    def server_id(self) -> ids.ServerId:
+        """Give the server's id."""
+        return self.announcement.server_id
+
+    @property
+    def slots(self) -> int:
+        """Give how many requests it runs at a time."""
+        return max(self.announcement.slots, 1)
+
+    def free(self, now: float) -> int:
+        """Give how many more requests it may get now."""
+        if not self.live:
+            return 0
+        return self.condition.most(self.slots, now) - len(self.running)
+
+    def unread_tokens(self) -> float:
+        """Give the prompt tokens granted and not known to be read."""
+        return sum(one.ask.prompt_tokens for one in self.unborn.values())
+
+    def overdue(self, now: float) -> float:
+        """Give the seconds by which the oldest first token is late."""
+        late = [
+            now - one.granted - one.predicted for one in self.unborn.values()
+        ]
+        return max(late, default=0)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -0,0 +1,104 @@
+"""All that a leader knows; the decisions are free functions over it."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.membership import servers
+from geraniumweir.scheduling import requests, suspects
+from geraniumweir.scheduling.ontime import records, speeds
+
+_MS = 1000
+_LEAST_RETRY = 0.1
+_LONGEST_RETRY = 3.0
+_SPREAD = 0.5
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class LeaderState:
+    """All that a leader knows.
+
+    :ivar settle_by: nothing is granted before, in seconds.
+    :ivar served_at: when a server was last known.
+    :ivar synced: when the servers were last looked up.
+    :ivar gone: servers whose place another run took, and since when.
+    :ivar lengths: usual output tokens by rule.
+    """
+
+    now: typing.Callable[[], float]
+    live: typing.Callable[[], typing.Sequence[servers.Announcement]]
+    suspects: suspects.Suspects
+    dice: random.Random
+    settle_by: float
+    served_at: float
+    synced: float = float('-inf')
+    waiting: dict[ids.RequestId, records.Waiting] = dataclasses.field(
+        default_factory=dict,
+    )
+    running: dict[ids.RequestId, records.Running] = dataclasses.field(
+        default_factory=dict,
+    )
+    servers: dict[ids.ServerId, records.Server] = dataclasses.field(
+        default_factory=dict,
+    )
+    gone: dict[ids.ServerId, float] = dataclasses.field(default_factory=dict)
+    learnt: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
+    lengths: dict[ids.RuleName, float] = dataclasses.field(
+        default_factory=dict,
+    )
+    sequence: int = 0
+    ticker: asyncio.TimerHandle | None = None
+
+
+def interval(leader: LeaderState) -> float:
+    """Predict the seconds from one free slot of the pool to the next."""
+    now = leader.now()
+    rate = sum(
+        server.condition.most(server.slots, now)
+        / leader.learnt.held(server.speed)
+        for server in leader.servers.values()
+        if server.live
+    )
+    return 1 / rate if rate else float('inf')
+
+
+def denial(
+    leader: LeaderState,
+    ask: requests.Ask,
+    reason: requests.DenialReason,
+) -> requests.Denial:
+    """Make a denial, with the time in which the queue will be worked off.
+
+    Spread out, so that those refused together don't come back together.
+    """
+    seconds = len(leader.waiting) * min(interval(leader), 1)
+    seconds = min(max(seconds, _LEAST_RETRY), _LONGEST_RETRY)
+    spread = leader.dice.uniform(1, 1 + 2 * _SPREAD)
+    return requests.Denial(ask.request_id, reason, int(seconds * spread * _MS))
+
+
+def refuse(
+    leader: LeaderState,
+    waiting: records.Waiting,
+    reason: requests.DenialReason,
+) -> None:
+    """End a request that waits."""
+    leader.waiting.pop(waiting.ask.request_id, None)
+    waiting.fut.set_result(denial(leader, waiting.ask, reason))
+
+
+def run(
+    leader: LeaderState,
+    server: records.Server | None,
+    running: records.Running,
+) -> None:
+    """Count a grant in use; its server may not be known yet."""
+    request_id = running.ask.request_id
+    leader.running[request_id] = running
+    if server is None:
+        return
+    server.running[request_id] = running
+    if running.first_token is None:
+        server.unborn[request_id] = running
--- a/libs/scheduling/geraniumweir/scheduling/progressing.py
+++ b/libs/scheduling/geraniumweir/scheduling/progressing.py
@@ -45,9 +45,9 @@
         return
     _correct_charge(leader, running, ended.outcome)
     match ended.outcome:
-        case requests.Outcome.done:
+        case requests.Outcome.done | requests.Outcome.answered_failure:
             _learn_end(leader, server, running, ended)
-        case requests.Outcome.not_sent:
+        case requests.Outcome.not_sent | requests.Outcome.wrong_server:
             server.health.stall(leader.now())
         case requests.Outcome.failed | requests.Outcome.crashed:
             _failed(leader, server, running)
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -31,6 +31,10 @@
     :ivar quota_cost: what it takes of its customer's quota, 0 for nothing.
     :ivar target: the first token is worth most until then, on the same clock
         as the deadline; infinite where there is no such time.
+    :ivar rank: importance inside its tier, 0 is the highest.
+    :ivar likely_tokens: output tokens that the caller expects, 0 if unsaid.
+    :ivar patience: the caller leaves if no token came by then, on the same
+        clock; infinite where that isn't known.
     """
 
     request_id: ids.RequestId
@@ -53,6 +57,9 @@
     rate_per_s: float | None = None
     quota_cost: float = 0
     target: float = float('inf')
+    rank: int = 0
+    likely_tokens: int = 0
+    patience: float = float('inf')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +106,9 @@
 
     :cvar done: the whole answer came.
     :cvar not_sent: no byte reached the server; the same id may ask again.
+    :cvar answered_failure: the whole answer came and says that it failed.
+    :cvar wrong_server: another run of a server answers at the address; the
+        same id may ask again.
     :cvar failed: the server answered with an error or broke off.
     :cvar crashed: the server is known to have crashed under it.
     :cvar cancelled: the caller went away.
@@ -107,6 +117,8 @@
 
     done = 'done'
     not_sent = 'not_sent'
+    answered_failure = 'answered_failure'
+    wrong_server = 'wrong_server'
     failed = 'failed'
     crashed = 'crashed'
     cancelled = 'cancelled'
--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -40,6 +40,9 @@
         streams=ask.streams,
         quota_cost=float(ask.quota_cost) if ask.quota_cost else None,
         target_left=_left(ask.target, now),
+        rank=ask.rank,
+        likely_tokens=ask.likely_tokens,
+        patience_left=_left(ask.patience, now),
     )
 
 
@@ -69,6 +72,9 @@
         streams=message.streams is not False,
         quota_cost=message.quota_cost or 0,
         target=_until(message.target_left, now),
+        rank=message.rank or 0,
+        likely_tokens=message.likely_tokens or 0,
+        patience=_until(message.patience_left, now),
     )
 
 
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -40,6 +40,9 @@
      - streams
      - quota_cost
      - target_left
+     - rank
+     - likely_tokens
+     - patience_left
 
     """
 
@@ -65,10 +68,13 @@
         'streams',
         'quota_cost',
         'target_left',
+        'rank',
+        'likely_tokens',
+        'patience_left',
     )
 
 
-    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None, streams=None, quota_cost=None, target_left=None,):
+    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None, streams=None, quota_cost=None, target_left=None, rank=None, likely_tokens=None, patience_left=None,):
         self.request_id = request_id
         self.owner = owner
         self.pool = pool
@@ -90,6 +96,9 @@
         self.streams = streams
         self.quota_cost = quota_cost
         self.target_left = target_left
+        self.rank = rank
+        self.likely_tokens = likely_tokens
+        self.patience_left = patience_left
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -210,6 +219,21 @@
                     self.target_left = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.BYTE:
+                    self.rank = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.I32:
+                    self.likely_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.DOUBLE:
+                    self.patience_left = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -307,6 +331,18 @@
             oprot.writeFieldBegin('target_left', TType.DOUBLE, 21)
             oprot.writeDouble(self.target_left)
             oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.BYTE, 22)
+            oprot.writeByte(self.rank)
+            oprot.writeFieldEnd()
+        if self.likely_tokens is not None:
+            oprot.writeFieldBegin('likely_tokens', TType.I32, 23)
+            oprot.writeI32(self.likely_tokens)
+            oprot.writeFieldEnd()
+        if self.patience_left is not None:
+            oprot.writeFieldBegin('patience_left', TType.DOUBLE, 24)
+            oprot.writeDouble(self.patience_left)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2211,6 +2247,9 @@
     (19, TType.BOOL, 'streams', None, None, ),  # 19
     (20, TType.DOUBLE, 'quota_cost', None, None, ),  # 20
     (21, TType.DOUBLE, 'target_left', None, None, ),  # 21
+    (22, TType.BYTE, 'rank', None, None, ),  # 22
+    (23, TType.I32, 'likely_tokens', None, None, ),  # 23
+    (24, TType.DOUBLE, 'patience_left', None, None, ),  # 24
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -29,6 +29,11 @@
   // What it takes of its customer's quota, and when its first token is due.
   20: optional double quota_cost
   21: optional double target_left
+  // Importance inside its tier, 0 first; output tokens the caller expects;
+  // when it leaves if nothing has come by then.
+  22: optional i8 rank
+  23: optional i32 likely_tokens
+  24: optional double patience_left
 }
 
 struct Grant {
