--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -100,6 +100,7 @@
         self._resp = resp
         self.status = resp.status
         self.headers = resp.headers
+        self._lost = None if self.ends_visibly else _loss_of(resp)
 
     async def __aenter__(self) -> 'Answer':
         """Give the answer itself."""
@@ -153,9 +154,31 @@
         try:
             async for chunk in self._resp.content.iter_any():
                 yield chunk
+            if not self.ends_visibly:
+                await self._check_end()
         except (aiohttp.ClientError, OSError) as exc:
             raise errors.CutShortError(f'the answer broke off: {exc}') from exc
 
+    async def _check_end(self) -> None:
+        """Make sure that a body without a length wasn't cut by a reset.
+
+        The library takes any end of the connection for the body's end.
+
+        :raises errors.CutShortError: when it can't be told.
+        :raises aiohttp.ClientError: when the connection was reset.
+        """
+        if self._lost is None:
+            raise errors.CutShortError("the answer's end could not be told")
+        await self._lost
+
+
+def _loss_of(
+    resp: aiohttp.ClientResponse,
+) -> typing.Awaitable[None] | None:
+    """Give what ends, or fails, with the connection; None when it is lost."""
+    conn = resp.connection
+    return None if conn is None else conn.protocol.closed
+
 
 async def send(
     session: aiohttp.ClientSession,
--- a/libs/gateway/geraniumweir/gateway/admission.py
+++ b/libs/gateway/geraniumweir/gateway/admission.py
@@ -84,6 +84,8 @@
         idempotent=route.repeatable or route.resumable,
         quota_cost=_cost(call, customer),
         target=asker.arrived + route.target,
+        rank=route.rank,
+        patience=asker.arrived + route.patience,
         **_generation(call, pool),
     )
     event_tokens = pool.engine.event_tokens if pool.engine else 1
@@ -160,6 +162,7 @@
         'model': said.model,
         'prompt_tokens': said.prompt_tokens,
         'max_tokens': said.most_tokens,
+        'likely_tokens': said.likely_tokens,
         'blocks': _blocks(said.parts),
         'streams': True,
     }
--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -18,7 +18,14 @@
 _FIRST_FAILURE = 500
 _WRONG_SERVER = 421
 # What these promise to a caller only a server's own word can back.
-_PROMISES = frozenset({408, 421, 429, 503})
+_PROMISES = frozenset(
+    (
+        408,
+        421,
+        429,
+        503,
+    )
+)
 
 
 @dataclasses.dataclass(slots=True)
--- a/libs/gateway/geraniumweir/gateway/events.py
+++ b/libs/gateway/geraniumweir/gateway/events.py
@@ -16,13 +16,13 @@
 
 
 class Splitter:
-    """Cuts bytes into whole events, of one run of a stream or several.
+    r"""Cuts bytes into whole events, of one run of a stream or several.
 
     :ivar last: number of the last event that was given, None before it.
 
     >>> splitter = Splitter()
-    >>> splitter.feed(b'id: 1\\ndata: a\\n\\nid: 2\\nda')
-    b'id: 1\\ndata: a\\n\\n'
+    >>> splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
+    b'id: 1\ndata: a\n\n'
     >>> splitter.last, splitter.is_whole()
     (1, False)
     """
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -121,7 +121,8 @@
     async def serve(self) -> web.StreamResponse:
         """Answer the request.
 
-        :raises geraniumweir.common.errors.Refused: when it gets no answer of a server.
+        :raises geraniumweir.common.errors.Refused: when no server answers
+            it.
         :raises ConnectionError: when the caller has gone.
         """
         try:
@@ -306,10 +307,11 @@
     match outcome:
         case outcomes.Whole() | outcomes.Streamed():
             return requests.Outcome.done
+        case outcomes.NotRun(wrong_server=True):
+            return requests.Outcome.wrong_server
         case outcomes.NotRun():
             return requests.Outcome.not_sent
         case outcomes.Failed(answer=None):
             return requests.Outcome.failed
         case outcomes.Failed():
-            # The server works; the failure is its application's own.
-            return requests.Outcome.done
+            return requests.Outcome.answered_failure
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -183,6 +183,7 @@
         await asyncio.sleep(_LISTEN_SECONDS)
         for site in list(callers.sites):
             await site.stop()
+        front.close_idle()
         while front.traffic.open and self._clock.now() < end:
             await asyncio.sleep(_LOOK_SECONDS)
         await self._coordinator.leave()
--- a/libs/gateway/geraniumweir/gateway/refusals.py
+++ b/libs/gateway/geraniumweir/gateway/refusals.py
@@ -17,6 +17,7 @@
 
 _UNAVAILABLE = 503
 _TOO_MANY = 429
+_TIMED_OUT = 504
 
 _DENIED = types.MappingProxyType(
     {
@@ -32,7 +33,10 @@
     }
 )
 _LIMITS = frozenset(
-    {requests.DenialReason.over_quota, requests.DenialReason.rule_limit},
+    (
+        requests.DenialReason.over_quota,
+        requests.DenialReason.rule_limit,
+    )
 )
 
 
@@ -103,7 +107,9 @@
 
 def timed_out() -> errors.Refused:
     """Tell that a server had a call when its time was over."""
-    return may_have_run('timeout', 'the server did not answer in time', 504)
+    return may_have_run(
+        'timeout', 'the server did not answer in time', _TIMED_OUT
+    )
 
 
 def never(status: int, kind: str, message: str) -> errors.Refused:
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -64,10 +64,12 @@
         self._meter = meter
         self._chance = random.Random()
         self._numbers = itertools.count(1)
+        self._server: web.Server | None = None
+        self._busy: set[typing.Any] = set()
 
     def server(self) -> web.Server:
         """Make the HTTP server; one handler for all requests."""
-        return web.Server(
+        self._server = web.Server(
             self.handle,
             request_factory=_make_request,
             handler_cancellation=True,
@@ -75,10 +77,25 @@
             max_field_size=_HEADER_BYTES,
             access_log=None,
         )
+        return self._server
+
+    def close_idle(self) -> None:
+        """End the connections on which no request is open.
+
+        The others end with the answer under way. The library's own way to
+        close an idle connection ends the task that reads it and leaves the
+        connection open, so that a request on it would never be answered.
+        """
+        if self._server is None:
+            return
+        for conn in self._server.connections:
+            if conn not in self._busy:
+                conn.force_close()
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.traffic.open += 1
+        self._busy.add(req.protocol)
         caller = talk.Talk(req, self.traffic.closing)
         told = story.Story('', talk.now())
         status = 0
@@ -91,6 +108,7 @@
             raise
         finally:
             self.traffic.open -= 1
+            self._busy.discard(req.protocol)
             self._count(told, status)
 
     def _count(self, told: story.Story, status: int) -> None:
