--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-LIBS := $(sort $(wildcard libs/*))
+LIBS := $(sort $(wildcard libs/*)) platform
 STAMP := $(VENV)/.stamp
-PROJECTS := $(wildcard libs/*/pyproject.toml)
+PROJECTS := $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 
 .PHONY: setup demo test lint format bench bounds slopes capacity-page clean
 
@@ -24,7 +24,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 libs tools conftest.py
+	$(BIN)/flake8 libs platform deploy tools conftest.py
 	$(BIN)/lint-imports
 
 format: setup
--- a/deploy/start.py
+++ b/deploy/start.py
@@ -8,10 +8,8 @@
 import sys
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
-sys.path[:0] = [
-    str(_ROOT / 'platform'),
-    *(str(lib) for lib in sorted((_ROOT / 'libs').iterdir())),
-]
+_LIBS = (_ROOT / 'platform', *sorted((_ROOT / 'libs').iterdir()))
+sys.path = [*map(str, _LIBS), *sys.path]
 
 from geraniumweir.platform import main  # noqa: E402
 
--- a/libs/configuration/geraniumweir/configuration/state.py
+++ b/libs/configuration/geraniumweir/configuration/state.py
@@ -142,18 +142,20 @@
         return (self._changes, self._claims, self._fences, self.published)
 
     def _step(self, step: ttypes.Step) -> ttypes.StepAnswer:
-        answer = ttypes.StepAnswer()
-        if step.change is not None:
-            answer.change = self._changes.apply(step.change, self.now_ms)
-        elif step.claim is not None:
-            answer.claim = self._claims.claim(step.claim, self.now_ms)
-        elif step.finish is not None:
-            answer.finish = self._claims.finish(step.finish, self.now_ms)
-        elif step.fence is not None:
-            answer.fence = self._fences.reserve(step.fence)
-        elif step.publish is not None:
-            answer.publish = self.published.apply(step.publish)
-        return answer
+        """Apply a step; it asks for one thing, which was checked before."""
+        match step:
+            case ttypes.Step(change=ttypes.Change() as change):
+                done = self._changes.apply(change, self.now_ms)
+                return ttypes.StepAnswer(change=done)
+            case ttypes.Step(claim=ttypes.Claim() as claim):
+                claimed = self._claims.claim(claim, self.now_ms)
+                return ttypes.StepAnswer(claim=claimed)
+            case ttypes.Step(finish=ttypes.Finish() as finish):
+                ended = self._claims.finish(finish, self.now_ms)
+                return ttypes.StepAnswer(finish=ended)
+            case ttypes.Step(fence=ttypes.ReserveFence() as fence):
+                return ttypes.StepAnswer(fence=self._fences.reserve(fence))
+        return ttypes.StepAnswer(publish=self.published.apply(step.publish))
 
     def _tell(self, before: int) -> None:
         newest = self._changes.newest()
--- a/libs/control/geraniumweir/control/coordination.py
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -10,12 +10,12 @@
 from geraniumweir.scheduling import (
     broker,
     channel,
-    leader,
     quotas,
     remote,
     settings,
     views,
 )
+from geraniumweir.scheduling.ontime import leader
 from reactivex import abc
 
 # All pools of the hosts that reach each other are led from one place, so that
@@ -57,7 +57,7 @@
         parts.link,
         parts.view,
         AREA,
-        lambda pool, on_preempt: _leader(parts, pool, on_preempt, clock),
+        lambda pool, _on_preempt: _leader(parts, pool, clock),
         clock,
         quotas.Gate(counted, clock.now),
     )
@@ -90,24 +90,20 @@
 def _leader(
     parts: Parts,
     pool: ids.PoolName,
-    on_preempt: remote.OnPreempt,
     clock: timers.TimerService,
-) -> leader.PoolLeader:
+) -> leader.OnTimeLeader:
     cfg = settings.LeaderSettings(
         pool,
         f'{parts.link.host_id}/{pool}',
         settle_seconds=_SETTLE_SECONDS,
-        # Most streams can't be resumed by their callers.
-        preempts=False,
     )
-    return leader.PoolLeader(
+    return leader.OnTimeLeader(
         cfg,
         clock.now,
         lambda: parts.roster.of_pool(
             pool,
             parts.share() if parts.shares_slots else 1,
         ),
-        on_preempt,
     )
 
 
@@ -115,9 +111,9 @@
     index: finding.Index | None,
     name: ids.CustomerName,
 ) -> quotas.Allowance | None:
-    customer = index.customer_named(name) if index is not None else None
-    quota = customer.quota if customer is not None else None
-    if quota is None or not quota.per_second:
+    customer = index and index.customer_named(name)
+    quota = customer and customer.quota
+    if not quota or not quota.per_second:
         return None
     return quotas.Allowance(quota.per_second, quota.burst)
 
--- a/libs/control/geraniumweir/control/documents.py
+++ b/libs/control/geraniumweir/control/documents.py
@@ -92,10 +92,13 @@
     ) -> published.PublishedDocument | None:
         """Read at a host that leads the log; this one lags behind it."""
         leader = self._log.leader()
-        others = [host.host_id for host in self._known.known()]
-        for host_id in sorted(others, key=lambda one: one != leader):
-            if host_id == self._link.host_id:
-                continue
+        others = [
+            host.host_id
+            for host in self._known.known()
+            if host.host_id != self._link.host_id
+        ]
+        others.sort(key=leader.__ne__)
+        for host_id in others:
             try:
                 found = await self._link.call(
                     host_id,
--- a/libs/control/geraniumweir/control/enrolments.py
+++ b/libs/control/geraniumweir/control/enrolments.py
@@ -11,6 +11,7 @@
 
 import dataclasses
 import enum
+import typing
 
 import xxhash
 from geraniumweir.common import ids
@@ -23,6 +24,7 @@
 # up doesn't bring it back, in seconds.
 REMEMBER_SECONDS = 120.0
 _DIGEST_SHIFT = 1
+_NOBODY: typing.Final[frozenset[ids.HostId]] = frozenset()
 
 
 class State(enum.IntEnum):
@@ -168,7 +170,7 @@
     def expire(
         self,
         now: float,
-        absent: frozenset[ids.HostId] = frozenset(),
+        absent: frozenset[ids.HostId] = _NOBODY,
     ) -> list[Enrolment]:
         """Mark silent servers and forget old ones.
 
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -140,7 +140,7 @@
         before = self.servers.revision
         if self.servers.report(said, self._clock.now()):
             found = self.servers.get(said.server_id)
-            self._presence.tell([found] if found is not None else [])
+            self._presence.tell([found] if found else [])
         if self.servers.revision != before:
             self._servers_changed()
         return self._near(said.failure_domain)
--- a/libs/control/geraniumweir/control/presence.py
+++ b/libs/control/geraniumweir/control/presence.py
@@ -76,8 +76,8 @@
         """Tell the other control hosts of changed enrolments."""
         if not changed:
             return
-        for found in changed:
-            log_server(found)
+        for news in changed:
+            log_server(news)
         message = ttypes.Enrolled([found.to_wire() for found in changed])
         for host_id in self._others():
             self._link.send(host_id, message)
--- a/libs/control/geraniumweir/control/recorders.py
+++ b/libs/control/geraniumweir/control/recorders.py
@@ -119,10 +119,10 @@
             finally:
                 self.running = None
                 news.dispose()
-        eventlog.emit(
-            logevents.RECORDER_REOPENS,
-            reason=running.recorder.failure,
-        )
+            eventlog.emit(
+                logevents.RECORDER_REOPENS,
+                reason=running.recorder.failure,
+            )
 
     async def _watch(self, running: recordings.Recording) -> None:
         while not running.recorder.failure:
--- a/libs/control/geraniumweir/control/roster.py
+++ b/libs/control/geraniumweir/control/roster.py
@@ -46,7 +46,7 @@
         :param share: part of their slots that may be used.
         """
         index = self._index()
-        pool = index.pool(pool_name) if index is not None else None
+        pool = index and index.pool(pool_name)
         if pool is None:
             return []
         return [
@@ -78,8 +78,7 @@
             slots=slots,
             kv_tokens=engine.kv_tokens if engine else 0,
         )
-        before = made[2] if made is not None else None
-        if before == announcement:
-            announcement = before
+        if made is not None and made[2] == announcement:
+            announcement = made[2]
         self._made[found.server_id] = (found, share, announcement)
         return announcement
--- a/libs/control/geraniumweir/control/tests/test_enrolments.py
+++ b/libs/control/geraniumweir/control/tests/test_enrolments.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 from hypothesis import stateful
 
-_A = ids.HostId('a')
-_B = ids.HostId('b')
+_ONE = ids.HostId('a')
+_TWO = ids.HostId('b')
 _LEASE = 4.0
 
 
@@ -24,7 +24,7 @@
     return dataclasses.replace(said, **changes)
 
 
-def _table(host: ids.HostId = _A) -> enrolments.Enrolments:
+def _table(host: ids.HostId = _ONE) -> enrolments.Enrolments:
     return enrolments.Enrolments(host, _LEASE)
 
 
@@ -77,20 +77,20 @@
 
 def test_host_that_a_server_left_for_another_does_not_call_it_silent() -> None:
     """The other one tells when the server begins to report there."""
-    one, two = _table(_A), _table(_B)
+    one, two = _table(_ONE), _table(_TWO)
     one.report(_report(1), 0)
-    two.merge(_report(1), 0, _A)
+    two.merge(_report(1), 0, _ONE)
     assert two.report(_report(2), 1)
-    one.merge(two.get(ids.ServerId('s')), 1, _B)
+    one.merge(two.get(ids.ServerId('s')), 1, _TWO)
     assert not one.expire(_LEASE + 1)
 
 
 def test_servers_of_an_absent_host_fall_silent() -> None:
     """Nobody else would ever say so."""
     table = _table()
-    table.merge(_report(1), 0, _B)
+    table.merge(_report(1), 0, _TWO)
     assert not table.expire(60)
-    assert table.expire(61, frozenset({_B}))
+    assert table.expire(61, frozenset((_TWO,)))
 
 
 def test_reader_is_told_only_what_changed() -> None:
@@ -110,12 +110,12 @@
     def __init__(self) -> None:
         """Start with two hosts and one run of a server."""
         super().__init__()
-        self.now = 0.0
+        self.now = float(0)
         self.sequence = 0
-        self.tables = {_A: _table(_A), _B: _table(_B)}
+        self.tables = {_ONE: _table(_ONE), _TWO: _table(_TWO)}
         self.said_gone = False
 
-    @stateful.rule(host=st.sampled_from([_A, _B]), leaving=st.booleans())
+    @stateful.rule(host=st.sampled_from([_ONE, _TWO]), leaving=st.booleans())
     def report(self, host: ids.HostId, leaving: bool) -> None:
         """The server reports to one of them."""
         self.sequence += 1
@@ -124,7 +124,7 @@
             state = enrolments.State.leaving
         self.tables[host].report(_report(self.sequence, state=state), self.now)
 
-    @stateful.rule(host=st.sampled_from([_A, _B]))
+    @stateful.rule(host=st.sampled_from([_ONE, _TWO]))
     def leave(self, host: ids.HostId) -> None:
         """The server says farewell to one of them."""
         self.tables[host].leave(ids.ServerId('s'), self.now)
@@ -140,7 +140,7 @@
     def exchange(self) -> None:
         """Each tells the other all it knows, twice."""
         for _ in range(2):
-            for teller, hearer in ((_A, _B), (_B, _A)):
+            for teller, hearer in ((_ONE, _TWO), (_TWO, _ONE)):
                 for found in self.tables[teller].known():
                     self.tables[hearer].merge(found, self.now, teller)
         first, second = self.tables.values()
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -207,8 +207,8 @@
         self._revision = news.revision
         listed = [enrolments.from_wire(told) for told in news.servers]
         merged = [self.servers.merge(found, now, sender) for found in listed]
-        for found in listed:
-            self._unlisted.pop(found.server_id, None)
+        for one in listed:
+            self._unlisted.pop(one.server_id, None)
         if news.whole:
             names = {found.server_id for found in listed}
             for known in self.servers.known():
--- a/libs/daemon/geraniumweir/daemon/tests/test_catalogue.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_catalogue.py
@@ -23,7 +23,10 @@
 def _modules() -> list[pathlib.Path]:
     return [
         path
-        for path in _ROOT.glob('libs/*/geraniumweir/*/**/*.py')
+        for path in (
+            *_ROOT.glob('libs/*/geraniumweir/*/**/*.py'),
+            *_ROOT.glob('platform/geraniumweir/*/**/*.py'),
+        )
         if {'tests', 'gen', '__main__.py'}.isdisjoint(path.parts)
     ]
 
@@ -31,7 +34,8 @@
 def _import_everything() -> None:
     """Import every module there is, so that no error class is overlooked."""
     for path in _modules():
-        parts = path.relative_to(_ROOT).with_suffix('').parts[2:]
+        parts = path.relative_to(_ROOT).with_suffix('').parts
+        parts = parts[parts.index('geraniumweir') :]
         importlib.import_module('.'.join(parts).removesuffix('.__init__'))
 
 
--- a/libs/daemon/geraniumweir/daemon/tests/test_catalogue_pages.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_catalogue_pages.py
@@ -25,6 +25,8 @@
     'consensus': 5,
     'membership': 6,
     'configuration': 7,
+    'control': 7,
+    'gateway': 1,
     'observe': 8,
 }
 
--- a/libs/routing/geraniumweir/routing/tables.py
+++ b/libs/routing/geraniumweir/routing/tables.py
@@ -51,6 +51,8 @@
     :ivar public: no key is asked for.
     :ivar resumable: a broken stream may go on at another server.
     :ivar gap: longest pause between events for full worth, in seconds.
+    :ivar patience: a caller of a stream leaves after so many seconds without
+        an event.
     """
 
     name: ids.RuleName
@@ -65,6 +67,7 @@
     public: bool = False
     resumable: bool = False
     gap: float = 0
+    patience: float = float('inf')
 
     @property
     def repeatable(self) -> bool:
@@ -182,16 +185,13 @@
         )
     if route.timeout <= 0:
         raise DocumentError(f'route {route.name!r} has no timeout')
-    if not route.targets:
-        raise DocumentError(f'route {route.name!r} leads to no pool')
     for target in route.targets:
         if target.pool not in pools:
             raise DocumentError(
                 f'route {route.name!r} leads to the unknown {target.pool!r}',
             )
-        if target.weight < 0:
-            raise DocumentError(f'route {route.name!r}: a negative weight')
-    if sum(target.weight for target in route.targets) <= 0:
+    weights = [part.weight for part in route.targets]
+    if min(weights, default=0) < 0 or sum(weights) <= 0:
         raise DocumentError(f'route {route.name!r}: the weights add up to 0')
 
 
