--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -6,6 +6,11 @@
 gives way, the lowest tier first: what is left can still be served in time,
 and nothing of a lower tier costs a higher one its place.
 
+While newcomers take nearly all slots, the important go first instead: in the
+order of latest starts those with the longest targets come last, and as the
+pace falls in overload they miss them, though they are worth most (measured:
+half of the most important were late).
+
 Those that can't meet their targets any more come behind, with the slots that
 newcomers leave. Were they served before, just in time for their callers'
 patience, then every newcomer would be late too, and a pool that was overloaded
@@ -26,6 +31,9 @@
 # A plan is a prediction; a request is given up only when its turn is this
 # many times later than it may be, seen from now.
 _DOUBT = 1.5
+# Above this part of the slots the pace is too uncertain to let the important
+# wait for their last moment: what runs then is longer than what ran before.
+_CROWDED = 0.9
 # Where newcomers take nearly all slots, this part is thought to be left.
 _LEAST_LEFT = 0.02
 
@@ -99,6 +107,8 @@
         for one in waiting
     ]
     on_time, missed = _feasible(hopeful, now, pace.interval)
+    if pace.load > _CROWDED:
+        on_time.sort(key=_by_importance)
     late = sorted(
         (_late(turn.waiting, leads) for turn in missed),
         key=_by_importance,
