Repeats keep the target of their first request; the hopeless are refused at once

Cause: callers that are refused come back with the same content under a new id; counted as newcomers they took the slots of requests that could still be on time, and were late themselves. And requests that had no turn were refused after 1.2 to 1.5 s, when nothing else could be done for them.

The leader remembers when a content was first asked for (measured: contents of different requests differ, those of repeats are the same). What newcomers leave decides whether a late request waits; at full load it is refused at once and told to come back in 3 s or more.

--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -233,6 +233,8 @@
     told.customer = ask.customer
     told.tier = int(ask.tier)
     told.target = admitted.route.target
+    told.patience = admitted.call.patience
+    told.content = ask.fingerprint
 
 
 def _make_request(
--- a/libs/gateway/geraniumweir/gateway/story.py
+++ b/libs/gateway/geraniumweir/gateway/story.py
@@ -13,6 +13,8 @@
 
     :ivar arrived: in seconds on the loop's clock.
     :ivar version: of the document that decided.
+    :ivar patience: seconds that the caller said it waits.
+    :ivar content: equal for the same request sent again.
     :ivar granted: seconds from arrival to the last grant, None for none.
     :ivar first: seconds from arrival to the first byte of an answer.
     :ivar longest_pause: between two events, in seconds.
@@ -27,6 +29,8 @@
     customer: str = ''
     tier: int = -1
     target: float = 0
+    patience: float | None = None
+    content: int = 0
     granted: float | None = None
     first: float | None = None
     longest_pause: float = 0
@@ -54,6 +58,8 @@
             customer=self.customer,
             tier=self.tier,
             target_ms=int(self.target * _MS),
+            patience_ms=_ms(self.patience),
+            content=f'{self.content:016x}',
             granted_ms=_ms(self.granted),
             first_ms=_ms(self.first),
             longest_pause_ms=_ms(self.longest_pause),
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -172,12 +172,14 @@
         return None
 
     def _enqueue(self, ask: requests.Ask) -> records.Waiting:
+        now = self._state.now()
         self._state.sequence += 1
-        self._state.arriving.note(self._state.now())
+        self._state.arriving.note(now)
         waiting = records.Waiting(
             ask,
             self._state.sequence,
-            self._state.now(),
+            now,
+            self._state.repeated.waited(ask.fingerprint, now),
             lessons.expected_tokens(self._state, ask),
             asyncio.get_running_loop().create_future(),
         )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -79,13 +79,14 @@
         """Give the part of the slots that newcomers take."""
         return self.arrivals * self.interval
 
-    def late_wait(self, before: int) -> float:
+    def late_wait(self, on_time: int, late: int) -> float:
         """Predict the seconds until newcomers leave a slot.
 
-        :param before: requests that wait in front.
+        :param on_time: requests in front that can be on time.
+        :param late: those in front that can't.
         """
         left = max(1 - self.load, _LEAST_LEFT)
-        return before * self.interval + self.interval / left
+        return on_time * self.interval + (late + 1) * self.interval / left
 
 
 Lead = typing.Callable[[records.Waiting], float]
@@ -103,7 +104,7 @@
     """
     leads = {one.sequence: lead(one) for one in waiting}
     hopeful = [
-        Turn(one, one.ask.target - leads[one.sequence], late=False)
+        Turn(one, one.target - leads[one.sequence], late=False)
         for one in waiting
     ]
     on_time, missed = _feasible(hopeful, now, pace.interval)
@@ -113,14 +114,15 @@
         (_late(turn.waiting, leads) for turn in missed),
         key=_by_importance,
     )
+    turns = list(on_time)
     hopeless = []
     for turn in late:
-        wait = pace.late_wait(len(on_time))
+        wait = pace.late_wait(len(on_time), len(turns) - len(on_time))
         if wait > max(turn.latest - now, 0) * _DOUBT:
             hopeless.append(turn)
         else:
-            on_time.append(turn)
-    return Plan(on_time, hopeless)
+            turns.append(turn)
+    return Plan(turns, hopeless)
 
 
 def _late(
--- a/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
@@ -91,7 +91,7 @@
         slot_seconds = held + reading * len(server.running)
         score = slot_seconds * _scarcity(server, now)
         score *= 1 + _FAILURE_PRICE * server.condition.failing
-    on_time = first <= (ask.target - now) * _USED
+    on_time = first <= (waiting.target - now) * _USED
     on_time = on_time and not _delays_others(server, read)
     return Place(server, first, on_time, score)
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -14,6 +14,8 @@
     """A request in the queue.
 
     :ivar sequence: by order of arrival.
+    :ivar arrived: in seconds.
+    :ivar waited: seconds since the caller first asked for the same.
     :ivar tokens: output tokens expected.
     :ivar joined: asks that wait for the same answer.
     """
@@ -21,10 +23,16 @@
     ask: requests.Ask
     sequence: int
     arrived: float
+    waited: float
     tokens: float
     fut: asyncio.Future[requests.Grant | requests.Denial]
     joined: int = 0
 
+    @property
+    def target(self) -> float:
+        """Give when its first token is due, counted from the first request."""
+        return self.ask.target - self.waited
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Running:
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -12,6 +12,7 @@
     arrivals,
     ordering,
     records,
+    repeats,
     speeds,
 )
 
@@ -20,7 +21,7 @@
 _SOON = 0.2
 # One that newcomers fill is worth coming back to when a burst is over; those
 # of the users last 2 to 5 s.
-_LATER = 2.0
+_LATER = 3.0
 # Above this load a queue of late requests hardly gets shorter.
 _FULL = 0.8
 _SPREAD = 0.5
@@ -63,6 +64,9 @@
     sequence: int = 0
     ticker: asyncio.TimerHandle | None = None
     told: float = float('-inf')
+    repeated: repeats.Repeats = dataclasses.field(
+        default_factory=repeats.Repeats,
+    )
     arriving: arrivals.Arrivals = dataclasses.field(
         default_factory=arrivals.Arrivals,
     )
@@ -107,6 +111,9 @@
 ) -> None:
     """End a request that waits."""
     leader.waiting.pop(waiting.ask.request_id, None)
+    if reason is not requests.DenialReason.withdrawn:
+        first = waiting.arrived - waiting.waited
+        leader.repeated.refused(waiting.ask.fingerprint, first)
     waiting.fut.set_result(denial(leader, waiting.ask, reason))
 
 
