Phantoms of cut-off owners don't shut servers; quotas are split by usage

A plain call that took 200 ms made its server look late for all others. And a domain with one of six entry hosts but a third of the callers got a sixth of each quota.

A first token now shows that all before it are read; what is lost doesn't count against the slots; a server of which nothing comes rests and is tried by one request. Plain calls don't wait for each other. The coordinator tells each entry host its part of all requests, and whoever stands in grants the parts of those that it hears.

--- a/libs/control/geraniumweir/control/coordinating.py
+++ b/libs/control/geraniumweir/control/coordinating.py
@@ -45,6 +45,7 @@
         self._host = ids.HostId('')
         self._leads = False
         self._hosts = 1
+        self._share: float | None = None
         self._changes: subject.Subject[None] = subject.Subject()
 
     @property
@@ -70,7 +71,7 @@
 
     def share(self) -> float:
         """Give the part of capacity and quotas that a host alone may use."""
-        return 1 / max(self._hosts, 1)
+        return self._share or 1 / max(self._hosts, 1)
 
     async def run(self) -> None:
         """Look after the coordinator until cancelled."""
@@ -102,13 +103,18 @@
         self._settle(best)
 
     async def _ping(self, host_id: ids.HostId) -> ttypes.Pong | None:
-        ping = ttypes.Ping(self._domain, leaving=False)
+        ping = ttypes.Ping(
+            self._domain,
+            leaving=False,
+            share=self._share,
+        )
         try:
             pong = await self._link.call(host_id, ping, _PATIENCE)
         except errors.PeerError:
             return None
         if pong.leads:
             self._hosts = pong.hosts
+            self._share = pong.share
         return pong
 
     def _settle(self, host_id: ids.HostId) -> None:
--- a/libs/control/geraniumweir/control/coordination.py
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -12,6 +12,7 @@
     channel,
     quotas,
     remote,
+    requests,
     settings,
     views,
 )
@@ -26,6 +27,7 @@
 _SETTLE_SECONDS = 0.25
 
 Index = typing.Callable[[], finding.Index | None]
+OnAsk = typing.Callable[[requests.Ask], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +36,7 @@
 
     :ivar share: part of quotas, and of slots, that may be granted here.
     :ivar shares_slots: whether the share applies to slots too.
+    :ivar on_ask: told of each ask that comes.
     """
 
     link: channel.Channel
@@ -42,6 +45,7 @@
     index: Index
     share: typing.Callable[[], float]
     shares_slots: bool
+    on_ask: OnAsk | None = None
 
 
 def serve(
@@ -59,7 +63,7 @@
         AREA,
         lambda pool, _on_preempt: _leader(parts, pool, clock),
         clock,
-        quotas.Gate(counted, clock.now),
+        quotas.Gate(counted, clock.now, parts.on_ask),
     )
 
 
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -26,7 +26,7 @@
     watching,
 )
 from geraniumweir.routing import finding
-from geraniumweir.scheduling import channel
+from geraniumweir.scheduling import channel, requests
 from geraniumweir.wire import tcp
 from reactivex import subject
 
@@ -114,6 +114,7 @@
                 index=lambda: self.index,
                 share=self.standing.share,
                 shares_slots=False,
+                on_ask=self._note_usage,
             ),
             self._clock,
         )
@@ -182,6 +183,13 @@
         ]
         return near[0] if near else self._cfg.me
 
+    def _note_usage(self, ask: requests.Ask) -> None:
+        self.standing.entry_hosts.usage.note(
+            ask.owner,
+            max(ask.quota_cost, 1),
+            self._clock.now(),
+        )
+
     def _servers_changed(self) -> None:
         self._feed.notify()
         self._changes.on_next(None)
--- a/libs/control/geraniumweir/control/standing.py
+++ b/libs/control/geraniumweir/control/standing.py
@@ -11,7 +11,7 @@
 
 import reactivex
 from geraniumweir.common import eventlog, ids, timers
-from geraniumweir.control import logevents, recorders
+from geraniumweir.control import logevents, recorders, usage
 from geraniumweir.wire import peers
 from geraniumweir.wire.gen.control import ttypes
 from reactivex import subject
@@ -28,11 +28,16 @@
 
 
 class EntryHosts:
-    """The entry hosts that a control host hears of."""
+    """The entry hosts that a control host hears of.
+
+    :ivar usage: what they asked of this host as the coordinator.
+    """
 
     def __init__(self) -> None:
         """Know of none."""
+        self.usage = usage.Usage()
         self._heard: dict[ids.HostId, float] = {}
+        self._shares: dict[ids.HostId, float] = {}
         self._told = 0
         self._told_at = float('-inf')
 
@@ -40,9 +45,15 @@
         """Note a sign of life."""
         self._heard[host_id] = now
 
+    def said(self, host_id: ids.HostId, share: float) -> None:
+        """Take the part of all requests that a host was told it has."""
+        self._shares[host_id] = share
+
     def left(self, host_id: ids.HostId) -> None:
         """Take a farewell."""
         self._heard.pop(host_id, None)
+        self._shares.pop(host_id, None)
+        self.usage.forget(host_id)
 
     def told(self, number: int, now: float) -> None:
         """Take the number that the log's leader counts."""
@@ -53,25 +64,44 @@
         """Give how many there are."""
         for host_id, at in list(self._heard.items()):
             if now - at > GONE_SECONDS:
-                self._heard.pop(host_id)
+                self.left(host_id)
         told = self._told if now - self._told_at < GONE_SECONDS else 0
         return max(len(self._heard), told)
 
     def number_heard(self, now: float) -> int:
         """Give how many were heard lately."""
-        return sum(now - at <= HEARD_SECONDS for at in self._heard.values())
+        return len(self._hearing(now))
+
+    def share_of(self, host_id: ids.HostId, now: float) -> float:
+        """Give a host's part of all requests."""
+        return self.usage.share(host_id, self.number(now), now)
 
-    def share(self, now: float) -> float:
-        """Give the part of the entry hosts that is heard.
+    def share_left(self, now: float) -> float:
+        """Give the part of those that are heard, as the others' rest.
 
         >>> some = EntryHosts()
         >>> some.heard(ids.HostId('a'), 0), some.heard(ids.HostId('b'), 5)
         (None, None)
-        >>> some.share(5)
+        >>> some.share_left(5)
         0.5
         """
-        number = self.number(now)
-        return self.number_heard(now) / number if number else 1
+        hearing = self._hearing(now)
+        self.number(now)
+        lost = [host for host in self._heard if host not in hearing]
+        return 1 - min(sum(self.share_of(host, now) for host in lost), 1)
+
+    def share_said(self, now: float) -> float:
+        """Give the part of those that are heard, by their own words."""
+        even = 1 / max(self.number(now), 1)
+        parts = [self._shares.get(host, even) for host in self._hearing(now)]
+        return min(sum(parts), 1)
+
+    def _hearing(self, now: float) -> set[ids.HostId]:
+        return {
+            host_id
+            for host_id, at in self._heard.items()
+            if now - at <= HEARD_SECONDS
+        }
 
 
 class Standing:
@@ -117,7 +147,10 @@
 
     def share(self) -> float:
         """Give the part of each quota that is granted here."""
-        return self.entry_hosts.share(self._clock.now())
+        now = self._clock.now()
+        if self._leader:
+            return self.entry_hosts.share_left(now)
+        return self.entry_hosts.share_said(now)
 
     def close(self) -> None:
         """Look no more."""
@@ -146,9 +179,12 @@
             self.entry_hosts.left(sender)
         else:
             self.entry_hosts.heard(sender, now)
+        if ping.share is not None:
+            self.entry_hosts.said(sender, ping.share)
         return ttypes.Pong(
             leads=self._log.is_leading(),
             stands_in=not self._leader,
             hosts=self.entry_hosts.number(now),
             heard=self.entry_hosts.number_heard(now),
+            share=self.entry_hosts.share_of(sender, now),
         )
--- /dev/null
+++ b/libs/control/geraniumweir/control/usage.py
@@ -0,0 +1,62 @@
+"""How much of all requests comes by each entry host.
+
+Callers are spread unevenly over entry hosts, so a quota that has to be split
+among hosts that can't reach each other is split by what came by each before.
+"""
+
+import dataclasses
+import math
+
+from geraniumweir.common import ids
+
+# Over about so many seconds: longer than the waves in which callers come (11
+# s), so that a cut finds the usual parts.
+_SECONDS = 20.0
+# A host that asked for little may ask for more after a cut, when callers are
+# led to it; it gets at least this part of an even share.
+_LEAST_OF_EVEN = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class _Count:
+    amount: float = 0
+    at: float = 0
+
+    def decayed(self, now: float) -> float:
+        return self.amount * math.exp(-max(now - self.at, 0) / _SECONDS)
+
+
+class Usage:
+    """Decaying counts by entry host."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._counts: dict[ids.HostId, _Count] = {}
+
+    def note(self, host_id: ids.HostId, amount: float, now: float) -> None:
+        """Count what a host asked for."""
+        count = self._counts.setdefault(host_id, _Count())
+        count.amount = count.decayed(now) + amount
+        count.at = now
+
+    def forget(self, host_id: ids.HostId) -> None:
+        """Drop a host that has gone."""
+        self._counts.pop(host_id, None)
+
+    def share(self, host_id: ids.HostId, hosts: int, now: float) -> float:
+        """Give a host's part of all.
+
+        :param hosts: how many there are.
+
+        >>> some = Usage()
+        >>> for name, amount in (('a', 30), ('b', 10)):
+        ...     some.note(ids.HostId(name), amount, 0)
+        >>> some.share(ids.HostId('a'), 2, 0)
+        0.75
+        """
+        even = 1 / max(hosts, 1)
+        total = sum(count.decayed(now) for count in self._counts.values())
+        found = self._counts.get(host_id)
+        if not total or found is None:
+            return even
+        return max(found.decayed(now) / total, even * _LEAST_OF_EVEN)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -134,7 +134,7 @@
         ask=ask,
         grant=grant,
         granted=now,
-        read_tokens=ask.prompt_tokens + server.unread_tokens(),
+        read_tokens=place.read,
         predicted=place.first,
         tokens=waiting.tokens,
     )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/lessons.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/lessons.py
@@ -29,6 +29,7 @@
     if server is None:
         return
     server.unborn.pop(running.ask.request_id, None)
+    server.last_sign = leader.now()
     leader.learnt.learn_first(server.speed, running.read_tokens, seconds)
     server.condition.good()
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
@@ -25,22 +25,20 @@
 _USED_OF_GAP = 0.85
 # How much dearer a server is for each part of its answers that are failures.
 _FAILURE_PRICE = 8.0
-# A first token that is overdue by so long tells that a server hangs, in
-# seconds, and so many times the usual time.
-_HANGS_SECONDS = 0.75
-_HANGS_FACTOR = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
     """A server for a request.
 
+    :ivar read: prompt tokens to read before its first token.
     :ivar first: seconds predicted to the first token.
     :ivar on_time: the first token is predicted before its target.
     :ivar score: the less, the better.
     """
 
     server: records.Server
+    read: float
     first: float
     on_time: bool
     score: float
@@ -60,7 +58,7 @@
     places = [
         place(server, waiting, learnt, now)
         for server in servers
-        if server.free(now) > 0 and not hangs(server, now)
+        if _takes(server, now)
     ]
     able = [found for found in places if not math.isinf(found.score)]
     in_time = [found for found in able if found.on_time]
@@ -77,9 +75,12 @@
 ) -> Place:
     """Predict how a request does on a server."""
     ask = waiting.ask
-    read = ask.prompt_tokens + server.unread_tokens()
+    read = float(ask.prompt_tokens)
+    if ask.streams:
+        read += server.unread_tokens()
     first = learnt.first_token(server.speed, read)
-    first += max(server.overdue(now), 0)
+    if ask.streams:
+        first += max(server.overdue(now), 0)
     held = first
     if ask.streams:
         held += learnt.decode(server.speed) * waiting.tokens
@@ -93,7 +94,7 @@
         score *= 1 + _FAILURE_PRICE * server.condition.failing
     on_time = first <= (waiting.target - now) * _USED
     on_time = on_time and not _delays_others(server, read)
-    return Place(server, first, on_time, score)
+    return Place(server, read, first, on_time, score)
 
 
 def _delays_others(server: records.Server, read: float) -> bool:
@@ -114,16 +115,12 @@
     return server.speed.usual_gap.get(0) + reading > limit
 
 
-def hangs(server: records.Server, now: float) -> bool:
-    """Tell whether a server has stopped giving first tokens."""
-    late = server.overdue(now)
-    if late < _HANGS_SECONDS:
-        return False
-    usual = max(
-        (one.predicted for one in server.unborn.values()),
-        default=0,
-    )
-    return late > usual * _HANGS_FACTOR
+def _takes(server: records.Server, now: float) -> bool:
+    """Tell whether a server may get one more request."""
+    if server.hangs(now):
+        # After a rest one request tries whether it still does.
+        server.condition.unreachable(now)
+    return server.free(now) > 0
 
 
 def _scarcity(server: records.Server, now: float) -> float:
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -9,6 +9,12 @@
 from geraniumweir.scheduling.ontime import conditions, speeds
 
 
+# A first token that is late by so many times its usual time, and by so many
+# seconds besides, isn't waited for: its owner is cut off, or the server hangs.
+_STUCK_FACTOR = 3.0
+_STUCK_SECONDS = 0.75
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Waiting:
     """A request in the queue.
@@ -60,6 +66,7 @@
 
     :ivar live: announced and allowed new work.
     :ivar unborn: of the running ones, those without a first token.
+    :ivar last_sign: when it last gave a first token, in seconds.
     """
 
     announcement: servers.Announcement
@@ -74,6 +81,7 @@
     unborn: dict[ids.RequestId, Running] = dataclasses.field(
         default_factory=dict,
     )
+    last_sign: float = float('-inf')
 
     @property
     def server_id(self) -> ids.ServerId:
@@ -97,15 +105,38 @@
         """Give how many more requests it may get now."""
         if not self.live:
             return 0
-        return self.condition.most(self.slots, now) - len(self.running)
+        most = self.condition.most(self.slots, now)
+        return most - len(self.running) + len(self.stuck(now))
 
     def unread_tokens(self) -> float:
         """Give the prompt tokens granted and not known to be read."""
         return sum(one.ask.prompt_tokens for one in self.unborn.values())
 
     def overdue(self, now: float) -> float:
-        """Give the seconds by which the oldest first token is late."""
+        """Give the seconds by which the next first token is late.
+
+        Engines read prompts in the order in which they come, so a first token
+        of one shows that all before it are read, whether their owners could
+        tell or not.
+        """
         late = [
-            now - one.granted - one.predicted for one in self.unborn.values()
+            now - max(one.granted, self.last_sign) - one.predicted
+            for one in self.unborn.values()
         ]
         return max(late, default=0)
+
+    def stuck(self, now: float) -> list[Running]:
+        """List the requests whose first token is so late that it is lost."""
+        return [
+            one
+            for one in self.unborn.values()
+            if now - one.granted
+            > one.predicted * _STUCK_FACTOR + _STUCK_SECONDS
+        ]
+
+    def hangs(self, now: float) -> bool:
+        """Tell whether nothing came of all that it was sent lately."""
+        stuck = self.stuck(now)
+        if not stuck or len(stuck) < len(self.unborn):
+            return False
+        return all(one.granted > self.last_sign for one in stuck)
--- a/libs/scheduling/geraniumweir/scheduling/quotas.py
+++ b/libs/scheduling/geraniumweir/scheduling/quotas.py
@@ -120,16 +120,21 @@
         self,
         quotas: Quotas,
         now: typing.Callable[[], float],
+        on_ask: typing.Callable[[requests.Ask], None] | None = None,
     ) -> None:
         """Count against buckets that all pools share.
 
         :param now: gives the time in seconds.
+        :param on_ask: told of each ask, whether it is let through or not.
         """
         self._quotas = quotas
         self._now = now
+        self._on_ask = on_ask
 
     def admit(self, ask: requests.Ask) -> requests.Denial | None:
         """Charge an ask, or tell when it may come again."""
+        if self._on_ask is not None:
+            self._on_ask(ask)
         seconds = self._quotas.take(ask.customer, ask.quota_cost, self._now())
         if not seconds:
             return None
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -824,18 +824,21 @@
     Attributes:
      - failure_domain
      - leaving
+     - share
 
     """
 
     __slots__ = (
         'failure_domain',
         'leaving',
+        'share',
     )
 
 
-    def __init__(self, failure_domain=None, leaving=None,):
+    def __init__(self, failure_domain=None, leaving=None, share=None,):
         self.failure_domain = failure_domain
         self.leaving = leaving
+        self.share = share
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -856,6 +859,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.share = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -874,6 +882,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 2)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.share is not None:
+            oprot.writeFieldBegin('share', TType.DOUBLE, 3)
+            oprot.writeDouble(self.share)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -906,6 +918,7 @@
      - stands_in
      - hosts
      - heard
+     - share
 
     """
 
@@ -914,14 +927,16 @@
         'stands_in',
         'hosts',
         'heard',
+        'share',
     )
 
 
-    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None,):
+    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None,):
         self.leads = leads
         self.stands_in = stands_in
         self.hosts = hosts
         self.heard = heard
+        self.share = share
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -952,6 +967,11 @@
                     self.heard = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.share = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -978,6 +998,10 @@
             oprot.writeFieldBegin('heard', TType.I32, 4)
             oprot.writeI32(self.heard)
             oprot.writeFieldEnd()
+        if self.share is not None:
+            oprot.writeFieldBegin('share', TType.DOUBLE, 5)
+            oprot.writeDouble(self.share)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1396,6 +1420,7 @@
     None,  # 0
     (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'leaving', None, None, ),  # 2
+    (3, TType.DOUBLE, 'share', None, None, ),  # 3
 )
 all_structs.append(Pong)
 Pong.thrift_spec = (
@@ -1404,6 +1429,7 @@
     (2, TType.BOOL, 'stands_in', None, None, ),  # 2
     (3, TType.I32, 'hosts', None, None, ),  # 3
     (4, TType.I32, 'heard', None, None, ),  # 4
+    (5, TType.DOUBLE, 'share', None, None, ),  # 5
 )
 all_structs.append(JoinLog)
 JoinLog.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -70,9 +70,11 @@
 }
 
 // From an entry host to a control host, several times a second.
+// share: its part of all requests, as it was last told.
 struct Ping {
   1: string failure_domain
   2: bool leaving
+  3: optional double share
 }
 
 // leads: the answerer leads the log. stands_in: it coordinates because it
@@ -83,6 +85,8 @@
   2: bool stands_in
   3: i32 hosts
   4: i32 heard
+  // The asker's part of all requests lately.
+  5: optional double share
 }
 
 // A control host with a data folder that isn't among the recorders asks the
