Tests of the leader that plans for targets; a rest ends with one try

The tests found that a server whose only unborn request was a lost owner's rested for ever: each look began a new rest. What was sent before a rest says nothing after it.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/conditions.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/conditions.py
@@ -25,11 +25,14 @@
     """What is thought of one server.
 
     :ivar until: end of its rest, in seconds.
+    :ivar rested_at: when its last rest began; what was sent before says
+        nothing about it any more.
     :ivar trusted: it may get as many requests as it has slots.
     :ivar failing: share of answers that were failures, lately.
     """
 
     until: float = float('-inf')
+    rested_at: float = float('-inf')
     trusted: bool = True
     failing: float = 0
     _rest: float = _FIRST_REST
@@ -50,6 +53,15 @@
             return 0
         return slots if self.trusted else 1
 
+    def expected(self, slots: int, now: float) -> int:
+        """Give how many requests it is thought to run before long.
+
+        A first short rest is no reason to send callers away.
+        """
+        if now - self.rested_at < _FIRST_REST * _GROWTH:
+            return slots
+        return max(self.most(slots, now), 1)
+
     def unreachable(self, now: float) -> None:
         """Take that it couldn't be reached or turned a request away."""
         self._start_rest(now)
@@ -77,5 +89,6 @@
         if now < self.until:
             return
         self.trusted = False
+        self.rested_at = now
         self.until = now + self._rest
         self._rest = min(self._rest * _GROWTH, _LONGEST_REST)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -119,9 +119,12 @@
         of one shows that all before it are read, whether their owners could
         tell or not.
         """
+        since = max(self.last_sign, self.condition.rested_at)
+        stuck = self.stuck(now)
         late = [
             now - max(one.granted, self.last_sign) - one.predicted
             for one in self.unborn.values()
+            if one.granted > since or one not in stuck
         ]
         return max(late, default=0)
 
@@ -136,7 +139,7 @@
 
     def hangs(self, now: float) -> bool:
         """Tell whether nothing came of all that it was sent lately."""
+        since = max(self.last_sign, self.condition.rested_at)
+        sent = [one for one in self.unborn.values() if one.granted > since]
         stuck = self.stuck(now)
-        if not stuck or len(stuck) < len(self.unborn):
-            return False
-        return all(one.granted > self.last_sign for one in stuck)
+        return bool(sent) and all(one in stuck for one in sent)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -76,7 +76,7 @@
     """Predict the seconds from one free slot of the pool to the next."""
     now = leader.now()
     rate = sum(
-        server.condition.most(server.slots, now)
+        server.condition.expected(server.slots, now)
         / leader.learnt.held(server.speed)
         for server in leader.servers.values()
         if server.live
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/play.py
@@ -0,0 +1,157 @@
+"""Plays a load on a pool in virtual time and counts what callers get."""
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+from geraniumweir.common import ids, virtual
+from geraniumweir.membership import servers
+from geraniumweir.scheduling import requests, settings
+from geraniumweir.scheduling.ontime import leader
+
+POOL = ids.PoolName('pool')
+
+
+def server(name: str, slots: int = 4) -> servers.Announcement:
+    """Make a backend server."""
+    return servers.Announcement(
+        ids.ServerId(name),
+        ids.Incarnation(1),
+        ids.Address('127.0.0.1', 1),
+        'engine',
+        POOL,
+        ids.FailureDomain('x'),
+        slots=slots,
+    )
+
+
+def ask(name: str, now: float, **changes: typing.Any) -> requests.Ask:
+    """Make an ask whose first token is due within 0.4 s."""
+    made = requests.Ask(
+        ids.RequestId(name),
+        ids.HostId('entry'),
+        POOL,
+        ids.CustomerName('customer'),
+        ids.RuleName('rule'),
+        ids.Tier.normal,
+        now + 10,
+        prompt_tokens=100,
+        max_tokens=100,
+        likely_tokens=100,
+        fingerprint=ids.Fingerprint(hash(name)),
+        target=now + 0.4,
+        patience=now + 2.4,
+    )
+    return dataclasses.replace(made, **changes)
+
+
+def make(
+    *known: servers.Announcement,
+    now: typing.Callable[[], float],
+) -> leader.OnTimeLeader:
+    """Make a leader of some servers."""
+    return leader.OnTimeLeader(
+        settings.LeaderSettings(POOL), now, lambda: known
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """A load on a pool of servers that hold a slot for a fixed time.
+
+    :ivar rate: requests a second, by second of the play.
+    :ivar held: seconds that a request keeps a slot.
+    """
+
+    rate: typing.Sequence[float]
+    held: float = 0.5
+    slots: int = 20
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What callers got, by second of their first request."""
+
+    on_time: dict[int, int] = dataclasses.field(default_factory=dict)
+    asked: dict[int, int] = dataclasses.field(default_factory=dict)
+
+    def share(self, first: int, last: int) -> float:
+        """Give the part on time over some seconds, the last one included."""
+        seconds = range(first, last + 1)
+        asked = sum(self.asked.get(second, 0) for second in seconds)
+        return sum(self.on_time.get(one, 0) for one in seconds) / asked
+
+
+def run(load: Load) -> Result:
+    """Play a load; refused callers come back once."""
+    return virtual.run(_run(load))
+
+
+async def _run(load: Load) -> Result:
+    loop = asyncio.get_running_loop()
+    pool = make(server('a', load.slots), now=loop.time)
+    result = Result()
+    chance = random.Random(1)
+    callers = []
+    start = loop.time()
+    for second, rate in enumerate(load.rate):
+        for number in range(int(rate)):
+            due = start + second + chance.random()
+            name = f'{second}-{number}'
+            work = _caller(pool, load, result, name, due)
+            callers.append(asyncio.create_task(work))
+    await asyncio.gather(*callers)
+    return result
+
+
+async def _caller(
+    pool: leader.OnTimeLeader,
+    load: Load,
+    result: Result,
+    name: str,
+    due: float,
+) -> None:
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(due - loop.time())
+    second = int(due)
+    result.asked[second] = result.asked.get(second, 0) + 1
+    for attempt in range(2):
+        now = loop.time()
+        made = ask(f'{name}.{attempt}', now)
+        content = ids.Fingerprint(hash(name))
+        made = dataclasses.replace(made, fingerprint=content)
+        answer = await _patient(pool, made)
+        if isinstance(answer, requests.Grant):
+            await _serve(pool, load, answer)
+            if loop.time() - load.held + 0.06 <= due + 0.4:
+                result.on_time[second] = result.on_time.get(second, 0) + 1
+            return
+        if answer is None:
+            return
+        await asyncio.sleep(min(answer.retry_after_ms / 1000, 3.3))
+
+
+async def _patient(
+    pool: leader.OnTimeLeader,
+    made: requests.Ask,
+) -> requests.Grant | requests.Denial | None:
+    try:
+        async with asyncio.timeout_at(made.patience):
+            return await pool.ask(made)
+    except TimeoutError:
+        return None
+
+
+async def _serve(
+    pool: leader.OnTimeLeader,
+    load: Load,
+    grant: requests.Grant,
+) -> None:
+    await asyncio.sleep(0.06)
+    pool.progress(requests.Progress(grant.request_id, 0.06, 1))
+    await asyncio.sleep(load.held - 0.06)
+    done = requests.Outcome.done
+    pool.release(
+        requests.Release(grant.request_id, done, 0.06, 100, load.held),
+    )
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_leader.py
@@ -0,0 +1,218 @@
+"""Single decisions of the leader, each with what it guards against."""
+
+import asyncio
+import dataclasses
+
+import pytest
+from geraniumweir.common import ids, virtual
+from geraniumweir.scheduling import requests
+from geraniumweir.scheduling.ontime import ordering, records
+from geraniumweir.scheduling.ontime.tests import play
+
+
+def _waiting(
+    sequence: int,
+    target: float,
+    **changes: object,
+) -> records.Waiting:
+    made = play.ask(str(sequence), 0, target=target, **changes)
+    return records.Waiting(
+        made,
+        sequence,
+        0,
+        0,
+        100,
+        asyncio.get_running_loop().create_future(),
+    )
+
+
+def _plan(
+    *waiting: records.Waiting,
+    interval: float,
+    arrivals: float = 0,
+) -> ordering.Plan:
+    pace = ordering.Pace(interval, arrivals)
+    return ordering.plan(waiting, 0, pace, lambda _: 0)
+
+
+def _names(turns: list[ordering.Turn]) -> list[int]:
+    return [turn.waiting.sequence for turn in turns]
+
+
+def test_tightest_target_goes_first_while_all_can_be_met() -> None:
+    """The order of latest starts serves all of them."""
+
+    async def work() -> None:
+        found = _plan(_waiting(1, 0.8), _waiting(2, 0.3), interval=0.1)
+        assert _names(found.turns) == [2, 1]
+
+    virtual.run(work())
+
+
+def test_least_important_gives_way() -> None:
+    """One of two can be on time: not the one of the lower rank."""
+
+    async def work() -> None:
+        low = _waiting(1, 0.3, rank=2)
+        high = _waiting(2, 0.35)
+        found = _plan(low, high, interval=0.4)
+        assert _names(found.turns) == [2, 1]
+        assert found.turns[1].late
+
+    virtual.run(work())
+
+
+def test_lower_tier_gives_way_before_a_lower_rank() -> None:
+    """Tiers are strict."""
+
+    async def work() -> None:
+        low = _waiting(1, 0.3, tier=ids.Tier.low)
+        high = _waiting(2, 0.35, rank=2)
+        assert _names(_plan(low, high, interval=0.4).turns) == [2, 1]
+
+    virtual.run(work())
+
+
+def test_late_is_refused_at_once_when_newcomers_take_all_slots() -> None:
+    """It would wait until its caller leaves."""
+
+    async def work() -> None:
+        late = _waiting(1, -0.1)
+        assert _names(_plan(late, interval=0.1, arrivals=10).hopeless) == [1]
+        assert _names(_plan(late, interval=0.1, arrivals=1).turns) == [1]
+
+    virtual.run(work())
+
+
+async def _granted(
+    pool: play.leader.OnTimeLeader,
+    name: str,
+    **changes: object,
+) -> requests.Grant:
+    now = asyncio.get_running_loop().time()
+    answer = await pool.ask(play.ask(name, now, **changes))
+    assert isinstance(answer, requests.Grant)
+    return answer
+
+
+def test_lost_owner_does_not_shut_a_server() -> None:
+    """Its request never gets a first token here; others on the server do."""
+
+    async def work() -> None:
+        now = asyncio.get_running_loop().time
+        pool = play.make(play.server('a', 8), now=now)
+        await _granted(pool, 'phantom')
+        for number in range(5):
+            await asyncio.sleep(1)
+            grant = await _granted(pool, str(number))
+            pool.progress(requests.Progress(grant.request_id, 0.06, 1))
+            done = requests.Outcome.done
+            pool.release(requests.Release(grant.request_id, done, 0.06, 100, 1))
+
+    virtual.run(work())
+
+
+def test_server_that_hangs_gets_one_request_at_a_time() -> None:
+    """What it is sent is lost, so it is tried and not relied on."""
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        pool = play.make(
+            play.server('hangs', 2), play.server('works', 1), now=loop.time
+        )
+        sent: list[ids.ServerId] = []
+        for number in range(30):
+            grant = await _granted(pool, str(number))
+            sent.append(grant.server_id)
+            if grant.server_id == 'works':
+                pool.progress(requests.Progress(grant.request_id, 0.06, 1))
+                done = requests.Outcome.done
+                ended = requests.Release(grant.request_id, done, 0.06, 100, 0.6)
+                pool.release(ended)
+            await asyncio.sleep(0.2)
+        assert sent[10:].count(ids.ServerId('hangs')) <= 4
+
+    virtual.run(work())
+
+
+def test_server_replaced_by_another_run_gets_nothing_more() -> None:
+    """Its old id would be answered 'wrong server' again and again."""
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        pool = play.make(play.server('a'), play.server('b'), now=loop.time)
+        grant = await _granted(pool, 'first')
+        wrong = requests.Outcome.wrong_server
+        pool.release(requests.Release(grant.request_id, wrong))
+        others = {
+            (await _granted(pool, str(number))).server_id for number in range(4)
+        }
+        assert grant.server_id not in others
+
+    virtual.run(work())
+
+
+def test_repeat_has_the_target_of_its_first_request() -> None:
+    """A newcomer that can be on time goes before it."""
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        pool = play.make(play.server('a', 1), now=loop.time)
+        await _granted(pool, 'running')
+        first = await pool.ask(
+            play.ask('x.1', 0, fingerprint=ids.Fingerprint(7), patience=0.1),
+        )
+        assert isinstance(first, requests.Denial)
+        await asyncio.sleep(0.35)
+        now = loop.time()
+        again = play.ask('x.2', now, fingerprint=ids.Fingerprint(7))
+        repeat = asyncio.create_task(pool.ask(again))
+        await asyncio.sleep(0)
+        newcomer = asyncio.create_task(pool.ask(play.ask('y', now)))
+        await asyncio.sleep(0)
+        done = requests.Outcome.done
+        pool.release(
+            requests.Release(ids.RequestId('running'), done, 0.06, 9, 0.4),
+        )
+        await asyncio.sleep(0.01)
+        assert newcomer.done()
+        repeat.cancel()
+
+    virtual.run(work())
+
+
+@pytest.mark.parametrize('reading', [20000, 200000])
+def test_long_prompt_stays_off_a_slow_engine_with_streams(
+    reading: int,
+) -> None:
+    """Its chunks would make every pause there too long."""
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        pool = play.make(play.server('a', 4), now=loop.time)
+        for number in range(6):
+            tokens = 1000 + number * 1000
+            seconds = tokens / 10000
+            grant = await _granted(
+                pool, str(number), prompt_tokens=tokens, target=9
+            )
+            pool.progress(requests.Progress(grant.request_id, seconds, 1))
+            ended = requests.Release(
+                grant.request_id,
+                requests.Outcome.done,
+                seconds,
+                100,
+                1,
+                usual_gap=0.1,
+                longest_gap=0.3,
+            )
+            pool.release(ended)
+        await _granted(pool, 'stream', gap=0.25)
+        made = play.ask('long', loop.time(), prompt_tokens=reading)
+        made = dataclasses.replace(made, target=loop.time() + 30)
+        long = asyncio.create_task(pool.ask(made))
+        await asyncio.sleep(0.01)
+        assert not long.done()
+        long.cancel()
+
+    virtual.run(work())
