--- a/libs/ctl/geraniumweir/ctl/arguments.py
+++ b/libs/ctl/geraniumweir/ctl/arguments.py
@@ -12,6 +12,7 @@
 from geraniumweir.ctl import (
     configcommands,
     errors,
+    logcommands,
     output,
     reportcommand,
     systemcommands,
@@ -172,6 +173,7 @@
     _add_order(commands)
     trace = _command(commands, 'trace', systemcommands.trace)
     trace.add_argument('id', help='a request id or a trace id')
+    _add_log_commands(commands)
     report = _command(commands, 'report', reportcommand.report)
     report.add_argument('file', help='JSON of a bench; - is standard input')
     report.add_argument(
@@ -179,6 +181,23 @@
     )
 
 
+def _add_log_commands(commands: _Subparsers) -> None:
+    explain = _command(
+        commands,
+        'explain-request',
+        logcommands.explain_request,
+    )
+    explain.add_argument('id', help="the caller's request id")
+    refused = _command(commands, 'why-refused', logcommands.why_refused)
+    for command in (explain, refused):
+        command.add_argument(
+            'file',
+            nargs='*',
+            default=['-'],
+            help='logs of any processes; - is standard input',
+        )
+
+
 def _add_order(commands: _Subparsers) -> None:
     order = _command(commands, 'order', systemcommands.order)
     order.add_argument('server')
--- /dev/null
+++ b/libs/ctl/geraniumweir/ctl/tests/test_logcommands.py
@@ -0,0 +1,62 @@
+"""A request's story out of the logs of several processes."""
+
+import json
+import pathlib
+
+import pytest
+from geraniumweir.ctl import arguments, errors, main
+
+
+def _line(second: int, host: str, event: int, **fields: object) -> str:
+    line = {
+        'time': f'2026-05-15T16:03:{second:02}.120Z',
+        'level': 'info',
+        'event': event,
+        'host': host,
+        'message': 'something happened',
+        'fields': fields,
+    }
+    return f'  12.34 {host} {json.dumps(line)}\n'
+
+
+def _run(*argv: str) -> int:
+    opts = arguments.make_parser({}).parse_args(argv)
+    return main.run(opts.command(opts))
+
+
+def test_story_is_told_in_order_of_time(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """From several files, with what a collector put before the lines."""
+    late, early = tmp_path / 'late', tmp_path / 'early'
+    late.write_text(_line(9, 'entry', 161, request='r1', reason='shed'))
+    early.write_text(
+        _line(3, 'leader', 245, request='r1.7', leader='x')
+        + _line(4, 'entry', 160, request='other')
+        + 'Traceback (most recent call last):\n',
+    )
+    assert _run('explain-request', 'r1', str(late), str(early)) == 0
+    told = capsys.readouterr().out
+    assert told.index('leader=x') < told.index('reason=shed')
+    assert 'other' not in told
+
+
+def test_unknown_request_is_an_error(tmp_path: pathlib.Path) -> None:
+    """A wrong id must not look like a request without a story."""
+    log = tmp_path / 'log'
+    log.write_text(_line(9, 'entry', 161, request='r1', reason='shed'))
+    assert _run('explain-request', 'r2', str(log)) == errors.EXIT_FAILED
+
+
+def test_refusals_are_counted_by_second_and_reason(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A burst shows as a column of the same reason."""
+    log = tmp_path / 'log'
+    refused = _line(9, 'entry', 161, request='r', status=503, reason='shed')
+    log.write_text(refused * 3)
+    assert _run('--output', 'json', 'why-refused', str(log)) == 0
+    found = json.loads(capsys.readouterr().out)['refusals']
+    assert [(row['reason'], row['count']) for row in found] == [('shed', 3)]
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -153,7 +153,8 @@
             return self._refuse(caller, told, refused.refusal)
         if self.traffic.closing:
             resp.force_close()
-        told.tell(logevents.ENDED, talk.now(), status=resp.status)
+        if not caller.broken:
+            told.tell(logevents.ENDED, talk.now(), status=resp.status)
         return resp
 
     def _refuse(
--- a/libs/gateway/geraniumweir/gateway/talk.py
+++ b/libs/gateway/geraniumweir/gateway/talk.py
@@ -11,6 +11,7 @@
     """Gives one answer to one caller.
 
     :ivar resp: the answer that has begun, or None.
+    :ivar broken: the answer was broken off.
     """
 
     def __init__(self, req: web.BaseRequest, closes: bool) -> None:
@@ -19,6 +20,7 @@
         :param closes: the connection is to end with this answer.
         """
         self.resp: web.StreamResponse | None = None
+        self.broken = False
         self._req = req
         self._closes = closes
 
@@ -68,6 +70,7 @@
 
     def break_off(self) -> web.StreamResponse:
         """End the connection, so that the answer can't look whole."""
+        self.broken = True
         transport = self._req.transport
         if transport is not None:
             transport.close()
--- a/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
@@ -180,20 +180,22 @@
     writer.write(bed.chunk(bed.event(1)))
 
 
+async def _left() -> list[requests.Outcome]:
+    """Leave behind the first event; give how the dispatch ended."""
+    server = bed.Server(_one_event)
+    async with bed.made(server, **_STREAM) as made:
+        async with made.caller.get(made.url, headers=_HEAD) as resp:
+            await resp.content.readany()
+            resp.close()
+        async with asyncio.timeout(5):
+            await server.gone.wait()
+        return made.scheduler.released
+
+
 def test_work_ends_when_the_caller_leaves() -> None:
     """The server's connection is closed at once."""
 
-    async def work() -> None:
-        server = bed.Server(_one_event)
-        async with bed.made(server, **_STREAM) as made:
-            async with made.caller.get(made.url, headers=_HEAD) as resp:
-                await resp.content.readany()
-                resp.close()
-            async with asyncio.timeout(5):
-                await server.gone.wait()
-            assert made.scheduler.released == [requests.Outcome.cancelled]
-
-    asyncio.run(work())
+    assert asyncio.run(_left()) == [requests.Outcome.cancelled]
 
 
 def test_overdue_request_is_answered_at_its_timeout() -> None:
