--- a/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
@@ -198,13 +198,13 @@
     assert asyncio.run(_left()) == [requests.Outcome.cancelled]
 
 
-def test_overdue_request_is_answered_at_its_timeout() -> None:
-    """504: a server has it, so nothing can be promised."""
+async def _hang(*_args: typing.Any) -> None:
+    """Behave by answering nothing."""
 
-    async def hang(*_args: typing.Any) -> None:
-        """Answer nothing."""
 
-    assert _play(hang, timeout=0.2)[0] == 504
+def test_overdue_request_is_answered_at_its_timeout() -> None:
+    """504: a server has it, so nothing can be promised."""
+    assert _play(_hang, timeout=0.2)[0] == 504
 
 
 def test_idle_connections_end_when_the_host_drains() -> None:
