Tests of quotas, of who coordinates and of what an entry host keeps

Quotas hold over every window for any arrivals (hypothesis), a new coordinator grants no second window, the parts of two sides of a cut add up to the whole.

--- /dev/null
+++ b/libs/control/geraniumweir/control/tests/test_coordinating.py
@@ -0,0 +1,104 @@
+"""Whom an entry host takes for the coordinator."""
+
+import asyncio
+
+from geraniumweir.common import ids, virtual
+from geraniumweir.control import coordinating, hosts
+from geraniumweir.wire import memory
+from geraniumweir.wire.gen.control import ttypes
+
+_DOMAIN = ids.FailureDomain('x')
+_AREA = ids.FailureDomain('all')
+
+
+def _address(name: str) -> ids.Address:
+    return ids.Address(f'10.0.0.{len(name)}', ord(name[-1]))
+
+
+class _Control:
+    """A control host that answers pings as a test says."""
+
+    def __init__(self, network: memory.MemoryNetwork, name: str) -> None:
+        self.pong: ttypes.Pong | None = None
+        self.host_id = ids.HostId(name)
+        layer = network.join(self.host_id, _address(name))
+        layer.handle(ttypes.Ping, self._answer)
+
+    def says(self, *, leads: bool, stands_in: bool) -> None:
+        """Answer so from now on."""
+        self.pong = ttypes.Pong(leads, stands_in, 6, 6, 0.25)
+
+    async def _answer(
+        self,
+        _sender: ids.HostId,
+        _ping: ttypes.Ping,
+    ) -> ttypes.Pong:
+        if self.pong is None:
+            await asyncio.sleep(60)
+        return self.pong
+
+
+class _Bed:
+    """An entry host and two control hosts."""
+
+    def __init__(self) -> None:
+        network = memory.MemoryNetwork()
+        self.first = _Control(network, 'c1')
+        self.second = _Control(network, 'c2')
+        known = hosts.ControlHosts()
+        layer = network.join(ids.HostId('entry'), _address('entry'))
+        for control in (self.first, self.second):
+            address = _address(control.host_id)
+            layer.learn(control.host_id, address)
+            card = hosts.ControlHost(control.host_id, address, address, _DOMAIN)
+            known.learn(card, 0)
+        self.seen = coordinating.Coordinator(layer, _DOMAIN, known)
+        self.task = asyncio.create_task(self.seen.run())
+
+
+def test_leader_of_the_log_goes_before_a_stand_in() -> None:
+    """Whatever their ids."""
+
+    async def work() -> None:
+        bed = _Bed()
+        bed.first.says(leads=False, stands_in=True)
+        bed.second.says(leads=True, stands_in=False)
+        await asyncio.sleep(1)
+        assert bed.seen.live(_AREA) == ['c2']
+        assert bed.seen.share() * 4 == 1
+        bed.task.cancel()
+
+    virtual.run(work())
+
+
+def test_silent_leader_is_left_within_a_second() -> None:
+    """Requests that wait at it move then."""
+
+    async def work() -> None:
+        bed = _Bed()
+        bed.first.says(leads=False, stands_in=False)
+        bed.second.says(leads=True, stands_in=False)
+        await asyncio.sleep(1)
+        bed.second.pong = None
+        bed.first.says(leads=False, stands_in=True)
+        await asyncio.sleep(1)
+        assert bed.seen.live(_AREA) == ['c1']
+        bed.task.cancel()
+
+    virtual.run(work())
+
+
+def test_host_that_reaches_nobody_is_alone() -> None:
+    """It goes on with its part of everything."""
+
+    async def work() -> None:
+        bed = _Bed()
+        bed.second.says(leads=True, stands_in=False)
+        await asyncio.sleep(1)
+        bed.second.pong = None
+        await asyncio.sleep(1.5)
+        assert bed.seen.is_alone()
+        assert bed.seen.share() * 4 == 1
+        bed.task.cancel()
+
+    virtual.run(work())
--- /dev/null
+++ b/libs/control/geraniumweir/control/tests/test_watching.py
@@ -0,0 +1,98 @@
+"""What an entry host keeps of what control hosts tell it."""
+
+import typing
+import zlib
+
+from geraniumweir.common import ids, virtual
+from geraniumweir.control import enrolments, watching
+from geraniumweir.routing import tables
+from geraniumweir.wire import memory
+from geraniumweir.wire.gen.control import ttypes
+
+_CONTROL = ids.HostId('control')
+_OTHER = ids.HostId('other')
+
+
+def _read(content: bytes) -> tables.Document:
+    return tables.Document(ids.Version(int(content)))
+
+
+def _watcher() -> watching.Watcher:
+    layer = memory.MemoryNetwork().join(
+        ids.HostId('entry'), ids.Address('10.0.0.9', 1)
+    )
+    return watching.Watcher(layer, ids.FailureDomain('x'), (), _read)
+
+
+def _server(name: str, sequence: int = 1, state: int = 1) -> ttypes.Enrolment:
+    return ttypes.Enrolment(
+        name, 'pool', '10.0.0.1:80', 'x', 4, sequence, state, False, []
+    )
+
+
+def _news(
+    *servers: ttypes.Enrolment,
+    version: int = -1,
+    epoch: str = 'a',
+    **changes: typing.Any,
+) -> ttypes.News:
+    news = ttypes.News(epoch, 1, version, None, True, True, list(servers), [])
+    if version >= 0:
+        news.document = zlib.compress(str(version).encode())
+    for name, told in changes.items():
+        setattr(news, name, told)
+    return news
+
+
+def test_version_never_goes_back() -> None:
+    """A control host that lags behind says nothing that counts."""
+
+    async def work() -> None:
+        watcher = _watcher()
+        watcher.take(_CONTROL, _news(version=7))
+        watcher.take(_OTHER, _news(version=5, epoch='b'))
+        assert watcher.version == 7
+
+    virtual.run(work())
+
+
+def test_host_is_sure_only_of_what_a_recorder_that_hears_a_leader_says() -> (
+    None
+):
+    """One that is cut off may have missed a change."""
+
+    async def work() -> None:
+        watcher = _watcher()
+        watcher.take(_CONTROL, _news(version=7, sure=False))
+        assert watcher.sure_at == float('-inf')
+        watcher.take(_CONTROL, _news(version=7))
+        assert watcher.sure_at >= 0
+
+    virtual.run(work())
+
+
+def test_servers_outlast_a_control_host_that_knows_none() -> None:
+    """It may only just have started."""
+
+    async def work() -> None:
+        watcher = _watcher()
+        watcher.take(_CONTROL, _news(_server('s')))
+        watcher.take(_OTHER, _news(epoch='b'))
+        assert watcher.servers.get(ids.ServerId('s')) is not None
+
+    virtual.run(work())
+
+
+def test_leaving_server_stays_so_at_the_next_control_host() -> None:
+    """That one may not have heard of it yet."""
+
+    async def work() -> None:
+        watcher = _watcher()
+        leaving = int(enrolments.State.leaving)
+        watcher.take(_CONTROL, _news(_server('s', 5, leaving)))
+        watcher.take(_OTHER, _news(_server('s', 4), epoch='b'))
+        found = watcher.servers.get(ids.ServerId('s'))
+        assert found is not None
+        assert found.state is enrolments.State.leaving
+
+    virtual.run(work())
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_quotas.py
@@ -0,0 +1,94 @@
+"""Quotas hold over every window, whoever coordinates."""
+
+import collections
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import quotas
+from hypothesis import given
+from hypothesis import strategies as st
+
+_NAME = ids.CustomerName('customer')
+_RATE = 100
+_BURST = 50
+_SECONDS = 8
+# Bins of a window end a moment before or after it.
+_SLACK = 2 * _RATE
+
+
+def _quotas(share: float = 1) -> quotas.Quotas:
+    return quotas.Quotas(
+        lambda _: quotas.Allowance(_RATE, _BURST),
+        lambda: share,
+        _SECONDS,
+    )
+
+
+def _unused_at(now: float) -> quotas.Quotas:
+    """Give quotas of a coordinator that has been one for long."""
+    counted = _quotas()
+    counted.take(_NAME, 1, now - 10 * _SECONDS)
+    return counted
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 1), st.integers(1, 200), st.integers(0, 2)),
+        max_size=80,
+    ),
+)
+def test_no_window_holds_more_than_the_quota(
+    asks: list[tuple[float, int, int]],
+) -> None:
+    """Whatever comes when, and of whatever rank."""
+    counted = _quotas()
+    now = float(100)
+    taken: collections.deque[tuple[float, int]] = collections.deque()
+    for pause, cost, rank in asks:
+        now += pause
+        if not counted.take(_NAME, cost, now, rank):
+            taken.append((now, cost))
+        while taken and taken[0][0] <= now - _SECONDS:
+            taken.popleft()
+        used = sum(amount for _, amount in taken)
+        assert used <= _RATE * _SECONDS + _BURST + _SLACK
+
+
+def test_new_coordinator_grants_no_second_window() -> None:
+    """It takes the time before its start as used."""
+    before, after = _quotas(), _quotas()
+    granted = 0
+    for now in range(100, 120):
+        counted = before if now < 110 else after
+        while not counted.take(_NAME, 10, now):
+            if now >= 102:
+                granted += 10
+    assert granted <= 18 * _RATE + 2 * (_BURST + _RATE)
+
+
+def test_each_side_of_a_cut_grants_its_part() -> None:
+    """The parts add up to the whole."""
+    side, other = _quotas(0.25), _quotas(0.75)
+    granted = 0
+    for now in range(100, 140):
+        for counted in (side, other):
+            while not counted.take(_NAME, 5, now):
+                granted += 5
+    assert granted <= 40 * _RATE + 2 * _BURST + _SLACK
+
+
+def test_last_of_a_quota_is_kept_for_the_important() -> None:
+    """Small requests of little worth would else leave none of it."""
+    counted = _unused_at(200)
+    taken = [not counted.take(_NAME, 1, 200, 2) for _ in range(1000)]
+    assert not all(taken)
+    assert not counted.take(_NAME, 100, 200, 0)
+
+
+def test_what_was_not_served_is_given_back() -> None:
+    """A refused request costs its customer nothing."""
+    counted = _unused_at(200)
+    whole = _RATE * _SECONDS + _BURST
+    assert not counted.take(_NAME, whole, 200)
+    assert counted.take(_NAME, 1, 200)
+    counted.give_back(_NAME, whole, 200)
+    assert not counted.take(_NAME, 1, 200)
