Scheduling: one Scheduler protocol, one way to join an ask

Cause: the protocol of those who grant capacity stood three times (daemon, gateway, scheduling), and both leaders held the same handling of asks that wait for one answer. A change to one would have missed the others.

Ruled out: a common base class of the leaders; their states share nothing else, so a function that takes what it needs is smaller.

--- a/libs/daemon/geraniumweir/daemon/dispatching.py
+++ b/libs/daemon/geraniumweir/daemon/dispatching.py
@@ -22,7 +22,7 @@
     relaying,
 )
 from geraniumweir.daemon import host as entry_host
-from geraniumweir.scheduling import requests
+from geraniumweir.scheduling import requests, views
 
 _CANCEL_SECONDS = 2.0
 _MOST_TRIES = 6
@@ -45,7 +45,7 @@
     finished: bool = False
 
     @property
-    def scheduler(self) -> ports.Scheduler:
+    def scheduler(self) -> views.Scheduler:
         """Who grants capacity of the call's pool."""
         return self.host.scheduler(self.admitted.ask.pool)
 
--- a/libs/daemon/geraniumweir/daemon/host.py
+++ b/libs/daemon/geraniumweir/daemon/host.py
@@ -5,7 +5,7 @@
 import aiohttp
 from geraniumweir.common import ids, timers
 from geraniumweir.configuration import document
-from geraniumweir.daemon import callpath, ports, settings
+from geraniumweir.daemon import callpath, settings
 from geraniumweir.membership import servers, sharing
 from geraniumweir.scheduling import (
     broker,
@@ -13,6 +13,7 @@
     remote,
     reporting,
     requests,
+    views,
 )
 from geraniumweir.scheduling import settings as leader_settings
 
@@ -60,7 +61,7 @@
     )
     links: Links | None = None
 
-    def scheduler(self, pool: ids.PoolName) -> ports.Scheduler:
+    def scheduler(self, pool: ids.PoolName) -> views.Scheduler:
         """Give who grants capacity of a pool to this host's calls."""
         if self.links is None:
             return self.leader_of(pool)
--- a/libs/daemon/geraniumweir/daemon/ports.py
+++ b/libs/daemon/geraniumweir/daemon/ports.py
@@ -8,26 +8,6 @@
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.scheduling import requests
-
-
-class Scheduler(typing.Protocol):
-    """Grants capacity: a pool leader, or the broker that finds it."""
-
-    async def ask(
-        self,
-        ask: requests.Ask,
-    ) -> requests.Grant | requests.Denial:
-        """Wait for a backend server."""
-
-    def withdraw(self, request_id: ids.RequestId) -> None:
-        """Take back an ask that still waits."""
-
-    def progress(self, progress: requests.Progress) -> None:
-        """Tell how granted work goes."""
-
-    def release(self, release: requests.Release) -> None:
-        """Tell once how granted work ended."""
 
 
 class Hop(enum.Enum):
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -14,7 +14,6 @@
 import aiohttp
 from aiohttp import web
 
-from geraniumweir.common import ids
 from geraniumweir.gateway import (
     attempts,
     codec,
@@ -27,39 +26,20 @@
     talk,
 )
 from geraniumweir.routing import tables
-from geraniumweir.scheduling import requests
+from geraniumweir.scheduling import requests, views
 
 # Servers that turn a request away, one after another: two more tries find one
 # that takes it, or there is none.
 _MOST_REJECTED = 3
 
 
-class Scheduler(typing.Protocol):
-    """Who grants capacity; see :class:`broker.Broker`."""
-
-    async def ask(
-        self,
-        ask: requests.Ask,
-    ) -> requests.Grant | requests.Denial:
-        """Wait for a grant."""
-
-    def withdraw(self, request_id: ids.RequestId) -> None:
-        """End the waiting of a request whose caller went away."""
-
-    def progress(self, progress: requests.Progress) -> None:
-        """Tell how granted work goes on."""
-
-    def release(self, release: requests.Release) -> None:
-        """Give a grant back."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Means:
     """What all requests of a host share."""
 
     session: aiohttp.ClientSession
     codec: codec.Codec
-    scheduler: Scheduler
+    scheduler: views.Scheduler
     budgets: retrybudget.RetryBudgets
 
 
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/joining.py
@@ -0,0 +1,56 @@
+"""Asks that wait for the same answer, and the end of the last of them."""
+
+import asyncio
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import requests, views
+
+
+class Waiting(typing.Protocol):
+    """A request in a leader's queue.
+
+    :ivar joined: asks that wait for the same answer.
+    """
+
+    ask: requests.Ask
+    fut: asyncio.Future[requests.Grant | requests.Denial]
+    joined: int
+
+
+class Running(typing.Protocol):
+    """A request that a leader granted."""
+
+    grant: requests.Grant
+
+
+async def answer(
+    leader: views.Scheduler,
+    waiting: Waiting,
+    running: typing.Mapping[ids.RequestId, Running],
+) -> requests.Grant | requests.Denial:
+    """Wait for the answer; the last that leaves takes the request along.
+
+    :param running: what the leader granted.
+    """
+    waiting.joined += 1
+    try:
+        return await asyncio.shield(waiting.fut)
+    except asyncio.CancelledError:
+        waiting.joined -= 1
+        if not waiting.joined:
+            granted = running.get(waiting.ask.request_id)
+            _abandon(leader, waiting, granted)
+        raise
+
+
+def _abandon(
+    leader: views.Scheduler,
+    waiting: Waiting,
+    granted: Running | None,
+) -> None:
+    request_id = waiting.ask.request_id
+    leader.withdraw(request_id)
+    if granted is not None and granted.grant is waiting.fut.result():
+        not_sent = requests.Outcome.cancelled
+        leader.release(requests.Release(request_id, not_sent))
--- a/libs/scheduling/geraniumweir/scheduling/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/leader.py
@@ -10,7 +10,6 @@
 geraniumweir.scheduling.shedding, geraniumweir.scheduling.progressing
 """
 
-import asyncio
 import random
 import typing
 
@@ -21,13 +20,13 @@
     adoption,
     crashes,
     granting,
+    joining,
     placement,
     progressing,
     shedding,
     ticking,
 )
 from geraniumweir.scheduling import (
-    records,
     requests,
     settings,
     state,
@@ -87,7 +86,11 @@
             if isinstance(admitted, requests.Denial):
                 return admitted
             waiting = admitted
-        return await self._joined(waiting)
+        return await joining.answer(
+            self,
+            waiting,
+            self._state.running,
+        )
 
     def withdraw(self, request_id: ids.RequestId) -> None:
         """Drop a request whose caller went away while it waited.
@@ -179,25 +182,3 @@
     def suspects(self) -> suspects.Suspects:
         """Give the suspects, to spread quarantines between hosts."""
         return self._state.suspects
-
-    async def _joined(
-        self,
-        waiting: records.Waiting,
-    ) -> requests.Grant | requests.Denial:
-        waiting.joined += 1
-        try:
-            return await asyncio.shield(waiting.fut)
-        except asyncio.CancelledError:
-            waiting.joined -= 1
-            if not waiting.joined:
-                self._abandoned(waiting)
-            raise
-
-    def _abandoned(self, waiting: records.Waiting) -> None:
-        """End a request whose last asker went away before its answer."""
-        request_id = waiting.ask.request_id
-        self.withdraw(request_id)
-        running = self._state.running.get(request_id)
-        if running is not None and running.grant is waiting.fut.result():
-            not_sent = requests.Outcome.cancelled
-            self.release(requests.Release(request_id, not_sent))
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -14,7 +14,7 @@
 
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
-from geraniumweir.scheduling import requests, settings, suspects
+from geraniumweir.scheduling import joining, requests, settings, suspects
 from geraniumweir.scheduling.ontime import (
     fleet,
     granting,
@@ -71,7 +71,11 @@
                 return denied
             waiting = self._enqueue(ask)
             granting.fill(self._state)
-        return await self._joined(waiting)
+        return await joining.answer(
+            self,
+            waiting,
+            self._state.running,
+        )
 
     def withdraw(self, request_id: ids.RequestId) -> None:
         """Drop a request whose caller went away while it waited."""
@@ -136,28 +140,6 @@
         fleet.changed(self._state)
         granting.fill(self._state)
 
-    async def _joined(
-        self,
-        waiting: records.Waiting,
-    ) -> requests.Grant | requests.Denial:
-        waiting.joined += 1
-        try:
-            return await asyncio.shield(waiting.fut)
-        except asyncio.CancelledError:
-            waiting.joined -= 1
-            if not waiting.joined:
-                self._abandoned(waiting)
-            raise
-
-    def _abandoned(self, waiting: records.Waiting) -> None:
-        """End a request whose last asker went away before its answer."""
-        request_id = waiting.ask.request_id
-        self.withdraw(request_id)
-        running = self._state.running.get(request_id)
-        if running is not None and running.grant is waiting.fut.result():
-            cancelled = requests.Outcome.cancelled
-            self.release(requests.Release(request_id, cancelled))
-
     def _deny_at_once(self, ask: requests.Ask) -> requests.Denial | None:
         now = self._state.now()
         known = self._state.suspects
--- a/libs/scheduling/geraniumweir/scheduling/views.py
+++ b/libs/scheduling/geraniumweir/scheduling/views.py
@@ -45,8 +45,8 @@
         """List the other failure domains' pools of a name."""
 
 
-class PoolLeader(typing.Protocol):
-    """Decides about one pool; soft state, on one host at a time."""
+class Scheduler(typing.Protocol):
+    """Grants capacity: a pool leader, or the broker that finds it."""
 
     async def ask(
         self,
@@ -63,6 +63,10 @@
     def release(self, release: requests.Release) -> None:
         """Take back a grant; a repeat is ignored."""
 
+
+class PoolLeader(Scheduler, typing.Protocol):
+    """Decides about one pool; soft state, on one host at a time."""
+
     def adopt(self, grants: typing.Sequence[requests.OpenGrant]) -> None:
         """Take over grants in use that another leader gave."""
 
