Stopping: a process that has ended its work exits 0, whatever comes after

The log shows the whole way down (103, stopped; 0 calls did not end in time); the event loop was closed then and had given SIGTERM its default handling back, and the test's second SIGTERM killed the process while the interpreter ended. Processes on the platform had the same gap.

Ruled out: a longer pause in the test, which would only hide it; a handler by signal.signal alone, which may miss a wake-up of the loop's selector.

--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 from geraniumweir.backends import calls
-from geraniumweir.common import errors, ids, timers
+from geraniumweir.common import errors, ids, stopping, timers
 from geraniumweir.common import logevents as levels
 from geraniumweir.daemon import (
     alone,
@@ -75,10 +75,10 @@
     :raises BusyAddressError: when an address can't be listened on.
     """
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop.set)
     async with contextlib.AsyncExitStack() as stack:
+        stack.enter_context(
+            stopping.on_signals(stop.set, signal.SIGTERM, signal.SIGINT),
+        )
         host = await _make_host(cfg, stack)
         observed = observing.observe(host, stack)
         joined: joining.Joined | None = None
