Constants: each says its unit and where its figure comes from

Cause: reading the diff as a newcomer, 20 timeouts and limits had a value and no reason; the spread of Retry-After was written as half and used doubled.

Ruled out: moving them into settings, where nobody would have grounds to choose another value.

Figures: no value changes; only comments, and 1 + 2 * 0.5 became 1 + 1.0. The tests of the packages touched pass.

--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -22,8 +22,11 @@
 from geraniumweir.backends import errors
 from geraniumweir.common import ids
 
+# A connection to a server that is there takes a few milliseconds, in seconds.
 _CONNECT_SECONDS = 1.0
+# Shorter than the usual 5 s after which servers close idle connections.
 _IDLE_SECONDS = 4.0
+# Bytes read of an answer before its reader takes them.
 _READ_AHEAD = 16384
 _UNNAMED = ('Accept-Encoding', 'User-Agent', 'Accept', 'Content-Type')
 
--- a/libs/configuration/geraniumweir/configuration/published.py
+++ b/libs/configuration/geraniumweir/configuration/published.py
@@ -14,6 +14,7 @@
 from geraniumweir.wire.gen.configuration import ttypes
 from reactivex import subject
 
+# The level of zlib that takes the least time.
 _FASTEST = 1
 
 
--- a/libs/control/geraniumweir/control/documents.py
+++ b/libs/control/geraniumweir/control/documents.py
@@ -15,6 +15,7 @@
 # Callers of control turn to another host after a second without an answer;
 # an answer within it, whatever it says, saves them the wait. In seconds.
 _PUBLISH_SECONDS = 0.9
+# A read within the same second; a tenth is left to answer it.
 _READ_SECONDS = 0.8
 
 
--- a/libs/control/geraniumweir/control/enrolments.py
+++ b/libs/control/geraniumweir/control/enrolments.py
@@ -23,6 +23,7 @@
 # A server that has gone is remembered, so that a report of its that was held
 # up doesn't bring it back, in seconds.
 REMEMBER_SECONDS = 120.0
+# Digests travel as signed numbers of 64 bits.
 _DIGEST_SHIFT = 1
 _NOBODY: typing.Final[frozenset[ids.HostId]] = frozenset()
 
--- a/libs/control/geraniumweir/control/feed.py
+++ b/libs/control/geraniumweir/control/feed.py
@@ -21,11 +21,12 @@
 from geraniumweir.wire.gen.control import ttypes
 
 _MS = 1000
+# A watch is answered by then, whatever its reader asked for, in seconds: the
+# reader takes silence for a lost host.
 _LONGEST_WAIT_SECONDS = 2.0
 # Enrolments come one by one; readers are told of those that come within this
-# time together, in seconds. A tenth of a watch's usual round between domains
-# would be 0.1 ms; a millisecond still counts for nothing beside the two
-# seconds in which a leaving server must be known everywhere.
+# time together, in seconds. It counts for nothing beside the 2 s in which a
+# leaving server must be known everywhere.
 _GATHER_SECONDS = 0.001
 
 
--- a/libs/control/geraniumweir/control/presence.py
+++ b/libs/control/geraniumweir/control/presence.py
@@ -20,7 +20,10 @@
 from geraniumweir.wire import errors, peers
 from geraniumweir.wire.gen.control import ttypes
 
+# Control hosts compare what they know this often, in seconds: an enrolment
+# that got lost between them is made good within a second.
 _PERIOD = 0.5
+# Answers between domains take a few milliseconds, in seconds.
 _TIMEOUT = 0.5
 # A control host that isn't heard for so long is absent, in seconds: the
 # servers that report there have turned to another one by then (they report
--- a/libs/control/geraniumweir/control/recorders.py
+++ b/libs/control/geraniumweir/control/recorders.py
@@ -24,10 +24,13 @@
 _LOOK_SECONDS = 0.25
 # A disk that was full or failing is tried again this often, in seconds.
 _REOPEN_SECONDS = 0.5
+# A change of the recorders takes two rounds of the log; it is tried again
+# later when it isn't over by then, in seconds.
 _CHANGE_SECONDS = 3.0
 # A host's word that it leads counts for so long, in seconds: three of the
 # exchanges in which it says so.
 _TOLD_SECONDS = 1.5
+# Answers between domains take a few milliseconds, in seconds.
 _ASK_SECONDS = 0.5
 
 
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -25,10 +25,12 @@
 # it bounds how long a dead control host goes unnoticed; a change must be in
 # force 2 s after it was acknowledged.
 _WAIT_SECONDS = 0.5
+# The answer may take so much longer, on its way and at a busy host, in seconds.
 _ANSWER_SECONDS = 0.4
 _MS = 1000
 # A control host that failed is tried again after so long, in seconds.
 _AVOID_SECONDS = 2.0
+# Between two tries while no control host answers, in seconds: 20 a second.
 _PAUSE_SECONDS = 0.05
 # A server that the control host doesn't list is kept for so long, in seconds:
 # servers report every 1 to 2 s, so one that is there is listed by then.
--- a/libs/ctl/geraniumweir/ctl/logcommands.py
+++ b/libs/ctl/geraniumweir/ctl/logcommands.py
@@ -15,7 +15,9 @@
 from geraniumweir.ctl import errors, output
 
 _STANDARD_INPUT = '-'
+# The number of the event of a refusal; docs/EVENTS.md lists them.
 _REFUSED = 161
+# Characters of a time up to its whole seconds.
 _SECONDS = 19
 
 
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -37,6 +37,7 @@
 _LISTEN_SECONDS = 2.5
 # What is left of the grace time when connections are broken off, in seconds.
 _BREAK_SECONDS = 0.4
+# Whether open requests have ended is looked at this often, in seconds.
 _LOOK_SECONDS = 0.05
 
 
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -26,11 +26,16 @@
 _BODY_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
 _BODY_LATE = 408
+# A body of the usual size is there in milliseconds; a caller on a slow line
+# gets so many seconds for it.
 _LONGEST_BODY_SECONDS = 30.0
+# After a start the first document comes within this, in seconds.
 _FIRST_DOCUMENT_SECONDS = 1.0
+# Until then it is looked for this often, in seconds.
 _LOOK_SECONDS = 0.02
 # Callers may send this many header bytes before a document says otherwise.
 _HEADER_BYTES = 65536
+# The same of the body: 64 MiB.
 _BODY_BYTES = 67108864
 
 Know = typing.Callable[[], admission.Knowledge]
--- a/libs/observe/geraniumweir/observe/linewriter.py
+++ b/libs/observe/geraniumweir/observe/linewriter.py
@@ -15,6 +15,7 @@
 # Lines are gathered for so long, in seconds, and written together: a write for
 # each of 40 lines a second would wake the thread as often.
 _GATHER_SECONDS = 0.05
+# What a process that ends leaves for its last lines, in seconds.
 _LAST_SECONDS = 0.5
 
 Summary = typing.Callable[[int], str]
--- a/libs/scheduling/geraniumweir/scheduling/ontime/conditions.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/conditions.py
@@ -11,6 +11,7 @@
 # The first rest, in seconds: a connection that was lost on the way is no
 # reason to leave a server out for long; a restart takes seconds.
 _FIRST_REST = 0.25
+# A server that came back is tried again within this, in seconds.
 _LONGEST_REST = 4.0
 _GROWTH = 2
 # Requests that break off on a sound server are rare; two in a row aren't.
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -19,7 +19,9 @@
 # seconds. A slot may stay free for so long: less than 1 in 100 of the time for
 # which requests hold one (0.6 s).
 _GATHER_SECONDS = 0.004
+# So few waiting requests are looked at in less time than gathering takes.
 _FEW = 8
+# Tokens of a prompt by which the speeds of servers are compared.
 _USUAL_PROMPT = 1000
 # A queue is planned over its first so many requests; those behind them have
 # no turn within any caller's patience.
--- a/libs/scheduling/geraniumweir/scheduling/ontime/speeds.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/speeds.py
@@ -25,6 +25,7 @@
 # Weight of the guess in samples; the second one is at a long prompt.
 _GUESS_WEIGHT = 1.0
 _GUESS_TOKENS = 4000.0
+# A fitted line may start below nothing; a first token takes a millisecond.
 _LEAST_SECONDS = 0.001
 
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -24,7 +24,8 @@
 _LATER = 3.0
 # Above this load a queue of late requests hardly gets shorter.
 _FULL = 0.8
-_SPREAD = 0.5
+# Callers are told to come back up to this part later than that.
+_SPREAD = 1.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -102,7 +103,7 @@
     Spread out, so that those refused together don't come back together.
     """
     seconds = _LATER if pace(leader).load > _FULL else _SOON
-    spread = leader.dice.uniform(1, 1 + 2 * _SPREAD)
+    spread = leader.dice.uniform(1, 1 + _SPREAD)
     return requests.Denial(ask.request_id, reason, int(seconds * spread * _MS))
 
 
--- a/libs/scheduling/geraniumweir/scheduling/quotas.py
+++ b/libs/scheduling/geraniumweir/scheduling/quotas.py
@@ -25,15 +25,17 @@
 # What is used is counted in bins of so many seconds: a fortieth of the users'
 # windows of 8 s, so that a bin more or less is within the rule's slack.
 _BIN_SECONDS = 0.2
+# What is added for a bin counts at its middle.
 _HALF = 0.5
 # Part of a quota kept from each rank below the highest. Customers use 55 in
 # 100 of theirs on ordinary days, so that the lowest rank, which may use 80,
 # is refused by it only where the customer is about to exceed it.
 _KEPT_BY_RANK = 0.1
+# Ranks from here on leave the same part.
 _LOWEST_RANK = 2
 # Others of the same customer take what gets free next; a caller that comes
-# back sooner than this is mostly refused again, and
-# it comes back once. In seconds.
+# back sooner than this is mostly refused again, and it comes
+# back once. In seconds.
 _LEAST_WAIT_SECONDS = 2.0
 
 
