--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import typing
 
 from aiohttp import web
 from geraniumweir.backends import calls
@@ -24,6 +23,7 @@
     serving,
 )
 from geraniumweir.observe import metrics
+from geraniumweir.routing import finding
 from geraniumweir.scheduling import channel
 from geraniumweir.wire import tcp
 
@@ -158,7 +158,7 @@
         await stop.wait()
         await self._drain(front, callers)
 
-    def _index(self) -> typing.Any:
+    def _index(self) -> finding.Index | None:
         return self.watcher.index
 
     def _start(self, stack: contextlib.AsyncExitStack) -> None:
