Stopping: signals are ignored after a clean end only

A test that runs the daemon's main in its own process, with an address in use, then ignored SIGTERM for good, and so did all processes that it started: a run of the tests couldn't be ended by SIGTERM (SigIgn of its process had bit 14).

Ruled out: a handler that does nothing in place of SIG_IGN: children would be spared, the process itself not.

Figures: test_signals_after_an_error fails before, passes after.

--- a/libs/common/geraniumweir/common/tests/test_stopping.py
+++ b/libs/common/geraniumweir/common/tests/test_stopping.py
@@ -1,11 +1,13 @@
 """Tests of how a process is told to end."""
 
+import asyncio
 import signal
 import subprocess
 import sys
 import typing
 
 import pytest
+from geraniumweir.common import stopping
 
 # Ends its loop at the first signal, then takes a moment to exit.
 _PROGRAM: typing.Final = """
@@ -44,3 +46,15 @@
         assert process.stdout.readline() == 'ended\n'
         process.send_signal(again)
         assert process.wait() == 0
+
+
+def test_signals_after_an_error() -> None:
+    """A process that goes on after an error can still be ended."""
+    with pytest.raises(RuntimeError, match='busy'):
+        asyncio.run(_fail())
+    assert signal.getsignal(signal.SIGTERM) is signal.SIG_DFL
+
+
+async def _fail() -> None:
+    with stopping.on_signals(asyncio.Event().set, signal.SIGTERM):
+        raise RuntimeError('busy')
--- a/libs/scheduling/geraniumweir/scheduling/quotas.py
+++ b/libs/scheduling/geraniumweir/scheduling/quotas.py
@@ -181,7 +181,7 @@
         now: typing.Callable[[], float],
         on_ask: typing.Callable[[requests.Ask], None] | None = None,
     ) -> None:
-        """Count against buckets that all pools share.
+        """Count in windows that all pools share.
 
         :param now: gives the time in seconds.
         :param on_ask: told of each ask, whether it is let through or not.
