Quotas: what is given back comes off the window where it was charged

An ask is charged when it comes; when it was refused or withdrawn seconds later, the amount was taken off the newest bin, and stayed there as a credit after the charge itself had left the window.

--- a/libs/scheduling/geraniumweir/scheduling/led.py
+++ b/libs/scheduling/geraniumweir/scheduling/led.py
@@ -29,8 +29,11 @@
     def admit(self, ask: requests.Ask) -> requests.Denial | None:
         """Let an ask through, or deny it."""
 
-    def undo(self, ask: requests.Ask) -> None:
-        """Take back that an ask was let through: it wasn't served."""
+    def undo(self, ask: requests.Ask, at: float) -> None:
+        """Take back that an ask was let through: it wasn't served.
+
+        :param at: when it was, in seconds.
+        """
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -42,7 +45,7 @@
         was handed over.
     :ivar held: its owner's call is still open and takes the answer.
     :ivar telling: the answer is on its way to the owner.
-    :ivar admitted: the gate let it through here.
+    :ivar admitted_at: when the gate let it through here, in seconds.
     """
 
     ask: requests.Ask
@@ -51,7 +54,7 @@
     answer: Answer | None = None
     held: bool = False
     telling: bool = False
-    admitted: bool = False
+    admitted_at: float | None = None
 
 
 class LedPool:
@@ -206,13 +209,13 @@
             denial = self._gate.admit(entry.ask)
             if denial is not None:
                 return denial
-            entry.admitted = True
+            entry.admitted_at = self._now()
         return await self.leader.ask(entry.ask)
 
     def _undo(self, entry: Entry) -> None:
-        if entry.admitted and self._gate is not None:
-            entry.admitted = False
-            self._gate.undo(entry.ask)
+        if entry.admitted_at is not None and self._gate is not None:
+            self._gate.undo(entry.ask, entry.admitted_at)
+            entry.admitted_at = None
 
     def _drop(
         self,
--- a/libs/scheduling/geraniumweir/scheduling/quotas.py
+++ b/libs/scheduling/geraniumweir/scheduling/quotas.py
@@ -74,13 +74,26 @@
         return self._total
 
     def add(self, amount: float, now: float) -> None:
-        """Count what is used now; a negative amount is given back."""
+        """Count what is used now."""
         number = int(now / _BIN_SECONDS)
         if not self._bins or self._bins[-1][0] < number:
             self._bins.append([number, 0])
         self._bins[-1][1] += amount
         self._total += amount
 
+    def give_back(self, amount: float, at: float) -> None:
+        """Undo what was added, where it was added.
+
+        Taken off now instead, it would stay in the window after what it
+        undoes has left it, and let so much more through than is allowed.
+        """
+        number = int(at / _BIN_SECONDS)
+        for counted in reversed(self._bins):
+            if counted[0] == number:
+                counted[1] -= amount
+                self._total -= amount
+                return
+
     def wait(self, amount: float, now: float) -> float:
         """Give the seconds until so much of what was used is out of it."""
         for number, used in self._bins:
@@ -151,12 +164,15 @@
         self,
         customer: ids.CustomerName,
         cost: float,
-        now: float,
+        at: float,
     ) -> None:
-        """Undo a charge."""
+        """Undo a charge.
+
+        :param at: when it was taken, in seconds.
+        """
         window = self._windows.get(customer)
         if window is not None:
-            window.add(-cost, now)
+            window.give_back(cost, at)
 
     def _window(
         self,
@@ -208,6 +224,9 @@
             math.ceil(max(seconds, _LEAST_WAIT_SECONDS) * _MS),
         )
 
-    def undo(self, ask: requests.Ask) -> None:
-        """Give back the charge of an ask that wasn't served."""
-        self._quotas.give_back(ask.customer, ask.quota_cost, self._now())
+    def undo(self, ask: requests.Ask, at: float) -> None:
+        """Give back the charge of an ask that wasn't served.
+
+        :param at: when it was let through, in seconds.
+        """
+        self._quotas.give_back(ask.customer, ask.quota_cost, at)
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_quotas.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_quotas.py
@@ -92,3 +92,16 @@
     assert counted.take(_NAME, 1, 200)
     counted.give_back(_NAME, whole, 200)
     assert not counted.take(_NAME, 1, 200)
+
+
+def test_what_is_given_back_late_is_no_credit() -> None:
+    """A charge that was undone after some waiting allows nothing later."""
+    counted = _unused_at(200)
+    whole = _RATE * _SECONDS + _BURST
+    assert not counted.take(_NAME, whole - 10, 200)
+    assert not counted.take(_NAME, 10, 207)
+    counted.give_back(_NAME, whole - 10, 200)
+    granted = 10
+    while not counted.take(_NAME, 10, 208.5):
+        granted += 10
+    assert granted <= whole
