Placement: prediction and affinity get modules of their own

Ruled out: a split by tier of callers; most of it is called from granting.

Functions are moved word for word but for the modules' names; the tests of scheduling pass unchanged.

--- a/libs/scheduling/geraniumweir/scheduling/admitting.py
+++ b/libs/scheduling/geraniumweir/scheduling/admitting.py
@@ -6,7 +6,7 @@
 from geraniumweir.scheduling import (
     granting,
     learning,
-    placement,
+    predicting,
     records,
     requests,
     shedding,
@@ -154,7 +154,7 @@
     leader: state.LeaderState,
     waiting: records.Waiting,
 ) -> None:
-    waiting.latest = placement.starts(leader, waiting)
+    waiting.latest = predicting.starts(leader, waiting)
     if not waiting.latest:
         return
     waiting.best_start = max(waiting.latest.values())
@@ -170,7 +170,7 @@
         min(waiting.expected.mean, _SHORT_ANSWER),
         waiting.expected.high,
     )
-    waiting.latest = placement.starts(leader, waiting)
+    waiting.latest = predicting.starts(leader, waiting)
     waiting.best_start = max(waiting.latest.values())
 
 
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/affinity.py
@@ -0,0 +1,119 @@
+"""Tells when a request is better off where its prompt's prefix is cached.
+
+An engine that has a prefix needn't compute it again; one that still computes
+it for another request will have it soon.
+"""
+
+from geraniumweir.scheduling import predicting, records, state
+
+_LEAST_SAVED = 0.1
+_WAIT_FACTOR = 20.0
+_WAIT_MARGIN = 0.5
+_MOST_WARMING = 256
+
+
+def saved_seconds(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> float:
+    """Give the seconds of prefill that a server's cache saves a request."""
+    ask = waiting.ask
+    share = leader.prefixes.cached_share(server.server_id, ask.blocks)
+    if not share:
+        return 0
+    return predicting.rates_of(leader, server, ask.model).prefill * (
+        share * ask.prompt_tokens
+    )
+
+
+def holds(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether a server's cache saves a request much prefill."""
+    return saved_seconds(leader, server, waiting) >= _LEAST_SAVED
+
+
+def warms(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+) -> None:
+    """Take that a server begins to compute a prompt that others may share."""
+    if not running.ask.blocks or running.prefill < _LEAST_SAVED:
+        return
+    first = running.ask.blocks[0]
+    if len(server.warming) >= _MOST_WARMING:
+        server.warming.clear()
+    server.warming[first] = leader.now() + running.ahead + running.prefill
+
+
+def warmed(server: records.Server, running: records.Running) -> None:
+    """Take that a prompt is computed."""
+    if running.ask.blocks:
+        server.warming.pop(running.ask.blocks[0], None)
+
+
+def is_warming(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether a request rather waits until its prefix is computed.
+
+    An engine looks a prompt up when it takes it in: what another request
+    still computes then, it computes again.
+    """
+    blocks = waiting.ask.blocks
+    if not blocks or waiting.probe:
+        return False
+    left = server.warming.get(blocks[0], 0) - leader.now()
+    if left <= 0 or not holds(leader, server, waiting):
+        return False
+    seconds = predicting.finish(leader, server, waiting) * leader.cfg.safety
+    return leader.now() + left + seconds + _WAIT_MARGIN < waiting.ask.deadline
+
+
+def waits_for_holder(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether a request rather waits for a server that has its prefix.
+
+    It waits a few times as long as the prefill takes that is saved, and only
+    while the open server could still end it in time.
+    """
+    ask = waiting.ask
+    if waiting.probe or not ask.blocks:
+        return False
+    waited = leader.now() - waiting.arrived
+    needed = max(waited / _WAIT_FACTOR, _LEAST_SAVED)
+    rates = predicting.rates_of(leader, server, ask.model)
+    whole = rates.prefill * ask.prompt_tokens
+    if whole < needed:
+        return False
+    saved = whole * _best_share(leader, server, waiting)
+    saved -= saved_seconds(leader, server, waiting)
+    if saved < needed:
+        return False
+    seconds = predicting.finish(leader, server, waiting) * leader.cfg.safety
+    return leader.now() + seconds + _WAIT_MARGIN < ask.deadline
+
+
+def _best_share(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> float:
+    """Give the largest share of a prompt that another fit server holds."""
+    best: float = 0
+    for server_id, share in leader.prefixes.warmest(waiting.ask.blocks).items():
+        holder = leader.servers.get(server_id)
+        if holder is None or holder is server or not holder.most():
+            continue
+        if holder.kind in waiting.latest:
+            best = max(best, share)
+    return best
--- a/libs/scheduling/geraniumweir/scheduling/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/fleet.py
@@ -7,6 +7,7 @@
 from geraniumweir.scheduling import (
     concurrency,
     placement,
+    predicting,
     records,
     state,
     stragglers,
@@ -112,7 +113,7 @@
     waiting: records.Waiting,
     kind: records.ServerClass,
 ) -> None:
-    latest = placement.latest_start(leader, waiting, kind)
+    latest = predicting.latest_start(leader, waiting, kind)
     waiting.latest[kind] = latest
     waiting.best_start = max(waiting.best_start, latest)
     if not waiting.held:
--- a/libs/scheduling/geraniumweir/scheduling/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/granting.py
@@ -13,8 +13,10 @@
 
 from geraniumweir.common import ids
 from geraniumweir.scheduling import (
+    affinity,
     fleet,
     placement,
+    predicting,
     records,
     requests,
     state,
@@ -97,7 +99,7 @@
     running.due = leader.now() + stragglers.patience(expected)
     count_running(leader, running)
     fleet.attach(leader, server, running)
-    placement.warms(leader, server, running)
+    affinity.warms(leader, server, running)
     leader.prefixes.granted(server.server_id, ask.blocks)
     waiting.fut.set_result(running.grant)
     if kept is not None and kept is not server:
@@ -155,18 +157,18 @@
         server.announcement.incarnation,
         server.announcement.address,
     )
-    uncached = placement.uncached_tokens(leader, server, waiting)
-    rates = placement.rates_of(leader, server, waiting.ask.model)
+    uncached = predicting.uncached_tokens(leader, server, waiting)
+    rates = predicting.rates_of(leader, server, waiting.ask.model)
     return records.Running(
         ask=waiting.ask,
         grant=grant_given,
         granted=leader.now(),
         expected=waiting.expected,
         uncached=uncached,
-        ahead=placement.prefill_ahead(leader, server),
+        ahead=predicting.prefill_ahead(leader, server),
         prefill=rates.seconds(uncached, 0),
         beside=len(server.running) + 1,
-        cost=placement.finish(leader, server, waiting),
+        cost=predicting.finish(leader, server, waiting),
         suspect=waitlist.is_suspect(leader, waiting.ask),
     )
 
@@ -218,7 +220,7 @@
     )
     return any(
         waiting.promised_by in {None, server.server_id}
-        and not placement.waits_for_holder(leader, server, waiting)
+        and not affinity.waits_for_holder(leader, server, waiting)
         for waiting in in_line
     )
 
@@ -237,7 +239,7 @@
     if first is None or not _may_be_passed(leader, server, first):
         return first
     for waiting in in_line:
-        if placement.holds(leader, server, waiting):
+        if affinity.holds(leader, server, waiting):
             if _fits(leader, server, waiting):
                 first.passed += 1
                 return waiting
@@ -253,7 +255,7 @@
         return False
     if waiting.promised_by == server.server_id:
         return True
-    return not placement.waits_for_holder(leader, server, waiting)
+    return not affinity.waits_for_holder(leader, server, waiting)
 
 
 def _may_be_passed(
@@ -268,7 +270,7 @@
         return False
     if waiting.best_start - leader.now() < _PASS_SLACK:
         return False
-    return not placement.holds(leader, server, waiting)
+    return not affinity.holds(leader, server, waiting)
 
 
 def _in_order(
@@ -280,7 +282,7 @@
         if promised.ask.tier == tier and not promised.held:
             yield promised
     window = leader.cfg.fair_seconds * max(leader.slots, 1)
-    ahead = placement.prefill_ahead(leader, server) * leader.cfg.safety
+    ahead = predicting.prefill_ahead(leader, server) * leader.cfg.safety
     seen: set[int] = set()
     for later in _LATER:
         in_line = leader.queue.candidates(
@@ -304,9 +306,9 @@
         return False
     if placement.kept_for_another(server, waiting):
         return False
-    if not placement.in_time(leader, server, waiting):
+    if not predicting.in_time(leader, server, waiting):
         return False
-    if placement.is_warming(leader, server, waiting):
+    if affinity.is_warming(leader, server, waiting):
         return False
     if placement.has_room(server, waiting):
         return True
@@ -358,6 +360,6 @@
     if leader.suspects.waits(mark, leader.now()):
         return None
     server = placement.least_harm(leader, waiting)
-    if server is None or not placement.in_time(leader, server, waiting):
+    if server is None or not predicting.in_time(leader, server, waiting):
         return None
     return server
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/predicting.py
@@ -0,0 +1,146 @@
+"""Predicts when a request ends on a backend server.
+
+A prediction counts the prompt tokens that are not cached there, the prefill
+already granted and not yet done, and the learnt speeds.
+
+See Also
+========
+geraniumweir.scheduling.learning
+"""
+
+import typing
+
+from geraniumweir.scheduling import learning, records, state
+
+_MOST_DONE = 0.8
+_OVERDUE_FACTOR = 4.0
+_OVERDUE_SECONDS = 0.5
+
+
+def starts(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> dict[records.ServerClass, float]:
+    """Give a request's latest start on each class that can run it."""
+    cached = _cached_by_class(leader, waiting)
+    return {
+        kind: latest_start(leader, waiting, kind, cached.get(kind, 0))
+        for kind in leader.classes.values()
+        if kind.serves(waiting.ask)
+    }
+
+
+def latest_start(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+    kind: records.ServerClass,
+    cached: float = 0,
+) -> float:
+    """Give the time at which a request must start on a class of servers.
+
+    :param cached: share of its prompt that such a server has cached.
+    """
+    if waiting.probe:
+        return waiting.ask.deadline
+    rates = leader.speeds.of_kind(kind.hardware, waiting.ask.model)
+    prompt = waiting.ask.prompt_tokens * (1 - cached)
+    seconds = rates.seconds(prompt, waiting.expected.mean)
+    seconds *= waiting.hope
+    return waiting.ask.deadline - seconds * leader.cfg.safety
+
+
+def uncached_tokens(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> float:
+    """Give the prompt tokens that a server would have to prefill."""
+    ask = waiting.ask
+    share = leader.prefixes.cached_share(server.server_id, ask.blocks)
+    return ask.prompt_tokens * (1 - share)
+
+
+def finish(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> float:
+    """Predict the seconds until a request started now on a server ends."""
+    rates = rates_of(leader, server, waiting.ask.model)
+    seconds = rates.seconds(
+        uncached_tokens(leader, server, waiting),
+        waiting.expected.mean,
+    )
+    return seconds * waiting.hope + prefill_ahead(leader, server)
+
+
+def prefill_ahead(leader: state.LeaderState, server: records.Server) -> float:
+    """Give the seconds of prefill granted to a server and not yet done.
+
+    By the predictions, and by the first tokens that did not come yet.
+    """
+    by_clock = max(server.prefilled_at - leader.now(), 0)
+    if not server.unborn:
+        return by_clock
+    first = next(iter(server.unborn.values()))
+    spent = leader.now() - max(first.granted, server.born_at)
+    if spent > first.prefill * _OVERDUE_FACTOR + _OVERDUE_SECONDS:
+        # Its owner tells of no first tokens, or it stands still.
+        return by_clock
+    done = min(spent, first.prefill * _MOST_DONE)
+    return max(by_clock, server.unborn_prefill - done)
+
+
+def in_time(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+) -> bool:
+    """Tell whether a request started now on a server ends in time."""
+    if waiting.probe:
+        return True
+    return in_time_without(leader, server, waiting, ())
+
+
+def in_time_without(
+    leader: state.LeaderState,
+    server: records.Server,
+    waiting: records.Waiting,
+    gone: typing.Iterable[records.Running],
+) -> bool:
+    """Tell the same for a server from which some requests are cancelled."""
+    freed = sum(
+        running.prefill
+        for running in gone
+        if running.ask.request_id in server.unborn
+    )
+    freed = min(freed, prefill_ahead(leader, server))
+    seconds = (finish(leader, server, waiting) - freed) * leader.cfg.safety
+    return leader.now() + seconds <= waiting.ask.deadline
+
+
+def _cached_by_class(
+    leader: state.LeaderState,
+    waiting: records.Waiting,
+) -> dict[records.ServerClass, float]:
+    """Give the share of a prompt cached where most of it is, by class."""
+    shares: dict[records.ServerClass, float] = {}
+    warmest = leader.prefixes.warmest(waiting.ask.blocks)
+    for server_id, share in warmest.items():
+        server = leader.servers.get(server_id)
+        if server is not None and server.live:
+            shares[server.kind] = max(shares.get(server.kind, 0), share)
+    return shares
+
+
+def rates_of(
+    leader: state.LeaderState,
+    server: records.Server,
+    model: str | None,
+) -> learning.Rates:
+    """Give a server's predicted speeds for a model."""
+    return leader.speeds.of_server(
+        server.server_id,
+        server.kind.hardware,
+        model,
+    )
--- a/libs/scheduling/geraniumweir/scheduling/progressing.py
+++ b/libs/scheduling/geraniumweir/scheduling/progressing.py
@@ -1,6 +1,7 @@
 """Learns from how granted work goes on and ends."""
 
 from geraniumweir.scheduling import (
+    affinity,
     fleet,
     granting,
     learning,
@@ -95,7 +96,7 @@
     seconds: float,
 ) -> None:
     running.first_token = seconds
-    placement.warmed(server, running)
+    affinity.warmed(server, running)
     fleet.born(leader, server, running)
     rate = _rates(leader, server, running).prefill
     tokens = _tokens_before(running, rate)
--- a/libs/scheduling/geraniumweir/scheduling/shedding.py
+++ b/libs/scheduling/geraniumweir/scheduling/shedding.py
@@ -15,6 +15,7 @@
 from geraniumweir.scheduling import (
     granting,
     placement,
+    predicting,
     records,
     requests,
     state,
@@ -77,7 +78,7 @@
     )
     places = (leader.running[one].grant.server_id for one in streams)
     near = (leader.servers[place] for place in dict.fromkeys(places))
-    ahead = [placement.prefill_ahead(leader, server) for server in near]
+    ahead = [predicting.prefill_ahead(leader, server) for server in near]
     return min(ahead, default=0) * leader.cfg.safety
 
 
@@ -279,7 +280,7 @@
     else:
         if len(chosen) < len(server.running) or server.promised:
             return []
-    if placement.in_time_without(leader, server, waiting, chosen):
+    if predicting.in_time_without(leader, server, waiting, chosen):
         return chosen
     return []
 
