Entry host: calls are decided by the compiled document

Cause: the follower compiled each version for deciding requests, and nobody asked it; each call looked through all customers and all rules. The compiled document, with its index of keys, was there and tested against the plain one.

Ruled out: an index beside it in the admission; two copies of one thing.

Duplicates of names and keys are refused when a document is checked, so the index finds what the scan found.

The host compiles where it puts a version in force; the follower's unused copy is gone.

--- a/libs/configuration/geraniumweir/configuration/holding.py
+++ b/libs/configuration/geraniumweir/configuration/holding.py
@@ -13,7 +13,6 @@
 from geraniumweir.common import errors as common_errors
 from geraniumweir.common import eventlog, ids
 from geraniumweir.configuration import (
-    compiling,
     document,
     errors,
     logevents,
@@ -44,7 +43,6 @@
     """The version in force and the last texts, to make differences from.
 
     :ivar in_force: never replaced by an older one.
-    :ivar compiled: the same, ready for deciding requests.
     :ivar seen: the newest version seen, in force or unreadable here.
     """
 
@@ -55,7 +53,6 @@
         :param reader: by default one that reads on the event loop.
         """
         self.in_force = document.EMPTY
-        self.compiled = compiling.CompiledDocument(document.EMPTY.document)
         self.seen = self.in_force.version
         self.texts: collections.OrderedDict[int, bytes] = (
             collections.OrderedDict({document.NO_VERSION: b''})
@@ -147,7 +144,6 @@
 
     def _put_in_force(self, newest: document.InForce) -> None:
         self.in_force = newest
-        self.compiled = compiling.CompiledDocument(newest.document)
         self.seen = newest.version
         self.texts[newest.version] = newest.text.encode()
         while len(self.texts) > _KEPT_TEXTS:
--- a/libs/daemon/geraniumweir/daemon/admission.py
+++ b/libs/daemon/geraniumweir/daemon/admission.py
@@ -66,17 +66,17 @@
 
     :raises errors.Refused: when nobody known does.
     """
-    doc = host.in_force.document
+    doc = host.compiled
     bearer = req.headers.get('Authorization', '')
     if bearer.startswith(_BEARER):
         key = bearer.removeprefix(_BEARER).strip()
         digest = hashlib.sha256(key.encode('utf-8', 'replace')).hexdigest()
-        for customer in doc.customers:
-            if customer.key_sha256 == digest:
-                return customer
-        raise refusals.unknown_key()
+        owner = doc.customer_of_key(digest)
+        if owner is None:
+            raise refusals.unknown_key()
+        return owner
     name = req.headers.get('X-Customer', '')
-    found = doc.customer(ids.CustomerName(name))
+    found = doc.customer_named(ids.CustomerName(name))
     if found is None or found.key_sha256 is not None:
         raise refusals.unknown_customer(name)
     return found
@@ -108,10 +108,10 @@
     :param talk: with the whole body; its head gets what the rule says.
     :raises errors.Refused: when the call can't be served.
     """
-    doc = host.in_force.document
+    doc = host.compiled
     content = _read_content(talk)
     facts = _facts(host, talk, content, customer.name)
-    rule = matching.first_match(doc.rules, facts)
+    rule = doc.first_match(facts)
     if rule is None:
         raise refusals.refuse(
             catalogue.NO_RULE,
--- a/libs/daemon/geraniumweir/daemon/host.py
+++ b/libs/daemon/geraniumweir/daemon/host.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 from geraniumweir.common import ids, timers
-from geraniumweir.configuration import document
+from geraniumweir.configuration import compiling, document
 from geraniumweir.daemon import callpath, settings
 from geraniumweir.membership import servers, sharing
 from geraniumweir.scheduling import (
@@ -41,6 +41,7 @@
     """The parts of one entry host.
 
     :ivar in_force: the configuration that decides new calls.
+    :ivar compiled: the same, ready for deciding them.
     :ivar leaders: the pools of a host that stands alone.
     :ivar draining: no new calls are taken.
     :ivar sure: the configuration was checked against a majority.
@@ -54,6 +55,11 @@
     registry: servers.Registry
     leaders: dict[ids.PoolName, leader.PoolLeader]
     in_force: document.InForce = document.EMPTY
+    compiled: compiling.CompiledDocument = dataclasses.field(
+        default_factory=lambda: compiling.CompiledDocument(
+            document.EMPTY.document,
+        ),
+    )
     draining: bool = False
     sure: bool = True
     path: callpath.CallPath = dataclasses.field(
@@ -129,6 +135,7 @@
     def put_in_force(self, in_force: document.InForce) -> None:
         """Decide new calls by another version from now on."""
         self.in_force = in_force
+        self.compiled = compiling.CompiledDocument(in_force.document)
         for pool in self.leads():
             found = self.led(pool)
             if found is not None:
@@ -143,7 +150,7 @@
 
     def servers_of(self, pool: ids.PoolName) -> list[servers.Announcement]:
         """List a pool's backend servers that may get new work."""
-        doc = self.in_force.document
+        doc = self.compiled
         return [
             server
             for server in self.registry.live(self.timers.now())
--- a/libs/fakes/geraniumweir/fakes/inprocess.py
+++ b/libs/fakes/geraniumweir/fakes/inprocess.py
@@ -72,10 +72,8 @@
             registry=servers.Registry(),
             leaders={},
         )
-        host.in_force = document.InForce(
-            ids.Version(1),
-            reading.read(rules),
-            rules,
+        host.put_in_force(
+            document.InForce(ids.Version(1), reading.read(rules), rules),
         )
         backend = await _listen(stack, announcements.make_app(host))
         caller = await _listen(stack, callers.make_app(host))
