--- a/libs/consensus/geraniumweir/consensus/tests/cluster.py
+++ b/libs/consensus/geraniumweir/consensus/tests/cluster.py
@@ -195,3 +195,22 @@
 def address(host_id: ids.HostId) -> ids.Address:
     """Give the address of a host in the tests."""
     return ids.Address('127.0.0.1', sum(host_id.encode()))
+
+
+async def started(seed: int = 0, **sizes: int) -> Cluster:
+    """Start recorders; sizes are those of the log."""
+    cluster = Cluster(seed, **sizes)
+    await cluster.start()
+    return cluster
+
+
+async def fill(
+    cluster: Cluster,
+    count: int,
+    prefix: str = 'x',
+) -> list[bytes]:
+    """Propose commands at once and give them."""
+    leading = cluster.nodes[await cluster.leader()].recorder
+    commands = [f'{prefix}{number}'.encode() for number in range(count)]
+    await asyncio.gather(*(leading.propose(command) for command in commands))
+    return commands
--- /dev/null
+++ b/libs/consensus/geraniumweir/consensus/tests/test_snapshots.py
@@ -0,0 +1,155 @@
+"""The log stays small, and nobody misses what was cut off it."""
+
+import asyncio
+import contextlib
+
+import pytest
+from geraniumweir.common import ids
+from geraniumweir.consensus import errors
+from geraniumweir.consensus.tests import cluster as clusters
+
+_COW = clusters.HOSTS[2]
+_BIG = b'd' * 1000
+_MANY = 1000
+# The bounds of the test, and what comes in while a snapshot is written.
+_MOST_HELD = 8000 + 3000 + 4 * 1004
+
+
+def test_late_follower_catches_up_by_snapshot() -> None:
+    """Pieces, a compacted log, and entries behind the snapshot."""
+
+    async def scenario() -> None:
+        cluster = await clusters.started(
+            snapshot_entries=50,
+            trailing_entries=10,
+            piece_bytes=100,
+        )
+        leading = await cluster.leader()
+        late = next(name for name in clusters.HOSTS if name != leading)
+        cluster.crash(late)
+        commands = [
+            *await clusters.fill(cluster, 120),
+            *await clusters.fill(cluster, 120, 'y'),
+        ]
+        await asyncio.sleep(1)
+        with pytest.raises(errors.CompactedError):
+            cluster.nodes[leading].recorder.read_entries(0, 10)
+        cluster.network.loss = 0.05
+        await cluster.boot(late)
+        for applied in await cluster.settled():
+            assert applied == commands
+        assert cluster.nodes[late].recorder.snapshot().index > 0
+
+    clusters.run(scenario())
+
+
+def test_log_of_big_commands_stays_small() -> None:
+    """Cut by bytes long before the number of entries would cut it."""
+
+    async def scenario() -> None:
+        cluster = await clusters.started(
+            snapshot_bytes=8000, trailing_bytes=3000
+        )
+        leading = await cluster.leader()
+        late = next(name for name in clusters.HOSTS if name != leading)
+        cluster.crash(late)
+        commands = []
+        for number in range(40):
+            commands.append(b'%d:' % number + _BIG)
+            await cluster.nodes[leading].recorder.propose(commands[-1])
+            assert _held(cluster, leading) < _MOST_HELD
+        with pytest.raises(errors.CompactedError):
+            cluster.nodes[leading].recorder.read_entries(0, 10)
+        await cluster.boot(late)
+        for applied in await cluster.settled():
+            assert applied == commands
+        assert cluster.nodes[late].recorder.snapshot().index > 0
+        # The one that took the snapshot in cuts its log by itself, too.
+        for number in range(40, 60):
+            commands.append(b'%d:' % number + _BIG)
+            await cluster.nodes[leading].recorder.propose(commands[-1])
+        for applied in await cluster.settled():
+            assert applied == commands
+        await asyncio.sleep(1)
+        for host_id in clusters.HOSTS:
+            assert 0 < _held(cluster, host_id) < _MOST_HELD
+
+    clusters.run(scenario())
+
+
+def test_tail_fits_its_bytes_or_is_empty() -> None:
+    """A single entry above the bound isn't kept, and nothing is lost."""
+
+    async def scenario() -> None:
+        cluster = await clusters.started(
+            snapshot_bytes=8000, trailing_bytes=999
+        )
+        commands = [b'%d:' % number + _BIG for number in range(20)]
+        leading = cluster.nodes[await cluster.leader()].recorder
+        for command in commands:
+            await leading.propose(command)
+        await cluster.settled()
+        index = await leading.take_snapshot()
+        assert not leading.read_entries(index, 10)
+        with pytest.raises(errors.CompactedError):
+            leading.read_entries(index - 1, 10)
+        for host_id in clusters.HOSTS:
+            cluster.crash(host_id)
+        await cluster.start()
+        for applied in await cluster.settled():
+            assert applied == commands
+
+    clusters.run(scenario())
+
+
+def _held(cluster: clusters.Cluster, host_id: ids.HostId) -> int:
+    """Give the bytes of the entries that a recorder still has in its log."""
+    asked = cluster.nodes[host_id].recorder
+    after = asked.status().applied
+    held = 0
+    with contextlib.suppress(errors.CompactedError):
+        while after:
+            held = sum(
+                len(entry.payload)
+                for entry in asked.read_entries(after - 1, _MANY)
+            )
+            after -= 1
+    return held
+
+
+def test_client_reads_snapshot_and_entries() -> None:
+    """A host without a disk gets everything from any recorder."""
+
+    async def scenario() -> None:
+        cluster = await clusters.started(piece_bytes=7)
+        before = await clusters.fill(cluster, 10)
+        await cluster.settled()
+        index = await cluster.nodes[_COW].recorder.take_snapshot()
+        after = await clusters.fill(cluster, 3, 'y')
+        await cluster.settled()
+        reader = cluster.client()
+        covered, state = await reader.fetch_snapshot(_COW)
+        assert covered == index
+        assert state.split(b'\n') == before
+        answer = await reader.read_entries(_COW, index, 100)
+        assert [entry.payload for entry in answer.entries] == after
+        assert await reader.read_barrier() >= index + 3
+
+    clusters.run(scenario())
+
+
+def test_all_restart_with_everything() -> None:
+    """After a power cut of all, all that was answered is there."""
+
+    async def scenario() -> None:
+        cluster = await clusters.started(
+            snapshot_entries=20, trailing_entries=5
+        )
+        commands = await clusters.fill(cluster, 50)
+        for host_id in clusters.HOSTS:
+            cluster.crash(host_id)
+        await cluster.start()
+        for applied in await cluster.settled():
+            assert applied == commands
+
+    clusters.run(scenario())
