--- a/libs/configuration/geraniumweir/configuration/patches.py
+++ b/libs/configuration/geraniumweir/configuration/patches.py
@@ -11,8 +11,6 @@
 from geraniumweir.configuration import errors
 from geraniumweir.wire.gen.configuration import ttypes
 
-NO_BASE = 0
-
 
 def make(base: int, old: bytes, new: bytes) -> ttypes.Patch:
     """Give what turns the old bytes into the new ones.
--- a/libs/consensus/geraniumweir/consensus/recorder.py
+++ b/libs/consensus/geraniumweir/consensus/recorder.py
@@ -174,10 +174,6 @@
         """Tell whether this recorder leads, as far as it knows."""
         return self.core.role is core.Role.leader
 
-    def is_member(self) -> bool:
-        """Tell whether this is one of the recorders, by its own log."""
-        return self.core.history.current.find(self.identity) is not None
-
     def leader(self) -> ids.HostId:
         """Give the host whose recorder leads and is heard, or empty."""
         return serving.heard_leader(self.core)
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -77,7 +77,7 @@
         self.sure_at = float('-inf')
         self._link = link
         self._domain = domain
-        self._seeds = list(seeds)
+        self._seeds = tuple(seeds)
         self._read = read
         self._clock = timers.TimerService()
         self._avoided = _Avoided()
@@ -97,10 +97,6 @@
         """The version in force, -1 before the first."""
         return ids.Version(-1) if self.index is None else self.index.version
 
-    def learn_seeds(self, seeds: typing.Sequence[ids.Address]) -> None:
-        """Take other seeds; those of before stay known."""
-        self._seeds = list(dict.fromkeys([*seeds, *self._seeds]))
-
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
--- a/libs/daemon/geraniumweir/daemon/inflight.py
+++ b/libs/daemon/geraniumweir/daemon/inflight.py
@@ -33,11 +33,6 @@
     stop: Stop = Stop.deadline
     timeout: asyncio.Timeout | None = None
 
-    @property
-    def may_be_cut(self) -> bool:
-        """Whether ending the call now does no harm but to itself."""
-        return self.idempotent or not self.sent
-
 
 class InFlight:
     """All flights of one entry host, and the work that goes on after them."""
