--- a/libs/fakes/geraniumweir/fakes/bench_membership.py
+++ b/libs/fakes/geraniumweir/fakes/bench_membership.py
@@ -9,13 +9,13 @@
 import argparse
 import asyncio
 import dataclasses
-import functools
 import random
 import time
 import typing
 
 import tabulate
 from geraniumweir.common import ids, timers, virtual
+from geraniumweir.fakes import countingpeers
 from geraniumweir.membership import (
     hosts,
     knowledge,
@@ -25,9 +25,6 @@
     suspicion,
 )
 from geraniumweir.wire import memory, peers
-from geraniumweir.wire.gen.peering import ttypes
-from thrift import TSerialization
-from thrift.protocol import TCompactProtocol
 
 HOSTS_IN_DOMAIN = (2, 4, 8, 16, 24)
 DOMAINS = (1, 2, 4, 8, 17)
@@ -38,12 +35,7 @@
 COUNTED_SECONDS = 30
 SERVERS_PER_HOST = 4
 POOLS_PER_DOMAIN = 8
-# Addresses, sequence numbers and options of TCP over IPv4, for each message.
-PACKET_HEADER_BYTES = 52
-_FRAME_LENGTH_BYTES = 4
-_CALL_ID = 0x100000
 _FIRST_INCARNATION = 0x18BCFE56800
-_MESSAGE_TYPE = 0x7FFFFFFF
 _SEED = 20
 _KILO = 1000
 _LONGEST_WAIT_MS = 5000
@@ -54,92 +46,12 @@
 _FREE_CHANGES = 0.2
 
 
-class CountingPeers:
-    """Counts what a host sends and gets; the network does the rest."""
-
-    def __init__(
-        self,
-        inner: memory.MemoryPeers,
-        weigh: typing.Callable[[peers.Message], int],
-    ) -> None:
-        """Start at nothing.
-
-        :param weigh: gives the bytes of a message in its frame.
-        """
-        self.host_id = inner.host_id
-        self._weigh = weigh
-        self.received = 0
-        self.messages = 0
-        self.sent_bytes = 0
-        self.received_bytes = 0
-        self._inner = inner
-
-    def handle(self, message_type: type, handler: peers.Handler) -> None:
-        """Pass a handler on."""
-        counted = functools.partial(self._receive, handler)
-        self._inner.handle(message_type, counted)
-
-    def learn(self, host_id: ids.HostId, address: ids.Address) -> None:
-        """Remember nothing; the network knows."""
-
-    async def introduce(self, address: ids.Address) -> ids.HostId:
-        """Ask the network."""
-        return await self._inner.introduce(address)
-
-    async def call(
-        self,
-        to: ids.HostId,
-        message: peers.Message,
-        timeout: float,
-    ) -> peers.Message:
-        """Count the message and call."""
-        self._count(message)
-        return await self._inner.call(to, message, timeout)
-
-    def send(self, to: ids.HostId, message: peers.Message) -> None:
-        """Count the message and send it."""
-        self._count(message)
-        self._inner.send(to, message)
-
-    def reset(self) -> None:
-        """Begin to count anew."""
-        self.received = 0
-        self.messages = 0
-        self.sent_bytes = 0
-        self.received_bytes = 0
-
-    async def _receive(
-        self,
-        handler: peers.Handler,
-        sender: ids.HostId,
-        message: peers.Message,
-    ) -> peers.Message | None:
-        self.received += 1
-        self.received_bytes += self._weigh(message)
-        return await handler(sender, message)
-
-    def _count(self, message: peers.Message) -> None:
-        self.messages += 1
-        self.sent_bytes += self._weigh(message)
-
-
-def framed_size(message: peers.Message) -> int:
-    """Give the bytes of a message in its frame."""
-    envelope = ttypes.Envelope(1, _CALL_ID, _MESSAGE_TYPE, _encode(message))
-    return _FRAME_LENGTH_BYTES + len(_encode(envelope))
-
-
-def _encode(message: peers.Message) -> bytes:
-    factory = TCompactProtocol.TCompactProtocolAcceleratedFactory()
-    return TSerialization.serialize(message, factory)
-
-
 @dataclasses.dataclass(slots=True)
 class Node:
     """One host of the bench."""
 
     member: membership.Membership
-    peers: CountingPeers
+    peers: countingpeers.CountingPeers
     number: int
     leads: bool
     waits: dict[int, float] = dataclasses.field(default_factory=dict)
@@ -214,7 +126,7 @@
 
     def weigh(self, message: peers.Message) -> int:
         start = time.process_time()
-        size = framed_size(message)
+        size = countingpeers.framed_size(message)
         self._used += time.process_time() - start
         return size
 
@@ -227,7 +139,7 @@
     domains: int,
     per_domain: int,
     timing: suspicion.Timing | None = None,
-    weigh: typing.Callable[[peers.Message], int] = framed_size,
+    weigh: typing.Callable[[peers.Message], int] = countingpeers.framed_size,
 ) -> list[Node]:
     """Start the hosts within a second, all with the first one as seed."""
     nodes: list[Node] = []
@@ -257,7 +169,9 @@
         ids.Incarnation(_FIRST_INCARNATION + number),
         address,
     )
-    layer = CountingPeers(network.join(host.host_id, address), weigh)
+    layer = countingpeers.CountingPeers(
+        network.join(host.host_id, address), weigh
+    )
     seeds = (ids.Address('10.0.0.1', 1),)
     options = knowledge.Options(seeds, timing, number)
     member = membership.Membership(
@@ -332,7 +246,7 @@
         node.peers.reset()
 
 
-def _cost(counted: list[CountingPeers], used: float) -> Cost:
+def _cost(counted: list[countingpeers.CountingPeers], used: float) -> Cost:
     messages = [one.messages for one in counted]
     sent = [one.sent_bytes for one in counted]
     packets = [_packets(one.sent_bytes, one.messages) for one in counted]
@@ -353,7 +267,7 @@
 
 
 def _packets(framed: int, messages: int) -> int:
-    return framed + messages * PACKET_HEADER_BYTES
+    return framed + messages * countingpeers.PACKET_HEADER_BYTES
 
 
 def _row(domains: int, per_domain: int, *, loaded: bool) -> list[object]:
--- a/libs/fakes/geraniumweir/fakes/callers.py
+++ b/libs/fakes/geraniumweir/fakes/callers.py
@@ -6,11 +6,8 @@
 import typing
 
 import aiohttp
-from geraniumweir.fakes import system
+from geraniumweir.fakes import answers, system
 
-_ERROR = b'event: error\ndata: '
-_DONE = b'data: [DONE]\n\n'
-_OK = 200
 _CHAT = '/v1/chat/completions'
 _ORDER = '/services/van/orders'
 _LONGEST_SECONDS = 25
@@ -133,22 +130,12 @@
     body: bytes,
 ) -> Got:
     request_id = resp.headers.get('X-Request-Id', '')
-    error = _error(resp, body)
+    error = answers.read_error(resp, body)
     if error is not None:
         return Got(host_id, request_id, code=error['code'], ran=error['ran'])
     whole = True
     if path == _CHAT:
-        events = body.removesuffix(_DONE).split(b'\n\n')[:-1]
+        events = body.removesuffix(answers.DONE).split(b'\n\n')[:-1]
         mine = all(request_id.encode() in event for event in events)
-        whole = body.endswith(_DONE) and mine
+        whole = body.endswith(answers.DONE) and mine
     return Got(host_id, request_id, whole=whole)
-
-
-def _error(
-    resp: aiohttp.ClientResponse,
-    body: bytes,
-) -> dict[str, str] | None:
-    if resp.status != _OK:
-        return dict(json.loads(body)['error'])
-    _, found, last = body.rpartition(_ERROR)
-    return dict(json.loads(last)['error']) if found else None
--- a/libs/fakes/geraniumweir/fakes/sender.py
+++ b/libs/fakes/geraniumweir/fakes/sender.py
@@ -5,12 +5,9 @@
 import json
 
 import aiohttp
-from geraniumweir.fakes import processes, tally, workloads
+from geraniumweir.fakes import answers, processes, tally, workloads
 
-_DONE = b'data: [DONE]\n\n'
-_ERROR = b'event: error\ndata: '
 _MS = 1000
-_OK = 200
 _PATIENCE = aiohttp.ClientTimeout(total=60)
 
 
@@ -103,7 +100,7 @@
     body = first + await resp.read()
     request_id = resp.headers.get('X-Request-Id', '')
     tier = resp.headers.get('X-Tier', '?')
-    error = _error(resp, body)
+    error = answers.read_error(resp, body)
     if error is not None:
         return tally.Ended(
             request_id,
@@ -120,16 +117,6 @@
     return tally.Ended(request_id, tier, end, first_ms)
 
 
-def _error(
-    resp: aiohttp.ClientResponse,
-    body: bytes,
-) -> dict[str, str] | None:
-    if resp.status != _OK:
-        return dict(json.loads(body)['error'])
-    _, found, last = body.rpartition(_ERROR)
-    return dict(json.loads(last)['error']) if found else None
-
-
 def _is_whole(
     call: workloads.Offered,
     request_id: str,
@@ -143,8 +130,8 @@
         answer = json.loads(body)
         content = answer['choices'][0]['message']['content']
         return request_id in answer['id'] and content == ''.join(texts)
-    events = body.removesuffix(_DONE).split(b'\n\n')[:-1]
+    events = body.removesuffix(answers.DONE).split(b'\n\n')[:-1]
     chunks = [json.loads(event.removeprefix(b'data: ')) for event in events]
     said = [chunk['choices'][0]['delta']['content'] for chunk in chunks]
     mine = all(request_id in chunk['id'] for chunk in chunks)
-    return body.endswith(_DONE) and mine and said == texts
+    return body.endswith(answers.DONE) and mine and said == texts
--- a/libs/fakes/geraniumweir/fakes/slopes/configuring.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/configuring.py
@@ -14,7 +14,7 @@
 from geraniumweir.fakes import (
     bench_configuration,
     bench_following,
-    bench_membership,
+    countingpeers,
 )
 from geraniumweir.fakes.slopes import results
 from geraniumweir.wire.gen.configuration import ttypes
@@ -87,8 +87,8 @@
         'document': len(old),
         **_reading(text, customers),
         'patch': _used(lambda: patches.apply(patches.make(1, old, new), old)),
-        'patch_bytes': bench_membership.framed_size(answer)
-        + bench_membership.PACKET_HEADER_BYTES,
+        'patch_bytes': countingpeers.framed_size(answer)
+        + countingpeers.PACKET_HEADER_BYTES,
     }
 
 
@@ -181,7 +181,7 @@
     row = bench_following.measure(case)
     idle = row['idle messages a host and s']
     busy = row['messages a host and change']
-    header = bench_membership.PACKET_HEADER_BYTES
+    header = countingpeers.PACKET_HEADER_BYTES
     return {
         'follow_messages': idle,
         'follow_bytes': row['idle bytes a host and s'] + idle * header,
--- a/libs/fakes/geraniumweir/fakes/slopes/counting.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/counting.py
@@ -3,7 +3,7 @@
 import collections
 
 from geraniumweir.common import ids
-from geraniumweir.fakes import bench_membership
+from geraniumweir.fakes import countingpeers
 from geraniumweir.wire import memory, peers
 
 
@@ -29,10 +29,10 @@
         """Count a message; an answer may hold none."""
         framed = 0
         if message is not None:
-            framed = bench_membership.framed_size(message)
+            framed = countingpeers.framed_size(message)
         self.packets[sender.host_id] += 1
         self.octets[sender.host_id] += (
-            framed + bench_membership.PACKET_HEADER_BYTES
+            framed + countingpeers.PACKET_HEADER_BYTES
         )
         return super().passes(sender, receiver, message)
 
--- a/libs/fakes/geraniumweir/fakes/slopes/wire.py
+++ b/libs/fakes/geraniumweir/fakes/slopes/wire.py
@@ -12,7 +12,7 @@
 import typing
 
 from geraniumweir.common import ids, virtual
-from geraniumweir.fakes import bench_membership
+from geraniumweir.fakes import countingpeers
 from geraniumweir.fakes.slopes import counting, remote, results
 from geraniumweir.wire import tcp
 from geraniumweir.wire.gen.scheduling import ttypes
@@ -131,10 +131,10 @@
     pair = remote.Pair(owner, leading)
     await pair.cycles(_CYCLES, callers)
     pair.close()
-    progress = bench_membership.framed_size(_progress())
+    progress = countingpeers.framed_size(_progress())
     found = {
         'progress_bytes': float(
-            progress + bench_membership.PACKET_HEADER_BYTES,
+            progress + countingpeers.PACKET_HEADER_BYTES,
         ),
     }
     for host_id in (remote.OWNER, remote.LEADER):
