--- a/libs/daemon/geraniumweir/daemon/main.py
+++ b/libs/daemon/geraniumweir/daemon/main.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import contextlib
-import os
 import signal
 import sys
 import typing
 
 from aiohttp import web
 from geraniumweir.backends import calls
-from geraniumweir.common import errors, ids, stopping, timers
+from geraniumweir.common import stopping, timers
 from geraniumweir.common import logevents as levels
 from geraniumweir.daemon import (
     alone,
@@ -18,6 +17,7 @@
     draining,
     gauges,
     joinedops,
+    listening,
     logevents,
     observing,
     operations,
@@ -37,12 +37,6 @@
 _SHUTDOWN_SECONDS = 1.0
 
 
-class BusyAddressError(errors.GeraniumweirError):
-    """An address of the settings can't be listened on."""
-
-    code = 'GW-1501'
-
-
 def main(argv: typing.Sequence[str] | None = None) -> None:
     """Run the daemon until it is told to end.
 
@@ -58,7 +52,7 @@
     try:
         asyncio.run(serve(cfg))
     except (
-        BusyAddressError,
+        listening.BusyAddressError,
         joining.BusyPeerAddressError,
         store_errors.StoreError,
     ) as exc:
@@ -72,7 +66,7 @@
     """Serve until SIGTERM or SIGINT, then drain.
 
     :param cfg: the host's settings.
-    :raises BusyAddressError: when an address can't be listened on.
+    :raises listening.BusyAddressError: when an address can't be listened on.
     """
     stop = asyncio.Event()
     async with contextlib.AsyncExitStack() as stack:
@@ -87,13 +81,12 @@
             joined = await joining.join(host, stack)
             gauges.register_joined(observed.meter, joined)
             ops = joinedops.JoinedOperations(joined, observed)
-        await _listen(
-            stack,
-            _operators_app(ops, cfg, joined),
-            cfg.operator_address,
-        )
-        await _listen(stack, announcements.make_app(host), cfg.backend_address)
-        await _listen(stack, callers.make_app(host), cfg.caller_address)
+        for app, address in (
+            (_operators_app(ops, cfg, joined), cfg.operator_address),
+            (announcements.make_app(host), cfg.backend_address),
+            (callers.make_app(host), cfg.caller_address),
+        ):
+            await listening.listen(stack, app, address, _SHUTDOWN_SECONDS)
         logs.log(
             logevents.STARTED,
             caller=cfg.caller_address,
@@ -154,24 +147,3 @@
         registry=servers.Registry(),
         leaders={},
     )
-
-
-async def _listen(
-    stack: contextlib.AsyncExitStack,
-    app: web.Application,
-    address: ids.Address,
-) -> None:
-    runner = web.AppRunner(
-        app,
-        access_log=None,
-        handler_cancellation=True,
-        shutdown_timeout=_SHUTDOWN_SECONDS,
-    )
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    try:
-        await web.TCPSite(runner, address.host, address.port).start()
-    except OSError as exc:
-        reason = os.strerror(exc.errno or 0)
-        message = f'can not listen on {address}: {reason}'
-        raise BusyAddressError(message) from exc
--- a/libs/fakes/geraniumweir/fakes/inprocess.py
+++ b/libs/fakes/geraniumweir/fakes/inprocess.py
@@ -5,11 +5,10 @@
 import dataclasses
 import typing
 
-from aiohttp import web
 from geraniumweir.backends import calls
 from geraniumweir.common import ids, timers
 from geraniumweir.configuration import document, reading
-from geraniumweir.daemon import announcements, callers, settings
+from geraniumweir.daemon import announcements, callers, listening, settings
 from geraniumweir.daemon import host as entry_host
 from geraniumweir.membership import servers
 
@@ -41,13 +40,9 @@
 
 @dataclasses.dataclass(slots=True)
 class Running:
-    """An entry host that listens.
-
-    :ivar runner: of the callers' address.
-    """
+    """An entry host that listens."""
 
     host: entry_host.EntryHost
-    runner: web.AppRunner
 
     def url(self, path: str) -> str:
         """Give the URL of a path at the callers' address."""
@@ -75,14 +70,16 @@
         host.put_in_force(
             document.InForce(ids.Version(1), reading.read(rules), rules),
         )
-        backend = await _listen(stack, announcements.make_app(host))
-        caller = await _listen(stack, callers.make_app(host))
+        backend, caller = [
+            await listening.listen(stack, app, _NOWHERE, _SHUTDOWN_SECONDS)
+            for app in (announcements.make_app(host), callers.make_app(host))
+        ]
         host.cfg = dataclasses.replace(
             host.cfg,
-            caller_address=_address(caller),
-            backend_address=_address(backend),
+            caller_address=caller,
+            backend_address=backend,
         )
-        yield Running(host, caller)
+        yield Running(host)
 
 
 def _settings(domain: ids.FailureDomain) -> settings.Settings:
@@ -92,26 +89,6 @@
     return settings.parse(flags)
 
 
-async def _listen(
-    stack: contextlib.AsyncExitStack,
-    app: web.Application,
-) -> web.AppRunner:
-    runner = web.AppRunner(
-        app,
-        access_log=None,
-        handler_cancellation=True,
-        shutdown_timeout=_SHUTDOWN_SECONDS,
-    )
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    await web.TCPSite(runner, _NOWHERE.host, 0).start()
-    return runner
-
-
-def _address(runner: web.AppRunner) -> ids.Address:
-    return ids.Address('127.0.0.1', runner.addresses[0][1])
-
-
 async def settle(condition: typing.Callable[[], bool]) -> None:
     """Let the loop turn until a condition holds."""
     while not condition():
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -148,8 +148,10 @@
             self._meter,
         )
         self._start(stack)
-        await listen(stack, self._readiness.server(), self._cfg.ready)
-        callers = await listen(stack, front.server(), self._cfg.callers)
+        ready = make_runner(self._readiness.server())
+        await listen(stack, ready, self._cfg.ready)
+        callers = make_runner(front.server())
+        await listen(stack, callers, self._cfg.callers)
         eventlog.emit(
             logevents.SERVING,
             callers=str(self._cfg.callers),
@@ -194,17 +196,20 @@
         eventlog.emit(logevents.STOPPED, open=front.traffic.open)
 
 
+def make_runner(server: web.Server) -> web.ServerRunner:
+    """Make the runner of a server whose requests are drained before."""
+    return web.ServerRunner(server, shutdown_timeout=0)
+
+
 async def listen(
     stack: contextlib.AsyncExitStack,
-    server: web.Server,
+    runner: web.BaseRunner,
     address: ids.Address,
-) -> web.ServerRunner:
+) -> None:
     """Serve at an address until the stack ends.
 
     :raises OSError: when it can't be listened on.
     """
-    runner = web.ServerRunner(server, shutdown_timeout=0)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     await web.TCPSite(runner, address.host, address.port).start()
-    return runner
--- a/libs/gateway/geraniumweir/gateway/tests/bed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/bed.py
@@ -200,7 +200,8 @@
             metrics.Metrics(),
         )
         address = ids.Address(_LOCAL, _free_port())
-        await host.listen(stack, front.server(), address)
+        runner = host.make_runner(front.server())
+        await host.listen(stack, runner, address)
         caller = await stack.enter_async_context(aiohttp.ClientSession())
         yield Bed(f'http://{address}/a/b', front, scheduler, caller)
 
