Traces: one enumeration of the parts of a call's path

Cause: the daemon's ports held the same eight members again, and the tracer turned one into the other by name at each span.

Ruled out: keeping the ports free of the library below; what implements them imports it anyway, and the layers allow it.

--- a/libs/daemon/geraniumweir/daemon/callers.py
+++ b/libs/daemon/geraniumweir/daemon/callers.py
@@ -13,10 +13,10 @@
     dispatching,
     exchange,
     inflight,
-    ports,
     refusals,
 )
 from geraniumweir.daemon import host as entry_host
+from geraniumweir.observe import traces
 
 MAX_BODY = 4 * 1024 * 1024
 MAX_HEADERS = 16384
@@ -85,7 +85,7 @@
                 )
                 or talk.traceparent
             )
-            with path.tracer.span(talk.request_id, ports.Hop.caller):
+            with path.tracer.span(talk.request_id, traces.Hop.caller):
                 return await self._answer(talk, flight)
 
     async def _answer(
@@ -124,7 +124,7 @@
         _check_headers(talk.req)
         customer = admission.find_customer(host, talk.req)
         talk.body = await _read_body(talk)
-        with host.path.tracer.span(talk.request_id, ports.Hop.rule):
+        with host.path.tracer.span(talk.request_id, traces.Hop.rule):
             admitted = admission.admit(host, talk, customer)
         flight.idempotent = admitted.ask.idempotent
         await dispatching.serve(
--- a/libs/daemon/geraniumweir/daemon/dispatching.py
+++ b/libs/daemon/geraniumweir/daemon/dispatching.py
@@ -17,11 +17,11 @@
     claiming,
     exchange,
     inflight,
-    ports,
     refusals,
     relaying,
 )
 from geraniumweir.daemon import host as entry_host
+from geraniumweir.observe import traces
 from geraniumweir.scheduling import requests, views
 
 _CANCEL_SECONDS = 2.0
@@ -103,7 +103,7 @@
     path = job.host.path
     ask = job.admitted.ask
     try:
-        with path.tracer.span(job.request_id, ports.Hop.claim):
+        with path.tracer.span(job.request_id, traces.Hop.claim):
             async with asyncio.timeout_at(ask.deadline):
                 claim = await path.claims.claim(
                     key,
@@ -169,7 +169,7 @@
     tracer = job.host.path.tracer
     asked = asyncio.get_running_loop().time()
     try:
-        with tracer.span(job.request_id, ports.Hop.queue):
+        with tracer.span(job.request_id, traces.Hop.queue):
             answer = await scheduler.ask(job.admitted.ask)
     except asyncio.CancelledError:
         scheduler.withdraw(job.request_id)
@@ -181,7 +181,7 @@
         case requests.Denial():
             raise refusals.denied(answer)
         case requests.Grant():
-            tracer.mark(job.request_id, ports.Hop.grant, answer.server_id)
+            tracer.mark(job.request_id, traces.Hop.grant, answer.server_id)
             waited = asyncio.get_running_loop().time() - asked
             job.host.path.meter.granted(job.admitted.ask, waited)
             return answer
@@ -207,7 +207,7 @@
         timeout.reschedule(loop.time() + _LONGEST_RUN_SECONDS)
     outcome = requests.Outcome.failed
     try:
-        with job.host.path.tracer.span(job.request_id, ports.Hop.dispatch):
+        with job.host.path.tracer.span(job.request_id, traces.Hop.dispatch):
             await relaying.relay(run)
         outcome = requests.Outcome.done
     except backend_errors.AnswerError as exc:
@@ -271,7 +271,7 @@
     outcome: requests.Outcome,
 ) -> None:
     path = job.host.path
-    path.tracer.mark(job.request_id, ports.Hop.end, outcome.value)
+    path.tracer.mark(job.request_id, traces.Hop.end, outcome.value)
     release = requests.Release(
         job.request_id,
         outcome,
--- a/libs/daemon/geraniumweir/daemon/ports.py
+++ b/libs/daemon/geraniumweir/daemon/ports.py
@@ -4,23 +4,10 @@
 """
 
 import contextlib
-import enum
 import typing
 
 from geraniumweir.common import ids
-
-
-class Hop(enum.Enum):
-    """A part of a call's path that a trace shows."""
-
-    caller = 'caller'
-    rule = 'rule'
-    claim = 'claim'
-    queue = 'queue'
-    grant = 'grant'
-    dispatch = 'dispatch'
-    first_token = 'first_token'
-    end = 'end'
+from geraniumweir.observe import traces
 
 
 class Tracer(typing.Protocol):
@@ -40,11 +27,13 @@
     def span(
         self,
         request_id: ids.RequestId,
-        hop: Hop,
+        hop: traces.Hop,
     ) -> contextlib.AbstractContextManager[typing.Any]:
         """Time a part of a call's path."""
 
-    def mark(self, request_id: ids.RequestId, hop: Hop, note: str) -> None:
+    def mark(
+        self, request_id: ids.RequestId, hop: traces.Hop, note: str
+    ) -> None:
         """Note a moment of a call's path."""
 
 
@@ -61,7 +50,7 @@
     def span(
         self,
         _request_id: ids.RequestId,
-        _hop: Hop,
+        _hop: traces.Hop,
     ) -> contextlib.AbstractContextManager[typing.Any]:
         """Time nothing."""
         return contextlib.nullcontext()
@@ -69,7 +58,7 @@
     def mark(
         self,
         _request_id: ids.RequestId,
-        _hop: Hop,
+        _hop: traces.Hop,
         _note: str,
     ) -> None:
         """Note nothing."""
--- a/libs/daemon/geraniumweir/daemon/relaying.py
+++ b/libs/daemon/geraniumweir/daemon/relaying.py
@@ -14,8 +14,9 @@
 
 import multidict
 from geraniumweir.backends import bodies, calls, errors, identity, sse, streams
-from geraniumweir.daemon import admission, exchange, headers, inflight, ports
+from geraniumweir.daemon import admission, exchange, headers, inflight
 from geraniumweir.daemon import host as entry_host
+from geraniumweir.observe import traces
 from geraniumweir.scheduling import requests
 
 _ENGINE = 'engine'
@@ -93,7 +94,7 @@
             self.first_token = seconds
             self.host.path.tracer.mark(
                 self.talk.request_id,
-                ports.Hop.first_token,
+                traces.Hop.first_token,
                 self.grant.server_id,
             )
             since_arrival = self.started - self.talk.arrival + seconds
--- a/libs/daemon/geraniumweir/daemon/spans.py
+++ b/libs/daemon/geraniumweir/daemon/spans.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import dataclasses
-import enum
 import time
 import typing
 
@@ -63,32 +62,28 @@
     def span(
         self,
         request_id: ids.RequestId,
-        hop: enum.Enum,
+        hop: traces.Hop,
     ) -> typing.Iterator[None]:
-        """Time a hop; the caller's hop ends the call's trace.
-
-        :param hop: named like a member of :class:`traces.Hop`.
-        """
+        """Time a hop; the caller's hop ends the call's trace."""
         call = self._calls.get(request_id)
         if call is None:
             yield
             return
-        kind = traces.Hop[hop.name]
-        if kind is traces.Hop.caller:
+        if hop is traces.Hop.caller:
             with contextlib.ExitStack() as stack:
                 stack.callback(self._calls.pop, request_id, None)
                 stack.callback(call.trace.root.finish)
                 yield
             return
         call.part_ns = time.time_ns()
-        with call.trace.hop(kind) as span:
-            call.opened[kind] = span
+        with call.trace.hop(hop) as span:
+            call.opened[hop] = span
             yield
 
     def mark(
         self,
         request_id: ids.RequestId,
-        hop: enum.Enum,
+        hop: traces.Hop,
         note: str,
     ) -> None:
         """Note a moment of a call's path.
@@ -100,11 +95,10 @@
             return
         now = time.time_ns()
         opened = call.opened
-        match traces.Hop[hop.name]:
-            case traces.Hop.grant:
-                queue = opened.get(traces.Hop.queue)
-                call.trace.since(now, traces.Hop.grant, queue, server=note)
-            case kind:
-                dispatch = opened.get(traces.Hop.dispatch)
-                call.trace.since(call.part_ns or now, kind, dispatch, note=note)
-                call.part_ns = now
+        if hop is traces.Hop.grant:
+            queue = opened.get(traces.Hop.queue)
+            call.trace.since(now, hop, queue, server=note)
+        else:
+            dispatch = opened.get(traces.Hop.dispatch)
+            call.trace.since(call.part_ns or now, hop, dispatch, note=note)
+            call.part_ns = now
