Quotas: a coordinator knows cuts from its start; parts and costs in the log

The new line 769 showed it: the coordinator granted 0.33 and 0.51 of each quota during the cut and 1.0 at once after it. It had coordinated since its start, as the stand-in and then as the leader, so it never began to, and took no host for returned.

A control host now coordinates from its start. Lines of ended requests tell the cost, 762 the part of a host alone, 769 the part that a coordinator grants, so that a refusal for the quota can be explained from the log.

--- a/libs/control/geraniumweir/control/coordinating.py
+++ b/libs/control/geraniumweir/control/coordinating.py
@@ -124,6 +124,7 @@
             logevents.COORDINATOR,
             host=host_id or 'this host',
             before=self._host or 'this host',
+            part=self.share(),
         )
         self._host = host_id
         self._changes.on_next(None)
--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -67,3 +67,8 @@
 SERVERS_NOT_KEPT: typing.Final = _Event(
     768, _Level.warning, 'the servers could not be kept or read: {reason}'
 )
+QUOTA_PART: typing.Final = _Event(
+    769,
+    _Level.notice,
+    'grants {part} of each quota, hears {heard} of {hosts} entry hosts',
+)
--- a/libs/control/geraniumweir/control/standing.py
+++ b/libs/control/geraniumweir/control/standing.py
@@ -23,6 +23,9 @@
 # An entry host that said nothing for so long isn't heard, in seconds: six of
 # its pings, so that one lost packet, sent again after 0.2 s, is no silence.
 HEARD_SECONDS = 1.2
+# A part of the quotas that moved by so much is told in the log.
+_PART_TOLD = 0.1
+_PART_DIGITS = 2
 # One that said nothing for so long is taken for gone, in seconds: longer than
 # the cuts that are asked to be survived, so that its quota isn't given to
 # others while it spends it.
@@ -192,9 +195,11 @@
         :param quota_seconds: length of the window over which quotas hold.
         """
         self.entry_hosts = EntryHosts(quota_seconds)
+        self.entry_hosts.coordinates_from(clock.now())
         self._host_id = link.host_id
         self._log = log
         self._clock = clock
+        self._part_told: float = 1
         self._changes: subject.Subject[None] = subject.Subject()
         self._leader = ids.HostId('')
         self._looks = clock.every(_LOOK_SECONDS).subscribe(
@@ -231,11 +236,14 @@
         self._looks.dispose()
 
     def _look(self) -> None:
+        if self.coordinates():
+            self._tell_part()
         leader = self._log.leader()
         if leader == self._leader:
             return
         before = self.coordinates()
         self._leader = leader
+        self._part_told = 1
         if self.coordinates() and not before:
             self.entry_hosts.coordinates_from(self._clock.now())
             leads = self._log.is_leading()
@@ -244,6 +252,21 @@
             eventlog.emit(logevents.COORDINATES_NO_MORE)
         self._changes.on_next(None)
 
+    def _tell_part(self) -> None:
+        """Log the part that is granted here when it has moved."""
+        part = self.share()
+        moved = abs(part - self._part_told)
+        if moved < _PART_TOLD and (part < 1 or not moved):
+            return
+        self._part_told = part
+        now = self._clock.now()
+        eventlog.emit(
+            logevents.QUOTA_PART,
+            part=round(part, _PART_DIGITS),
+            heard=self.entry_hosts.number_heard(now),
+            hosts=self.entry_hosts.number(now),
+        )
+
     async def _on_ping(
         self,
         sender: ids.HostId,
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -253,6 +253,7 @@
     told.pool = ask.pool
     told.customer = ask.customer
     told.tier = int(ask.tier)
+    told.cost = ask.quota_cost
     told.target = admitted.route.target
     told.patience = admitted.call.patience
     told.content = ask.fingerprint
--- a/libs/gateway/geraniumweir/gateway/story.py
+++ b/libs/gateway/geraniumweir/gateway/story.py
@@ -14,6 +14,7 @@
     :ivar arrived: in seconds on the loop's clock.
     :ivar version: of the document that decided.
     :ivar patience: seconds that the caller said it waits.
+    :ivar cost: taken from the customer's quota, in its unit.
     :ivar content: equal for the same request sent again.
     :ivar granted: seconds from arrival to the last grant, None for none.
     :ivar first: seconds from arrival to the first byte of an answer.
@@ -30,6 +31,7 @@
     tier: int = -1
     target: float = 0
     patience: float | None = None
+    cost: float = 0
     content: int = 0
     granted: float | None = None
     first: float | None = None
@@ -57,6 +59,7 @@
             pool=self.pool,
             customer=self.customer,
             tier=self.tier,
+            cost=self.cost,
             target_ms=int(self.target * _MS),
             patience_ms=_ms(self.patience),
             content=f'{self.content:016x}',
