Quotas: hosts are told their part of what is left, and a machine plays changes

Cause: the state machine found a series, two of three entry hosts cut off and two changes of coordinators, with 1.45 quotas in a window. A coordinator that heard one host told it that its part was all, as it goes by the requests that come here; the next coordinator took the parts that hosts bring for the whole and left nothing to the two that were cut off.

A host is told its part of what is left by those that are silent. The machine and that series are tests now.

--- a/libs/control/geraniumweir/control/standing.py
+++ b/libs/control/geraniumweir/control/standing.py
@@ -127,6 +127,15 @@
         """Give a host's part of all requests."""
         return self.usage.share(host_id, self.number(now), now)
 
+    def part_for(self, host_id: ids.HostId, now: float) -> float:
+        """Give the part that a host may grant by itself, once it is alone.
+
+        Its part of what is left: of two hosts out of three that are cut off,
+        the third would else be told that all is its own, and a coordinator
+        after this one would leave nothing to the others.
+        """
+        return self.share_of(host_id, now) * self.share_left(now)
+
     def share_left(self, now: float) -> float:
         """Give the part of those that are heard, as the others' rest.
 
@@ -278,6 +287,11 @@
             eventlog.emit(logevents.COORDINATES_NO_MORE)
         self._changes.on_next(None)
 
+    def _part_for(self, host_id: ids.HostId, now: float) -> float:
+        if self._leader == self._host_id:
+            return self.entry_hosts.part_for(host_id, now)
+        return self.entry_hosts.share_of(host_id, now)
+
     def _tell_part(self) -> None:
         """Log the part that is granted here when it has moved."""
         part = self.share()
@@ -312,5 +326,5 @@
             stands_in=not self._leader,
             hosts=self.entry_hosts.number(now),
             heard=self.entry_hosts.number_heard(now),
-            share=self.entry_hosts.share_of(sender, now),
+            share=self._part_for(sender, now),
         )
--- /dev/null
+++ b/libs/control/geraniumweir/control/tests/test_quota_over_changes.py
@@ -0,0 +1,201 @@
+"""A customer that asks for all it can get, over cuts, changes and restarts.
+
+Three entry hosts and two control hosts. Entry hosts are cut off, come back
+and restart; the coordinator changes. No window holds much more than a quota.
+"""
+
+import dataclasses
+import typing
+
+import hypothesis
+from geraniumweir.common import ids
+from geraniumweir.control import standing
+from geraniumweir.scheduling import quotas, spending, windows
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+_CUSTOMER = ids.CustomerName('customer')
+_SECONDS = 8
+_ALLOWANCE = quotas.Allowance(per_second=100, burst=200)
+_WHOLE = _ALLOWANCE.per_second * _SECONDS + _ALLOWANCE.burst
+_COST = 10
+_STEP = 0.2
+_MISSED_SECONDS = 0.4
+_NAMES = ('e1', 'e2', 'e3')
+# What may be granted beyond a quota, as part of it. Each cut and each change
+# lets both sides grant for up to a second, and hosts that begin to grant by
+# themselves have their part of the burst, of 0.2 here.
+_OVER = 0.4
+
+
+@dataclasses.dataclass
+class _Entry:
+    """An entry host.
+
+    :ivar cut_at: since when it is cut off, None in touch.
+    :ivar turned_to: the coordinator that it told what it was granted.
+    """
+
+    host_id: ids.HostId
+    started: float
+    alone: quotas.Quotas = dataclasses.field(init=False)
+    told: float = 1 / 3
+    cut_at: float | None = None
+    turned_to: int | None = None
+    granted: windows.Window = dataclasses.field(
+        default_factory=lambda: windows.Window(_SECONDS),
+    )
+
+    def spent(self, now: float) -> spending.Spent:
+        """Tell what it was granted."""
+        newest = windows.bin_of(now)
+        amounts = {
+            newest - number: amount for number, amount in self.granted.bins(now)
+        }
+        known = min(now - self.started, _SECONDS)
+        return spending.Spent(known, {_CUSTOMER: amounts})
+
+
+class _Control:
+    """A control host."""
+
+    def __init__(self, now: float, clock: typing.Callable[[], float]) -> None:
+        self.hosts = standing.EntryHosts(_SECONDS)
+        self.quotas = quotas.Quotas(
+            lambda _: _ALLOWANCE,
+            lambda: self.hosts.share_left(clock()),
+            _SECONDS,
+            now,
+            lambda: self.hosts.number(clock()),
+        )
+
+
+class QuotaOverChanges(stateful.RuleBasedStateMachine):
+    """The hosts, and all that was granted."""
+
+    def __init__(self) -> None:
+        """Start with all hosts in touch."""
+        super().__init__()
+        self.now: float = 100
+        self.turn = 0
+        self.grants = windows.Window(_SECONDS)
+        self.controls = [_Control(self.now, self._clock) for _ in range(2)]
+        self.leader = 0
+        self.controls[0].hosts.coordinates_from(self.now)
+        self.entries = [self._started(name) for name in _NAMES]
+        self.most: float = 0
+        self.let_pass(1)
+
+    @stateful.rule(seconds=st.floats(0.4, 6))
+    def let_pass(self, seconds: float) -> None:
+        """Let all hosts work for a while."""
+        for _ in range(round(seconds / _STEP)):
+            self.now += _STEP
+            self._step()
+
+    @stateful.rule(number=st.integers(0, 2))
+    def cut_off(self, number: int) -> None:
+        """Cut an entry host off, unless it is."""
+        entry = self.entries[number]
+        if entry.cut_at is None:
+            entry.cut_at = self.now
+            entry.turned_to = None
+            entry.alone.begin(self.now + _MISSED_SECONDS)
+
+    @stateful.rule(number=st.integers(0, 2))
+    def come_back(self, number: int) -> None:
+        """Let an entry host be in touch again."""
+        self.entries[number].cut_at = None
+
+    @stateful.rule(number=st.integers(0, 2))
+    def restart(self, number: int) -> None:
+        """Let an entry host forget all, while it is in touch."""
+        if self.entries[number].cut_at is None:
+            self.entries[number] = self._started(_NAMES[number])
+
+    @stateful.rule()
+    def change(self) -> None:
+        """Let the other control host coordinate."""
+        before = self.controls[self.leader].hosts
+        self.leader = 1 - self.leader
+        found = self.controls[self.leader]
+        found.hosts.told(before.number(self.now), self.now)
+        found.hosts.coordinates_from(self.now)
+        found.quotas.begin(self.now)
+
+    @stateful.invariant()
+    def no_window_holds_much_more(self) -> None:
+        """Whatever happened."""
+        assert self.most <= _WHOLE * (1 + _OVER)
+
+    def _clock(self) -> float:
+        return self.now
+
+    def _started(self, name: str) -> _Entry:
+        entry = _Entry(ids.HostId(name), self.now)
+        entry.alone = quotas.Quotas(
+            lambda _: _ALLOWANCE,
+            lambda: entry.told,
+            _SECONDS,
+            self.now,
+        )
+        return entry
+
+    def _step(self) -> None:
+        found = self.controls[self.leader]
+        near = [entry for entry in self.entries if entry.cut_at is None]
+        for entry in near:
+            self._meet(found, entry)
+        self._take_in_turn(found, near)
+        for entry in self.entries:
+            if entry.cut_at is None:
+                continue
+            if self.now - entry.cut_at >= _MISSED_SECONDS:
+                while not entry.alone.take(_CUSTOMER, _COST, self.now):
+                    self._grant(entry)
+
+    def _meet(self, found: _Control, entry: _Entry) -> None:
+        found.hosts.heard(entry.host_id, self.now)
+        found.hosts.said(entry.host_id, entry.told)
+        if entry.turned_to != self.leader:
+            entry.turned_to = self.leader
+            told = entry.spent(self.now)
+            found.quotas.learn(entry.host_id, told, self.now)
+        entry.told = found.hosts.part_for(entry.host_id, self.now)
+
+    def _take_in_turn(self, found: _Control, near: list[_Entry]) -> None:
+        """Take all that may be had, by the hosts in turn."""
+        while near:
+            if found.quotas.take(_CUSTOMER, _COST, self.now):
+                return
+            entry = near[self.turn % len(near)]
+            self.turn += 1
+            found.hosts.usage.note(entry.host_id, _COST, self.now)
+            self._grant(entry)
+
+    def _grant(self, entry: _Entry) -> None:
+        entry.granted.add(_COST, self.now)
+        self.grants.add(_COST, self.now)
+        self.most = max(self.most, self.grants.used(self.now))
+
+
+TestQuotaOverChanges = QuotaOverChanges.TestCase
+TestQuotaOverChanges.settings = hypothesis.settings(
+    deadline=None,
+    derandomize=True,
+    max_examples=60,
+    stateful_step_count=12,
+)
+
+
+def test_cuts_around_two_changes() -> None:
+    """Two of three hosts are cut off, the coordinator changes back and on."""
+    hosts = QuotaOverChanges()
+    hosts.change()
+    hosts.cut_off(0)
+    hosts.cut_off(2)
+    hosts.let_pass(4)
+    hosts.change()
+    hosts.change()
+    hosts.let_pass(3)
+    hosts.no_window_holds_much_more()
