--- a/libs/scheduling/geraniumweir/scheduling/quotas.py
+++ b/libs/scheduling/geraniumweir/scheduling/quotas.py
@@ -167,7 +167,7 @@
         self._share = share
         self._seconds = seconds
         self._hosts = hosts
-        self._windows: dict[ids.CustomerName, windows.Window] = {}
+        self._windows = windows.by_customer(seconds)
         self._before = _Before(seconds, start)
 
     def begin(self, now: float) -> None:
@@ -213,7 +213,7 @@
         share = max(self._share(), _LEAST_SHARE)
         whole = (allowed.per_second * self._seconds + allowed.burst) * share
         limit = whole * (1 - _KEPT_BY_RANK * min(rank, _LOWEST_RANK))
-        window = self._window(customer)
+        window = self._windows[customer]
         beside: dict[int, float] = {}
         if not self._before.is_over(now):
             beside = self._before.beside(
@@ -260,13 +260,6 @@
                 return max(out - now, windows.BIN_SECONDS)
         return self._seconds
 
-    def _window(self, customer: ids.CustomerName) -> windows.Window:
-        window = self._windows.get(customer)
-        if window is None:
-            window = windows.Window(self._seconds)
-            self._windows[customer] = window
-        return window
-
 
 class Gate:
     """Lets asks within their customers' quotas to a pool leader."""
--- a/libs/scheduling/geraniumweir/scheduling/spending.py
+++ b/libs/scheduling/geraniumweir/scheduling/spending.py
@@ -53,7 +53,7 @@
         self._clock = clock
         self._seconds = seconds
         self._started = started
-        self._windows: dict[ids.CustomerName, windows.Window] = {}
+        self._windows = windows.by_customer(seconds)
         self._in_use: dict[ids.RequestId, tuple[requests.Ask, float]] = {}
 
     def spent(self) -> Spent:
@@ -78,7 +78,7 @@
         answer = await self._scheduler.ask(ask)
         if isinstance(answer, requests.Grant) and ask.quota_cost:
             now = self._clock.now()
-            self._window(ask.customer).add(ask.quota_cost, now)
+            self._windows[ask.customer].add(ask.quota_cost, now)
             self._in_use[ask.request_id] = (ask, now)
         return answer
 
@@ -95,16 +95,9 @@
         found = self._in_use.pop(release.request_id, None)
         if found is not None and release.outcome in NOT_SERVED:
             ask, at = found
-            self._window(ask.customer).give_back(ask.quota_cost, at)
+            self._windows[ask.customer].give_back(ask.quota_cost, at)
         self._scheduler.release(release)
 
-    def _window(self, customer: ids.CustomerName) -> windows.Window:
-        found = self._windows.get(customer)
-        if found is None:
-            found = windows.Window(self._seconds)
-            self._windows[customer] = found
-        return found
-
     def _forget_old(self, now: float) -> None:
         unused = [
             customer
--- a/libs/scheduling/geraniumweir/scheduling/windows.py
+++ b/libs/scheduling/geraniumweir/scheduling/windows.py
@@ -1,9 +1,12 @@
 """What was used of a quota within the last seconds, in bins of time."""
 
 import collections
+import functools
 import math
 import typing
 
+from geraniumweir.common import ids
+
 # A fortieth of the users' windows of 8 s, so that a bin more or less is
 # within the slack of the rule that they hold. In seconds.
 BIN_SECONDS = 0.2
@@ -65,3 +68,10 @@
         self.used(now)
         for number, amount in self._bins:
             yield int(number), amount
+
+
+def by_customer(
+    seconds: float,
+) -> collections.defaultdict[ids.CustomerName, Window]:
+    """Make a table of windows; each is made when it is first looked up."""
+    return collections.defaultdict(functools.partial(Window, seconds))
