--- a/libs/control/geraniumweir/control/tests/test_usage.py
+++ b/libs/control/geraniumweir/control/tests/test_usage.py
@@ -38,10 +38,10 @@
         else:
             counted.note(ids.HostId(name), amount, now)
             noted.setdefault(name, []).append((amount, now))
-    left = {name: _decayed(notes, now) for name, notes in noted.items()}
-    for host in left:
-        part = max(left[host] / sum(left.values()), _LEAST / len(_NAMES))
-        found = counted.share(ids.HostId(host), len(_NAMES), now)
+    left = {host: _decayed(notes, now) for host, notes in noted.items()}
+    for one, used in left.items():
+        part = max(used / sum(left.values()), _LEAST / len(_NAMES))
+        found = counted.share(ids.HostId(one), len(_NAMES), now)
         assert found == pytest.approx(part)
 
 
