Sight: how far a control host is behind, and what each class gets

Logs told neither: a control host that hears the leader and can't follow wrote nothing while its disk stalled, and who got the slots of a busy pool had to be summed up from the requests of all entry hosts. Recorders now know the highest index that a leader called committed, and log when they fall behind it for 0.5 s and when they have caught up; entry hosts log that a control host isn't sure; the busy pool's line tells each class's part served in time and its part of the slots' time. No decision looks at any of it yet.

--- a/libs/consensus/geraniumweir/consensus/applying.py
+++ b/libs/consensus/geraniumweir/consensus/applying.py
@@ -41,6 +41,7 @@
     this.env.machine.restore(snapshot.state)
     this.applied.raise_to(snapshot.index)
     this.commit.raise_to(snapshot.index)
+    this.note_caught_up()
     this.changes.on_next(machines.Restored(snapshot.index))
     this.env.report(logevents.SNAPSHOT_INSTALLED, index=snapshot.index)
     await this.folder.log.sync()
@@ -58,6 +59,7 @@
         this.applied.raise_to(entry.index)
         this.saving.unsaved_bytes += len(entry.payload)
         _answer_waiter(this, entry.index, answer)
+    this.note_caught_up()
 
 
 def _apply(this: core.Core, entry: entries.Entry) -> bytes:
--- a/libs/consensus/geraniumweir/consensus/core.py
+++ b/libs/consensus/geraniumweir/consensus/core.py
@@ -76,6 +76,21 @@
     taking: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
 
+@dataclasses.dataclass(slots=True)
+class Heard:
+    """What a recorder heard of leaders.
+
+    :ivar committed: the highest index that one called committed.
+    :ivar at: when one was last heard, in loop time.
+    :ivar caught_up_at: when one was last heard with nothing committed that
+        isn't applied here, in loop time.
+    """
+
+    committed: int
+    at: float = -math.inf
+    caught_up_at: float = -math.inf
+
+
 @dataclasses.dataclass(slots=True)
 class Saving:
     """How far a recorder is with its snapshots.
@@ -100,7 +115,7 @@
     :ivar commit: all entries up to it are committed.
     :ivar applied: all entries up to it are in the state machine.
     :ivar quiet_since: when the election timeout began, in loop time.
-    :ivar leader_heard: when the leader was last heard, in loop time.
+    :ivar heard: what leaders said.
     :ivar changes: what is applied.
     :ivar saving: how far it is with its snapshots.
     :ivar incoming: what came so far of a snapshot that the leader sends.
@@ -119,7 +134,7 @@
         self.commit = watermarks.Watermark(newest.index)
         self.applied = watermarks.Watermark(newest.index)
         self.quiet_since = self.timers.now()
-        self.leader_heard = -math.inf
+        self.heard = Heard(committed=newest.index)
         self.changes: reactivex.Subject[machines.Change] = reactivex.Subject()
         self.saving = Saving()
         self.incoming = Incoming()
@@ -225,9 +240,26 @@
         """Tell whether a leader was heard within the election timeout."""
         if self.role is Role.leader:
             return True
-        silence = self.timers.now() - self.leader_heard
+        silence = self.timers.now() - self.heard.at
         return silence < self.env.cfg.election_min
 
+    def note_caught_up(self) -> None:
+        """Take that a message was heard or something was applied."""
+        if self.applied.height >= self.heard.committed:
+            self.heard.caught_up_at = self.heard.at
+
+    def staleness(self) -> float:
+        """Give since when something committed may be missing, in seconds.
+
+        To hear a leader isn't enough: entries count here once this disk has
+        synced them. One that stalled or was full for 10 s was heard all the
+        while, and was 10.6 s behind.
+        """
+        if self.reign is not None:
+            started = self.applied.height >= self.reign.start_index
+            return 0 if started else math.inf
+        return self.timers.now() - self.heard.caught_up_at
+
     def _enter_members(self, entry: entries.Entry) -> None:
         current = members.decode(entry.payload)
         self.history.record(entry.index, current)
--- a/libs/consensus/geraniumweir/consensus/following.py
+++ b/libs/consensus/geraniumweir/consensus/following.py
@@ -27,7 +27,7 @@
 
     :raises errors.RecorderFailedError: when this one may promise nothing.
     """
-    outcome = _hear(this, message)
+    outcome = _hear(this, message, message.commit)
     if outcome != ttypes.Outcome.done:
         return ttypes.AppendAnswer(this.term, outcome, 0)
     hint = _place_for(this, message)
@@ -64,7 +64,7 @@
     piece: ttypes.SnapshotPiece,
     incoming: core.Incoming,
 ) -> ttypes.PieceAnswer:
-    outcome = _hear(this, piece)
+    outcome = _hear(this, piece, piece.index)
     if outcome != ttypes.Outcome.done:
         return ttypes.PieceAnswer(this.term, outcome, 0, installed=False)
     await this.folder.ballot.settle()
@@ -80,8 +80,11 @@
     )
 
 
-def _hear(this: core.Core, message: typing.Any) -> int:
-    """Follow the sender if it may lead."""
+def _hear(this: core.Core, message: typing.Any, committed: int) -> int:
+    """Follow the sender if it may lead.
+
+    :param committed: an index that it calls committed.
+    """
     this.check_sound()
     accepted = this.history.current.accepts(message.cluster)
     if message.to != this.identity or not accepted:
@@ -99,7 +102,9 @@
             term=message.term,
         )
     this.quiet_since = this.timers.now()
-    this.leader_heard = this.quiet_since
+    this.heard.at = this.quiet_since
+    this.heard.committed = max(this.heard.committed, committed)
+    this.note_caught_up()
     return ttypes.Outcome.done
 
 
--- a/libs/consensus/geraniumweir/consensus/recorder.py
+++ b/libs/consensus/geraniumweir/consensus/recorder.py
@@ -178,6 +178,10 @@
         """Give the host whose recorder leads and is heard, or empty."""
         return serving.heard_leader(self.core)
 
+    def staleness(self) -> float:
+        """Give since when something committed may be missing, in seconds."""
+        return self.core.staleness()
+
     def status(self) -> serving.Status:
         """Tell how this recorder sees things."""
         return serving.status(self.core)
--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -78,3 +78,16 @@
 REPORT_REFUSED: typing.Final = _Event(
     771, _Level.warning, 'report of server {server} refused: {reason}'
 )
+RECORDER_BEHIND: typing.Final = _Event(
+    772,
+    _Level.warning,
+    'this control host is behind: {applied} of {committed} applied',
+)
+RECORDER_CAUGHT_UP: typing.Final = _Event(
+    773, _Level.notice, 'this control host has caught up'
+)
+WATCH_UNSURE: typing.Final = _Event(
+    774,
+    _Level.notice,
+    'control host {host} is not sure of the newest document; {version} here',
+)
--- a/libs/control/geraniumweir/control/recorders.py
+++ b/libs/control/geraniumweir/control/recorders.py
@@ -24,6 +24,9 @@
 _LOOK_SECONDS = 0.25
 # A disk that was full or failing is tried again this often, in seconds.
 _REOPEN_SECONDS = 0.5
+# One that may miss something for so long is behind, in seconds: five messages
+# of the leader, as many as may be lost before another one is elected.
+_BEHIND_SECONDS = 0.5
 # A change of the recorders takes two rounds of the log; it is tried again
 # later when it isn't over by then, in seconds.
 _CHANGE_SECONDS = 3.0
@@ -61,6 +64,7 @@
         self._clock = timers.TimerService()
         self._told = ids.HostId('')
         self._told_at = float('-inf')
+        self._was_current = False
         self._joins: dict[ids.HostId, growing.Join] = {}
         self._documents: subject.Subject[published.PublishedDocument] = (
             subject.Subject()
@@ -93,6 +97,12 @@
         """Tell whether this host leads the log."""
         return self.running is not None and self.running.recorder.is_leading()
 
+    def is_current(self) -> bool:
+        """Tell whether all that was committed a moment ago is applied here."""
+        if self.running is None:
+            return False
+        return self.running.recorder.staleness() < _BEHIND_SECONDS
+
     async def run(self) -> None:
         """Keep the recorder running until cancelled."""
         while True:
@@ -130,11 +140,27 @@
     async def _watch(self, running: recordings.Recording) -> None:
         while not running.recorder.failure:
             await asyncio.sleep(_LOOK_SECONDS)
+            self._tell_behind(running)
             if running.recorder.is_leading():
                 await self._grow(running)
             elif not running.recorder.leader():
                 await self._ask_in(running)
 
+    def _tell_behind(self, running: recordings.Recording) -> None:
+        """Log when this host falls behind and when it has caught up."""
+        if self.is_current() == self._was_current:
+            return
+        self._was_current = not self._was_current
+        if self._was_current:
+            eventlog.emit(logevents.RECORDER_CAUGHT_UP)
+            return
+        found = running.recorder.core
+        eventlog.emit(
+            logevents.RECORDER_BEHIND,
+            applied=found.applied.height,
+            committed=found.heard.committed,
+        )
+
     async def _grow(self, running: recordings.Recording) -> None:
         now = self._clock.now()
         joins = [
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -209,8 +209,14 @@
         self._avoided.failed.pop(sender, None)
         if news.sure:
             self._avoided.unsure.pop(sender, None)
-        else:
-            self._avoided.unsure[sender] = now
+            return
+        if sender not in self._avoided.unsure:
+            eventlog.emit(
+                logevents.WATCH_UNSURE,
+                host=sender,
+                version=self.version,
+            )
+        self._avoided.unsure[sender] = now
 
     def _take_servers(
         self,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -7,6 +7,7 @@
 from geraniumweir.common import eventlog
 from geraniumweir.scheduling import logevents, requests
 from geraniumweir.scheduling.ontime import (
+    classes,
     fleet,
     ordering,
     placing,
@@ -113,6 +114,7 @@
         running=len(leader.running),
         interval_ms=round(state.interval(leader) * _MS, 1),
         load=round(state.pace(leader).load, 2),
+        classes=leader.shares.outline(),
         servers={
             server.server_id: server.outline(now)
             for server in leader.servers.values()
@@ -196,6 +198,12 @@
         return
     look.failed = 0
     _grant(leader, turn.waiting, place, look.now)
+    leader.shares.granted(
+        classes.class_of(turn.waiting.ask),
+        place.held,
+        late=turn.late,
+        now=look.now,
+    )
     if place.server.free(look.now) <= 0:
         look.able.remove(place.server)
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -16,6 +16,7 @@
 from geraniumweir.membership import servers
 from geraniumweir.scheduling import joining, requests, settings, suspects
 from geraniumweir.scheduling.ontime import (
+    classes,
     fleet,
     granting,
     lessons,
@@ -161,11 +162,14 @@
         now = self._state.now()
         self._state.sequence += 1
         self._state.arriving.note(now)
+        waited = self._state.repeated.waited(ask.fingerprint, now)
+        if not waited:
+            self._state.shares.asked(classes.class_of(ask), now)
         waiting = records.Waiting(
             ask,
             self._state.sequence,
             now,
-            self._state.repeated.waited(ask.fingerprint, now),
+            waited,
             lessons.expected_tokens(self._state, ask),
             asyncio.get_running_loop().create_future(),
         )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -10,6 +10,7 @@
 from geraniumweir.scheduling import requests, suspects
 from geraniumweir.scheduling.ontime import (
     arrivals,
+    classes,
     ordering,
     paths,
     records,
@@ -39,6 +40,7 @@
     :ivar gone: servers whose address another one took, and since when.
     :ivar lengths: usual output tokens by rule.
     :ivar path_quality: from entry hosts to servers.
+    :ivar shares: what each class of requests got lately.
     :ivar looked: when what waits was last looked at, in seconds.
     :ivar told: when the log was last told how the pool does.
     """
@@ -76,6 +78,7 @@
     arriving: arrivals.Arrivals = dataclasses.field(
         default_factory=arrivals.Arrivals,
     )
+    shares: classes.Shares = dataclasses.field(default_factory=classes.Shares)
 
 
 def interval(leader: LeaderState) -> float:
