Failing tests: a control host that is behind, and a class that starves

test_behind: three control hosts over a network and disks in memory; the disk of one that doesn't lead stalls or is full, and the entry host that watches it stays at the older document for as long. An entry host that starts beside it serves by the older one.

test_classes: three classes press on 39 slots; of the lowest one 5 and 2 in 100 are served in time, of the highest all.

--- /dev/null
+++ b/libs/control/geraniumweir/control/tests/bed.py
@@ -0,0 +1,168 @@
+"""Control hosts and an entry host that watches them, in virtual time."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import typing
+
+from geraniumweir.common import ids
+from geraniumweir.configuration import recordings, state
+from geraniumweir.consensus import core, recorder, settings
+from geraniumweir.control import (
+    documents,
+    enrolments,
+    feed,
+    hosts,
+    presence,
+    recorders,
+    standing,
+    watching,
+)
+from geraniumweir.routing import tables
+from geraniumweir.store import folder, guard, memory_disk
+from geraniumweir.wire import memory
+
+# One control host in each failure domain, named as its domain.
+DOMAINS = ('ant', 'bee', 'cow')
+_SYNC_SECONDS = 0.005
+_QUOTA_SECONDS = 8
+
+
+@dataclasses.dataclass(slots=True)
+class Medium:
+    """The disk of a control host.
+
+    :ivar stalled_until: it answers nothing before, in seconds.
+    """
+
+    disk: memory_disk.MemoryDisk
+    stalled_until: float = 0
+
+    async def run(self, action: guard.Action[typing.Any]) -> typing.Any:
+        """Take as long as the disk does."""
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(self.stalled_until - now, _SYNC_SECONDS))
+        return action()
+
+
+class Control:
+    """The parts of a control host that keep and tell the document."""
+
+    def __init__(self, bed: 'Bed', domain: str) -> None:
+        """Start nothing yet."""
+        self.host_id = ids.HostId(domain)
+        self.link = bed.network.join(self.host_id, address(domain))
+        me = card(domain)
+        known = hosts.ControlHosts()
+        for other in DOMAINS:
+            known.learn(card(other), 0)
+        first = {ids.HostId(name): address(name) for name in DOMAINS}
+        place = recordings.Place(self.host_id, pathlib.Path(domain), first)
+        self.log = recorders.Recorders(
+            self.link, place, known, me, len(DOMAINS)
+        )
+        self.documents = documents.Documents(self.link, self.log, known)
+        table = enrolments.Enrolments(self.host_id, 1)
+        entry_hosts = standing.EntryHosts(_QUOTA_SECONDS)
+        feed.Feed(self.link, self.log, table, known, entry_hosts)
+        self.presence = presence.Presence(
+            self.link, me, known, table, self.log, entry_hosts
+        )
+
+    def leads(self) -> bool:
+        """Tell whether it leads the log."""
+        return self.log.is_leading()
+
+
+class Bed:
+    """Three control hosts and what an entry host sees of them.
+
+    :ivar media: the disks, by failure domain.
+    """
+
+    def __init__(self) -> None:
+        """Start nothing yet."""
+        self.network = memory.MemoryNetwork()
+        self.media = {
+            domain: Medium(memory_disk.MemoryDisk()) for domain in DOMAINS
+        }
+        self.controls = {domain: Control(self, domain) for domain in DOMAINS}
+        self._running: list[asyncio.Task[typing.Any]] = []
+
+    async def start(self) -> Control:
+        """Start all control hosts and give the one that leads."""
+        for control in self.controls.values():
+            for work in (control.log.run(), control.presence.run()):
+                self._running.append(asyncio.create_task(work))
+        while not any(one.leads() for one in self.controls.values()):
+            await asyncio.sleep(0.05)
+        return next(one for one in self.controls.values() if one.leads())
+
+    def stop(self) -> None:
+        """End all tasks."""
+        for task in self._running:
+            task.cancel()
+
+    def watch(self, domain: str, name: str = 'entry') -> watching.Watcher:
+        """Let an entry host of a failure domain watch."""
+        host_id = ids.HostId(name)
+        link = self.network.join(host_id, address(name))
+        watcher = watching.Watcher(
+            link,
+            ids.FailureDomain(domain),
+            [address(one) for one in DOMAINS],
+            read,
+        )
+        for one in DOMAINS:
+            watcher.hosts.learn(card(one), 0)
+        self._running.append(asyncio.create_task(watcher.run()))
+        return watcher
+
+    @contextlib.asynccontextmanager
+    async def opened(
+        self,
+        place: recordings.Place,
+        link: memory.MemoryPeers,
+    ) -> typing.AsyncIterator[recordings.Recording]:
+        """Open a recorder as :func:`recordings.opened` does, in memory."""
+        medium = self.media[str(place.folder)]
+        found = await folder.open_folder(medium.disk, medium.run)
+        machine = state.SystemState()
+        env = core.Surroundings(
+            settings.Settings(place.host_id),
+            link,
+            machine,
+            random.Random(place.host_id),
+        )
+        keeper = recorder.Recorder(env, found, place.first)
+        keeper.start()
+        try:
+            yield recordings.Recording(keeper, machine)
+        finally:
+            keeper.kill()
+
+
+def address(name: str) -> ids.Address:
+    """Give the address of a host."""
+    return ids.Address('10.0.0.1', sum(name.encode()))
+
+
+def card(domain: str) -> hosts.ControlHost:
+    """Describe the control host of a failure domain."""
+    where = address(domain)
+    return hosts.ControlHost(
+        ids.HostId(domain), where, where, ids.FailureDomain(domain)
+    )
+
+
+def read(content: bytes) -> tables.Document:
+    """Read a document that is only its version."""
+    return tables.Document(ids.Version(int(content)))
+
+
+async def publish(control: Control, version: int) -> None:
+    """Store a version at a control host; it is acknowledged then."""
+    content = str(version).encode()
+    await control.documents.publish(ids.Version(version), content)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/play.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/play.py
@@ -65,6 +65,8 @@
     :ivar held: seconds that a request keeps a slot.
     :ivar target: seconds within which a first token is due.
     :ivar patience: seconds after which a caller without one leaves.
+    :ivar rank: importance, 0 is the highest.
+    :ivar tokens: of an output.
     """
 
     rate: typing.Sequence[float]
@@ -72,6 +74,8 @@
     slots: int = 20
     target: float = 0.4
     patience: float = 2.4
+    rank: int = 0
+    tokens: int = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,24 +95,40 @@
 
 def run(load: Load) -> Result:
     """Play a load; refused callers come back once."""
-    return virtual.run(_run(load))
+    return run_together({'': load}, [load.slots])['']
 
 
-async def _run(load: Load) -> Result:
+def run_together(
+    loads: typing.Mapping[str, Load],
+    slots: typing.Sequence[int],
+) -> dict[str, Result]:
+    """Play several loads on one pool.
+
+    :param slots: of each server; those of the loads don't count.
+    """
+    return virtual.run(_run(loads, slots))
+
+
+async def _run(
+    loads: typing.Mapping[str, Load],
+    slots: typing.Sequence[int],
+) -> dict[str, Result]:
     loop = asyncio.get_running_loop()
-    pool = make(server('a', load.slots), now=loop.time)
-    result = Result()
+    known = [server(f'a{place}', one) for place, one in enumerate(slots)]
+    pool = make(*known, now=loop.time)
+    results = {name: Result() for name in loads}
     chance = random.Random(1)
     callers = []
     start = loop.time()
-    for second, rate in enumerate(load.rate):
-        for number in range(int(rate)):
-            due = start + second + chance.random()
-            name = f'{second}-{number}'
-            work = _caller(pool, load, result, name, due)
-            callers.append(asyncio.create_task(work))
+    for kind, load in loads.items():
+        for second, rate in enumerate(load.rate):
+            for number in range(int(rate)):
+                due = start + second + chance.random()
+                name = f'{kind}{second}-{number}'
+                work = _caller(pool, load, results[kind], name, due)
+                callers.append(asyncio.create_task(work))
     await asyncio.gather(*callers)
-    return result
+    return results
 
 
 async def _caller(
@@ -131,6 +151,9 @@
             fingerprint=content,
             target=now + load.target,
             patience=now + load.patience,
+            rank=load.rank,
+            max_tokens=load.tokens,
+            likely_tokens=load.tokens,
         )
         answer = await _patient(pool, made)
         if isinstance(answer, requests.Grant):
@@ -164,5 +187,5 @@
     await asyncio.sleep(load.held - 0.06)
     done = requests.Outcome.done
     pool.release(
-        requests.Release(grant.request_id, done, 0.06, 100, load.held),
+        requests.Release(grant.request_id, done, 0.06, load.tokens, load.held),
     )
