A control host counts as sure while it is up to date, not while it is in touch

Cause: a control host told entry hosts that what they had was the newest as long as it heard the log's leader. One whose disk stalled or was full, or whose recorder wasn't in the log, heard the leader and could apply nothing, so that the entry hosts of its domain stayed at an older document for as long, and one that started there began with it.

A recorder now compares what it has applied with what the leader calls committed; one that may miss something for 0.5 s isn't sure, hands out no document and is left by its watchers within a further 0.5 s. The same was believed by the daemon's followers (Recording.is_sure), mended with it.

--- a/libs/configuration/geraniumweir/configuration/recordings.py
+++ b/libs/configuration/geraniumweir/configuration/recordings.py
@@ -45,8 +45,8 @@
         self.state = machine
 
     def is_sure(self) -> bool:
-        """Tell whether it leads a majority or hears who does."""
-        return bool(self.recorder.leader())
+        """Tell whether it has all that was committed a moment ago."""
+        return self.recorder.is_current()
 
 
 @contextlib.asynccontextmanager
--- a/libs/consensus/geraniumweir/consensus/recorder.py
+++ b/libs/consensus/geraniumweir/consensus/recorder.py
@@ -178,9 +178,13 @@
         """Give the host whose recorder leads and is heard, or empty."""
         return serving.heard_leader(self.core)
 
-    def staleness(self) -> float:
-        """Give since when something committed may be missing, in seconds."""
-        return self.core.staleness()
+    def is_current(self) -> bool:
+        """Tell whether all that was committed a moment ago is applied here.
+
+        The moment is the shortest election timeout: as many messages of the
+        leader as may be lost before another one is elected.
+        """
+        return self.core.staleness() < self.core.env.cfg.election_min
 
     def status(self) -> serving.Status:
         """Tell how this recorder sees things."""
--- a/libs/control/geraniumweir/control/feed.py
+++ b/libs/control/geraniumweir/control/feed.py
@@ -88,9 +88,11 @@
         return self._is_newer(watch)
 
     def _is_newer(self, watch: ttypes.Watch) -> bool:
-        # What this host knows counts only while it hears the leader: it may
-        # have been down or cut off since.
-        if self._newest is None or not self._log.leader():
+        # What this host knows counts only while it has all that is committed:
+        # it may have been down or cut off since, or its disk may be hurt. To
+        # hear the leader isn't enough; entry hosts that were told that all
+        # was well by one with a full disk were 10.6 s behind the others.
+        if self._newest is None or not self._log.is_current():
             return False
         return self._newest.version > watch.version
 
@@ -103,7 +105,7 @@
             epoch=self._epoch,
             revision=self._table.revision,
             version=watch.version,
-            sure=bool(self._log.leader()),
+            sure=self._log.is_current(),
             whole=whole,
             servers=[found.to_wire() for found in changed],
             hosts=[host.to_wire() for host in self._known.known()],
--- a/libs/control/geraniumweir/control/recorders.py
+++ b/libs/control/geraniumweir/control/recorders.py
@@ -24,9 +24,6 @@
 _LOOK_SECONDS = 0.25
 # A disk that was full or failing is tried again this often, in seconds.
 _REOPEN_SECONDS = 0.5
-# One that may miss something for so long is behind, in seconds: five messages
-# of the leader, as many as may be lost before another one is elected.
-_BEHIND_SECONDS = 0.5
 # A change of the recorders takes two rounds of the log; it is tried again
 # later when it isn't over by then, in seconds.
 _CHANGE_SECONDS = 3.0
@@ -99,9 +96,7 @@
 
     def is_current(self) -> bool:
         """Tell whether all that was committed a moment ago is applied here."""
-        if self.running is None:
-            return False
-        return self.running.recorder.staleness() < _BEHIND_SECONDS
+        return self.running is not None and self.running.is_sure()
 
     async def run(self) -> None:
         """Keep the recorder running until cancelled."""
--- a/libs/control/geraniumweir/control/tests/test_behind.py
+++ b/libs/control/geraniumweir/control/tests/test_behind.py
@@ -105,3 +105,29 @@
         some.stop()
 
     virtual.run(work())
+
+
+def test_host_with_a_hurt_disk_knows_that_it_is_behind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It hears the leader all the while, and is sure again afterwards."""
+
+    async def work() -> None:
+        some = bed.Bed()
+        monkeypatch.setattr(recordings, 'opened', some.opened)
+        leading = await some.start()
+        await bed.publish(leading, 1)
+        await asyncio.sleep(1)
+        domain = _follower(some)
+        log = some.controls[domain].log
+        assert log.is_current()
+        _stall(some.media[domain])
+        await bed.publish(leading, 2)
+        await asyncio.sleep(1)
+        assert log.leader()
+        assert not log.is_current()
+        await asyncio.sleep(_HURT_SECONDS)
+        assert log.is_current()
+        some.stop()
+
+    virtual.run(work())
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -1,7 +1,7 @@
 """How a host follows the document and the backend servers.
 
 It watches one control host, a near one first, and turns to another one when
-that is silent or hears no leader of the log. What it learnt stays: versions
+that is silent or may be behind the log. What it learnt stays: versions
 only grow, a server that is leaving stays so, and one that the next control
 host doesn't list yet is kept for a while, as that one may only just have
 started.
@@ -43,7 +43,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Avoided:
-    """When control hosts last failed, or heard no leader, in seconds."""
+    """When control hosts last failed, or may have been behind, in seconds."""
 
     failed: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
     unsure: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
@@ -55,8 +55,8 @@
     :ivar hosts: the control hosts.
     :ivar servers: the backend servers.
     :ivar index: the document in force, or None before the first.
-    :ivar sure_at: when a control host that hears the log's leader last told
-        what there is, in seconds.
+    :ivar sure_at: when a control host that has all that is committed last
+        told what there is, in seconds.
     """
 
     def __init__(
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -58,7 +58,7 @@
   4: i32 wait_ms
 }
 
-// sure: the answerer hears the log's leader. whole: servers are all there
+// sure: the answerer has all that is committed. whole: servers are all there
 // are, not only the changed ones. The document is compressed.
 struct News {
   1: string epoch
