--- a/libs/control/geraniumweir/control/tests/test_behind.py
+++ b/libs/control/geraniumweir/control/tests/test_behind.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import dataclasses
 import errno
 import typing
 
@@ -37,10 +38,34 @@
     """Leave the disk as it is."""
 
 
-def _follower(some: bed.Bed) -> str:
-    return next(
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Scene:
+    """Control hosts of which all have version 1.
+
+    :ivar leading: leads the log.
+    :ivar domain: of a control host that doesn't.
+    """
+
+    hosts: bed.Bed
+    leading: bed.Control
+    domain: str
+
+    async def hurt_and_publish(self, hurt: Hurt) -> None:
+        """Hurt a disk that isn't the leader's, and store version 2."""
+        hurt(self.hosts.media[self.domain])
+        await bed.publish(self.leading, 2)
+
+
+async def _scene(monkeypatch: pytest.MonkeyPatch) -> _Scene:
+    some = bed.Bed()
+    monkeypatch.setattr(recordings, 'opened', some.opened)
+    leading = await some.start()
+    await bed.publish(leading, 1)
+    await asyncio.sleep(1)
+    followers = [
         domain for domain, one in some.controls.items() if not one.leads()
-    )
+    ]
+    return _Scene(some, leading, followers[0])
 
 
 async def _seconds_behind(
@@ -48,22 +73,17 @@
     hurt: Hurt,
 ) -> float:
     """Hurt the disk of a control host that its domain watches."""
-    some = bed.Bed()
-    monkeypatch.setattr(recordings, 'opened', some.opened)
-    leading = await some.start()
-    domain = _follower(some)
-    watcher = some.watch(domain)
-    await bed.publish(leading, 1)
+    scene = await _scene(monkeypatch)
+    watcher = scene.hosts.watch(scene.domain)
     await asyncio.sleep(1)
     assert watcher.version == 1
-    hurt(some.media[domain])
-    await bed.publish(leading, 2)
-    acknowledged = asyncio.get_running_loop().time()
-    until = acknowledged + 2 * _HURT_SECONDS
-    while watcher.version < 2 and asyncio.get_running_loop().time() < until:
+    await scene.hurt_and_publish(hurt)
+    now = asyncio.get_running_loop().time
+    acknowledged = now()
+    while watcher.version < 2 and now() < acknowledged + 2 * _HURT_SECONDS:
         await asyncio.sleep(0.01)
-    some.stop()
-    return asyncio.get_running_loop().time() - acknowledged
+    scene.hosts.stop()
+    return now() - acknowledged
 
 
 def test_acknowledged_document_is_in_force_where_a_disk_is_hurt(
@@ -86,23 +106,17 @@
     """It serves nobody by the document of before."""
 
     async def work() -> None:
-        some = bed.Bed()
-        monkeypatch.setattr(recordings, 'opened', some.opened)
-        leading = await some.start()
-        domain = _follower(some)
-        await bed.publish(leading, 1)
+        scene = await _scene(monkeypatch)
+        await scene.hurt_and_publish(_stall)
         await asyncio.sleep(1)
-        _stall(some.media[domain])
-        await bed.publish(leading, 2)
-        await asyncio.sleep(1)
-        watcher = some.watch(domain)
+        watcher = scene.hosts.watch(scene.domain)
         served_by = set()
         for _ in range(200):
             await asyncio.sleep(0.01)
             served_by.add(watcher.version)
         assert served_by <= {-1, 2}
         assert watcher.version == 2
-        some.stop()
+        scene.hosts.stop()
 
     virtual.run(work())
 
@@ -113,21 +127,15 @@
     """It hears the leader all the while, and is sure again afterwards."""
 
     async def work() -> None:
-        some = bed.Bed()
-        monkeypatch.setattr(recordings, 'opened', some.opened)
-        leading = await some.start()
-        await bed.publish(leading, 1)
-        await asyncio.sleep(1)
-        domain = _follower(some)
-        log = some.controls[domain].log
+        scene = await _scene(monkeypatch)
+        log = scene.hosts.controls[scene.domain].log
         assert log.is_current()
-        _stall(some.media[domain])
-        await bed.publish(leading, 2)
+        await scene.hurt_and_publish(_stall)
         await asyncio.sleep(1)
         assert log.leader()
         assert not log.is_current()
         await asyncio.sleep(_HURT_SECONDS)
         assert log.is_current()
-        some.stop()
+        scene.hosts.stop()
 
     virtual.run(work())
