Comment of the owed part of slots: as measured

It said that a class needs 2 in 100 of the slots; that is what it was left, in ten seconds of one play. No code changed.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/classes.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/classes.py
@@ -26,8 +26,8 @@
 # So much of the slots' time goes to such classes at most, so that what is most
 # important may have a third of it, however much else comes. With half of it
 # for them, the class that needs most slots took all that was owed, and another
-# one that needs 2 in 100 of the slots was served 20 in 100 (one play of a pool
-# of which half the servers had left).
+# one was left 2 in 100 of the slots and served 20 in 100 (ten seconds of one
+# play of a pool that had lost servers).
 _OWED_PART = 0.65
 # A class that was asked for so seldom lately isn't judged, in callers.
 _FEW = 5.0
