--- a/libs/scheduling/geraniumweir/scheduling/ontime/lessons.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/lessons.py
@@ -53,13 +53,12 @@
     if server is None:
         return
     now = leader.now()
-    mark = running.ask.fingerprint
     match release.outcome:
         case requests.Outcome.done:
             _note_path(leader, running, server, _was_held_up(running, release))
             _whole(leader, server, running, release)
             server.condition.answered(well=True)
-            leader.suspects.ended_well(mark)
+            leader.suspects.ended_well(running.ask.fingerprint)
         case requests.Outcome.answered_failure:
             server.condition.answered(well=False)
         case requests.Outcome.not_sent:
@@ -70,9 +69,7 @@
         case requests.Outcome.wrong_server:
             fleet.replaced(leader, server)
         case requests.Outcome.failed | requests.Outcome.crashed:
-            _note_path(leader, running, server, held_up=True)
-            rests.note(server, rests.Cause.broke_off, now, running)
-            leader.suspects.broke_off(mark, server.server_id, now)
+            _broke_off(leader, running, server)
         case (
             requests.Outcome.cancelled
             | requests.Outcome.preempted
@@ -82,6 +79,21 @@
             pass
 
 
+def _broke_off(
+    leader: state.LeaderState,
+    running: records.Running,
+    server: records.Server,
+) -> None:
+    now = leader.now()
+    _note_path(leader, running, server, held_up=True)
+    rests.note(server, rests.Cause.broke_off, now, running)
+    leader.suspects.broke_off(
+        running.ask.fingerprint,
+        server.server_id,
+        now,
+    )
+
+
 def _note_path(
     leader: state.LeaderState,
     running: records.Running,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_loads.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_loads.py
@@ -49,7 +49,8 @@
     """
     rates = (52, 52, *itertools.repeat(130, 6), 52)
     load = play.Load(rates, held=0.3, given_up=0.2)
-    result = play.run_together({'': load}, [2] * 10)['']
+    slots = tuple(itertools.repeat(2, 10))
+    result = play.run_together({'': load}, slots)['']
     assert result.share(2, 7) > 50
 
 
