A look at a long queue costs what sorting it does

What a server offers is worked out once a look, a request is first checked for whether it can be on time and only then priced; the pace is kept for 10 ms, a fitted line until its next sample, the quickest server until servers are looked up again.

Ruled out: fewer requests or servers compared (it would choose worse).

--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -7,6 +7,8 @@
 # Servers are looked up this often at most, in seconds; a change that is told
 # of is looked at at once.
 _SYNC_SECONDS = 0.25
+# Tokens of a prompt by which the speeds of servers are compared.
+_USUAL_PROMPT = 1000
 # A server whose address another one has taken is remembered for so long, in
 # seconds: by then its reports have stopped for longer than any lease.
 _GONE_SECONDS = 60.0
@@ -58,6 +60,14 @@
             server.live = True
     for missing in leader.servers.keys() - live.keys():
         _close(leader, leader.servers[missing])
+    leader.quickest = min(
+        (server for server in leader.servers.values() if server.live),
+        key=lambda server: leader.learnt.first_token(
+            server.speed,
+            _USUAL_PROMPT,
+        ),
+        default=None,
+    )
 
 
 def _live(
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -29,8 +29,6 @@
 _GATHER_EACH_SECONDS = 3e-5
 # So few waiting requests are looked at in less time than gathering takes.
 _FEW = 8
-# Tokens of a prompt by which the speeds of servers are compared.
-_USUAL_PROMPT = 1000
 # A queue is planned over its newest so many requests. At 2,500 requests a
 # second those before them have waited longer than any target. Planned over
 # the oldest 256 instead, a pool of 70 servers didn't see newcomers before they
@@ -54,13 +52,15 @@
 
     :ivar now: when, in seconds.
     :ivar able: servers with a free slot that were not yet filled.
+    :ivar all_able: these are all servers of the pool.
     :ivar failed: requests in a row that none of them would do for.
     """
 
     now: float
     pace: ordering.Pace
     learnt: placing.Learnt
-    able: list[records.Server] = dataclasses.field(default_factory=list)
+    able: list[placing.Offer] = dataclasses.field(default_factory=list)
+    all_able: bool = False
     failed: int = 0
 
 
@@ -112,7 +112,7 @@
         pool=leader.pool,
         waiting=len(leader.waiting),
         running=len(leader.running),
-        interval_ms=round(state.interval(leader) * _MS, 1),
+        interval_ms=round(state.pace(leader).interval * _MS, 1),
         load=round(state.pace(leader).load, 2),
         classes=leader.shares.outline(),
         servers={
@@ -150,41 +150,25 @@
     """Grant what can be granted, in order."""
     for turn in turns:
         if not look.able:
-            look.able = _open_servers(leader, look.now)
+            _open_servers(leader, look)
         if not look.able or look.failed == _MOST_TRIED:
             return
         _try(leader, look, turn)
 
 
-def _open_servers(
-    leader: state.LeaderState,
-    now: float,
-) -> list[records.Server]:
-    known = list(leader.servers.values())
+def _open_servers(leader: state.LeaderState, look: _Look) -> None:
+    known = [server for server in leader.servers.values() if server.live]
     start = leader.dice.randrange(len(known)) if known else 0
-    return placing.open_servers(known, now, start)
+    look.able = placing.open_servers(known, start, look.learnt)
+    look.all_able = len(look.able) == len(known)
 
 
 def _lead(leader: state.LeaderState) -> ordering.Lead:
-    """Give what predicts a first token on the quickest server.
-
-    Which one is quickest for a usual prompt is looked up once for all.
-    """
-    quickest = min(
-        (server for server in leader.servers.values() if server.live),
-        key=lambda server: leader.learnt.first_token(
-            server.speed,
-            _USUAL_PROMPT,
-        ),
-        default=None,
-    )
-    if quickest is None:
+    """Give what predicts a first token on the quickest server."""
+    if leader.quickest is None:
         return lambda _: 0
-    speed = quickest.speed
-    return lambda waiting: leader.learnt.first_token(
-        speed,
-        waiting.ask.prompt_tokens,
-    )
+    fixed, each = leader.learnt.line(leader.quickest.speed).fit()
+    return lambda waiting: fixed + each * waiting.ask.prompt_tokens
 
 
 def _try(
@@ -193,8 +177,8 @@
     turn: ordering.Turn,
 ) -> None:
     """Grant a request one of the servers that have a free slot."""
-    place = placing.best(look.able, turn.waiting, look.learnt)
-    if place is None or not _is_worth(leader, look, turn, place):
+    place = _choose(look, turn)
+    if place is None:
         look.failed += 1
         return
     look.failed = 0
@@ -206,41 +190,48 @@
         now=look.now,
         owed=turn.owed,
     )
-    if place.server.free(look.now) <= 0:
-        look.able.remove(place.server)
+    _use_up(look, place.offer)
 
 
-def _is_worth(
-    leader: state.LeaderState,
-    look: _Look,
-    turn: ordering.Turn,
-    place: placing.Place,
-) -> bool:
-    """Tell whether a request should start now, at the best open server.
+def _choose(look: _Look, turn: ordering.Turn) -> placing.Place | None:
+    """Choose the open server where a request should start now, if any.
 
     Where it wouldn't come in time, a server where it does may be free soon;
     but with all of them open to wait is only to lose time: the longest
-    prompts waited till they were late, and the longest outputs, with 24 of 30
-    slots free, until their callers had left.
+    prompts would wait till they are late, and the longest outputs, beside
+    free slots, until their callers have left.
     """
-    if not place.ends:
-        return not (look.pace.crowded or place.delays)
-    if place.on_time or turn.late:
-        return True
-    if place.delays:
-        return False
-    return all(
-        server in look.able for server in leader.servers.values() if server.live
-    )
+    waiting = turn.waiting
+    place = placing.on_time(look.able, waiting, look.learnt)
+    if place is not None:
+        return place
+    may_be_late = turn.late or look.all_able
+    if look.pace.crowded and not may_be_late:
+        return None
+    place = placing.earliest(look.able, waiting, look.learnt)
+    if place is not None:
+        if turn.late or (look.all_able and not place.delays):
+            return place
+        return None
+    if look.pace.crowded:
+        return None
+    place = placing.shortest(look.able, waiting)
+    return None if place is None or place.delays else place
+
+
+def _use_up(look: _Look, offer: placing.Offer) -> None:
+    """Take a slot of an open server; what it offers has changed with that."""
+    look.able.remove(offer)
+    if offer.free > 1:
+        left = placing.offer(offer.server, offer.free - 1, look.learnt)
+        look.able.append(left)
 
 
 def _refuse_endless(leader: state.LeaderState, now: float) -> None:
     """Refuse what no server ends in the time that it has left."""
-    if not leader.waiting or not leader.servers:
+    if leader.quickest is None:
         return
-    decode = min(
-        leader.learnt.decode(server.speed) for server in leader.servers.values()
-    )
+    decode = leader.learnt.decode(leader.quickest.speed)
     for waiting in list(leader.waiting.values()):
         if placing.outlasts(waiting, decode * waiting.tokens, now):
             state.refuse(leader, waiting, requests.DenialReason.too_late)
@@ -266,7 +257,7 @@
     now: float,
 ) -> None:
     ask = waiting.ask
-    server = place.server
+    server = place.offer.server
     grant = requests.Grant(
         ask.request_id,
         server.server_id,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
@@ -52,72 +52,179 @@
     now: float
 
 
+@dataclasses.dataclass(slots=True)
+class Offer:
+    """A server with a free slot, as it stands now.
+
+    Hundreds of requests may be compared with it before it gets one, so what
+    is the same for all of them is worked out once.
+
+    :ivar free: slots.
+    :ivar unread: prompt tokens granted and not known to be read.
+    :ivar overdue: seconds by which its next first token is late.
+    :ivar fixed: seconds to a first token with nothing to read.
+    :ivar each: seconds more for each prompt token.
+    :ivar decode: seconds for an output token.
+    :ivar reading: seconds for which all that runs there stands still, for
+        each prompt token.
+    :ivar longest_read: prompt tokens that may be unread without making the
+        pauses of running streams too long.
+    """
+
+    server: records.Server
+    free: int
+    unread: float
+    overdue: float
+    fixed: float
+    each: float
+    decode: float
+    reading: float
+    longest_read: float
+
+    def first(self, ask: requests.Ask) -> float:
+        """Predict the seconds to a first token."""
+        if not ask.streams:
+            return self.fixed + self.each * ask.prompt_tokens
+        read = ask.prompt_tokens + self.unread
+        return self.fixed + self.each * read + self.overdue
+
+    def held(self, waiting: records.Waiting, first: float) -> float:
+        """Predict the seconds for which a request keeps a slot.
+
+        :param first: to its first token.
+        """
+        if not waiting.ask.streams:
+            return first
+        return first + self.decode * waiting.tokens
+
+    def read(self, ask: requests.Ask) -> float:
+        """Give the prompt tokens to read before the first token."""
+        if not ask.streams:
+            return ask.prompt_tokens
+        return ask.prompt_tokens + self.unread
+
+    def is_on_time(self, waiting: records.Waiting, now: float) -> bool:
+        """Tell whether the first token is predicted before its target.
+
+        And no stream that runs there is held up.
+        """
+        ask = waiting.ask
+        if self.read(ask) > self.longest_read:
+            return False
+        return self.first(ask) <= (waiting.target - now) * _USED
+
+    def ends(self, waiting: records.Waiting, now: float) -> bool:
+        """Tell whether the answer is predicted well before its time is over."""
+        ask = waiting.ask
+        held = self.held(waiting, self.first(ask))
+        return held <= (ask.deadline - now) * _USED_OF_DEADLINE
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
     """A server for a request.
 
     :ivar read: prompt tokens to read before its first token.
     :ivar first: seconds predicted to the first token.
-    :ivar on_time: the first token is predicted before its target, and no
-        stream there is held up.
     :ivar delays: streams there are held up.
-    :ivar ends: the whole answer is predicted well before its time is over.
     :ivar held: seconds predicted for which it keeps a slot.
-    :ivar score: the less, the better.
     """
 
-    server: records.Server
+    offer: Offer
     read: float
     first: float
-    on_time: bool
     delays: bool
-    ends: bool
     held: float
-    score: float
 
 
 def open_servers(
     servers: typing.Sequence[records.Server],
-    now: float,
     start: int,
-) -> list[records.Server]:
+    learnt: Learnt,
+) -> list[Offer]:
     """List servers that may get one more request, some of many.
 
     :param start: place of the first server to look at; where it differs from
         look to look, all of a large pool are looked at in turn.
     """
-    able = []
+    offers = []
     for server in (*servers[start:], *servers[:start]):
-        if server.hangs(now):
+        stuck = server.stuck(learnt.now)
+        if server.hangs(stuck):
             # After a rest one request tries whether it still does.
-            rests.note(server, rests.Cause.hung, now)
-        if server.free(now) > 0:
-            able.append(server)
-        if len(able) == _MOST_COMPARED:
+            rests.note(server, rests.Cause.hung, learnt.now)
+        free = server.free(learnt.now, len(stuck))
+        if free > 0:
+            offers.append(offer(server, free, learnt))
+        if len(offers) == _MOST_COMPARED:
             break
-    return able
+    return offers
+
 
+def offer(server: records.Server, free: int, learnt: Learnt) -> Offer:
+    """Work out what a server with free slots offers.
 
-def best(
-    servers: typing.Iterable[records.Server],
+    :param free: its number of free slots.
+    """
+    fixed, each = learnt.speeds.line(server.speed).fit()
+    return Offer(
+        server,
+        free,
+        server.unread_tokens(),
+        max(server.overdue(learnt.now), 0),
+        fixed,
+        each,
+        learnt.speeds.decode(server.speed),
+        server.speed.first.slope(),
+        _longest_read(server),
+    )
+
+
+def on_time(
+    offers: typing.Iterable[Offer],
     waiting: records.Waiting,
     learnt: Learnt,
 ) -> Place | None:
-    """Choose among servers that have a free slot.
+    """Choose where the first token comes in time, if there is a server.
 
-    :param servers: of :func:`open_servers`.
-    :returns: one where the first token comes in time, if there is any, else
-        the one where it comes first; where none ends it in time, the one
-        that is through first; None where there are no servers.
+    The whole answer is predicted to end there as well.
     """
-    places = [place(server, waiting, learnt) for server in servers]
-    able = [found for found in places if found.ends]
-    in_time = [found for found in able if found.on_time]
-    if in_time:
-        return min(in_time, key=_by_score)
-    if able:
-        return min(able, key=_by_first)
-    return min(places, key=_by_held, default=None)
+    now = learnt.now
+    able = [
+        found
+        for found in offers
+        if found.is_on_time(waiting, now) and found.ends(waiting, now)
+    ]
+    if not able:
+        return None
+    return place(
+        min(able, key=lambda found: _score(found, waiting, learnt)),
+        waiting,
+    )
+
+
+def earliest(
+    offers: typing.Iterable[Offer],
+    waiting: records.Waiting,
+    learnt: Learnt,
+) -> Place | None:
+    """Choose where the first token comes first and the answer ends."""
+    able = [found for found in offers if found.ends(waiting, learnt.now)]
+    first = min(able, key=lambda found: _by_first(found, waiting), default=None)
+    return first and place(first, waiting)
+
+
+def shortest(
+    offers: typing.Iterable[Offer],
+    waiting: records.Waiting,
+) -> Place | None:
+    """Choose the server that is through with a request first."""
+    first = min(
+        offers,
+        key=lambda found: _by_held(found, waiting),
+        default=None,
+    )
+    return first and place(first, waiting)
 
 
 def outlasts(waiting: records.Waiting, held: float, now: float) -> bool:
@@ -129,51 +236,40 @@
     return held > left * _LONGEST_OF_DEADLINE
 
 
-def place(
-    server: records.Server,
-    waiting: records.Waiting,
-    learnt: Learnt,
-) -> Place:
+def place(found: Offer, waiting: records.Waiting) -> Place:
     """Predict how a request does on a server."""
     ask = waiting.ask
-    now = learnt.now
-    read = float(ask.prompt_tokens)
-    if ask.streams:
-        read += server.unread_tokens()
-    first = learnt.speeds.first_token(server.speed, read)
-    if ask.streams:
-        first += max(server.overdue(now), 0)
-    held = first
-    if ask.streams:
-        held += learnt.speeds.decode(server.speed) * waiting.tokens
-    # All that runs there stands still while a prompt is read.
-    reading = server.speed.first.slope() * ask.prompt_tokens
-    score = held + reading * len(server.running)
-    score *= _scarcity(server, now) * _risk(server, ask, learnt)
-    delays = _delays_others(server, read)
+    first = found.first(ask)
+    read = found.read(ask)
     return Place(
-        server,
+        found,
         read,
         first,
-        on_time=not delays and first <= (waiting.target - now) * _USED,
-        delays=delays,
-        ends=held <= (ask.deadline - now) * _USED_OF_DEADLINE,
-        held=held,
-        score=score,
+        read > found.longest_read,
+        found.held(waiting, first),
     )
 
 
+def _score(
+    found: Offer,
+    waiting: records.Waiting,
+    learnt: Learnt,
+) -> tuple[float, str]:
+    """Tell how dear a server is for a request; the least is the best."""
+    ask = waiting.ask
+    held = found.held(waiting, found.first(ask))
+    # All that runs there stands still while a prompt is read.
+    held += found.reading * ask.prompt_tokens * len(found.server.running)
+    scarcity = 1 / (found.free / found.server.slots + _LEAST_FREE)
+    return held * scarcity * _risk(found.server, ask, learnt), _name(found)
+
+
 def _risk(
     server: records.Server,
     ask: requests.Ask,
     learnt: Learnt,
 ) -> float:
-    """Give how much dearer a server is for the answers that come to nothing.
-
-    While 4 in 100 packets between one failure domain and the others were
-    lost, 29 callers were late in the four seconds after the first one of it,
-    and 13 with the paths priced and other changes beside (one day each).
-    """
+    """Give how much dearer a server is for the answers that come to nothing."""
     trouble = learnt.path_quality.trouble(
         ask.failure_domain,
         server.announcement.failure_domain,
@@ -183,36 +279,31 @@
     return 1 + _FAILURE_PRICE * failing + _PATH_PRICE * trouble
 
 
-def _delays_others(server: records.Server, read: float) -> bool:
-    """Tell whether a prompt makes the pauses of running streams too long.
+def _longest_read(server: records.Server) -> float:
+    """Give how much may be read before the pauses of streams get too long.
 
     While prompts are read, each token of the others waits for a piece of
     them. On a fast engine that is never long; on a slow one it is what makes
-    streams late: 22 ms for each token, eight tokens in an event, against a
-    longest pause of 250 ms.
-
-    :param read: prompt tokens to read, the new one's included.
+    streams late.
     """
     limits = [one.ask.gap for one in server.running.values()]
     limit = min(limits, default=math.inf) * _USED_OF_GAP
     if server.speed.worst_gap <= limit:
-        return False
-    reading = server.speed.first.slope() * read
-    return server.speed.usual_gap.get(0) + reading > limit
-
-
-def _scarcity(server: records.Server, now: float) -> float:
-    free = server.free(now) / server.slots
-    return 1 / (free + _LEAST_FREE)
+        return math.inf
+    slope = server.speed.first.slope()
+    spare = limit - server.speed.usual_gap.get(0)
+    if spare < 0 or not slope:
+        return math.inf if spare >= 0 else -1
+    return spare / slope
 
 
-def _by_score(found: Place) -> tuple[float, str]:
-    return found.score, found.server.server_id
+def _name(found: Offer) -> str:
+    return found.server.server_id
 
 
-def _by_held(found: Place) -> tuple[float, str]:
-    return found.held, found.server.server_id
+def _by_held(found: Offer, waiting: records.Waiting) -> tuple[float, str]:
+    return found.held(waiting, found.first(waiting.ask)), _name(found)
 
 
-def _by_first(found: Place) -> tuple[float, str]:
-    return found.first, found.server.server_id
+def _by_first(found: Offer, waiting: records.Waiting) -> tuple[float, str]:
+    return found.first(waiting.ask), _name(found)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import typing
 
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
@@ -143,12 +144,15 @@
             f'{len(self.running)}/{most} unborn {len(self.unborn)} late {late}'
         )
 
-    def free(self, now: float) -> int:
-        """Give how many more requests it may get now."""
+    def free(self, now: float, stuck: int) -> int:
+        """Give how many more requests it may get now.
+
+        :param stuck: number of those of :meth:`stuck`.
+        """
         if not self.live:
             return 0
         most = self.condition.most(self.slots, now)
-        return most - len(self.running) + len(self.stuck(now))
+        return most - len(self.running) + stuck
 
     def unread_tokens(self) -> float:
         """Give the prompt tokens granted and not known to be read."""
@@ -179,9 +183,13 @@
             > one.predicted * _STUCK_FACTOR + _STUCK_SECONDS
         ]
 
-    def hangs(self, now: float) -> bool:
-        """Tell whether nothing came of all that it was sent lately."""
+    def hangs(self, stuck: typing.Sequence[Running]) -> bool:
+        """Tell whether nothing came of all that it was sent lately.
+
+        :param stuck: those of :meth:`stuck`.
+        """
+        if not stuck:
+            return False
         since = max(self.last_sign, self.condition.rested_at)
         sent = [one for one in self.unborn.values() if one.granted > since]
-        stuck = self.stuck(now)
         return bool(sent) and all(one in stuck for one in sent)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/speeds.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/speeds.py
@@ -45,6 +45,7 @@
     sum_y: float = 0
     sum_xx: float = 0
     sum_xy: float = 0
+    _fit: tuple[float, float] | None = None
 
     def __post_init__(self) -> None:
         """Start from the guess."""
@@ -63,12 +64,25 @@
 
     def at(self, tokens: float) -> float:
         """Give the seconds predicted for a number of tokens."""
-        slope = self.slope()
-        fixed = (self.sum_y - slope * self.sum_x) / self.weight
-        return max(fixed, _LEAST_SECONDS) + slope * tokens
+        fixed, slope = self.fit()
+        return fixed + slope * tokens
+
+    def fit(self) -> tuple[float, float]:
+        """Give the seconds for no tokens, and more for each token.
+
+        It is asked for much more often than samples come.
+        """
+        if self._fit is None:
+            slope = self._slope()
+            fixed = (self.sum_y - slope * self.sum_x) / self.weight
+            self._fit = max(fixed, _LEAST_SECONDS), slope
+        return self._fit
 
     def slope(self) -> float:
         """Give the seconds for each token."""
+        return self.fit()[1]
+
+    def _slope(self) -> float:
         spread = self.weight * self.sum_xx - self.sum_x**2
         if spread <= 0:
             return 0
@@ -76,6 +90,7 @@
         return max(slope, 0)
 
     def _put(self, tokens: float, seconds: float, weight: float) -> None:
+        self._fit = None
         self.weight += weight
         self.sum_x += weight * tokens
         self.sum_y += weight * seconds
@@ -144,8 +159,12 @@
 
         :param tokens: read before it, those of others ahead included.
         """
+        return self.line(server).at(tokens)
+
+    def line(self, server: Speed) -> Line:
+        """Give what predicts a server's first tokens."""
         known = server if server.samples >= _ENOUGH else self.pool
-        return known.first.at(tokens)
+        return known.first
 
     def decode(self, server: Speed) -> float:
         """Predict the seconds for an output token."""
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -25,6 +25,9 @@
 # One that newcomers fill is worth coming back to when a burst is over; those
 # of the users last 2 to 5 s.
 _LATER = 3.0
+# The pace changes with what hundreds of requests do; it is worked out again
+# after so many seconds, not for each of them.
+_PACE_SECONDS = 0.01
 # Above this load a queue of late requests hardly gets shorter.
 _FULL = 0.8
 # Callers are told to come back up to this part later than that.
@@ -37,12 +40,16 @@
 
     :ivar settle_by: nothing is granted before, in seconds.
     :ivar served_at: when a server was last known.
+    :ivar quickest: the server that is the first with a usual prompt, by what
+        was known when they were looked up; None without servers.
     :ivar synced: when the servers were last looked up.
     :ivar gone: servers whose address another one took, and since when.
     :ivar lengths: usual output tokens by rule.
     :ivar path_quality: from entry hosts to servers.
     :ivar shares: what each class of requests got lately.
     :ivar looked: when what waits was last looked at, in seconds.
+    :ivar interval: seconds from one free slot of the pool to the next.
+    :ivar paced: when that was worked out.
     :ivar told: when the log was last told how the pool does.
     """
 
@@ -53,6 +60,7 @@
     dice: random.Random
     settle_by: float
     served_at: float
+    quickest: records.Server | None = None
     synced: float = float('-inf')
     waiting: dict[ids.RequestId, records.Waiting] = dataclasses.field(
         default_factory=dict,
@@ -70,6 +78,8 @@
     )
     sequence: int = 0
     ticker: asyncio.TimerHandle | None = None
+    interval: float = float('inf')
+    paced: float = float('-inf')
     told: float = float('-inf')
     looked: float = float('-inf')
     repeated: repeats.Repeats = dataclasses.field(
@@ -88,19 +98,21 @@
     live = [server for server in leader.servers.values() if server.live]
     for server in live:
         server.occupied.passed(len(server.running), now)
-    usual = occupancy.usual(server.occupied for server in live)
+    usual = occupancy.usual(one.occupied for one in live)
     rate = sum(
-        server.condition.expected(server.slots, now)
-        / server.occupied.held(usual)
-        for server in live
+        one.condition.expected(one.slots, now) / one.occupied.held(usual)
+        for one in live
     )
     return 1 / rate if rate else float('inf')
 
 
 def pace(leader: LeaderState) -> ordering.Pace:
     """Tell how fast the pool works and how much comes."""
-    arrivals_now = leader.arriving.rate(leader.now())
-    return ordering.Pace(interval(leader), arrivals_now)
+    now = leader.now()
+    if now - leader.paced >= _PACE_SECONDS:
+        leader.paced = now
+        leader.interval = interval(leader)
+    return ordering.Pace(leader.interval, leader.arriving.rate(now))
 
 
 def denial(
