Entry hosts wait for an election, and share slots when alone

Two causes of what a change of coordinators costs with 195 entry hosts.

The coordinator froze; the other control hosts answered, but none led yet. Now requests wait while control hosts answer and none coordinates, for 2 s at most, with a line (775). A host that reaches none is alone at once.

Alone, a host used one slot of each server at least: 195 on a server of nine. Now it uses its part in its own failure domain and draws the servers of which it has one slot, so that all hosts together use as many as there are.

Ways weighed for the first: some hosts of a domain grant together (needs an agreement of its own), the part of a quota not used lately (not known without the others), to wait as long as a takeover takes.

--- a/libs/control/geraniumweir/control/coordinating.py
+++ b/libs/control/geraniumweir/control/coordinating.py
@@ -6,7 +6,10 @@
 choose the same. When none answers, this host coordinates its own requests.
 
 An answer is missed after 0.4 s, a request that waits at a lost coordinator
-moves to the next one then.
+moves to the next one then. Where control hosts answer and none of them would
+coordinate, they are about to elect a leader: requests wait for that. Alone,
+this host has its part of each quota, and of hundreds of hosts that is less
+than one request.
 """
 
 import asyncio
@@ -26,20 +29,28 @@
 _PERIOD = 0.2
 # Longest wait for it, in seconds: twice a lost packet's first repeat (0.2 s).
 _PATIENCE = 0.4
-
-
 # Who leads answers as soon as who stands in, or is silent, in seconds: some
-# ten round trips. To wait for those that are silent cost 0.4 s more without a
-# coordinator, each time that one was lost.
+# ten round trips. To wait for those that are silent takes as long as a missed
+# answer, each time that a coordinator is lost.
 _LEADER_SECONDS = 0.05
+# While an election is awaited, control hosts are asked this often, in seconds.
+_ELECTION_PERIOD = 0.1
+# The longest silence before an election, another one that came to nothing,
+# and the votes, in seconds.
+_ELECTION_SECONDS = 2.0
+_NOBODY = ids.HostId('')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Found:
-    """Control hosts that would coordinate."""
+    """Control hosts that answered.
+
+    :ivar number: of all that did.
+    """
 
     leaders: list[ids.HostId]
     stand_ins: list[ids.HostId]
+    number: int
 
 
 def _sorted_out(
@@ -49,6 +60,7 @@
     return _Found(
         [name for name, pong in pongs.items() if pong.leads],
         [name for name, pong in pongs.items() if pong.stands_in],
+        len(pongs),
     )
 
 
@@ -72,7 +84,9 @@
         self._domain = domain
         self._known = known
         self._clock = timers.TimerService()
-        self._host = ids.HostId('')
+        self._host = _NOBODY
+        self._lost_at: float | None = self._clock.now()
+        self._waits = False
         self._hosts = 1
         self._share: float | None = None
         self._changes: subject.Subject[None] = subject.Subject()
@@ -83,8 +97,11 @@
         return self._changes
 
     def live(self, _domain: ids.FailureDomain) -> list[ids.HostId]:
-        """Give the coordinator; none means that this host is alone."""
-        return [self._host] if self._host else []
+        """Give the coordinator; none means that this host is alone.
+
+        While an election is awaited that is the lost one, or nobody.
+        """
+        return [self._host] if self._host or self._waits else []
 
     def owners(self, _domain: ids.FailureDomain) -> list[ids.HostId]:
         """List nobody else: this host leads for itself only."""
@@ -92,7 +109,7 @@
 
     def is_alone(self) -> bool:
         """Tell whether this host coordinates its own requests."""
-        return not self._host
+        return not self._host and not self._waits
 
     def hosts(self) -> int:
         """Give how many entry hosts there are, as far as is known."""
@@ -106,11 +123,11 @@
         """Look after the coordinator until cancelled."""
         while True:
             started = self._clock.now()
-            pong = await self._ping(self._host) if self._host else None
-            if pong is None or not pong.leads:
+            if not await self._is_led():
                 await self._search()
             took = self._clock.now() - started
-            await asyncio.sleep(max(_PERIOD - took, 0))
+            period = _ELECTION_PERIOD if self._waits else _PERIOD
+            await asyncio.sleep(max(period - took, 0))
 
     async def leave(self) -> None:
         """Say farewell, so that the quota of this host goes to the others."""
@@ -118,6 +135,13 @@
             ping = ttypes.Ping(self._domain, leaving=True)
             self._link.send(self._host, ping)
 
+    async def _is_led(self) -> bool:
+        """Ask the coordinator, unless it is known to be lost."""
+        if not self._host or self._waits:
+            return False
+        pong = await self._ping(self._host)
+        return pong is not None and pong.leads
+
     async def _search(self) -> None:
         """Ask all control hosts at once, until one says that it leads."""
         asked = {
@@ -126,6 +150,7 @@
         }
         silent = set(asked)
         candidates: list[ids.HostId] = []
+        answered = 0
         until = self._clock.now() + _PATIENCE
         while silent and self._clock.now() < until:
             done, silent = await asyncio.wait(
@@ -138,11 +163,35 @@
                 candidates = found.leaders
                 break
             candidates += found.stand_ins
-            if candidates:
+            answered += found.number
+            if answered:
                 until = min(until, self._clock.now() + _LEADER_SECONDS)
         for task in silent:
             task.cancel()
-        self._settle(min(candidates, default=ids.HostId('')))
+        if candidates:
+            self._settle(min(candidates))
+        elif not self._may_wait(answered):
+            self._settle(_NOBODY)
+
+    def _may_wait(self, answered: int) -> bool:
+        """Tell whether to wait for an election among control hosts.
+
+        :param answered: number of those that can be reached.
+        """
+        now = self._clock.now()
+        if self._lost_at is None:
+            self._lost_at = now
+        waits = bool(answered) and now - self._lost_at < _ELECTION_SECONDS
+        if waits and not self._waits:
+            eventlog.emit(
+                logevents.AWAITS_ELECTION,
+                answered=answered,
+                before=self._host or 'this host',
+            )
+            self._waits = True
+            if not self._host:
+                self._changes.on_next(None)
+        return waits
 
     async def _ping(self, host_id: ids.HostId) -> ttypes.Pong | None:
         ping = ttypes.Ping(
@@ -160,7 +209,11 @@
         return pong
 
     def _settle(self, host_id: ids.HostId) -> None:
-        if host_id == self._host:
+        waited = self._waits
+        self._waits = False
+        if host_id:
+            self._lost_at = None
+        if host_id == self._host and not (waited and not host_id):
             return
         eventlog.emit(
             logevents.COORDINATOR,
--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -64,6 +64,11 @@
 CONTROL_HOST_HEARD: typing.Final = _Event(
     767, _Level.notice, 'control host {host} is heard'
 )
+AWAITS_ELECTION: typing.Final = _Event(
+    775,
+    _Level.notice,
+    'requests wait for an election: {answered} control hosts answer',
+)
 SERVERS_NOT_KEPT: typing.Final = _Event(
     768, _Level.warning, 'the servers could not be kept or read: {reason}'
 )
--- a/libs/control/geraniumweir/control/roster.py
+++ b/libs/control/geraniumweir/control/roster.py
@@ -5,15 +5,42 @@
 geraniumweir.membership.servers
 """
 
+import dataclasses
 import math
 import typing
 
+import xxhash
 from geraniumweir.common import ids
 from geraniumweir.control import enrolments
 from geraniumweir.membership import servers
 from geraniumweir.routing import finding, tables
 
 
+_ANY_HOST = ids.HostId('')
+_ANY_DOMAIN = ids.FailureDomain('')
+_HASH_BITS = 32
+_HASH_RANGE = 1 << _HASH_BITS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Part:
+    """The part of a server's slots that this host may use.
+
+    :ivar whole: slots.
+    :ivar draw: of a slot more, drawn between 0 and 1: the least goes first.
+    :ivar drawn: that slot is this host's too.
+    """
+
+    whole: int
+    draw: float
+    drawn: bool
+
+    @property
+    def slots(self) -> int:
+        """Give how many these are."""
+        return self.whole + self.drawn
+
+
 class Roster:
     """The servers that may get new work, by pool."""
 
@@ -21,16 +48,22 @@
         self,
         table: enrolments.Enrolments,
         index: typing.Callable[[], finding.Index | None],
+        host_id: ids.HostId = _ANY_HOST,
+        domain: ids.FailureDomain = _ANY_DOMAIN,
     ) -> None:
         """Look at what a host knows.
 
         :param index: gives the document in force.
+        :param host_id: of this host, where hosts share slots.
+        :param domain: its failure domain.
         """
         self._table = table
+        self._host_id = host_id
+        self._domain = domain
         self._index = index
         self._made: dict[
             ids.ServerId,
-            tuple[enrolments.Enrolment, float, servers.Announcement],
+            tuple[enrolments.Enrolment, int, servers.Announcement],
         ] = {}
 
     def of_pool(
@@ -46,24 +79,67 @@
         pool = index and index.pool(pool_name)
         if pool is None:
             return []
-        return [
-            self._announcement(found, pool, share)
+        ready = [
+            found
             for found in self._table.known()
             if found.pool == pool_name and found.state is enrolments.State.ready
         ]
+        if share >= 1 or not ready:
+            return [
+                self._announcement(found, pool, found.slots) for found in ready
+            ]
+        return [
+            self._announcement(found, pool, slots)
+            for found, slots in self._parts(ready, share)
+        ]
+
+    def _parts(
+        self,
+        ready: typing.Sequence[enrolments.Enrolment],
+        share: float,
+    ) -> list[tuple[enrolments.Enrolment, int]]:
+        """Give the servers that this host may use alone, with slots.
+
+        It uses its part where it reaches them most surely, in its own failure
+        domain. Of hundreds of hosts each has less than a slot of a server: it
+        draws the servers of which it uses one, so that together they use as
+        many as there are. One slot of each server for each host would be
+        twenty times that.
+        """
+        near = [one for one in ready if one.failure_domain == self._domain]
+        near = near or list(ready)
+        scale = _slots(ready) / max(_slots(near), 1)
+        drawn = {
+            found.server_id: self._part(found, share * scale) for found in near
+        }
+        found = [
+            (one, drawn[one.server_id].slots)
+            for one in near
+            if drawn[one.server_id].slots
+        ]
+        if found:
+            return found
+        return [(min(near, key=lambda one: drawn[one.server_id].draw), 1)]
+
+    def _part(self, found: enrolments.Enrolment, share: float) -> _Part:
+        slots = found.slots * share
+        whole = math.floor(slots)
+        text = f'{self._host_id} {found.server_id}'.encode()
+        draw = xxhash.xxh32_intdigest(text) / _HASH_RANGE
+        return _Part(whole, draw, draw < slots - whole)
 
     def _announcement(
         self,
         found: enrolments.Enrolment,
         pool: tables.Pool,
-        share: float,
+        slots: int,
     ) -> servers.Announcement:
         """Make an announcement, the same object while nothing changed."""
         made = self._made.get(found.server_id)
-        if made is not None and made[0] is found and made[1] == share:
+        slots = max(slots, 1)
+        if made is not None and made[0] is found and made[1] == slots:
             return made[2]
         engine = pool.engine
-        slots = max(math.floor(found.slots * share), 1)
         announcement = servers.Announcement(
             server_id=found.server_id,
             incarnation=ids.Incarnation(found.born),
@@ -77,5 +153,9 @@
         )
         if made is not None and made[2] == announcement:
             announcement = made[2]
-        self._made[found.server_id] = (found, share, announcement)
+        self._made[found.server_id] = (found, slots, announcement)
         return announcement
+
+
+def _slots(found: typing.Iterable[enrolments.Enrolment]) -> int:
+    return sum(one.slots for one in found)
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -101,7 +101,12 @@
             coordination.Parts(
                 link=self._link,
                 view=self._coordinator,
-                roster=roster.Roster(self.watcher.servers, self._index),
+                roster=roster.Roster(
+                    self.watcher.servers,
+                    self._index,
+                    cfg.host_id,
+                    cfg.failure_domain,
+                ),
                 index=self._index,
                 share=self._coordinator.share,
                 shares_slots=True,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_occupancy.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_occupancy.py
@@ -8,6 +8,7 @@
 
 import itertools
 
+import pytest
 from geraniumweir.common import ids
 from geraniumweir.scheduling import requests
 from geraniumweir.scheduling.ontime import occupancy, records
@@ -23,8 +24,8 @@
         found.passed(2, found.at + 0.1)
         found.ended()
     found.passed(1, 2)
-    # In all 2.9 s on slots, a little less as older ones count for less.
-    assert 0.2 < found.held(0.3) < 0.35
+    # In all 2.9 s on slots and the guess, by nine ends and the guess.
+    assert found.held(0.3) == pytest.approx(0.32, rel=0.15)
 
 
 def test_important_are_on_time_in_the_first_seconds_of_overload() -> None:
