A frozen coordinator that wakes grants nothing; refused callers return in time

A control host that coordinated froze for 6.3 s and was replaced after one. Cause: a leader steps down when its next look finds no majority, and a control host without a leader stands in at once. Now its own clock tells that it slept for longer than an election takes: until a majority has followed it since, or another one leads, it coordinates nothing (line 776), and its queues go once it leads no more. What it grants is refused by hosts as before, as a grant counts only from where a request waits.

Retry-After was 3 to 6 s under load, also to callers with 3 s left. It is within half of the time that a caller has left.

--- a/libs/common/geraniumweir/common/virtual.py
+++ b/libs/common/geraniumweir/common/virtual.py
@@ -48,6 +48,10 @@
         """Give the virtual time in seconds."""
         return self._virtual.now
 
+    def freeze(self, seconds: float) -> None:
+        """Let time pass while nothing runs, as on a machine that froze."""
+        self._virtual.now += seconds
+
 
 def run(main: typing.Coroutine[typing.Any, typing.Any, _Done]) -> _Done:
     """Run a coroutine to its end in virtual time.
--- a/libs/consensus/geraniumweir/consensus/serving.py
+++ b/libs/consensus/geraniumweir/consensus/serving.py
@@ -93,6 +93,16 @@
     return leader.host_id
 
 
+def leads_since(this: core.Core, at: float) -> bool:
+    """Tell whether a majority followed this recorder since a time.
+
+    :param at: in loop time.
+    """
+    if this.reign is None:
+        return False
+    return leading.majority_contact(this, this.reign) >= at
+
+
 async def barrier(this: core.Core, timeout: float) -> int:
     """Confirm leadership and apply all that was committed before.
 
--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -69,6 +69,11 @@
     _Level.notice,
     'requests wait for an election: {answered} control hosts answer',
 )
+SLEPT: typing.Final = _Event(
+    776,
+    _Level.warning,
+    'this host did nothing for {seconds} s; it coordinates once it is sure',
+)
 SERVERS_NOT_KEPT: typing.Final = _Event(
     768, _Level.warning, 'the servers could not be kept or read: {reason}'
 )
--- a/libs/control/geraniumweir/control/recorders.py
+++ b/libs/control/geraniumweir/control/recorders.py
@@ -94,6 +94,15 @@
         """Tell whether this host leads the log."""
         return self.running is not None and self.running.recorder.is_leading()
 
+    def leads_since(self, at: float) -> bool:
+        """Tell whether a majority followed this host's lead since a time.
+
+        :param at: in seconds.
+        """
+        if self.running is None:
+            return False
+        return serving.leads_since(self.running.recorder.core, at)
+
     def is_current(self) -> bool:
         """Tell whether all that was committed a moment ago is applied here."""
         return self.running is not None and self.running.is_sure()
--- a/libs/control/geraniumweir/control/standing.py
+++ b/libs/control/geraniumweir/control/standing.py
@@ -15,7 +15,7 @@
 
 import reactivex
 from geraniumweir.common import eventlog, ids, timers
-from geraniumweir.control import logevents, recorders, usage
+from geraniumweir.control import logevents, recorders, usage, waking
 from geraniumweir.wire import peers
 from geraniumweir.wire.gen.control import ttypes
 from reactivex import subject
@@ -28,6 +28,7 @@
 # Entry hosts that reach a new coordinator turn to it within so long, in
 # seconds: a missed answer (0.4 s), a search (0.4 s) and a ping (0.2 s).
 _TURN_SECONDS = 1.0
+_NOBODY = ids.HostId('')
 # A part of the quotas that moved by so much is told in the log.
 _PART_TOLD = 0.1
 _PART_DIGITS = 2
@@ -245,6 +246,7 @@
         self._host_id = link.host_id
         self._log = log
         self._clock = clock
+        self._waking = waking.Waking(link.host_id, log, clock)
         self._part_told: float = 1
         self._changes: subject.Subject[None] = subject.Subject()
         self._leader = ids.HostId('')
@@ -259,7 +261,12 @@
         return self._changes
 
     def live(self, _domain: ids.FailureDomain) -> list[ids.HostId]:
-        """Give the coordinator: the log's leader, or else this host."""
+        """Give the coordinator: the log's leader, or else this host.
+
+        Nobody while this host can't know.
+        """
+        if not self._waking.is_over():
+            return [_NOBODY]
         return [self._leader or self._host_id]
 
     def owners(self, _domain: ids.FailureDomain) -> list[ids.HostId]:
@@ -282,6 +289,9 @@
         self._looks.dispose()
 
     def _look(self) -> None:
+        if not self._waking.is_over() and not self._log.is_leading():
+            # Its queues are as old as its sleep: let them go.
+            self._changes.on_next(None)
         if self.coordinates():
             self._tell_part()
         self._follow_log()
@@ -335,9 +345,10 @@
             self.entry_hosts.heard(sender, now)
         if ping.share is not None:
             self.entry_hosts.said(sender, ping.share)
+        awake = self._waking.is_over()
         return ttypes.Pong(
-            leads=self._log.is_leading(),
-            stands_in=not self._leader,
+            leads=awake and self._log.is_leading(),
+            stands_in=awake and not self._leader,
             hosts=self.entry_hosts.number(now),
             heard=self.entry_hosts.number_heard(now),
             share=self._part_for(sender, now),
--- a/libs/control/geraniumweir/control/tests/test_part_of_quotas.py
+++ b/libs/control/geraniumweir/control/tests/test_part_of_quotas.py
@@ -28,6 +28,10 @@
         """Tell whether it is this host."""
         return self.told == _HERE
 
+    def leads_since(self, _at: float) -> bool:
+        """Tell the same."""
+        return self.is_leading()
+
 
 class _Bed:
     """A control host and two entry hosts that ping it."""
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -32,6 +32,9 @@
 _FULL = 0.8
 # Callers are told to come back up to this part later than that.
 _SPREAD = 1.0
+# And within this part of the time that they have left: who is told to come
+# back at its end is lost for good.
+_LATEST_RETURN = 0.5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -125,8 +128,10 @@
     Spread out, so that those refused together don't come back together.
     """
     seconds = _LATER if pace(leader).load > _FULL else _SOON
-    spread = leader.dice.uniform(1, 1 + _SPREAD)
-    return requests.Denial(ask.request_id, reason, int(seconds * spread * _MS))
+    seconds *= leader.dice.uniform(1, 1 + _SPREAD)
+    left = max(ask.deadline - leader.now(), 0)
+    seconds = min(seconds, left * _LATEST_RETURN)
+    return requests.Denial(ask.request_id, reason, int(seconds * _MS))
 
 
 def refuse(
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_leader.py
@@ -270,6 +270,29 @@
     virtual.run(work())
 
 
+def test_refused_caller_is_told_to_return_within_its_time() -> None:
+    """One with 3 s left was told to come back after 3 to 6 s."""
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        pool = play.make(play.server('a', 1), now=loop.time)
+        now = loop.time()
+        asks = [
+            play.ask(str(number), now, deadline=now + 3, target=now + 0.1)
+            for number in range(200)
+        ]
+        waiting = [asyncio.create_task(pool.ask(made)) for made in asks]
+        await asyncio.sleep(1)
+        told = [task.result() for task in waiting if task.done()]
+        denials = [one for one in told if isinstance(one, requests.Denial)]
+        assert len(denials) > 100
+        assert all(0 < one.retry_after_ms <= 1500 for one in denials)
+        for task in waiting:
+            task.cancel()
+
+    virtual.run(work())
+
+
 def test_endless_output_is_refused_at_once() -> None:
     """No server ends twenty times of what the time left allows."""
 
