--- a/libs/ctl/geraniumweir/ctl/arguments.py
+++ b/libs/ctl/geraniumweir/ctl/arguments.py
@@ -15,6 +15,7 @@
     logcommands,
     losses,
     output,
+    pooltimeline,
     reportcommand,
     systemcommands,
 )
@@ -191,7 +192,8 @@
     explain.add_argument('id', help="the caller's request id")
     refused = _command(commands, 'why-refused', logcommands.why_refused)
     late = _command(commands, 'why-late', losses.why_late)
-    for command in (explain, refused, late):
+    pools = _command(commands, 'pool-timeline', pooltimeline.pool_timeline)
+    for command in (explain, refused, late, pools):
         command.add_argument(
             'file',
             nargs='*',
--- a/libs/ctl/geraniumweir/ctl/tests/test_logcommands.py
+++ b/libs/ctl/geraniumweir/ctl/tests/test_logcommands.py
@@ -107,3 +107,52 @@
         'caller gone: waited': 1,
         'broken off: its time is over': 1,
     }
+
+
+def _busy(second: int, host: str, servers: dict[str, str]) -> str:
+    return _line(
+        second,
+        host,
+        246,
+        pool='lm',
+        waiting=7,
+        interval_ms=2.5,
+        load=1.1,
+        servers=servers,
+    )
+
+
+def test_pools_are_told_by_second(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """With two coordinators, and free slots beside refusals, pointed out."""
+    control, entry = tmp_path / 'control', tmp_path / 'entry'
+    full = {'a': '9/9 unborn 0 late 0', 'b': '11/9 unborn 2 late 0.1'}
+    resting = {'a': '3/9 unborn 0 late 0', 'b': '0/0 unborn 0 late 0'}
+    control.write_text(
+        _busy(3, 'c1', full)
+        + _busy(4, 'c1', full)
+        + _busy(4, 'c2', full)
+        + _busy(5, 'c2', resting),
+    )
+    entry.write_text(
+        _line(3, 'e', 161, pool='lm', reason='shed')
+        + _line(5, 'e', 161, pool='lm', reason='over_quota')
+        + _line(5, 'e', 161, pool='lm', reason='shed'),
+    )
+    argv = ('--output', 'json', 'pool-timeline', str(control), str(entry))
+    assert _run(*argv) == 0
+    rows = json.loads(capsys.readouterr().out)['seconds']
+    assert [row['look_at'] for row in rows] == [
+        '',
+        'two coordinators',
+        'free slots beside refusals',
+    ]
+    assert [row['coordinator'] for row in rows] == ['c1', 'c1 c2', 'c2']
+    assert [(row['running'], row['open']) for row in rows] == [
+        (20, 18),
+        (20, 18),
+        (3, 9),
+    ]
+    assert rows[2]['refused'] == 'over_quota=1 shed=1'
