--- a/libs/control/geraniumweir/control/coordinating.py
+++ b/libs/control/geraniumweir/control/coordinating.py
@@ -7,9 +7,9 @@
 
 An answer is missed after 0.4 s, a request that waits at a lost coordinator
 moves to the next one then. Where control hosts answer and none of them would
-coordinate, they are about to elect a leader: requests wait for that. Alone,
-this host has its part of each quota, and of hundreds of hosts that is less
-than one request.
+coordinate, they are about to elect a leader. Till then this host grants what
+its part of slots and quotas allows, and refuses nothing for want of them: of
+hundreds of hosts each has less than one request of most customers.
 """
 
 import asyncio
@@ -86,7 +86,7 @@
         self._clock = timers.TimerService()
         self._host = _NOBODY
         self._lost_at: float | None = self._clock.now()
-        self._waits = False
+        self._awaits_election = False
         self._hosts = 1
         self._share: float | None = None
         self._changes: subject.Subject[None] = subject.Subject()
@@ -97,11 +97,8 @@
         return self._changes
 
     def live(self, _domain: ids.FailureDomain) -> list[ids.HostId]:
-        """Give the coordinator; none means that this host is alone.
-
-        While an election is awaited that is the lost one, or nobody.
-        """
-        return [self._host] if self._host or self._waits else []
+        """Give the coordinator; none means that this host is alone."""
+        return [self._host] if self._host else []
 
     def owners(self, _domain: ids.FailureDomain) -> list[ids.HostId]:
         """List nobody else: this host leads for itself only."""
@@ -109,7 +106,11 @@
 
     def is_alone(self) -> bool:
         """Tell whether this host coordinates its own requests."""
-        return not self._host and not self._waits
+        return not self._host
+
+    def awaits_election(self) -> bool:
+        """Tell whether another host is about to coordinate."""
+        return self._awaits_election
 
     def hosts(self) -> int:
         """Give how many entry hosts there are, as far as is known."""
@@ -123,10 +124,11 @@
         """Look after the coordinator until cancelled."""
         while True:
             started = self._clock.now()
-            if not await self._is_led():
+            pong = await self._ping(self._host) if self._host else None
+            if pong is None or not pong.leads:
                 await self._search()
             took = self._clock.now() - started
-            period = _ELECTION_PERIOD if self._waits else _PERIOD
+            period = _ELECTION_PERIOD if self._awaits_election else _PERIOD
             await asyncio.sleep(max(period - took, 0))
 
     async def leave(self) -> None:
@@ -135,13 +137,6 @@
             ping = ttypes.Ping(self._domain, leaving=True)
             self._link.send(self._host, ping)
 
-    async def _is_led(self) -> bool:
-        """Ask the coordinator, unless it is known to be lost."""
-        if not self._host or self._waits:
-            return False
-        pong = await self._ping(self._host)
-        return pong is not None and pong.leads
-
     async def _search(self) -> None:
         """Ask all control hosts at once, until one says that it leads."""
         asked = {
@@ -169,29 +164,28 @@
         for task in silent:
             task.cancel()
         if candidates:
-            self._settle(min(candidates))
-        elif not self._may_wait(answered):
-            self._settle(_NOBODY)
+            self._lost_at = None
+            self._awaits_election = False
+        else:
+            self._note_lost(answered)
+        self._settle(min(candidates, default=_NOBODY))
 
-    def _may_wait(self, answered: int) -> bool:
-        """Tell whether to wait for an election among control hosts.
+    def _note_lost(self, answered: int) -> None:
+        """Take that nobody coordinates.
 
-        :param answered: number of those that can be reached.
+        :param answered: number of control hosts that can be reached.
         """
         now = self._clock.now()
         if self._lost_at is None:
             self._lost_at = now
-        waits = bool(answered) and now - self._lost_at < _ELECTION_SECONDS
-        if waits and not self._waits:
+        awaits = bool(answered) and now - self._lost_at < _ELECTION_SECONDS
+        if awaits and not self._awaits_election:
             eventlog.emit(
                 logevents.AWAITS_ELECTION,
                 answered=answered,
                 before=self._host or 'this host',
             )
-            self._waits = True
-            if not self._host:
-                self._changes.on_next(None)
-        return waits
+        self._awaits_election = awaits
 
     async def _ping(self, host_id: ids.HostId) -> ttypes.Pong | None:
         ping = ttypes.Ping(
@@ -209,11 +203,7 @@
         return pong
 
     def _settle(self, host_id: ids.HostId) -> None:
-        waited = self._waits
-        self._waits = False
-        if host_id:
-            self._lost_at = None
-        if host_id == self._host and not (waited and not host_id):
+        if host_id == self._host:
             return
         eventlog.emit(
             logevents.COORDINATOR,
--- a/libs/control/geraniumweir/control/coordination.py
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -143,9 +143,20 @@
     link: channel.Channel,
     view: views.HostView,
     clock: timers.TimerService,
+    awaits_election: typing.Callable[[], bool],
 ) -> broker.Broker:
-    """Ask whoever coordinates, on behalf of this host."""
-    return broker.Broker(link, AREA, view, _NoOthers(), clock)
+    """Ask whoever coordinates, on behalf of this host.
+
+    :param awaits_election: tells whether another one is about to.
+    """
+    return broker.Broker(
+        link,
+        AREA,
+        view,
+        _NoOthers(),
+        clock,
+        awaits_election,
+    )
 
 
 def follow(
--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -67,7 +67,7 @@
 AWAITS_ELECTION: typing.Final = _Event(
     775,
     _Level.notice,
-    'requests wait for an election: {answered} control hosts answer',
+    'an election is under way: {answered} control hosts answer, none leads',
 )
 SLEPT: typing.Final = _Event(
     776,
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -121,6 +121,7 @@
             self._link,
             self._coordinator,
             self._clock,
+            self._coordinator.awaits_election,
         )
         self._scheduler = spending.Spending(
             self._broker,
--- a/libs/scheduling/geraniumweir/scheduling/broker.py
+++ b/libs/scheduling/geraniumweir/scheduling/broker.py
@@ -34,6 +34,18 @@
 _HOME_PATIENCE = 3.0
 
 _Answer = requests.Grant | requests.Denial
+# What another leader may have: slots, and quotas of customers.
+_FOR_WANT = frozenset(
+    (
+        requests.DenialReason.shed,
+        requests.DenialReason.over_quota,
+        requests.DenialReason.no_server,
+    )
+)
+
+
+def _never() -> bool:
+    return False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,10 +72,13 @@
         view: views.HostView,
         directory: views.PoolDirectory,
         clock: timers.TimerService,
+        is_leader_due: typing.Callable[[], bool] = _never,
     ) -> None:
         """Start without requests.
 
         :param domain: this host's failure domain.
+        :param is_leader_due: tells whether this host leads its own requests
+            for a moment only, as another one is being elected.
         """
         self.on_preempt: typing.Callable[[requests.Preempt], None] | None = None
         self._link = link
@@ -79,6 +94,7 @@
             self._asker,
             clock,
         )
+        self._is_leader_due = is_leader_due
         self._withdrawn: set[ids.RequestId] = set()
         link.handle(ttypes.Preempt, self._on_preempt)
 
@@ -162,7 +178,8 @@
             ask = place.ask
             answer = place.fut.result()
             if answer is not None and not _is_elsewhere(answer):
-                return _Tried(ask, answer)
+                if not self._may_be_granted_soon(place, answer):
+                    return _Tried(ask, answer)
             self._home.wrong(ask.pool, place.host, place.hint)
             until = max(until, self._heard_at(place) + _HOME_PATIENCE)
             if self._clock.now() >= until:
@@ -172,6 +189,14 @@
             await asyncio.sleep(_PAUSE)
         return _Tried(ask, _withdrawn(ask.request_id))
 
+    def _may_be_granted_soon(self, place: owned.Place, answer: _Answer) -> bool:
+        """Tell whether a denial of this host itself is worth a wait."""
+        if isinstance(answer, requests.Grant):
+            return False
+        if place.host != self._link.host_id or not self._is_leader_due():
+            return False
+        return answer.reason in _FOR_WANT
+
     def _heard_at(self, place: owned.Place) -> float:
         """Tell when the place's leader last showed that it is there.
 
