Looks of a pool that turns over slowly share more

A look at a long queue each 4 ms is more often than a slot gets free for long requests. What comes within a hundredth of the time for which requests hold a slot shares one, 50 ms at most.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -19,14 +19,15 @@
 # with time alone: ends of rests, targets that can't be met any more.
 _LOOK_SECONDS = 0.05
 # While more than a few wait, what comes within this time shares one look, in
-# seconds. A slot may stay free for so long: less than 1 in 100 of the time for
-# which requests hold one (0.6 s).
+# seconds.
 _GATHER_SECONDS = 0.004
-# With many waiting a look takes about 6 µs for each of them (600 to 1,000 on
-# one machine); looks then share more, so that they take a fifth of the time.
-# Of a pool with 280 slots that turns over in 0.6 s, 600 may wait and still be
-# on time. In seconds for each that waits.
+# A slot may stay free for this part of the time for which requests hold one.
+_GATHER_PART = 0.01
+# A look costs in proportion to what waits, some 6 µs for each; with many
+# waiting, looks share more. In seconds for each that waits.
 _GATHER_EACH_SECONDS = 3e-5
+# Refusals are told within so long, in seconds.
+_LONGEST_GATHER = 0.05
 # So few waiting requests are looked at in less time than gathering takes.
 _FEW = 8
 # A queue is planned over its newest so many requests. At 2,500 requests a
@@ -72,14 +73,23 @@
     """
     if not leader.waiting:
         return
-    gather = max(_GATHER_SECONDS, len(leader.waiting) * _GATHER_EACH_SECONDS)
-    left = leader.looked + gather - leader.now()
+    left = leader.looked + _gather(leader) - leader.now()
     if left > 0 and len(leader.waiting) > _FEW:
         _arm(leader, left)
     else:
         _look(leader)
 
 
+def _gather(leader: state.LeaderState) -> float:
+    """Give the seconds for which what comes waits for one look."""
+    longest = max(
+        _GATHER_SECONDS,
+        len(leader.waiting) * _GATHER_EACH_SECONDS,
+        leader.held * _GATHER_PART,
+    )
+    return min(longest, _LONGEST_GATHER)
+
+
 def _look(leader: state.LeaderState) -> None:
     leader.looked = leader.now()
     fleet.sync(leader)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -52,7 +52,8 @@
     :ivar shares: what each class of requests got lately.
     :ivar looked: when what waits was last looked at, in seconds.
     :ivar interval: seconds from one free slot of the pool to the next.
-    :ivar paced: when that was worked out.
+    :ivar held: seconds for which a request usually keeps a slot.
+    :ivar paced: when these two were worked out.
     :ivar told: when the log was last told how the pool does.
     """
 
@@ -82,6 +83,7 @@
     sequence: int = 0
     ticker: asyncio.TimerHandle | None = None
     interval: float = float('inf')
+    held: float = 0
     paced: float = float('-inf')
     told: float = float('-inf')
     looked: float = float('-inf')
@@ -101,9 +103,9 @@
     live = [server for server in leader.servers.values() if server.live]
     for server in live:
         server.occupied.passed(len(server.running), now)
-    usual = occupancy.usual(one.occupied for one in live)
+    leader.held = occupancy.usual(one.occupied for one in live)
     rate = sum(
-        one.condition.expected(one.slots, now) / one.occupied.held(usual)
+        one.condition.expected(one.slots, now) / one.occupied.held(leader.held)
         for one in live
     )
     return 1 / rate if rate else float('inf')
