--- a/libs/consensus/geraniumweir/consensus/voting.py
+++ b/libs/consensus/geraniumweir/consensus/voting.py
@@ -47,17 +47,15 @@
     cfg = this.env.cfg
     # A leader that lives is heard within a heartbeat of the start, and the
     # trial vote fails where others hear one; so after a loss of all recorders
-    # at once the first election needn't wait for the usual silence (0.66 s of
-    # 2.8 s without service, measured on one such day).
+    # at once the first election needn't wait for the usual silence.
     patience = this.env.rng.uniform(cfg.heartbeat, cfg.election_min)
     while True:
         await _silence(this, patience)
         patience = this.env.rng.uniform(cfg.election_min, cfg.election_max)
         if _may_campaign(this) and not await campaign(this):
             # Others may have heard the leader a moment longer. To wait for a
-            # whole silence again after that took up to 1.59 s until a lost
-            # leader was replaced, and takes 0.98 s with this (30 losses in
-            # virtual time).
+            # whole silence again would replace a lost leader half a second
+            # later.
             await asyncio.sleep(
                 this.env.rng.uniform(cfg.heartbeat, cfg.election_min),
             )
--- a/libs/control/geraniumweir/control/coordination.py
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -26,9 +26,7 @@
 AREA = ids.FailureDomain('all')
 # A new leader grants nothing for so long, in seconds, while entry hosts hand
 # over what they have; they do so as soon as they see it, a few milliseconds.
-# What comes later is taken over all the same; with 0.25 the worth of a day
-# with changes of coordinators was less by 0.007 (14 plays, with the change of
-# the queue's plan between them).
+# What comes later is taken over all the same.
 _SETTLE_SECONDS = 0.1
 # Entry hosts that turn here before this host knows that it coordinates do so
 # within a look at the log (0.1 s) and a ping (0.2 s), in seconds.
--- a/libs/scheduling/geraniumweir/scheduling/ontime/classes.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/classes.py
@@ -20,14 +20,10 @@
 # that a class that gives way during one isn't taken for one that starves.
 _SECONDS = 10.0
 # A class is owed slots while less than this part of its callers was served in
-# time. The users ask for 30 to 43 in 100 of what each class could earn on days
-# of high load.
+# time.
 _LEAST_SHARE = 0.35
 # So much of the slots' time goes to such classes at most, so that what is most
-# important may have a third of it, however much else comes. With half of it
-# for them, the class that needs most slots took all that was owed, and another
-# one was left 2 in 100 of the slots and served 20 in 100 (ten seconds of one
-# play of a pool that had lost servers).
+# important may have a third of it, however much else comes.
 _OWED_PART = 0.65
 # A class that was asked for so seldom lately isn't judged, in callers.
 _FEW = 5.0
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -31,14 +31,11 @@
 # So few waiting requests are looked at in less time than gathering takes.
 _FEW = 8
 # A queue is planned over its newest so many requests. At 2,500 requests a
-# second those before them have waited longer than any target. Planned over
-# the oldest 256 instead, a pool of 70 servers didn't see newcomers before they
-# were late: 660 of 5,300 of the most important were refused in 41 s, and 78
-# with all of them planned (one day, played twice).
+# second those before them have waited longer than any target; planned over the
+# oldest, a large pool wouldn't see newcomers before they are late.
 _MOST_PLANNED = 4096
 # After so many requests in a row for which no open server will do, the others
-# are left for the next look: each is compared with up to sixteen servers, some
-# 0.1 ms.
+# are left for the next look: each is compared with up to sixteen servers.
 _MOST_TRIED = 128
 # How a pool does is logged this often at most, in seconds, while it is busy.
 _TELL_SECONDS = 1.0
--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -12,14 +12,13 @@
 
 While newcomers take nearly all slots, the important go first instead: in the
 order of latest starts those with the longest targets come last, and as the
-pace falls in overload they miss them, though they are worth most (measured:
-half of the most important were late).
+pace falls in overload they miss them, though they are worth most.
 
 Those that can't meet their targets any more come behind, with the slots that
 newcomers leave. Were they served before, just in time for their callers'
 patience, then every newcomer would be late too, and a pool that was overloaded
 for some seconds would serve everybody late for as long as its usual load
-leaves little room: measured as 3 to 8 in 100 of the worth earned over 12 s.
+leaves little room.
 
 References
 ==========
--- a/libs/scheduling/geraniumweir/scheduling/quotas.py
+++ b/libs/scheduling/geraniumweir/scheduling/quotas.py
@@ -9,8 +9,8 @@
 single requests differ a hundredfold: with it, 29 of 255 long requests on a
 calm day. A coordinator that is new learns from the entry hosts what others
 granted before; what it grants itself it knows for each customer from then on.
-Windows that were taken as used up to a customer's first request instead cost
-a fifth of the worth of the first 4 s of a calm day.
+Windows taken as used up to a customer's first request instead would refuse
+much of the first seconds of a calm load.
 """
 
 import collections
--- a/libs/wire/geraniumweir/wire/tcp.py
+++ b/libs/wire/geraniumweir/wire/tcp.py
@@ -30,9 +30,8 @@
 
 # An opening packet that was lost is sent again by the kernel only after a
 # second. Another attempt is made after this, in seconds, twenty times the way
-# between failure domains and back, and then after twice as long each time. At
-# a start of all hosts, entry hosts watched control hosts within 0.4 s of the
-# first one's listening, and after 0.9 s without (logs of one day, each way).
+# between failure domains and back, and then after twice as long each time. It
+# shortens a start of all hosts, where many dial before others listen.
 _FIRST_TRY = 0.1
 _TRY_GROWTH = 2
 
