Few hosts that are alone use some slots of every server, as before

Of eight hosts each has three quarters of a slot of a server; only where it is less than half of one do hosts draw.

--- a/libs/control/geraniumweir/control/roster.py
+++ b/libs/control/geraniumweir/control/roster.py
@@ -19,6 +19,8 @@
 _ANY_HOST = ids.HostId('')
 _ANY_DOMAIN = ids.FailureDomain('')
 _HASH_BITS = 32
+# A host that has more than this part of a slot of a server uses one.
+_LEAST_PART = 0.5
 _HASH_RANGE = 1 << _HASH_BITS
 
 
@@ -100,12 +102,16 @@
     ) -> list[tuple[enrolments.Enrolment, int]]:
         """Give the servers that this host may use alone, with slots.
 
-        It uses its part where it reaches them most surely, in its own failure
-        domain. Of hundreds of hosts each has less than a slot of a server: it
-        draws the servers of which it uses one, so that together they use as
-        many as there are. One slot of each server for each host would be
-        twenty times that.
+        Of a few hosts each uses some slots of every server. Of hundreds each
+        has much less than a slot: it draws the servers of which it uses one,
+        where it reaches them most surely, in its own failure domain, so that
+        together they use as many as there are. One slot of each server for
+        each host would be twenty times that.
         """
+        if share * _slots(ready) > _LEAST_PART * len(ready):
+            return [
+                (one, max(math.floor(one.slots * share), 1)) for one in ready
+            ]
         near = [one for one in ready if one.failure_domain == self._domain]
         near = near or list(ready)
         scale = _slots(ready) / max(_slots(near), 1)
