A busy leader is waited for before an election is taken for granted

Read in the change: a host that missed one ping asked all control hosts, and took the leader for lost when others answered 50 ms before it. A coordinator in a burst answers later than that.

--- a/libs/control/geraniumweir/control/coordinating.py
+++ b/libs/control/geraniumweir/control/coordinating.py
@@ -159,7 +159,9 @@
                 break
             candidates += found.stand_ins
             answered += found.number
-            if answered:
+            # A leader that is busy is waited for once, one that is lost isn't
+            # waited for each time.
+            if candidates or (answered and self._awaits_election):
                 until = min(until, self._clock.now() + _LEADER_SECONDS)
         for task in silent:
             task.cancel()
--- a/libs/control/geraniumweir/control/tests/test_coordinating.py
+++ b/libs/control/geraniumweir/control/tests/test_coordinating.py
@@ -22,6 +22,7 @@
 
     def __init__(self, network: memory.MemoryNetwork, name: str) -> None:
         self.pong: ttypes.Pong | None = None
+        self.delay = float(0)
         self.host_id = ids.HostId(name)
         layer = network.join(self.host_id, _address(name))
         layer.handle(ttypes.Ping, self._answer)
@@ -46,6 +47,7 @@
     ) -> ttypes.Pong:
         if self.pong is None:
             await asyncio.sleep(60)
+        await asyncio.sleep(self.delay)
         return self.pong
 
 
@@ -162,6 +164,28 @@
     virtual.run(work())
 
 
+def test_busy_leader_is_waited_for() -> None:
+    """It missed a ping, and answers after those that don't lead."""
+
+    async def work() -> None:
+        bed = _Bed()
+        bed.first.says(leads=False, stands_in=False)
+        bed.second.says(leads=True, stands_in=False)
+        await asyncio.sleep(1)
+        pong, bed.second.pong = bed.second.pong, None
+        await asyncio.sleep(0.25)
+        bed.second.pong = pong
+        bed.second.delay = 0.2
+        left = []
+        bed.seen.changes.subscribe(lambda _: left.append(bed.seen.is_alone()))
+        await asyncio.sleep(2)
+        assert not left
+        assert bed.seen.live(_AREA) == ['c2']
+        bed.task.cancel()
+
+    virtual.run(work())
+
+
 def test_no_election_takes_forever() -> None:
     """Nor is there one where no control host answers."""
 
