--- a/libs/control/geraniumweir/control/tests/test_coordinating.py
+++ b/libs/control/geraniumweir/control/tests/test_coordinating.py
@@ -172,7 +172,8 @@
         bed.first.says(leads=False, stands_in=False)
         bed.second.says(leads=True, stands_in=False)
         await asyncio.sleep(1)
-        pong, bed.second.pong = bed.second.pong, None
+        pong = bed.second.pong
+        bed.second.pong = None
         await asyncio.sleep(0.25)
         bed.second.pong = pong
         bed.second.delay = 0.2
