--- a/libs/control/geraniumweir/control/roster.py
+++ b/libs/control/geraniumweir/control/roster.py
@@ -15,12 +15,12 @@
 from geraniumweir.membership import servers
 from geraniumweir.routing import finding, tables
 
-
 _ANY_HOST = ids.HostId('')
 _ANY_DOMAIN = ids.FailureDomain('')
-_HASH_BITS = 32
-# A host that has more than this part of a slot of a server uses one.
+# A host that has more than this part of a slot of a server uses one: all
+# together at most twice as many as there are.
 _LEAST_PART = 0.5
+_HASH_BITS = 32
 _HASH_RANGE = 1 << _HASH_BITS
 
 
--- a/libs/fakes/geraniumweir/fakes/surge/tests/test_surge.py
+++ b/libs/fakes/geraniumweir/fakes/surge/tests/test_surge.py
@@ -3,12 +3,20 @@
 A quarter of a large site's engines and hosts, so that a play takes seconds.
 """
 
+import dataclasses
+
 import pytest
 from geraniumweir.common import ids
 from geraniumweir.fakes.surge import main, playing, shapes
 
 _REVIEW = ids.RuleName('review')
-_BURST = shapes.Burst(1, 5, 1.7)
+_IN_BURST = shapes.Shape(
+    seconds=8,
+    engines=12,
+    entry_hosts=60,
+    load=0.3,
+    bursts=(shapes.Burst(1, 5, 1.7),),
+)
 
 
 def test_usual_load_is_on_time() -> None:
@@ -27,28 +35,14 @@
     78 and 75 in 100 were, while the pool took itself for faster than it was;
     99 and 95 are.
     """
-    shape = shapes.Shape(
-        seconds=8,
-        engines=12,
-        entry_hosts=60,
-        load=0.3,
-        bursts=(_BURST,),
-        seed=seed,
-    )
+    shape = dataclasses.replace(_IN_BURST, seed=seed)
     account = playing.run(shape)[_REVIEW]
     assert account.on_time > 0.9 * account.asked
 
 
 def test_burst_without_a_coordinator_for_a_moment() -> None:
     """Three quarters of the worth are earned all the same."""
-    shape = shapes.Shape(
-        seconds=8,
-        engines=12,
-        entry_hosts=60,
-        load=0.3,
-        bursts=(_BURST,),
-        freeze=shapes.Freeze(3),
-    )
+    shape = dataclasses.replace(_IN_BURST, freeze=shapes.Freeze(3))
     earned = round(100 * shapes.whole_worth(playing.run(shape)))
     assert earned > 75
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -22,8 +22,8 @@
 _MS = 1000
 # A pool with room to spare has a free slot again within this, in seconds.
 _SOON = 0.2
-# One that newcomers fill is worth coming back to when a burst is over; those
-# of the users last 2 to 5 s.
+# One that newcomers fill is worth coming back to when a burst is over, some
+# seconds later.
 _LATER = 3.0
 # The pace changes with what hundreds of requests do; it is worked out again
 # after so many seconds, not for each of them.
--- a/libs/scheduling/geraniumweir/scheduling/spending.py
+++ b/libs/scheduling/geraniumweir/scheduling/spending.py
@@ -1,9 +1,8 @@
 """What an entry host was granted lately, for whoever coordinates next.
 
 A coordinator counts quotas in its own memory. Whoever follows it would have
-to take the time before as used at the full rate: 110 to 260 requests were
-refused within 4 s of each change, customers using about half of their rate.
-Each entry host knows what it was granted itself, and tells it.
+to take the time before as used at the full rate, and refuse customers that use
+half of theirs. Each entry host knows what it was granted itself, and tells it.
 """
 
 import dataclasses
