--- a/libs/common/geraniumweir/common/ids.py
+++ b/libs/common/geraniumweir/common/ids.py
@@ -22,6 +22,8 @@
 BlockHash = typing.NewType('BlockHash', int)
 Version = typing.NewType('Version', int)
 Incarnation = typing.NewType('Incarnation', int)
+# Of what a backend server runs, as its operator names it.
+SoftwareVersion = typing.NewType('SoftwareVersion', str)
 
 _MAX_PORT = 65535
 
--- a/libs/configuration/geraniumweir/configuration/commands.py
+++ b/libs/configuration/geraniumweir/configuration/commands.py
@@ -4,8 +4,6 @@
 itself leaves a missing field at None.
 """
 
-import typing
-
 from geraniumweir.common import ids
 from geraniumweir.wire import errors as wire_errors
 from geraniumweir.wire import framing
@@ -50,6 +48,30 @@
     return build([ttypes.Step(publish=asked)], at_ms)
 
 
+def order_rollout(
+    pool: ids.PoolName,
+    to: ids.SoftwareVersion,
+    duration_ms: int,
+    again_ms: int,
+    at_ms: int,
+) -> bytes:
+    """Build the command that orders a rollout.
+
+    :param again_ms: how long the same order may be sent again.
+    :param at_ms: wall clock, milliseconds since 1970.
+    """
+    asked = ttypes.OrderRollout(pool, to, duration_ms, again_ms)
+    return build([ttypes.Step(rollout=asked)], at_ms)
+
+
+def note_rollout(note: ttypes.NoteRollout, at_ms: int) -> bytes:
+    """Build the command that notes how far a rollout is.
+
+    :param at_ms: wall clock, milliseconds since 1970.
+    """
+    return build([ttypes.Step(note=note)], at_ms)
+
+
 def build(steps: list[ttypes.Step], at_ms: int) -> bytes:
     """Build a command of many steps."""
     return framing.encode(ttypes.Command(at_ms, steps))
@@ -81,13 +103,10 @@
 
 
 def _check(step: ttypes.Step) -> None:
-    filled = [asked for asked in _asked(step) if asked is not None]
+    asked = [getattr(step, name) for name in ttypes.Step.__slots__]
+    filled = [one for one in asked if one is not None]
     if len(filled) != 1:
         raise wire_errors.FrameError('a step asks for one thing')
     for field in filled[0].__slots__:
         if getattr(filled[0], field) is None:
             raise wire_errors.FrameError(f'a step without {field}')
-
-
-def _asked(step: ttypes.Step) -> tuple[typing.Any, ...]:
-    return (step.change, step.claim, step.finish, step.fence, step.publish)
--- a/libs/configuration/geraniumweir/configuration/state.py
+++ b/libs/configuration/geraniumweir/configuration/state.py
@@ -27,6 +27,7 @@
     errors,
     fencing,
     published,
+    rollouts,
 )
 from geraniumweir.wire import errors as wire_errors
 from geraniumweir.wire import framing
@@ -48,9 +49,10 @@
 
 
 class SystemState:
-    """Configuration, claims, fencing numbers and the published document.
+    """Configuration, claims, fencing numbers, published document, rollouts.
 
     :ivar published: the newest document that carries its own version.
+    :ivar rollouts: the newest order of each pool.
     :ivar now_ms: the log's time, milliseconds since 1970.
     :ivar applied: index of the last command applied or restored.
 
@@ -72,6 +74,7 @@
         self._claims = claimtable.ClaimTable(self._bounds.claims)
         self._fences = fencing.Fences()
         self.published = published.Published()
+        self.rollouts = rollouts.Rollouts()
         self._versions: subject.Subject[changes.Accepted] = subject.Subject()
 
     @property
@@ -139,7 +142,13 @@
         self._tell(before)
 
     def _parts(self) -> tuple[typing.Any, ...]:
-        return (self._changes, self._claims, self._fences, self.published)
+        return (
+            self._changes,
+            self._claims,
+            self._fences,
+            self.published,
+            self.rollouts,
+        )
 
     def _step(self, step: ttypes.Step) -> ttypes.StepAnswer:
         """Apply a step; it asks for one thing, which was checked before."""
@@ -155,7 +164,16 @@
                 return ttypes.StepAnswer(finish=ended)
             case ttypes.Step(fence=ttypes.ReserveFence() as fence):
                 return ttypes.StepAnswer(fence=self._fences.reserve(fence))
-        return ttypes.StepAnswer(publish=self.published.apply(step.publish))
+            case ttypes.Step(publish=ttypes.Publish() as publish):
+                taken = self.published.apply(publish)
+                return ttypes.StepAnswer(publish=taken)
+        return self._step_of_rollout(step)
+
+    def _step_of_rollout(self, step: ttypes.Step) -> ttypes.StepAnswer:
+        if step.note is not None:
+            return ttypes.StepAnswer(note=self.rollouts.note(step.note))
+        ordered = self.rollouts.order(step.rollout, self.now_ms)
+        return ttypes.StepAnswer(rollout=ordered)
 
     def _tell(self, before: int) -> None:
         newest = self._changes.newest()
--- a/libs/control/geraniumweir/control/coordination.py
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -6,6 +6,7 @@
 import reactivex
 from geraniumweir.common import ids, timers
 from geraniumweir.control import roster, spent
+from geraniumweir.rollout import guiding
 from geraniumweir.routing import finding
 from geraniumweir.scheduling import (
     broker,
@@ -47,6 +48,7 @@
     :ivar hosts: gives how many entry hosts there are, also those that were
         cut off along with the coordinator before.
     :ivar on_ask: told of each ask that comes.
+    :ivar guide: makes what decides about versions of a pool's servers.
     """
 
     link: channel.Channel
@@ -59,6 +61,7 @@
     hosts: typing.Callable[[], int]
     on_ask: OnAsk | None = None
     tolerance: quotas.Tolerance = quotas.Tolerance()
+    guide: typing.Callable[[ids.PoolName], guiding.Guide] | None = None
 
 
 class Counting:
@@ -189,6 +192,7 @@
             pool,
             parts.share() if parts.shares_slots else 1,
         ),
+        parts.guide(pool) if parts.guide else None,
     )
 
 
--- a/libs/control/geraniumweir/control/documents.py
+++ b/libs/control/geraniumweir/control/documents.py
@@ -4,9 +4,13 @@
 
 from geraniumweir.common import eventlog, ids
 from geraniumweir.configuration import commands, published
-from geraniumweir.consensus import client
-from geraniumweir.consensus import errors as log_errors
-from geraniumweir.control import errors, hosts, logevents, recorders
+from geraniumweir.control import (
+    errors,
+    hosts,
+    logaccess,
+    logevents,
+    recorders,
+)
 from geraniumweir.wire import errors as wire_errors
 from geraniumweir.wire import peers
 from geraniumweir.wire.gen.control import ttypes
@@ -27,12 +31,13 @@
         link: peers.Peers,
         log: recorders.Recorders,
         known: hosts.ControlHosts,
+        access: logaccess.LogAccess,
     ) -> None:
         """Answer the other control hosts' reads from now on."""
         self._link = link
         self._log = log
         self._known = known
-        self._client = client.LogClient(link, [])
+        self._access = access
         link.handle(ttypes.ReadNewest, self._on_read)
 
     async def publish(self, version: ids.Version, document: bytes) -> None:
@@ -41,19 +46,18 @@
         :param document: has been checked.
         :raises errors.NotStoredError: when it isn't sure that it was.
         """
-        self._learn()
         at_ms = int(time.time() * _MS)
         command = commands.publish(version, document, at_ms)
         try:
-            answer = await self._client.propose(command, _PUBLISH_SECONDS)
-        except log_errors.ConsensusError as exc:
+            answers = await self._access.propose(command, _PUBLISH_SECONDS)
+        except errors.NotStoredError as exc:
             eventlog.emit(
                 logevents.DOCUMENT_NOT_STORED,
                 version=version,
                 reason=exc.message,
             )
-            raise errors.NotStoredError(exc.message) from exc
-        taken = commands.answers(answer)[0].publish.taken
+            raise
+        taken = answers[0].publish.taken
         eventlog.emit(
             logevents.DOCUMENT_PUBLISHED,
             version=version,
@@ -66,27 +70,15 @@
         :returns: None before the first.
         :raises errors.UnsureError: when no majority could be asked.
         """
-        self._learn()
         try:
-            index = await self._client.read_barrier(_READ_SECONDS)
-        except log_errors.ConsensusError as exc:
-            raise _unsure(exc.message) from exc
-        if self._has_applied(index):
+            index = await self._access.barrier(_READ_SECONDS)
+        except errors.UnsureError as exc:
+            eventlog.emit(logevents.READ_UNSURE, reason=exc.message)
+            raise
+        if self._access.has_applied(index):
             return recorders.newest_of(self._log)
         return await self._ask_others(index)
 
-    def _learn(self) -> None:
-        self._client.know(host.host_id for host in self._known.known())
-        leader = self._log.leader()
-        if leader:
-            self._client.prefer(leader)
-
-    def _has_applied(self, index: int) -> bool:
-        running = self._log.running
-        return running is not None and (
-            running.recorder.core.applied.height >= index
-        )
-
     async def _ask_others(
         self,
         index: int,
@@ -110,14 +102,16 @@
                 continue
             if found.known:
                 return _unpacked(found)
-        raise _unsure('no recorder has applied the newest entry')
+        reason = 'no recorder has applied the newest entry'
+        eventlog.emit(logevents.READ_UNSURE, reason=reason)
+        raise errors.UnsureError(reason)
 
     async def _on_read(
         self,
         _sender: ids.HostId,
         ask: ttypes.ReadNewest,
     ) -> ttypes.Newest:
-        if not self._has_applied(ask.index):
+        if not self._access.has_applied(ask.index):
             return ttypes.Newest(known=False, version=0, document=b'')
         newest = recorders.newest_of(self._log)
         if newest is None:
@@ -132,8 +126,3 @@
         ids.Version(found.version),
         found.document,
     )
-
-
-def _unsure(reason: str) -> errors.UnsureError:
-    eventlog.emit(logevents.READ_UNSURE, reason=reason)
-    return errors.UnsureError(reason)
--- a/libs/control/geraniumweir/control/enrolments.py
+++ b/libs/control/geraniumweir/control/enrolments.py
@@ -49,6 +49,8 @@
     :ivar sequence: grows with each report of the start.
     :ivar silent: no report came for longer than a lease.
     :ivar born: when it was started, in Unix milliseconds.
+    :ivar version: of its software, empty where it doesn't say.
+    :ivar cold: it is still slow after its start.
     """
 
     server_id: ids.ServerId
@@ -61,6 +63,8 @@
     silent: bool = False
     models: tuple[str, ...] = ()
     born: int = BORN_UNSAID
+    version: ids.SoftwareVersion = ids.SoftwareVersion('')
+    cold: bool = False
 
     def to_wire(self) -> ttypes.Enrolment:
         """Make the struct."""
@@ -75,6 +79,8 @@
             silent=self.silent,
             models=list(self.models),
             born=self.born,
+            version=self.version,
+            cold=self.cold,
         )
 
 
@@ -94,6 +100,8 @@
         silent=found.silent,
         models=tuple(found.models or ()),
         born=found.born or BORN_UNSAID,
+        version=ids.SoftwareVersion(found.version or ''),
+        cold=bool(found.cold),
     )
 
 
--- a/libs/control/geraniumweir/control/errors.py
+++ b/libs/control/geraniumweir/control/errors.py
@@ -10,12 +10,24 @@
 
 
 class UnsureError(ControlError):
-    """This host can't be sure which document is the newest."""
+    """This host can't be sure which document or order is the newest."""
 
     code = 'GW-7301'
 
 
 class NotStoredError(ControlError):
-    """A document wasn't stored, or it isn't known whether it was."""
+    """Something wasn't stored, or it isn't known whether it was."""
 
     code = 'GW-7302'
+
+
+class RolloutRunsError(ControlError):
+    """Another rollout of the pool is under way."""
+
+    code = 'GW-7303'
+
+
+class NothingToMoveError(ControlError):
+    """A pool to roll out to isn't known, or has moved already."""
+
+    code = 'GW-7304'
--- a/libs/control/geraniumweir/control/feed.py
+++ b/libs/control/geraniumweir/control/feed.py
@@ -7,16 +7,19 @@
 
 import asyncio
 import contextlib
+import typing
 import uuid
 
 from geraniumweir.common import ids, timers
 from geraniumweir.configuration import published
+from geraniumweir.configuration import rollouts as stored
 from geraniumweir.control import (
     enrolments,
     hosts,
     recorders,
     standing,
 )
+from geraniumweir.rollout import orders
 from geraniumweir.wire import peers
 from geraniumweir.wire.gen.control import ttypes
 
@@ -40,13 +43,18 @@
         table: enrolments.Enrolments,
         known: hosts.ControlHosts,
         entry_hosts: standing.EntryHosts,
+        rollouts: typing.Callable[[], list[orders.Rollout]] = list,
     ) -> None:
-        """Answer from now on."""
+        """Answer from now on.
+
+        :param rollouts: gives the newest order of each pool.
+        """
         self._epoch = uuid.uuid4().hex
         self._log = log
         self._table = table
         self._known = known
         self._entry_hosts = entry_hosts
+        self._rollouts = rollouts
         self._clock = timers.TimerService()
         self._news = asyncio.Event()
         self._newest: published.PublishedDocument | None = None
@@ -85,7 +93,13 @@
     def _has_news(self, watch: ttypes.Watch) -> bool:
         if watch.epoch != self._epoch or watch.revision < self._table.revision:
             return True
-        return self._is_newer(watch)
+        return self._is_newer(watch) or self._has_rollouts(watch)
+
+    def _has_rollouts(self, watch: ttypes.Watch) -> bool:
+        told = watch.rollouts_progress or 0
+        if stored.progress(self._rollouts()) <= told:
+            return False
+        return self._log.is_current()
 
     def _is_newer(self, watch: ttypes.Watch) -> bool:
         # What this host knows counts only while it has all that is committed:
@@ -113,4 +127,18 @@
         if self._newest is not None and self._is_newer(watch):
             news.version = self._newest.version
             news.document = self._newest.packed
+        if self._has_rollouts(watch):
+            known = self._rollouts()
+            news.rollouts = [_to_wire(one) for one in known]
+            news.rollouts_progress = stored.progress(known)
         return news
+
+
+def _to_wire(found: orders.Rollout) -> ttypes.Rollout:
+    return ttypes.Rollout(
+        found.pool,
+        found.number,
+        found.to,
+        int(found.phase),
+        int(found.state),
+    )
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -14,17 +14,21 @@
     coordination,
     documents,
     enrolments,
+    errors,
     feed,
     growing,
     hosts,
+    logaccess,
     logevents,
     presence,
     recorders,
     remembered,
+    rollouts,
     roster,
     standing,
     watching,
 )
+from geraniumweir.rollout import budget, orders
 from geraniumweir.routing import finding
 from geraniumweir.scheduling import channel, quotas, requests
 from geraniumweir.wire import tcp
@@ -32,6 +36,9 @@
 
 # Reports that a server may miss before it counts as silent.
 _MISSED_REPORTS = 3
+# Operators send an order again for so long where its answer was lost, if
+# nothing else is said, in seconds.
+_AGAIN_SECONDS = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +51,8 @@
     :ivar quota_seconds: length of the window over which quotas hold.
     :ivar tolerance: for what customers used before and isn't known.
     :ivar report_seconds: the usual pause between a server's reports.
+    :ivar exposure: what a bad version of servers may get.
+    :ivar again_seconds: how long operators may send an order again.
     """
 
     me: hosts.ControlHost
@@ -54,6 +63,8 @@
     report_seconds: float
     quota_seconds: float
     tolerance: quotas.Tolerance
+    exposure: budget.Bounds = budget.Bounds()
+    again_seconds: float = _AGAIN_SECONDS
 
 
 class ControlHost:
@@ -61,6 +72,7 @@
 
     :ivar servers: the enrolled backend servers.
     :ivar documents: publishes and reads the document.
+    :ivar rollouts: orders to move pools to new versions of their servers.
     :ivar hosts: the control hosts known.
     """
 
@@ -93,11 +105,21 @@
             self._clock,
             cfg.quota_seconds,
         )
+        access = logaccess.LogAccess(self._link, self.log, self.hosts)
         self.documents = documents.Documents(
             self._link,
             self.log,
             self.hosts,
+            access,
         )
+        self.rollouts = rollouts.Rollouts(
+            access,
+            self.log,
+            self._clock,
+            cfg.exposure,
+            cfg.again_seconds,
+        )
+        self.rollouts.on_completed = self._retire
         self._presence = presence.Presence(
             self._link,
             cfg.me,
@@ -112,9 +134,11 @@
             self.servers,
             self.hosts,
             self.standing.entry_hosts,
+            self.rollouts.known,
         )
         self._presence.on_change = self._servers_changed
         self.log.documents.subscribe(self._put)
+        self.log.rollouts.subscribe(lambda _: self._servers_changed())
         self._service = coordination.serve(
             coordination.Parts(
                 link=self._link,
@@ -127,6 +151,7 @@
                 tolerance=cfg.tolerance,
                 hosts=self._number_of_entry_hosts,
                 on_ask=self._note_usage,
+                guide=self.rollouts.guide,
             ),
             self._clock,
         )
@@ -148,6 +173,7 @@
             self.log.run(),
             self._presence.run(),
             remembered_now.run(),
+            self.rollouts.run(self._service.leader),
         ):
             task = asyncio.create_task(work)
             stack.push_async_callback(_end, task)
@@ -175,6 +201,48 @@
             self._presence.tell([gone])
             self._servers_changed()
 
+    async def roll_out(
+        self,
+        pool: ids.PoolName,
+        to: ids.SoftwareVersion,
+        seconds: float,
+    ) -> None:
+        """Order that a pool's traffic moves to a version of its servers.
+
+        :param seconds: in which all of it should have moved.
+        :raises errors.UnsureError: when this host may not know the pool yet.
+        :raises errors.NothingToMoveError: when there is nothing to do.
+        :raises errors.NotStoredError: when it isn't sure that it was stored.
+        :raises errors.RolloutRunsError: when another one is under way.
+        """
+        before = self.rollouts.of_pool(pool)
+        if before is None or before.to != to:
+            self._check_rollout(pool, to)
+        await self.rollouts.order(pool, to, seconds)
+
+    def _check_rollout(
+        self,
+        pool: ids.PoolName,
+        to: ids.SoftwareVersion,
+    ) -> None:
+        if not self.log.is_current():
+            raise errors.UnsureError('this host is behind the log')
+        if self.index is None or self.index.pool(pool) is None:
+            raise errors.NothingToMoveError(f'there is no pool {pool}')
+        versions = {
+            one.version
+            for one in self.servers.known()
+            if one.pool == pool and one.state is enrolments.State.ready
+        }
+        if versions == {to}:
+            raise errors.NothingToMoveError(f'{to} serves all of {pool}')
+
+    def _retire(self, rollout: orders.Rollout) -> None:
+        """Take that the servers of old versions stop now, without a word."""
+        for one in self.servers.known():
+            if one.pool == rollout.pool and one.version != rollout.to:
+                self.leave(one.server_id, one.born)
+
     def _remember(self) -> remembered.Remembered:
         """Take the servers of before the start."""
         kept = remembered.Remembered(
--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -96,6 +96,20 @@
 RECORDER_CAUGHT_UP: typing.Final = _Event(
     773, _Level.notice, 'this control host has caught up'
 )
+ROLLOUT_ORDERED: typing.Final = _Event(
+    777, _Level.notice, 'rollout of {pool} to {to} ordered: {result}'
+)
+ROLLOUT_STEP: typing.Final = _Event(
+    778,
+    _Level.notice,
+    'rollout of {pool} to {to}: {step} at {exposure} of {requests} requests',
+)
+ROLLOUT_NOT_NOTED: typing.Final = _Event(
+    779, _Level.warning, 'rollout of {pool} could not be noted: {reason}'
+)
+ROLLOUT_ENDED: typing.Final = _Event(
+    780, _Level.notice, 'rollout of {pool} to {to} {state}: {reason}'
+)
 WATCH_UNSURE: typing.Final = _Event(
     774,
     _Level.notice,
--- a/libs/control/geraniumweir/control/recorders.py
+++ b/libs/control/geraniumweir/control/recorders.py
@@ -11,13 +11,14 @@
 import reactivex
 from geraniumweir.common import errors as common_errors
 from geraniumweir.common import eventlog, ids, timers
-from geraniumweir.configuration import published, recordings
+from geraniumweir.configuration import published, recordings, state
 from geraniumweir.consensus import errors, serving
 from geraniumweir.control import growing, hosts, logevents
+from geraniumweir.rollout import orders
 from geraniumweir.wire import errors as wire_errors
 from geraniumweir.wire import peers
 from geraniumweir.wire.gen.control import ttypes
-from reactivex import subject
+from reactivex import abc, disposable, subject
 
 # Looks at the recorder this often, in seconds: half of the shortest election
 # timeout, so that a change is seen before anyone could act on the old state.
@@ -66,6 +67,7 @@
         self._documents: subject.Subject[published.PublishedDocument] = (
             subject.Subject()
         )
+        self._rollouts: subject.Subject[orders.Rollout] = subject.Subject()
         link.handle(ttypes.JoinLog, self._on_join)
 
     @property
@@ -73,6 +75,11 @@
         """Tell of each newer document."""
         return self._documents
 
+    @property
+    def rollouts(self) -> reactivex.Observable[orders.Rollout]:
+        """Tell of each order to roll out, and how far it is."""
+        return self._rollouts
+
     def leader(self) -> ids.HostId:
         """Give the host that leads the log and is heard, or empty."""
         if self.running is not None and self.running.recorder.leader():
@@ -121,12 +128,7 @@
     async def _run_once(self) -> None:
         async with recordings.opened(self._place, self._link) as running:
             self.running = running
-            news = running.state.published.changes.subscribe(
-                self._documents.on_next,
-            )
-            newest = running.state.published.newest()
-            if newest is not None:
-                self._documents.on_next(newest)
+            news = self._follow(running.state)
             eventlog.emit(
                 logevents.RECORDER_OPENED,
                 identity=running.recorder.identity,
@@ -141,6 +143,19 @@
                 reason=running.recorder.failure,
             )
 
+    def _follow(self, found: state.SystemState) -> abc.DisposableBase:
+        """Tell of what is stored, and of what is from now on."""
+        news = disposable.CompositeDisposable(
+            found.published.changes.subscribe(self._documents.on_next),
+            found.rollouts.changes.subscribe(self._rollouts.on_next),
+        )
+        newest = found.published.newest()
+        if newest is not None:
+            self._documents.on_next(newest)
+        for rollout in found.rollouts.known():
+            self._rollouts.on_next(rollout)
+        return news
+
     async def _watch(self, running: recordings.Recording) -> None:
         while not running.recorder.failure:
             await asyncio.sleep(_LOOK_SECONDS)
--- /dev/null
+++ b/libs/control/geraniumweir/control/rollouts.py
@@ -0,0 +1,248 @@
+"""Orders to move pools to new versions of their servers, over the log.
+
+Any control host takes an order and tells how far it is. The one that leads
+the log, and so coordinates the pools, moves the traffic, and notes in the log
+what a successor must know.
+"""
+
+import asyncio
+import time
+import typing
+
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.configuration import commands
+from geraniumweir.configuration import rollouts as stored
+from geraniumweir.control import errors, logaccess, logevents, recorders
+from geraniumweir.rollout import budget, guiding, orders
+from geraniumweir.wire.gen.configuration import ttypes
+
+_MS = 1000
+# Operators turn to another host after a second without an answer.
+_ORDER_SECONDS = 0.9
+_READ_SECONDS = 0.8
+# A read waits for this host to apply what it must contain, looking again
+# after so many seconds.
+_LOOK_SECONDS = 0.02
+# A rollout is looked at this often, in seconds.
+_STEP_SECONDS = 0.1
+# Wall clocks of hosts differ by less; an order seen for the first time that is
+# older was given before this host started, in seconds.
+_CLOCK_SECONDS = 1.0
+
+
+class PoolAtWork(typing.Protocol):
+    """A pool's leader, as far as a rollout needs it."""
+
+    def rollout_load(self) -> guiding.Load:
+        """Tell how the pool does."""
+
+
+LeaderOf = typing.Callable[[ids.PoolName], PoolAtWork | None]
+OnCompleted = typing.Callable[[orders.Rollout], None]
+
+
+class Rollouts:
+    """The rollouts as one control host knows and, if it leads, moves them."""
+
+    def __init__(
+        self,
+        access: logaccess.LogAccess,
+        log: recorders.Recorders,
+        clock: timers.TimerService,
+        bounds: budget.Bounds,
+        again_seconds: float,
+    ) -> None:
+        """Follow the log.
+
+        :param bounds: what a bad version may get.
+        :param again_seconds: how long operators may send an order again.
+        """
+        self.on_completed: OnCompleted = _nothing
+        self._access = access
+        self._log = log
+        self._clock = clock
+        self._bounds = bounds
+        self._again_ms = int(again_seconds * _MS)
+        self._known: dict[ids.PoolName, guiding.Sighted] = {}
+        self._guides: dict[ids.PoolName, guiding.Guide] = {}
+        log.rollouts.subscribe(self._put)
+
+    def known(self) -> list[orders.Rollout]:
+        """List the newest order of each pool that was applied here."""
+        return [one.rollout for one in self._known.values()]
+
+    def of_pool(self, pool: ids.PoolName) -> orders.Rollout | None:
+        """Give a pool's newest order that was applied here."""
+        found = self._known.get(pool)
+        return None if found is None else found.rollout
+
+    async def order(
+        self,
+        pool: ids.PoolName,
+        to: ids.SoftwareVersion,
+        seconds: float,
+    ) -> None:
+        """Store an order; done once a majority of recorders synced it.
+
+        :param seconds: in which all traffic should have moved.
+        :raises errors.NotStoredError: when it isn't sure that it was.
+        :raises errors.RolloutRunsError: when another one is under way.
+        """
+        now_ms = int(time.time() * _MS)
+        command = commands.order_rollout(
+            pool, to, int(seconds * _MS), self._again_ms, now_ms
+        )
+        answers = await self._access.propose(command, _ORDER_SECONDS)
+        result = stored.Result(answers[0].rollout.result)
+        eventlog.emit(
+            logevents.ROLLOUT_ORDERED,
+            pool=pool,
+            to=to,
+            seconds=seconds,
+            result=result.name,
+        )
+        if result is stored.Result.another_runs:
+            raise errors.RolloutRunsError(
+                f'pool {pool} is being moved to another version',
+            )
+
+    async def find(self, pool: ids.PoolName) -> orders.Rollout | None:
+        """Read a pool's newest order, all that was stored before included.
+
+        :raises errors.UnsureError: when this host can't be sure.
+        """
+        until = self._clock.now() + _READ_SECONDS
+        index = await self._access.barrier(_READ_SECONDS)
+        while not self._access.has_applied(index):
+            if self._clock.now() > until:
+                raise errors.UnsureError(f'entry {index} is not here yet')
+            await asyncio.sleep(_LOOK_SECONDS)
+        return self.of_pool(pool)
+
+    def guide(self, pool: ids.PoolName) -> guiding.Guide:
+        """Make the guide of a pool that is led here from now on."""
+        made = guiding.Guide(
+            lambda: self._known.get(pool),
+            self._clock.now,
+            self._bounds,
+            spends=self._log.is_leading,
+        )
+        self._guides[pool] = made
+        return made
+
+    async def run(self, leader_of: LeaderOf) -> None:
+        """Move traffic while this host leads the log, until cancelled."""
+        while True:
+            await asyncio.sleep(_STEP_SECONDS)
+            if self._log.is_leading():
+                running = [
+                    one
+                    for one in self.known()
+                    if one.state is orders.State.running
+                ]
+                await asyncio.gather(
+                    *(self._step(one, leader_of) for one in running),
+                )
+
+    async def _step(
+        self,
+        rollout: orders.Rollout,
+        leader_of: LeaderOf,
+    ) -> None:
+        leader = leader_of(rollout.pool)
+        guide = self._guides.get(rollout.pool)
+        if leader is None or guide is None:
+            return
+        load = leader.rollout_load()
+        guide.refresh()
+        step = guide.next_step(load)
+        if step is None:
+            return
+        eventlog.emit(
+            logevents.ROLLOUT_STEP,
+            pool=rollout.pool,
+            to=rollout.to,
+            step=_named(step),
+            old_running=load.old_running,
+            **guide.outline(),
+        )
+        note = _note(rollout, step)
+        now_ms = int(time.time() * _MS)
+        try:
+            await self._access.propose(
+                commands.note_rollout(note, now_ms),
+                _ORDER_SECONDS,
+            )
+        except errors.NotStoredError as exc:
+            eventlog.emit(
+                logevents.ROLLOUT_NOT_NOTED,
+                pool=rollout.pool,
+                reason=exc.message,
+            )
+
+    def _put(self, rollout: orders.Rollout) -> None:
+        before = self._known.get(rollout.pool)
+        if before is not None and _order(before.rollout) > _order(rollout):
+            # A recorder that was opened again replays what is older.
+            return
+        if before is not None and before.rollout.number == rollout.number:
+            started = before.started
+        else:
+            started = self._clock.now() - _age(rollout)
+        self._known[rollout.pool] = guiding.Sighted(rollout, started)
+        if rollout.state is orders.State.running:
+            return
+        if before is None or before.rollout.state is not rollout.state:
+            eventlog.emit(
+                logevents.ROLLOUT_ENDED,
+                pool=rollout.pool,
+                to=rollout.to,
+                state=rollout.state.name,
+                reason=rollout.reason,
+            )
+        ended_now = before is not None and self._log.is_leading()
+        if ended_now and rollout.state is orders.State.completed:
+            self.on_completed(rollout)
+
+
+def _order(rollout: orders.Rollout) -> tuple[int, int, int, int]:
+    """Give what grows with each change of a pool's rollouts."""
+    return rollout.number, rollout.state, rollout.phase, rollout.exposure
+
+
+def _age(rollout: orders.Rollout) -> float:
+    """Give the seconds since an order, as far as wall clocks tell."""
+    age = time.time() - rollout.ordered_ms / _MS
+    return min(age, rollout.seconds) if age > _CLOCK_SECONDS else 0
+
+
+def _note(
+    rollout: orders.Rollout,
+    step: guiding.Advance | guiding.End,
+) -> ttypes.NoteRollout:
+    match step:
+        case guiding.End(state, reason):
+            return ttypes.NoteRollout(
+                rollout.number, rollout.phase, state, 0, 0, reason
+            )
+        case guiding.Advance(phase, exposure, requests):
+            return ttypes.NoteRollout(
+                rollout.number,
+                phase,
+                orders.State.running,
+                exposure,
+                requests,
+                '',
+            )
+
+
+def _named(step: guiding.Advance | guiding.End) -> str:
+    match step:
+        case guiding.End(state):
+            return state.name
+        case guiding.Advance(phase):
+            return phase.name
+
+
+def _nothing(_rollout: orders.Rollout) -> None:
+    """Do nothing where nobody waits for rollouts to complete."""
--- a/libs/control/geraniumweir/control/roster.py
+++ b/libs/control/geraniumweir/control/roster.py
@@ -156,6 +156,8 @@
             models=found.models,
             slots=slots,
             kv_tokens=engine.kv_tokens if engine else 0,
+            version=found.version,
+            cold=found.cold,
         )
         if made is not None and made[2] == announcement:
             announcement = made[2]
--- a/libs/control/geraniumweir/control/tests/bed.py
+++ b/libs/control/geraniumweir/control/tests/bed.py
@@ -15,11 +15,13 @@
     enrolments,
     feed,
     hosts,
+    logaccess,
     presence,
     recorders,
     standing,
     watching,
 )
+from geraniumweir.rollout import orders
 from geraniumweir.routing import tables
 from geraniumweir.store import folder, guard, memory_disk
 from geraniumweir.wire import memory
@@ -60,17 +62,32 @@
             known.learn(card(other), 0)
         first = {ids.HostId(name): address(name) for name in DOMAINS}
         place = recordings.Place(self.host_id, pathlib.Path(domain), first)
+        self.known = known
         self.log = recorders.Recorders(
             self.link, place, known, me, len(DOMAINS)
         )
-        self.documents = documents.Documents(self.link, self.log, known)
+        access = logaccess.LogAccess(self.link, self.log, known)
+        self.documents = documents.Documents(self.link, self.log, known, access)
         table = enrolments.Enrolments(self.host_id, 1)
         entry_hosts = standing.EntryHosts(_QUOTA_SECONDS)
-        feed.Feed(self.link, self.log, table, known, entry_hosts)
+        self.rollouts: dict[ids.PoolName, orders.Rollout] = {}
+        self.log.rollouts.subscribe(self._put)
+        self.feed = feed.Feed(
+            self.link,
+            self.log,
+            table,
+            known,
+            entry_hosts,
+            lambda: list(self.rollouts.values()),
+        )
         self.presence = presence.Presence(
             self.link, me, known, table, self.log, entry_hosts
         )
 
+    def _put(self, found: orders.Rollout) -> None:
+        self.rollouts[found.pool] = found
+        self.feed.notify()
+
     def leads(self) -> bool:
         """Tell whether it leads the log."""
         return self.log.is_leading()
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -16,6 +16,7 @@
 from geraniumweir.common import errors as common_errors
 from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.control import enrolments, hosts, logevents
+from geraniumweir.rollout import guiding, orders
 from geraniumweir.routing import finding, tables
 from geraniumweir.wire import errors, peers
 from geraniumweir.wire.gen.control import ttypes
@@ -85,6 +86,8 @@
         self._epoch = ''
         self._revision = 0
         self._unlisted: dict[ids.ServerId, float] = {}
+        self._rollouts: dict[ids.PoolName, guiding.Sighted] = {}
+        self._rollouts_progress = 0
         self._changes: subject.Subject[None] = subject.Subject()
 
     @property
@@ -97,6 +100,10 @@
         """The version in force, -1 before the first."""
         return ids.Version(-1) if self.index is None else self.index.version
 
+    def rollout(self, pool: ids.PoolName) -> guiding.Sighted | None:
+        """Give a pool's newest order to roll out."""
+        return self._rollouts.get(pool)
+
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
@@ -114,6 +121,7 @@
         changed = self._drop_unlisted(now) or changed
         if news.document is not None and news.version > self.version:
             changed = self._put(news.version, news.document) or changed
+        changed = self._take_rollouts(news) or changed
         if news.sure and news.version <= self.version:
             self.sure_at = now
         if changed:
@@ -129,6 +137,7 @@
             self._epoch,
             self._revision,
             int(_WAIT_SECONDS * _MS),
+            self._rollouts_progress,
         )
         timeout = _WAIT_SECONDS + _ANSWER_SECONDS
         try:
@@ -218,6 +227,16 @@
             )
         self._avoided.unsure[sender] = now
 
+    def _take_rollouts(self, news: ttypes.News) -> bool:
+        if (news.rollouts_progress or 0) <= self._rollouts_progress:
+            return False
+        self._rollouts_progress = news.rollouts_progress
+        now = self._clock.now()
+        for one in news.rollouts:
+            rollout = _rollout(one)
+            self._rollouts[rollout.pool] = guiding.Sighted(rollout, now)
+        return True
+
     def _take_servers(
         self,
         sender: ids.HostId,
@@ -266,3 +285,15 @@
             before=before,
         )
         return True
+
+
+def _rollout(told: ttypes.Rollout) -> orders.Rollout:
+    """Read what a host needs that doesn't move the traffic itself."""
+    return orders.Rollout(
+        ids.PoolName(told.pool),
+        told.number,
+        ids.SoftwareVersion(told.to),
+        0,
+        orders.State(told.state),
+        orders.Phase(told.phase),
+    )
--- a/libs/ctl/geraniumweir/ctl/arguments.py
+++ b/libs/ctl/geraniumweir/ctl/arguments.py
@@ -17,6 +17,7 @@
     output,
     pooltimeline,
     reportcommand,
+    rolloutcommand,
     systemcommands,
 )
 
@@ -193,7 +194,9 @@
     refused = _command(commands, 'why-refused', logcommands.why_refused)
     late = _command(commands, 'why-late', losses.why_late)
     pools = _command(commands, 'pool-timeline', pooltimeline.pool_timeline)
-    for command in (explain, refused, late, pools):
+    moves = _command(commands, 'rollouts', rolloutcommand.rollouts)
+    moves.add_argument('--pool', default='', help='only of this pool')
+    for command in (explain, refused, late, pools, moves):
         command.add_argument(
             'file',
             nargs='*',
--- a/libs/ctl/geraniumweir/ctl/tests/test_logcommands.py
+++ b/libs/ctl/geraniumweir/ctl/tests/test_logcommands.py
@@ -156,3 +156,26 @@
         (3, 9),
     ]
     assert rows[2]['refused'] == 'over_quota=1 shed=1'
+
+
+def test_rollout_is_told_step_by_step(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """With the share of the new version and what decided."""
+    told = {'pool': 'lm', 'to': 'v2'}
+    log = tmp_path / 'control'
+    log.write_text(
+        _line(3, 'c1', 777, **told, result='taken')
+        + _line(5, 'c1', 778, **told, step='canary', exposure=9, requests=90)
+        + _line(4, 'c1', 778, pool='other', to='v9', step='moved')
+        + _line(6, 'c1', 780, **told, state='rolled_back', reason='bad'),
+    )
+    argv = ('--output', 'json', 'rollouts', '--pool', 'lm', str(log))
+    assert _run(*argv) == 0
+    rows = json.loads(capsys.readouterr().out)['steps']
+    assert [(row['step'], row['exposure'], row['reason']) for row in rows] == [
+        ('ordered: taken', '', ''),
+        ('canary', '9 of 90', ''),
+        ('is rolled_back', '', 'bad'),
+    ]
--- /dev/null
+++ b/libs/fakes/geraniumweir/fakes/rollouts/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that play rollouts."""
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -218,6 +218,7 @@
         started = talk.now()
         attempt = self._attempt(grant, started)
         self._story.servers.append(grant.server_id)
+        self._story.software.append(grant.version)
         self._course.sent = True
         ended = requests.Outcome.cancelled
         try:
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -24,6 +24,7 @@
     serving,
 )
 from geraniumweir.observe import metrics
+from geraniumweir.rollout import guiding
 from geraniumweir.routing import finding
 from geraniumweir.scheduling import channel, quotas, spending
 from geraniumweir.wire import tcp
@@ -113,6 +114,7 @@
                 quota_seconds=cfg.quota_seconds,
                 tolerance=cfg.tolerance,
                 hosts=lambda: 1,
+                guide=self._guide,
             ),
             self._clock,
         )
@@ -190,6 +192,13 @@
     def _spent(self) -> spending.Spent:
         return self._scheduler.spent()
 
+    def _guide(self, pool: ids.PoolName) -> guiding.Guide:
+        """Follow a pool's rollout; only its coordinator tries new servers."""
+        return guiding.Guide(
+            lambda: self.watcher.rollout(pool),
+            self._clock.now,
+        )
+
     def _index(self) -> finding.Index | None:
         return self.watcher.index
 
--- a/libs/gateway/geraniumweir/gateway/story.py
+++ b/libs/gateway/geraniumweir/gateway/story.py
@@ -21,6 +21,7 @@
     :ivar first: seconds from arrival to the first byte of an answer.
     :ivar longest_pause: between two events, in seconds.
     :ivar servers: that it was sent to, in order.
+    :ivar software: versions of these servers.
     """
 
     request: str
@@ -39,6 +40,7 @@
     first: float | None = None
     longest_pause: float = 0
     servers: list[str] = dataclasses.field(default_factory=list)
+    software: list[str] = dataclasses.field(default_factory=list)
 
     def tell(
         self,
@@ -71,6 +73,7 @@
             longest_pause_ms=_ms(self.longest_pause),
             ms=_ms(now - self.arrived),
             servers=self.servers,
+            software=self.software,
         )
 
 
--- a/libs/membership/geraniumweir/membership/servers.py
+++ b/libs/membership/geraniumweir/membership/servers.py
@@ -46,6 +46,8 @@
     :ivar kv_tokens: tokens its KV cache holds.
     :ivar max_context: longest prompt and output together, in tokens.
     :ivar fences: whether it refuses orders with an old fencing number.
+    :ivar version: of its software, empty where it doesn't say.
+    :ivar cold: it is still slow after its start.
     """
 
     server_id: ids.ServerId
@@ -64,6 +66,8 @@
     can_cancel: bool = False
     can_resume: bool = False
     state: ServerState = ServerState.ready
+    version: ids.SoftwareVersion = ids.SoftwareVersion('')
+    cold: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/libs/rollout/geraniumweir/rollout/budget.py
@@ -0,0 +1,118 @@
+"""What a new version may get before it is trusted, and what it got.
+
+A bad version may get a part of all requests from its order to its time limit.
+Canaries spend half of that, in proportion to what the pool was asked for so
+far, so that the other half is left for the moments in which its traffic grows.
+"""
+
+import collections
+import dataclasses
+
+from geraniumweir.rollout import orders
+
+# Of what a bad version may get, canaries take this part.
+_CANARY_PART = 0.5
+# While the traffic grows, the new version gets this part of it.
+_RAMP_SHARE = 0.3
+# The budget is let through when it fills the slots of a server so many times.
+_PULSE_FILLS = 1.5
+# This part of it goes to all routes evenly: a rare one must show what it does.
+_EVEN_PART = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a bad version may get from its order to its time limit.
+
+    :ivar share: part of all requests that reach the pool.
+    :ivar slack: requests besides.
+    """
+
+    share: float = 0.1
+    slack: float = 50
+
+    def allowed(self, requests: float) -> float:
+        """Give the requests that it may have got of so many."""
+        return self.share * requests + self.slack
+
+
+@dataclasses.dataclass(slots=True)
+class Budget:
+    """Counts of one order.
+
+    :ivar spent: requests that the new version may have got.
+    :ivar requests: that the pool got.
+    :ivar pulses: how often canaries were let through.
+
+    >>> some = Budget(Bounds(), 0, 0)
+    >>> some.canaries()
+    25.0
+    >>> some.granted('r', orders.Phase.canary, new=False)
+    >>> some.may_try('r', orders.Phase.canary, 40, 6)
+    True
+    """
+
+    bounds: Bounds
+    spent: int
+    requests: int
+    pulses: int = 0
+    _in_pulse: bool = False
+    _by_rule: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    _new_by_rule: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    _ramp_requests: int = 0
+    _ramp_spent: int = 0
+
+    def canaries(self) -> float:
+        """Give the requests that canaries may have got by now."""
+        return self.bounds.allowed(self.requests) * _CANARY_PART
+
+    def granted(self, rule: str, phase: orders.Phase, *, new: bool) -> None:
+        """Count a request that a server of the pool gets."""
+        ramps = phase is orders.Phase.ramp
+        self.requests += 1
+        self._by_rule[rule] += 1
+        self._ramp_requests += ramps
+        if new:
+            self.spent += 1
+            self._new_by_rule[rule] += 1
+            self._ramp_spent += ramps
+
+    def may_try(
+        self,
+        rule: str,
+        phase: orders.Phase,
+        reserved: int,
+        slots: int,
+    ) -> bool:
+        """Tell whether the new version may get a request of a route.
+
+        :param reserved: requests that the log says it may have got.
+        :param slots: of one of its servers.
+        """
+        if phase is orders.Phase.ramp:
+            return self._ramp_spent <= self._ramp_requests * _RAMP_SHARE
+        allowed = self.canaries()
+        self._note_pulse(min(allowed, reserved) - self.spent, slots)
+        return self._in_pulse and self._new_by_rule[rule] <= (
+            allowed * self._part(rule)
+        )
+
+    def _part(self, rule: str) -> float:
+        asked = self._by_rule[rule] / max(self._by_rule.total(), 1)
+        even = 1 / max(len(self._by_rule), 1)
+        return asked * (1 - _EVEN_PART) + even * _EVEN_PART
+
+    def _note_pulse(self, left: float, slots: int) -> None:
+        """Let canaries through together: one server must bear many at once.
+
+        :param left: requests of the budget.
+        """
+        if left < 1:
+            self._in_pulse = False
+        elif not self._in_pulse and left >= slots * _PULSE_FILLS:
+            self._in_pulse = True
+            self.pulses += 1
--- /dev/null
+++ b/libs/rollout/geraniumweir/rollout/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions about rollouts."""
--- /dev/null
+++ b/libs/rollout/geraniumweir/rollout/tests/test_guiding.py
@@ -0,0 +1,137 @@
+"""What a guide lets a new version have, and what it concludes."""
+
+import dataclasses
+
+from geraniumweir.common import ids
+from geraniumweir.rollout import budget, guiding, orders
+from hypothesis import given
+from hypothesis import strategies as st
+
+_OLD = ids.SoftwareVersion('v1')
+_NEW = ids.SoftwareVersion('v2')
+_SECONDS = 12
+_LOAD = guiding.Load(old_running=5, running=5, new_slots=20, held=0.5)
+
+
+class _Scene:
+    """A guide, its clock and the log that it is told of."""
+
+    def __init__(self, *, leads: bool = True) -> None:
+        self.now: float = 0
+        self.leads = leads
+        self.rollout = orders.Rollout(ids.PoolName('p'), 1, _NEW, _SECONDS)
+        self.guide = self.make()
+
+    def make(self) -> guiding.Guide:
+        guide = guiding.Guide(
+            lambda: guiding.Sighted(self.rollout, 0),
+            lambda: self.now,
+            spends=lambda: self.leads,
+        )
+        guide.refresh()
+        guide.new_servers = 4
+        return guide
+
+    def step(self) -> guiding.Advance | guiding.End | None:
+        """Store what the guide wants noted."""
+        step = self.guide.next_step(_LOAD)
+        if isinstance(step, guiding.Advance):
+            self.rollout = dataclasses.replace(
+                self.rollout,
+                phase=step.phase,
+                exposure=max(step.exposure, self.rollout.exposure),
+                requests=step.requests,
+            )
+        self.guide.refresh()
+        return step
+
+    def serve(self, number: int, *, bad: bool = False) -> int:
+        """Let requests come; give how many the new version got."""
+        tried = 0
+        for _ in range(number):
+            new = self.guide.may_try('r')
+            self.guide.granted('r', new=new)
+            answer = guiding.Answer.bad if bad else guiding.Answer.good
+            if new:
+                tried += 1
+                name = ids.ServerId(str(tried % 3))
+                self.guide.answered(_NEW, name, 'r', answer)
+            self.step()
+        return tried
+
+
+def test_nothing_is_spent_before_the_log_has_it() -> None:
+    """A coordinator that takes over must know what was spent."""
+    some = _Scene()
+    some.guide.granted('r', new=False)
+    assert not some.guide.may_try('r')
+    some.step()
+    assert some.guide.may_try('r')
+
+
+def test_host_that_does_not_lead_tries_nothing() -> None:
+    """Hosts that are cut off use what was proven before."""
+    some = _Scene(leads=False)
+    some.step()
+    assert some.serve(100) == 0
+    assert some.guide.role(_OLD) is orders.Role.serves
+
+
+@given(st.lists(st.integers(1, 300), min_size=1, max_size=4))
+def test_canaries_stay_within_half_of_the_bound(spans: list[int]) -> None:
+    """Also over changes of the coordinator, each without what it learnt."""
+    some = _Scene()
+    tried = 0
+    for span in spans:
+        tried += some.serve(span)
+        some.guide = some.make()
+    bounds = budget.Bounds()
+    assert tried <= bounds.allowed(sum(spans)) / 2 + 1
+
+
+def test_good_version_moves_in_steps_and_completes_in_time() -> None:
+    """A part of the traffic, all of it, the end."""
+    some = _Scene()
+    step = None
+    while not isinstance(step, guiding.End):
+        some.serve(10)
+        some.now += 0.1
+        step = some.step()
+    assert step.state is orders.State.completed
+    assert some.rollout.phase is orders.Phase.moved
+    assert some.now < _SECONDS
+
+
+def test_bad_version_gets_nothing_more_before_the_log_says_so() -> None:
+    """The coordinator that finds it stops at once."""
+    some = _Scene()
+    some.step()
+    some.serve(100, bad=True)
+    assert some.guide.role(_NEW) is orders.Role.barred
+    assert not some.guide.may_try('r')
+    step = some.guide.next_step(_LOAD)
+    assert isinstance(step, guiding.End)
+    assert step.state is orders.State.rolled_back
+
+
+def test_one_broken_server_is_not_a_bad_version() -> None:
+    """It is set aside; the others show that the version is good."""
+    some = _Scene()
+    some.step()
+    broken = ids.ServerId('broken')
+    for number in range(40):
+        some.guide.answered(_NEW, broken, 'r', guiding.Answer.bad)
+        name = ids.ServerId(str(number % 3))
+        some.guide.answered(_NEW, name, 'r', guiding.Answer.good)
+    assert some.guide.set_aside == {broken}
+    assert some.guide.role(_NEW) is orders.Role.canary
+
+
+def test_version_that_cannot_bear_the_load_is_waited_for() -> None:
+    """Its servers have fewer slots than requests run."""
+    some = _Scene()
+    some.serve(200)
+    some.now = 11
+    load = dataclasses.replace(_LOAD, new_slots=4)
+    step = some.guide.next_step(load)
+    assert step is None or step.phase is orders.Phase.canary
--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -2,6 +2,7 @@
 
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
+from geraniumweir.rollout import guiding, orders
 from geraniumweir.scheduling.ontime import records, state
 
 # Servers are looked up this often at most, in seconds; a change that is told
@@ -12,6 +13,9 @@
 # A server whose address another one has taken is remembered for so long, in
 # seconds: by then its reports have stopped for longer than any lease.
 _GONE_SECONDS = 60.0
+# Of the answers that took a path so many must be held up before it is
+# thought to do that: one of four.
+_LEAST_TROUBLE = 0.2
 
 
 def changed(leader: state.LeaderState) -> None:
@@ -58,10 +62,11 @@
         else:
             server.announcement = announcement
             server.live = True
+    _set_roles(leader)
     for missing in leader.servers.keys() - live.keys():
         _close(leader, leader.servers[missing])
     leader.quickest = min(
-        (server for server in leader.servers.values() if server.live),
+        (server for server in leader.servers.values() if server.serves),
         key=lambda server: leader.learnt.first_token(
             server.speed,
             _USUAL_PROMPT,
@@ -77,11 +82,74 @@
     for start, since in list(leader.gone.items()):
         if now - since > _GONE_SECONDS:
             leader.gone.pop(start)
-    return {
-        found.server_id: found
-        for found in leader.live()
-        if _start(found) not in leader.gone
-    }
+    leader.guide.refresh()
+    known = [
+        found for found in leader.live() if _start(found) not in leader.gone
+    ]
+    return {found.server_id: found for found in _unbarred(leader, known)}
+
+
+def _unbarred(
+    leader: state.LeaderState,
+    known: list[servers.Announcement],
+) -> list[servers.Announcement]:
+    """Leave out servers whose version may get nothing.
+
+    While a rollout runs and nothing else is left, the old ones serve.
+    """
+    guide = leader.guide
+    if guide.rollout is None:
+        return known
+    found = [
+        one
+        for one in known
+        if guide.role(one.version) is not orders.Role.barred
+    ]
+    if found or not guide.runs:
+        return found
+    return [one for one in known if one.version != guide.rollout.to]
+
+
+def _set_roles(leader: state.LeaderState) -> None:
+    guide = leader.guide
+    if guide.rollout is None:
+        return
+    for server in leader.servers.values():
+        server.canary = guide.role(server.version) is orders.Role.canary
+    new = [one for one in leader.servers.values() if one.version == guide.to]
+    guide.new_servers = len(new)
+    guide.most_slots = max((one.slots for one in new), default=1)
+
+
+def path_holds_up(
+    leader: state.LeaderState,
+    running: records.Running,
+    server: records.Server,
+) -> bool:
+    """Tell whether the path to a server lately held answers up."""
+    trouble = leader.path_quality.trouble(
+        running.ask.failure_domain,
+        server.announcement.failure_domain,
+        leader.now(),
+    )
+    return trouble > _LEAST_TROUBLE
+
+
+def rollout_load(leader: state.LeaderState) -> guiding.Load:
+    """Tell how the pool does, for its rollout."""
+    new = leader.guide.rollout and leader.guide.rollout.to
+    known = leader.servers.values()
+    old = [server for server in known if server.version != new]
+    return guiding.Load(
+        old_running=sum(len(server.running) for server in old),
+        running=len(leader.running),
+        new_slots=sum(
+            server.slots
+            for server in known
+            if server.live and server not in old
+        ),
+        held=leader.held,
+    )
 
 
 def _start(announcement: servers.Announcement) -> records.Start:
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -13,6 +13,7 @@
     placing,
     records,
     state,
+    trying,
 )
 
 # Waiting requests are looked at again this often, in seconds, for what comes
@@ -51,6 +52,7 @@
     :ivar now: when, in seconds.
     :ivar able: servers with a free slot that were not yet filled.
     :ivar all_able: these are all servers of the pool.
+    :ivar canaries: servers of a new version that may get a few requests.
     :ivar failed: requests in a row that none of them would do for.
     """
 
@@ -59,6 +61,7 @@
     learnt: placing.Learnt
     able: list[placing.Offer] = dataclasses.field(default_factory=list)
     all_able: bool = False
+    canaries: list[placing.Offer] = dataclasses.field(default_factory=list)
     failed: int = 0
 
 
@@ -155,7 +158,10 @@
     turns: typing.Iterable[ordering.Turn],
 ) -> None:
     """Grant what can be granted, in order."""
+    look.canaries = trying.open_canaries(leader, look.learnt)
     for turn in turns:
+        if _try_canary(leader, look, turn):
+            continue
         if not look.able:
             _open_servers(leader, look)
         if not look.able or look.failed == _MOST_TRIED:
@@ -164,7 +170,7 @@
 
 
 def _open_servers(leader: state.LeaderState, look: _Look) -> None:
-    known = [server for server in leader.servers.values() if server.live]
+    known = [server for server in leader.servers.values() if server.serves]
     start = leader.dice.randrange(len(known)) if known else 0
     look.able = placing.open_servers(known, start, look.learnt)
     look.all_able = len(look.able) == len(known)
@@ -189,6 +195,33 @@
         look.failed += 1
         return
     look.failed = 0
+    _take(leader, look, turn, place)
+    _use_up(look.able, place.offer, look.learnt)
+
+
+def _try_canary(
+    leader: state.LeaderState,
+    look: _Look,
+    turn: ordering.Turn,
+) -> bool:
+    """Grant a request a server of a new version, where it may get one."""
+    if not look.canaries or not leader.guide.may_try(turn.waiting.ask.rule):
+        return False
+    place = trying.choose(look.canaries, turn.waiting, look.learnt)
+    if place is None:
+        return False
+    _take(leader, look, turn, place)
+    _use_up(look.canaries, place.offer, look.learnt)
+    return True
+
+
+def _take(
+    leader: state.LeaderState,
+    look: _Look,
+    turn: ordering.Turn,
+    place: placing.Place,
+) -> None:
+    """Grant a request a place and count what its class got."""
     _grant(leader, turn.waiting, place, look.now)
     leader.shares.granted(
         classes.class_of(turn.waiting.ask),
@@ -197,7 +230,6 @@
         now=look.now,
         owed=turn.owed,
     )
-    _use_up(look, place.offer)
 
 
 def _choose(look: _Look, turn: ordering.Turn) -> placing.Place | None:
@@ -226,12 +258,16 @@
     return None if place is None or place.delays else place
 
 
-def _use_up(look: _Look, offer: placing.Offer) -> None:
+def _use_up(
+    offers: list[placing.Offer],
+    offer: placing.Offer,
+    learnt: placing.Learnt,
+) -> None:
     """Take a slot of an open server; what it offers has changed with that."""
-    look.able.remove(offer)
+    offers.remove(offer)
     if offer.free > 1:
-        left = placing.offer(offer.server, offer.free - 1, look.learnt)
-        look.able.append(left)
+        left = placing.offer(offer.server, offer.free - 1, learnt)
+        offers.append(left)
 
 
 def _refuse_endless(leader: state.LeaderState, now: float) -> None:
@@ -270,7 +306,9 @@
         server.server_id,
         server.announcement.incarnation,
         server.announcement.address,
+        server.version,
     )
+    leader.guide.granted(ask.rule, new=server.version == leader.guide.to)
     running = records.Running(
         ask=ask,
         grant=grant,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -14,6 +14,7 @@
 
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
+from geraniumweir.rollout import guiding
 from geraniumweir.scheduling import joining, requests, settings, suspects
 from geraniumweir.scheduling.ontime import (
     classes,
@@ -35,11 +36,13 @@
         cfg: settings.LeaderSettings,
         now: typing.Callable[[], float],
         live: typing.Callable[[], typing.Sequence[servers.Announcement]],
+        guide: guiding.Guide | None = None,
     ) -> None:
         """Start with an empty queue.
 
         :param now: gives the time in seconds, the loop's clock.
         :param live: gives the pool's backend servers that may get work.
+        :param guide: decides what servers of which version may get.
         """
         self._state = state.LeaderState(
             pool=cfg.pool,
@@ -47,6 +50,7 @@
             live=live,
             suspects=suspects.Suspects(cfg.quarantine_seconds, cfg.origin),
             dice=random.Random(cfg.seed),
+            guide=guide or guiding.Guide(lambda: None, now),
             settle_by=now() + cfg.settle_seconds,
             served_at=now(),
         )
@@ -148,6 +152,11 @@
         fleet.sync(self._state)
         granting.fill(self._state)
 
+    def rollout_load(self) -> guiding.Load:
+        """Tell how the pool does, for its rollout."""
+        fleet.sync(self._state)
+        return fleet.rollout_load(self._state)
+
     def _deny_at_once(self, ask: requests.Ask) -> requests.Denial | None:
         now = self._state.now()
         known = self._state.suspects
--- a/libs/scheduling/geraniumweir/scheduling/ontime/lessons.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/lessons.py
@@ -9,13 +9,11 @@
     records,
     rests,
     state,
+    trying,
 )
 
 # Answers are about half as long as the most that callers allow them to be.
 _USUAL_PART = 0.5
-# Of the answers that took a path so many must be held up before it is
-# thought to do that: one of four.
-_LEAST_TROUBLE = 0.2
 # The server worked on it for as long as the request takes.
 ANSWERED: typing.Final = frozenset(
     (requests.Outcome.done, requests.Outcome.answered_failure),
@@ -43,6 +41,7 @@
     server = fleet.server_of(leader, running)
     if server is None:
         return
+    trying.first_came(leader, server, running)
     server.unborn.pop(running.ask.request_id, None)
     server.last_sign = leader.now()
     leader.learnt.learn_first(server.speed, running.read_tokens, seconds)
@@ -58,6 +57,7 @@
     server = fleet.server_of(leader, running)
     if server is None:
         return
+    trying.ended(leader, server, running, release)
     now = leader.now()
     match release.outcome:
         case requests.Outcome.done:
@@ -124,23 +124,6 @@
     return paths.is_stall(release.longest_gap) or paths.is_stall(late)
 
 
-def _blames_path(
-    leader: state.LeaderState,
-    running: records.Running,
-    server: records.Server,
-) -> bool:
-    """Tell whether a long pause may come from the path.
-
-    Taken for the engine's, one kept long prompts off it for 20 streams more.
-    """
-    trouble = leader.path_quality.trouble(
-        running.ask.failure_domain,
-        server.announcement.failure_domain,
-        leader.now(),
-    )
-    return trouble > _LEAST_TROUBLE
-
-
 def _whole(
     leader: state.LeaderState,
     server: records.Server,
@@ -155,7 +138,12 @@
         release.output_tokens,
         release.seconds - first,
     )
-    if release.longest_gap and not _blames_path(leader, running, server):
+    # Taken for the engine's, a pause of the path keeps long prompts off it.
+    if release.longest_gap and not fleet.path_holds_up(
+        leader,
+        running,
+        server,
+    ):
         server.speed.learn_gaps(release.usual_gap, release.longest_gap)
     rule = running.ask.rule
     usual = leader.lengths.get(rule, release.output_tokens)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -74,6 +74,7 @@
     """A backend server as the leader sees it.
 
     :ivar live: announced and allowed new work.
+    :ivar canary: it gets only what a rollout lets through.
     :ivar unborn: of the running ones, those without a first token.
     :ivar last_sign: when it last gave a first token, in seconds.
     """
@@ -84,6 +85,7 @@
         default_factory=conditions.Condition,
     )
     live: bool = True
+    canary: bool = False
     running: dict[ids.RequestId, Running] = dataclasses.field(
         default_factory=dict,
     )
@@ -100,6 +102,16 @@
         """Give the server's id."""
         return self.announcement.server_id
 
+    @property
+    def version(self) -> ids.SoftwareVersion:
+        """Give the version of its software."""
+        return self.announcement.version
+
+    @property
+    def serves(self) -> bool:
+        """Tell whether it may get any request of the pool."""
+        return self.live and not self.canary
+
     @property
     def start(self) -> Start:
         """Give which start of the server this is."""
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -7,6 +7,7 @@
 
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
+from geraniumweir.rollout import guiding
 from geraniumweir.scheduling import requests, suspects
 from geraniumweir.scheduling.ontime import (
     arrivals,
@@ -41,6 +42,7 @@
 class LeaderState:
     """All that a leader knows.
 
+    :ivar guide: decides what servers of which version may get.
     :ivar settle_by: nothing is granted before, in seconds.
     :ivar served_at: when a server was last known.
     :ivar quickest: the server that is the first with a usual prompt, by what
@@ -62,6 +64,7 @@
     live: typing.Callable[[], typing.Sequence[servers.Announcement]]
     suspects: suspects.Suspects
     dice: random.Random
+    guide: guiding.Guide
     settle_by: float
     served_at: float
     quickest: records.Server | None = None
@@ -100,7 +103,7 @@
 def interval(leader: LeaderState) -> float:
     """Predict the seconds from one free slot of the pool to the next."""
     now = leader.now()
-    live = [server for server in leader.servers.values() if server.live]
+    live = [server for server in leader.servers.values() if server.serves]
     for server in live:
         server.occupied.passed(len(server.running), now)
     leader.held = occupancy.usual(one.occupied for one in live)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/trying.py
@@ -0,0 +1,113 @@
+"""Shows a rollout's guide what the servers of each version do.
+
+Requests that the guide lets through go to one server of the new version
+after the other.
+"""
+
+from geraniumweir.rollout import guiding
+from geraniumweir.scheduling import requests
+from geraniumweir.scheduling.ontime import fleet, placing, records, state
+
+# Servers of the new version that get canary requests at a time.
+_CANARY_SERVERS = 1
+# While a part of all requests goes to the new version, so many servers are
+# compared for one, as among those that serve.
+_RAMP_SERVERS = 16
+# Quicker answers don't differ by their servers but by chance, in seconds.
+_LEAST_SECONDS = 0.05
+
+
+def open_canaries(
+    leader: state.LeaderState,
+    learnt: placing.Learnt,
+) -> list[placing.Offer]:
+    """List the server of the new version that canaries go to now.
+
+    One at a time, so that it bears as much as a server does, and another one
+    each time that canaries are let through: whether a server is broken or its
+    version shows only beside others.
+    """
+    guide = leader.guide
+    if not guide.runs:
+        return []
+    able = sorted(
+        (
+            server
+            for server in leader.servers.values()
+            if server.live
+            and server.canary
+            and server.server_id not in guide.set_aside
+        ),
+        key=lambda server: server.server_id,
+    )
+    first = guide.budget.pulses % max(len(able), 1)
+    ranked = (*able[first:], *able[:first])
+    most = _CANARY_SERVERS
+    if guide.is_ramping:
+        ranked = [one for one in ranked if one.free(learnt.now, 0) > 0]
+        most = _RAMP_SERVERS
+    free = {one: one.free(learnt.now, 0) for one in ranked[:most]}
+    return [
+        placing.offer(one, slots, learnt)
+        for one, slots in free.items()
+        if slots > 0
+    ]
+
+
+def choose(
+    offers: list[placing.Offer],
+    waiting: records.Waiting,
+    learnt: placing.Learnt,
+) -> placing.Place | None:
+    """Choose the server for a request that the guide lets through.
+
+    One that is slow gets its part too: the guide must see that it is.
+    """
+    place = placing.on_time(offers, waiting, learnt)
+    return place or placing.earliest(offers, waiting, learnt)
+
+
+def first_came(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+) -> None:
+    """Tell the guide how long a first token took."""
+    if not leader.guide.runs or server.announcement.cold:
+        return
+    seconds = max(running.first_token or 0, _LEAST_SECONDS)
+    usual = leader.learnt.pool.first.at(running.read_tokens)
+    _tell(leader, server, running, guiding.Answer.good, seconds / usual)
+
+
+def ended(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+    release: requests.Release,
+) -> None:
+    """Tell the guide how an answer ended."""
+    if not leader.guide.runs:
+        return
+    match release.outcome:
+        case requests.Outcome.answered_failure:
+            _tell(leader, server, running, guiding.Answer.bad)
+        case requests.Outcome.failed | requests.Outcome.crashed:
+            if not fleet.path_holds_up(leader, running, server):
+                _tell(leader, server, running, guiding.Answer.bad)
+
+
+def _tell(
+    leader: state.LeaderState,
+    server: records.Server,
+    running: records.Running,
+    answer: guiding.Answer,
+    ratio: float | None = None,
+) -> None:
+    leader.guide.answered(
+        server.version,
+        server.server_id,
+        running.ask.rule,
+        answer,
+        ratio,
+    )
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -70,12 +70,14 @@
     """Leave to dispatch one request to one backend server, once.
 
     :ivar incarnation: the server's, at the time of the grant.
+    :ivar version: of its software, empty where it doesn't say.
     """
 
     request_id: ids.RequestId
     server_id: ids.ServerId
     incarnation: ids.Incarnation
     address: ids.Address
+    version: ids.SoftwareVersion = ids.SoftwareVersion('')
 
 
 class DenialReason(enum.Enum):
--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -92,7 +92,12 @@
 
 def pack_grant(grant: requests.Grant) -> ttypes.Grant:
     """Give the message of a grant."""
-    return ttypes.Grant(grant.server_id, grant.incarnation, str(grant.address))
+    return ttypes.Grant(
+        grant.server_id,
+        grant.incarnation,
+        str(grant.address),
+        grant.version or None,
+    )
 
 
 def pack_denial(denial: requests.Denial) -> ttypes.Denial:
@@ -199,6 +204,7 @@
         ids.ServerId(message.server_id),
         ids.Incarnation(message.incarnation),
         ids.parse_address(message.address),
+        ids.SoftwareVersion(message.version or ''),
     )
 
 
--- a/libs/wire/geraniumweir/wire/gen/configuration/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/configuration/ttypes.py
@@ -500,6 +500,238 @@
         return not (self == other)
 
 
+class OrderRollout(object):
+    """
+    Attributes:
+     - pool
+     - to
+     - duration_ms
+     - again_ms
+
+    """
+
+    __slots__ = (
+        'pool',
+        'to',
+        'duration_ms',
+        'again_ms',
+    )
+
+
+    def __init__(self, pool=None, to=None, duration_ms=None, again_ms=None,):
+        self.pool = pool
+        self.to = to
+        self.duration_ms = duration_ms
+        self.again_ms = again_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.to = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.duration_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.again_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OrderRollout')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.to is not None:
+            oprot.writeFieldBegin('to', TType.STRING, 2)
+            oprot.writeString(self.to.encode('utf-8') if sys.version_info[0] == 2 else self.to)
+            oprot.writeFieldEnd()
+        if self.duration_ms is not None:
+            oprot.writeFieldBegin('duration_ms', TType.I64, 3)
+            oprot.writeI64(self.duration_ms)
+            oprot.writeFieldEnd()
+        if self.again_ms is not None:
+            oprot.writeFieldBegin('again_ms', TType.I64, 4)
+            oprot.writeI64(self.again_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NoteRollout(object):
+    """
+    Attributes:
+     - number
+     - phase
+     - state
+     - exposure
+     - requests
+     - reason
+
+    """
+
+    __slots__ = (
+        'number',
+        'phase',
+        'state',
+        'exposure',
+        'requests',
+        'reason',
+    )
+
+
+    def __init__(self, number=None, phase=None, state=None, exposure=None, requests=None, reason=None,):
+        self.number = number
+        self.phase = phase
+        self.state = state
+        self.exposure = exposure
+        self.requests = requests
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BYTE:
+                    self.phase = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BYTE:
+                    self.state = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.exposure = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.requests = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NoteRollout')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.phase is not None:
+            oprot.writeFieldBegin('phase', TType.BYTE, 2)
+            oprot.writeByte(self.phase)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.BYTE, 3)
+            oprot.writeByte(self.state)
+            oprot.writeFieldEnd()
+        if self.exposure is not None:
+            oprot.writeFieldBegin('exposure', TType.I64, 4)
+            oprot.writeI64(self.exposure)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I64, 5)
+            oprot.writeI64(self.requests)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 6)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Step(object):
     """
     Attributes:
@@ -508,6 +740,8 @@
      - finish
      - fence
      - publish
+     - rollout
+     - note
 
     """
 
@@ -517,15 +751,19 @@
         'finish',
         'fence',
         'publish',
+        'rollout',
+        'note',
     )
 
 
-    def __init__(self, change=None, claim=None, finish=None, fence=None, publish=None,):
+    def __init__(self, change=None, claim=None, finish=None, fence=None, publish=None, rollout=None, note=None,):
         self.change = change
         self.claim = claim
         self.finish = finish
         self.fence = fence
         self.publish = publish
+        self.rollout = rollout
+        self.note = note
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -566,6 +804,18 @@
                     self.publish.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.rollout = OrderRollout()
+                    self.rollout.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.note = NoteRollout()
+                    self.note.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -596,6 +846,14 @@
             oprot.writeFieldBegin('publish', TType.STRUCT, 5)
             self.publish.write(oprot)
             oprot.writeFieldEnd()
+        if self.rollout is not None:
+            oprot.writeFieldBegin('rollout', TType.STRUCT, 6)
+            self.rollout.write(oprot)
+            oprot.writeFieldEnd()
+        if self.note is not None:
+            oprot.writeFieldBegin('note', TType.STRUCT, 7)
+            self.note.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1098,6 +1356,154 @@
         return not (self == other)
 
 
+class RolloutAnswer(object):
+    """
+    Attributes:
+     - result
+     - number
+
+    """
+
+    __slots__ = (
+        'result',
+        'number',
+    )
+
+
+    def __init__(self, result=None, number=None,):
+        self.result = result
+        self.number = number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BYTE:
+                    self.result = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutAnswer')
+        if self.result is not None:
+            oprot.writeFieldBegin('result', TType.BYTE, 1)
+            oprot.writeByte(self.result)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NoteAnswer(object):
+    """
+    Attributes:
+     - taken
+
+    """
+
+    __slots__ = (
+        'taken',
+    )
+
+
+    def __init__(self, taken=None,):
+        self.taken = taken
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.taken = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NoteAnswer')
+        if self.taken is not None:
+            oprot.writeFieldBegin('taken', TType.BOOL, 1)
+            oprot.writeBool(self.taken)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StepAnswer(object):
     """
     Attributes:
@@ -1106,6 +1512,8 @@
      - finish
      - fence
      - publish
+     - rollout
+     - note
 
     """
 
@@ -1115,15 +1523,19 @@
         'finish',
         'fence',
         'publish',
+        'rollout',
+        'note',
     )
 
 
-    def __init__(self, change=None, claim=None, finish=None, fence=None, publish=None,):
+    def __init__(self, change=None, claim=None, finish=None, fence=None, publish=None, rollout=None, note=None,):
         self.change = change
         self.claim = claim
         self.finish = finish
         self.fence = fence
         self.publish = publish
+        self.rollout = rollout
+        self.note = note
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1164,6 +1576,18 @@
                     self.publish.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.rollout = RolloutAnswer()
+                    self.rollout.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.note = NoteAnswer()
+                    self.note.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1194,6 +1618,14 @@
             oprot.writeFieldBegin('publish', TType.STRUCT, 5)
             self.publish.write(oprot)
             oprot.writeFieldEnd()
+        if self.rollout is not None:
+            oprot.writeFieldBegin('rollout', TType.STRUCT, 6)
+            self.rollout.write(oprot)
+            oprot.writeFieldEnd()
+        if self.note is not None:
+            oprot.writeFieldBegin('note', TType.STRUCT, 7)
+            self.note.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1656,6 +2088,182 @@
         return not (self == other)
 
 
+class StoredRollout(object):
+    """
+    Attributes:
+     - pool
+     - number
+     - to
+     - duration_ms
+     - phase
+     - state
+     - exposure
+     - requests
+     - ordered_ms
+     - reason
+
+    """
+
+    __slots__ = (
+        'pool',
+        'number',
+        'to',
+        'duration_ms',
+        'phase',
+        'state',
+        'exposure',
+        'requests',
+        'ordered_ms',
+        'reason',
+    )
+
+
+    def __init__(self, pool=None, number=None, to=None, duration_ms=None, phase=None, state=None, exposure=None, requests=None, ordered_ms=None, reason=None,):
+        self.pool = pool
+        self.number = number
+        self.to = to
+        self.duration_ms = duration_ms
+        self.phase = phase
+        self.state = state
+        self.exposure = exposure
+        self.requests = requests
+        self.ordered_ms = ordered_ms
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.to = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.duration_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BYTE:
+                    self.phase = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BYTE:
+                    self.state = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.exposure = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.requests = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.ordered_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoredRollout')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.to is not None:
+            oprot.writeFieldBegin('to', TType.STRING, 3)
+            oprot.writeString(self.to.encode('utf-8') if sys.version_info[0] == 2 else self.to)
+            oprot.writeFieldEnd()
+        if self.duration_ms is not None:
+            oprot.writeFieldBegin('duration_ms', TType.I64, 4)
+            oprot.writeI64(self.duration_ms)
+            oprot.writeFieldEnd()
+        if self.phase is not None:
+            oprot.writeFieldBegin('phase', TType.BYTE, 5)
+            oprot.writeByte(self.phase)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.BYTE, 6)
+            oprot.writeByte(self.state)
+            oprot.writeFieldEnd()
+        if self.exposure is not None:
+            oprot.writeFieldBegin('exposure', TType.I64, 7)
+            oprot.writeI64(self.exposure)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I64, 8)
+            oprot.writeI64(self.requests)
+            oprot.writeFieldEnd()
+        if self.ordered_ms is not None:
+            oprot.writeFieldBegin('ordered_ms', TType.I64, 9)
+            oprot.writeI64(self.ordered_ms)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 10)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StoredState(object):
     """
     Attributes:
@@ -1670,6 +2278,7 @@
      - longest_lease_ms
      - published_version
      - published
+     - rollouts
 
     """
 
@@ -1685,10 +2294,11 @@
         'longest_lease_ms',
         'published_version',
         'published',
+        'rollouts',
     )
 
 
-    def __init__(self, format=None, now_ms=None, history=None, answers=None, running=None, ended=None, fence_number=None, fence_issuer=None, longest_lease_ms=None, published_version=None, published=None,):
+    def __init__(self, format=None, now_ms=None, history=None, answers=None, running=None, ended=None, fence_number=None, fence_issuer=None, longest_lease_ms=None, published_version=None, published=None, rollouts=None,):
         self.format = format
         self.now_ms = now_ms
         self.history = history
@@ -1700,6 +2310,7 @@
         self.longest_lease_ms = longest_lease_ms
         self.published_version = published_version
         self.published = published
+        self.rollouts = rollouts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1789,6 +2400,17 @@
                     self.published = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.rollouts = []
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = StoredRollout()
+                        _elem43.read(iprot)
+                        self.rollouts.append(_elem43)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1810,29 +2432,29 @@
         if self.history is not None:
             oprot.writeFieldBegin('history', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.history))
-            for iter38 in self.history:
-                iter38.write(oprot)
+            for iter44 in self.history:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter39 in self.answers:
-                iter39.write(oprot)
+            for iter45 in self.answers:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.running))
-            for iter40 in self.running:
-                iter40.write(oprot)
+            for iter46 in self.running:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter41 in self.ended:
-                iter41.write(oprot)
+            for iter47 in self.ended:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fence_number is not None:
@@ -1855,6 +2477,13 @@
             oprot.writeFieldBegin('published', TType.STRING, 11)
             oprot.writeBinary(self.published)
             oprot.writeFieldEnd()
+        if self.rollouts is not None:
+            oprot.writeFieldBegin('rollouts', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
+            for iter48 in self.rollouts:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2216,6 +2845,24 @@
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.STRING, 'document', 'BINARY', None, ),  # 2
 )
+all_structs.append(OrderRollout)
+OrderRollout.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'to', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'duration_ms', None, None, ),  # 3
+    (4, TType.I64, 'again_ms', None, None, ),  # 4
+)
+all_structs.append(NoteRollout)
+NoteRollout.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.BYTE, 'phase', None, None, ),  # 2
+    (3, TType.BYTE, 'state', None, None, ),  # 3
+    (4, TType.I64, 'exposure', None, None, ),  # 4
+    (5, TType.I64, 'requests', None, None, ),  # 5
+    (6, TType.STRING, 'reason', 'UTF8', None, ),  # 6
+)
 all_structs.append(Step)
 Step.thrift_spec = (
     None,  # 0
@@ -2224,6 +2871,8 @@
     (3, TType.STRUCT, 'finish', [Finish, None], None, ),  # 3
     (4, TType.STRUCT, 'fence', [ReserveFence, None], None, ),  # 4
     (5, TType.STRUCT, 'publish', [Publish, None], None, ),  # 5
+    (6, TType.STRUCT, 'rollout', [OrderRollout, None], None, ),  # 6
+    (7, TType.STRUCT, 'note', [NoteRollout, None], None, ),  # 7
 )
 all_structs.append(Command)
 Command.thrift_spec = (
@@ -2260,6 +2909,17 @@
     (1, TType.BOOL, 'taken', None, None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
 )
+all_structs.append(RolloutAnswer)
+RolloutAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.BYTE, 'result', None, None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+)
+all_structs.append(NoteAnswer)
+NoteAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'taken', None, None, ),  # 1
+)
 all_structs.append(StepAnswer)
 StepAnswer.thrift_spec = (
     None,  # 0
@@ -2268,6 +2928,8 @@
     (3, TType.STRUCT, 'finish', [FinishAnswer, None], None, ),  # 3
     (4, TType.STRUCT, 'fence', [FenceAnswer, None], None, ),  # 4
     (5, TType.STRUCT, 'publish', [PublishAnswer, None], None, ),  # 5
+    (6, TType.STRUCT, 'rollout', [RolloutAnswer, None], None, ),  # 6
+    (7, TType.STRUCT, 'note', [NoteAnswer, None], None, ),  # 7
 )
 all_structs.append(CommandAnswer)
 CommandAnswer.thrift_spec = (
@@ -2302,6 +2964,20 @@
     (7, TType.I64, 'until_ms', None, None, ),  # 7
     (8, TType.I64, 'ended_ms', None, None, ),  # 8
 )
+all_structs.append(StoredRollout)
+StoredRollout.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.STRING, 'to', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'duration_ms', None, None, ),  # 4
+    (5, TType.BYTE, 'phase', None, None, ),  # 5
+    (6, TType.BYTE, 'state', None, None, ),  # 6
+    (7, TType.I64, 'exposure', None, None, ),  # 7
+    (8, TType.I64, 'requests', None, None, ),  # 8
+    (9, TType.I64, 'ordered_ms', None, None, ),  # 9
+    (10, TType.STRING, 'reason', 'UTF8', None, ),  # 10
+)
 all_structs.append(StoredState)
 StoredState.thrift_spec = (
     None,  # 0
@@ -2316,6 +2992,7 @@
     (9, TType.I64, 'longest_lease_ms', None, None, ),  # 9
     (10, TType.I64, 'published_version', None, None, ),  # 10
     (11, TType.STRING, 'published', 'BINARY', None, ),  # 11
+    (12, TType.LIST, 'rollouts', (TType.STRUCT, [StoredRollout, None], False), None, ),  # 12
 )
 all_structs.append(FetchVersion)
 FetchVersion.thrift_spec = (
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -29,6 +29,8 @@
      - silent
      - models
      - born
+     - version
+     - cold
 
     """
 
@@ -43,10 +45,12 @@
         'silent',
         'models',
         'born',
+        'version',
+        'cold',
     )
 
 
-    def __init__(self, server_id=None, pool=None, address=None, failure_domain=None, slots=None, sequence=None, state=None, silent=None, models=None, born=None,):
+    def __init__(self, server_id=None, pool=None, address=None, failure_domain=None, slots=None, sequence=None, state=None, silent=None, models=None, born=None, version=None, cold=None,):
         self.server_id = server_id
         self.pool = pool
         self.address = address
@@ -57,6 +61,8 @@
         self.silent = silent
         self.models = models
         self.born = born
+        self.version = version
+        self.cold = cold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -122,6 +128,16 @@
                     self.born = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.cold = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -175,6 +191,130 @@
             oprot.writeFieldBegin('born', TType.I64, 10)
             oprot.writeI64(self.born)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 11)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.cold is not None:
+            oprot.writeFieldBegin('cold', TType.BOOL, 12)
+            oprot.writeBool(self.cold)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Rollout(object):
+    """
+    Attributes:
+     - pool
+     - number
+     - to
+     - phase
+     - state
+
+    """
+
+    __slots__ = (
+        'pool',
+        'number',
+        'to',
+        'phase',
+        'state',
+    )
+
+
+    def __init__(self, pool=None, number=None, to=None, phase=None, state=None,):
+        self.pool = pool
+        self.number = number
+        self.to = to
+        self.phase = phase
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.to = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BYTE:
+                    self.phase = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BYTE:
+                    self.state = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Rollout')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.to is not None:
+            oprot.writeFieldBegin('to', TType.STRING, 3)
+            oprot.writeString(self.to.encode('utf-8') if sys.version_info[0] == 2 else self.to)
+            oprot.writeFieldEnd()
+        if self.phase is not None:
+            oprot.writeFieldBegin('phase', TType.BYTE, 4)
+            oprot.writeByte(self.phase)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.BYTE, 5)
+            oprot.writeByte(self.state)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -564,6 +704,7 @@
      - epoch
      - revision
      - wait_ms
+     - rollouts_progress
 
     """
 
@@ -572,14 +713,16 @@
         'epoch',
         'revision',
         'wait_ms',
+        'rollouts_progress',
     )
 
 
-    def __init__(self, version=None, epoch=None, revision=None, wait_ms=None,):
+    def __init__(self, version=None, epoch=None, revision=None, wait_ms=None, rollouts_progress=None,):
         self.version = version
         self.epoch = epoch
         self.revision = revision
         self.wait_ms = wait_ms
+        self.rollouts_progress = rollouts_progress
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -610,6 +753,11 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.rollouts_progress = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -636,6 +784,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 4)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.rollouts_progress is not None:
+            oprot.writeFieldBegin('rollouts_progress', TType.I64, 5)
+            oprot.writeI64(self.rollouts_progress)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -672,6 +824,8 @@
      - whole
      - servers
      - hosts
+     - rollouts
+     - rollouts_progress
 
     """
 
@@ -684,10 +838,12 @@
         'whole',
         'servers',
         'hosts',
+        'rollouts',
+        'rollouts_progress',
     )
 
 
-    def __init__(self, epoch=None, revision=None, version=None, document=None, sure=None, whole=None, servers=None, hosts=None,):
+    def __init__(self, epoch=None, revision=None, version=None, document=None, sure=None, whole=None, servers=None, hosts=None, rollouts=None, rollouts_progress=None,):
         self.epoch = epoch
         self.revision = revision
         self.version = version
@@ -696,6 +852,8 @@
         self.whole = whole
         self.servers = servers
         self.hosts = hosts
+        self.rollouts = rollouts
+        self.rollouts_progress = rollouts_progress
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -758,6 +916,22 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.rollouts = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = Rollout()
+                        _elem38.read(iprot)
+                        self.rollouts.append(_elem38)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.rollouts_progress = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -795,17 +969,28 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter33 in self.servers:
-                iter33.write(oprot)
+            for iter39 in self.servers:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter34 in self.hosts:
-                iter34.write(oprot)
+            for iter40 in self.hosts:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rollouts is not None:
+            oprot.writeFieldBegin('rollouts', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
+            for iter41 in self.rollouts:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.rollouts_progress is not None:
+            oprot.writeFieldBegin('rollouts_progress', TType.I64, 10)
+            oprot.writeI64(self.rollouts_progress)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1074,11 +1259,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.amounts = {}
-                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
-                    for _i39 in range(_size35):
-                        _key40 = iprot.readI32()
-                        _val41 = iprot.readI32()
-                        self.amounts[_key40] = _val41
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readI32()
+                        _val48 = iprot.readI32()
+                        self.amounts[_key47] = _val48
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1099,9 +1284,9 @@
         if self.amounts is not None:
             oprot.writeFieldBegin('amounts', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.amounts))
-            for kiter42, viter43 in self.amounts.items():
-                oprot.writeI32(kiter42)
-                oprot.writeI32(viter43)
+            for kiter49, viter50 in self.amounts.items():
+                oprot.writeI32(kiter49)
+                oprot.writeI32(viter50)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1164,11 +1349,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.customers = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = CustomerSpent()
-                        _elem49.read(iprot)
-                        self.customers.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = CustomerSpent()
+                        _elem56.read(iprot)
+                        self.customers.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1189,8 +1374,8 @@
         if self.customers is not None:
             oprot.writeFieldBegin('customers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.customers))
-            for iter50 in self.customers:
-                iter50.write(oprot)
+            for iter57 in self.customers:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1561,6 +1746,17 @@
     (8, TType.BOOL, 'silent', None, None, ),  # 8
     (9, TType.LIST, 'models', (TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.I64, 'born', None, None, ),  # 10
+    (11, TType.STRING, 'version', 'UTF8', None, ),  # 11
+    (12, TType.BOOL, 'cold', None, None, ),  # 12
+)
+all_structs.append(Rollout)
+Rollout.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.STRING, 'to', 'UTF8', None, ),  # 3
+    (4, TType.BYTE, 'phase', None, None, ),  # 4
+    (5, TType.BYTE, 'state', None, None, ),  # 5
 )
 all_structs.append(ControlHost)
 ControlHost.thrift_spec = (
@@ -1594,6 +1790,7 @@
     (2, TType.STRING, 'epoch', 'UTF8', None, ),  # 2
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.I32, 'wait_ms', None, None, ),  # 4
+    (5, TType.I64, 'rollouts_progress', None, None, ),  # 5
 )
 all_structs.append(News)
 News.thrift_spec = (
@@ -1606,6 +1803,8 @@
     (6, TType.BOOL, 'whole', None, None, ),  # 6
     (7, TType.LIST, 'servers', (TType.STRUCT, [Enrolment, None], False), None, ),  # 7
     (8, TType.LIST, 'hosts', (TType.STRUCT, [ControlHost, None], False), None, ),  # 8
+    (9, TType.LIST, 'rollouts', (TType.STRUCT, [Rollout, None], False), None, ),  # 9
+    (10, TType.I64, 'rollouts_progress', None, None, ),  # 10
 )
 all_structs.append(Ping)
 Ping.thrift_spec = (
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -398,6 +398,7 @@
      - server_id
      - incarnation
      - address
+     - version
 
     """
 
@@ -405,13 +406,15 @@
         'server_id',
         'incarnation',
         'address',
+        'version',
     )
 
 
-    def __init__(self, server_id=None, incarnation=None, address=None,):
+    def __init__(self, server_id=None, incarnation=None, address=None, version=None,):
         self.server_id = server_id
         self.incarnation = incarnation
         self.address = address
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -437,6 +440,11 @@
                     self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -459,6 +467,10 @@
             oprot.writeFieldBegin('address', TType.STRING, 3)
             oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 4)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2307,6 +2319,7 @@
     (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
 )
 all_structs.append(Denial)
 Denial.thrift_spec = (
--- a/libs/wire/idl/configuration.thrift
+++ b/libs/wire/idl/configuration.thrift
@@ -40,12 +40,35 @@
   2: binary document
 }
 
+// Orders that a pool's traffic moves to a version of its servers. The same
+// order within again_ms is a repeat, whatever became of the first.
+struct OrderRollout {
+  1: string pool
+  2: string to
+  3: i64 duration_ms
+  4: i64 again_ms
+}
+
+// Notes how far a rollout is. Phases: 1 canary, 2 ramp, 3 moved. States:
+// 1 running, 2 completed, 3 rolled back. exposure: requests that the new
+// version may have got by the next note; requests: that the pool got.
+struct NoteRollout {
+  1: i64 number
+  2: i8 phase
+  3: i8 state
+  4: i64 exposure
+  5: i64 requests
+  6: string reason
+}
+
 union Step {
   1: Change change
   2: Claim claim
   3: Finish finish
   4: ReserveFence fence
   5: Publish publish
+  6: OrderRollout rollout
+  7: NoteRollout note
 }
 
 // at_ms is the proposer's wall clock.
@@ -84,12 +107,25 @@
   2: i64 version
 }
 
+// Results: 1 taken, 2 known already, 3 another one is under way.
+struct RolloutAnswer {
+  1: i8 result
+  2: i64 number
+}
+
+// A note of a rollout that is over or unknown changes nothing.
+struct NoteAnswer {
+  1: bool taken
+}
+
 union StepAnswer {
   1: ChangeAnswer change
   2: ClaimAnswer claim
   3: FinishAnswer finish
   4: FenceAnswer fence
   5: PublishAnswer publish
+  6: RolloutAnswer rollout
+  7: NoteAnswer note
 }
 
 // invalid: the command could not be read; nothing was done.
@@ -126,6 +162,19 @@
   8: i64 ended_ms
 }
 
+struct StoredRollout {
+  1: string pool
+  2: i64 number
+  3: string to
+  4: i64 duration_ms
+  5: i8 phase
+  6: i8 state
+  7: i64 exposure
+  8: i64 requests
+  9: i64 ordered_ms
+  10: string reason
+}
+
 struct StoredState {
   1: i32 format
   2: i64 now_ms
@@ -139,6 +188,7 @@
   // A document that carries its own version, compressed.
   10: optional i64 published_version
   11: optional binary published
+  12: optional list<StoredRollout> rollouts
 }
 
 // ---- following ------------------------------------------------------------
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -18,6 +18,20 @@
   9: list<string> models
   // When the server was started, in Unix milliseconds; 0 where it doesn't say.
   10: i64 born
+  // Of its software, empty where it doesn't say.
+  11: optional string version
+  // It is still slow after its start.
+  12: optional bool cold
+}
+
+// An order to move a pool's traffic to a version of its servers; numbers as
+// in the replicated log.
+struct Rollout {
+  1: string pool
+  2: i64 number
+  3: string to
+  4: i8 phase
+  5: i8 state
 }
 
 // A control host. Each address is IP:PORT; servers and operators use the
@@ -56,6 +70,7 @@
   2: string epoch
   3: i64 revision
   4: i32 wait_ms
+  5: optional i64 rollouts_progress
 }
 
 // sure: the answerer has all that is committed. whole: servers are all there
@@ -69,6 +84,10 @@
   6: bool whole
   7: list<Enrolment> servers
   8: list<ControlHost> hosts
+  // All there are, where one is news to the asker; their progress grows with
+  // each change of any.
+  9: optional list<Rollout> rollouts
+  10: optional i64 rollouts_progress
 }
 
 // From an entry host to a control host, several times a second.
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -44,6 +44,8 @@
   1: string server_id
   2: i64 incarnation
   3: string address
+  // Of the server's software, for the owner's log.
+  4: optional string version
 }
 
 struct Denial {
