--- a/libs/rollout/geraniumweir/rollout/budget.py
+++ b/libs/rollout/geraniumweir/rollout/budget.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import math
 
 from geraniumweir.rollout import orders
 
@@ -16,6 +17,11 @@
 _RAMP_SHARE = 0.3
 # The budget is let through when it fills the slots of a server so many times.
 _PULSE_FILLS = 1.5
+# It ends when the pool has got so many times its requests: some routes are
+# asked for too seldom.
+_LONGEST_PULSE = 30
+# But no more than this part of all that canaries may have got is saved up.
+_MOST_PULSE = 0.25
 # This part of it goes to all routes evenly: a rare one must show what it does.
 _EVEN_PART = 0.5
 
@@ -36,6 +42,29 @@
         return self.share * requests + self.slack
 
 
+@dataclasses.dataclass(slots=True)
+class _Pulse:
+    """Canaries that are let through together: a server must bear many at once.
+
+    :ivar size: requests, all routes together.
+    :ivar since: requests that the pool had got when it began.
+    """
+
+    size: float
+    since: int
+    by_rule: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+
+    def is_over(self, requests: int) -> bool:
+        """Tell whether it is spent, or some routes are hardly asked for.
+
+        :param requests: that the pool got.
+        """
+        spent = self.by_rule.total() >= self.size
+        return spent or requests - self.since > self.size * _LONGEST_PULSE
+
+
 @dataclasses.dataclass(slots=True)
 class Budget:
     """Counts of one order.
@@ -56,13 +85,10 @@
     spent: int
     requests: int
     pulses: int = 0
-    _in_pulse: bool = False
+    _pulse: _Pulse | None = None
     _by_rule: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter,
     )
-    _new_by_rule: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter,
-    )
     _ramp_requests: int = 0
     _ramp_spent: int = 0
 
@@ -78,8 +104,9 @@
         self._ramp_requests += ramps
         if new:
             self.spent += 1
-            self._new_by_rule[rule] += 1
             self._ramp_spent += ramps
+            if self._pulse is not None:
+                self._pulse.by_rule[rule] += 1
 
     def may_try(
         self,
@@ -95,24 +122,27 @@
         """
         if phase is orders.Phase.ramp:
             return self._ramp_spent <= self._ramp_requests * _RAMP_SHARE
-        allowed = self.canaries()
-        self._note_pulse(min(allowed, reserved) - self.spent, slots)
-        return self._in_pulse and self._new_by_rule[rule] <= (
-            allowed * self._part(rule)
-        )
+        left = min(self.canaries(), reserved) - self.spent
+        pulse = self._next_pulse(left, slots)
+        if pulse is None or left < 1:
+            return False
+        return pulse.by_rule[rule] < math.ceil(pulse.size * self._part(rule))
 
     def _part(self, rule: str) -> float:
         asked = self._by_rule[rule] / max(self._by_rule.total(), 1)
         even = 1 / max(len(self._by_rule), 1)
         return asked * (1 - _EVEN_PART) + even * _EVEN_PART
 
-    def _note_pulse(self, left: float, slots: int) -> None:
-        """Let canaries through together: one server must bear many at once.
+    def _next_pulse(self, left: float, slots: int) -> _Pulse | None:
+        """Give the pulse that canaries belong to now, if there is one.
 
         :param left: requests of the budget.
         """
-        if left < 1:
-            self._in_pulse = False
-        elif not self._in_pulse and left >= slots * _PULSE_FILLS:
-            self._in_pulse = True
+        if self._pulse is not None and self._pulse.is_over(self.requests):
+            self._pulse = None
+        most = max(self.canaries() * _MOST_PULSE, 1)
+        size = min(slots * _PULSE_FILLS, most)
+        if self._pulse is None and left >= size:
+            self._pulse = _Pulse(size, self.requests)
             self.pulses += 1
+        return self._pulse
--- a/libs/rollout/geraniumweir/rollout/slowness.py
+++ b/libs/rollout/geraniumweir/rollout/slowness.py
@@ -1,19 +1,21 @@
 """Tells an answer that came several times slower than usual.
 
 Hardware differs in speed between servers, so an answer is compared with the
-quick ones of its own server. A version that is slow as a whole is compared
-with the slowest server of the old one.
+quick ones of its own server, and with those of the middle one of the old
+version's servers: a version that is slow as a whole has no quick ones.
 """
 
 import collections
 import dataclasses
+import statistics
 
 from geraniumweir.common import ids
 
 # So many times the quick answers of a server are slow.
 _SLOW = 2.5
-# The slowest server of the old version isn't the slowest that there is.
-_SLOWEST_HARDWARE = 1.5
+# Servers differ in hardware, so a server may be slower than the middle one by
+# so much more.
+_HARDWARE = 1.2
 # Answers of a server that are remembered, and how many show what is quick.
 _REMEMBERED = 16
 _ENOUGH = 6
@@ -63,18 +65,18 @@
         :param old: the server is of the old version.
         """
         recent = self._recent.setdefault(server, _Recent())
-        limit = self._limit(recent, old=old)
+        limit = self._limit(recent)
         recent.ratios.append(ratio)
         quick = recent.quick()
         if old and quick is not None:
             self._old[server] = quick
         return limit is not None and ratio > limit
 
-    def _limit(self, recent: _Recent, *, old: bool) -> float | None:
+    def _limit(self, recent: _Recent) -> float | None:
         limits: list[float] = []
         quick = recent.quick()
         if quick is not None:
             limits.append(quick)
-        if not old and self._old:
-            limits.append(max(self._old.values()) * _SLOWEST_HARDWARE)
+        if self._old:
+            limits.append(statistics.median(self._old.values()) * _HARDWARE)
         return _SLOW * min(limits) if limits else None
--- a/libs/scheduling/geraniumweir/scheduling/ontime/trying.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/trying.py
@@ -4,12 +4,13 @@
 after the other.
 """
 
+from geraniumweir.common import ids
 from geraniumweir.rollout import guiding
 from geraniumweir.scheduling import requests
 from geraniumweir.scheduling.ontime import fleet, placing, records, state
 
-# Servers of the new version that get canary requests at a time.
-_CANARY_SERVERS = 1
+# Servers of the new version that get canary requests in turn.
+_CANARY_SERVERS = 3
 # While a part of all requests goes to the new version, so many servers are
 # compared for one, as among those that serve.
 _RAMP_SERVERS = 16
@@ -30,28 +31,48 @@
     guide = leader.guide
     if not guide.runs:
         return []
-    able = sorted(
-        (
-            server
-            for server in leader.servers.values()
-            if server.live
-            and server.canary
-            and server.server_id not in guide.set_aside
-        ),
-        key=lambda server: server.server_id,
-    )
-    first = guide.budget.pulses % max(len(able), 1)
-    ranked = (*able[first:], *able[:first])
-    most = _CANARY_SERVERS
-    if guide.is_ramping:
-        ranked = [one for one in ranked if one.free(learnt.now, 0) > 0]
-        most = _RAMP_SERVERS
-    free = {one: one.free(learnt.now, 0) for one in ranked[:most]}
-    return [
-        placing.offer(one, slots, learnt)
-        for one, slots in free.items()
-        if slots > 0
+    able = [
+        server
+        for server in leader.servers.values()
+        if server.live
+        and server.canary
+        and server.server_id not in guide.set_aside
     ]
+    if guide.is_ramping:
+        return _offers(able, _RAMP_SERVERS, learnt)
+    chosen = _of_unlike_domains(able)
+    first = guide.budget.pulses % max(len(chosen), 1)
+    return _offers(chosen[first : first + 1], 1, learnt)
+
+
+def _of_unlike_domains(
+    able: list[records.Server],
+) -> list[records.Server]:
+    """Choose a few servers, in as many failure domains as there are.
+
+    Of few servers each shows enough to tell what is usual there, and a path
+    that is cut isn't taken for a bad version.
+    """
+    ranked = sorted(able, key=lambda server: server.server_id)
+    by_domain: dict[ids.FailureDomain, records.Server] = {}
+    for server in ranked:
+        by_domain.setdefault(server.announcement.failure_domain, server)
+    first = list(by_domain.values())
+    others = [one for one in ranked if one not in first]
+    return [*first, *others][:_CANARY_SERVERS]
+
+
+def _offers(
+    servers: list[records.Server],
+    most: int,
+    learnt: placing.Learnt,
+) -> list[placing.Offer]:
+    found = []
+    for server in servers:
+        free = server.free(learnt.now, 0)
+        if free > 0 and len(found) < most:
+            found.append(placing.offer(server, free, learnt))
+    return found
 
 
 def choose(
