--- a/libs/rollout/geraniumweir/rollout/budget.py
+++ b/libs/rollout/geraniumweir/rollout/budget.py
@@ -16,12 +16,12 @@
 # While the traffic grows, the new version gets this part of it.
 _RAMP_SHARE = 0.3
 # The budget is let through when it fills the slots of a server so many times.
-_PULSE_FILLS = 1.5
+_PULSE_FILLS = 3.0
 # It ends when the pool has got so many times its requests: some routes are
 # asked for too seldom.
 _LONGEST_PULSE = 30
 # But no more than this part of all that canaries may have got is saved up.
-_MOST_PULSE = 0.25
+_MOST_PULSE = 0.5
 # This part of it goes to all routes evenly: a rare one must show what it does.
 _EVEN_PART = 0.5
 
--- a/libs/rollout/geraniumweir/rollout/guiding.py
+++ b/libs/rollout/geraniumweir/rollout/guiding.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 from geraniumweir.common import ids
@@ -18,9 +19,15 @@
     slowness,
 )
 
-# Requests reserved in the log at a time, and how few are left then.
+# Requests reserved in the log at a time, at most and at least, and how few are
+# left then.
 _RESERVED_AHEAD = 40
+_LEAST_RESERVED = 8
 _FEW_RESERVED = 20
+# Requests of the pool that the log doesn't know of: at most this part of those
+# that it does, and so many.
+_UNKNOWN_PART = 0.1
+_UNKNOWN_REQUESTS = 50
 # A version isn't trusted with more before so many of its answers are known,
 # or all that its budget allowed.
 _ENOUGH_ANSWERS = 20
@@ -280,16 +287,25 @@
     def _from_canary(self, load: Load, due: bool) -> Advance | None:
         if due and self._is_trusted(load):
             return self._advance(orders.Phase.ramp)
-        left = self.rollout.exposure - self.budget.spent
-        if (
-            left < _FEW_RESERVED
-            and self.budget.canaries() > self.rollout.exposure
-        ):
-            return self._advance(orders.Phase.canary)
-        return None
+        return self._advance(orders.Phase.canary) if self._is_due() else None
+
+    def _is_due(self) -> bool:
+        """Tell whether the log should hear of the budget.
+
+        Of more to be reserved, or of requests that a successor wouldn't know.
+        """
+        noted = self.rollout
+        unknown = self.budget.requests - noted.requests
+        if unknown > noted.requests * _UNKNOWN_PART + _UNKNOWN_REQUESTS:
+            return True
+        left = noted.exposure - self.budget.spent
+        more = self.budget.canaries() - noted.exposure
+        return more >= _LEAST_RESERVED and left < _FEW_RESERVED
 
     def _advance(self, phase: orders.Phase) -> Advance:
-        reserved = self.budget.spent + _RESERVED_AHEAD
+        ahead = self.budget.spent + _RESERVED_AHEAD
+        most = max(self.budget.canaries(), self.budget.spent)
+        reserved = math.ceil(min(ahead, most))
         return Advance(phase, reserved, self.budget.requests)
 
     def _is_trusted(self, load: Load) -> bool:
