--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -14,6 +14,11 @@
 order of latest starts those with the longest targets come last, and as the
 pace falls in overload they miss them, though they are worth most.
 
+A plain answer counts once it is whole, and how long it takes isn't known
+before: of those that start at their latest useful start every other one just
+misses its target. Where more comes than can be served, among equals the newest
+goes first instead, with time to spare, and the oldest gives way.
+
 Those that can't meet their targets any more come behind, with the slots that
 newcomers leave. Were they served before, just in time for their callers'
 patience, then every newcomer would be late too, and a pool that was overloaded
@@ -39,6 +44,9 @@
 # Above this part of the slots the pace is too uncertain to let the important
 # wait for their last moment: what runs then is longer than what ran before.
 _CROWDED = 0.9
+# Above this part of the slots some are refused whatever the order; below it a
+# queue is shorter a moment later, and those that wait are served in time.
+_OVERRUN = 1.2
 # Where newcomers take nearly all slots, this part is thought to be left.
 _LEAST_LEFT = 0.02
 
@@ -97,6 +105,11 @@
         """Tell whether newcomers take nearly all slots."""
         return self.load > _CROWDED
 
+    @property
+    def overrun(self) -> bool:
+        """Tell whether much more comes than there are slots for."""
+        return self.load > _OVERRUN
+
     def late_wait(self, on_time: int, late: int) -> float:
         """Predict the seconds until newcomers leave a slot.
 
@@ -138,7 +151,7 @@
     ]
     on_time, missed = _feasible(hopeful, now, pace.interval)
     if pace.crowded:
-        on_time.sort(key=_by_importance)
+        on_time.sort(key=_newest_first if pace.overrun else _by_importance)
     late = sorted(
         (_late(turn.waiting, leads) for turn in missed),
         key=_by_importance,
@@ -192,6 +205,14 @@
     return int(ask.tier), turn.served, ask.rank, turn.latest
 
 
+def _newest_first(turn: Turn) -> tuple[int, float, int, float]:
+    """Give the importance, among equal plain answers the newest first."""
+    if turn.waiting.ask.streams:
+        return _by_importance(turn)
+    ask = turn.waiting.ask
+    return int(ask.tier), turn.served, ask.rank, -turn.latest
+
+
 def _worth(turn: Turn) -> _Worth:
     """Give the lesser value, the sooner a turn gives way."""
     ask = turn.waiting.ask
