--- a/libs/configuration/geraniumweir/configuration/rollouts.py
+++ b/libs/configuration/geraniumweir/configuration/rollouts.py
@@ -100,6 +100,7 @@
                 state=orders.State(note.state),
                 exposure=max(known.exposure, note.exposure),
                 requests=max(known.requests, note.requests),
+                answers=max(known.answers, note.answers),
                 reason=note.reason,
             ),
         )
@@ -150,6 +151,7 @@
         requests=found.requests,
         ordered_ms=found.ordered_ms,
         reason=found.reason,
+        answers=found.answers,
     )
 
 
@@ -165,4 +167,5 @@
         stored.requests,
         stored.ordered_ms,
         stored.reason,
+        stored.answers or 0,
     )
--- a/libs/configuration/geraniumweir/configuration/tests/test_rollouts.py
+++ b/libs/configuration/geraniumweir/configuration/tests/test_rollouts.py
@@ -29,7 +29,7 @@
     exposure: int = 0,
 ) -> bool:
     number = machine.rollouts.of_pool(_POOL).number
-    note = ttypes.NoteRollout(number, phase, found, exposure, 0, 'why')
+    note = ttypes.NoteRollout(number, phase, found, exposure, 0, 'why', 0)
     command = commands.note_rollout(note, 0)
     answer = machine.apply(machine.applied + 1, command)
     return commands.answers(answer)[0].note.taken
--- a/libs/control/geraniumweir/control/rollouts.py
+++ b/libs/control/geraniumweir/control/rollouts.py
@@ -205,9 +205,15 @@
             self.on_completed(rollout)
 
 
-def _order(rollout: orders.Rollout) -> tuple[int, int, int, int]:
+def _order(rollout: orders.Rollout) -> tuple[int, ...]:
     """Give what grows with each change of a pool's rollouts."""
-    return rollout.number, rollout.state, rollout.phase, rollout.exposure
+    return (
+        rollout.number,
+        rollout.state,
+        rollout.phase,
+        rollout.exposure,
+        rollout.requests,
+    )
 
 
 def _age(rollout: orders.Rollout) -> float:
@@ -223,9 +229,9 @@
     match step:
         case guiding.End(state, reason):
             return ttypes.NoteRollout(
-                rollout.number, rollout.phase, state, 0, 0, reason
+                rollout.number, rollout.phase, state, 0, 0, reason, 0
             )
-        case guiding.Advance(phase, exposure, requests):
+        case guiding.Advance(phase, exposure, requests, answers):
             return ttypes.NoteRollout(
                 rollout.number,
                 phase,
@@ -233,6 +239,7 @@
                 exposure,
                 requests,
                 '',
+                answers,
             )
 
 
--- a/libs/fakes/geraniumweir/fakes/rollouts/playing.py
+++ b/libs/fakes/geraniumweir/fakes/rollouts/playing.py
@@ -158,12 +158,13 @@
     def _store(self, step: guiding.Advance | guiding.End) -> None:
         before = self._sighted.rollout
         match step:
-            case guiding.Advance(phase, exposure, counted):
+            case guiding.Advance(phase, exposure, counted, answers):
                 after = dataclasses.replace(
                     before,
                     phase=max(before.phase, phase),
                     exposure=max(before.exposure, exposure),
                     requests=max(before.requests, counted),
+                    answers=max(before.answers, answers),
                 )
             case guiding.End(state, reason):
                 after = dataclasses.replace(before, state=state, reason=reason)
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -15,6 +15,7 @@
     watching,
 )
 from geraniumweir.gateway import (
+    listening,
     admission,
     codec,
     forwarding,
@@ -172,10 +173,10 @@
             self._meter,
         )
         self._start(stack)
-        ready = make_runner(self._readiness.server())
-        await listen(stack, ready, self._cfg.ready)
-        callers = make_runner(front.server())
-        await listen(
+        ready = listening.make_runner(self._readiness.server())
+        await listening.listen(stack, ready, self._cfg.ready)
+        callers = listening.make_runner(front.server())
+        await listening.listen(
             stack,
             callers,
             self._cfg.callers,
@@ -233,27 +234,3 @@
             await asyncio.sleep(_LOOK_SECONDS)
         await self._coordinator.leave()
         eventlog.emit(logevents.STOPPED, open=front.traffic.open)
-
-
-def make_runner(server: web.Server) -> web.ServerRunner:
-    """Make the runner of a server whose requests are drained before."""
-    return web.ServerRunner(server, shutdown_timeout=0)
-
-
-async def listen(
-    stack: contextlib.AsyncExitStack,
-    runner: web.BaseRunner,
-    address: ids.Address,
-    sock: socket.socket | None = None,
-) -> None:
-    """Serve at an address until the stack ends.
-
-    :param sock: listens there already; None makes one.
-    :raises OSError: when it can't be listened on.
-    """
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    if sock is None:
-        await web.TCPSite(runner, address.host, address.port).start()
-    else:
-        await web.SockSite(runner, sock).start()
--- a/libs/gateway/geraniumweir/gateway/tests/bed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/bed.py
@@ -16,10 +16,10 @@
     admission,
     codec,
     forwarding,
-    host,
     retrybudget,
     serving,
 )
+from geraniumweir.gateway import listening as serving_at
 from geraniumweir.observe import metrics
 from geraniumweir.routing import finding, tables
 from geraniumweir.scheduling import requests
@@ -200,8 +200,8 @@
             metrics.Metrics(),
         )
         address = ids.Address(_LOCAL, _free_port())
-        runner = host.make_runner(front.server())
-        await host.listen(stack, runner, address)
+        runner = serving_at.make_runner(front.server())
+        await serving_at.listen(stack, runner, address)
         caller = await stack.enter_async_context(aiohttp.ClientSession())
         yield Bed(f'http://{address}/a/b', front, scheduler, caller)
 
--- a/libs/rollout/geraniumweir/rollout/guiding.py
+++ b/libs/rollout/geraniumweir/rollout/guiding.py
@@ -28,6 +28,8 @@
 # that it does, and so many.
 _UNKNOWN_PART = 0.1
 _UNKNOWN_REQUESTS = 50
+# The same of answers that were judged.
+_UNKNOWN_ANSWERS = 10
 # A version isn't trusted with more before so many of its answers are known,
 # or all that its budget allowed.
 _ENOUGH_ANSWERS = 20
@@ -69,6 +71,7 @@
     phase: orders.Phase
     exposure: int
     requests: int
+    answers: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,7 +191,10 @@
                 found.rollout.exposure,
                 found.rollout.requests,
             )
-            self._evidence = _Evidence(self._make_judge())
+            self._evidence = _Evidence(
+                self._make_judge(),
+                answers=found.rollout.answers,
+            )
 
     def role(self, version: ids.SoftwareVersion) -> orders.Role:
         """Give what servers of a version may get."""
@@ -298,6 +304,8 @@
         unknown = self.budget.requests - noted.requests
         if unknown > noted.requests * _UNKNOWN_PART + _UNKNOWN_REQUESTS:
             return True
+        if self._seeming_good() - noted.answers >= _UNKNOWN_ANSWERS:
+            return True
         left = noted.exposure - self.budget.spent
         more = self.budget.canaries() - noted.exposure
         return more >= _LEAST_RESERVED and left < _FEW_RESERVED
@@ -306,7 +314,18 @@
         ahead = self.budget.spent + _RESERVED_AHEAD
         most = max(self.budget.canaries(), self.budget.spent)
         reserved = math.ceil(min(ahead, most))
-        return Advance(phase, reserved, self.budget.requests)
+        return Advance(
+            phase,
+            reserved,
+            self.budget.requests,
+            self._seeming_good(),
+        )
+
+    def _seeming_good(self) -> int:
+        """Give the answers that a successor need not see again."""
+        known = self._evidence
+        seems_good = known.judge.suspicion < _MOST_SUSPICION
+        return known.answers if seems_good else self.rollout.answers
 
     def _is_trusted(self, load: Load) -> bool:
         """Tell whether the new version may get more.
--- a/libs/rollout/geraniumweir/rollout/orders.py
+++ b/libs/rollout/geraniumweir/rollout/orders.py
@@ -51,6 +51,7 @@
     :ivar requests: that the whole pool got since the order.
     :ivar ordered_ms: by the log's clock, in Unix milliseconds.
     :ivar reason: why it ended, empty while it runs.
+    :ivar answers: of the new version that were judged while it seemed good.
     """
 
     pool: ids.PoolName
@@ -63,6 +64,7 @@
     requests: int = 0
     ordered_ms: int = 0
     reason: str = ''
+    answers: int = 0
 
     def role(self, version: ids.SoftwareVersion) -> Role:
         """Give what servers of a version may get.
--- a/libs/rollout/geraniumweir/rollout/slowness.py
+++ b/libs/rollout/geraniumweir/rollout/slowness.py
@@ -7,7 +7,6 @@
 
 import collections
 import dataclasses
-import statistics
 
 from geraniumweir.common import ids
 
@@ -78,5 +77,6 @@
         if quick is not None:
             limits.append(quick)
         if self._old:
-            limits.append(statistics.median(self._old.values()) * _HARDWARE)
+            ranked = sorted(self._old.values())
+            limits.append(ranked[len(ranked) // 2] * _HARDWARE)
         return _SLOW * min(limits) if limits else None
--- a/libs/rollout/geraniumweir/rollout/tests/test_guiding.py
+++ b/libs/rollout/geraniumweir/rollout/tests/test_guiding.py
@@ -41,6 +41,7 @@
                 phase=step.phase,
                 exposure=max(step.exposure, self.rollout.exposure),
                 requests=step.requests,
+                answers=step.answers,
             )
         self.guide.refresh()
         return step
@@ -127,6 +128,19 @@
     assert some.guide.role(_NEW) is orders.Role.canary
 
 
+def test_successor_takes_up_what_was_judged() -> None:
+    """A small pool's budget isn't enough for two coordinators' evidence."""
+    some = _Scene()
+    some.serve(150)
+    some.guide = some.make()
+    some.now = 7
+    some.serve(80)
+    some.now = 10
+    step = some.step()
+    assert isinstance(step, guiding.Advance)
+    assert step.phase is orders.Phase.ramp
+
+
 def test_version_that_cannot_bear_the_load_is_waited_for() -> None:
     """Its servers have fewer slots than requests run."""
     some = _Scene()
--- a/libs/wire/geraniumweir/wire/gen/configuration/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/configuration/ttypes.py
@@ -613,6 +613,7 @@
      - exposure
      - requests
      - reason
+     - answers
 
     """
 
@@ -623,16 +624,18 @@
         'exposure',
         'requests',
         'reason',
+        'answers',
     )
 
 
-    def __init__(self, number=None, phase=None, state=None, exposure=None, requests=None, reason=None,):
+    def __init__(self, number=None, phase=None, state=None, exposure=None, requests=None, reason=None, answers=None,):
         self.number = number
         self.phase = phase
         self.state = state
         self.exposure = exposure
         self.requests = requests
         self.reason = reason
+        self.answers = answers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -673,6 +676,11 @@
                     self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.answers = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -707,6 +715,10 @@
             oprot.writeFieldBegin('reason', TType.STRING, 6)
             oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.I64, 7)
+            oprot.writeI64(self.answers)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2101,6 +2113,7 @@
      - requests
      - ordered_ms
      - reason
+     - answers
 
     """
 
@@ -2115,10 +2128,11 @@
         'requests',
         'ordered_ms',
         'reason',
+        'answers',
     )
 
 
-    def __init__(self, pool=None, number=None, to=None, duration_ms=None, phase=None, state=None, exposure=None, requests=None, ordered_ms=None, reason=None,):
+    def __init__(self, pool=None, number=None, to=None, duration_ms=None, phase=None, state=None, exposure=None, requests=None, ordered_ms=None, reason=None, answers=None,):
         self.pool = pool
         self.number = number
         self.to = to
@@ -2129,6 +2143,7 @@
         self.requests = requests
         self.ordered_ms = ordered_ms
         self.reason = reason
+        self.answers = answers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2189,6 +2204,11 @@
                     self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.answers = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2239,6 +2259,10 @@
             oprot.writeFieldBegin('reason', TType.STRING, 10)
             oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.I64, 11)
+            oprot.writeI64(self.answers)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2862,6 +2886,7 @@
     (4, TType.I64, 'exposure', None, None, ),  # 4
     (5, TType.I64, 'requests', None, None, ),  # 5
     (6, TType.STRING, 'reason', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'answers', None, None, ),  # 7
 )
 all_structs.append(Step)
 Step.thrift_spec = (
@@ -2977,6 +3002,7 @@
     (8, TType.I64, 'requests', None, None, ),  # 8
     (9, TType.I64, 'ordered_ms', None, None, ),  # 9
     (10, TType.STRING, 'reason', 'UTF8', None, ),  # 10
+    (11, TType.I64, 'answers', None, None, ),  # 11
 )
 all_structs.append(StoredState)
 StoredState.thrift_spec = (
--- a/libs/wire/idl/configuration.thrift
+++ b/libs/wire/idl/configuration.thrift
@@ -59,6 +59,8 @@
   4: i64 exposure
   5: i64 requests
   6: string reason
+  // Of the new version that were judged and found good enough.
+  7: i64 answers
 }
 
 union Step {
@@ -173,6 +175,7 @@
   8: i64 requests
   9: i64 ordered_ms
   10: string reason
+  11: i64 answers
 }
 
 struct StoredState {
