--- a/libs/rollout/geraniumweir/rollout/budget.py
+++ b/libs/rollout/geraniumweir/rollout/budget.py
@@ -23,7 +23,7 @@
 # But no more than this part of all that canaries may have got is saved up.
 _MOST_PULSE = 0.5
 # This part of it goes to all routes evenly: a rare one must show what it does.
-_EVEN_PART = 0.5
+_EVEN_PART = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/rollout/geraniumweir/rollout/guiding.py
+++ b/libs/rollout/geraniumweir/rollout/guiding.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import enum
 import math
 import typing
 
@@ -33,8 +32,8 @@
 # A version isn't trusted with more before so many of its answers are known,
 # or all that its budget allowed.
 _ENOUGH_ANSWERS = 20
-# A test that is halfway to going off is waited for.
-_MOST_SUSPICION = 0.5
+# A test that is some way to going off is waited for.
+_MOST_SUSPICION = 0.35
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,17 +81,6 @@
     reason: str
 
 
-class Answer(enum.Enum):
-    """What came of a request, as far as its server's version matters.
-
-    :cvar unknown: it says nothing about the server.
-    """
-
-    good = 'good'
-    bad = 'bad'
-    unknown = 'unknown'
-
-
 Source = typing.Callable[[], Sighted | None]
 _USUAL_BOUNDS: typing.Final = budget.Bounds()
 _NONE: typing.Final[frozenset[ids.ServerId]] = frozenset()
@@ -225,7 +213,8 @@
         version: ids.SoftwareVersion,
         server: ids.ServerId,
         rule: str,
-        answer: Answer,
+        *,
+        failed: bool,
         ratio: float | None = None,
     ) -> None:
         """Take what came of a request.
@@ -233,12 +222,12 @@
         :param ratio: its time by what the pool usually takes for its like;
             None where it says nothing.
         """
-        if not self.runs or answer is Answer.unknown:
+        if not self.runs:
             return
         known = self._evidence
         old = version != self.rollout.to
-        bad = answer is Answer.bad
-        if ratio is not None and not bad:
+        bad = failed
+        if ratio is not None and not failed:
             bad = known.paces.is_slow(server, ratio, old=old)
         if old:
             known.judge.old(rule, bad=bad)
--- a/libs/rollout/geraniumweir/rollout/judging.py
+++ b/libs/rollout/geraniumweir/rollout/judging.py
@@ -20,7 +20,7 @@
 # Bad answers that are thought usual before any was seen, as a part of all,
 # and the weight of that in answers.
 _USUAL_BAD = 0.02
-_USUAL_WEIGHT = 20.0
+_USUAL_WEIGHT = 60.0
 _MOST_USUAL = 0.5
 # Each answer of the old version makes the earlier ones count for so much
 # less; about 500 are remembered.
@@ -30,15 +30,17 @@
 # A good version is taken for a bad one once in about so many answers.
 _FALSE_ALARM_ANSWERS = 10_000
 _THRESHOLD = math.log(_FALSE_ALARM_ANSWERS)
-# Bad answers of a version come from several of its servers.
+# Bad answers of a version come from several of its servers: each of these
+# gave so many, and this part of all.
 _FEW_BAD = 2
+_CULPRIT_PART = 0.3
 
 
 class Verdict(typing.NamedTuple):
     """A test went off.
 
     :ivar rule: the route on which it did, empty for all together.
-    :ivar culprits: servers that gave more than one of the bad answers.
+    :ivar culprits: servers that gave a good part of the bad answers.
     """
 
     rule: str
@@ -177,7 +179,8 @@
 
 
 def _verdict(rule: str, evidence: _Evidence) -> Verdict:
+    least = max(_FEW_BAD, evidence.bad.total() * _CULPRIT_PART)
     culprits = tuple(
-        server for server, count in evidence.bad.items() if count >= _FEW_BAD
+        server for server, count in evidence.bad.items() if count >= least
     )
     return Verdict(rule, culprits, evidence.bad.total(), evidence.answers)
--- a/libs/rollout/geraniumweir/rollout/tests/test_guiding.py
+++ b/libs/rollout/geraniumweir/rollout/tests/test_guiding.py
@@ -52,11 +52,10 @@
         for _ in range(number):
             new = self.guide.may_try('r')
             self.guide.granted('r', new=new)
-            answer = guiding.Answer.bad if bad else guiding.Answer.good
             if new:
                 tried += 1
                 name = ids.ServerId(str(tried % 3))
-                self.guide.answered(_NEW, name, 'r', answer)
+                self.guide.answered(_NEW, name, 'r', failed=bad)
             self.step()
         return tried
 
@@ -121,9 +120,9 @@
     some.step()
     broken = ids.ServerId('broken')
     for number in range(40):
-        some.guide.answered(_NEW, broken, 'r', guiding.Answer.bad)
+        some.guide.answered(_NEW, broken, 'r', failed=True)
         name = ids.ServerId(str(number % 3))
-        some.guide.answered(_NEW, name, 'r', guiding.Answer.good)
+        some.guide.answered(_NEW, name, 'r', failed=False)
     assert some.guide.set_aside == {broken}
     assert some.guide.role(_NEW) is orders.Role.canary
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/trying.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/trying.py
@@ -5,7 +5,6 @@
 """
 
 from geraniumweir.common import ids
-from geraniumweir.rollout import guiding
 from geraniumweir.scheduling import requests
 from geraniumweir.scheduling.ontime import fleet, placing, records, state
 
@@ -98,7 +97,7 @@
         return
     seconds = max(running.first_token or 0, _LEAST_SECONDS)
     usual = leader.learnt.pool.first.at(running.read_tokens)
-    _tell(leader, server, running, guiding.Answer.good, seconds / usual)
+    _tell(leader, server, running, failed=False, ratio=seconds / usual)
 
 
 def ended(
@@ -112,23 +111,24 @@
         return
     match release.outcome:
         case requests.Outcome.answered_failure:
-            _tell(leader, server, running, guiding.Answer.bad)
+            _tell(leader, server, running, failed=True)
         case requests.Outcome.failed | requests.Outcome.crashed:
             if not fleet.path_holds_up(leader, running, server):
-                _tell(leader, server, running, guiding.Answer.bad)
+                _tell(leader, server, running, failed=True)
 
 
 def _tell(
     leader: state.LeaderState,
     server: records.Server,
     running: records.Running,
-    answer: guiding.Answer,
+    *,
+    failed: bool,
     ratio: float | None = None,
 ) -> None:
     leader.guide.answered(
         server.version,
         server.server_id,
         running.ask.rule,
-        answer,
-        ratio,
+        failed=failed,
+        ratio=ratio,
     )
