--- a/libs/fakes/geraniumweir/fakes/rollouts/tests/test_playing.py
+++ b/libs/fakes/geraniumweir/fakes/rollouts/tests/test_playing.py
@@ -23,3 +23,17 @@
         for found in main.plays(kind, trouble, [1]):
             assert found.exposure <= 0.1 * found.requests + 50, found
             assert not found.after, found
+
+
+def test_version_that_fails_at_full_servers_is_found_in_time() -> None:
+    """Its few bad answers come where canaries of several routes rarely are."""
+    calm = versions.Trouble.calm
+    for found in main.plays(versions.Kind.loaded, calm, [206]):
+        assert found.exposure <= 0.1 * found.requests + 50, found
+
+
+def test_good_version_with_a_broken_server_completes() -> None:
+    """Two slow answers of another server don't make it a bad one."""
+    broken = versions.Trouble.new_broken
+    for found in main.plays(versions.Kind.good, broken, [201]):
+        assert found.state is orders.State.completed, found
