--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -36,6 +36,9 @@
 
 # Reports that a server may miss before it counts as silent.
 _MISSED_REPORTS = 3
+# A host that started so long ago has heard of all servers, in seconds: before,
+# those that it knows may be only the new ones.
+_SERVERS_KNOWN_SECONDS = 10.0
 # Operators send an order again for so long where its answer was lost, if
 # nothing else is said, in seconds.
 _AGAIN_SECONDS = 10.0
@@ -86,6 +89,7 @@
         self._cfg = cfg
         self._read = read
         self._clock = timers.TimerService()
+        self._started = self._clock.now()
         self._link = channel.Channel(layer)
         self.hosts = _known(cfg, layer, self._clock.now())
         lease = cfg.report_seconds * _MISSED_REPORTS
@@ -234,7 +238,8 @@
             for one in self.servers.known()
             if one.pool == pool and one.state is enrolments.State.ready
         }
-        if versions == {to}:
+        up_for = self._clock.now() - self._started
+        if versions == {to} and up_for > _SERVERS_KNOWN_SECONDS:
             raise errors.NothingToMoveError(f'{to} serves all of {pool}')
 
     def _retire(self, rollout: orders.Rollout) -> None:
