--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -137,16 +137,13 @@
 
 def rollout_load(leader: state.LeaderState) -> guiding.Load:
     """Tell how the pool does, for its rollout."""
-    new = leader.guide.rollout and leader.guide.rollout.to
+    to = leader.guide.to
     known = leader.servers.values()
-    old = [server for server in known if server.version != new]
     return guiding.Load(
-        old_running=sum(len(server.running) for server in old),
+        old_running=sum(len(one.running) for one in known if one.version != to),
         running=len(leader.running),
         new_slots=sum(
-            server.slots
-            for server in known
-            if server.live and server not in old
+            one.slots for one in known if one.live and one.version == to
         ),
         held=leader.held,
     )
