--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -115,3 +115,8 @@
     _Level.notice,
     'control host {host} is not sure of the newest document; {version} here',
 )
+SURE_AGAIN: typing.Final = _Event(
+    781,
+    _Level.warning,
+    'no control host was sure for {seconds} s; version {version} in force',
+)
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -33,6 +33,10 @@
 _AVOID_SECONDS = 2.0
 # Between two tries while no control host answers, in seconds: 20 a second.
 _PAUSE_SECONDS = 0.05
+# A time without a sure answer is told from so long on, in seconds: twice a
+# watch that has nothing to tell.
+_BLIND_SECONDS = 1.0
+_DIGITS = 3
 # A server that the control host doesn't list is kept for so long, in seconds:
 # servers report every 1 to 2 s, so one that is there is listed by then.
 _UNLISTED_SECONDS = 8.0
@@ -123,10 +127,20 @@
             changed = self._put(news.version, news.document) or changed
         changed = self._take_rollouts(news) or changed
         if news.sure and news.version <= self.version:
-            self.sure_at = now
+            self._note_sure(now)
         if changed:
             self._changes.on_next(None)
 
+    def _note_sure(self, now: float) -> None:
+        blind = now - self.sure_at
+        if _BLIND_SECONDS < blind < float('inf'):
+            eventlog.emit(
+                logevents.SURE_AGAIN,
+                seconds=round(blind, _DIGITS),
+                version=self.version,
+            )
+        self.sure_at = now
+
     async def _watch(self, host_id: ids.HostId) -> None:
         if host_id != self._place:
             eventlog.emit(logevents.WATCHES, host=host_id)
