An entry host searches for a control host that is sure, instead of waiting for each in turn

What callers saw: an old document in force for longer than an acknowledgement allows, at entry hosts that had a path to control hosts with the newer one.

Cause: a watcher asked one control host at a time, waited 0.9 s for each silent one, and asked one that had failed first again after 2 s, before one that answers. Two silent hosts beside a near one that froze cost 2.7 s; with three or more it began again at the first before it got to the one that answers, so it was behind for as long as they were silent. Hosts that were replaced stay known for a minute and more.

Why this works: a watch that isn't answered as sure within 0.75 s starts a search. The control hosts are asked one each 0.1 s, at once where one fails or isn't sure, for the document only; the first that is sure is watched. One of the own failure domain is tried beside the one that is watched, and turned to once it is sure.

Ruled out: that those in question had no path (the network of the test loses nothing to the one that answers).

--- a/libs/control/geraniumweir/control/feed.py
+++ b/libs/control/geraniumweir/control/feed.py
@@ -78,6 +78,8 @@
         watch: ttypes.Watch,
     ) -> ttypes.News:
         self._entry_hosts.heard(sender, self._clock.now())
+        if watch.brief:
+            return self._answer(watch)
         wait = min(watch.wait_ms / _MS, _LONGEST_WAIT_SECONDS)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait):
@@ -111,9 +113,11 @@
         return self._newest.version > watch.version
 
     def _answer(self, watch: ttypes.Watch) -> ttypes.News:
-        whole = watch.epoch != self._epoch
-        changed = self._table.known()
-        if not whole:
+        whole = watch.epoch != self._epoch and not watch.brief
+        changed: list[enrolments.Enrolment] = []
+        if whole:
+            changed = self._table.known()
+        elif not watch.brief:
             changed = self._table.since(watch.revision)
         news = ttypes.News(
             epoch=self._epoch,
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -1,21 +1,27 @@
 """How a host follows the document and the backend servers.
 
-It watches one control host, a near one first, and turns to another one when
-that is silent or may be behind the log. What it learnt stays: versions
-only grow, a server that is leaving stays so, and one that the next control
-host doesn't list yet is kept for a while, as that one may only just have
-started.
+It watches one control host, of its own failure domain if it can. When that is
+silent or may be behind the log it searches for another one, and it leaves one
+that is sure only for one that has shown that it is sure too. What it learnt
+stays: versions only grow, a server that is leaving stays so, and one that the
+next control host doesn't list yet is kept for a while, as that one may only
+just have started.
 """
 
 import asyncio
-import dataclasses
 import typing
 import zlib
 
 import reactivex
 from geraniumweir.common import errors as common_errors
 from geraniumweir.common import eventlog, ids, timers
-from geraniumweir.control import enrolments, hosts, logevents
+from geraniumweir.control import (
+    choosing,
+    enrolments,
+    hosts,
+    logevents,
+    searching,
+)
 from geraniumweir.rollout import guiding, orders
 from geraniumweir.routing import finding, tables
 from geraniumweir.wire import errors, peers
@@ -26,12 +32,13 @@
 # it bounds how long a dead control host goes unnoticed; a change must be in
 # force 2 s after it was acknowledged.
 _WAIT_SECONDS = 0.5
-# The answer may take so much longer, on its way and at a busy host, in seconds.
-_ANSWER_SECONDS = 0.4
+# The answer may take so much longer, in seconds: a lost packet is sent again
+# after 0.2 s. A host that is only late still answers the search that follows.
+_LATE_SECONDS = 0.25
+# Longest wait for an answer that is due at once, in seconds.
+_ANSWER_SECONDS = 0.9
 _MS = 1000
-# A control host that failed is tried again after so long, in seconds.
-_AVOID_SECONDS = 2.0
-# Between two tries while no control host answers, in seconds: 20 a second.
+# Between two searches while no control host answers, in seconds.
 _PAUSE_SECONDS = 0.05
 # A time without a sure answer is told from so long on, in seconds: twice a
 # watch that has nothing to tell.
@@ -46,14 +53,6 @@
 Read = typing.Callable[[bytes], tables.Document]
 
 
-@dataclasses.dataclass(slots=True)
-class _Avoided:
-    """When control hosts last failed, or may have been behind, in seconds."""
-
-    failed: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
-    unsure: dict[ids.HostId, float] = dataclasses.field(default_factory=dict)
-
-
 class Watcher:
     """What a host knows from the control hosts.
 
@@ -81,12 +80,12 @@
         self.index: finding.Index | None = None
         self.sure_at = float('-inf')
         self._link = link
-        self._domain = domain
         self._seeds = tuple(seeds)
         self._read = read
         self._clock = timers.TimerService()
-        self._avoided = _Avoided()
-        self._place = ids.HostId('')
+        self._choice = choosing.Choice(domain, self.hosts, self._look)
+        self._silent: set[ids.HostId] = set()
+        self._told_by = ids.HostId('')
         self._epoch = ''
         self._revision = 0
         self._unlisted: dict[ids.ServerId, float] = {}
@@ -110,19 +109,32 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
-        while True:
-            host_id = self._choose()
-            if host_id is None:
-                await self._meet_seeds()
-                continue
-            await self._watch(host_id)
+        try:
+            while True:
+                if not await self._watch():
+                    await self._search()
+        finally:
+            self._choice.close()
 
     def take(self, sender: ids.HostId, news: ttypes.News) -> None:
         """Take what a control host told."""
         now = self._clock.now()
-        self._learn_hosts(sender, news, now)
         changed = self._take_servers(sender, news, now)
         changed = self._drop_unlisted(now) or changed
+        self._take_rest(sender, news, now, changed)
+
+    def _take_rest(
+        self,
+        sender: ids.HostId,
+        news: ttypes.News,
+        now: float,
+        changed: bool,
+    ) -> None:
+        """Take all but the servers.
+
+        :param changed: something did already.
+        """
+        self._learn_hosts(sender, news, now)
         if news.document is not None and news.version > self.version:
             changed = self._put(news.version, news.document) or changed
         changed = self._take_rollouts(news) or changed
@@ -141,48 +153,64 @@
             )
         self.sure_at = now
 
-    async def _watch(self, host_id: ids.HostId) -> None:
-        if host_id != self._place:
-            eventlog.emit(logevents.WATCHES, host=host_id)
-            self._place = host_id
-            self._epoch = ''
+    async def _watch(self) -> bool:
+        """Watch the chosen host once; tell whether it is sure."""
+        host_id = self._choice.host_id
+        if not host_id:
+            return False
         watch = ttypes.Watch(
             self.version,
-            self._epoch,
+            self._epoch if host_id == self._told_by else '',
             self._revision,
             int(_WAIT_SECONDS * _MS),
             self._rollouts_progress,
         )
-        timeout = _WAIT_SECONDS + _ANSWER_SECONDS
-        try:
-            news = await self._link.call(host_id, watch, timeout)
-        except errors.PeerError as exc:
-            eventlog.emit(
-                logevents.WATCH_LOST,
-                host=host_id,
-                reason=exc.message,
-            )
-            self._avoided.failed[host_id] = self._clock.now()
+        news = await self._call(host_id, watch, _WAIT_SECONDS + _LATE_SECONDS)
+        if news is not None:
+            self.take(host_id, news)
+        self._choice.try_nearer()
+        verdict = self._choice.judge(host_id, news, self.version)
+        return verdict is searching.Verdict.sure
+
+    async def _search(self) -> None:
+        if not await self._choice.search():
+            await self._meet_seeds()
             await asyncio.sleep(_PAUSE_SECONDS)
-            return
-        self.take(host_id, news)
 
-    def _choose(self) -> ids.HostId | None:
-        now = self._clock.now()
-        near = self.hosts.near_first(self._domain)
-        ranked = sorted(near, key=lambda host: self._dislike(host, now))
-        return ranked[0].host_id if ranked else None
+    async def _look(self, host_id: ids.HostId) -> searching.Verdict:
+        """Ask a host for the document only."""
+        watch = ttypes.Watch(
+            self.version,
+            '',
+            0,
+            0,
+            self._rollouts_progress,
+            brief=True,
+        )
+        news = await self._call(host_id, watch, _ANSWER_SECONDS)
+        if news is not None:
+            self._take_rest(host_id, news, self._clock.now(), changed=False)
+        return self._choice.judge(host_id, news, self.version)
 
-    def _dislike(
+    async def _call(
         self,
-        host: hosts.ControlHost,
-        now: float,
-    ) -> tuple[float, bool]:
-        failed = self._avoided.failed.get(host.host_id, float('-inf'))
-        # Where all failed, the one that failed first is tried again first.
-        worst = failed if now - failed < _AVOID_SECONDS else float('-inf')
-        unsure = self._avoided.unsure.get(host.host_id, float('-inf'))
-        return worst, now - unsure < _AVOID_SECONDS
+        host_id: ids.HostId,
+        watch: ttypes.Watch,
+        timeout: float,
+    ) -> ttypes.News | None:
+        try:
+            news = await self._link.call(host_id, watch, timeout)
+        except errors.PeerError as exc:
+            if host_id not in self._silent:
+                self._silent.add(host_id)
+                eventlog.emit(
+                    logevents.WATCH_LOST,
+                    host=host_id,
+                    reason=exc.message,
+                )
+            return None
+        self._silent.discard(host_id)
+        return news
 
     async def _meet_seeds(self) -> None:
         """Ask all seeds who they are; the first answer is enough.
@@ -200,7 +228,6 @@
         finally:
             for task in asked:
                 task.cancel()
-        await asyncio.sleep(_PAUSE_SECONDS)
 
     async def _meet(self, address: ids.Address) -> bool:
         try:
@@ -229,17 +256,6 @@
             self.hosts.heard(host.host_id, now)
             self._link.learn(host.host_id, host.address)
         self.hosts.forget_old(now)
-        self._avoided.failed.pop(sender, None)
-        if news.sure:
-            self._avoided.unsure.pop(sender, None)
-            return
-        if sender not in self._avoided.unsure:
-            eventlog.emit(
-                logevents.WATCH_UNSURE,
-                host=sender,
-                version=self.version,
-            )
-        self._avoided.unsure[sender] = now
 
     def _take_rollouts(self, news: ttypes.News) -> bool:
         if (news.rollouts_progress or 0) <= self._rollouts_progress:
@@ -257,6 +273,7 @@
         news: ttypes.News,
         now: float,
     ) -> bool:
+        self._told_by = sender
         self._epoch = news.epoch
         self._revision = news.revision
         listed = enrolments.readable(news.servers, sender)
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -705,6 +705,7 @@
      - revision
      - wait_ms
      - rollouts_progress
+     - brief
 
     """
 
@@ -714,15 +715,17 @@
         'revision',
         'wait_ms',
         'rollouts_progress',
+        'brief',
     )
 
 
-    def __init__(self, version=None, epoch=None, revision=None, wait_ms=None, rollouts_progress=None,):
+    def __init__(self, version=None, epoch=None, revision=None, wait_ms=None, rollouts_progress=None, brief=None,):
         self.version = version
         self.epoch = epoch
         self.revision = revision
         self.wait_ms = wait_ms
         self.rollouts_progress = rollouts_progress
+        self.brief = brief
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -758,6 +761,11 @@
                     self.rollouts_progress = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.brief = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -788,6 +796,10 @@
             oprot.writeFieldBegin('rollouts_progress', TType.I64, 5)
             oprot.writeI64(self.rollouts_progress)
             oprot.writeFieldEnd()
+        if self.brief is not None:
+            oprot.writeFieldBegin('brief', TType.BOOL, 6)
+            oprot.writeBool(self.brief)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1791,6 +1803,7 @@
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.I32, 'wait_ms', None, None, ),  # 4
     (5, TType.I64, 'rollouts_progress', None, None, ),  # 5
+    (6, TType.BOOL, 'brief', None, None, ),  # 6
 )
 all_structs.append(News)
 News.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -71,6 +71,8 @@
   3: i64 revision
   4: i32 wait_ms
   5: optional i64 rollouts_progress
+  // The answer comes at once and lists no servers.
+  6: optional bool brief
 }
 
 // sure: the answerer has all that is committed. whole: servers are all there
