While no control host is sure, entry hosts ask all of them four times a second and keep their place

Cause: each new place was asked for everything at once, answered so, and the next search took the one that was least lately asked. Now a place that answers is kept where none is sure, the next search is 0.25 s later, and a silent host is waited for 0.2 s beyond the others.

--- a/libs/control/geraniumweir/control/choosing.py
+++ b/libs/control/geraniumweir/control/choosing.py
@@ -131,8 +131,8 @@
         """
         ranked = self._ranking.ranked(self._known, self._clock.now())
         found = await searching.Search(self._look).run(ranked)
-        self._settle(found.best)
-        return bool(found.best)
+        self._settle(found.best(self.host_id))
+        return bool(self.host_id)
 
     def try_nearer(self) -> None:
         """Ask a host of the own failure domain beside the one watched."""
--- a/libs/control/geraniumweir/control/searching.py
+++ b/libs/control/geraniumweir/control/searching.py
@@ -16,6 +16,9 @@
 # some fifty round trips between failure domains. With seven control hosts of
 # which one answers, it is asked within 0.6 s.
 _NEXT_SECONDS = 0.1
+# Where some answered and none is sure, the silent ones are waited for so much
+# longer, in seconds.
+_LAST_SECONDS = 0.2
 
 
 class Verdict(enum.Enum):
@@ -43,10 +46,16 @@
     sure: ids.HostId = ids.HostId('')
     unsure: list[ids.HostId] = dataclasses.field(default_factory=list)
 
-    @property
-    def best(self) -> ids.HostId:
-        """The host to watch, or empty where none answered."""
-        return self.sure or next(iter(self.unsure), ids.HostId(''))
+    def best(self, before: ids.HostId) -> ids.HostId:
+        """Give the host to watch, or empty where none answered.
+
+        :param before: is kept where none is sure and it answered.
+        """
+        if self.sure:
+            return self.sure
+        if before in self.unsure:
+            return before
+        return next(iter(self.unsure), ids.HostId(''))
 
 
 class Search:
@@ -70,21 +79,26 @@
         :param ranked: whom to ask, the first one first.
         """
         try:
-            for host_id in ranked:
-                task = asyncio.create_task(self._ask(host_id))
-                self._asked[task] = host_id
-                await self._wait(_NEXT_SECONDS)
-                if self.found.sure:
-                    return self.found
-            while self._asked and not self.found.sure:
-                await self._wait(None)
+            await self._ask_all(ranked)
         finally:
             for task in self._asked:
                 task.cancel()
         return self.found
 
-    async def _wait(self, seconds: float | None) -> None:
-        """Take the answers that come, until one is there or time is over."""
+    async def _ask_all(self, ranked: typing.Iterable[ids.HostId]) -> None:
+        for host_id in ranked:
+            task = asyncio.create_task(self._ask(host_id))
+            self._asked[task] = host_id
+            await self._wait(_NEXT_SECONDS)
+            if self.found.sure:
+                return
+        while self._asked and not self.found.sure:
+            seconds = _LAST_SECONDS if self.found.unsure else None
+            if not await self._wait(seconds):
+                return
+
+    async def _wait(self, seconds: float | None) -> bool:
+        """Take the next answers; tell whether any came in time."""
         done, _ = await asyncio.wait(
             self._asked,
             timeout=seconds,
@@ -97,3 +111,4 @@
                     self.found.sure = self.found.sure or host_id
                 case Verdict.unsure:
                     self.found.unsure.append(host_id)
+        return bool(done)
--- a/libs/control/geraniumweir/control/tests/test_in_force.py
+++ b/libs/control/geraniumweir/control/tests/test_in_force.py
@@ -17,6 +17,7 @@
 _LOOK_SECONDS = 0.05
 _AT_ONCE_SECONDS = 0.2
 _CUT_SECONDS = 6
+_SEARCHES_A_SECOND = 5
 
 Cut = typing.Callable[[bed.Bed, str], None]
 
@@ -155,3 +156,28 @@
         assert worst < _AT_ONCE_SECONDS
 
     virtual.run(work())
+
+
+def test_watcher_of_control_hosts_without_a_leader_asks_at_a_steady_pace(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All answer at once that they aren't sure."""
+
+    async def work() -> None:
+        hosts = bed.Bed()
+        monkeypatch.setattr(recordings, 'opened', hosts.opened)
+        await bed.publish(await hosts.start(), 1)
+        hosts.watch(bed.DOMAINS[0])
+        await asyncio.sleep(1)
+        for domain in bed.DOMAINS:
+            _mute(hosts, domain)
+        await asyncio.sleep(2)
+        sent = hosts.network.sent
+        key = (ids.HostId('entry'), 'Watch')
+        before = sent[key]
+        await asyncio.sleep(_CUT_SECONDS)
+        hosts.stop()
+        searches = (sent[key] - before) / (len(bed.DOMAINS) + 1)
+        assert searches <= _SEARCHES_A_SECOND * _CUT_SECONDS
+
+    virtual.run(work())
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -32,6 +32,8 @@
 # it bounds how long a dead control host goes unnoticed; a change must be in
 # force 2 s after it was acknowledged.
 _WAIT_SECONDS = 0.5
+# While no control host is sure they are all asked this often, in seconds.
+_UNSURE_SECONDS = 0.25
 # The answer may take so much longer, in seconds: a lost packet is sent again
 # after 0.2 s. A host that is only late still answers the search that follows.
 _LATE_SECONDS = 0.25
@@ -85,6 +87,7 @@
         self._clock = timers.TimerService()
         self._choice = choosing.Choice(domain, self.hosts, self._look)
         self._silent: set[ids.HostId] = set()
+        self._is_sure = False
         self._told_by = ids.HostId('')
         self._epoch = ''
         self._revision = 0
@@ -158,19 +161,21 @@
         host_id = self._choice.host_id
         if not host_id:
             return False
+        wait = _WAIT_SECONDS if self._is_sure else _UNSURE_SECONDS
         watch = ttypes.Watch(
             self.version,
             self._epoch if host_id == self._told_by else '',
             self._revision,
-            int(_WAIT_SECONDS * _MS),
+            int(wait * _MS),
             self._rollouts_progress,
         )
-        news = await self._call(host_id, watch, _WAIT_SECONDS + _LATE_SECONDS)
+        news = await self._call(host_id, watch, wait + _LATE_SECONDS)
         if news is not None:
             self.take(host_id, news)
         self._choice.try_nearer()
         verdict = self._choice.judge(host_id, news, self.version)
-        return verdict is searching.Verdict.sure
+        self._is_sure = verdict is searching.Verdict.sure
+        return self._is_sure
 
     async def _search(self) -> None:
         if not await self._choice.search():
