Control hosts learn the failure domains of the seeds they started with

What callers saw: nothing by itself.

Cause: a control host knows its seeds by address only, with an empty failure domain, and took another host's card only where it knew no such host; so the domain of the first control hosts stayed empty for good, and it told them so to entry hosts, which then replaced the full card that each host gives of itself. Watching, the address that servers are given for their next reports, and the place of a new recorder all go by the domain.

Why this works: a full card replaces a bare one, wherever it comes from, and a bare one never replaces a full one. Red before: both tests of test_presence.py. Ruled out: an avoided host that isn't tried again (it was sound for 9 s).

--- a/libs/control/geraniumweir/control/hosts.py
+++ b/libs/control/geraniumweir/control/hosts.py
@@ -22,6 +22,7 @@
 
     :ivar address: for hosts of the system.
     :ivar control_address: for backend servers and operators.
+    :ivar failure_domain: empty for a seed that hasn't answered yet.
     """
 
     host_id: ids.HostId
@@ -61,9 +62,15 @@
         self._heard: dict[ids.HostId, float] = {}
 
     def learn(self, host: ControlHost, now: float) -> bool:
-        """Take that there is such a host; tell whether it was news."""
-        news = self._known.get(host.host_id) != host
-        self._known[host.host_id] = host
+        """Take that there is such a host; tell whether it was news.
+
+        One that is known in full stays so where only its address is told.
+        """
+        known = self._known.get(host.host_id)
+        bare = known is not None and not host.failure_domain
+        news = known != host and not bare
+        if news:
+            self._known[host.host_id] = host
         self._heard.setdefault(host.host_id, now)
         return news
 
--- a/libs/control/geraniumweir/control/presence.py
+++ b/libs/control/geraniumweir/control/presence.py
@@ -135,8 +135,7 @@
         now = self._clock.now()
         for told in (card.me, *card.hosts):
             host = hosts.from_wire(told)
-            if self._known.get(host.host_id) is None:
-                self._known.learn(host, now)
+            if self._known.learn(host, now):
                 self._link.learn(host.host_id, host.address)
         self._known.heard(sender, now)
         if card.leads:
--- /dev/null
+++ b/libs/control/geraniumweir/control/tests/test_presence.py
@@ -0,0 +1,63 @@
+"""What control hosts learn of each other."""
+
+import asyncio
+
+from geraniumweir.common import ids, virtual
+from geraniumweir.control import enrolments, hosts, presence, standing
+from geraniumweir.control.tests import bed
+from geraniumweir.wire import memory
+
+
+class _NoLog:
+    """A log that this host has no part in."""
+
+    def is_leading(self) -> bool:
+        """Lead nothing."""
+        return False
+
+
+def _seed(domain: str) -> hosts.ControlHost:
+    """Describe a host of which only the address is known."""
+    where = bed.address(domain)
+    return hosts.ControlHost(
+        ids.HostId(domain), where, where, ids.FailureDomain('')
+    )
+
+
+def _meet(
+    network: memory.MemoryNetwork, me: str, other: str
+) -> tuple[hosts.ControlHosts, presence.Presence]:
+    known = hosts.ControlHosts()
+    known.learn(bed.card(me), 0)
+    known.learn(_seed(other), 0)
+    link = network.join(ids.HostId(me), bed.address(me))
+    table = enrolments.Enrolments(ids.HostId(me), 1)
+    met = presence.Presence(
+        link, bed.card(me), known, table, _NoLog(), standing.EntryHosts(8)
+    )
+    return known, met
+
+
+def test_failure_domain_of_a_seed_is_learnt_when_it_answers() -> None:
+    """Entry hosts and servers are sent to control hosts of their domain."""
+
+    async def work() -> None:
+        network = memory.MemoryNetwork()
+        known, ours = _meet(network, 'ant', 'bee')
+        other_known, others = _meet(network, 'bee', 'ant')
+        tasks = [asyncio.create_task(one.run()) for one in (ours, others)]
+        await asyncio.sleep(2)
+        for task in tasks:
+            task.cancel()
+        assert known.get(ids.HostId('bee')) == bed.card('bee')
+        assert other_known.get(ids.HostId('ant')) == bed.card('ant')
+
+    virtual.run(work())
+
+
+def test_host_that_is_known_in_full_is_not_replaced_by_its_address() -> None:
+    """A control host that met it as a seed tells no more."""
+    known = hosts.ControlHosts()
+    known.learn(bed.card('ant'), 0)
+    known.learn(_seed('ant'), 1)
+    assert known.get(ids.HostId('ant')) == bed.card('ant')
