A control host tells the document that it has, also while it isn't sure that it is the newest

What callers saw: an entry host that had a path to the control host with an acknowledged document, but to no majority, went on with the one before; one that started in a failure domain that is cut off had none and refused everything.

Cause: a control host withheld what it had applied while it wasn't sure, for fear of telling something old. What is applied is committed, and versions only grow: a newer version is newer in any state.

Why this works: the document is told wherever its version is higher; sure or not is told beside it, as before.

--- a/libs/control/geraniumweir/control/feed.py
+++ b/libs/control/geraniumweir/control/feed.py
@@ -104,11 +104,9 @@
         return self._log.is_current()
 
     def _is_newer(self, watch: ttypes.Watch) -> bool:
-        # What this host knows counts only while it has all that is committed:
-        # it may have been down or cut off since, or its disk may be hurt. To
-        # hear the leader isn't enough; entry hosts that were told that all
-        # was well by one with a full disk were 10.6 s behind the others.
-        if self._newest is None or not self._log.is_current():
+        # What is applied here is committed, so that it is newer wherever its
+        # version is higher, whether or not there is something newer still.
+        if self._newest is None:
             return False
         return self._newest.version > watch.version
 
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -18,6 +18,7 @@
     feed,
     growing,
     hosts,
+    inforce,
     logaccess,
     logevents,
     presence,
@@ -26,7 +27,6 @@
     rollouts,
     roster,
     standing,
-    watching,
 )
 from geraniumweir.rollout import budget, orders
 from geraniumweir.routing import finding
@@ -83,7 +83,7 @@
         self,
         cfg: Settings,
         layer: tcp.TcpPeers,
-        read: watching.Read,
+        read: inforce.Read,
     ) -> None:
         """Put them together; :meth:`run` starts them."""
         self._cfg = cfg
--- /dev/null
+++ b/libs/control/geraniumweir/control/inforce.py
@@ -0,0 +1,84 @@
+"""The document that an entry host has in force."""
+
+import typing
+import zlib
+
+from geraniumweir.common import errors, eventlog, ids, timers
+from geraniumweir.control import logevents
+from geraniumweir.routing import finding, tables
+from geraniumweir.wire.gen.control import ttypes
+
+# A host that has just started waits so long for a control host that is sure,
+# in seconds: longer than an election after a loss of all control hosts, whose
+# snapshots may be old.
+_BEGIN_SECONDS = 3.0
+
+Read = typing.Callable[[bytes], tables.Document]
+
+
+class InForce:
+    """Puts newer documents in force, never an older one.
+
+    :ivar index: the document, or None before the first.
+    """
+
+    def __init__(self, read: Read) -> None:
+        """Start without any.
+
+        :param read: reads a document that was checked when it was published.
+        """
+        self.index: finding.Index | None = None
+        self._read = read
+        self._clock = timers.TimerService()
+        self._started = self._clock.now()
+        self._held: ttypes.News | None = None
+
+    @property
+    def version(self) -> ids.Version:
+        """The version in force, -1 before the first."""
+        return ids.Version(-1) if self.index is None else self.index.version
+
+    def offer(self, news: ttypes.News) -> bool:
+        """Put a newer document in force; tell whether there was one.
+
+        The first one must be from a control host that is sure; one of another
+        is kept for :meth:`begin`.
+        """
+        if news.document is None or news.version <= self.version:
+            return False
+        if news.sure or self.index is not None:
+            return self._put(news)
+        if self._held is None or self._held.version < news.version:
+            self._held = news
+        return False
+
+    def begin(self) -> bool:
+        """Begin with a document that may not be the newest.
+
+        :returns: whether there was one, and nobody was sure for long.
+        """
+        up_for = self._clock.now() - self._started
+        if self._held is None or up_for < _BEGIN_SECONDS:
+            return False
+        held = self._held
+        self._held = None
+        return self.index is None and self._put(held)
+
+    def _put(self, news: ttypes.News) -> bool:
+        try:
+            document = self._read(zlib.decompress(news.document))
+        except (errors.GeraniumweirError, zlib.error) as exc:
+            eventlog.emit(
+                logevents.DOCUMENT_UNREADABLE,
+                version=news.version,
+                reason=str(exc),
+            )
+            return False
+        before = self.version
+        self.index = finding.Index(document)
+        eventlog.emit(
+            logevents.DOCUMENT_IN_FORCE,
+            version=news.version,
+            before=before,
+        )
+        return True
--- a/libs/control/geraniumweir/control/tests/test_in_force.py
+++ b/libs/control/geraniumweir/control/tests/test_in_force.py
@@ -16,6 +16,7 @@
 _IN_FORCE_SECONDS = 2
 _LOOK_SECONDS = 0.05
 _AT_ONCE_SECONDS = 0.2
+_BEGIN_SECONDS = 4
 _CUT_SECONDS = 6
 _SEARCHES_A_SECOND = 5
 
@@ -181,3 +182,56 @@
         assert searches <= _SEARCHES_A_SECOND * _CUT_SECONDS
 
     virtual.run(work())
+
+
+def test_document_that_is_known_is_told_by_a_host_that_is_not_sure(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What is applied is committed, and versions only grow."""
+
+    async def work() -> None:
+        hosts = bed.Bed()
+        monkeypatch.setattr(recordings, 'opened', hosts.opened)
+        leading = await hosts.start()
+        await bed.publish(leading, 1)
+        name = leading.host_id
+        watcher = hosts.watch(name)
+        await asyncio.sleep(1)
+        for domain in bed.DOMAINS:
+            hosts.part('entry', domain)
+        await bed.publish(leading, 2)
+        for domain in bed.DOMAINS:
+            _isolate(hosts, domain)
+        await asyncio.sleep(2)
+        assert not leading.log.is_current()
+        hosts.network.heal()
+        for domain in bed.DOMAINS:
+            _isolate(hosts, domain)
+            if domain != name:
+                hosts.part('entry', domain)
+        behind = await _longest_behind([watcher], 2, _CUT_SECONDS)
+        hosts.stop()
+        assert behind < _IN_FORCE_SECONDS
+
+    virtual.run(work())
+
+
+def test_entry_host_that_starts_where_nobody_is_sure_has_a_document(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A failure domain that is cut off serves on."""
+
+    async def work() -> None:
+        hosts = bed.Bed()
+        monkeypatch.setattr(recordings, 'opened', hosts.opened)
+        await bed.publish(await hosts.start(), 1)
+        await asyncio.sleep(1)
+        for domain in bed.DOMAINS:
+            _isolate(hosts, domain)
+        await asyncio.sleep(2)
+        watcher = hosts.watch(bed.DOMAINS[0])
+        behind = await _longest_behind([watcher], 1, _CUT_SECONDS)
+        hosts.stop()
+        assert behind < _BEGIN_SECONDS
+
+    virtual.run(work())
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -10,20 +10,19 @@
 
 import asyncio
 import typing
-import zlib
 
 import reactivex
-from geraniumweir.common import errors as common_errors
 from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.control import (
     choosing,
     enrolments,
     hosts,
+    inforce,
     logevents,
     searching,
 )
 from geraniumweir.rollout import guiding, orders
-from geraniumweir.routing import finding, tables
+from geraniumweir.routing import finding
 from geraniumweir.wire import errors, peers
 from geraniumweir.wire.gen.control import ttypes
 from reactivex import subject
@@ -52,15 +51,12 @@
 # Servers hear nothing of a host's lease here; only control hosts hold one.
 _NO_LEASE = float('inf')
 
-Read = typing.Callable[[bytes], tables.Document]
-
 
 class Watcher:
     """What a host knows from the control hosts.
 
     :ivar hosts: the control hosts.
     :ivar servers: the backend servers.
-    :ivar index: the document in force, or None before the first.
     :ivar sure_at: when a control host that has all that is committed last
         told what there is, in seconds.
     """
@@ -70,7 +66,7 @@
         link: peers.Peers,
         domain: ids.FailureDomain,
         seeds: typing.Sequence[ids.Address],
-        read: Read,
+        read: inforce.Read,
     ) -> None:
         """Know nothing yet.
 
@@ -79,11 +75,10 @@
         """
         self.hosts = hosts.ControlHosts()
         self.servers = enrolments.Enrolments(link.host_id, _NO_LEASE)
-        self.index: finding.Index | None = None
         self.sure_at = float('-inf')
         self._link = link
         self._seeds = tuple(seeds)
-        self._read = read
+        self._document = inforce.InForce(read)
         self._clock = timers.TimerService()
         self._choice = choosing.Choice(domain, self.hosts, self._look)
         self._silent: set[ids.HostId] = set()
@@ -101,10 +96,15 @@
         """Fires when servers or the document changed."""
         return self._changes
 
+    @property
+    def index(self) -> finding.Index | None:
+        """The document in force, or None before the first."""
+        return self._document.index
+
     @property
     def version(self) -> ids.Version:
         """The version in force, -1 before the first."""
-        return ids.Version(-1) if self.index is None else self.index.version
+        return self._document.version
 
     def rollout(self, pool: ids.PoolName) -> guiding.Sighted | None:
         """Give a pool's newest order to roll out."""
@@ -138,8 +138,7 @@
         :param changed: something did already.
         """
         self._learn_hosts(sender, news, now)
-        if news.document is not None and news.version > self.version:
-            changed = self._put(news.version, news.document) or changed
+        changed = self._document.offer(news) or changed
         changed = self._take_rollouts(news) or changed
         if news.sure and news.version <= self.version:
             self._note_sure(now)
@@ -178,7 +177,10 @@
         return self._is_sure
 
     async def _search(self) -> None:
-        if not await self._choice.search():
+        answered = await self._choice.search()
+        if self._document.begin():
+            self._changes.on_next(None)
+        if not answered:
             await self._meet_seeds()
             await asyncio.sleep(_PAUSE_SECONDS)
 
@@ -303,25 +305,6 @@
             self.servers.forget(server_id)
         return bool(old)
 
-    def _put(self, version: int, packed: bytes) -> bool:
-        try:
-            document = self._read(zlib.decompress(packed))
-        except (common_errors.GeraniumweirError, zlib.error) as exc:
-            eventlog.emit(
-                logevents.DOCUMENT_UNREADABLE,
-                version=version,
-                reason=str(exc),
-            )
-            return False
-        before = self.version
-        self.index = finding.Index(document)
-        eventlog.emit(
-            logevents.DOCUMENT_IN_FORCE,
-            version=version,
-            before=before,
-        )
-        return True
-
 
 def _rollout(told: ttypes.Rollout) -> orders.Rollout:
     """Read what a host needs that doesn't move the traffic itself."""
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -11,6 +11,7 @@
 from geraniumweir.control import (
     coordinating,
     coordination,
+    inforce,
     roster,
     watching,
 )
@@ -80,7 +81,7 @@
         cfg: Settings,
         layer: tcp.TcpPeers,
         names: codec.Codec,
-        read: watching.Read,
+        read: inforce.Read,
         meter: metrics.Metrics,
     ) -> None:
         """Put them together; :meth:`run` starts them."""
