--- a/libs/consensus/geraniumweir/consensus/core.py
+++ b/libs/consensus/geraniumweir/consensus/core.py
@@ -82,12 +82,14 @@
 
     :ivar committed: the highest index that one called committed.
     :ivar at: when one was last heard, in loop time.
-    :ivar caught_up_at: when one was last heard with nothing committed that
-        isn't applied here, in loop time.
+    :ivar commit_at: when one last told how much is committed, in loop time.
+    :ivar caught_up_at: when one last told so and nothing committed wasn't
+        applied here, in loop time.
     """
 
     committed: int
     at: float = -math.inf
+    commit_at: float = -math.inf
     caught_up_at: float = -math.inf
 
 
@@ -246,14 +248,13 @@
     def note_caught_up(self) -> None:
         """Take that a message was heard or something was applied."""
         if self.applied.height >= self.heard.committed:
-            self.heard.caught_up_at = self.heard.at
+            self.heard.caught_up_at = self.heard.commit_at
 
     def staleness(self) -> float:
         """Give since when something committed may be missing, in seconds.
 
         To hear a leader isn't enough: entries count here once this disk has
-        synced them. One that stalled or was full for 10 s was heard all the
-        while, and was 10.6 s behind.
+        synced them, and a leader that hears no answers sends none.
         """
         if self.reign is not None:
             started = self.applied.height >= self.reign.start_index
--- a/libs/consensus/geraniumweir/consensus/following.py
+++ b/libs/consensus/geraniumweir/consensus/following.py
@@ -27,9 +27,12 @@
 
     :raises errors.RecorderFailedError: when this one may promise nothing.
     """
-    outcome = _hear(this, message, message.commit)
+    outcome = _hear(this, message)
     if outcome != ttypes.Outcome.done:
         return ttypes.AppendAnswer(this.term, outcome, 0)
+    this.heard.committed = max(this.heard.committed, message.commit)
+    this.heard.commit_at = this.heard.at
+    this.note_caught_up()
     hint = _place_for(this, message)
     if hint is not None:
         await this.folder.ballot.settle()
@@ -64,9 +67,11 @@
     piece: ttypes.SnapshotPiece,
     incoming: core.Incoming,
 ) -> ttypes.PieceAnswer:
-    outcome = _hear(this, piece, piece.index)
+    outcome = _hear(this, piece)
     if outcome != ttypes.Outcome.done:
         return ttypes.PieceAnswer(this.term, outcome, 0, installed=False)
+    # More may be committed by now than when the snapshot was taken.
+    this.heard.committed = max(this.heard.committed, piece.index)
     await this.folder.ballot.settle()
     if this.commit.height < piece.index:
         _collect(incoming, piece)
@@ -80,11 +85,8 @@
     )
 
 
-def _hear(this: core.Core, message: typing.Any, committed: int) -> int:
-    """Follow the sender if it may lead.
-
-    :param committed: an index that it calls committed.
-    """
+def _hear(this: core.Core, message: typing.Any) -> int:
+    """Follow the sender if it may lead."""
     this.check_sound()
     accepted = this.history.current.accepts(message.cluster)
     if message.to != this.identity or not accepted:
@@ -103,8 +105,6 @@
         )
     this.quiet_since = this.timers.now()
     this.heard.at = this.quiet_since
-    this.heard.committed = max(this.heard.committed, committed)
-    this.note_caught_up()
     return ttypes.Outcome.done
 
 
--- a/libs/consensus/geraniumweir/consensus/tests/test_snapshots.py
+++ b/libs/consensus/geraniumweir/consensus/tests/test_snapshots.py
@@ -153,3 +153,30 @@
             assert applied == commands
 
     clusters.run(scenario())
+
+
+def test_snapshot_of_a_leader_that_hears_no_answer_makes_nobody_current() -> (
+    None
+):
+    """It is sent again and again, and is older than what is committed."""
+
+    async def scenario() -> None:
+        cluster = await clusters.started(
+            snapshot_entries=50,
+            trailing_entries=10,
+        )
+        leading = await cluster.leader()
+        await clusters.fill(cluster, 20)
+        muted = next(name for name in clusters.HOSTS if name != leading)
+        for name in clusters.HOSTS:
+            cluster.network.cut(muted, name)
+        await clusters.fill(cluster, 120, 'y')
+        await asyncio.sleep(2)
+        await clusters.fill(cluster, 20, 'z')
+        await asyncio.sleep(2)
+        committed = cluster.nodes[leading].recorder.status().commit
+        follower = cluster.nodes[muted].recorder
+        assert follower.status().applied < committed
+        assert not follower.is_current()
+
+    clusters.run(scenario())
