Seeds are read from the settings file whenever they are needed

What callers saw: nothing yet. A host whose control hosts were all replaced while it was cut off or frozen asked addresses where nobody is any more, for good: the settings file names new seeds, with SIGHUP or without, and was read at the start only; an entry host asked its seeds only while it knew of no control host at all, and a host that is gone stays known for over a minute.

An entry host whose search nobody answers asks the seeds of now; so does a control host that has heard no other one for 5 s.

--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -49,6 +49,7 @@
     """What a control host is told.
 
     :ivar seeds: peer addresses of some control hosts, by host id.
+    :ivar current_seeds: gives the seeds of now, which may have changed.
     :ivar founds: whether the seeds may found a log: the first start of all.
     :ivar bears: losses of recorders at once to bear.
     :ivar quota_seconds: length of the window over which quotas hold.
@@ -66,6 +67,7 @@
     report_seconds: float
     quota_seconds: float
     tolerance: quotas.Tolerance
+    current_seeds: presence.Seeds = dict
     exposure: budget.Bounds = budget.Bounds()
     again_seconds: float = _AGAIN_SECONDS
 
@@ -131,6 +133,7 @@
             self.servers,
             self.log,
             self.standing.entry_hosts,
+            cfg.current_seeds,
         )
         self._feed = feed.Feed(
             self._link,
@@ -316,13 +319,7 @@
     for host_id, address in cfg.seeds.items():
         if host_id != cfg.me.host_id:
             layer.learn(host_id, address)
-            seed = hosts.ControlHost(
-                host_id,
-                address,
-                address,
-                ids.FailureDomain(''),
-            )
-            known.learn(seed, now)
+            known.learn(hosts.seed(host_id, address), now)
     return known
 
 
--- a/libs/control/geraniumweir/control/hosts.py
+++ b/libs/control/geraniumweir/control/hosts.py
@@ -53,6 +53,11 @@
     )
 
 
+def seed(host_id: ids.HostId, address: ids.Address) -> ControlHost:
+    """Describe a host of which only the address is known."""
+    return ControlHost(host_id, address, address, ids.FailureDomain(''))
+
+
 class ControlHosts:
     """The control hosts that one host knows."""
 
--- a/libs/control/geraniumweir/control/presence.py
+++ b/libs/control/geraniumweir/control/presence.py
@@ -31,6 +31,9 @@
 _ABSENT_SECONDS = 5.0
 
 
+Seeds = typing.Callable[[], typing.Mapping[ids.HostId, ids.Address]]
+
+
 class Presence:
     """The exchange between control hosts.
 
@@ -45,8 +48,14 @@
         table: enrolments.Enrolments,
         log: recorders.Recorders,
         entry_hosts: standing.EntryHosts,
+        seeds: Seeds = dict,
     ) -> None:
-        """Answer the others from now on."""
+        """Answer the others from now on.
+
+        :param seeds: gives some control hosts to ask while none of those
+            that are known is heard.
+        """
+        self._seeds = seeds
         self._link = link
         self._me = me
         self._known = known
@@ -69,6 +78,8 @@
             self._known.heard(self._me.host_id, now)
             self._known.forget_old(now)
             absent = self._known.absent(now, _ABSENT_SECONDS)
+            if absent.issuperset(self._others()):
+                self._meet_seeds(now)
             fallen = self._table.expire(now, absent)
             self.tell(fallen)
             if fallen:
@@ -102,6 +113,12 @@
         if answer.digest != self._table.digest():
             await self._compare(host_id)
 
+    def _meet_seeds(self, now: float) -> None:
+        """Ask the seeds of now from the next exchange on."""
+        for host_id, address in self._seeds().items():
+            if self._known.learn(hosts.seed(host_id, address), now):
+                self._link.learn(host_id, address)
+
     async def _compare(self, host_id: ids.HostId) -> None:
         try:
             told = await self._link.call(
--- a/libs/control/geraniumweir/control/tests/bed.py
+++ b/libs/control/geraniumweir/control/tests/bed.py
@@ -144,7 +144,7 @@
         watcher = watching.Watcher(
             link,
             ids.FailureDomain(domain),
-            [address(one) for one in DOMAINS],
+            lambda: [address(one) for one in DOMAINS],
             read,
         )
         for one in DOMAINS:
--- a/libs/control/geraniumweir/control/tests/test_presence.py
+++ b/libs/control/geraniumweir/control/tests/test_presence.py
@@ -17,11 +17,7 @@
 
 
 def _seed(domain: str) -> hosts.ControlHost:
-    """Describe a host of which only the address is known."""
-    where = bed.address(domain)
-    return hosts.ControlHost(
-        ids.HostId(domain), where, where, ids.FailureDomain('')
-    )
+    return hosts.seed(ids.HostId(domain), bed.address(domain))
 
 
 def _meet(
@@ -33,7 +29,13 @@
     link = network.join(ids.HostId(me), bed.address(me))
     table = enrolments.Enrolments(ids.HostId(me), 1)
     met = presence.Presence(
-        link, bed.card(me), known, table, _NoLog(), standing.EntryHosts(8)
+        link,
+        bed.card(me),
+        known,
+        table,
+        _NoLog(),
+        standing.EntryHosts(8),
+        lambda: {ids.HostId('cow'): bed.address('cow')},
     )
     return known, met
 
@@ -61,3 +63,19 @@
     known.learn(bed.card('ant'), 0)
     known.learn(_seed('ant'), 1)
     assert known.get(ids.HostId('ant')) == bed.card('ant')
+
+
+def test_control_host_that_hears_nobody_asks_the_seeds_of_now() -> None:
+    """The others may all have been replaced while it was cut off."""
+
+    async def work() -> None:
+        network = memory.MemoryNetwork()
+        known, ours = _meet(network, 'ant', 'bee')
+        _, others = _meet(network, 'cow', 'dog')
+        tasks = [asyncio.create_task(one.run()) for one in (ours, others)]
+        await asyncio.sleep(8)
+        for task in tasks:
+            task.cancel()
+        assert known.get(ids.HostId('cow')) == bed.card('cow')
+
+    virtual.run(work())
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -52,6 +52,9 @@
 _NO_LEASE = float('inf')
 
 
+Seeds = typing.Callable[[], typing.Sequence[ids.Address]]
+
+
 class Watcher:
     """What a host knows from the control hosts.
 
@@ -65,19 +68,20 @@
         self,
         link: peers.Peers,
         domain: ids.FailureDomain,
-        seeds: typing.Sequence[ids.Address],
+        seeds: Seeds,
         read: inforce.Read,
     ) -> None:
         """Know nothing yet.
 
-        :param seeds: peer addresses of some control hosts.
+        :param seeds: gives peer addresses of some control hosts, which may
+            change; asked while none that is known answers.
         :param read: reads a document that was checked when it was published.
         """
         self.hosts = hosts.ControlHosts()
         self.servers = enrolments.Enrolments(link.host_id, _NO_LEASE)
         self.sure_at = float('-inf')
         self._link = link
-        self._seeds = tuple(seeds)
+        self._seeds = seeds
         self._document = inforce.InForce(read)
         self._clock = timers.TimerService()
         self._choice = choosing.Choice(domain, self.hosts, self._look)
@@ -226,7 +230,8 @@
         from those that are up.
         """
         asked = [
-            asyncio.create_task(self._meet(address)) for address in self._seeds
+            asyncio.create_task(self._meet(address))
+            for address in self._seeds()
         ]
         try:
             for answer in asyncio.as_completed(asked):
@@ -242,13 +247,7 @@
         except errors.PeerError:
             return False
         # Its full card comes with its first answer.
-        card = hosts.ControlHost(
-            host_id,
-            address,
-            address,
-            ids.FailureDomain(''),
-        )
-        self.hosts.learn(card, self._clock.now())
+        self.hosts.learn(hosts.seed(host_id, address), self._clock.now())
         return True
 
     def _learn_hosts(
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -52,7 +52,7 @@
     """What an entry host is told.
 
     :ivar callers_socket: listens there already, None where none does.
-    :ivar seeds: peer addresses of some control hosts.
+    :ivar seeds: gives peer addresses of some control hosts.
     :ivar sure_seconds: what the control hosts last said counts as the newest
         for so long.
     :ivar quota_seconds: length of the window over which quotas hold.
@@ -64,7 +64,7 @@
     failure_domain: ids.FailureDomain
     callers: ids.Address
     ready: ids.Address
-    seeds: tuple[ids.Address, ...]
+    seeds: watching.Seeds
     budget: retrybudget.Budget
     sure_seconds: float
     quota_seconds: float
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -21,6 +21,11 @@
 ENDED: typing.Final = _Event(
     160, _Level.info, 'request {request} ended with {status}'
 )
+SETTINGS_UNREADABLE: typing.Final = _Event(
+    155,
+    _Level.warning,
+    'the settings can not be read again, the last ones hold: {reason}',
+)
 REFUSED: typing.Final = _Event(
     161, _Level.info, 'request {request} refused with {status}: {reason}'
 )
