Servers that name a limit get no more than it, from all hosts together

Cause: a missing capability. The class: a sign of need that is known at the host that got the answer, and not to who grants.

- Read strictly at the boundary, from the head of every answer (streams, errors, refusals); what isn't one decimal number changes nothing and is logged (166).
- The newest word on a start of a server counts.
A limit is lifted by an answer to a request that was sent after it was last named; a limit of 0 is tried by one request in 10 s.
- Told to the coordinator at once and with the pings, from there to all hosts with its answers; what changed only.
A new coordinator is told before the first ask of each host.
- Kept where slots are granted, by a token bucket for each server that starts empty: the limit itself, not what it may be overstepped by.
Retries and resumed streams are grants like others.
The pace that a pool is planned with shrinks.
- Hosts that are alone grant their part; where that is less than a request in 4 s a lot decides, as what hundreds of hosts save up would be many times the limit.

--- a/libs/control/geraniumweir/control/coordination.py
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -12,7 +12,9 @@
     broker,
     channel,
     quotas,
+    ratelimits,
     remote,
+    rendezvous,
     requests,
     settings,
     spending,
@@ -49,6 +51,7 @@
         cut off along with the coordinator before.
     :ivar on_ask: told of each ask that comes.
     :ivar guide: makes what decides about versions of a pool's servers.
+    :ivar rate_limits: what is known of the limits of servers.
     """
 
     link: channel.Channel
@@ -62,6 +65,20 @@
     on_ask: OnAsk | None = None
     tolerance: quotas.Tolerance = quotas.Tolerance()
     guide: typing.Callable[[ids.PoolName], guiding.Guide] | None = None
+    rate_limits: ratelimits.RateLimits | None = None
+
+    def rates(self) -> dict[ratelimits.Start, float]:
+        """Give what may be granted here of the limits of servers."""
+        named = self.rate_limits.named() if self.rate_limits else {}
+        share = self.share() if named else 1
+        return {
+            start: ratelimits.part_of(
+                per_second,
+                share,
+                rendezvous.lot(self.link.host_id, start[0]),
+            )
+            for start, per_second in named.items()
+        }
 
 
 class Counting:
@@ -193,6 +210,7 @@
             parts.share() if parts.shares_slots else 1,
         ),
         parts.guide(pool) if parts.guide else None,
+        parts.rates,
     )
 
 
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -159,10 +159,12 @@
                 hosts=self._number_of_entry_hosts,
                 on_ask=self._note_usage,
                 guide=self.rollouts.guide,
+                rate_limits=self.standing.rate_limits,
             ),
             self._clock,
         )
-        coordination.follow(self._service, self._changes)
+        for changes in (self._changes, self.standing.rate_limits.changes):
+            coordination.follow(self._service, changes)
 
     @property
     def changes(self) -> reactivex.Observable[None]:
--- a/libs/control/geraniumweir/control/roster.py
+++ b/libs/control/geraniumweir/control/roster.py
@@ -9,19 +9,17 @@
 import math
 import typing
 
-import xxhash
 from geraniumweir.common import ids
 from geraniumweir.control import enrolments
 from geraniumweir.membership import servers
 from geraniumweir.routing import finding, tables
+from geraniumweir.scheduling import rendezvous
 
 _ANY_HOST = ids.HostId('')
 _ANY_DOMAIN = ids.FailureDomain('')
 # A host that has more than this part of a slot of a server uses one: all
 # together at most twice as many as there are.
 _LEAST_PART = 0.5
-_HASH_BITS = 32
-_HASH_RANGE = 1 << _HASH_BITS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,8 +128,7 @@
     def _part(self, found: enrolments.Enrolment, share: float) -> _Part:
         slots = found.slots * share
         whole = math.floor(slots)
-        text = f'{self._host_id} {found.server_id}'.encode()
-        draw = xxhash.xxh32_intdigest(text) / _HASH_RANGE
+        draw = rendezvous.lot(self._host_id, found.server_id)
         return _Part(whole, draw, draw < slots - whole)
 
     def _announcement(
--- /dev/null
+++ b/libs/control/geraniumweir/control/tests/test_limits.py
@@ -0,0 +1,187 @@
+"""A limit that one host hears of is known to all."""
+
+import asyncio
+
+from geraniumweir.common import ids, timers, virtual
+from geraniumweir.control import coordinating, hosts, limits
+from geraniumweir.scheduling import ratelimits, spending
+from geraniumweir.wire import memory
+from geraniumweir.wire.gen.control import ttypes
+
+_START = (ids.ServerId('s'), ids.Incarnation(1))
+_DOMAIN = ids.FailureDomain('x')
+# Half of the time after which a host that was told must keep to a limit.
+_KNOWN_SECONDS = 0.25
+
+
+class _Coordinator:
+    """The part of a coordinator that hears of limits."""
+
+    def __init__(self, bed: '_Bed', name: str) -> None:
+        self.host_id = ids.HostId(name)
+        self.leads = True
+        self.card = bed.card(name)
+        link = bed.network.join(self.host_id, self.card.address)
+        self.known = ratelimits.RateLimits(timers.TimerService())
+        self._listener = limits.Listener(
+            link, self.known, timers.TimerService()
+        )
+        self.before_asks: dict[ratelimits.Start, float] = {}
+        link.handle(ttypes.Ping, self._on_ping)
+        link.handle(ttypes.Spent, self._on_spent)
+
+    async def _on_ping(
+        self,
+        sender: ids.HostId,
+        ping: ttypes.Ping,
+    ) -> ttypes.Pong:
+        self._listener.take(sender, ping)
+        pong = ttypes.Pong(self.leads, False, 2, 2, 0.5)
+        self._listener.fill(ping, pong)
+        return pong
+
+    async def _on_spent(
+        self,
+        _sender: ids.HostId,
+        _message: ttypes.Spent,
+    ) -> None:
+        await asyncio.sleep(0.002)
+        self.before_asks = self.known.named()
+
+
+class _Entry:
+    """An entry host."""
+
+    def __init__(self, bed: '_Bed', name: str) -> None:
+        card = bed.card(name)
+        link = bed.network.join(card.host_id, card.address)
+        known = hosts.ControlHosts()
+        for control in bed.controls:
+            known.learn(control.card, 0)
+        self.known = ratelimits.RateLimits(timers.TimerService())
+        self.seen = coordinating.Coordinator(
+            link,
+            _DOMAIN,
+            known,
+            lambda: spending.Spent(0, {}),
+            self.known,
+        )
+        self.task = asyncio.create_task(self.seen.run())
+
+    def hear(self, per_second: float | None) -> None:
+        """Take an answer to a request that was sent a moment ago."""
+        now = asyncio.get_running_loop().time()
+        said = ratelimits.Said(*_START, per_second, now - 0.01, now)
+        self.known.hear(said)
+
+
+class _Bed:
+    """Two entry hosts and two control hosts, of which the first leads."""
+
+    def __init__(self) -> None:
+        self.network = memory.MemoryNetwork()
+        self.controls = [_Coordinator(self, name) for name in ('c1', 'c2')]
+        self.controls[1].leads = False
+        self.entries = [_Entry(self, name) for name in ('e1', 'e2')]
+
+    def card(self, name: str) -> hosts.ControlHost:
+        """Describe a host."""
+        address = ids.Address('10.0.0.1', sum(name.encode()))
+        return hosts.ControlHost(ids.HostId(name), address, address, _DOMAIN)
+
+    def stop(self) -> None:
+        """End all tasks."""
+        for entry in self.entries:
+            entry.task.cancel()
+
+
+def test_limit_is_known_to_the_coordinator_and_all_hosts_at_once() -> None:
+    """Its change and its end too."""
+
+    async def work() -> None:
+        bed = _Bed()
+        first, second = bed.entries
+        await asyncio.sleep(1)
+        for limit, expected in ((2, {_START: 2}), (3, {_START: 3}), (None, {})):
+            first.hear(limit)
+            await asyncio.sleep(0.02)
+            assert bed.controls[0].known.named() == expected
+            await asyncio.sleep(_KNOWN_SECONDS)
+            assert second.known.named() == expected
+            await asyncio.sleep(1)
+        bed.stop()
+
+    virtual.run(work())
+
+
+def test_new_coordinator_knows_the_limits_before_the_first_ask() -> None:
+    """Each host tells all that it knows as it turns to it."""
+
+    async def work() -> None:
+        bed = _Bed()
+        await asyncio.sleep(1)
+        bed.entries[0].hear(2)
+        await asyncio.sleep(1)
+        lost, taking_over = bed.controls
+        bed.network.leave(lost.host_id)
+        taking_over.leads = True
+        await asyncio.sleep(2)
+        assert taking_over.before_asks == {_START: 2}
+        bed.stop()
+
+    virtual.run(work())
+
+
+def test_word_that_was_lost_on_the_way_is_told_again() -> None:
+    """With the next ping that is answered."""
+
+    async def work() -> None:
+        bed = _Bed()
+        await asyncio.sleep(1)
+        bed.network.cut(ids.HostId('e1'), ids.HostId('c1'))
+        bed.entries[0].hear(2)
+        await asyncio.sleep(0.1)
+        bed.network.heal()
+        await asyncio.sleep(1)
+        assert bed.controls[0].known.named() == {_START: 2}
+        assert bed.entries[1].known.named() == {_START: 2}
+        bed.stop()
+
+    virtual.run(work())
+
+
+def test_coordinator_that_started_again_tells_all_it_hears() -> None:
+    """Its revisions begin anew."""
+
+    async def work() -> None:
+        bed = _Bed()
+        first, second = bed.entries
+        await asyncio.sleep(1)
+        for limit in (2, 3, 4):
+            first.hear(limit)
+            await asyncio.sleep(0.5)
+        bed.controls[0] = _Coordinator(bed, 'c1')
+        first.hear(5)
+        await asyncio.sleep(1)
+        assert second.known.named() == {_START: 5}
+        bed.stop()
+
+    virtual.run(work())
+
+
+def test_limit_that_can_not_be_read_is_left_out() -> None:
+    """The others hold."""
+
+    async def work() -> None:
+        known = ratelimits.RateLimits(timers.TimerService())
+        now = asyncio.get_running_loop().time()
+        told = [
+            ttypes.RateLimit('a', 1, float('nan'), 0, 0),
+            ttypes.RateLimit('b', 1, -2, 0, 0),
+            ttypes.RateLimit('c', None, 2, 0, 0),
+            ttypes.RateLimit('d', 1, 2, 0, 0),
+        ]
+        limits.take(known, told, ids.HostId('e1'), now)
+        assert list(known.named()) == [('d', 1)]
+
+    virtual.run(work())
--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -73,6 +73,7 @@
 
     :ivar first: seconds from dispatch to the first event or the whole answer.
     :ivar on_first: told when the first event came.
+    :ivar on_head: told what the head of the server's answer says.
     """
 
     session: aiohttp.ClientSession
@@ -85,6 +86,7 @@
     stream: Stream
     story: story.Story
     on_first: typing.Callable[[float], None]
+    on_head: typing.Callable[[codec.Answered], None]
     first: float | None = None
     pauses: Pauses = dataclasses.field(default_factory=Pauses)
 
@@ -125,6 +127,7 @@
             raise backend_errors.ForeignAnswerError(
                 f'the answer is of request {answered.request_id!r}',
             )
+        self.on_head(answered)
         if answered.status == _OK and answered.streams:
             return await self._pass_on(answer, answered, started)
         body = await _whole_body(answer)
--- a/libs/gateway/geraniumweir/gateway/codec.py
+++ b/libs/gateway/geraniumweir/gateway/codec.py
@@ -93,6 +93,9 @@
     :ivar encoded: the body is not as the server made it.
     :ivar streams: it is a stream of events.
     :ivar headers: those that go on to the caller.
+    :ivar rate_limit: requests a second that the server takes from all hosts
+        together, None where it names none.
+    :ivar unread_limit: what it names where that can't be read.
     """
 
     status: int
@@ -102,6 +105,8 @@
     encoded: bool
     streams: bool
     headers: Headers
+    rate_limit: float | None = None
+    unread_limit: str | None = None
 
 
 class Codec(typing.Protocol):
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -9,11 +9,12 @@
 
 import asyncio
 import dataclasses
+import functools
 import typing
 
 import aiohttp
 from aiohttp import web
-
+from geraniumweir.common import eventlog
 from geraniumweir.gateway import (
     attempts,
     codec,
@@ -26,7 +27,7 @@
     talk,
 )
 from geraniumweir.routing import tables
-from geraniumweir.scheduling import requests, views
+from geraniumweir.scheduling import ratelimits, requests, views
 
 # Servers that turn a request away, one after another: two more tries find one
 # that takes it, or there is none.
@@ -41,6 +42,7 @@
     codec: codec.Codec
     scheduler: views.Scheduler
     budgets: retrybudget.RetryBudgets
+    rate_limits: ratelimits.RateLimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -253,6 +255,31 @@
             stream=self._stream,
             story=self._story,
             on_first=self._on_first,
+            on_head=functools.partial(self._note_limit, grant, started),
+        )
+
+    def _note_limit(
+        self,
+        grant: requests.Grant,
+        started: float,
+        answered: codec.Answered,
+    ) -> None:
+        """Take what a server says of the requests that it takes."""
+        if answered.unread_limit is not None:
+            eventlog.emit(
+                logevents.LIMIT_UNREADABLE,
+                server=grant.server_id,
+                said=answered.unread_limit,
+            )
+            return
+        self._means.rate_limits.hear(
+            ratelimits.Said(
+                grant.server_id,
+                grant.incarnation,
+                answered.rate_limit,
+                started,
+                talk.now(),
+            ),
         )
 
     def _on_first(self, seconds: float) -> None:
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -1,6 +1,7 @@
 """Puts the parts of an entry host together, and drains it."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import socket
@@ -25,10 +26,10 @@
     retrybudget,
     serving,
 )
-from geraniumweir.observe import metrics
+from geraniumweir.observe import metricnames, metrics
 from geraniumweir.rollout import guiding
 from geraniumweir.routing import finding
-from geraniumweir.scheduling import channel, quotas, spending
+from geraniumweir.scheduling import channel, quotas, ratelimits, spending
 from geraniumweir.wire import tcp
 
 # Idle connections to servers are kept for less than servers commonly do.
@@ -94,11 +95,13 @@
             cfg.seeds,
             read,
         )
+        self._rate_limits = ratelimits.RateLimits(self._clock)
         self._coordinator = coordinating.Coordinator(
             self._link,
             cfg.failure_domain,
             self.watcher.hosts,
             self._spent,
+            self._rate_limits,
         )
         self._service = coordination.serve(
             coordination.Parts(
@@ -117,10 +120,12 @@
                 tolerance=cfg.tolerance,
                 hosts=lambda: 1,
                 guide=self._guide,
+                rate_limits=self._rate_limits,
             ),
             self._clock,
         )
-        coordination.follow(self._service, self.watcher.changes)
+        for changes in (self.watcher.changes, self._rate_limits.changes):
+            coordination.follow(self._service, changes)
         self._broker = coordination.ask_through(
             self._link,
             self._coordinator,
@@ -135,6 +140,7 @@
         )
         self._names = names
         self._meter = meter
+        meter.gauge(metricnames.LIMITED_SERVERS, self._limited_servers)
         self._readiness = readiness.Readiness(self.knowledge)
         self._front: serving.Front | None = None
 
@@ -166,6 +172,7 @@
                 self._cfg.budget,
                 self._coordinator.hosts,
             ),
+            self._rate_limits,
         )
         front = serving.Front(
             serving.Place(self._cfg.host_id, self._cfg.failure_domain),
@@ -191,6 +198,15 @@
         await stop.wait()
         await self._drain(front, callers)
 
+    def _limited_servers(self) -> dict[tuple[str, ...], float]:
+        """Count the servers that name a limit, by pool."""
+        counted: collections.Counter[tuple[str, ...]] = collections.Counter()
+        for server_id, _ in self._rate_limits.named():
+            found = self.watcher.servers.get(server_id)
+            if found is not None:
+                counted[(found.pool,)] += 1
+        return dict(counted)
+
     def _spent(self) -> spending.Spent:
         return self._scheduler.spent()
 
--- a/libs/gateway/geraniumweir/gateway/tests/bed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/bed.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from geraniumweir.backends import calls
 from geraniumweir.common import errors as common_errors
-from geraniumweir.common import ids
+from geraniumweir.common import ids, timers
 from geraniumweir.gateway import (
     admission,
     codec,
@@ -22,7 +22,7 @@
 from geraniumweir.gateway import listening as serving_at
 from geraniumweir.observe import metrics
 from geraniumweir.routing import finding, tables
-from geraniumweir.scheduling import requests
+from geraniumweir.scheduling import ratelimits, requests
 
 POOL = ids.PoolName('pool')
 _LOCAL = '127.0.0.1'
@@ -81,6 +81,8 @@
             'Content-Encoding' in headers,
             headers.get('Content-Type') == 'text/event-stream',
             kept,
+            float(headers['Limit']) if 'Limit' in headers else None,
+            headers.get('Unread'),
         )
 
     def refusal(
@@ -166,6 +168,7 @@
     front: serving.Front
     scheduler: Scheduler
     caller: aiohttp.ClientSession
+    rate_limits: ratelimits.RateLimits
 
 
 @contextlib.asynccontextmanager
@@ -191,6 +194,7 @@
             PlainCodec(),
             scheduler,
             retrybudget.RetryBudgets(budget, lambda: 1),
+            ratelimits.RateLimits(timers.TimerService()),
         )
         known = admission.Knowledge(finding.Index(_document(changes)), True)
         front = serving.Front(
@@ -203,7 +207,13 @@
         runner = serving_at.make_runner(front.server())
         await serving_at.listen(stack, runner, address)
         caller = await stack.enter_async_context(aiohttp.ClientSession())
-        yield Bed(f'http://{address}/a/b', front, scheduler, caller)
+        yield Bed(
+            f'http://{address}/a/b',
+            front,
+            scheduler,
+            caller,
+            means.rate_limits,
+        )
 
 
 def _free_port() -> int:
--- a/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
@@ -226,3 +226,62 @@
 def _open(session: aiohttp.ClientSession) -> bool:
     conns = session.connector._conns.values()
     return any(proto.is_connected() for held in conns for proto, _ in held)
+
+
+_LIMIT = 'Signed: yes\r\nLimit: 2\r\n'
+
+
+@pytest.mark.parametrize(
+    ('behave', 'limits'),
+    [
+        (_answers(b'whole', extra=_LIMIT), [2]),
+        (_answers(b'', '500 Failed', extra=_LIMIT), [2, 2]),
+        (
+            _answers(b'', '503 Full', extra='Not-Run: 1\r\nLimit: 2\r\n'),
+            [2, 2, 2],
+        ),
+        (_answers(b'whole', extra=_LIMIT, request_id='foreign'), []),
+        (_answers(b'whole', extra=f'{_LIMIT}Unread: much\r\n'), []),
+    ],
+    ids=['answer', 'failure', 'refusal', 'foreign', 'unreadable'],
+)
+def test_limit_is_heard_from_every_answer_of_the_server(
+    behave: bed.Behave,
+    limits: list[float],
+) -> None:
+    """One that belongs to another request says nothing of this server."""
+
+    async def work() -> None:
+        async with bed.made(bed.Server(behave)) as made:
+            await _get(made)
+            assert list(made.rate_limits.named().values()) == limits
+
+    asyncio.run(work())
+
+
+def test_limit_is_heard_from_the_head_of_a_stream() -> None:
+    """The stream may go on for long."""
+    is_heard = asyncio.Event()
+
+    async def behave(
+        _server: bed.Server,
+        asked_id: str,
+        _head: _Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = bed.stream_head(asked_id).replace(
+            b'Signed', b'Limit: 2\r\nSigned'
+        )
+        writer.write(head)
+        await is_heard.wait()
+        writer.write(bed.chunk(bed.event(1)))
+        writer.write(bed.chunk(b''))
+
+    async def work() -> None:
+        async with bed.made(bed.Server(behave), **_STREAM) as made:
+            made.rate_limits.changes.subscribe(lambda _: is_heard.set())
+            async with asyncio.timeout(5):
+                status, _body = await _get(made)
+            assert status == 200
+
+    asyncio.run(work())
--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -110,6 +110,12 @@
     'Backend servers of a pool with a lease that holds.',
     ('pool',),
 )
+LIMITED_SERVERS: typing.Final = Metric(
+    'geraniumweir_limited_servers',
+    Kind.gauge,
+    'Backend servers of a pool that name how many requests they take.',
+    ('pool',),
+)
 CONFIG_VERSION: typing.Final = Metric(
     'geraniumweir_config_version',
     Kind.gauge,
--- a/libs/scheduling/geraniumweir/scheduling/logevents.py
+++ b/libs/scheduling/geraniumweir/scheduling/logevents.py
@@ -37,3 +37,13 @@
     logevents.Level.notice,
     'grant of {request} from {leader} came too late and was given back',
 )
+LIMIT_NAMED = logevents.Event(
+    248,
+    logevents.Level.notice,
+    'server {server} takes {per_second} requests a second from all hosts',
+)
+LIMIT_LIFTED = logevents.Event(
+    249,
+    logevents.Level.notice,
+    'server {server} names no limit any more',
+)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -3,6 +3,7 @@
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
 from geraniumweir.rollout import guiding, orders
+from geraniumweir.scheduling import ratelimits
 from geraniumweir.scheduling.ontime import records, state
 
 # Servers are looked up this often at most, in seconds; a change that is told
@@ -65,8 +66,9 @@
     _set_roles(leader)
     for missing in leader.servers.keys() - live.keys():
         _close(leader, leader.servers[missing])
+    _set_throttles(leader)
     leader.quickest = min(
-        (server for server in leader.servers.values() if server.serves),
+        _judged_by(leader),
         key=lambda server: leader.learnt.first_token(
             server.speed,
             _USUAL_PROMPT,
@@ -121,6 +123,28 @@
     guide.most_slots = max((one.slots for one in new), default=1)
 
 
+def _set_throttles(leader: state.LeaderState) -> None:
+    rates = leader.rates()
+    now = leader.now()
+    for server in leader.servers.values():
+        per_second = rates.get(server.start)
+        if per_second is None:
+            server.throttle = None
+        elif server.throttle is None:
+            server.throttle = ratelimits.Throttle(per_second, now)
+        else:
+            server.throttle.change(per_second, now)
+
+
+def _judged_by(leader: state.LeaderState) -> list[records.Server]:
+    """List the servers of which the quickest shows what is possible.
+
+    One that names a limit serves few, unless all do.
+    """
+    serving = [one for one in leader.servers.values() if one.serves]
+    return [one for one in serving if one.throttle is None] or serving
+
+
 def path_holds_up(
     leader: state.LeaderState,
     running: records.Running,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -125,6 +125,7 @@
         interval_ms=round(state.pace(leader).interval * _MS, 1),
         load=round(state.pace(leader).load, 2),
         classes=leader.shares.outline(),
+        held_back=sum(one.is_held_back(now) for one in leader.servers.values()),
         servers={
             server.server_id: server.outline(now)
             for server in leader.servers.values()
@@ -173,7 +174,8 @@
     known = [server for server in leader.servers.values() if server.serves]
     start = leader.dice.randrange(len(known)) if known else 0
     look.able = placing.open_servers(known, start, look.learnt)
-    look.all_able = len(look.able) == len(known)
+    held_back = sum(one.is_held_back(look.now) for one in known)
+    look.all_able = len(look.able) == len(known) - held_back
 
 
 def _lead(leader: state.LeaderState) -> ordering.Lead:
@@ -318,5 +320,7 @@
         tokens=waiting.tokens,
     )
     leader.waiting.pop(ask.request_id)
+    if server.throttle is not None:
+        server.throttle.take()
     state.run(leader, server, running)
     waiting.fut.set_result(grant)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -15,7 +15,13 @@
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
 from geraniumweir.rollout import guiding
-from geraniumweir.scheduling import joining, requests, settings, suspects
+from geraniumweir.scheduling import (
+    joining,
+    ratelimits,
+    requests,
+    settings,
+    suspects,
+)
 from geraniumweir.scheduling.ontime import (
     classes,
     fleet,
@@ -37,12 +43,18 @@
         now: typing.Callable[[], float],
         live: typing.Callable[[], typing.Sequence[servers.Announcement]],
         guide: guiding.Guide | None = None,
+        rates: typing.Callable[
+            [],
+            typing.Mapping[ratelimits.Start, float],
+        ] = dict,
     ) -> None:
         """Start with an empty queue.
 
         :param now: gives the time in seconds, the loop's clock.
         :param live: gives the pool's backend servers that may get work.
         :param guide: decides what servers of which version may get.
+        :param rates: gives the requests a second that may be granted here to
+            servers that name a limit.
         """
         self._state = state.LeaderState(
             pool=cfg.pool,
@@ -51,6 +63,7 @@
             suspects=suspects.Suspects(cfg.quarantine_seconds, cfg.origin),
             dice=random.Random(cfg.seed),
             guide=guide or guiding.Guide(lambda: None, now),
+            rates=rates,
             settle_by=now() + cfg.settle_seconds,
             served_at=now(),
         )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -6,7 +6,7 @@
 
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
-from geraniumweir.scheduling import requests
+from geraniumweir.scheduling import ratelimits, requests
 from geraniumweir.scheduling.ontime import conditions, occupancy, speeds
 
 
@@ -77,6 +77,7 @@
     :ivar canary: it gets only what a rollout lets through.
     :ivar unborn: of the running ones, those without a first token.
     :ivar last_sign: when it last gave a first token, in seconds.
+    :ivar throttle: spaces out what it gets, None where it names no limit.
     """
 
     announcement: servers.Announcement
@@ -93,6 +94,7 @@
         default_factory=dict,
     )
     last_sign: float = float('-inf')
+    throttle: ratelimits.Throttle | None = None
     occupied: occupancy.Occupancy = dataclasses.field(
         default_factory=occupancy.Occupancy,
     )
@@ -152,8 +154,12 @@
         """Give how it does, for the log: what runs, and what keeps it shut."""
         most = self.condition.most(self.slots, now)
         late = round(self.overdue(now), 2)
+        limit = ''
+        if self.throttle is not None:
+            limit = f' limit {round(self.throttle.per_second, 2)}'
         return (
             f'{len(self.running)}/{most} unborn {len(self.unborn)} late {late}'
+            f'{limit}'
         )
 
     def free(self, now: float, stuck: int) -> int:
@@ -164,7 +170,25 @@
         if not self.live:
             return 0
         most = self.condition.most(self.slots, now)
-        return most - len(self.running) + stuck
+        free = most - len(self.running) + stuck
+        if self.throttle is None:
+            return free
+        return min(free, self.throttle.ready(now))
+
+    def is_held_back(self, now: float) -> bool:
+        """Tell whether the limit that it names keeps requests off it now."""
+        return self.throttle is not None and not self.throttle.ready(now)
+
+    def rate(self, usual: float, now: float) -> float:
+        """Give the requests a second that it is thought to end.
+
+        :param usual: seconds for which requests of the pool keep a slot.
+        """
+        expected = self.condition.expected(self.slots, now)
+        rate = expected / self.occupied.held(usual)
+        if self.throttle is None:
+            return rate
+        return min(rate, self.throttle.per_second)
 
     def unread_tokens(self) -> float:
         """Give the prompt tokens granted and not known to be read."""
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -8,7 +8,7 @@
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
 from geraniumweir.rollout import guiding
-from geraniumweir.scheduling import requests, suspects
+from geraniumweir.scheduling import ratelimits, requests, suspects
 from geraniumweir.scheduling.ontime import (
     arrivals,
     classes,
@@ -43,6 +43,8 @@
     """All that a leader knows.
 
     :ivar guide: decides what servers of which version may get.
+    :ivar rates: gives the requests a second that may be granted to servers
+        that name a limit.
     :ivar settle_by: nothing is granted before, in seconds.
     :ivar served_at: when a server was last known.
     :ivar quickest: the server that is the first with a usual prompt, by what
@@ -65,6 +67,7 @@
     suspects: suspects.Suspects
     dice: random.Random
     guide: guiding.Guide
+    rates: typing.Callable[[], typing.Mapping[ratelimits.Start, float]]
     settle_by: float
     served_at: float
     quickest: records.Server | None = None
@@ -107,10 +110,7 @@
     for server in live:
         server.occupied.passed(len(server.running), now)
     leader.held = occupancy.usual(one.occupied for one in live)
-    rate = sum(
-        one.condition.expected(one.slots, now) / one.occupied.held(leader.held)
-        for one in live
-    )
+    rate = sum(one.rate(leader.held, now) for one in live)
     return 1 / rate if rate else float('inf')
 
 
--- a/libs/scheduling/geraniumweir/scheduling/rendezvous.py
+++ b/libs/scheduling/geraniumweir/scheduling/rendezvous.py
@@ -15,6 +15,9 @@
 import xxhash
 from geraniumweir.common import ids
 
+_HASH_BITS = 32
+_HASH_RANGE = 1 << _HASH_BITS
+
 
 def leader_of(
     domain: ids.FailureDomain,
@@ -39,6 +42,16 @@
     )
 
 
+def lot(host_id: ids.HostId, server_id: ids.ServerId) -> float:
+    """Draw a number from 0 to 1 for a host and a server, always the same.
+
+    >>> lot('entry-1', 's1') == lot('entry-1', 's1') != lot('entry-2', 's1')
+    True
+    """
+    text = f'{host_id} {server_id}'.encode()
+    return xxhash.xxh32_intdigest(text) / _HASH_RANGE
+
+
 def _weight(
     domain: ids.FailureDomain,
     pool: ids.PoolName,
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -1028,12 +1028,207 @@
         return not (self == other)
 
 
+class RateLimit(object):
+    """
+    Attributes:
+     - server_id
+     - incarnation
+     - per_second
+     - sent_ms
+     - heard_ms
+
+    """
+
+    __slots__ = (
+        'server_id',
+        'incarnation',
+        'per_second',
+        'sent_ms',
+        'heard_ms',
+    )
+
+
+    def __init__(self, server_id=None, incarnation=None, per_second=None, sent_ms=None, heard_ms=None,):
+        self.server_id = server_id
+        self.incarnation = incarnation
+        self.per_second = per_second
+        self.sent_ms = sent_ms
+        self.heard_ms = heard_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.per_second = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.sent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.heard_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateLimit')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.per_second is not None:
+            oprot.writeFieldBegin('per_second', TType.DOUBLE, 3)
+            oprot.writeDouble(self.per_second)
+            oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I32, 4)
+            oprot.writeI32(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.heard_ms is not None:
+            oprot.writeFieldBegin('heard_ms', TType.I32, 5)
+            oprot.writeI32(self.heard_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RateLimits(object):
+    """
+    Attributes:
+     - limits
+
+    """
+
+    __slots__ = (
+        'limits',
+    )
+
+
+    def __init__(self, limits=None,):
+        self.limits = limits
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = RateLimit()
+                        _elem47.read(iprot)
+                        self.limits.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateLimits')
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter48 in self.limits:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Ping(object):
     """
     Attributes:
      - failure_domain
      - leaving
      - share
+     - limits
+     - limits_revision
 
     """
 
@@ -1041,13 +1236,17 @@
         'failure_domain',
         'leaving',
         'share',
+        'limits',
+        'limits_revision',
     )
 
 
-    def __init__(self, failure_domain=None, leaving=None, share=None,):
+    def __init__(self, failure_domain=None, leaving=None, share=None, limits=None, limits_revision=None,):
         self.failure_domain = failure_domain
         self.leaving = leaving
         self.share = share
+        self.limits = limits
+        self.limits_revision = limits_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1073,6 +1272,22 @@
                     self.share = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = RateLimit()
+                        _elem54.read(iprot)
+                        self.limits.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.limits_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1095,6 +1310,17 @@
             oprot.writeFieldBegin('share', TType.DOUBLE, 3)
             oprot.writeDouble(self.share)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter55 in self.limits:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits_revision is not None:
+            oprot.writeFieldBegin('limits_revision', TType.I64, 5)
+            oprot.writeI64(self.limits_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1128,6 +1354,8 @@
      - hosts
      - heard
      - share
+     - limits
+     - limits_revision
 
     """
 
@@ -1137,15 +1365,19 @@
         'hosts',
         'heard',
         'share',
+        'limits',
+        'limits_revision',
     )
 
 
-    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None,):
+    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None, limits=None, limits_revision=None,):
         self.leads = leads
         self.stands_in = stands_in
         self.hosts = hosts
         self.heard = heard
         self.share = share
+        self.limits = limits
+        self.limits_revision = limits_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1181,6 +1413,22 @@
                     self.share = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = RateLimit()
+                        _elem61.read(iprot)
+                        self.limits.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.limits_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1211,6 +1459,17 @@
             oprot.writeFieldBegin('share', TType.DOUBLE, 5)
             oprot.writeDouble(self.share)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter62 in self.limits:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits_revision is not None:
+            oprot.writeFieldBegin('limits_revision', TType.I64, 7)
+            oprot.writeI64(self.limits_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1271,11 +1530,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.amounts = {}
-                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
-                    for _i46 in range(_size42):
-                        _key47 = iprot.readI32()
-                        _val48 = iprot.readI32()
-                        self.amounts[_key47] = _val48
+                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
+                    for _i67 in range(_size63):
+                        _key68 = iprot.readI32()
+                        _val69 = iprot.readI32()
+                        self.amounts[_key68] = _val69
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1296,9 +1555,9 @@
         if self.amounts is not None:
             oprot.writeFieldBegin('amounts', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.amounts))
-            for kiter49, viter50 in self.amounts.items():
-                oprot.writeI32(kiter49)
-                oprot.writeI32(viter50)
+            for kiter70, viter71 in self.amounts.items():
+                oprot.writeI32(kiter70)
+                oprot.writeI32(viter71)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1361,11 +1620,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.customers = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = CustomerSpent()
-                        _elem56.read(iprot)
-                        self.customers.append(_elem56)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = CustomerSpent()
+                        _elem77.read(iprot)
+                        self.customers.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1386,8 +1645,8 @@
         if self.customers is not None:
             oprot.writeFieldBegin('customers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.customers))
-            for iter57 in self.customers:
-                iter57.write(oprot)
+            for iter78 in self.customers:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1819,12 +2078,28 @@
     (9, TType.LIST, 'rollouts', (TType.STRUCT, [Rollout, None], False), None, ),  # 9
     (10, TType.I64, 'rollouts_progress', None, None, ),  # 10
 )
+all_structs.append(RateLimit)
+RateLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.DOUBLE, 'per_second', None, None, ),  # 3
+    (4, TType.I32, 'sent_ms', None, None, ),  # 4
+    (5, TType.I32, 'heard_ms', None, None, ),  # 5
+)
+all_structs.append(RateLimits)
+RateLimits.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 1
+)
 all_structs.append(Ping)
 Ping.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'leaving', None, None, ),  # 2
     (3, TType.DOUBLE, 'share', None, None, ),  # 3
+    (4, TType.LIST, 'limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 4
+    (5, TType.I64, 'limits_revision', None, None, ),  # 5
 )
 all_structs.append(Pong)
 Pong.thrift_spec = (
@@ -1834,6 +2109,8 @@
     (3, TType.I32, 'hosts', None, None, ),  # 3
     (4, TType.I32, 'heard', None, None, ),  # 4
     (5, TType.DOUBLE, 'share', None, None, ),  # 5
+    (6, TType.LIST, 'limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 6
+    (7, TType.I64, 'limits_revision', None, None, ),  # 7
 )
 all_structs.append(CustomerSpent)
 CustomerSpent.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -92,12 +92,32 @@
   10: optional i64 rollouts_progress
 }
 
+// What an answer of a server said of the requests a second that it takes from
+// all hosts together; without a number it named no limit. The request that it
+// answers was sent, and the answer heard, so long ago.
+struct RateLimit {
+  1: string server_id
+  2: i64 incarnation
+  3: optional double per_second
+  4: i32 sent_ms
+  5: i32 heard_ms
+}
+
+// From an entry host to the one that coordinates for it, at once.
+struct RateLimits {
+  1: list<RateLimit> limits
+}
+
 // From an entry host to a control host, several times a second.
 // share: its part of all requests, as it was last told.
+// limits: those that changed since its last ping was answered.
+// limits_revision: of the answerer, up to which the asker has its limits.
 struct Ping {
   1: string failure_domain
   2: bool leaving
   3: optional double share
+  4: optional list<RateLimit> limits
+  5: optional i64 limits_revision
 }
 
 // leads: the answerer leads the log. stands_in: it coordinates because it
@@ -110,6 +130,9 @@
   4: i32 heard
   // The asker's part of all requests lately.
   5: optional double share
+  // Those that the asker doesn't have yet.
+  6: optional list<RateLimit> limits
+  7: optional i64 limits_revision
 }
 
 // What an entry host was granted of a customer's quota: amounts by how many
