A pool that may grant nothing refuses its last caller as early as the others

Found by a test of hosts that are alone and on which no lot for a limit fell: of 60 callers one waited for its whole 10 s.

Cause: with an infinite interval between free slots, nothing ahead and nothing arriving made a wait that is no number, and no comparison with it is true, so that the one left was neither served nor given up. Until limits there was no such interval while servers were known. Red before: test_host_without_any_part_of_a_limit_refuses_early.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -98,7 +98,7 @@
     @property
     def load(self) -> float:
         """Give the part of the slots that newcomers take."""
-        return self.arrivals * self.interval
+        return _times(self.arrivals, self.interval)
 
     @property
     def crowded(self) -> bool:
@@ -117,7 +117,8 @@
         :param late: those in front that can't.
         """
         left = max(1 - self.load, _LEAST_LEFT)
-        return on_time * self.interval + (late + 1) * self.interval / left
+        ahead = _times(on_time, self.interval)
+        return ahead + (late + 1) * self.interval / left
 
 
 _Worth = tuple[int, float, int, int]
@@ -126,6 +127,15 @@
 Lead = typing.Callable[[records.Waiting], float]
 
 
+def _times(number: float, interval: float) -> float:
+    """Multiply; nothing takes no time, however long the interval is.
+
+    >>> _times(0, float('inf')), _times(2, 0.5)
+    (0, 1.0)
+    """
+    return number * interval if number else 0
+
+
 def plan(
     waiting: typing.Sequence[records.Waiting],
     now: float,
@@ -190,7 +200,7 @@
             given_up.append(turn)
             continue
         heapq.heappush(kept, (_worth(turn), turn))
-        if (len(kept) - 1) * interval > left:
+        if _times(len(kept) - 1, interval) > left:
             given_up.append(heapq.heappop(kept)[1])
     served = [entry[1] for entry in kept]
     return sorted(served, key=_by_start), given_up
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_rate_limits.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_rate_limits.py
@@ -148,3 +148,15 @@
         assert loop.time() - asked < 1
 
     virtual.run(work())
+
+
+def test_host_without_any_part_of_a_limit_refuses_early() -> None:
+    """As one of hundreds that are alone, on which no lot fell."""
+
+    async def work() -> None:
+        pool = _Pool((_NEEDY,), per_second=0)
+        await pool.offer(pool.lead(), 20, 3)
+        assert not pool.granted
+        assert pool.denied.count(requests.DenialReason.shed) == 60
+
+    virtual.run(work())
