--- a/libs/control/geraniumweir/control/tests/test_behind.py
+++ b/libs/control/geraniumweir/control/tests/test_behind.py
@@ -1,12 +1,4 @@
-"""A control host whose own copy of the log stands still.
-
-Callers were served by an older document for more than the time in which an
-acknowledged one is in force everywhere. A majority of the control hosts had
-synced the new document and acknowledged it. The disk of another one stood
-still: it went on hearing the leader, and told the entry hosts of its failure
-domain with each answer that what they had was the newest. They asked nobody
-else until its disk was back.
-"""
+"""A control host whose own copy of the log stands still is left by all."""
 
 import asyncio
 import dataclasses
@@ -89,11 +81,7 @@
 def test_acknowledged_document_is_in_force_where_a_disk_is_hurt(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Entry hosts turn to a control host that follows.
-
-    They were behind for as long as the disk was hurt: 6.1 s with one that was
-    full for 6 s, 10.6 s with 10 s, in plays of the whole system.
-    """
+    """Entry hosts turn to a control host that follows."""
     behind = {}
     for hurt in (_is_sound, _stall, _fill):
         behind[hurt.__name__] = virtual.run(_seconds_behind(monkeypatch, hurt))
