--- a/libs/consensus/geraniumweir/consensus/tests/test_replacing_leaders.py
+++ b/libs/consensus/geraniumweir/consensus/tests/test_replacing_leaders.py
@@ -6,8 +6,7 @@
 from geraniumweir.consensus.tests import cluster
 
 _SEEDS = 30
-# Seconds from the loss to a new leader, measured as 0.69 on average and 0.98
-# at most; with a whole silence after each trial that failed 0.81 and 1.59.
+# Seconds from the loss to a new leader.
 _MEAN = 0.75
 _MOST = 1.2
 
--- a/libs/control/geraniumweir/control/standing.py
+++ b/libs/control/geraniumweir/control/standing.py
@@ -199,8 +199,7 @@
         """Give the part that a lost host grants by itself.
 
         It goes by the last part that it was told, while its part of what
-        comes here falls with each second of silence, by 30 in 100 over a cut
-        of 7 s; what both sides granted by it came to more than a quota.
+        comes here falls with each second of silence.
         """
         said = self._shares.get(host_id)
         return self.share_of(host_id, now) if said is None else said
--- a/libs/control/geraniumweir/control/tests/test_waking.py
+++ b/libs/control/geraniumweir/control/tests/test_waking.py
@@ -1,10 +1,4 @@
-"""A coordinator that froze and wakes.
-
-It was frozen for 6 s, and another one was elected after one. When it woke, it
-took itself for the coordinator for 0.4 s more: it dropped the requests of
-dozens of entry hosts that had turned to the other one, granted their slots to
-requests that nobody waited for any more, and told hosts that it led.
-"""
+"""A coordinator that froze coordinates nothing until it is followed again."""
 
 import asyncio
 import typing
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -40,9 +40,8 @@
 # After readiness was taken back, new connections still come for two probes of
 # a second each.
 _LISTEN_SECONDS = 2.5
-# What is left of the grace time when connections are broken off, in seconds. A
-# process with a request open took more than 0.4 s from there to its end and
-# was killed; that happened in 7 of 15 plays of an overload with planned stops.
+# What is left of the grace time when connections are broken off, in seconds: a
+# process that has requests open must still end before it is killed.
 _BREAK_SECONDS = 0.8
 # Whether open requests have ended is looked at this often, in seconds.
 _LOOK_SECONDS = 0.05
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_classes.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_classes.py
@@ -1,13 +1,4 @@
-"""A pool that lost servers while callers of several classes press.
-
-Of the class of the lowest importance 16 in 100 of its worth were earned over
-a whole day, where 30 are asked for. Three of six servers had left, and from
-then on two to four times as much came as the others could serve. Who goes
-first was decided by importance alone, so that the lowest class got what was
-left of each moment: 27 of 1,960 seconds of slots, by the logs of one day,
-though it keeps a slot for an eighth of the time of the others and all of it
-would have fitted into a fifth of the slots.
-"""
+"""A pool that lost servers while callers of several classes press."""
 
 import itertools
 import typing
@@ -44,10 +35,7 @@
 
 
 def test_no_class_starves_in_lasting_overload() -> None:
-    """Each has the part that is asked for, and none overtakes another.
-
-    The lowest class was served 2 to 5 in 100 before, the highest all.
-    """
+    """Each has the part that is asked for, and none overtakes another."""
     for long in (10, 15, 20, 30):
         found = play.run_together(_loads(long, 40, 40), _SLOTS)
         shares = {
@@ -77,10 +65,7 @@
 
 
 def test_class_that_needs_few_slots_is_not_kept_from_them() -> None:
-    """The part of the slots that is owed is used up by another class.
-
-    It was served 20 in 100 beside one that had 62 in 100 of the slots.
-    """
+    """The part of the slots that is owed is used up by another class."""
     shares = classes.Shares()
     first, large, small = (
         classes.Class(ids.Tier.normal, rank) for rank in range(3)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_occupancy.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_occupancy.py
@@ -29,11 +29,7 @@
 
 
 def test_important_are_on_time_in_the_first_seconds_of_overload() -> None:
-    """Long and important ones keep four fifths of 20 slots, short ones more.
-
-    With the mean over what had ended 88 of 100 long ones of the first two
-    seconds were on time.
-    """
+    """Long and important ones keep four fifths of 20 slots, short ones more."""
     loads = {
         'long': play.Load(
             list(itertools.repeat(8, 8)),
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_rests.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_rests.py
@@ -1,11 +1,4 @@
-"""Which signs shut a backend server, and which don't.
-
-In a burst on a pool of five plain servers callers left as they were granted a
-slot. Their owners gave the grants up, which was taken for servers that
-couldn't be reached; each such grant shut a server for 0.25 to 4 s, so that 2
-of 30 slots were open while 156 requests waited. With owners' own acts told
-apart from the servers' the same burst had all 30 open.
-"""
+"""Which signs shut a backend server, and which are acts of its callers."""
 
 import asyncio
 
