--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -67,7 +67,7 @@
     report_seconds: float
     quota_seconds: float
     tolerance: quotas.Tolerance
-    current_seeds: presence.Seeds = dict
+    current_seeds: hosts.Seeds = dict
     exposure: budget.Bounds = budget.Bounds()
     again_seconds: float = _AGAIN_SECONDS
 
--- a/libs/control/geraniumweir/control/hosts.py
+++ b/libs/control/geraniumweir/control/hosts.py
@@ -15,6 +15,9 @@
 # make a host forget the way back.
 FORGET_SECONDS = 60.0
 
+# Gives some control hosts by id; they may change from call to call.
+Seeds = typing.Callable[[], typing.Mapping[ids.HostId, ids.Address]]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlHost:
--- a/libs/control/geraniumweir/control/presence.py
+++ b/libs/control/geraniumweir/control/presence.py
@@ -31,9 +31,6 @@
 _ABSENT_SECONDS = 5.0
 
 
-Seeds = typing.Callable[[], typing.Mapping[ids.HostId, ids.Address]]
-
-
 class Presence:
     """The exchange between control hosts.
 
@@ -48,7 +45,7 @@
         table: enrolments.Enrolments,
         log: recorders.Recorders,
         entry_hosts: standing.EntryHosts,
-        seeds: Seeds = dict,
+        seeds: hosts.Seeds = dict,
     ) -> None:
         """Answer the others from now on.
 
--- a/libs/control/geraniumweir/control/tests/bed.py
+++ b/libs/control/geraniumweir/control/tests/bed.py
@@ -144,7 +144,7 @@
         watcher = watching.Watcher(
             link,
             ids.FailureDomain(domain),
-            lambda: [address(one) for one in DOMAINS],
+            lambda: {ids.HostId(one): address(one) for one in DOMAINS},
             read,
         )
         for one in DOMAINS:
--- a/libs/control/geraniumweir/control/tests/test_watching.py
+++ b/libs/control/geraniumweir/control/tests/test_watching.py
@@ -22,7 +22,7 @@
     layer = memory.MemoryNetwork().join(
         ids.HostId('entry'), ids.Address('10.0.0.9', 1)
     )
-    return watching.Watcher(layer, ids.FailureDomain('x'), tuple, _read)
+    return watching.Watcher(layer, ids.FailureDomain('x'), dict, _read)
 
 
 def _server(name: str, sequence: int = 1, state: int = 1) -> ttypes.Enrolment:
@@ -115,7 +115,10 @@
     async def work() -> None:
         network = memory.MemoryNetwork()
         link = _Seeds(network, ids.HostId('entry'))
-        seeds = [ids.Address('10.0.0.1', 1), ids.Address('10.0.0.2', 2)]
+        seeds = {
+            _OTHER: ids.Address('10.0.0.1', 1),
+            _CONTROL: ids.Address('10.0.0.2', 2),
+        }
         watcher = watching.Watcher(
             link, ids.FailureDomain('x'), lambda: seeds, _read
         )
@@ -133,16 +136,17 @@
     async def work() -> None:
         network = memory.MemoryNetwork()
         link = network.join(ids.HostId('entry'), ids.Address('10.0.0.9', 1))
-        seeds = [ids.Address('10.0.0.1', 1)]
+        seeds = {_OTHER: ids.Address('10.0.0.1', 1)}
         watcher = watching.Watcher(
             link, ids.FailureDomain('x'), lambda: seeds, _read
         )
-        network.join(_OTHER, seeds[0])
+        network.join(_OTHER, seeds[_OTHER])
         task = asyncio.create_task(watcher.run())
         await asyncio.sleep(1)
         network.leave(_OTHER)
-        seeds[0] = ids.Address('10.0.0.2', 2)
-        network.join(_CONTROL, seeds[0])
+        seeds.pop(_OTHER)
+        seeds[_CONTROL] = ids.Address('10.0.0.2', 2)
+        network.join(_CONTROL, seeds[_CONTROL])
         await asyncio.sleep(2)
         task.cancel()
         assert watcher.hosts.get(_CONTROL) is not None
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -9,7 +9,6 @@
 """
 
 import asyncio
-import typing
 
 import reactivex
 from geraniumweir.common import eventlog, ids, timers
@@ -52,9 +51,6 @@
 _NO_LEASE = float('inf')
 
 
-Seeds = typing.Callable[[], typing.Sequence[ids.Address]]
-
-
 class Watcher:
     """What a host knows from the control hosts.
 
@@ -68,13 +64,12 @@
         self,
         link: peers.Peers,
         domain: ids.FailureDomain,
-        seeds: Seeds,
+        seeds: hosts.Seeds,
         read: inforce.Read,
     ) -> None:
         """Know nothing yet.
 
-        :param seeds: gives peer addresses of some control hosts, which may
-            change; asked while none that is known answers.
+        :param seeds: asked while no control host that is known answers.
         :param read: reads a document that was checked when it was published.
         """
         self.hosts = hosts.ControlHosts()
@@ -231,7 +226,7 @@
         """
         asked = [
             asyncio.create_task(self._meet(address))
-            for address in self._seeds()
+            for address in self._seeds().values()
         ]
         try:
             for answer in asyncio.as_completed(asked):
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -12,6 +12,7 @@
 from geraniumweir.control import (
     coordinating,
     coordination,
+    hosts,
     inforce,
     roster,
     watching,
@@ -64,7 +65,7 @@
     failure_domain: ids.FailureDomain
     callers: ids.Address
     ready: ids.Address
-    seeds: watching.Seeds
+    seeds: hosts.Seeds
     budget: retrybudget.Budget
     sure_seconds: float
     quota_seconds: float
