Sight: what servers say in their answers is one typed value, and is logged

Server-Limit was the only thing read of an answer besides the answer itself. Server-Leaving and Retry-After are now read at the same boundary, strictly, and logged (250, 251; 166 what can't be read); nobody acts on them yet. Limits, leaving and pauses are kept in one table (scheduling.notices) and told by one message (control.telling) in place of the limits' own; limits behave as before.

The standing control of limits is unchanged: 594 tests of scheduling, control, gateway, platform, wire, common and observe pass.

--- a/libs/control/geraniumweir/control/coordinating.py
+++ b/libs/control/geraniumweir/control/coordinating.py
@@ -18,8 +18,8 @@
 
 import reactivex
 from geraniumweir.common import eventlog, ids, timers
-from geraniumweir.control import hosts, limits, logevents, spent
-from geraniumweir.scheduling import ratelimits, spending
+from geraniumweir.control import hosts, logevents, spent, telling
+from geraniumweir.scheduling import notices, spending
 from geraniumweir.wire import errors, peers
 from geraniumweir.wire.gen.control import ttypes
 from reactivex import subject
@@ -73,22 +73,20 @@
         domain: ids.FailureDomain,
         known: hosts.ControlHosts,
         tell_spent: typing.Callable[[], spending.Spent],
-        rate_limits: ratelimits.RateLimits,
+        said: notices.Notices,
     ) -> None:
         """Know of none yet.
 
         :param domain: this host's failure domain.
         :param tell_spent: what this host was granted, for a new coordinator.
-        :param rate_limits: what this host knows of the limits of servers.
+        :param said: what this host knows of what servers said.
         """
         self._tell_spent = tell_spent
         self._link = link
         self._domain = domain
         self._known = known
         self._clock = timers.TimerService()
-        self._limits = limits.Teller(rate_limits, self._clock)
-        self._news = asyncio.Event()
-        rate_limits.changes.subscribe(lambda _: self._news.set())
+        self._teller = telling.Teller(link, said, self._clock)
         self._host = _NOBODY
         self._lost_at: float | None = self._clock.now()
         self._awaits_election = False
@@ -134,17 +132,7 @@
                 await self._search()
             took = self._clock.now() - started
             period = _ELECTION_PERIOD if self._awaits_election else _PERIOD
-            await self._pause(max(period - took, 0))
-
-    async def _pause(self, seconds: float) -> None:
-        """Wait; news of a limit is told at once."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self._news.wait()
-        except TimeoutError:
-            return
-        finally:
-            self._news.clear()
+            await asyncio.sleep(max(period - took, 0))
 
     async def leave(self) -> None:
         """Say farewell, so that the quota of this host goes to the others."""
@@ -210,12 +198,12 @@
             leaving=False,
             share=self._share,
         )
-        told = self._limits.fill(host_id, ping)
+        told = self._teller.fill(host_id, ping)
         try:
             pong = await self._link.call(host_id, ping, _PATIENCE)
         except errors.PeerError:
             return None
-        self._limits.answered(host_id, told, pong)
+        self._teller.answered(host_id, told, pong)
         if pong.leads:
             self._hosts = pong.hosts
             self._share = pong.share
@@ -231,9 +219,8 @@
             part=self.share(),
         )
         self._host = host_id
-        found = self._limits.turn_to(host_id)
         if host_id:
             # Ahead of the requests, so that it knows when they are counted.
             self._link.send(host_id, spent.pack(self._tell_spent()))
-            self._link.send(host_id, found)
+        self._teller.turn_to(host_id)
         self._changes.on_next(None)
--- a/libs/control/geraniumweir/control/coordination.py
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -11,6 +11,7 @@
 from geraniumweir.scheduling import (
     broker,
     channel,
+    notices,
     quotas,
     ratelimits,
     remote,
@@ -51,7 +52,7 @@
         cut off along with the coordinator before.
     :ivar on_ask: told of each ask that comes.
     :ivar guide: makes what decides about versions of a pool's servers.
-    :ivar rate_limits: what is known of the limits of servers.
+    :ivar said: what is known of what servers said.
     """
 
     link: channel.Channel
@@ -65,11 +66,11 @@
     on_ask: OnAsk | None = None
     tolerance: quotas.Tolerance = quotas.Tolerance()
     guide: typing.Callable[[ids.PoolName], guiding.Guide] | None = None
-    rate_limits: ratelimits.RateLimits | None = None
+    said: notices.Notices | None = None
 
-    def rates(self) -> dict[ratelimits.Start, float]:
+    def rates(self) -> dict[notices.Start, float]:
         """Give what may be granted here of the limits of servers."""
-        named = self.rate_limits.named() if self.rate_limits else {}
+        named = self.said.limits() if self.said else {}
         share = self.share() if named else 1
         return {
             start: ratelimits.part_of(
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -159,11 +159,11 @@
                 hosts=self._number_of_entry_hosts,
                 on_ask=self._note_usage,
                 guide=self.rollouts.guide,
-                rate_limits=self.standing.rate_limits,
+                said=self.standing.said,
             ),
             self._clock,
         )
-        for changes in (self._changes, self.standing.rate_limits.changes):
+        for changes in (self._changes, self.standing.said.changes):
             coordination.follow(self._service, changes)
 
     @property
--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -120,8 +120,8 @@
     _Level.warning,
     'no control host was sure for {seconds} s; version {version} in force',
 )
-LIMIT_LEFT_OUT: typing.Final = _Event(
+NOTICE_LEFT_OUT: typing.Final = _Event(
     782,
     _Level.warning,
-    'a limit of server {server} told by {teller} is left out',
+    'what server {server} said, told by {teller}, is left out',
 )
--- a/libs/control/geraniumweir/control/standing.py
+++ b/libs/control/geraniumweir/control/standing.py
@@ -15,8 +15,8 @@
 
 import reactivex
 from geraniumweir.common import eventlog, ids, timers
-from geraniumweir.control import limits, logevents, recorders, usage, waking
-from geraniumweir.scheduling import ratelimits
+from geraniumweir.control import logevents, recorders, telling, usage, waking
+from geraniumweir.scheduling import notices
 from geraniumweir.wire import peers
 from geraniumweir.wire.gen.control import ttypes
 from reactivex import subject
@@ -228,7 +228,7 @@
     """The coordinator as this host sees it; see :class:`views.HostView`.
 
     :ivar entry_hosts: those that watch or ping this host.
-    :ivar rate_limits: what they told of the limits of servers.
+    :ivar said: what they told of what servers said.
     """
 
     def __init__(
@@ -244,8 +244,8 @@
         """
         self.entry_hosts = EntryHosts(quota_seconds)
         self.entry_hosts.coordinates_from(clock.now())
-        self.rate_limits = ratelimits.RateLimits(clock)
-        self._limits = limits.Listener(link, self.rate_limits, clock)
+        self.said = notices.Notices(clock)
+        self._listener = telling.Listener(link, self.said, clock)
         self._host_id = link.host_id
         self._log = log
         self._clock = clock
@@ -348,7 +348,7 @@
             self.entry_hosts.heard(sender, now)
         if ping.share is not None:
             self.entry_hosts.said(sender, ping.share)
-        self._limits.take(sender, ping)
+        self._listener.take(sender, ping)
         awake = self._waking.is_over()
         pong = ttypes.Pong(
             leads=awake and self._log.is_leading(),
@@ -357,5 +357,5 @@
             heard=self.entry_hosts.number_heard(now),
             share=self._part_for(sender, now),
         )
-        self._limits.fill(ping, pong)
+        self._listener.fill(ping, pong)
         return pong
--- /dev/null
+++ b/libs/control/geraniumweir/control/telling.py
@@ -0,0 +1,237 @@
+"""How hosts tell each other of what servers said in their answers.
+
+An entry host tells its coordinator at once, and again with its pings until one
+was answered. The coordinator tells the others with its answers what concerns
+all hosts: only what changed since the last one, whatever the number of hosts.
+"""
+
+import math
+import typing
+
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.control import logevents
+from geraniumweir.scheduling import notices
+from geraniumweir.wire import peers
+from geraniumweir.wire.gen.control import ttypes
+
+_MS = 1000
+# Durations go as 32-bit numbers; a longer one is told as this one.
+_LONGEST_MS = 2_000_000_000
+_NOBODY = ids.HostId('')
+_Told = ttypes.RateLimit | ttypes.Leaving | ttypes.Pause
+
+
+class Teller:
+    """What an entry host tells its coordinator, and hears from it."""
+
+    def __init__(
+        self,
+        link: peers.Peers,
+        known: notices.Notices,
+        clock: timers.TimerService,
+    ) -> None:
+        """Tell nobody yet."""
+        self._known = known
+        self._link = link
+        self._clock = clock
+        self._host = _NOBODY
+        self._told = 0
+        self._heard = 0
+        known.changes.subscribe(self._tell)
+
+    def turn_to(self, host_id: ids.HostId) -> None:
+        """Take that another host coordinates; tell it all that is known."""
+        self._host = host_id
+        self._told = 0
+        self._heard = 0
+        known = self._known.since(0)
+        if host_id and known:
+            self._link.send(host_id, pack(known, self._clock.now()))
+
+    def fill(self, host_id: ids.HostId, ping: ttypes.Ping) -> int:
+        """Put into a ping what is to be told.
+
+        :returns: how far the host knows all once it has answered.
+        """
+        if host_id == self._host:
+            ping.notices = self._untold()
+            ping.notices_revision = self._heard
+        return self._known.revision
+
+    def answered(
+        self,
+        host_id: ids.HostId,
+        told: int,
+        pong: ttypes.Pong,
+    ) -> None:
+        """Take the answer to a ping.
+
+        :param told: what :meth:`fill` gave.
+        """
+        if host_id != self._host:
+            return
+        self._told = max(self._told, told)
+        if pong.notices is not None:
+            take(self._known, pong.notices, host_id, self._clock.now())
+        self._heard = pong.notices_revision or 0
+
+    def _tell(self, notice: notices.Notice) -> None:
+        """Tell what was heard here ahead of the asks that follow."""
+        if self._host and notice.host_id != self._host:
+            now = self._clock.now()
+            self._link.send(self._host, pack([notice], now))
+
+    def _untold(self) -> ttypes.Notices | None:
+        found = self._known.since(self._told)
+        return pack(found, self._clock.now()) if found else None
+
+
+class Listener:
+    """What a coordinator hears from entry hosts, and tells them."""
+
+    def __init__(
+        self,
+        link: peers.Peers,
+        known: notices.Notices,
+        clock: timers.TimerService,
+    ) -> None:
+        """Take what hosts tell from now on."""
+        self._known = known
+        self._clock = clock
+        link.handle(ttypes.Notices, self._on_notices)
+
+    def take(self, sender: ids.HostId, ping: ttypes.Ping) -> None:
+        """Take what came with a ping."""
+        if ping.notices is not None:
+            take(self._known, ping.notices, sender, self._clock.now())
+
+    def fill(self, ping: ttypes.Ping, pong: ttypes.Pong) -> None:
+        """Put into an answer what the asker doesn't have."""
+        if ping.notices_revision is None:
+            return
+        known = ping.notices_revision
+        if known > self._known.revision:
+            # It heard that from an earlier run of this host.
+            known = 0
+        news = [
+            found
+            for found in self._known.since(known)
+            if _concerns_all(found.content)
+        ]
+        if news:
+            pong.notices = pack(news, self._clock.now())
+        pong.notices_revision = self._known.revision
+
+    async def _on_notices(
+        self,
+        sender: ids.HostId,
+        message: ttypes.Notices,
+    ) -> None:
+        take(self._known, message, sender, self._clock.now())
+
+
+def _concerns_all(content: notices.Content) -> bool:
+    """Tell whether other hosts hear of it from here.
+
+    Leaving servers are told of with the enrolments, and a pause concerns the
+    host that was asked for it alone.
+    """
+    return isinstance(content, notices.RateLimit)
+
+
+def pack(
+    found: typing.Iterable[notices.Notice],
+    now: float,
+) -> ttypes.Notices:
+    """Make the message.
+
+    :param now: in seconds.
+    """
+    message = ttypes.Notices([], [], [])
+    for one in found:
+        heard_ms = _to_ms(now - one.heard_at)
+        match one.content:
+            case notices.RateLimit(per_second=per_second):
+                message.limits.append(
+                    ttypes.RateLimit(
+                        *one.start,
+                        per_second,
+                        _to_ms(now - one.sent_at),
+                        heard_ms,
+                    ),
+                )
+            case notices.Leaving():
+                message.leaving.append(ttypes.Leaving(*one.start, heard_ms))
+            case notices.Pause():
+                left_ms = _to_ms(one.until - now)
+                message.pauses.append(ttypes.Pause(*one.start, left_ms))
+    return message
+
+
+def take(
+    known: notices.Notices,
+    told: ttypes.Notices,
+    teller: ids.HostId,
+    now: float,
+) -> None:
+    """Take what another host told; what can't be read is left out.
+
+    :param now: in seconds.
+    """
+    for one in (*told.limits, *told.leaving, *told.pauses):
+        if _is_readable(one):
+            known.hear(_notice(one, teller, now))
+        else:
+            eventlog.emit(
+                logevents.NOTICE_LEFT_OUT,
+                teller=teller,
+                server=one.server_id or '',
+            )
+
+
+def _is_readable(one: _Told) -> bool:
+    if one.server_id is None or one.incarnation is None:
+        return False
+    match one:
+        case ttypes.RateLimit():
+            return _is_readable_limit(one)
+        case ttypes.Leaving():
+            return one.heard_ms is not None
+        case ttypes.Pause():
+            return one.left_ms is not None
+
+
+def _is_readable_limit(one: ttypes.RateLimit) -> bool:
+    if one.sent_ms is None or one.heard_ms is None:
+        return False
+    rate = one.per_second
+    return rate is None or (math.isfinite(rate) and rate >= 0)
+
+
+def _notice(one: _Told, teller: ids.HostId, now: float) -> notices.Notice:
+    content: notices.Content
+    match one:
+        case ttypes.RateLimit():
+            content = notices.RateLimit(one.per_second)
+            sent_at = now - one.sent_ms / _MS
+            heard_at = now - one.heard_ms / _MS
+        case ttypes.Leaving():
+            content = notices.Leaving()
+            heard_at = now - one.heard_ms / _MS
+            sent_at = heard_at
+        case ttypes.Pause():
+            content = notices.Pause(one.left_ms / _MS)
+            heard_at = now
+            sent_at = heard_at
+    return notices.Notice(
+        ids.ServerId(one.server_id),
+        ids.Incarnation(one.incarnation),
+        content,
+        teller,
+        sent_at,
+        heard_at,
+    )
+
+
+def _to_ms(seconds: float) -> int:
+    return min(max(int(seconds * _MS), 0), _LONGEST_MS)
--- a/libs/control/geraniumweir/control/tests/test_coordinating.py
+++ b/libs/control/geraniumweir/control/tests/test_coordinating.py
@@ -4,7 +4,7 @@
 
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.control import coordinating, hosts, spent
-from geraniumweir.scheduling import ratelimits, spending
+from geraniumweir.scheduling import notices, spending
 from geraniumweir.wire import memory
 from geraniumweir.wire.gen.control import ttypes
 
@@ -65,13 +65,13 @@
             layer.learn(control.host_id, address)
             card = hosts.ControlHost(control.host_id, address, address, _DOMAIN)
             known.learn(card, 0)
-        self.rate_limits = ratelimits.RateLimits(timers.TimerService())
+        self.said = notices.Notices(timers.TimerService())
         self.seen = coordinating.Coordinator(
             layer,
             _DOMAIN,
             known,
             lambda: _SPENT,
-            self.rate_limits,
+            self.said,
         )
         self.task = asyncio.create_task(self.seen.run())
 
--- a/libs/control/geraniumweir/control/tests/test_limits.py
+++ b/libs/control/geraniumweir/control/tests/test_limits.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from geraniumweir.common import ids, timers, virtual
-from geraniumweir.control import coordinating, hosts, limits
-from geraniumweir.scheduling import ratelimits, spending
+from geraniumweir.control import coordinating, hosts, telling
+from geraniumweir.scheduling import notices, spending
 from geraniumweir.wire import memory
 from geraniumweir.wire.gen.control import ttypes
 
@@ -22,11 +22,11 @@
         self.leads = True
         self.card = bed.card(name)
         link = bed.network.join(self.host_id, self.card.address)
-        self.known = ratelimits.RateLimits(timers.TimerService())
-        self._listener = limits.Listener(
+        self.known = notices.Notices(timers.TimerService())
+        self._listener = telling.Listener(
             link, self.known, timers.TimerService()
         )
-        self.before_asks: dict[ratelimits.Start, float] = {}
+        self.before_asks: dict[notices.Start, float] = {}
         link.handle(ttypes.Ping, self._on_ping)
         link.handle(ttypes.Spent, self._on_spent)
 
@@ -46,7 +46,7 @@
         _message: ttypes.Spent,
     ) -> None:
         await asyncio.sleep(0.002)
-        self.before_asks = self.known.named()
+        self.before_asks = self.known.limits()
 
 
 class _Entry:
@@ -54,11 +54,12 @@
 
     def __init__(self, bed: '_Bed', name: str) -> None:
         card = bed.card(name)
+        self.host_id = card.host_id
         link = bed.network.join(card.host_id, card.address)
         known = hosts.ControlHosts()
         for control in bed.controls:
             known.learn(control.card, 0)
-        self.known = ratelimits.RateLimits(timers.TimerService())
+        self.known = notices.Notices(timers.TimerService())
         self.seen = coordinating.Coordinator(
             link,
             _DOMAIN,
@@ -71,8 +72,10 @@
     def hear(self, per_second: float | None) -> None:
         """Take an answer to a request that was sent a moment ago."""
         now = asyncio.get_running_loop().time()
-        said = ratelimits.Said(*_START, per_second, now - 0.01, now)
-        self.known.hear(said)
+        content = notices.RateLimit(per_second)
+        self.known.hear(
+            notices.Notice(*_START, content, self.host_id, now - 0.01, now),
+        )
 
 
 class _Bed:
@@ -105,9 +108,9 @@
         for limit, expected in ((2, {_START: 2}), (3, {_START: 3}), (None, {})):
             first.hear(limit)
             await asyncio.sleep(0.02)
-            assert bed.controls[0].known.named() == expected
+            assert bed.controls[0].known.limits() == expected
             await asyncio.sleep(_KNOWN_SECONDS)
-            assert second.known.named() == expected
+            assert second.known.limits() == expected
             await asyncio.sleep(1)
         bed.stop()
 
@@ -143,8 +146,8 @@
         await asyncio.sleep(0.1)
         bed.network.heal()
         await asyncio.sleep(1)
-        assert bed.controls[0].known.named() == {_START: 2}
-        assert bed.entries[1].known.named() == {_START: 2}
+        assert bed.controls[0].known.limits() == {_START: 2}
+        assert bed.entries[1].known.limits() == {_START: 2}
         bed.stop()
 
     virtual.run(work())
@@ -163,7 +166,7 @@
         bed.controls[0] = _Coordinator(bed, 'c1')
         first.hear(5)
         await asyncio.sleep(1)
-        assert second.known.named() == {_START: 5}
+        assert second.known.limits() == {_START: 5}
         bed.stop()
 
     virtual.run(work())
@@ -173,7 +176,7 @@
     """The others hold."""
 
     async def work() -> None:
-        known = ratelimits.RateLimits(timers.TimerService())
+        known = notices.Notices(timers.TimerService())
         now = asyncio.get_running_loop().time()
         told = [
             ttypes.RateLimit('a', 1, float('nan'), 0, 0),
@@ -181,7 +184,8 @@
             ttypes.RateLimit('c', None, 2, 0, 0),
             ttypes.RateLimit('d', 1, 2, 0, 0),
         ]
-        limits.take(known, told, ids.HostId('e1'), now)
-        assert list(known.named()) == [('d', 1)]
+        message = ttypes.Notices(told, [], [])
+        telling.take(known, message, ids.HostId('e1'), now)
+        assert list(known.limits()) == [('d', 1)]
 
     virtual.run(work())
--- a/libs/gateway/geraniumweir/gateway/codec.py
+++ b/libs/gateway/geraniumweir/gateway/codec.py
@@ -10,6 +10,7 @@
 import multidict
 from aiohttp import web
 from geraniumweir.common import errors, ids
+from geraniumweir.scheduling import notices
 
 Headers = multidict.CIMultiDict[str]
 
@@ -93,9 +94,7 @@
     :ivar encoded: the body is not as the server made it.
     :ivar streams: it is a stream of events.
     :ivar headers: those that go on to the caller.
-    :ivar rate_limit: requests a second that the server takes from all hosts
-        together, None where it names none.
-    :ivar unread_limit: what it names where that can't be read.
+    :ivar said: what the server says of itself.
     """
 
     status: int
@@ -105,8 +104,7 @@
     encoded: bool
     streams: bool
     headers: Headers
-    rate_limit: float | None = None
-    unread_limit: str | None = None
+    said: tuple[notices.Content | notices.Unreadable, ...] = ()
 
 
 class Codec(typing.Protocol):
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 from aiohttp import web
-from geraniumweir.common import eventlog
+from geraniumweir.common import eventlog, ids
 from geraniumweir.gateway import (
     attempts,
     codec,
@@ -27,7 +27,7 @@
     talk,
 )
 from geraniumweir.routing import tables
-from geraniumweir.scheduling import ratelimits, requests, views
+from geraniumweir.scheduling import notices, requests, views
 
 # Servers that turn a request away, one after another: two more tries find one
 # that takes it, or there is none.
@@ -42,7 +42,8 @@
     codec: codec.Codec
     scheduler: views.Scheduler
     budgets: retrybudget.RetryBudgets
-    rate_limits: ratelimits.RateLimits
+    host_id: ids.HostId
+    said: notices.Notices
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -255,32 +256,34 @@
             stream=self._stream,
             story=self._story,
             on_first=self._on_first,
-            on_head=functools.partial(self._note_limit, grant, started),
+            on_head=functools.partial(self._hear, grant, started),
         )
 
-    def _note_limit(
+    def _hear(
         self,
         grant: requests.Grant,
         started: float,
         answered: codec.Answered,
     ) -> None:
-        """Take what a server says of the requests that it takes."""
-        if answered.unread_limit is not None:
-            eventlog.emit(
-                logevents.LIMIT_UNREADABLE,
-                server=grant.server_id,
-                said=answered.unread_limit,
+        """Take what a server says of itself."""
+        for content in answered.said:
+            if isinstance(content, notices.Unreadable):
+                eventlog.emit(
+                    logevents.NOTICE_UNREADABLE,
+                    server=grant.server_id,
+                    said=content.said,
+                )
+                continue
+            self._means.said.hear(
+                notices.Notice(
+                    grant.server_id,
+                    grant.incarnation,
+                    content,
+                    self._means.host_id,
+                    started,
+                    talk.now(),
+                ),
             )
-            return
-        self._means.rate_limits.hear(
-            ratelimits.Said(
-                grant.server_id,
-                grant.incarnation,
-                answered.rate_limit,
-                started,
-                talk.now(),
-            ),
-        )
 
     def _on_first(self, seconds: float) -> None:
         if self._admitted.ask.streams:
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -30,7 +30,7 @@
 from geraniumweir.observe import metricnames, metrics
 from geraniumweir.rollout import guiding
 from geraniumweir.routing import finding
-from geraniumweir.scheduling import channel, quotas, ratelimits, spending
+from geraniumweir.scheduling import channel, notices, quotas, spending
 from geraniumweir.wire import tcp
 
 # Idle connections to servers are kept for less than servers commonly do.
@@ -95,13 +95,13 @@
             cfg.seeds,
             read,
         )
-        self._rate_limits = ratelimits.RateLimits(self._clock)
+        self._said = notices.Notices(self._clock)
         self._coordinator = coordinating.Coordinator(
             self._link,
             cfg.failure_domain,
             self.watcher.hosts,
             self._spent,
-            self._rate_limits,
+            self._said,
         )
         self._service = coordination.serve(
             coordination.Parts(
@@ -120,11 +120,11 @@
                 tolerance=cfg.tolerance,
                 hosts=lambda: 1,
                 guide=self._guide,
-                rate_limits=self._rate_limits,
+                said=self._said,
             ),
             self._clock,
         )
-        for changes in (self.watcher.changes, self._rate_limits.changes):
+        for changes in (self.watcher.changes, self._said.changes):
             coordination.follow(self._service, changes)
         self._broker = coordination.ask_through(
             self._link,
@@ -172,7 +172,8 @@
                 self._cfg.budget,
                 self._coordinator.hosts,
             ),
-            self._rate_limits,
+            self._cfg.host_id,
+            self._said,
         )
         front = serving.Front(
             serving.Place(self._cfg.host_id, self._cfg.failure_domain),
@@ -201,7 +202,7 @@
     def _limited_servers(self) -> dict[tuple[str, ...], float]:
         """Count the servers that name a limit, by pool."""
         counted: collections.Counter[tuple[str, ...]] = collections.Counter()
-        for server_id, _ in self._rate_limits.named():
+        for server_id, _ in self._said.limits():
             found = self.watcher.servers.get(server_id)
             if found is not None:
                 counted[(found.pool,)] += 1
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -41,8 +41,8 @@
 FAULT: typing.Final = _Event(
     165, _Level.error, 'request {request} met a fault: {reason}'
 )
-LIMIT_UNREADABLE: typing.Final = _Event(
+NOTICE_UNREADABLE: typing.Final = _Event(
     166,
     _Level.warning,
-    'limit of server {server} can not be read: {said}',
+    'what server {server} says of itself can not be read: {said}',
 )
--- a/libs/gateway/geraniumweir/gateway/tests/bed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/bed.py
@@ -22,9 +22,10 @@
 from geraniumweir.gateway import listening as serving_at
 from geraniumweir.observe import metrics
 from geraniumweir.routing import finding, tables
-from geraniumweir.scheduling import ratelimits, requests
+from geraniumweir.scheduling import notices, requests
 
 POOL = ids.PoolName('pool')
+HOST = ids.HostId('entry')
 _LOCAL = '127.0.0.1'
 Behave = typing.Callable[
     ['Server', str, multidict.CIMultiDict[str], asyncio.StreamWriter],
@@ -81,8 +82,7 @@
             'Content-Encoding' in headers,
             headers.get('Content-Type') == 'text/event-stream',
             kept,
-            float(headers['Limit']) if 'Limit' in headers else None,
-            headers.get('Unread'),
+            tuple(_said(headers)),
         )
 
     def refusal(
@@ -96,6 +96,22 @@
         )
 
 
+def _said(
+    headers: typing.Mapping[str, str],
+) -> typing.Iterator[notices.Content | notices.Unreadable]:
+    unread = headers.get('Unread')
+    limit = headers.get('Limit')
+    pause = headers.get('Pause')
+    if unread:
+        yield notices.Unreadable(unread)
+    elif limit:
+        yield notices.RateLimit(float(limit))
+    if 'Leaving' in headers:
+        yield notices.Leaving()
+    if pause:
+        yield notices.Pause(float(pause))
+
+
 class Scheduler:
     """Grants the servers in turn."""
 
@@ -168,7 +184,7 @@
     front: serving.Front
     scheduler: Scheduler
     caller: aiohttp.ClientSession
-    rate_limits: ratelimits.RateLimits
+    said: notices.Notices
 
 
 @contextlib.asynccontextmanager
@@ -194,7 +210,8 @@
             PlainCodec(),
             scheduler,
             retrybudget.RetryBudgets(budget, lambda: 1),
-            ratelimits.RateLimits(timers.TimerService()),
+            HOST,
+            notices.Notices(timers.TimerService()),
         )
         known = admission.Knowledge(finding.Index(_document(changes)), True)
         front = serving.Front(
@@ -212,7 +229,7 @@
             front,
             scheduler,
             caller,
-            means.rate_limits,
+            means.said,
         )
 
 
--- a/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
@@ -254,7 +254,7 @@
     async def work() -> None:
         async with bed.made(bed.Server(behave)) as made:
             await _get(made)
-            assert list(made.rate_limits.named().values()) == limits
+            assert list(made.said.limits().values()) == limits
 
     asyncio.run(work())
 
@@ -279,7 +279,7 @@
 
     async def work() -> None:
         async with bed.made(bed.Server(behave), **_STREAM) as made:
-            made.rate_limits.changes.subscribe(lambda _: is_heard.set())
+            made.said.changes.subscribe(lambda _: is_heard.set())
             async with asyncio.timeout(5):
                 status, _body = await _get(made)
             assert status == 200
--- a/libs/scheduling/geraniumweir/scheduling/logevents.py
+++ b/libs/scheduling/geraniumweir/scheduling/logevents.py
@@ -47,3 +47,13 @@
     logevents.Level.notice,
     'server {server} names no limit any more',
 )
+LEAVING_SAID = logevents.Event(
+    250,
+    logevents.Level.notice,
+    'server {server} says in an answer to {told} that it leaves',
+)
+PAUSE_ASKED = logevents.Event(
+    251,
+    logevents.Level.info,
+    'server {server} wants nothing from {asked} for {seconds} s',
+)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -3,7 +3,7 @@
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
 from geraniumweir.rollout import guiding, orders
-from geraniumweir.scheduling import ratelimits
+from geraniumweir.scheduling import notices, ratelimits
 from geraniumweir.scheduling.ontime import records, state
 
 # Servers are looked up this often at most, in seconds; a change that is told
@@ -173,7 +173,7 @@
     )
 
 
-def _start(announcement: servers.Announcement) -> records.Start:
+def _start(announcement: servers.Announcement) -> notices.Start:
     return announcement.server_id, announcement.incarnation
 
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -17,7 +17,7 @@
 from geraniumweir.rollout import guiding
 from geraniumweir.scheduling import (
     joining,
-    ratelimits,
+    notices,
     requests,
     settings,
     suspects,
@@ -45,7 +45,7 @@
         guide: guiding.Guide | None = None,
         rates: typing.Callable[
             [],
-            typing.Mapping[ratelimits.Start, float],
+            typing.Mapping[notices.Start, float],
         ] = dict,
     ) -> None:
         """Start with an empty queue.
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -6,7 +6,7 @@
 
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
-from geraniumweir.scheduling import ratelimits, requests
+from geraniumweir.scheduling import notices, ratelimits, requests
 from geraniumweir.scheduling.ontime import conditions, occupancy, speeds
 
 
@@ -15,9 +15,6 @@
 _STUCK_FACTOR = 3.0
 _STUCK_SECONDS = 0.75
 
-# One start of a server: it may start again under its id.
-Start = tuple[ids.ServerId, ids.Incarnation]
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Waiting:
@@ -64,7 +61,7 @@
     first_token: float | None = None
 
     @property
-    def start(self) -> Start:
+    def start(self) -> notices.Start:
         """Give the start of the server that it was granted on."""
         return self.grant.server_id, self.grant.incarnation
 
@@ -115,7 +112,7 @@
         return self.live and not self.canary
 
     @property
-    def start(self) -> Start:
+    def start(self) -> notices.Start:
         """Give which start of the server this is."""
         return self.server_id, self.announcement.incarnation
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -8,7 +8,7 @@
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
 from geraniumweir.rollout import guiding
-from geraniumweir.scheduling import ratelimits, requests, suspects
+from geraniumweir.scheduling import notices, requests, suspects
 from geraniumweir.scheduling.ontime import (
     arrivals,
     classes,
@@ -67,7 +67,7 @@
     suspects: suspects.Suspects
     dice: random.Random
     guide: guiding.Guide
-    rates: typing.Callable[[], typing.Mapping[ratelimits.Start, float]]
+    rates: typing.Callable[[], typing.Mapping[notices.Start, float]]
     settle_by: float
     served_at: float
     quickest: records.Server | None = None
@@ -81,7 +81,7 @@
     servers: dict[ids.ServerId, records.Server] = dataclasses.field(
         default_factory=dict,
     )
-    gone: dict[records.Start, float] = dataclasses.field(default_factory=dict)
+    gone: dict[notices.Start, float] = dataclasses.field(default_factory=dict)
     learnt: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
     lengths: dict[ids.RuleName, float] = dataclasses.field(
         default_factory=dict,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_rate_limits.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_rate_limits.py
@@ -6,7 +6,7 @@
 
 import pytest
 from geraniumweir.common import ids, virtual
-from geraniumweir.scheduling import ratelimits, requests, settings
+from geraniumweir.scheduling import notices, requests, settings
 from geraniumweir.scheduling.ontime import leader
 from geraniumweir.scheduling.ontime.tests import play
 
@@ -40,7 +40,7 @@
             rates=self._rates,
         )
 
-    def _rates(self) -> dict[ratelimits.Start, float]:
+    def _rates(self) -> dict[notices.Start, float]:
         return {} if self.per_second is None else {_START: self.per_second}
 
     async def offer(
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -1144,20 +1144,210 @@
         return not (self == other)
 
 
-class RateLimits(object):
+class Leaving(object):
+    """
+    Attributes:
+     - server_id
+     - incarnation
+     - heard_ms
+
+    """
+
+    __slots__ = (
+        'server_id',
+        'incarnation',
+        'heard_ms',
+    )
+
+
+    def __init__(self, server_id=None, incarnation=None, heard_ms=None,):
+        self.server_id = server_id
+        self.incarnation = incarnation
+        self.heard_ms = heard_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.heard_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Leaving')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.heard_ms is not None:
+            oprot.writeFieldBegin('heard_ms', TType.I32, 3)
+            oprot.writeI32(self.heard_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Pause(object):
+    """
+    Attributes:
+     - server_id
+     - incarnation
+     - left_ms
+
+    """
+
+    __slots__ = (
+        'server_id',
+        'incarnation',
+        'left_ms',
+    )
+
+
+    def __init__(self, server_id=None, incarnation=None, left_ms=None,):
+        self.server_id = server_id
+        self.incarnation = incarnation
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Pause')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 3)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Notices(object):
     """
     Attributes:
      - limits
+     - leaving
+     - pauses
 
     """
 
     __slots__ = (
         'limits',
+        'leaving',
+        'pauses',
     )
 
 
-    def __init__(self, limits=None,):
+    def __init__(self, limits=None, leaving=None, pauses=None,):
         self.limits = limits
+        self.leaving = leaving
+        self.pauses = pauses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1179,6 +1369,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = Leaving()
+                        _elem53.read(iprot)
+                        self.leaving.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.pauses = []
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = Pause()
+                        _elem59.read(iprot)
+                        self.pauses.append(_elem59)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1188,12 +1400,26 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('RateLimits')
+        oprot.writeStructBegin('Notices')
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter48 in self.limits:
-                iter48.write(oprot)
+            for iter60 in self.limits:
+                iter60.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter61 in self.leaving:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.pauses is not None:
+            oprot.writeFieldBegin('pauses', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.pauses))
+            for iter62 in self.pauses:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1227,8 +1453,8 @@
      - failure_domain
      - leaving
      - share
-     - limits
-     - limits_revision
+     - notices
+     - notices_revision
 
     """
 
@@ -1236,17 +1462,17 @@
         'failure_domain',
         'leaving',
         'share',
-        'limits',
-        'limits_revision',
+        'notices',
+        'notices_revision',
     )
 
 
-    def __init__(self, failure_domain=None, leaving=None, share=None, limits=None, limits_revision=None,):
+    def __init__(self, failure_domain=None, leaving=None, share=None, notices=None, notices_revision=None,):
         self.failure_domain = failure_domain
         self.leaving = leaving
         self.share = share
-        self.limits = limits
-        self.limits_revision = limits_revision
+        self.notices = notices
+        self.notices_revision = notices_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1272,20 +1498,15 @@
                     self.share = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.limits = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = RateLimit()
-                        _elem54.read(iprot)
-                        self.limits.append(_elem54)
-                    iprot.readListEnd()
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.notices = Notices()
+                    self.notices.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 7:
                 if ftype == TType.I64:
-                    self.limits_revision = iprot.readI64()
+                    self.notices_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1310,16 +1531,13 @@
             oprot.writeFieldBegin('share', TType.DOUBLE, 3)
             oprot.writeDouble(self.share)
             oprot.writeFieldEnd()
-        if self.limits is not None:
-            oprot.writeFieldBegin('limits', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter55 in self.limits:
-                iter55.write(oprot)
-            oprot.writeListEnd()
+        if self.notices is not None:
+            oprot.writeFieldBegin('notices', TType.STRUCT, 6)
+            self.notices.write(oprot)
             oprot.writeFieldEnd()
-        if self.limits_revision is not None:
-            oprot.writeFieldBegin('limits_revision', TType.I64, 5)
-            oprot.writeI64(self.limits_revision)
+        if self.notices_revision is not None:
+            oprot.writeFieldBegin('notices_revision', TType.I64, 7)
+            oprot.writeI64(self.notices_revision)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1354,8 +1572,8 @@
      - hosts
      - heard
      - share
-     - limits
-     - limits_revision
+     - notices
+     - notices_revision
 
     """
 
@@ -1365,19 +1583,19 @@
         'hosts',
         'heard',
         'share',
-        'limits',
-        'limits_revision',
+        'notices',
+        'notices_revision',
     )
 
 
-    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None, limits=None, limits_revision=None,):
+    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None, notices=None, notices_revision=None,):
         self.leads = leads
         self.stands_in = stands_in
         self.hosts = hosts
         self.heard = heard
         self.share = share
-        self.limits = limits
-        self.limits_revision = limits_revision
+        self.notices = notices
+        self.notices_revision = notices_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1413,20 +1631,15 @@
                     self.share = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.LIST:
-                    self.limits = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = RateLimit()
-                        _elem61.read(iprot)
-                        self.limits.append(_elem61)
-                    iprot.readListEnd()
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.notices = Notices()
+                    self.notices.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 9:
                 if ftype == TType.I64:
-                    self.limits_revision = iprot.readI64()
+                    self.notices_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1459,16 +1672,13 @@
             oprot.writeFieldBegin('share', TType.DOUBLE, 5)
             oprot.writeDouble(self.share)
             oprot.writeFieldEnd()
-        if self.limits is not None:
-            oprot.writeFieldBegin('limits', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter62 in self.limits:
-                iter62.write(oprot)
-            oprot.writeListEnd()
+        if self.notices is not None:
+            oprot.writeFieldBegin('notices', TType.STRUCT, 8)
+            self.notices.write(oprot)
             oprot.writeFieldEnd()
-        if self.limits_revision is not None:
-            oprot.writeFieldBegin('limits_revision', TType.I64, 7)
-            oprot.writeI64(self.limits_revision)
+        if self.notices_revision is not None:
+            oprot.writeFieldBegin('notices_revision', TType.I64, 9)
+            oprot.writeI64(self.notices_revision)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2087,10 +2297,26 @@
     (4, TType.I32, 'sent_ms', None, None, ),  # 4
     (5, TType.I32, 'heard_ms', None, None, ),  # 5
 )
-all_structs.append(RateLimits)
-RateLimits.thrift_spec = (
+all_structs.append(Leaving)
+Leaving.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I32, 'heard_ms', None, None, ),  # 3
+)
+all_structs.append(Pause)
+Pause.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I32, 'left_ms', None, None, ),  # 3
+)
+all_structs.append(Notices)
+Notices.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 1
+    (2, TType.LIST, 'leaving', (TType.STRUCT, [Leaving, None], False), None, ),  # 2
+    (3, TType.LIST, 'pauses', (TType.STRUCT, [Pause, None], False), None, ),  # 3
 )
 all_structs.append(Ping)
 Ping.thrift_spec = (
@@ -2098,8 +2324,10 @@
     (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'leaving', None, None, ),  # 2
     (3, TType.DOUBLE, 'share', None, None, ),  # 3
-    (4, TType.LIST, 'limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 4
-    (5, TType.I64, 'limits_revision', None, None, ),  # 5
+    None,  # 4
+    None,  # 5
+    (6, TType.STRUCT, 'notices', [Notices, None], None, ),  # 6
+    (7, TType.I64, 'notices_revision', None, None, ),  # 7
 )
 all_structs.append(Pong)
 Pong.thrift_spec = (
@@ -2109,8 +2337,10 @@
     (3, TType.I32, 'hosts', None, None, ),  # 3
     (4, TType.I32, 'heard', None, None, ),  # 4
     (5, TType.DOUBLE, 'share', None, None, ),  # 5
-    (6, TType.LIST, 'limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 6
-    (7, TType.I64, 'limits_revision', None, None, ),  # 7
+    None,  # 6
+    None,  # 7
+    (8, TType.STRUCT, 'notices', [Notices, None], None, ),  # 8
+    (9, TType.I64, 'notices_revision', None, None, ),  # 9
 )
 all_structs.append(CustomerSpent)
 CustomerSpent.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -103,26 +103,45 @@
   5: i32 heard_ms
 }
 
-// From an entry host to the one that coordinates for it, at once.
-struct RateLimits {
+// A server that said that it leaves.
+struct Leaving {
+  1: string server_id
+  2: i64 incarnation
+  3: i32 heard_ms
+}
+
+// A server that wants nothing from the teller for so many milliseconds more.
+struct Pause {
+  1: string server_id
+  2: i64 incarnation
+  3: i32 left_ms
+}
+
+// What servers said in their answers. From an entry host to the one that
+// coordinates for it, at once and again with its pings; back with the answers,
+// what other hosts need to know.
+struct Notices {
   1: list<RateLimit> limits
+  2: list<Leaving> leaving
+  3: list<Pause> pauses
 }
 
 // From an entry host to a control host, several times a second.
 // share: its part of all requests, as it was last told.
-// limits: those that changed since its last ping was answered.
-// limits_revision: of the answerer, up to which the asker has its limits.
+// notices: those that are new since its last ping was answered.
+// notices_revision: of the answerer, up to which the asker has its notices.
+// Numbers 4 and 5 were used by earlier releases.
 struct Ping {
   1: string failure_domain
   2: bool leaving
   3: optional double share
-  4: optional list<RateLimit> limits
-  5: optional i64 limits_revision
+  6: optional Notices notices
+  7: optional i64 notices_revision
 }
 
 // leads: the answerer leads the log. stands_in: it coordinates because it
 // hears no leader. hosts: entry hosts there are; heard: of them, heard by the
-// answerer lately.
+// answerer lately. Numbers 6 and 7 were used by earlier releases.
 struct Pong {
   1: bool leads
   2: bool stands_in
@@ -131,8 +150,8 @@
   // The asker's part of all requests lately.
   5: optional double share
   // Those that the asker doesn't have yet.
-  6: optional list<RateLimit> limits
-  7: optional i64 limits_revision
+  8: optional Notices notices
+  9: optional i64 notices_revision
 }
 
 // What an entry host was granted of a customer's quota: amounts by how many
