--- a/libs/control/geraniumweir/control/tests/bed.py
+++ b/libs/control/geraniumweir/control/tests/bed.py
@@ -30,6 +30,7 @@
 DOMAINS = ('ant', 'bee', 'cow')
 _SYNC_SECONDS = 0.005
 _QUOTA_SECONDS = 8
+_LEASE_SECONDS = 60
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,20 +69,20 @@
         )
         access = logaccess.LogAccess(self.link, self.log, known)
         self.documents = documents.Documents(self.link, self.log, known, access)
-        table = enrolments.Enrolments(self.host_id, 1)
+        self.table = enrolments.Enrolments(self.host_id, _LEASE_SECONDS)
         entry_hosts = standing.EntryHosts(_QUOTA_SECONDS)
         self.rollouts: dict[ids.PoolName, orders.Rollout] = {}
         self.log.rollouts.subscribe(self._put)
         self.feed = feed.Feed(
             self.link,
             self.log,
-            table,
+            self.table,
             known,
             entry_hosts,
             lambda: list(self.rollouts.values()),
         )
         self.presence = presence.Presence(
-            self.link, me, known, table, self.log, entry_hosts
+            self.link, me, known, self.table, self.log, entry_hosts
         )
 
     def _put(self, found: orders.Rollout) -> None:
