A server that says in an answer that it leaves gets nothing more

Cause: Server-Leaving was read by nobody.

- The host that hears it lists the start no more and tells its coordinator ahead of the next ask, again with each ping until one is answered, and each new coordinator ahead of the first ask.
- A control host that is told marks the enrolment as if the server had reported it: the other control hosts, the feed, the kept file and all entry hosts have it from there.
Leaving is never taken back within a start.
- Each grant is looked at once more before its request is sent.
One whose server is known to leave goes back as given up (no attempt, no repeat, no quota, nothing said of the server), and whoever made it is told.

New too, in virtual time: one host hears it (all know within 0.2 s), hears it while cut off, was cut off while others did, a coordinator that is lost right after it was told.

--- a/libs/control/geraniumweir/control/enrolments.py
+++ b/libs/control/geraniumweir/control/enrolments.py
@@ -66,6 +66,11 @@
     version: ids.SoftwareVersion = ids.SoftwareVersion('')
     cold: bool = False
 
+    @property
+    def start(self) -> tuple[ids.ServerId, ids.Incarnation]:
+        """Which start of the server this is."""
+        return self.server_id, ids.Incarnation(self.born)
+
     def to_wire(self) -> ttypes.Enrolment:
         """Make the struct."""
         return ttypes.Enrolment(
@@ -195,6 +200,27 @@
         self._put(gone, now, self._me)
         return gone
 
+    def mark_leaving(
+        self,
+        server_id: ids.ServerId,
+        born: int,
+        now: float,
+    ) -> Enrolment | None:
+        """Take that a start of a server told an entry host that it leaves.
+
+        :returns: what others must be told, or None when there is nothing.
+        """
+        known = self._rows.get(server_id)
+        if known is None or known.enrolment.born < born:
+            before, teller = _unknown(server_id, born), self._me
+        else:
+            before, teller = known.enrolment, known.teller
+        if before.born != born or before.state is not State.ready:
+            return None
+        leaving = dataclasses.replace(before, state=State.leaving)
+        self._put(leaving, now, teller)
+        return leaving
+
     def merge(self, told: Enrolment, now: float, teller: ids.HostId) -> bool:
         """Take what another control host knows.
 
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -144,6 +144,7 @@
             self.rollouts.known,
         )
         self._presence.on_change = self._servers_changed
+        self.standing.said.changes.subscribe(self._presence.hear)
         self.log.documents.subscribe(self._put)
         self.log.rollouts.subscribe(lambda _: self._servers_changed())
         self._service = coordination.serve(
--- a/libs/control/geraniumweir/control/presence.py
+++ b/libs/control/geraniumweir/control/presence.py
@@ -17,6 +17,7 @@
     recorders,
     standing,
 )
+from geraniumweir.scheduling import notices
 from geraniumweir.wire import errors, peers
 from geraniumweir.wire.gen.control import ttypes
 
@@ -83,6 +84,16 @@
                 self.on_change()
             await asyncio.sleep(_PERIOD)
 
+    def hear(self, notice: notices.Notice) -> None:
+        """Take that a server told an entry host that it leaves."""
+        if not isinstance(notice.content, notices.Leaving):
+            return
+        now = self._clock.now()
+        found = self._table.mark_leaving(*notice.start, now)
+        if found is not None:
+            self.tell([found])
+            self.on_change()
+
     def tell(self, changed: typing.Sequence[enrolments.Enrolment]) -> None:
         """Tell the other control hosts of changed enrolments."""
         if not changed:
--- a/libs/control/geraniumweir/control/roster.py
+++ b/libs/control/geraniumweir/control/roster.py
@@ -13,7 +13,7 @@
 from geraniumweir.control import enrolments
 from geraniumweir.membership import servers
 from geraniumweir.routing import finding, tables
-from geraniumweir.scheduling import rendezvous
+from geraniumweir.scheduling import notices, rendezvous
 
 _ANY_HOST = ids.HostId('')
 _ANY_DOMAIN = ids.FailureDomain('')
@@ -50,14 +50,17 @@
         index: typing.Callable[[], finding.Index | None],
         host_id: ids.HostId = _ANY_HOST,
         domain: ids.FailureDomain = _ANY_DOMAIN,
+        said: notices.Notices | None = None,
     ) -> None:
         """Look at what a host knows.
 
         :param index: gives the document in force.
         :param host_id: of this host, where hosts share slots.
         :param domain: its failure domain.
+        :param said: what servers said in their answers.
         """
         self._table = table
+        self._said = said
         self._host_id = host_id
         self._domain = domain
         self._index = index
@@ -66,6 +69,15 @@
             tuple[enrolments.Enrolment, int, servers.Announcement],
         ] = {}
 
+    def is_leaving(self, start: notices.Start) -> bool:
+        """Tell whether a start of a server is known to leave or to be gone."""
+        if self._said is not None and self._said.is_leaving(start):
+            return True
+        found = self._table.get(start[0])
+        if found is None or found.born != start[1]:
+            return False
+        return found.state is not enrolments.State.ready
+
     def of_pool(
         self,
         pool_name: ids.PoolName,
@@ -82,7 +94,7 @@
         ready = [
             found
             for found in self._table.known()
-            if found.pool == pool_name and found.state is enrolments.State.ready
+            if found.pool == pool_name and not self.is_leaving(found.start)
         ]
         if share >= 1 or not ready:
             return [
--- a/libs/control/geraniumweir/control/tests/bed.py
+++ b/libs/control/geraniumweir/control/tests/bed.py
@@ -7,10 +7,11 @@
 import random
 import typing
 
-from geraniumweir.common import ids
+from geraniumweir.common import ids, timers
 from geraniumweir.configuration import recordings, state
 from geraniumweir.consensus import core, recorder, settings
 from geraniumweir.control import (
+    coordinating,
     documents,
     enrolments,
     feed,
@@ -18,11 +19,13 @@
     logaccess,
     presence,
     recorders,
+    roster,
     standing,
     watching,
 )
 from geraniumweir.rollout import orders
 from geraniumweir.routing import tables
+from geraniumweir.scheduling import notices, spending
 from geraniumweir.store import folder, guard, memory_disk
 from geraniumweir.wire import memory
 
@@ -70,7 +73,10 @@
         access = logaccess.LogAccess(self.link, self.log, known)
         self.documents = documents.Documents(self.link, self.log, known, access)
         self.table = enrolments.Enrolments(self.host_id, _LEASE_SECONDS)
-        entry_hosts = standing.EntryHosts(_QUOTA_SECONDS)
+        self.standing = standing.Standing(
+            self.link, self.log, timers.TimerService(), _QUOTA_SECONDS
+        )
+        entry_hosts = self.standing.entry_hosts
         self.rollouts: dict[ids.PoolName, orders.Rollout] = {}
         self.log.rollouts.subscribe(self._put)
         self.feed = feed.Feed(
@@ -84,6 +90,8 @@
         self.presence = presence.Presence(
             self.link, me, known, self.table, self.log, entry_hosts
         )
+        self.presence.on_change = self.feed.notify
+        self.standing.said.changes.subscribe(self.presence.hear)
 
     def _put(self, found: orders.Rollout) -> None:
         self.rollouts[found.pool] = found
@@ -94,6 +102,37 @@
         return self.log.is_leading()
 
 
+class Entry:
+    """An entry host: what it knows, and whom it would send requests to."""
+
+    def __init__(self, bed: 'Bed', domain: str, name: str) -> None:
+        """Start nothing yet."""
+        self.host_id = ids.HostId(name)
+        link = bed.network.join(self.host_id, address(name))
+        self.watcher = _watcher(link, domain)
+        clock = timers.TimerService()
+        self.said = notices.Notices(clock)
+        self.coordinator = coordinating.Coordinator(
+            link,
+            ids.FailureDomain(domain),
+            self.watcher.hosts,
+            lambda: spending.Spent(0, {}),
+            self.said,
+        )
+        self.roster = roster.Roster(
+            self.watcher.servers,
+            lambda: None,
+            said=self.said,
+        )
+
+    def hear(self, start: notices.Start, content: notices.Content) -> None:
+        """Take an answer to a request that was sent a moment ago."""
+        now = asyncio.get_running_loop().time()
+        self.said.hear(
+            notices.Notice(*start, content, self.host_id, now - 0.01, now),
+        )
+
+
 class Bed:
     """Three control hosts and what an entry host sees of them.
 
@@ -141,15 +180,7 @@
             never answer.
         """
         host_id = ids.HostId(name)
-        link = self.network.join(host_id, address(name))
-        watcher = watching.Watcher(
-            link,
-            ids.FailureDomain(domain),
-            lambda: {ids.HostId(one): address(one) for one in DOMAINS},
-            read,
-        )
-        for one in DOMAINS:
-            watcher.hosts.learn(card(one), 0)
+        watcher = _watcher(self.network.join(host_id, address(name)), domain)
         for number in range(silent):
             lost = f'a{number}'
             self.network.join(ids.HostId(lost), address(lost))
@@ -158,6 +189,13 @@
         self._running.append(asyncio.create_task(watcher.run()))
         return watcher
 
+    def enter(self, domain: str, name: str) -> Entry:
+        """Let an entry host of a failure domain watch and be coordinated."""
+        entry = Entry(self, domain, name)
+        for work in (entry.watcher.run(), entry.coordinator.run()):
+            self._running.append(asyncio.create_task(work))
+        return entry
+
     @contextlib.asynccontextmanager
     async def opened(
         self,
@@ -182,6 +220,18 @@
             keeper.kill()
 
 
+def _watcher(link: memory.MemoryPeers, domain: str) -> watching.Watcher:
+    watcher = watching.Watcher(
+        link,
+        ids.FailureDomain(domain),
+        lambda: {ids.HostId(one): address(one) for one in DOMAINS},
+        read,
+    )
+    for one in DOMAINS:
+        watcher.hosts.learn(card(one), 0)
+    return watcher
+
+
 def address(name: str) -> ids.Address:
     """Give the address of a host."""
     return ids.Address('10.0.0.1', sum(name.encode()))
--- a/libs/control/geraniumweir/control/tests/test_leaving.py
+++ b/libs/control/geraniumweir/control/tests/test_leaving.py
@@ -5,30 +5,33 @@
 """
 
 import asyncio
+import dataclasses
 import typing
 
 import pytest
 from geraniumweir.common import ids, virtual
 from geraniumweir.configuration import recordings
-from geraniumweir.control import enrolments, watching
+from geraniumweir.control import enrolments
 from geraniumweir.control.tests import bed
+from geraniumweir.scheduling import notices
 
 # An acknowledged leave is known everywhere after so long, in seconds.
 _KNOWN_SECONDS = 2
 _LOOK_SECONDS = 0.05
 _CUT_SECONDS = 6
 _SERVER = ids.ServerId('s')
+_START = (_SERVER, ids.Incarnation(0))
+_AT_ONCE_SECONDS = 0.2
+# Known once another control host leads, at the latest.
+_ELECTED_SECONDS = 4
 
 
-def _report(
-    hosts: bed.Bed,
+def _enrolment(
     domain: str,
     state: enrolments.State,
     sequence: int,
-) -> None:
-    """Let a server report at a control host, as `ControlHost.report` does."""
-    control = hosts.controls[domain]
-    said = enrolments.Enrolment(
+) -> enrolments.Enrolment:
+    return enrolments.Enrolment(
         _SERVER,
         ids.PoolName('pool'),
         ids.Address('10.0.0.9', 80),
@@ -37,6 +40,17 @@
         sequence,
         state,
     )
+
+
+def _report(
+    hosts: bed.Bed,
+    domain: str,
+    state: enrolments.State,
+    sequence: int,
+) -> None:
+    """Let a server report at a control host, as `ControlHost.report` does."""
+    control = hosts.controls[domain]
+    said = _enrolment(domain, state, sequence)
     now = asyncio.get_running_loop().time()
     if control.table.report(said, now):
         control.presence.tell([said])
@@ -51,21 +65,149 @@
 
 
 async def _longest_sent_to(
-    watchers: typing.Sequence[watching.Watcher],
+    entries: typing.Sequence[bed.Entry],
     seconds: float,
 ) -> float:
-    """Tell for how long the last watcher took the server for ready."""
+    """Tell for how long the last entry host took the server for ready."""
     now = asyncio.get_running_loop().time
     start = now()
     last = float(0)
     while now() < start + seconds:
         await asyncio.sleep(_LOOK_SECONDS)
-        found = [one.servers.get(_SERVER) for one in watchers]
-        if any(one and one.state is enrolments.State.ready for one in found):
+        if not all(one.roster.is_leaving(_START) for one in entries):
             last = now() - start
     return last
 
 
+async def _started(
+    monkeypatch: pytest.MonkeyPatch,
+) -> tuple[bed.Bed, list[bed.Entry]]:
+    """Start hosts, an entry host in each domain and two in the first.
+
+    A server has reported in the first domain.
+    """
+    hosts = bed.Bed()
+    monkeypatch.setattr(recordings, 'opened', hosts.opened)
+    await bed.publish(await hosts.start(), 1)
+    places = (*bed.DOMAINS, bed.DOMAINS[0])
+    entries = [
+        hosts.enter(domain, f'entry-{number}')
+        for number, domain in enumerate(places)
+    ]
+    _report(hosts, bed.DOMAINS[0], enrolments.State.ready, 1)
+    await asyncio.sleep(1)
+    assert all(one.watcher.servers.get(_SERVER) for one in entries)
+    return hosts, entries
+
+
+def test_leave_that_one_host_heard_is_known_to_all_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """No report of the server tells of it."""
+
+    async def work() -> None:
+        hosts, entries = await _started(monkeypatch)
+        entries[1].hear(_START, notices.Leaving())
+        _report(hosts, bed.DOMAINS[0], enrolments.State.ready, 2)
+        sent_to = await _longest_sent_to(entries, 2)
+        assert sent_to < _AT_ONCE_SECONDS
+        for control in hosts.controls.values():
+            found = control.table.get(_SERVER)
+            assert found and found.state is enrolments.State.leaving
+        hosts.stop()
+
+    virtual.run(work())
+
+
+def test_leave_that_a_host_heard_while_cut_off_is_told_by_it_later(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It knows at once itself; the others as soon as it is back."""
+
+    async def work() -> None:
+        hosts, entries = await _started(monkeypatch)
+        alone, *others = entries
+        for domain in bed.DOMAINS:
+            hosts.part(alone.host_id, domain)
+        await asyncio.sleep(3)
+        assert alone.coordinator.is_alone()
+        alone.hear(_START, notices.Leaving())
+        assert alone.roster.is_leaving(_START)
+        await asyncio.sleep(3)
+        assert not any(one.roster.is_leaving(_START) for one in others)
+        hosts.network.heal()
+        assert await _longest_sent_to(others, 4) < _KNOWN_SECONDS
+        hosts.stop()
+
+    virtual.run(work())
+
+
+def test_leave_that_others_heard_reaches_a_host_that_was_cut_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It has no answer of the server itself."""
+
+    async def work() -> None:
+        hosts, entries = await _started(monkeypatch)
+        for domain in bed.DOMAINS:
+            hosts.part(entries[0].host_id, domain)
+        await asyncio.sleep(3)
+        entries[1].hear(_START, notices.Leaving())
+        await asyncio.sleep(3)
+        assert not entries[0].roster.is_leaving(_START)
+        hosts.network.heal()
+        assert await _longest_sent_to(entries, 4) < _KNOWN_SECONDS
+        hosts.stop()
+
+    virtual.run(work())
+
+
+def test_leave_outlives_the_coordinator_that_was_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It is lost right after; the hosts that know tell the next one."""
+
+    async def work() -> None:
+        hosts, entries = await _started(monkeypatch)
+        leading = next(one for one in hosts.controls.values() if one.leads())
+        others = [one for one in bed.DOMAINS if one != leading.host_id]
+        for other in others:
+            hosts.part(leading.host_id, other)
+        entries[0].hear(_START, notices.Leaving())
+        await asyncio.sleep(0.1)
+        hosts.network.leave(leading.host_id)
+        assert await _longest_sent_to(entries, _CUT_SECONDS) < _ELECTED_SECONDS
+        for other in others:
+            found = hosts.controls[other].table.get(_SERVER)
+            assert found and found.state is enrolments.State.leaving
+        hosts.stop()
+
+    virtual.run(work())
+
+
+@pytest.mark.parametrize('born', [4, 6])
+def test_leave_of_another_start_changes_nothing(born: int) -> None:
+    """A server may start again under its id; a report tells of the new one."""
+    table = enrolments.Enrolments(ids.HostId('c'), 1)
+    said = _enrolment('ant', enrolments.State.ready, 1)
+    table.report(dataclasses.replace(said, born=5), 0)
+    told = table.mark_leaving(_SERVER, born, 1)
+    assert (told is None) is (born < 5)
+    table.report(dataclasses.replace(said, born=7, sequence=2), 2)
+    found = table.get(_SERVER)
+    assert found and found.state is enrolments.State.ready
+
+
+def test_report_that_was_held_up_takes_no_leave_back() -> None:
+    """Nor does one of a server that nobody knew yet."""
+    table = enrolments.Enrolments(ids.HostId('c'), 1)
+    assert table.mark_leaving(_SERVER, 0, 0) is not None
+    table.report(_enrolment('ant', enrolments.State.ready, 5), 1)
+    found = table.get(_SERVER)
+    assert found and found.state is enrolments.State.leaving
+    assert table.mark_leaving(_SERVER, 0, 2) is None
+
+
 @pytest.mark.parametrize('leads', [True, False])
 def test_leave_acknowledged_behind_a_cut_is_known_to_who_reaches_both_sides(
     monkeypatch: pytest.MonkeyPatch,
@@ -80,16 +222,16 @@
         domain = next(
             name for name, one in hosts.controls.items() if one.leads() is leads
         )
-        watchers = [
-            hosts.watch(domain, f'entry-{number}') for number in range(2)
+        entries = [
+            hosts.enter(domain, f'entry-{number}') for number in range(2)
         ]
         _report(hosts, domain, enrolments.State.ready, 1)
         await asyncio.sleep(1)
-        assert all(one.servers.get(_SERVER) for one in watchers)
+        assert all(one.watcher.servers.get(_SERVER) for one in entries)
         _part_controls(hosts, domain)
         await asyncio.sleep(3)
         _report(hosts, domain, enrolments.State.leaving, 2)
-        sent_to = await _longest_sent_to(watchers, _CUT_SECONDS)
+        sent_to = await _longest_sent_to(entries, _CUT_SECONDS)
         hosts.stop()
         assert sent_to < _KNOWN_SECONDS
 
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import functools
 import typing
 
@@ -34,6 +35,18 @@
 _MOST_REJECTED = 3
 
 
+# A request whose grants are given back asks again after so long, from the
+# second time on, in seconds: whoever makes them may not have heard why yet.
+_AGAIN_SECONDS = 0.05
+
+
+class Check(typing.Protocol):
+    """Looks at a grant once more before its request is sent."""
+
+    def stops(self, grant: requests.Grant) -> enum.Enum | None:
+        """Tell why a request may not be sent by a grant, if so."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Means:
     """What all requests of a host share."""
@@ -44,6 +57,7 @@
     budgets: retrybudget.RetryBudgets
     host_id: ids.HostId
     said: notices.Notices
+    check: Check
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,7 +143,7 @@
 
     async def _until_answered(self) -> web.StreamResponse:
         while True:
-            answer = await self._means.scheduler.ask(self._next_ask())
+            answer = await self._granted()
             if isinstance(answer, requests.Denial):
                 return self._denied(answer)
             self._story.granted = talk.now() - self._story.arrived
@@ -138,6 +152,32 @@
             if resp is not None:
                 return resp
 
+    async def _granted(self) -> requests.Grant | requests.Denial:
+        """Wait for a grant that may be used, or for a denial."""
+        pause = float(0)
+        while True:
+            answer = await self._means.scheduler.ask(self._next_ask())
+            if isinstance(answer, requests.Denial):
+                return answer
+            cause = self._means.check.stops(answer)
+            if cause is None:
+                return answer
+            self._give_back(answer, cause)
+            await asyncio.sleep(pause)
+            pause = _AGAIN_SECONDS
+
+    def _give_back(self, grant: requests.Grant, cause: enum.Enum) -> None:
+        self._story.tell(
+            logevents.GIVEN_BACK,
+            talk.now(),
+            server=grant.server_id,
+            reason=cause.value,
+        )
+        given_up = requests.Outcome.given_up
+        self._means.scheduler.release(
+            requests.Release(grant.request_id, given_up),
+        )
+
     def _next_ask(self) -> requests.Ask:
         """Give the ask; what was counted once takes no quota again."""
         ask = self._admitted.ask
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -25,6 +25,7 @@
     logevents,
     readiness,
     retrybudget,
+    sending,
     serving,
 )
 from geraniumweir.observe import metricnames, metrics
@@ -103,16 +104,18 @@
             self._spent,
             self._said,
         )
+        self._roster = roster.Roster(
+            self.watcher.servers,
+            self._index,
+            cfg.host_id,
+            cfg.failure_domain,
+            self._said,
+        )
         self._service = coordination.serve(
             coordination.Parts(
                 link=self._link,
                 view=self._coordinator,
-                roster=roster.Roster(
-                    self.watcher.servers,
-                    self._index,
-                    cfg.host_id,
-                    cfg.failure_domain,
-                ),
+                roster=self._roster,
                 index=self._index,
                 share=self._coordinator.share,
                 shares_slots=True,
@@ -174,6 +177,12 @@
             ),
             self._cfg.host_id,
             self._said,
+            sending.Check(
+                self._cfg.host_id,
+                self._said,
+                self._roster,
+                self._clock,
+            ),
         )
         front = serving.Front(
             serving.Place(self._cfg.host_id, self._cfg.failure_domain),
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -46,3 +46,8 @@
     _Level.warning,
     'what server {server} says of itself can not be read: {said}',
 )
+GIVEN_BACK: typing.Final = _Event(
+    167,
+    _Level.info,
+    'request {request} was not sent to {server}, which is {reason}',
+)
--- /dev/null
+++ b/libs/gateway/geraniumweir/gateway/sending.py
@@ -0,0 +1,60 @@
+"""Whether a grant may still be used when its request is about to be sent.
+
+A grant may be older than what its server said: on its way from the
+coordinator, or made by one that hasn't heard it yet.
+"""
+
+import enum
+
+from geraniumweir.common import ids, timers
+from geraniumweir.control import roster
+from geraniumweir.scheduling import notices, requests
+
+
+class Cause(enum.Enum):
+    """Why a grant is given back.
+
+    :cvar leaving: its server leaves.
+    """
+
+    leaving = 'leaving'
+
+
+class Check:
+    """Looks at grants; see :class:`forwarding.Check`."""
+
+    def __init__(
+        self,
+        host_id: ids.HostId,
+        said: notices.Notices,
+        servers: roster.Roster,
+        clock: timers.TimerService,
+    ) -> None:
+        """Go by what this host knows.
+
+        :param host_id: this host's.
+        """
+        self._host_id = host_id
+        self._said = said
+        self._servers = servers
+        self._clock = clock
+
+    def stops(self, grant: requests.Grant) -> Cause | None:
+        """Tell why a request may not be sent by a grant, if so.
+
+        Whoever made the grant is told as well.
+        """
+        if not self._servers.is_leaving(grant.start):
+            return None
+        now = self._clock.now()
+        self._said.hear(
+            notices.Notice(
+                grant.server_id,
+                grant.incarnation,
+                notices.Leaving(),
+                self._host_id,
+                now,
+                now,
+            ),
+        )
+        return Cause.leaving
--- a/libs/gateway/geraniumweir/gateway/tests/bed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/bed.py
@@ -12,11 +12,13 @@
 from geraniumweir.backends import calls
 from geraniumweir.common import errors as common_errors
 from geraniumweir.common import ids, timers
+from geraniumweir.control import enrolments, roster
 from geraniumweir.gateway import (
     admission,
     codec,
     forwarding,
     retrybudget,
+    sending,
     serving,
 )
 from geraniumweir.gateway import listening as serving_at
@@ -113,19 +115,24 @@
 
 
 class Scheduler:
-    """Grants the servers in turn."""
+    """Grants the servers in turn.
+
+    :ivar turn: grants given so far.
+    :ivar names: ids that they have, by turn, where these aren't new ones.
+    """
 
     def __init__(self, servers: typing.Sequence['Server']) -> None:
+        self.names: dict[int, str] = {}
         self.released: list[requests.Outcome] = []
         self._servers = servers
-        self._turn = 0
+        self.turn = 0
 
     async def ask(self, ask: requests.Ask) -> requests.Grant:
-        server = self._servers[self._turn % len(self._servers)]
-        self._turn += 1
+        server = self._servers[self.turn % len(self._servers)]
+        self.turn += 1
         return requests.Grant(
             ask.request_id,
-            ids.ServerId(f's{self._turn}'),
+            ids.ServerId(self.names.get(self.turn, f's{self.turn}')),
             ids.Incarnation(1),
             server.address,
         )
@@ -205,13 +212,22 @@
         session = await stack.enter_async_context(calls.make_session())
         scheduler = Scheduler(servers)
         budget = retrybudget.Budget(1, 10, 100)
+        said = notices.Notices(timers.TimerService())
         means = forwarding.Means(
             session,
             PlainCodec(),
             scheduler,
             retrybudget.RetryBudgets(budget, lambda: 1),
             HOST,
-            notices.Notices(timers.TimerService()),
+            said,
+            sending.Check(
+                HOST,
+                said,
+                roster.Roster(
+                    enrolments.Enrolments(HOST, 1), lambda: None, said=said
+                ),
+                timers.TimerService(),
+            ),
         )
         known = admission.Knowledge(finding.Index(_document(changes)), True)
         front = serving.Front(
--- a/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
@@ -285,3 +285,62 @@
             assert status == 200
 
     asyncio.run(work())
+
+
+_LEAVING = 'Signed: yes\r\nLeaving: 1\r\n'
+
+
+@pytest.mark.parametrize(
+    'behave',
+    [
+        _answers(b'whole', extra=_LEAVING),
+        _answers(b'', '500 Failed', extra=_LEAVING),
+        _answers(b'', '503 Full', extra='Not-Run: 1\r\nLeaving: 1\r\n'),
+    ],
+    ids=['answer', 'failure', 'refusal'],
+)
+def test_grant_of_a_server_that_said_that_it_leaves_is_given_back(
+    behave: bed.Behave,
+) -> None:
+    """It costs the request neither an attempt nor a repeat."""
+
+    async def work() -> None:
+        leaves = bed.Server(behave)
+        stays = bed.Server(_answers(b'good'))
+        async with bed.made(leaves, stays, attempts=1) as made:
+            made.scheduler.names = {1: 'leaves', 3: 'leaves'}
+            await _get(made)
+            made.scheduler.turn = 2
+            made.scheduler.released.clear()
+            assert await _get(made) == (200, b'good')
+            assert leaves.seen == ['r1']
+            assert made.scheduler.released == [
+                requests.Outcome.given_up,
+                requests.Outcome.done,
+            ]
+
+    asyncio.run(work())
+
+
+def test_stream_of_a_server_that_leaves_goes_on_to_its_end() -> None:
+    """It finishes what it has."""
+
+    async def behave(
+        _server: bed.Server,
+        asked_id: str,
+        _head: _Head,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = bed.stream_head(asked_id).replace(
+            b'Signed', b'Leaving: 1\r\nSigned'
+        )
+        writer.write(head)
+        for number in (1, 2, 3):
+            writer.write(bed.chunk(bed.event(number)))
+            await asyncio.sleep(0.02)
+        writer.write(bed.chunk(b''))
+
+    status, body, released, _ = _play(behave, **_STREAM)
+    assert status == 200
+    assert body == b''.join(map(bed.event, (1, 2, 3)))
+    assert released == [requests.Outcome.done]
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -63,7 +63,7 @@
     @property
     def start(self) -> notices.Start:
         """Give the start of the server that it was granted on."""
-        return self.grant.server_id, self.grant.incarnation
+        return self.grant.start
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -79,6 +79,11 @@
     address: ids.Address
     version: ids.SoftwareVersion = ids.SoftwareVersion('')
 
+    @property
+    def start(self) -> tuple[ids.ServerId, ids.Incarnation]:
+        """The start of the server that may get the request."""
+        return self.server_id, self.incarnation
+
 
 class DenialReason(enum.Enum):
     """Why a pool leader did not grant."""
