A leave that was acknowledged behind a cut is known to hosts that reach both sides

The control host of torino, cut off from the other two, acknowledged the leave at 7.5 s and was the only one to know it till 19 s; 10.1.0.32 granted the server all the while.

Cause: front-torino-b-1 reached both sides, watched a control host that is sure and asked that of its own domain every 2 s whether it is sure too, for the document only. What that one knew of servers wasn't asked for.

Such a look brings the servers that leave or are gone, what changed since the last look, and is repeated each second. Leaving is never taken back, so that one that isn't sure can be believed.

--- a/libs/control/geraniumweir/control/choosing.py
+++ b/libs/control/geraniumweir/control/choosing.py
@@ -9,6 +9,9 @@
 # A control host that failed or wasn't sure is asked after the others for so
 # long, in seconds.
 _AVOID_SECONDS = 2.0
+# One of the own failure domain is looked at this often all the same, in
+# seconds: it may know of servers that leave and not reach the others.
+_LOOK_SECONDS = 1.0
 _NOBODY = ids.HostId('')
 
 
@@ -52,7 +55,7 @@
         place: ids.HostId,
         now: float,
     ) -> ids.HostId | None:
-        """Give a host of this failure domain to watch instead of another."""
+        """Give a host of this failure domain to look at beside another."""
         near = [
             host.host_id
             for host in known.near_first(self._domain)
@@ -60,8 +63,11 @@
         ]
         if not near or place in near:
             return None
-        untried = (one for one in near if not self.avoids(one, now))
-        return next(untried, None)
+        return next((one for one in near if self._is_due(one, now)), None)
+
+    def _is_due(self, host_id: ids.HostId, now: float) -> bool:
+        since = self._avoided.get(host_id, float('-inf'))
+        return now - since >= _LOOK_SECONDS
 
     def _rank(self, host_id: ids.HostId, now: float) -> float:
         if not self.avoids(host_id, now):
--- a/libs/control/geraniumweir/control/feed.py
+++ b/libs/control/geraniumweir/control/feed.py
@@ -111,12 +111,17 @@
         return self._newest.version > watch.version
 
     def _answer(self, watch: ttypes.Watch) -> ttypes.News:
-        whole = watch.epoch != self._epoch and not watch.brief
-        changed: list[enrolments.Enrolment] = []
-        if whole:
-            changed = self._table.known()
-        elif not watch.brief:
-            changed = self._table.since(watch.revision)
+        whole = watch.epoch != self._epoch
+        changed = (
+            self._table.known() if whole else self._table.since(watch.revision)
+        )
+        if watch.brief:
+            whole = False
+            changed = [
+                found
+                for found in changed
+                if found.state is not enrolments.State.ready
+            ]
         news = ttypes.News(
             epoch=self._epoch,
             revision=self._table.revision,
--- a/libs/control/geraniumweir/control/tests/bed.py
+++ b/libs/control/geraniumweir/control/tests/bed.py
@@ -119,6 +119,11 @@
             lambda: spending.Spent(0, {}),
             self.said,
         )
+        self.watcher.leaves.subscribe(
+            lambda start: self.said.hear(
+                notices.leaving(start, self.host_id, clock.now()),
+            ),
+        )
         self.roster = roster.Roster(
             self.watcher.servers,
             lambda: None,
--- a/libs/control/geraniumweir/control/tests/test_leaving.py
+++ b/libs/control/geraniumweir/control/tests/test_leaving.py
@@ -213,7 +213,7 @@
     monkeypatch: pytest.MonkeyPatch,
     leads: bool,
 ) -> None:
-    """The control host that acknowledged it can't tell the others."""
+    """They tell their coordinator, and it all others."""
 
     async def work() -> None:
         hosts = bed.Bed()
@@ -223,7 +223,8 @@
             name for name, one in hosts.controls.items() if one.leads() is leads
         )
         entries = [
-            hosts.enter(domain, f'entry-{number}') for number in range(2)
+            hosts.enter(place, f'entry-{number}')
+            for number, place in enumerate((domain, *bed.DOMAINS))
         ]
         _report(hosts, domain, enrolments.State.ready, 1)
         await asyncio.sleep(1)
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -18,10 +18,12 @@
     hosts,
     inforce,
     logevents,
+    looking,
     searching,
 )
 from geraniumweir.rollout import guiding, orders
 from geraniumweir.routing import finding
+from geraniumweir.scheduling import notices
 from geraniumweir.wire import errors, peers
 from geraniumweir.wire.gen.control import ttypes
 from reactivex import subject
@@ -85,11 +87,20 @@
         self._told_by = ids.HostId('')
         self._epoch = ''
         self._revision = 0
+        self._looks = looking.Looks(self.servers)
         self._unlisted: dict[ids.ServerId, float] = {}
         self._rollouts: dict[ids.PoolName, guiding.Sighted] = {}
         self._rollouts_progress = 0
         self._changes: subject.Subject[None] = subject.Subject()
 
+    @property
+    def leaves(self) -> reactivex.Observable[notices.Start]:
+        """Gives servers that leave by the word of a host that isn't watched.
+
+        It may be cut off from the others, which don't know of it then.
+        """
+        return self._looks.leaves
+
     @property
     def changes(self) -> reactivex.Observable[None]:
         """Fires when servers or the document changed."""
@@ -184,18 +195,21 @@
             await asyncio.sleep(_PAUSE_SECONDS)
 
     async def _look(self, host_id: ids.HostId) -> searching.Verdict:
-        """Ask a host for the document only."""
+        """Ask a host for the document, and for servers that leave."""
+        epoch, revision = self._looks.seen(host_id)
         watch = ttypes.Watch(
             self.version,
-            '',
-            0,
+            epoch,
+            revision,
             0,
             self._rollouts_progress,
             brief=True,
         )
         news = await self._call(host_id, watch, _ANSWER_SECONDS)
         if news is not None:
-            self._take_rest(host_id, news, self._clock.now(), changed=False)
+            now = self._clock.now()
+            changed = self._looks.take(host_id, news, now)
+            self._take_rest(host_id, news, now, changed)
         return self._choice.judge(host_id, news, self.version)
 
     async def _call(
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -127,6 +127,11 @@
             ),
             self._clock,
         )
+        self.watcher.leaves.subscribe(
+            lambda start: self._said.hear(
+                notices.leaving(start, cfg.host_id, self._clock.now()),
+            ),
+        )
         for changes in (self.watcher.changes, self._said.changes):
             coordination.follow(self._service, changes)
         self._broker = coordination.ask_through(
--- a/libs/gateway/geraniumweir/gateway/sending.py
+++ b/libs/gateway/geraniumweir/gateway/sending.py
@@ -47,14 +47,5 @@
         if not self._servers.is_leaving(grant.start):
             return None
         now = self._clock.now()
-        self._said.hear(
-            notices.Notice(
-                grant.server_id,
-                grant.incarnation,
-                notices.Leaving(),
-                self._host_id,
-                now,
-                now,
-            ),
-        )
+        self._said.hear(notices.leaving(grant.start, self._host_id, now))
         return Cause.leaving
--- a/libs/scheduling/geraniumweir/scheduling/notices.py
+++ b/libs/scheduling/geraniumweir/scheduling/notices.py
@@ -125,6 +125,15 @@
                 return now >= self.until
 
 
+def leaving(start: Start, host_id: ids.HostId, now: float) -> Notice:
+    """Make the notice of a server that is known to leave.
+
+    :param host_id: that knows it.
+    :param now: in seconds.
+    """
+    return Notice(*start, Leaving(), host_id, now, now)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Row:
     notice: Notice
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -71,7 +71,7 @@
   3: i64 revision
   4: i32 wait_ms
   5: optional i64 rollouts_progress
-  // The answer comes at once and lists no servers.
+  // The answer comes at once and lists only servers that leave or are gone.
   6: optional bool brief
 }
 
