A server that asks a host for a pause gets nothing from it till its end

Cause: Retry-After of a server was read by nobody. The coordinator rested a server that turned requests away by its own guess, for 0.25 s doubled up to 4 s, and one good answer ended that.

- The pause is the host's that was asked: the coordinator is told ahead of the next ask and grants it that server again when it is over; others go on.
Nothing ends it before but the end of the server's start; the latest end that was asked for counts.
- Looked at once more before a request is sent, as for servers that leave.
- Requests of a host that all servers of a pool paused wait, and those of other hosts pass them; where the first pause ends after their callers leave they are refused at once, with that time.
- Told again to each new coordinator ahead of the first ask.
Nothing of it goes to other entry hosts.

--- a/libs/control/geraniumweir/control/coordination.py
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -81,6 +81,13 @@
             for start, per_second in named.items()
         }
 
+    def pauses(
+        self,
+        host_id: ids.HostId,
+    ) -> typing.Mapping[notices.Start, float]:
+        """Give the servers that want nothing from a host for a while."""
+        return self.said.pauses(host_id) if self.said else {}
+
 
 class Counting:
     """Counts quotas here, anew whenever others coordinated.
@@ -212,6 +219,7 @@
         ),
         parts.guide(pool) if parts.guide else None,
         parts.rates,
+        parts.pauses,
     )
 
 
--- a/libs/control/geraniumweir/control/tests/test_limits.py
+++ b/libs/control/geraniumweir/control/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.control import coordinating, hosts, telling
 from geraniumweir.scheduling import notices, spending
@@ -27,6 +28,7 @@
             link, self.known, timers.TimerService()
         )
         self.before_asks: dict[notices.Start, float] = {}
+        self.paused_before_asks: dict[notices.Start, float] = {}
         link.handle(ttypes.Ping, self._on_ping)
         link.handle(ttypes.Spent, self._on_spent)
 
@@ -42,11 +44,12 @@
 
     async def _on_spent(
         self,
-        _sender: ids.HostId,
+        sender: ids.HostId,
         _message: ttypes.Spent,
     ) -> None:
         await asyncio.sleep(0.002)
         self.before_asks = self.known.limits()
+        self.paused_before_asks.update(self.known.pauses(sender))
 
 
 class _Entry:
@@ -70,9 +73,12 @@
         self.task = asyncio.create_task(self.seen.run())
 
     def hear(self, per_second: float | None) -> None:
+        """Take an answer that names a limit, or none."""
+        self.hear_all(notices.RateLimit(per_second))
+
+    def hear_all(self, content: notices.Content) -> None:
         """Take an answer to a request that was sent a moment ago."""
         now = asyncio.get_running_loop().time()
-        content = notices.RateLimit(per_second)
         self.known.hear(
             notices.Notice(*_START, content, self.host_id, now - 0.01, now),
         )
@@ -172,6 +178,31 @@
     virtual.run(work())
 
 
+def test_pause_is_known_to_each_coordinator_before_the_next_ask() -> None:
+    """And to no other entry host, as it concerns one."""
+
+    async def work() -> None:
+        bed = _Bed()
+        first, second = bed.entries
+        lost, taking_over = bed.controls
+        await asyncio.sleep(1)
+        first.hear_all(notices.Pause(9))
+        until = asyncio.get_running_loop().time() + 9
+        await asyncio.sleep(0.02)
+        known = lost.known.pauses(first.host_id)
+        assert known[_START] == pytest.approx(until, abs=0.01)
+        await asyncio.sleep(1)
+        assert not second.known.pauses(first.host_id)
+        assert not lost.known.pauses(second.host_id)
+        bed.network.leave(lost.host_id)
+        taking_over.leads = True
+        await asyncio.sleep(2)
+        assert list(taking_over.paused_before_asks) == [_START]
+        bed.stop()
+
+    virtual.run(work())
+
+
 def test_limit_that_can_not_be_read_is_left_out() -> None:
     """The others hold."""
 
--- a/libs/gateway/geraniumweir/gateway/sending.py
+++ b/libs/gateway/geraniumweir/gateway/sending.py
@@ -15,9 +15,11 @@
     """Why a grant is given back.
 
     :cvar leaving: its server leaves.
+    :cvar pausing: its server wants nothing from this host for a while.
     """
 
     leaving = 'leaving'
+    pausing = 'pausing'
 
 
 class Check:
@@ -42,10 +44,12 @@
     def stops(self, grant: requests.Grant) -> Cause | None:
         """Tell why a request may not be sent by a grant, if so.
 
-        Whoever made the grant is told as well.
+        Whoever made the grant is told of a server that leaves.
         """
-        if not self._servers.is_leaving(grant.start):
-            return None
-        now = self._clock.now()
-        self._said.hear(notices.leaving(grant.start, self._host_id, now))
-        return Cause.leaving
+        if self._servers.is_leaving(grant.start):
+            now = self._clock.now()
+            self._said.hear(notices.leaving(grant.start, self._host_id, now))
+            return Cause.leaving
+        if grant.start in self._said.pauses(self._host_id):
+            return Cause.pausing
+        return None
--- a/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
@@ -322,6 +322,31 @@
     asyncio.run(work())
 
 
+def test_grant_of_a_server_that_asked_for_a_pause_is_given_back() -> None:
+    """Also the next one for the request that it turned away."""
+
+    async def work() -> None:
+        full = 'Not-Run: 1\r\nPause: 0.5\r\n'
+        pausing = bed.Server(_answers(b'', '503 Full', extra=full))
+        other = bed.Server(_answers(b'good'))
+        async with bed.made(pausing, other) as made:
+            made.scheduler.names = {1: 'pausing', 3: 'pausing', 5: 'pausing'}
+            assert await _get(made) == (200, b'good')
+            assert await _get(made) == (200, b'good')
+            assert pausing.seen == ['r1']
+            await asyncio.sleep(0.5)
+            await _get(made)
+            assert pausing.seen == ['r1', 'r1']
+            assert made.scheduler.released[:4] == [
+                requests.Outcome.turned_away,
+                requests.Outcome.done,
+                requests.Outcome.given_up,
+                requests.Outcome.done,
+            ]
+
+    asyncio.run(work())
+
+
 def test_stream_of_a_server_that_leaves_goes_on_to_its_end() -> None:
     """It finishes what it has."""
 
--- a/libs/scheduling/geraniumweir/scheduling/notices.py
+++ b/libs/scheduling/geraniumweir/scheduling/notices.py
@@ -151,6 +151,7 @@
         self.revision = 0
         self._clock = clock
         self._rows: dict[_Key, _Row] = {}
+        self._pauses: dict[ids.HostId, dict[Start, float]] = {}
         self._changes: subject.Subject[Notice] = subject.Subject()
 
     @property
@@ -179,12 +180,11 @@
 
         :returns: times in seconds.
         """
+        asked = self._pauses.get(host_id)
+        if not asked:
+            return {}
         now = self._clock.now()
-        return {
-            start: row.notice.until
-            for (start, kind, asked), row in self._rows.items()
-            if kind is Pause and asked == host_id and now < row.notice.until
-        }
+        return {start: until for start, until in asked.items() if now < until}
 
     def since(self, revision: int) -> list[Notice]:
         """List what changed after a revision."""
@@ -203,24 +203,38 @@
         if not notice.supersedes(known.notice):
             return
         if _is_same(notice, known.notice):
-            self._rows[key] = _Row(notice, known.revision)
+            self._keep(key, _Row(notice, known.revision))
             return
         self._put(key, notice)
 
     def _put(self, key: _Key, notice: Notice) -> None:
         self._forget_old()
         self.revision += 1
-        self._rows[key] = _Row(notice, self.revision)
+        self._keep(key, _Row(notice, self.revision))
         _log(notice)
         self._changes.on_next(notice)
 
+    def _keep(self, key: _Key, row: _Row) -> None:
+        self._rows[key] = row
+        if isinstance(row.notice.content, Pause):
+            asked = self._pauses.setdefault(row.notice.host_id, {})
+            asked[row.notice.start] = row.notice.until
+
     def _forget_old(self) -> None:
         now = self._clock.now()
         old = [
             key for key, row in self._rows.items() if row.notice.is_over(now)
         ]
         for key in old:
-            self._rows.pop(key)
+            notice = self._rows.pop(key).notice
+            if isinstance(notice.content, Pause):
+                self._end_pause(notice)
+
+    def _end_pause(self, notice: Notice) -> None:
+        asked = self._pauses[notice.host_id]
+        asked.pop(notice.start)
+        if not asked:
+            self._pauses.pop(notice.host_id)
 
 
 def _key(notice: Notice) -> _Key:
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -4,7 +4,7 @@
 import dataclasses
 import typing
 
-from geraniumweir.common import eventlog
+from geraniumweir.common import eventlog, ids
 from geraniumweir.scheduling import logevents, requests
 from geraniumweir.scheduling.ontime import (
     classes,
@@ -53,17 +53,30 @@
     :ivar able: servers with a free slot that were not yet filled.
     :ivar all_able: these are all servers of the pool.
     :ivar canaries: servers of a new version that may get a few requests.
+    :ivar pauses: gives the servers that want nothing from a host.
     :ivar failed: requests in a row that none of them would do for.
     """
 
     now: float
     pace: ordering.Pace
     learnt: placing.Learnt
+    pauses: state.Pauses
     able: list[placing.Offer] = dataclasses.field(default_factory=list)
     all_able: bool = False
     canaries: list[placing.Offer] = dataclasses.field(default_factory=list)
     failed: int = 0
 
+    def allowed(
+        self,
+        offers: list[placing.Offer],
+        owner: ids.HostId,
+    ) -> list[placing.Offer]:
+        """Leave out servers that want nothing from the host that asks."""
+        paused = self.pauses(owner)
+        if not paused:
+            return offers
+        return [one for one in offers if one.server.start not in paused]
+
 
 def fill(leader: state.LeaderState) -> None:
     """Look at all that waits, now or as soon as that is due.
@@ -142,12 +155,13 @@
 def _work_off(leader: state.LeaderState) -> None:
     now = leader.now()
     _refuse_endless(leader, now)
+    _refuse_paused(leader, now)
     waiting = list(leader.waiting.values())[-_MOST_PLANNED:]
     pace = state.pace(leader)
     owed = leader.shares.owed(now)
     found = ordering.plan(waiting, now, pace, _lead(leader), owed)
     learnt = placing.Learnt(leader.learnt, leader.path_quality, now)
-    look = _Look(now, pace, learnt)
+    look = _Look(now, pace, learnt, leader.pauses)
     _place(leader, look, found.turns)
     for hopeless in found.hopeless:
         _give_up(leader, hopeless.waiting, now)
@@ -192,7 +206,10 @@
     turn: ordering.Turn,
 ) -> None:
     """Grant a request one of the servers that have a free slot."""
-    place = _choose(look, turn)
+    offers = look.allowed(look.able, turn.waiting.ask.owner)
+    if not offers:
+        return
+    place = _choose(look, turn, offers)
     if place is None:
         look.failed += 1
         return
@@ -209,7 +226,8 @@
     """Grant a request a server of a new version, where it may get one."""
     if not look.canaries or not leader.guide.may_try(turn.waiting.ask.rule):
         return False
-    place = trying.choose(look.canaries, turn.waiting, look.learnt)
+    offers = look.allowed(look.canaries, turn.waiting.ask.owner)
+    place = trying.choose(offers, turn.waiting, look.learnt)
     if place is None:
         return False
     _take(leader, look, turn, place)
@@ -234,7 +252,11 @@
     )
 
 
-def _choose(look: _Look, turn: ordering.Turn) -> placing.Place | None:
+def _choose(
+    look: _Look,
+    turn: ordering.Turn,
+    offers: list[placing.Offer],
+) -> placing.Place | None:
     """Choose the open server where a request should start now, if any.
 
     Where it wouldn't come in time, a server where it does may be free soon;
@@ -243,20 +265,20 @@
     free slots, until their callers have left.
     """
     waiting = turn.waiting
-    place = placing.on_time(look.able, waiting, look.learnt)
+    place = placing.on_time(offers, waiting, look.learnt)
     if place is not None:
         return place
     may_be_late = turn.late or look.all_able
     if look.pace.crowded and not may_be_late:
         return None
-    place = placing.earliest(look.able, waiting, look.learnt)
+    place = placing.earliest(offers, waiting, look.learnt)
     if place is not None:
         if turn.late or (look.all_able and not place.delays):
             return place
         return None
     if look.pace.crowded:
         return None
-    place = placing.shortest(look.able, waiting)
+    place = placing.shortest(offers, waiting)
     return None if place is None or place.delays else place
 
 
@@ -282,6 +304,21 @@
             state.refuse(leader, waiting, requests.DenialReason.too_late)
 
 
+def _refuse_paused(leader: state.LeaderState, now: float) -> None:
+    """Refuse what no server takes from its host before its caller leaves."""
+    serving = {one.start for one in leader.servers.values() if one.serves}
+    lead = _lead(leader)
+    for waiting in list(leader.waiting.values()):
+        pauses = leader.pauses(waiting.ask.owner)
+        if not serving or not serving <= pauses.keys():
+            continue
+        until = min(pauses[start] for start in serving)
+        left = min(waiting.ask.patience, waiting.ask.deadline) - lead(waiting)
+        if until > left:
+            shed = requests.DenialReason.shed
+            state.refuse(leader, waiting, shed, until - now)
+
+
 def _give_up(
     leader: state.LeaderState,
     waiting: records.Waiting,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -34,6 +34,10 @@
 _MS = 1000
 
 
+def _no_pauses(_host_id: ids.HostId) -> dict[notices.Start, float]:
+    return {}
+
+
 class OnTimeLeader:
     """Grants the capacity of one pool."""
 
@@ -47,6 +51,7 @@
             [],
             typing.Mapping[notices.Start, float],
         ] = dict,
+        pauses: state.Pauses = _no_pauses,
     ) -> None:
         """Start with an empty queue.
 
@@ -55,6 +60,8 @@
         :param guide: decides what servers of which version may get.
         :param rates: gives the requests a second that may be granted here to
             servers that name a limit.
+        :param pauses: gives the servers that want nothing from a host for a
+            while.
         """
         self._state = state.LeaderState(
             pool=cfg.pool,
@@ -64,6 +71,7 @@
             dice=random.Random(cfg.seed),
             guide=guide or guiding.Guide(lambda: None, now),
             rates=rates,
+            pauses=pauses,
             settle_by=now() + cfg.settle_seconds,
             served_at=now(),
         )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -38,6 +38,9 @@
 _LATEST_RETURN = 0.5
 
 
+Pauses = typing.Callable[[ids.HostId], typing.Mapping[notices.Start, float]]
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class LeaderState:
     """All that a leader knows.
@@ -45,6 +48,8 @@
     :ivar guide: decides what servers of which version may get.
     :ivar rates: gives the requests a second that may be granted to servers
         that name a limit.
+    :ivar pauses: gives the servers that want nothing from a host, and until
+        when, in seconds.
     :ivar settle_by: nothing is granted before, in seconds.
     :ivar served_at: when a server was last known.
     :ivar quickest: the server that is the first with a usual prompt, by what
@@ -68,6 +73,7 @@
     dice: random.Random
     guide: guiding.Guide
     rates: typing.Callable[[], typing.Mapping[notices.Start, float]]
+    pauses: Pauses
     settle_by: float
     served_at: float
     quickest: records.Server | None = None
@@ -143,13 +149,22 @@
     leader: LeaderState,
     waiting: records.Waiting,
     reason: requests.DenialReason,
+    seconds: float | None = None,
 ) -> None:
-    """End a request that waits."""
+    """End a request that waits.
+
+    :param seconds: after which a repeat may find a slot, where that is known.
+    """
     leader.waiting.pop(waiting.ask.request_id, None)
     if reason is not requests.DenialReason.withdrawn:
         first = waiting.arrived - waiting.waited
         leader.repeated.refused(waiting.ask.fingerprint, first)
-    waiting.fut.set_result(denial(leader, waiting.ask, reason))
+    if seconds is None:
+        answer = denial(leader, waiting.ask, reason)
+    else:
+        request_id = waiting.ask.request_id
+        answer = requests.Denial(request_id, reason, int(seconds * _MS))
+    waiting.fut.set_result(answer)
 
 
 def run(
