--- a/libs/scheduling/geraniumweir/scheduling/notices.py
+++ b/libs/scheduling/geraniumweir/scheduling/notices.py
@@ -7,7 +7,6 @@
 """
 
 import dataclasses
-import typing
 
 import reactivex
 from geraniumweir.common import eventlog, ids, timers
@@ -64,8 +63,6 @@
 Content = RateLimit | Leaving | Pause
 _Key = tuple[Start, ids.HostId]
 _ALL_HOSTS = ids.HostId('')
-# What changes nothing where nothing was said before.
-_NOTHING: typing.Final = (RateLimit(None), Pause(0))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -209,10 +206,12 @@
 
     def hear(self, notice: Notice) -> None:
         """Take what an answer said, heard here or by another host."""
+        if notice.content == Pause(0):
+            return
         key = _key(notice)
         known = self._rows[type(notice.content)].get(key)
         if known is None:
-            if notice.content not in _NOTHING:
+            if notice.content != RateLimit(None):
                 self._put(key, notice)
             return
         if not notice.supersedes(known.notice):
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_notices.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_notices.py
@@ -106,6 +106,7 @@
         ([_pause(3, 0), _pause(0, 1)], 3),
         ([_pause(300, 0), _said(2, 1)], 300),
         ([_pause(0, 0)], None),
+        ([_pause(1, -2), _pause(0, 0)], None),
     ],
 )
 def test_pause_lasts_to_the_latest_end_that_was_asked_for(
