A host keeps what a server said of leaving beside the enrolment that tells the same

An enrolment may be dropped, as where the control host that a host turned to doesn't list the server; what the server said itself stays. It was left out to save a message; only hosts with an answer under way send one, once for a start. Found by reading.

--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -43,9 +43,6 @@
 class Check(typing.Protocol):
     """Looks at a grant once more before its request is sent."""
 
-    def hear(self, notice: notices.Notice) -> None:
-        """Take what a server said in an answer."""
-
     def stops(self, grant: requests.Grant) -> enum.Enum | None:
         """Tell why a request may not be sent by a grant, if so."""
 
@@ -59,6 +56,7 @@
     scheduler: views.Scheduler
     budgets: retrybudget.RetryBudgets
     host_id: ids.HostId
+    said: notices.Notices
     check: Check
 
 
@@ -316,7 +314,7 @@
                     said=content.said,
                 )
                 continue
-            self._means.check.hear(
+            self._means.said.hear(
                 notices.Notice(
                     grant.server_id,
                     grant.incarnation,
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -181,6 +181,7 @@
                 self._coordinator.hosts,
             ),
             self._cfg.host_id,
+            self._said,
             sending.Check(
                 self._cfg.host_id,
                 self._said,
--- a/libs/gateway/geraniumweir/gateway/sending.py
+++ b/libs/gateway/geraniumweir/gateway/sending.py
@@ -41,15 +41,6 @@
         self._servers = servers
         self._clock = clock
 
-    def hear(self, notice: notices.Notice) -> None:
-        """Take what a server said in an answer.
-
-        Who reported that it leaves is known to leave by all who grant.
-        """
-        is_leaving = isinstance(notice.content, notices.Leaving)
-        if not (is_leaving and self._servers.is_leaving(notice.start)):
-            self._said.hear(notice)
-
     def stops(self, grant: requests.Grant) -> Cause | None:
         """Tell why a request may not be sent by a grant, if so.
 
--- a/libs/gateway/geraniumweir/gateway/tests/bed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/bed.py
@@ -219,6 +219,7 @@
             scheduler,
             retrybudget.RetryBudgets(budget, lambda: 1),
             HOST,
+            said,
             sending.Check(
                 HOST,
                 said,
