A look at the queue lists the servers only where a host was asked for a pause

It made a set of all serving servers at each look, several times a second in a busy pool, though hardly ever a host is paused; and asked for the pauses of each waiting request, not of each host. The decisions are the same: test_pauses.py and the other tests of ontime, gateway and control pass. Reckoned, not measured: 1,400 servers a look.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -306,10 +306,14 @@
 
 def _refuse_paused(leader: state.LeaderState, now: float) -> None:
     """Refuse what no server takes from its host before its caller leaves."""
+    owners = {waiting.ask.owner for waiting in leader.waiting.values()}
+    paused = {owner: leader.pauses(owner) for owner in owners}
+    if not any(paused.values()):
+        return
     serving = {one.start for one in leader.servers.values() if one.serves}
     lead = _lead(leader)
     for waiting in list(leader.waiting.values()):
-        pauses = leader.pauses(waiting.ask.owner)
+        pauses = paused[waiting.ask.owner]
         if not serving or not serving <= pauses.keys():
             continue
         until = min(pauses[start] for start in serving)
