--- a/libs/control/geraniumweir/control/enrolments.py
+++ b/libs/control/geraniumweir/control/enrolments.py
@@ -17,6 +17,7 @@
 import xxhash
 from geraniumweir.common import eventlog, ids
 from geraniumweir.control import logevents
+from geraniumweir.scheduling import notices
 from geraniumweir.wire.gen.control import ttypes
 
 # A silent server that nobody heard of for so long is forgotten, in seconds.
@@ -67,7 +68,7 @@
     cold: bool = False
 
     @property
-    def start(self) -> tuple[ids.ServerId, ids.Incarnation]:
+    def start(self) -> notices.Start:
         """Which start of the server this is."""
         return self.server_id, ids.Incarnation(self.born)
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_pauses.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_pauses.py
@@ -21,13 +21,11 @@
     """A pool of servers of which some turn requests away.
 
     :ivar shedding: tells whether a server turns a request of a host away.
-    :ivar told: the coordinator knows of the pauses.
     :ivar got: hosts and times of the requests that a server got, by server.
     """
 
     servers: tuple[str, ...]
     shedding: typing.Callable[[str, ids.HostId], bool] = lambda *_: False
-    told: bool = True
     pauses: dict[ids.HostId, dict[notices.Start, float]] = dataclasses.field(
         default_factory=dict,
     )
@@ -35,7 +33,6 @@
         default_factory=dict,
     )
     denied: list[requests.Denial] = dataclasses.field(default_factory=list)
-    seconds: list[float] = dataclasses.field(default_factory=list)
 
     def lead(self) -> leader.OnTimeLeader:
         known = [play.server(name) for name in self.servers]
@@ -76,8 +73,7 @@
         **changes: typing.Any,
     ) -> requests.Grant | requests.Denial:
         """Ask until a server takes the request, or the coordinator denies."""
-        now = asyncio.get_running_loop().time
-        started = now()
+        started = asyncio.get_running_loop().time()
         while True:
             ask = play.ask(name, started, owner=host, **changes)
             answer = await led.ask(ask)
@@ -85,7 +81,6 @@
                 self.denied.append(answer)
                 return answer
             if await self._run(led, answer, host):
-                self.seconds.append(now() - started)
                 return answer
 
     async def _run(
@@ -110,19 +105,9 @@
 
     def _paused(self, host: ids.HostId) -> dict[notices.Start, float]:
         now = asyncio.get_running_loop().time()
-        asked = self.pauses.get(host, {}) if self.told else {}
+        asked = self.pauses.get(host, {})
         return {start: until for start, until in asked.items() if now < until}
 
-    def most_in_a_pause(self, server: str) -> int:
-        """Give the most of one host within a pause, the first one aside."""
-        return max(
-            sum(
-                other == host and 0 < later - at < _PAUSE_SECONDS
-                for other, later in self.got[server]
-            )
-            for host, at in self.got[server]
-        )
-
 
 @pytest.mark.parametrize(('rate', 'others'), [(20, 0), (100, 100)])
 def test_server_gets_nothing_from_the_host_that_it_asked(
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -9,6 +9,7 @@
 import enum
 
 from geraniumweir.common import ids
+from geraniumweir.scheduling import notices
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,7 +81,7 @@
     version: ids.SoftwareVersion = ids.SoftwareVersion('')
 
     @property
-    def start(self) -> tuple[ids.ServerId, ids.Incarnation]:
+    def start(self) -> notices.Start:
         """The start of the server that may get the request."""
         return self.server_id, self.incarnation
 
