Retries that are sent, or not sent for want of budget, are logged and counted

Logs couldn't tell the hypotheses of the incident apart: nothing said what a host's retry budget held. Events 168 and 169 give what is used, what is allowed and how many hosts share it; geraniumweir_retries_total counts both by pool.

--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -27,6 +27,7 @@
     story,
     talk,
 )
+from geraniumweir.observe import metricnames, metrics
 from geraniumweir.routing import tables
 from geraniumweir.scheduling import notices, requests, views
 
@@ -58,6 +59,7 @@
     host_id: ids.HostId
     said: notices.Notices
     check: Check
+    meter: metrics.Metrics
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -255,7 +257,22 @@
         if not self._course.arrivals:
             return True
         pool = self._admitted.ask.pool
-        return self._means.budgets.take(pool, talk.now())
+        now = talk.now()
+        found = self._means.budgets.take(pool, now)
+        self._means.meter.count(
+            metricnames.RETRIES,
+            pool,
+            'sent' if found else 'denied',
+        )
+        level = self._means.budgets.level(pool, now)
+        self._story.tell(
+            logevents.RETRIED if found else logevents.NOT_RETRIED,
+            now,
+            used=level.used,
+            allowed=round(level.allowed, 1),
+            hosts=level.hosts,
+        )
+        return found
 
     async def _dispatch(self, grant: requests.Grant) -> outcomes.Outcome:
         started = talk.now()
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -188,6 +188,7 @@
                 self._roster,
                 self._clock,
             ),
+            self._meter,
         )
         front = serving.Front(
             serving.Place(self._cfg.host_id, self._cfg.failure_domain),
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -51,3 +51,11 @@
     _Level.info,
     'request {request} was not sent to {server}, which is {reason}',
 )
+RETRIED: typing.Final = _Event(
+    168, _Level.info, 'request {request} is sent once more'
+)
+NOT_RETRIED: typing.Final = _Event(
+    169,
+    _Level.info,
+    'request {request} is not sent once more, the retry budget is used up',
+)
--- a/libs/gateway/geraniumweir/gateway/retrybudget.py
+++ b/libs/gateway/geraniumweir/gateway/retrybudget.py
@@ -40,6 +40,20 @@
     slack: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Level:
+    """What a budget holds at a moment.
+
+    :ivar used: retries within the window.
+    :ivar allowed: retries that it may hold.
+    :ivar hosts: that share the fixed number.
+    """
+
+    used: int
+    allowed: float
+    hosts: int
+
+
 class RetryBudgets:
     """The budgets of one host, by pool."""
 
@@ -76,17 +90,24 @@
         >>> budgets.take(pool, 1)
         False
         """
-        repeats = self._recent(self._repeats, pool, now)
-        if len(repeats) + 1 > self._allowed(pool, now):
+        level = self.level(pool, now)
+        if level.used + 1 > level.allowed:
             return False
-        repeats.append(now)
+        self._recent(self._repeats, pool, now).append(now)
         return True
 
-    def _allowed(self, pool: ids.PoolName, now: float) -> float:
+    def level(self, pool: ids.PoolName, now: float) -> Level:
+        """Tell what a pool's budget holds.
+
+        :param now: in seconds.
+        """
         requests = len(self._recent(self._requests, pool, now))
         hosts = max(self._hosts(), _LEAST_HOSTS)
-        return _USED * (
-            self._budget.ratio * requests + self._budget.slack / hosts
+        slack = self._budget.slack / hosts
+        return Level(
+            len(self._recent(self._repeats, pool, now)),
+            _USED * (self._budget.ratio * requests + slack),
+            hosts,
         )
 
     def _recent(
--- a/libs/gateway/geraniumweir/gateway/tests/bed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/bed.py
@@ -228,6 +228,7 @@
                 ),
                 timers.TimerService(),
             ),
+            metrics.Metrics(),
         )
         known = admission.Knowledge(finding.Index(_document(changes)), True)
         front = serving.Front(
--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -57,6 +57,13 @@
     'Calls dispatched to backend servers.',
     ('pool',),
 )
+RETRIES: typing.Final = Metric(
+    'geraniumweir_retries_total',
+    Kind.counter,
+    'Requests to be sent once more; outcome is sent or, for want of budget,'
+    ' denied.',
+    ('pool', 'outcome'),
+)
 OUTPUT_TOKENS: typing.Final = Metric(
     'geraniumweir_output_tokens_total',
     Kind.counter,
