Retries are counted over all entry hosts, by whoever coordinates

What callers saw: nothing by themselves; servers that fail got more retries than their pool's budget.

Cause: each entry host kept an even share of the fixed number and its own part of the requests, in its memory. A process that starts has both again while the retries of the one before it are within the window. Events 168 and 169 showed it: one host spent 12, 12, 10 and 10 retries in four processes within 10 s, at a share of 12. The class: a count over all hosts that lives in one process and starts as unused. Ruled out: that the hosts were not known (6 in all lines).

- A retry asks for a server anyway, and now says that it is one.
The coordinator counts first asks and retries by pool in the windows of the quotas, from the grant on; a retry that waits holds its place.
- Entry hosts tell a new coordinator what it granted and what others did, beside what they tell of quotas.
Until all have, it grants what its predecessor can't have: a fifth of the requests' part.
- The fixed number is granted by the leader of the log only.
A host that is alone or stands in counts requests that nobody else counts.
- Events 168 and 169 are told by the ask's answer; 252 tells what the budget held.

--- a/libs/control/geraniumweir/control/coordinating.py
+++ b/libs/control/geraniumweir/control/coordinating.py
@@ -72,13 +72,14 @@
         link: peers.Peers,
         domain: ids.FailureDomain,
         known: hosts.ControlHosts,
-        tell_spent: typing.Callable[[], spending.Spent],
+        tell_spent: typing.Callable[[ids.HostId], spending.Spent],
         said: notices.Notices,
     ) -> None:
         """Know of none yet.
 
         :param domain: this host's failure domain.
-        :param tell_spent: what this host was granted, for a new coordinator.
+        :param tell_spent: gives what this host was granted, for a coordinator
+            that is new.
         :param said: what this host knows of what servers said.
         """
         self._tell_spent = tell_spent
@@ -123,6 +124,10 @@
         """Give the part of capacity and quotas that a host alone may use."""
         return self._share or 1 / max(self._hosts, 1)
 
+    def coordinator(self) -> ids.HostId:
+        """Give who coordinates for this host; itself where it is alone."""
+        return self._host or self._link.host_id
+
     async def run(self) -> None:
         """Look after the coordinator until cancelled."""
         while True:
@@ -221,6 +226,6 @@
         self._host = host_id
         if host_id:
             # Ahead of the requests, so that it knows when they are counted.
-            self._link.send(host_id, spent.pack(self._tell_spent()))
+            self._link.send(host_id, spent.pack(self._tell_spent(host_id)))
         self._teller.turn_to(host_id)
         self._changes.on_next(None)
--- a/libs/control/geraniumweir/control/coordination.py
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -11,12 +11,14 @@
 from geraniumweir.scheduling import (
     broker,
     channel,
+    gating,
     notices,
     quotas,
     ratelimits,
     remote,
     rendezvous,
     requests,
+    retrybudget,
     settings,
     spending,
     views,
@@ -50,6 +52,8 @@
     :ivar tolerance: for what customers used before and isn't known.
     :ivar hosts: gives how many entry hosts there are, also those that were
         cut off along with the coordinator before.
+    :ivar budget: what all hosts together may send again.
+    :ivar retries: whom the retries of that are counted for.
     :ivar on_ask: told of each ask that comes.
     :ivar guide: makes what decides about versions of a pool's servers.
     :ivar said: what is known of what servers said.
@@ -63,6 +67,8 @@
     shares_slots: bool
     quota_seconds: float
     hosts: typing.Callable[[], int]
+    budget: retrybudget.Budget
+    retries: retrybudget.Scope
     on_ask: OnAsk | None = None
     tolerance: quotas.Tolerance = quotas.Tolerance()
     guide: typing.Callable[[ids.PoolName], guiding.Guide] | None = None
@@ -90,9 +96,10 @@
 
 
 class Counting:
-    """Counts quotas here, anew whenever others coordinated.
+    """Counts quotas and retries here, anew whenever others coordinated.
 
-    :ivar quotas: what is counted.
+    :ivar quotas: of customers.
+    :ivar retries: of pools.
     """
 
     def __init__(self, parts: Parts, clock: timers.TimerService) -> None:
@@ -105,29 +112,45 @@
             parts.hosts,
             parts.tolerance,
         )
+        self.retries = retrybudget.RetryBudgets(
+            parts.budget,
+            parts.retries,
+            clock.now(),
+        )
         self._parts = parts
         self._clock = clock
         self._coordinates = _coordinates(parts)
+        self._leads = parts.retries.leads()
         self._told: dict[ids.HostId, tuple[spending.Spent, float]] = {}
         parts.view.changes.subscribe(lambda _: self._look())
         parts.link.handle(ttypes.Spent, self._on_spent)
 
     def _look(self) -> None:
-        before = self._coordinates
-        self._coordinates = _coordinates(self._parts)
-        if self._coordinates and not before:
-            self._begin()
-
-    def _begin(self) -> None:
         """Count from now on, with what entry hosts have told already.
 
         They may see that this host coordinates before it does itself.
         """
+        coordinated, led = self._coordinates, self._leads
+        self._coordinates = _coordinates(self._parts)
+        self._leads = self._parts.retries.leads()
         now = self._clock.now()
-        self.quotas.begin(now)
+        begins = self._coordinates and not coordinated
+        if begins:
+            self.quotas.begin(now)
+            for sender, told, at in self._told_lately(now):
+                self.quotas.learn(sender, told, at)
+        if begins or (self._leads and not led):
+            self.retries.begin(now)
+            for sender, told, at in self._told_lately(now):
+                self.retries.learn(sender, told.retries, at)
+
+    def _told_lately(
+        self,
+        now: float,
+    ) -> typing.Iterator[tuple[ids.HostId, spending.Spent, float]]:
         for sender, (told, at) in self._told.items():
             if now - at <= _EARLY_SECONDS:
-                self.quotas.learn(sender, told, at)
+                yield sender, told, at
 
     async def _on_spent(
         self,
@@ -143,6 +166,7 @@
         }
         self._told[sender] = (told, now)
         self.quotas.learn(sender, told, now)
+        self.retries.learn(sender, told.retries, now)
 
 
 def _coordinates(parts: Parts) -> bool:
@@ -155,13 +179,19 @@
     clock: timers.TimerService,
 ) -> remote.LeaderService:
     """Lead pools whenever this host coordinates."""
+    counting = Counting(parts, clock)
     return remote.LeaderService(
         parts.link,
         parts.view,
         AREA,
         lambda pool, _on_preempt: _leader(parts, pool, clock),
         clock,
-        quotas.Gate(Counting(parts, clock).quotas, clock.now, parts.on_ask),
+        gating.Gate(
+            counting.quotas,
+            counting.retries,
+            clock.now,
+            parts.on_ask,
+        ),
     )
 
 
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -30,7 +30,12 @@
 )
 from geraniumweir.rollout import budget, orders
 from geraniumweir.routing import finding
-from geraniumweir.scheduling import channel, quotas, requests
+from geraniumweir.scheduling import (
+    channel,
+    quotas,
+    requests,
+    retrybudget,
+)
 from geraniumweir.wire import tcp
 from reactivex import subject
 
@@ -67,6 +72,7 @@
     report_seconds: float
     quota_seconds: float
     tolerance: quotas.Tolerance
+    budget: retrybudget.Budget
     current_seeds: hosts.Seeds = dict
     exposure: budget.Bounds = budget.Bounds()
     again_seconds: float = _AGAIN_SECONDS
@@ -158,6 +164,11 @@
                 quota_seconds=cfg.quota_seconds,
                 tolerance=cfg.tolerance,
                 hosts=self._number_of_entry_hosts,
+                budget=cfg.budget,
+                retries=retrybudget.Scope(
+                    self.standing.leads,
+                    self._number_of_entry_hosts,
+                ),
                 on_ask=self._note_usage,
                 guide=self.rollouts.guide,
                 said=self.standing.said,
--- a/libs/control/geraniumweir/control/spent.py
+++ b/libs/control/geraniumweir/control/spent.py
@@ -1,7 +1,7 @@
 """How entry hosts tell a new coordinator what they were granted."""
 
 from geraniumweir.common import ids
-from geraniumweir.scheduling import spending
+from geraniumweir.scheduling import retrycounts, spending
 from geraniumweir.wire.gen.control import ttypes
 
 
@@ -16,6 +16,16 @@
             )
             for customer, amounts in spent.customers.items()
         ],
+        spent.retries.known_seconds,
+        [
+            ttypes.PoolCounts(
+                pool,
+                dict(counts.requests),
+                dict(counts.here),
+                dict(counts.elsewhere),
+            )
+            for pool, counts in spent.retries.pools.items()
+        ],
     )
 
 
@@ -27,4 +37,15 @@
             ids.CustomerName(told.customer): told.amounts
             for told in message.customers
         },
+        retrycounts.Counts(
+            message.retries_known_seconds or 0,
+            {
+                ids.PoolName(told.pool): retrycounts.PoolCounts(
+                    told.requests,
+                    told.here,
+                    told.elsewhere,
+                )
+                for told in message.pools or ()
+            },
+        ),
     )
--- a/libs/control/geraniumweir/control/standing.py
+++ b/libs/control/geraniumweir/control/standing.py
@@ -280,6 +280,10 @@
         """Tell whether this host coordinates."""
         return self._leader in {'', self._host_id}
 
+    def leads(self) -> bool:
+        """Tell whether this host coordinates as the log's leader."""
+        return self._leader == self._host_id
+
     def share(self) -> float:
         """Give the part of each quota that is granted here."""
         now = self._clock.now()
--- a/libs/control/geraniumweir/control/tests/bed.py
+++ b/libs/control/geraniumweir/control/tests/bed.py
@@ -116,7 +116,7 @@
             link,
             ids.FailureDomain(domain),
             self.watcher.hosts,
-            lambda: spending.Spent(0, {}),
+            lambda _: spending.Spent(0, {}),
             self.said,
         )
         self.watcher.leaves.subscribe(
--- a/libs/control/geraniumweir/control/tests/test_coordinating.py
+++ b/libs/control/geraniumweir/control/tests/test_coordinating.py
@@ -4,12 +4,19 @@
 
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.control import coordinating, hosts, spent
-from geraniumweir.scheduling import notices, spending
+from geraniumweir.scheduling import notices, retrycounts, spending
 from geraniumweir.wire import memory
 from geraniumweir.wire.gen.control import ttypes
 
 _DOMAIN = ids.FailureDomain('x')
-_SPENT = spending.Spent(5, {ids.CustomerName('customer'): {0: 7, 12: 30}})
+_SPENT = spending.Spent(
+    5,
+    {ids.CustomerName('customer'): {0: 7, 12: 30}},
+    retrycounts.Counts(
+        5,
+        {ids.PoolName('pool'): retrycounts.PoolCounts({1: 9}, {2: 1}, {3: 2})},
+    ),
+)
 _AREA = ids.FailureDomain('all')
 
 
@@ -70,7 +77,7 @@
             layer,
             _DOMAIN,
             known,
-            lambda: _SPENT,
+            lambda _: _SPENT,
             self.said,
         )
         self.task = asyncio.create_task(self.seen.run())
--- a/libs/control/geraniumweir/control/tests/test_coordination.py
+++ b/libs/control/geraniumweir/control/tests/test_coordination.py
@@ -1,17 +1,19 @@
 """How a host counts quotas when it begins to coordinate."""
 
 import asyncio
+import dataclasses
 import typing
 
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.control import coordination, enrolments, roster, spent
 from geraniumweir.routing import finding, tables
-from geraniumweir.scheduling import channel, spending
+from geraniumweir.scheduling import channel, retrybudget, spending
 from geraniumweir.wire import memory
 from geraniumweir.wire.gen.control import ttypes
 from reactivex import subject
 
 _NAME = ids.CustomerName('customer')
+_POOL = ids.PoolName('pool')
 _HERE = ids.HostId('here')
 _OTHER = ids.HostId('other')
 _ENTRY = ids.HostId('entry')
@@ -53,6 +55,8 @@
         shares_slots=False,
         quota_seconds=_SECONDS,
         hosts=lambda: 1,
+        budget=retrybudget.Budget(0, 1, 0),
+        retries=retrybudget.Scope(lambda: True, lambda: 1),
     )
 
 
@@ -67,14 +71,19 @@
 
     def __init__(self) -> None:
         self.view = _View()
+        self.leads = True
         self.clock = timers.TimerService()
         network = memory.MemoryNetwork()
         here = ids.Address('10.0.0.1', 1)
         layer = network.join(_HERE, here)
-        self.quotas = coordination.Counting(
+        parts = dataclasses.replace(
             _parts(self.view, layer),
-            self.clock,
-        ).quotas
+            budget=retrybudget.Budget(ratio=0, window=_SECONDS, slack=20),
+            retries=retrybudget.Scope(lambda: self.leads, lambda: 1),
+        )
+        counting = coordination.Counting(parts, self.clock)
+        self.quotas = counting.quotas
+        self.retries = counting.retries
         self._entry = network.join(_ENTRY, ids.Address('10.0.0.2', 1))
         self._entry.learn(_HERE, here)
 
@@ -83,6 +92,10 @@
         self._entry.send(_HERE, _spent(amount))
         await asyncio.sleep(0.1)
 
+    def retry(self) -> bool:
+        """Ask to send a request once more."""
+        return self.retries.take(_POOL, self.clock.now())
+
     def coordinates(self, host: ids.HostId) -> None:
         """Let a host coordinate."""
         self.view.coordinator = host
@@ -168,3 +181,21 @@
         assert bed.takes(0.3)
 
     _run(work)
+
+
+def test_fixed_number_of_retries_is_granted_by_the_leader_only() -> None:
+    """One that stands in for it counts anew when it comes to lead."""
+
+    async def work(bed: _Bed) -> None:
+        await asyncio.sleep(_SECONDS + 1)
+        assert bed.retry()
+        bed.leads = False
+        bed.coordinates(_HERE)
+        assert not bed.retry()
+        bed.leads = True
+        bed.coordinates(_HERE)
+        assert not bed.retry()
+        await asyncio.sleep(_SECONDS + 1)
+        assert bed.retry()
+
+    _run(work)
--- a/libs/control/geraniumweir/control/tests/test_limits.py
+++ b/libs/control/geraniumweir/control/tests/test_limits.py
@@ -67,7 +67,7 @@
             link,
             _DOMAIN,
             known,
-            lambda: spending.Spent(0, {}),
+            lambda _: spending.Spent(0, {}),
             self.known,
         )
         self.task = asyncio.create_task(self.seen.run())
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -23,7 +23,6 @@
     logevents,
     outcomes,
     refusals,
-    retrybudget,
     story,
     talk,
 )
@@ -55,7 +54,6 @@
     session: aiohttp.ClientSession
     codec: codec.Codec
     scheduler: views.Scheduler
-    budgets: retrybudget.RetryBudgets
     host_id: ids.HostId
     said: notices.Notices
     check: Check
@@ -86,6 +84,7 @@
     :ivar runs: servers that ran it, or may have.
     :ivar rejected: servers that surely didn't.
     :ivar arrivals: at servers, whatever became of them.
+    :ivar asked: it has asked for a server.
     :ivar sent: it is at a server now.
     :ivar failure: the last failure that a server itself answered.
     """
@@ -93,9 +92,19 @@
     runs: int = 0
     rejected: int = 0
     arrivals: int = 0
+    asked: bool = False
     sent: bool = False
     failure: outcomes.Whole | None = None
 
+    @property
+    def sending(self) -> requests.Sending:
+        """Give how often the request has been sent before."""
+        if self.arrivals:
+            return requests.Sending.retry
+        if self.asked:
+            return requests.Sending.again
+        return requests.Sending.first
+
 
 class Forwarding:
     """One admitted request."""
@@ -158,11 +167,15 @@
         """Wait for a grant that may be used, or for a denial."""
         pause = float(0)
         while True:
-            answer = await self._means.scheduler.ask(self._next_ask())
-            if isinstance(answer, requests.Denial):
-                return answer
-            cause = self._means.check.stops(answer)
+            ask = self._next_ask()
+            self._course.asked = True
+            answer = await self._means.scheduler.ask(ask)
+            cause = None
+            if isinstance(answer, requests.Grant):
+                cause = self._means.check.stops(answer)
             if cause is None:
+                if ask.sending is requests.Sending.retry:
+                    self._note_retry(answer)
                 return answer
             self._give_back(answer, cause)
             await asyncio.sleep(pause)
@@ -183,9 +196,27 @@
     def _next_ask(self) -> requests.Ask:
         """Give the ask; what was counted once takes no quota again."""
         ask = self._admitted.ask
-        if self._course.runs:
-            ask = dataclasses.replace(ask, quota_cost=0)
-        return ask
+        return dataclasses.replace(
+            ask,
+            quota_cost=0 if self._course.runs else ask.quota_cost,
+            sending=self._course.sending,
+        )
+
+    def _note_retry(
+        self,
+        answer: requests.Grant | requests.Denial,
+    ) -> None:
+        """Tell of a retry that may be sent, or not for want of budget."""
+        match answer:
+            case requests.Grant():
+                event, outcome = logevents.RETRIED, 'sent'
+            case requests.Denial(reason=requests.DenialReason.retry_budget):
+                event, outcome = logevents.NOT_RETRIED, 'denied'
+            case _:
+                return
+        self._story.tell(event, talk.now())
+        pool = self._admitted.ask.pool
+        self._means.meter.count(metricnames.RETRIES, pool, outcome)
 
     def _denied(self, denial: requests.Denial) -> web.StreamResponse:
         if self._stream.begun:
@@ -225,7 +256,7 @@
     def _not_run(self, outcome: outcomes.NotRun) -> web.StreamResponse | None:
         self._course.rejected += 1
         self._course.arrivals += outcome.arrived
-        if self._course.rejected < _MOST_REJECTED and self._has_budget():
+        if self._course.rejected < _MOST_REJECTED:
             return None
         if self._stream.begun:
             return self._broken(outcome.reason)
@@ -239,7 +270,7 @@
         self._course.runs += 1
         self._course.arrivals += 1
         self._course.failure = outcome.answer or self._course.failure
-        if self._may_run_again() and self._has_budget():
+        if self._may_run_again():
             return None
         if self._stream.begun:
             return self._broken(outcome.reason)
@@ -253,27 +284,6 @@
             return False
         return route.repeatable or route.resumable
 
-    def _has_budget(self) -> bool:
-        if not self._course.arrivals:
-            return True
-        pool = self._admitted.ask.pool
-        now = talk.now()
-        found = self._means.budgets.take(pool, now)
-        self._means.meter.count(
-            metricnames.RETRIES,
-            pool,
-            'sent' if found else 'denied',
-        )
-        level = self._means.budgets.level(pool, now)
-        self._story.tell(
-            logevents.RETRIED if found else logevents.NOT_RETRIED,
-            now,
-            used=level.used,
-            allowed=round(level.allowed, 1),
-            hosts=level.hosts,
-        )
-        return found
-
     async def _dispatch(self, grant: requests.Grant) -> outcomes.Outcome:
         started = talk.now()
         attempt = self._attempt(grant, started)
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -24,14 +24,20 @@
     forwarding,
     logevents,
     readiness,
-    retrybudget,
     sending,
     serving,
 )
 from geraniumweir.observe import metricnames, metrics
 from geraniumweir.rollout import guiding
 from geraniumweir.routing import finding
-from geraniumweir.scheduling import channel, notices, quotas, spending
+from geraniumweir.scheduling import (
+    channel,
+    notices,
+    quotas,
+    retrybudget,
+    retrycounts,
+    spending,
+)
 from geraniumweir.wire import tcp
 
 # Idle connections to servers are kept for less than servers commonly do.
@@ -122,6 +128,8 @@
                 quota_seconds=cfg.quota_seconds,
                 tolerance=cfg.tolerance,
                 hosts=lambda: 1,
+                budget=cfg.budget,
+                retries=retrybudget.ALONE,
                 guide=self._guide,
                 said=self._said,
             ),
@@ -145,6 +153,11 @@
             self._clock,
             cfg.quota_seconds,
             starting.AT,
+            retrycounts.Counting(
+                cfg.budget.window,
+                starting.AT,
+                self._coordinator.coordinator,
+            ),
         )
         self._names = names
         self._meter = meter
@@ -176,10 +189,6 @@
             session,
             self._names,
             self._scheduler,
-            retrybudget.RetryBudgets(
-                self._cfg.budget,
-                self._coordinator.hosts,
-            ),
             self._cfg.host_id,
             self._said,
             sending.Check(
@@ -223,8 +232,8 @@
                 counted[(found.pool,)] += 1
         return dict(counted)
 
-    def _spent(self) -> spending.Spent:
-        return self._scheduler.spent()
+    def _spent(self, host_id: ids.HostId) -> spending.Spent:
+        return self._scheduler.spent(host_id)
 
     def _guide(self, pool: ids.PoolName) -> guiding.Guide:
         """Follow a pool's rollout; only its coordinator tries new servers."""
--- a/libs/gateway/geraniumweir/gateway/refusals.py
+++ b/libs/gateway/geraniumweir/gateway/refusals.py
@@ -26,6 +26,9 @@
         requests.DenialReason.queue_full: 'the queue is full',
         requests.DenialReason.rule_limit: 'a limit of the rule is reached',
         requests.DenialReason.over_quota: 'the quota is used up',
+        requests.DenialReason.retry_budget: (
+            'servers turned it away, and the retry budget is used up'
+        ),
         requests.DenialReason.quarantined: 'servers that ran it crashed',
         requests.DenialReason.no_server: 'no backend server is known',
         requests.DenialReason.not_leader: 'nobody coordinates just now',
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -217,7 +217,6 @@
         )
         admitted = admission.admit(known, call, body, asker, self._chance)
         _tell_admitted(told, admitted)
-        self._means.budgets.note_request(admitted.ask.pool, talk.now())
         return await forwarding.Forwarding(
             self._means,
             admitted,
--- a/libs/gateway/geraniumweir/gateway/tests/bed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/bed.py
@@ -17,7 +17,6 @@
     admission,
     codec,
     forwarding,
-    retrybudget,
     sending,
     serving,
 )
@@ -119,15 +118,26 @@
 
     :ivar turn: grants given so far.
     :ivar names: ids that they have, by turn, where these aren't new ones.
+    :ivar asked: how often each request had been sent before, in turn.
+    :ivar retries: whether it grants these.
     """
 
     def __init__(self, servers: typing.Sequence['Server']) -> None:
         self.names: dict[int, str] = {}
         self.released: list[requests.Outcome] = []
+        self.asked: list[requests.Sending] = []
+        self.retries = True
         self._servers = servers
         self.turn = 0
 
-    async def ask(self, ask: requests.Ask) -> requests.Grant:
+    async def ask(
+        self,
+        ask: requests.Ask,
+    ) -> requests.Grant | requests.Denial:
+        self.asked.append(ask.sending)
+        if ask.sending is requests.Sending.retry and not self.retries:
+            reason = requests.DenialReason.retry_budget
+            return requests.Denial(ask.request_id, reason)
         server = self._servers[self.turn % len(self._servers)]
         self.turn += 1
         return requests.Grant(
@@ -211,13 +221,11 @@
             server.address = ids.Address(_LOCAL, port)
         session = await stack.enter_async_context(calls.make_session())
         scheduler = Scheduler(servers)
-        budget = retrybudget.Budget(1, 10, 100)
         said = notices.Notices(timers.TimerService())
         means = forwarding.Means(
             session,
             PlainCodec(),
             scheduler,
-            retrybudget.RetryBudgets(budget, lambda: 1),
             HOST,
             said,
             sending.Check(
--- a/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
@@ -125,6 +125,41 @@
     assert released[0] is requests.Outcome.turned_away
 
 
+def _play_without_retries(
+    behave: bed.Behave,
+    **changes: typing.Any,
+) -> tuple[int, bytes]:
+    """Send one request whose retries are denied."""
+
+    async def work() -> tuple[int, bytes]:
+        servers = [bed.Server(behave), bed.Server(_answers(b'good'))]
+        async with bed.made(*servers, **changes) as made:
+            made.scheduler.retries = False
+            answered = await _get(made)
+            first, retry = requests.Sending.first, requests.Sending.retry
+            assert made.scheduler.asked == [first, retry]
+            return answered
+
+    return asyncio.run(work())
+
+
+def test_denied_retry_gives_the_caller_what_the_server_said() -> None:
+    """Its failure, or that it didn't run the request."""
+    failing = _answers(b'failed', '500 Failed')
+    assert _play_without_retries(failing) == (500, b'failed')
+    full = _answers(b'', '503 Full', 'Not-Run: yes\r\n')
+    once = {'kind': tables.Kind.once, 'attempts': 1}
+    status, body = _play_without_retries(full, **once)
+    assert status == 503
+    assert b'retry_budget' in body
+
+
+def test_denied_retry_of_what_may_have_run_promises_nothing() -> None:
+    """The server's answer is not its own."""
+    foreign = _answers(b'hello', request_id='another')
+    assert _play_without_retries(foreign)[0] == 502
+
+
 def test_wrong_server_is_told_to_the_coordinator() -> None:
     """Another run of a server has taken the address."""
     wrong = _answers(b'', '421 Misdirected', 'Not-Run: yes\r\n')
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/gating.py
@@ -0,0 +1,107 @@
+"""What asks must pass before pool leaders see them: quotas, retry budgets."""
+
+import math
+import typing
+
+from geraniumweir.common import eventlog
+from geraniumweir.scheduling import (
+    led,
+    logevents,
+    quotas,
+    requests,
+    retrybudget,
+    retrycounts,
+)
+
+_MS = 1000
+# Others of the same customer take what gets free next; a caller that comes
+# back sooner than this is mostly refused again, and it comes
+# back once. In seconds.
+_LEAST_WAIT_SECONDS = 2.0
+
+
+class Gate:
+    """Lets asks within their customers' quotas and retry budgets through."""
+
+    def __init__(
+        self,
+        counted: quotas.Quotas,
+        budgets: retrybudget.RetryBudgets,
+        now: typing.Callable[[], float],
+        on_ask: typing.Callable[[requests.Ask], None] | None = None,
+    ) -> None:
+        """Count in windows that all pools share.
+
+        :param now: gives the time in seconds.
+        :param on_ask: told of each ask, whether it is let through or not.
+        """
+        self._quotas = counted
+        self._budgets = budgets
+        self._now = now
+        self._on_ask = on_ask
+
+    def admit(self, ask: requests.Ask) -> requests.Denial | None:
+        """Charge an ask, or tell when it may come again."""
+        if self._on_ask is not None:
+            self._on_ask(ask)
+        now = self._now()
+        if ask.sending is requests.Sending.first:
+            self._budgets.note_request(ask.pool, now)
+        if ask.sending is requests.Sending.retry:
+            level = self._budgets.level(ask.pool, now)
+            if level.is_full:
+                return _no_retry(ask, level)
+        seconds = self._quotas.take(
+            ask.customer,
+            ask.quota_cost,
+            now,
+            ask.rank if ask.streams else 0,
+        )
+        if seconds:
+            return requests.Denial(
+                ask.request_id,
+                requests.DenialReason.over_quota,
+                math.ceil(max(seconds, _LEAST_WAIT_SECONDS) * _MS),
+            )
+        if ask.sending is requests.Sending.retry:
+            self._budgets.take(ask.pool, now)
+        return None
+
+    def granted(self, ask: requests.Ask) -> None:
+        """Take that an ask that was let through got a grant."""
+        if ask.sending is requests.Sending.retry:
+            self._budgets.granted(ask.pool, self._now())
+
+    def undo(
+        self,
+        ask: requests.Ask,
+        charge: led.Charge,
+        outcome: requests.Outcome,
+    ) -> None:
+        """Give back what an ask was charged that wasn't served."""
+        self._quotas.give_back(
+            ask.customer,
+            ask.quota_cost,
+            charge.admitted_at,
+        )
+        if ask.sending is not requests.Sending.retry:
+            return
+        if charge.granted_at is None or outcome in retrycounts.NOT_SENT:
+            self._budgets.give_back(ask.pool, charge.granted_at)
+
+
+def _no_retry(
+    ask: requests.Ask,
+    level: retrybudget.Level,
+) -> requests.Denial:
+    eventlog.emit(
+        logevents.RETRY_DENIED,
+        request=ask.request_id,
+        pool=ask.pool,
+        used=level.used,
+        allowed=round(level.allowed, 1),
+    )
+    return requests.Denial(
+        ask.request_id,
+        requests.DenialReason.retry_budget,
+    )
--- a/libs/scheduling/geraniumweir/scheduling/led.py
+++ b/libs/scheduling/geraniumweir/scheduling/led.py
@@ -17,16 +17,36 @@
 Answer = requests.Grant | requests.Denial
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Charge:
+    """What an ask was charged.
+
+    :ivar admitted_at: when it was let through, in seconds.
+    :ivar granted_at: when it got its grant, None where it has none.
+    """
+
+    admitted_at: float
+    granted_at: float | None = None
+
+
 class Gate(typing.Protocol):
     """What an ask must pass before the leader sees it."""
 
     def admit(self, ask: requests.Ask) -> requests.Denial | None:
         """Let an ask through, or deny it."""
 
-    def undo(self, ask: requests.Ask, at: float) -> None:
+    def granted(self, ask: requests.Ask) -> None:
+        """Take that an ask that was let through got a grant."""
+
+    def undo(
+        self,
+        ask: requests.Ask,
+        charge: Charge,
+        outcome: requests.Outcome,
+    ) -> None:
         """Take back that an ask was let through: it wasn't served.
 
-        :param at: when it was, in seconds.
+        :param outcome: how it ended.
         """
 
 
@@ -39,7 +59,7 @@
         was handed over.
     :ivar held: its owner's call is still open and takes the answer.
     :ivar telling: the answer is on its way to the owner.
-    :ivar admitted_at: when the gate let it through here, in seconds.
+    :ivar charge: what the gate charged here, None for nothing.
     """
 
     ask: requests.Ask
@@ -48,7 +68,7 @@
     answer: Answer | None = None
     held: bool = False
     telling: bool = False
-    admitted_at: float | None = None
+    charge: Charge | None = None
 
 
 class LedPool:
@@ -177,6 +197,7 @@
         ]
         self.entries.clear()
         for entry in waiting:
+            self._undo(entry, requests.Outcome.given_up)
             if entry.work is not None:
                 entry.work.cancel()
         return waiting
@@ -195,7 +216,7 @@
         if self.has(entry):
             entry.answer = answer
             if isinstance(answer, requests.Denial):
-                self._undo(entry)
+                self._undo(entry, requests.Outcome.given_up)
             self._on_answer(self, entry)
 
     async def _admitted(self, entry: Entry) -> Answer:
@@ -203,13 +224,24 @@
             denial = self._gate.admit(entry.ask)
             if denial is not None:
                 return denial
-            entry.admitted_at = self._now()
-        return await self.leader.ask(entry.ask)
-
-    def _undo(self, entry: Entry) -> None:
-        if entry.admitted_at is not None and self._gate is not None:
-            self._gate.undo(entry.ask, entry.admitted_at)
-            entry.admitted_at = None
+            entry.charge = Charge(self._now())
+        answer = await self.leader.ask(entry.ask)
+        if isinstance(answer, requests.Grant):
+            self._granted(entry)
+        return answer
+
+    def _granted(self, entry: Entry) -> None:
+        if entry.charge is not None and self._gate is not None:
+            self._gate.granted(entry.ask)
+            entry.charge = dataclasses.replace(
+                entry.charge,
+                granted_at=self._now(),
+            )
+
+    def _undo(self, entry: Entry, outcome: requests.Outcome) -> None:
+        if entry.charge is not None and self._gate is not None:
+            self._gate.undo(entry.ask, entry.charge, outcome)
+            entry.charge = None
 
     def _drop(
         self,
@@ -220,7 +252,7 @@
         request_id = entry.ask.request_id
         self.entries.pop(request_id, None)
         if outcome in spending.NOT_SERVED or entry.answer is None:
-            self._undo(entry)
+            self._undo(entry, outcome)
         if entry.answer is None:
             self.leader.withdraw(request_id)
             # The grant may be made and not yet be told here.
--- a/libs/scheduling/geraniumweir/scheduling/logevents.py
+++ b/libs/scheduling/geraniumweir/scheduling/logevents.py
@@ -57,3 +57,8 @@
     logevents.Level.info,
     'server {server} wants nothing from {asked} for {seconds} s',
 )
+RETRY_DENIED = logevents.Event(
+    252,
+    logevents.Level.info,
+    'retry of {request} denied: {used} of {allowed} of pool {pool} are used',
+)
--- a/libs/scheduling/geraniumweir/scheduling/quotas.py
+++ b/libs/scheduling/geraniumweir/scheduling/quotas.py
@@ -15,13 +15,11 @@
 
 import collections
 import dataclasses
-import math
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.scheduling import requests, spending, windows
+from geraniumweir.scheduling import spending, windows
 
-_MS = 1000
 # A share below this is as good as none and would make waits without end.
 _LEAST_SHARE = 0.01
 # Part of a quota kept from each rank below the highest. Customers use 55 in
@@ -30,10 +28,6 @@
 _KEPT_BY_RANK = 0.1
 # Ranks from here on leave the same part.
 _LOWEST_RANK = 2
-# Others of the same customer take what gets free next; a caller that comes
-# back sooner than this is mostly refused again, and it comes
-# back once. In seconds.
-_LEAST_WAIT_SECONDS = 2.0
 # Part of the tolerance of quotas that is granted while it isn't known what was
 # used before; the rest is for what others grant at the same moment. Single
 # requests take up to a tenth of a window, and an eighth of what a burst allows
@@ -314,47 +308,3 @@
                 out = (number + 1) * windows.BIN_SECONDS + self._seconds
                 return max(out - now, windows.BIN_SECONDS)
         return self._seconds
-
-
-class Gate:
-    """Lets asks within their customers' quotas to a pool leader."""
-
-    def __init__(
-        self,
-        quotas: Quotas,
-        now: typing.Callable[[], float],
-        on_ask: typing.Callable[[requests.Ask], None] | None = None,
-    ) -> None:
-        """Count in windows that all pools share.
-
-        :param now: gives the time in seconds.
-        :param on_ask: told of each ask, whether it is let through or not.
-        """
-        self._quotas = quotas
-        self._now = now
-        self._on_ask = on_ask
-
-    def admit(self, ask: requests.Ask) -> requests.Denial | None:
-        """Charge an ask, or tell when it may come again."""
-        if self._on_ask is not None:
-            self._on_ask(ask)
-        seconds = self._quotas.take(
-            ask.customer,
-            ask.quota_cost,
-            self._now(),
-            ask.rank if ask.streams else 0,
-        )
-        if not seconds:
-            return None
-        return requests.Denial(
-            ask.request_id,
-            requests.DenialReason.over_quota,
-            math.ceil(max(seconds, _LEAST_WAIT_SECONDS) * _MS),
-        )
-
-    def undo(self, ask: requests.Ask, at: float) -> None:
-        """Give back the charge of an ask that wasn't served.
-
-        :param at: when it was let through, in seconds.
-        """
-        self._quotas.give_back(ask.customer, ask.quota_cost, at)
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -12,6 +12,19 @@
 from geraniumweir.scheduling import notices
 
 
+class Sending(enum.Enum):
+    """How often a request has been sent before.
+
+    :cvar first: this is its first ask.
+    :cvar again: it has asked before, and reached no server.
+    :cvar retry: it has reached a server.
+    """
+
+    first = 'first'
+    again = 'again'
+    retry = 'retry'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
     """A request that waits for a backend server.
@@ -64,6 +77,7 @@
     patience: float = float('inf')
     gap: float = float('inf')
     failure_domain: ids.FailureDomain = ids.FailureDomain('')
+    sending: Sending = Sending.first
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +108,7 @@
     queue_full = 'queue_full'
     rule_limit = 'rule_limit'
     over_quota = 'over_quota'
+    retry_budget = 'retry_budget'
     quarantined = 'quarantined'
     no_server = 'no_server'
     not_leader = 'not_leader'
--- a/libs/scheduling/geraniumweir/scheduling/spending.py
+++ b/libs/scheduling/geraniumweir/scheduling/spending.py
@@ -9,7 +9,7 @@
 import typing
 
 from geraniumweir.common import ids, timers
-from geraniumweir.scheduling import requests, views, windows
+from geraniumweir.scheduling import requests, retrycounts, views, windows
 
 NOT_SERVED: typing.Final = frozenset(
     (
@@ -28,10 +28,12 @@
 
     :ivar known_seconds: it knows all within so many seconds, nothing before.
     :ivar customers: amounts by customer and by how many bins ago.
+    :ivar retries: what it asked for and sent again, by pool.
     """
 
     known_seconds: float
     customers: typing.Mapping[ids.CustomerName, typing.Mapping[int, float]]
+    retries: retrycounts.Counts = retrycounts.NONE
 
 
 class Spending:
@@ -43,22 +45,25 @@
         clock: timers.TimerService,
         seconds: float,
         started: float,
+        retries: retrycounts.Counting,
     ) -> None:
         """Know of nothing before the start.
 
         :param seconds: length of the windows over which quotas hold.
         :param started: when this process started, in seconds: nothing was
             granted to it before.
+        :param retries: counts them beside.
         """
         self._scheduler = scheduler
         self._clock = clock
         self._seconds = seconds
         self._started = started
+        self._retries = retries
         self._windows = windows.by_customer(seconds)
         self._in_use: dict[ids.RequestId, tuple[requests.Ask, float]] = {}
 
-    def spent(self) -> Spent:
-        """Tell what was granted within the window that ends now."""
+    def spent(self, host_id: ids.HostId) -> Spent:
+        """Tell a host what was granted within the window that ends now."""
         now = self._clock.now()
         newest = windows.bin_of(now)
         self._forget_old(now)
@@ -72,13 +77,15 @@
                 }
                 for customer, window in self._windows.items()
             },
+            self._retries.told_to(host_id, now),
         )
 
     async def ask(self, ask: requests.Ask) -> _Answer:
         """Wait for a grant."""
         answer = await self._scheduler.ask(ask)
+        now = self._clock.now()
+        self._retries.note(ask, answer, now)
         if isinstance(answer, requests.Grant) and ask.quota_cost:
-            now = self._clock.now()
             self._windows[ask.customer].add(ask.quota_cost, now)
             self._in_use[ask.request_id] = (ask, now)
         return answer
@@ -93,6 +100,7 @@
 
     def release(self, release: requests.Release) -> None:
         """Give a grant back; one that wasn't served cost nothing."""
+        self._retries.release(release)
         found = self._in_use.pop(release.request_id, None)
         if found is not None and release.outcome in NOT_SERVED:
             ask, at = found
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_spending.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_spending.py
@@ -4,9 +4,10 @@
 
 import pytest
 from geraniumweir.common import ids, timers, virtual
-from geraniumweir.scheduling import quotas, requests, spending
+from geraniumweir.scheduling import quotas, requests, retrycounts, spending
 
 _NAME = ids.CustomerName('customer')
+_NEXT = ids.HostId('next')
 _SECONDS = 8
 _RATE = 100
 _BURST = 100
@@ -49,6 +50,11 @@
             clock,
             _SECONDS,
             clock.now(),
+            retrycounts.Counting(
+                _SECONDS,
+                clock.now(),
+                lambda: ids.HostId('coordinator'),
+            ),
         )
 
     async def ask(self, name: str, cost: float) -> None:
@@ -73,7 +79,7 @@
 
     def total(self) -> float:
         """Give all that is told of the customer."""
-        told = self.spending.spent().customers
+        told = self.spending.spent(_NEXT).customers
         return sum(told.get(_NAME, {}).values())
 
 
@@ -86,12 +92,12 @@
         await asyncio.sleep(5)
         await bed.ask('second', 7)
         assert bed.total() == 37
-        assert bed.spending.spent().known_seconds == 5
+        assert bed.spending.spent(_NEXT).known_seconds == 5
         await asyncio.sleep(4)
         assert bed.total() == 7
         await asyncio.sleep(_SECONDS)
-        assert not bed.spending.spent().customers
-        assert bed.spending.spent().known_seconds == _SECONDS
+        assert not bed.spending.spent(_NEXT).customers
+        assert bed.spending.spent(_NEXT).known_seconds == _SECONDS
 
     virtual.run(work())
 
@@ -135,7 +141,7 @@
         )
         assert after.take(_NAME, 2 * _BURST, clock.now())
         for name, bed in zip('ab', beds):
-            told = bed.spending.spent()
+            told = bed.spending.spent(_NEXT)
             after.learn(ids.HostId(name), told, clock.now())
         usual = 0.55 * _RATE * _SECONDS
         assert not after.take(_NAME, _WHOLE - usual - 10, clock.now())
--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -45,13 +45,14 @@
         patience_left=_left(ask.patience, now),
         gap=None if math.isinf(ask.gap) else float(ask.gap),
         failure_domain=ask.failure_domain,
+        sending=ask.sending.value,
     )
 
 
 def unpack_ask(message: ttypes.Ask, now: float) -> requests.Ask:
     """Read the message of an ask.
 
-    :raises ValueError: when it has no such tier.
+    :raises ValueError: when there is no such tier or sending.
     """
     return requests.Ask(
         request_id=ids.RequestId(message.request_id),
@@ -79,6 +80,7 @@
         patience=_until(message.patience_left, now),
         gap=math.inf if message.gap is None else message.gap,
         failure_domain=ids.FailureDomain(message.failure_domain or ''),
+        sending=requests.Sending(message.sending or 'first'),
     )
 
 
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -1795,23 +1795,163 @@
         return not (self == other)
 
 
+class PoolCounts(object):
+    """
+    Attributes:
+     - pool
+     - requests
+     - here
+     - elsewhere
+
+    """
+
+    __slots__ = (
+        'pool',
+        'requests',
+        'here',
+        'elsewhere',
+    )
+
+
+    def __init__(self, pool=None, requests=None, here=None, elsewhere=None,):
+        self.pool = pool
+        self.requests = requests
+        self.here = here
+        self.elsewhere = elsewhere
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.requests = {}
+                    (_ktype73, _vtype74, _size72) = iprot.readMapBegin()
+                    for _i76 in range(_size72):
+                        _key77 = iprot.readI32()
+                        _val78 = iprot.readI32()
+                        self.requests[_key77] = _val78
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.MAP:
+                    self.here = {}
+                    (_ktype80, _vtype81, _size79) = iprot.readMapBegin()
+                    for _i83 in range(_size79):
+                        _key84 = iprot.readI32()
+                        _val85 = iprot.readI32()
+                        self.here[_key84] = _val85
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.elsewhere = {}
+                    (_ktype87, _vtype88, _size86) = iprot.readMapBegin()
+                    for _i90 in range(_size86):
+                        _key91 = iprot.readI32()
+                        _val92 = iprot.readI32()
+                        self.elsewhere[_key91] = _val92
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PoolCounts')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 1)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.MAP, 2)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.requests))
+            for kiter93, viter94 in self.requests.items():
+                oprot.writeI32(kiter93)
+                oprot.writeI32(viter94)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.here is not None:
+            oprot.writeFieldBegin('here', TType.MAP, 3)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.here))
+            for kiter95, viter96 in self.here.items():
+                oprot.writeI32(kiter95)
+                oprot.writeI32(viter96)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.elsewhere is not None:
+            oprot.writeFieldBegin('elsewhere', TType.MAP, 4)
+            oprot.writeMapBegin(TType.I32, TType.I32, len(self.elsewhere))
+            for kiter97, viter98 in self.elsewhere.items():
+                oprot.writeI32(kiter97)
+                oprot.writeI32(viter98)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Spent(object):
     """
     Attributes:
      - known_seconds
      - customers
+     - retries_known_seconds
+     - pools
 
     """
 
     __slots__ = (
         'known_seconds',
         'customers',
+        'retries_known_seconds',
+        'pools',
     )
 
 
-    def __init__(self, known_seconds=None, customers=None,):
+    def __init__(self, known_seconds=None, customers=None, retries_known_seconds=None, pools=None,):
         self.known_seconds = known_seconds
         self.customers = customers
+        self.retries_known_seconds = retries_known_seconds
+        self.pools = pools
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1830,11 +1970,27 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.customers = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = CustomerSpent()
-                        _elem77.read(iprot)
-                        self.customers.append(_elem77)
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = CustomerSpent()
+                        _elem104.read(iprot)
+                        self.customers.append(_elem104)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.retries_known_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.pools = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = PoolCounts()
+                        _elem110.read(iprot)
+                        self.pools.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1855,8 +2011,19 @@
         if self.customers is not None:
             oprot.writeFieldBegin('customers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.customers))
-            for iter78 in self.customers:
-                iter78.write(oprot)
+            for iter111 in self.customers:
+                iter111.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.retries_known_seconds is not None:
+            oprot.writeFieldBegin('retries_known_seconds', TType.DOUBLE, 3)
+            oprot.writeDouble(self.retries_known_seconds)
+            oprot.writeFieldEnd()
+        if self.pools is not None:
+            oprot.writeFieldBegin('pools', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.pools))
+            for iter112 in self.pools:
+                iter112.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2348,11 +2515,21 @@
     (1, TType.STRING, 'customer', 'UTF8', None, ),  # 1
     (2, TType.MAP, 'amounts', (TType.I32, None, TType.I32, None, False), None, ),  # 2
 )
+all_structs.append(PoolCounts)
+PoolCounts.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
+    (2, TType.MAP, 'requests', (TType.I32, None, TType.I32, None, False), None, ),  # 2
+    (3, TType.MAP, 'here', (TType.I32, None, TType.I32, None, False), None, ),  # 3
+    (4, TType.MAP, 'elsewhere', (TType.I32, None, TType.I32, None, False), None, ),  # 4
+)
 all_structs.append(Spent)
 Spent.thrift_spec = (
     None,  # 0
     (1, TType.DOUBLE, 'known_seconds', None, None, ),  # 1
     (2, TType.LIST, 'customers', (TType.STRUCT, [CustomerSpent, None], False), None, ),  # 2
+    (3, TType.DOUBLE, 'retries_known_seconds', None, None, ),  # 3
+    (4, TType.LIST, 'pools', (TType.STRUCT, [PoolCounts, None], False), None, ),  # 4
 )
 all_structs.append(JoinLog)
 JoinLog.thrift_spec = (
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -45,6 +45,7 @@
      - patience_left
      - gap
      - failure_domain
+     - sending
 
     """
 
@@ -75,10 +76,11 @@
         'patience_left',
         'gap',
         'failure_domain',
+        'sending',
     )
 
 
-    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None, streams=None, quota_cost=None, target_left=None, rank=None, likely_tokens=None, patience_left=None, gap=None, failure_domain=None,):
+    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None, streams=None, quota_cost=None, target_left=None, rank=None, likely_tokens=None, patience_left=None, gap=None, failure_domain=None, sending=None,):
         self.request_id = request_id
         self.owner = owner
         self.pool = pool
@@ -105,6 +107,7 @@
         self.patience_left = patience_left
         self.gap = gap
         self.failure_domain = failure_domain
+        self.sending = sending
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -250,6 +253,11 @@
                     self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.STRING:
+                    self.sending = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -367,6 +375,10 @@
             oprot.writeFieldBegin('failure_domain', TType.STRING, 26)
             oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
+        if self.sending is not None:
+            oprot.writeFieldBegin('sending', TType.STRING, 27)
+            oprot.writeString(self.sending.encode('utf-8') if sys.version_info[0] == 2 else self.sending)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2312,6 +2324,7 @@
     (24, TType.DOUBLE, 'patience_left', None, None, ),  # 24
     (25, TType.DOUBLE, 'gap', None, None, ),  # 25
     (26, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 26
+    (27, TType.STRING, 'sending', 'UTF8', None, ),  # 27
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -161,11 +161,23 @@
   2: map<i32, i32> amounts
 }
 
+// What an entry host had of a pool, by how many bins of 0.2 s ago: requests
+// asked of others than the receiver, retries granted by it and by others.
+struct PoolCounts {
+  1: string pool
+  2: map<i32, i32> requests
+  3: map<i32, i32> here
+  4: map<i32, i32> elsewhere
+}
+
 // From an entry host to a host that coordinates for it from now on. It knows
 // all that it was granted within so many seconds, and nothing before.
 struct Spent {
   1: double known_seconds
   2: list<CustomerSpent> customers
+  // Unsaid by hosts of an older release: nothing is known of retries.
+  3: optional double retries_known_seconds
+  4: optional list<PoolCounts> pools
 }
 
 // A control host with a data folder that isn't among the recorders asks the
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -38,6 +38,8 @@
   25: optional double gap
   // Of the owner.
   26: optional string failure_domain
+  // Unsaid by hosts of an older release: its first.
+  27: optional string sending
 }
 
 struct Grant {
