Crashes under a request are known to the next coordinator

What callers saw: nothing by themselves; a request that crashes servers could crash two more of them behind each change of coordinators. Found by reading the counts of the class of the incident: the rule bounds what such a request reaches after its third crash, and the count lived in one coordinator's memory.

Cause: Suspects can tell and merge its cases, and nothing on the control hosts used it. The coordinator now tells the others of each crash within 0.2 s, once for each that is new or graver; a leader that is made begins with all of them. There are seven control hosts at most, and nothing is sent without a crash.

Red before: control/tests/test_suspicion.py fails in all three cases where nothing is told. Left: hosts that are alone know only the crashes that they saw.

--- a/libs/control/geraniumweir/control/coordination.py
+++ b/libs/control/geraniumweir/control/coordination.py
@@ -57,6 +57,7 @@
     :ivar on_ask: told of each ask that comes.
     :ivar guide: makes what decides about versions of a pool's servers.
     :ivar said: what is known of what servers said.
+    :ivar inform: told of each new leader of a pool.
     """
 
     link: channel.Channel
@@ -73,6 +74,7 @@
     tolerance: quotas.Tolerance = quotas.Tolerance()
     guide: typing.Callable[[ids.PoolName], guiding.Guide] | None = None
     said: notices.Notices | None = None
+    inform: typing.Callable[[leader.OnTimeLeader], None] | None = None
 
     def rates(self) -> dict[notices.Start, float]:
         """Give what may be granted here of the limits of servers."""
@@ -240,7 +242,7 @@
         f'{parts.link.host_id}/{pool}',
         settle_seconds=_SETTLE_SECONDS,
     )
-    return leader.OnTimeLeader(
+    made = leader.OnTimeLeader(
         cfg,
         clock.now,
         lambda: parts.roster.of_pool(
@@ -251,6 +253,9 @@
         parts.rates,
         parts.pauses,
     )
+    if parts.inform is not None:
+        parts.inform(made)
+    return made
 
 
 def _allowance(
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -36,6 +36,7 @@
     requests,
     retrybudget,
 )
+from geraniumweir.scheduling.ontime import leader
 from geraniumweir.wire import tcp
 from reactivex import subject
 
@@ -172,9 +173,11 @@
                 on_ask=self._note_usage,
                 guide=self.rollouts.guide,
                 said=self.standing.said,
+                inform=self._presence.suspicion.inform,
             ),
             self._clock,
         )
+        self._presence.suspicion.leaders = self._leaders
         for changes in (self._changes, self.standing.said.changes):
             coordination.follow(self._service, changes)
 
@@ -188,6 +191,7 @@
         stack.push_async_callback(self._link.close)
         stack.callback(self.standing.close)
         stack.callback(self._service.close)
+        stack.callback(self._presence.suspicion.close)
         remembered_now = self._remember()
         stack.callback(remembered_now.close)
         for work in (
@@ -288,6 +292,11 @@
         ]
         return near[0] if near else self._cfg.me
 
+    def _leaders(self) -> list[leader.OnTimeLeader]:
+        """List the leaders of the pools that are coordinated here."""
+        found = map(self._service.leader, self._service.pools())
+        return [one for one in found if isinstance(one, leader.OnTimeLeader)]
+
     def _number_of_entry_hosts(self) -> int:
         return self.standing.entry_hosts.number(self._clock.now())
 
--- a/libs/control/geraniumweir/control/presence.py
+++ b/libs/control/geraniumweir/control/presence.py
@@ -16,6 +16,7 @@
     logevents,
     recorders,
     standing,
+    suspicion,
 )
 from geraniumweir.scheduling import notices
 from geraniumweir.wire import errors, peers
@@ -36,6 +37,7 @@
     """The exchange between control hosts.
 
     :ivar on_change: told when enrolments changed.
+    :ivar suspicion: what they tell of requests that crash servers.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         self._log = log
         self._entry_hosts = entry_hosts
         self._clock = timers.TimerService()
+        self.suspicion = suspicion.Suspicion(link, known, self._clock)
         self._silent: set[ids.HostId] = set()
         self.on_change: typing.Callable[[], None] = _nothing
         link.handle(ttypes.Presence, self._on_presence)
--- a/libs/scheduling/geraniumweir/scheduling/casefiles.py
+++ b/libs/scheduling/geraniumweir/scheduling/casefiles.py
@@ -20,7 +20,12 @@
     >>> read(write([case])) == [case]
     True
     """
-    packed = [
+    return framing.encode(ttypes.Cases(pack(cases)))
+
+
+def pack(cases: typing.Iterable[suspects.Case]) -> list[ttypes.Case]:
+    """Give the structs of cases."""
+    return [
         ttypes.Case(
             translation.signed(case.fingerprint),
             case.crashes,
@@ -31,7 +36,6 @@
         )
         for case in cases
     ]
-    return framing.encode(ttypes.Cases(packed))
 
 
 def read(payload: bytes) -> list[suspects.Case]:
@@ -39,6 +43,11 @@
 
     :raises geraniumweir.wire.errors.FrameError: when they can't be read.
     """
+    return unpack(framing.decode(ttypes.Cases, payload).cases or ())
+
+
+def unpack(cases: typing.Iterable[ttypes.Case]) -> list[suspects.Case]:
+    """Read the structs of cases."""
     return [
         suspects.Case(
             ids.Fingerprint(translation.unsigned(case.fingerprint)),
@@ -48,5 +57,5 @@
             case.quarantined,
             case.origin or '',
         )
-        for case in framing.decode(ttypes.Cases, payload).cases or ()
+        for case in cases
     ]
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -76,6 +76,11 @@
             served_at=now(),
         )
 
+    @property
+    def suspects(self) -> suspects.Suspects:
+        """Give what is known of requests that crash servers."""
+        return self._state.suspects
+
     async def ask(
         self,
         ask: requests.Ask,
