--- a/libs/control/geraniumweir/control/tests/test_suspicion.py
+++ b/libs/control/geraniumweir/control/tests/test_suspicion.py
@@ -110,3 +110,20 @@
         assert other.verdict() is suspects.Verdict.suspect
 
     _run(work)
+
+
+def test_request_that_ended_well_since_is_clear_behind_a_new_coordinator() -> (
+    None
+):
+    """The others are told when a case is cleared."""
+
+    async def work(one: _Control, other: _Control) -> None:
+        one.coordinate()
+        one.crash()
+        await asyncio.sleep(0.5)
+        one.led[0].suspects.ended_well(_REQUEST)
+        await asyncio.sleep(0.5)
+        other.coordinate()
+        assert other.verdict() is suspects.Verdict.clear
+
+    _run(work)
