A request that ends the servers that run it is found and refused

What callers saw: nothing by themselves; such a request went on ending servers as long as its callers sent it, where the rule bounds what it reaches after the third.

Two causes, both in how evidence is taken: - The coordinator blamed what ran on a server when it started again under its id. Owners see their answers break off before that, so nothing ran there any more; and servers that start under a new id just vanish. What broke off since the last good answer is blamed now, when a server starts again or is gone without a word. One that leaves, or whose version may get nothing, isn't gone. - A request that is tried again at once breaks off on two servers within a second, which was taken for a cut and cleared it. The same content on two servers is no part of a cut.

Event 253 tells of it.

Held: contents that ended well since, servers with good answers since, servers that leave blame nothing.

--- a/libs/scheduling/geraniumweir/scheduling/logevents.py
+++ b/libs/scheduling/geraniumweir/scheduling/logevents.py
@@ -62,3 +62,9 @@
     logevents.Level.info,
     'retry of {request} denied: {used} of {allowed} of pool {pool} are used',
 )
+CONDEMNED = logevents.Event(
+    253,
+    logevents.Level.warning,
+    'requests with content {content} are refused for {seconds} s: '
+    'servers ended under them, {server} last',
+)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -1,9 +1,11 @@
 """Follows the backend servers that may get new work."""
 
-from geraniumweir.common import ids
+import typing
+
+from geraniumweir.common import eventlog, ids
 from geraniumweir.membership import servers
 from geraniumweir.rollout import guiding, orders
-from geraniumweir.scheduling import notices, ratelimits
+from geraniumweir.scheduling import logevents, notices, ratelimits
 from geraniumweir.scheduling.ontime import records, state
 
 # Servers are looked up this often at most, in seconds; a change that is told
@@ -14,6 +16,9 @@
 # A server whose address another one has taken is remembered for so long, in
 # seconds: by then its reports have stopped for longer than any lease.
 _GONE_SECONDS = 60.0
+# What broke off so long before a server's last good answer may have been told
+# of after it, in seconds.
+_SAME_MOMENT_SECONDS = 0.5
 # Of the answers that took a path so many must be held up before it is
 # thought to do that: one of four.
 _LEAST_TROUBLE = 0.2
@@ -50,7 +55,8 @@
     if now - leader.synced < _SYNC_SECONDS:
         return
     leader.synced = now
-    live = _live(leader, now)
+    known = _known(leader, now)
+    live = {found.server_id: found for found in _unbarred(leader, known)}
     if live:
         leader.served_at = now
     for server_id, announcement in live.items():
@@ -64,8 +70,12 @@
             server.announcement = announcement
             server.live = True
     _set_roles(leader)
+    announced = {found.server_id for found in known}
     for missing in leader.servers.keys() - live.keys():
-        _close(leader, leader.servers[missing])
+        server = leader.servers[missing]
+        if server.live and missing not in announced:
+            _blame(leader, server, ())
+        _close(leader, server)
     _set_throttles(leader)
     leader.quickest = min(
         _judged_by(leader),
@@ -77,18 +87,17 @@
     )
 
 
-def _live(
+def _known(
     leader: state.LeaderState,
     now: float,
-) -> dict[ids.ServerId, servers.Announcement]:
+) -> list[servers.Announcement]:
     for start, since in list(leader.gone.items()):
         if now - since > _GONE_SECONDS:
             leader.gone.pop(start)
     leader.guide.refresh()
-    known = [
+    return [
         found for found in leader.live() if _start(found) not in leader.gone
     ]
-    return {found.server_id: found for found in _unbarred(leader, known)}
 
 
 def _unbarred(
@@ -184,8 +193,38 @@
     start; their owners see for themselves that they broke off.
     """
     leader.servers.pop(server.server_id)
-    marks = [one.ask.fingerprint for one in server.running.values()]
-    leader.suspects.crashed(marks, leader.now())
+    _blame(
+        leader,
+        server,
+        [one.ask.fingerprint for one in server.running.values()],
+    )
+
+
+def _blame(
+    leader: state.LeaderState,
+    server: records.Server,
+    lost: typing.Sequence[ids.Fingerprint],
+) -> None:
+    """Suspect what a server ran when it ended without a word.
+
+    Owners see that an answer broke off before the end of the server is known.
+
+    :param lost: what still counts as running there.
+    """
+    since = server.last_good - _SAME_MOMENT_SECONDS
+    broken = [mark for at, mark in server.broken if at >= since]
+    server.broken.clear()
+    marks = [*lost, *leader.suspects.unexplained(broken)]
+    if not marks:
+        return
+    for condemned in leader.suspects.crashed(marks, leader.now()):
+        eventlog.emit(
+            logevents.CONDEMNED,
+            content=f'{condemned:016x}',
+            server=server.server_id,
+            pool=leader.pool,
+            seconds=round(leader.suspects.remaining(condemned, leader.now())),
+        )
 
 
 def _appear(
--- a/libs/scheduling/geraniumweir/scheduling/ontime/lessons.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/lessons.py
@@ -44,6 +44,7 @@
     trying.first_came(leader, server, running)
     server.unborn.pop(running.ask.request_id, None)
     server.last_sign = leader.now()
+    server.last_good = server.last_sign
     leader.learnt.learn_first(server.speed, running.read_tokens, seconds)
     server.condition.good()
 
@@ -64,6 +65,7 @@
             _note_path(leader, running, server, _was_held_up(running, release))
             _whole(leader, server, running, release)
             server.condition.answered(well=True)
+            server.last_good = now
             leader.suspects.ended_well(running.ask.fingerprint)
         case requests.Outcome.answered_failure:
             server.condition.answered(well=False)
@@ -93,6 +95,7 @@
     now = leader.now()
     _note_path(leader, running, server, held_up=True)
     rests.note(server, rests.Cause.broke_off, now, running)
+    server.broken.append((now, running.ask.fingerprint))
     leader.suspects.broke_off(
         running.ask.fingerprint,
         server.server_id,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -1,6 +1,7 @@
 """What the leader keeps of requests and backend servers."""
 
 import asyncio
+import collections
 import dataclasses
 import typing
 
@@ -14,6 +15,8 @@
 # seconds besides, isn't waited for: its owner is cut off, or the server hangs.
 _STUCK_FACTOR = 3.0
 _STUCK_SECONDS = 0.75
+# Answers that broke off at a server, of which it is remembered.
+_MOST_BROKEN = 32
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -74,6 +77,8 @@
     :ivar canary: it gets only what a rollout lets through.
     :ivar unborn: of the running ones, those without a first token.
     :ivar last_sign: when it last gave a first token, in seconds.
+    :ivar last_good: when it last did that, or ended an answer.
+    :ivar broken: when answers broke off, and of which content.
     :ivar throttle: spaces out what it gets, None where it names no limit.
     """
 
@@ -91,6 +96,12 @@
         default_factory=dict,
     )
     last_sign: float = float('-inf')
+    last_good: float = float('-inf')
+    broken: collections.deque[tuple[float, ids.Fingerprint]] = (
+        dataclasses.field(
+            default_factory=lambda: collections.deque(maxlen=_MOST_BROKEN),
+        )
+    )
     throttle: ratelimits.Throttle | None = None
     occupied: occupancy.Occupancy = dataclasses.field(
         default_factory=occupancy.Occupancy,
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_crashes.py
@@ -0,0 +1,142 @@
+"""Requests that crash the servers that run them are found in time."""
+
+import asyncio
+import typing
+
+from geraniumweir.common import ids, virtual
+from geraniumweir.scheduling import requests
+from geraniumweir.scheduling.ontime import leader
+from geraniumweir.scheduling.ontime.tests import play
+
+_CONTENT = ids.Fingerprint(7)
+_LEASE_SECONDS = 1.5
+
+
+class _Pool:
+    """A pool whose servers vanish when told."""
+
+    def __init__(self, *names: str) -> None:
+        self._live = {name: play.server(name) for name in names}
+        self._number = 0
+        self._now = asyncio.get_running_loop().time
+        cfg = leader.settings.LeaderSettings(play.POOL)
+        self.leader = leader.OnTimeLeader(
+            cfg,
+            self._now,
+            lambda: list(self._live.values()),
+        )
+
+    async def send(
+        self,
+        outcome: requests.Outcome,
+        content: ids.Fingerprint = _CONTENT,
+    ) -> str | None:
+        """Send a request that ends so.
+
+        :returns: the server that got it, None where it was refused.
+        """
+        self._number += 1
+        ask = play.ask(str(self._number), self._now(), fingerprint=content)
+        answer = await self.leader.ask(ask)
+        if isinstance(answer, requests.Denial):
+            assert answer.reason is requests.DenialReason.quarantined
+            return None
+        self.leader.release(requests.Release(ask.request_id, outcome))
+        return answer.server_id
+
+    async def vanish(self, name: str) -> None:
+        """Let a server be silent until its lease has ended."""
+        await asyncio.sleep(_LEASE_SECONDS)
+        self._live.pop(name)
+        self.leader.grant_waiting()
+
+
+def _run(work: typing.Callable[[], typing.Awaitable[None]]) -> None:
+    async def on_loop() -> None:
+        await work()
+
+    virtual.run(on_loop())
+
+
+def test_request_under_which_two_servers_vanished_is_refused() -> None:
+    """Its owners saw that its answers broke off before."""
+
+    async def work() -> None:
+        pool = _Pool('a', 'b', 'c')
+        for _ in range(2):
+            server = await pool.send(requests.Outcome.failed)
+            assert server is not None
+            await pool.vanish(server)
+        assert await pool.send(requests.Outcome.failed) is None
+        other = ids.Fingerprint(8)
+        assert await pool.send(requests.Outcome.done, other) is not None
+
+    _run(work)
+
+
+def test_server_that_gave_good_answers_since_vanished_under_nothing() -> None:
+    """An answer that broke off before is explained by something else."""
+
+    async def work() -> None:
+        pool = _Pool('a', 'b', 'c')
+        for number in range(2):
+            server = await pool.send(requests.Outcome.failed)
+            assert server is not None
+            await asyncio.sleep(1)
+            good = None
+            while good != server:
+                content = ids.Fingerprint(100 + number)
+                good = await pool.send(requests.Outcome.done, content)
+                await asyncio.sleep(0.1)
+            await pool.vanish(server)
+        assert await pool.send(requests.Outcome.done) is not None
+
+    _run(work)
+
+
+def test_content_that_ended_well_since_is_not_blamed() -> None:
+    """Many callers ask for the same."""
+
+    async def work() -> None:
+        pool = _Pool('a', 'b', 'c')
+        for _ in range(2):
+            server = await pool.send(requests.Outcome.failed)
+            assert server is not None
+            assert await pool.send(requests.Outcome.done) is not None
+            await pool.vanish(server)
+        assert await pool.send(requests.Outcome.done) is not None
+
+    _run(work)
+
+
+def test_servers_that_leave_blame_nothing() -> None:
+    """No answer of theirs broke off."""
+
+    async def work() -> None:
+        pool = _Pool('a', 'b', 'c')
+        for name in ('a', 'b'):
+            await pool.send(requests.Outcome.done)
+            await pool.vanish(name)
+        assert await pool.send(requests.Outcome.done) == 'c'
+
+    _run(work)
+
+
+def test_request_that_is_tried_again_at_once_is_found_among_others() -> None:
+    """What ran beside it broke off on two servers at the same moment."""
+
+    async def work() -> None:
+        pool = _Pool('a', 'b', 'c', 'd')
+        ended = set()
+        for beside in range(10, 12):
+            ended.add(await pool.send(requests.Outcome.failed))
+            await pool.send(requests.Outcome.failed, ids.Fingerprint(beside))
+        for server in ended:
+            assert server is not None
+            await pool.vanish(server)
+        assert await pool.send(requests.Outcome.failed) is None
+        for beside in range(10, 12):
+            content = ids.Fingerprint(beside)
+            assert await pool.send(requests.Outcome.done, content) is not None
+
+    _run(work)
--- a/libs/scheduling/geraniumweir/scheduling/suspects.py
+++ b/libs/scheduling/geraniumweir/scheduling/suspects.py
@@ -14,7 +14,8 @@
 
 A stream that breaks off is a weak suspect at once, because callers come back
 before a restart is known; after the second it waits until that is known.
-Streams that break off on several servers at a time show a cut, not a request.
+Streams that break off on several servers at a time show a cut, not a request,
+unless it is the same content.
 A quarantine that ends leaves a suspect, and the next one lasts twice as long.
 
 References
@@ -46,6 +47,9 @@
 _WAIT_SECONDS = 8.0
 _CUT_SECONDS = 1.0
 _LEAST_REMAINING = 1.0
+# Servers on which the streams of a content broke off that is suspected by
+# itself, whatever broke off beside it.
+_BY_ITSELF = 2
 
 
 class Verdict(enum.Enum):
@@ -90,6 +94,7 @@
     :ivar condemned_until: end of the quarantine.
     :ivar broken: streams that broke off, not yet explained by a crash.
     :ivar broken_at: when the last of them did.
+    :ivar broken_by: where they did, two servers at most.
     """
 
     by_origin: dict[str, _Seen] = dataclasses.field(default_factory=dict)
@@ -97,6 +102,7 @@
     condemned_until: float = 0
     broken: int = 0
     broken_at: float = float('-inf')
+    broken_by: set[ids.ServerId] = dataclasses.field(default_factory=set)
 
     @property
     def crashes(self) -> int:
@@ -161,22 +167,31 @@
         """Take that a stream broke off and that no crash is known yet."""
         last = self._last_broken
         self._last_broken = (now, server_id)
+        if fingerprint != NO_FINGERPRINT:
+            entry = self._entry(fingerprint)
+            entry.broken += 1
+            entry.broken_at = now
+            entry.until = max(entry.until, now + _WEAK_SECONDS)
+            if len(entry.broken_by) < _BY_ITSELF:
+                entry.broken_by.add(server_id)
         if last is not None and last[1] != server_id:
             if now - last[0] <= _CUT_SECONDS:
-                self._cut(now)
-        if fingerprint == NO_FINGERPRINT or now < self._cut_until:
-            return
-        entry = self._entry(fingerprint)
-        entry.broken += 1
-        entry.broken_at = now
-        entry.until = max(entry.until, now + _WEAK_SECONDS)
+                self._cut_until = now + _CUT_SECONDS
+        if now < self._cut_until:
+            self._clear_cut(now)
+
+    def _clear_cut(self, now: float) -> None:
+        """Clear those whose streams broke off together on many servers.
 
-    def _cut(self, now: float) -> None:
-        """Clear those whose streams broke off together on many servers."""
-        self._cut_until = now + _CUT_SECONDS
+        Content that broke off on two of them itself is no part of a cut: it
+        may have ended each server that it was sent to.
+        """
         for fingerprint, entry in list(self._cases.items()):
+            if len(entry.broken_by) >= _BY_ITSELF:
+                continue
             if entry.broken_at >= now - _CUT_SECONDS:
                 entry.broken = 0
+                entry.broken_by.clear()
                 if not entry.crashes:
                     self._cases.pop(fingerprint)
 
@@ -206,7 +221,7 @@
         if len(prior) == 1:
             # The lone suspect explains the crash; its neighbours go free.
             return self._blame(prior, _CONDEMNED_SCORE, now)
-        blamed = prior or self._not_cleared(ran) or sorted(ran)
+        blamed = prior or self.unexplained(ran) or sorted(ran)
         return self._blame(blamed, 1 / max(len(blamed), 1), now)
 
     def ended_well(self, fingerprint: ids.Fingerprint) -> None:
@@ -221,6 +236,14 @@
         if len(self._good) > _MOST_CLEARED:
             self._good.popitem(last=False)
 
+    def unexplained(
+        self,
+        ran: typing.Iterable[ids.Fingerprint],
+    ) -> list[ids.Fingerprint]:
+        """List those that have not ended well since their stream broke."""
+        known = (one for one in ran if one in self._cases)
+        return sorted(one for one in known if self._cases[one].broken)
+
     def export(self, now: float) -> list[Case]:
         """List the cases for other hosts, with the seconds left."""
         return [
@@ -246,14 +269,6 @@
             elif is_news and entry.is_proved():
                 _condemn(entry, now + self._sentence(entry.crashes))
 
-    def _not_cleared(
-        self,
-        ran: typing.Iterable[ids.Fingerprint],
-    ) -> list[ids.Fingerprint]:
-        """List those that have not ended well since their stream broke."""
-        known = (one for one in ran if one in self._cases)
-        return sorted(one for one in known if self._cases[one].broken)
-
     def _blame(
         self,
         blamed: typing.Iterable[ids.Fingerprint],
