An answer that broke off long before a server is gone blames nothing

Servers that ended are known to be gone within some reports. Red before: ontime/tests/test_crashes.py, the server that leaves long after a broken answer.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -19,6 +19,9 @@
 # What broke off so long before a server's last good answer may have been told
 # of after it, in seconds.
 _SAME_MOMENT_SECONDS = 0.5
+# A server that ended is known to be gone within so long, in seconds: some of
+# its reports are missed before.
+_KNOWN_GONE_SECONDS = 10.0
 # Of the answers that took a path so many must be held up before it is
 # thought to do that: one of four.
 _LEAST_TROUBLE = 0.2
@@ -211,7 +214,10 @@
 
     :param lost: what still counts as running there.
     """
-    since = server.last_good - _SAME_MOMENT_SECONDS
+    since = max(
+        server.last_good - _SAME_MOMENT_SECONDS,
+        leader.now() - _KNOWN_GONE_SECONDS,
+    )
     broken = [mark for at, mark in server.broken if at >= since]
     server.broken.clear()
     marks = [*lost, *leader.suspects.unexplained(broken)]
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_crashes.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_crashes.py
@@ -122,6 +122,21 @@
     _run(work)
 
 
+def test_server_that_leaves_long_after_a_broken_answer_blames_nothing() -> None:
+    """It didn't end under that."""
+
+    async def work() -> None:
+        pool = _Pool('a', 'b', 'c')
+        for _ in range(2):
+            server = await pool.send(requests.Outcome.failed)
+            assert server is not None
+            await asyncio.sleep(20)
+            await pool.vanish(server)
+        assert await pool.send(requests.Outcome.done) is not None
+
+    _run(work)
+
+
 def test_request_that_is_tried_again_at_once_is_found_among_others() -> None:
     """What ran beside it broke off on two servers at the same moment."""
 
