Known red: a request that ends servers is missed where its neighbours break off first

Where another answer breaks off first on the second server, within a second of the first, that passes for a cut, and clears the request before its own break is told. ontime/tests/test_crashes.py has it in virtual time, failing.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_crashes.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_crashes.py
@@ -155,3 +155,21 @@
             assert await pool.send(requests.Outcome.done, content) is not None
 
     _run(work)
+
+
+def test_request_is_found_though_what_ran_beside_it_breaks_off_first() -> None:
+    """On the second server, too, so that it passes for a cut."""
+
+    async def work() -> None:
+        pool = _Pool('a', 'b', 'c', 'd')
+        ended = set()
+        for beside in range(10, 12):
+            await pool.send(requests.Outcome.failed, ids.Fingerprint(beside))
+            ended.add(await pool.send(requests.Outcome.failed))
+            await asyncio.sleep(0.5)
+        for server in ended:
+            assert server is not None
+            await pool.vanish(server)
+        assert await pool.send(requests.Outcome.failed) is None
+
+    _run(work)
