Suspects: set evidence aside in a supposed partition instead of dropping it

Callers saw a request that crashes servers reach one server after another, each time with the loss of what ran beside it: it was never refused where the streams beside it broke off first on its second server.

Cause: streams that end early on two servers within a second pass for a partition, and Suspects dropped the evidence against all of their contents, before it was known whether the servers had ended. When the crash of either was found later, OnTimePoolLeader asks Suspects which of the incomplete answers there are unexplained, got none, and blamed nobody.

Evidence: the test below, traced call by call. After the second server's first broken stream (0.5 s) the table is empty; at the restart of each server record_crash isn't called at all.

Change: the evidence is set aside. It makes no content suspect and holds none, as before in a partition, but it counts where the server turns out to have crashed, or where the same content ends early on a second server within the time in which a crash is found. A completed response drops it. DeadlinePoolLeader uses the same table and gets the same change. Evidence without a crash is evicted first, so that a partition can't push out known crashes.

A real partition still clears: test_incomplete_streams_on_several_servers_are_a_partition and two new ones beside it.

--- a/libs/scheduling/geraniumweir/scheduling/suspects.py
+++ b/libs/scheduling/geraniumweir/scheduling/suspects.py
@@ -17,8 +17,9 @@
 A stream whose connection closes early makes its content a weak suspect at
 once, because callers retry before a restart is known. After the second such
 stream the content waits until the cause is known. Streams that end early on
-several servers at the same time indicate a partition and clear the content,
-unless the same content was on more than one of those servers.
+several servers at the same time indicate a partition: their evidence is set
+aside, and used only if the server turns out to have crashed, or if the same
+content also ends early on another server.
 
 After a quarantine the content stays a suspect, and each further quarantine
 lasts twice as long as the one before.
@@ -34,26 +35,25 @@
 import collections
 import dataclasses
 import enum
+import itertools
 import typing
 
 from geraniumweir.common import ids
+from geraniumweir.scheduling import suspect_records
 
 NO_FINGERPRINT = ids.Fingerprint(0)
 _MAX_CASES = 2048
 _MAX_COMPLETED = 8192
 _SUSPECT_SECONDS = 600.0
-_QUARANTINE_SCORE = 1.0
 _GOOD_RECORD_DISCOUNT = 0.5
-_QUARANTINE_CRASHES = 2
 _MAX_QUARANTINE_SECONDS = 86400.0
 _GROWTH_FACTOR = 2
 _MAX_DOUBLINGS = 16
 _WEAK_SUSPECT_SECONDS = 30.0
-_EXPLANATION_SECONDS = 8.0
 _PARTITION_SECONDS = 1.0
 _MIN_REMAINING_SECONDS = 1.0
-# Content whose streams ended early on at least so many servers stays suspect,
-# whatever else ended early at that time.
+# Evidence against content whose streams ended early on at least so many servers
+# is not set aside, whatever else ended early at that time.
 _MIN_SERVERS = 2
 
 
@@ -84,45 +84,6 @@
     origin: str = ''
 
 
-@dataclasses.dataclass(slots=True)
-class _Evidence:
-    crashes: int = 0
-    score: float = 0
-
-
-@dataclasses.dataclass(slots=True)
-class _Record:
-    """State of a fingerprint; times are in seconds.
-
-    :ivar by_origin: evidence of each leader, by its name.
-    :ivar ends_at: end of the suspicion.
-    :ivar quarantine_ends_at: end of the quarantine.
-    :ivar incomplete: number of streams that ended early and are not yet
-        explained by a crash.
-    :ivar incomplete_at: time of the last of them.
-    :ivar incomplete_on: servers on which they ran, two at most.
-    """
-
-    by_origin: dict[str, _Evidence] = dataclasses.field(default_factory=dict)
-    ends_at: float = 0
-    quarantine_ends_at: float = 0
-    incomplete: int = 0
-    incomplete_at: float = float('-inf')
-    incomplete_on: set[ids.ServerId] = dataclasses.field(default_factory=set)
-
-    @property
-    def crashes(self) -> int:
-        """The number of crashes that all leaders saw."""
-        return sum(evidence.crashes for evidence in self.by_origin.values())
-
-    def has_enough_evidence(self) -> bool:
-        """Return whether the evidence suffices for a quarantine."""
-        if self.crashes < _QUARANTINE_CRASHES:
-            return False
-        evidence = self.by_origin.values()
-        return sum(one.score for one in evidence) >= _QUARANTINE_SCORE
-
-
 class Suspects:
     """Table of suspect fingerprints, in bounded memory."""
 
@@ -134,9 +95,9 @@
         """
         self.origin = origin
         self._quarantine_seconds = quarantine_seconds
-        self._cases: collections.OrderedDict[ids.Fingerprint, _Record] = (
-            collections.OrderedDict()
-        )
+        self._cases: collections.OrderedDict[
+            ids.Fingerprint, suspect_records.Record
+        ] = collections.OrderedDict()
         self._last_incomplete: tuple[float, ids.ServerId] | None = None
         self._partition_ends_at = float('-inf')
         self._completed: collections.OrderedDict[ids.Fingerprint, None] = (
@@ -151,7 +112,7 @@
         if entry.quarantine_ends_at > now:
             return Verdict.quarantined
         if entry.ends_at > now:
-            return Verdict.suspect
+            return Verdict.suspect if entry.is_suspect else Verdict.clear
         self._cases.pop(fingerprint)
         return Verdict.clear
 
@@ -162,9 +123,12 @@
         entry = self._cases.get(fingerprint)
         if entry is None or not entry.incomplete:
             return False
-        if entry.crashes + entry.incomplete < _QUARANTINE_CRASHES:
+        if (
+            entry.crashes + entry.incomplete
+            < suspect_records.QUARANTINE_CRASHES
+        ):
             return False
-        return now < entry.incomplete_at + _EXPLANATION_SECONDS
+        return now < entry.incomplete_at + suspect_records.EXPLANATION_SECONDS
 
     def record_incomplete(
         self,
@@ -177,6 +141,7 @@
         self._last_incomplete = (now, server_id)
         if fingerprint != NO_FINGERPRINT:
             entry = self._record(fingerprint)
+            entry.use_recent_evidence(now)
             entry.incomplete += 1
             entry.incomplete_at = now
             entry.ends_at = max(entry.ends_at, now + _WEAK_SUSPECT_SECONDS)
@@ -186,22 +151,19 @@
             if now - last[0] <= _PARTITION_SECONDS:
                 self._partition_ends_at = now + _PARTITION_SECONDS
         if now < self._partition_ends_at:
-            self._clear_partitioned(now)
+            self._set_partitioned_aside(now)
 
-    def _clear_partitioned(self, now: float) -> None:
-        """Clear content whose streams ended early in a partition.
+    def _set_partitioned_aside(self, now: float) -> None:
+        """Set evidence aside that a partition would explain.
 
-        Content whose own streams ended early on two servers is not cleared:
-        it may have crashed each server that it was sent to.
+        Not against content whose own streams ended early on two servers: it may
+        have crashed each server that it was sent to.
         """
-        for fingerprint, entry in list(self._cases.items()):
+        for entry in self._cases.values():
             if len(entry.incomplete_on) >= _MIN_SERVERS:
                 continue
             if entry.incomplete_at >= now - _PARTITION_SECONDS:
-                entry.incomplete = 0
-                entry.incomplete_on.clear()
-                if not entry.crashes:
-                    self._cases.pop(fingerprint)
+                entry.set_evidence_aside()
 
     def remaining_seconds(
         self, fingerprint: ids.Fingerprint, now: float
@@ -231,7 +193,7 @@
         if len(prior) == 1:
             # The only suspect explains the crash; concurrent requests are
             # not blamed.
-            return self._blame(prior, _QUARANTINE_SCORE, now)
+            return self._blame(prior, suspect_records.QUARANTINE_SCORE, now)
         blamed = prior or self.unexplained(ran) or sorted(ran)
         return self._blame(blamed, 1 / max(len(blamed), 1), now)
 
@@ -253,7 +215,7 @@
     ) -> list[ids.Fingerprint]:
         """List those that have not completed since a stream ended early."""
         known = (one for one in ran if one in self._cases)
-        return sorted(one for one in known if self._cases[one].incomplete)
+        return sorted(one for one in known if self._cases[one].is_unexplained)
 
     def export(self, now: float) -> list[Case]:
         """List the cases for other hosts, with their remaining seconds."""
@@ -268,7 +230,9 @@
         """Merge other leaders' cases; the maximum of each leader's holds."""
         for case in cases:
             entry = self._record(case.fingerprint)
-            evidence = entry.by_origin.setdefault(case.origin, _Evidence())
+            evidence = entry.by_origin.setdefault(
+                case.origin, suspect_records.Evidence()
+            )
             is_new = case.crashes > evidence.crashes
             evidence.crashes = max(evidence.crashes, case.crashes)
             evidence.score = max(evidence.score, case.score)
@@ -302,10 +266,12 @@
         discount = (
             _GOOD_RECORD_DISCOUNT if fingerprint in self._completed else 1
         )
-        evidence = entry.by_origin.setdefault(self.origin, _Evidence())
+        evidence = entry.by_origin.setdefault(
+            self.origin, suspect_records.Evidence()
+        )
         evidence.crashes += 1
         evidence.score += weight * discount
-        entry.incomplete = max(entry.incomplete - 1, 0)
+        entry.explain_one()
         entry.ends_at = max(entry.ends_at, now + _SUSPECT_SECONDS)
         before = entry.quarantine_ends_at > now
         if not entry.has_enough_evidence():
@@ -315,17 +281,19 @@
 
     def _quarantine_length(self, crashes: int) -> float:
         """Return the seconds of a quarantine, doubled by each crash."""
-        doublings = min(crashes - _QUARANTINE_CRASHES, _MAX_DOUBLINGS)
+        doublings = min(
+            crashes - suspect_records.QUARANTINE_CRASHES, _MAX_DOUBLINGS
+        )
         seconds = self._quarantine_seconds * _GROWTH_FACTOR**doublings
         return min(
             seconds,
             max(_MAX_QUARANTINE_SECONDS, self._quarantine_seconds),
         )
 
-    def _record(self, fingerprint: ids.Fingerprint) -> _Record:
+    def _record(self, fingerprint: ids.Fingerprint) -> suspect_records.Record:
         entry = self._cases.get(fingerprint)
         if entry is None:
-            entry = _Record()
+            entry = suspect_records.Record()
             self._cases[fingerprint] = entry
         self._cases.move_to_end(fingerprint)
         if len(self._cases) > _MAX_CASES:
@@ -333,15 +301,21 @@
         return entry
 
     def _evict_one(self) -> None:
-        # Evicts the oldest that is not quarantined, else the oldest.
-        for fingerprint, entry in self._cases.items():
-            if not entry.quarantine_ends_at:
-                self._cases.pop(fingerprint)
-                return
-        self._cases.popitem(last=False)
+        # Evicts the oldest without a crash, else the oldest that is not
+        # quarantined, else the oldest.
+        no_crash = (
+            one for one, entry in self._cases.items() if not entry.crashes
+        )
+        not_quarantined = (
+            one
+            for one, entry in self._cases.items()
+            if not entry.quarantine_ends_at
+        )
+        evicted = next(itertools.chain(no_crash, not_quarantined, self._cases))
+        self._cases.pop(evicted)
 
 
-def _quarantine(entry: _Record, ends_at: float) -> None:
+def _quarantine(entry: suspect_records.Record, ends_at: float) -> None:
     """Quarantine a fingerprint; it stays a suspect for a time afterwards."""
     entry.quarantine_ends_at = max(entry.quarantine_ends_at, ends_at)
     entry.ends_at = max(entry.ends_at, ends_at + _SUSPECT_SECONDS)
@@ -349,7 +323,7 @@
 
 def _case(
     fingerprint: ids.Fingerprint,
-    entry: _Record,
+    entry: suspect_records.Record,
     origin: str,
     now: float,
 ) -> Case:
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_suspects.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_suspects.py
@@ -32,6 +32,40 @@
     }
 
 
+def test_crash_after_a_supposed_partition_uses_the_evidence() -> None:
+    """Streams of two crashed servers ended early at the same time."""
+    known = suspects.Suspects(_QUARANTINE)
+    neighbours = [ids.Fingerprint(1), ids.Fingerprint(2)]
+    for neighbour, server in zip(neighbours, (_ONE, _TWO), strict=True):
+        known.record_incomplete(neighbour, server, 0)
+        known.record_incomplete(_POISON, server, 0)
+    for neighbour in neighbours:
+        assert known.verdict(neighbour, 1) is suspects.Verdict.clear
+        known.record_crash(known.unexplained([neighbour, _POISON]), 2)
+    assert known.verdict(_POISON, 2) is suspects.Verdict.quarantined
+
+
+def test_partition_neither_holds_nor_suspects_what_it_interrupted() -> None:
+    """Not once its content is sent again, either."""
+    known = suspects.Suspects(_QUARANTINE)
+    for mark, server in ((1, _ONE), (2, _TWO), (3, _ONE)):
+        known.record_incomplete(ids.Fingerprint(mark), server, 0)
+    for mark in range(1, 4):
+        content = ids.Fingerprint(mark)
+        assert not known.awaits_explanation(content, 1)
+        known.record_completion(content)
+        assert not known.unexplained([content])
+
+
+def test_old_evidence_of_a_partition_is_not_used_against_content() -> None:
+    """The servers would have been found crashed by then."""
+    known = suspects.Suspects(_QUARANTINE)
+    known.record_incomplete(_POISON, _ONE, 0)
+    known.record_incomplete(ids.Fingerprint(1), _TWO, 0)
+    known.record_incomplete(_POISON, _TWO, 20)
+    assert not known.awaits_explanation(_POISON, 20)
+
+
 def test_late_crash_blames_content_that_did_not_complete_since() -> None:
     """A concurrent request that completed elsewhere stays cleared."""
     known = suspects.Suspects(_QUARANTINE)
