Peer layer: count sent messages and bytes by type, as metrics

What fills the threads and links of control hosts at 300 machines couldn't be told apart: only totals by peer were counted. geraniumweir_peer_messages and geraniumweir_peer_bytes count over all peers, so that a host keeps a row for each type of message, whatever the number of hosts.

--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -117,6 +117,18 @@
     'Backend servers of a pool with a lease that holds.',
     ('pool',),
 )
+PEER_MESSAGES: typing.Final = Metric(
+    'geraniumweir_peer_messages',
+    Kind.gauge,
+    'Messages sent to other hosts since the start, by type.',
+    ('message',),
+)
+PEER_BYTES: typing.Final = Metric(
+    'geraniumweir_peer_bytes',
+    Kind.gauge,
+    'Bytes sent to other hosts since the start, by type of message.',
+    ('message',),
+)
 LIMITED_SERVERS: typing.Final = Metric(
     'geraniumweir_limited_servers',
     Kind.gauge,
--- a/libs/wire/geraniumweir/wire/catalogue.py
+++ b/libs/wire/geraniumweir/wire/catalogue.py
@@ -57,6 +57,11 @@
             raise errors.FrameError(f'no message has the number {number}')
         return found
 
+    def name_of(self, number: int) -> str:
+        """Return the name of a type, empty for an answer without content."""
+        found = self._types.get(number)
+        return '' if found is None else found.__name__
+
 
 def number_of(name: str) -> int:
     """Return the number of a qualified name, as thrift's signed ``i32``.
--- a/libs/wire/geraniumweir/wire/connection.py
+++ b/libs/wire/geraniumweir/wire/connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 
@@ -23,11 +24,32 @@
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 
 
+@dataclasses.dataclass(slots=True)
+class SentCounts:
+    """Messages sent to all peers together, by number of the message type.
+
+    :ivar sizes: their bytes.
+    """
+
+    messages: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    sizes: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+
+    def add(self, message_type: int, size: int) -> None:
+        """Count a message."""
+        self.messages[message_type] += 1
+        self.sizes[message_type] += size
+
+
 @dataclasses.dataclass(slots=True)
 class Traffic:
     """Counters of one peer's traffic over all its connections.
 
     :ivar dropped: messages that were not sent or not handled.
+    :ivar sent: counts over all peers.
     """
 
     messages_out: int = 0
@@ -35,6 +57,7 @@
     messages_in: int = 0
     bytes_in: int = 0
     dropped: int = 0
+    sent: SentCounts = dataclasses.field(default_factory=SentCounts)
 
 
 @dataclasses.dataclass(slots=True)
@@ -194,6 +217,7 @@
             raise errors.BusyError(f'{buffered} bytes wait for {self.peer}')
         self._traffic.messages_out += 1
         self._traffic.bytes_out += len(frame)
+        self._traffic.sent.add(envelope.message_type, len(frame))
         if self._partition.outgoing:
             return
         if self._delay_seconds:
--- a/libs/wire/geraniumweir/wire/tcp.py
+++ b/libs/wire/geraniumweir/wire/tcp.py
@@ -16,6 +16,7 @@
 
 from geraniumweir.common import eventlog, ids
 from geraniumweir.wire import (
+    catalogue,
     connection,
     errors,
     greeting,
@@ -61,6 +62,7 @@
         self._delay_seconds = delay
         self._links: dict[ids.HostId, link.Link] = {}
         self._router = handling.Router()
+        self._sent = connection.SentCounts()
         self._tasks: set[asyncio.Task[typing.Any]] = set()
         self._server: asyncio.Server | None = None
 
@@ -164,10 +166,19 @@
         """Return the traffic counters of a peer."""
         return self._link(host_id).traffic
 
+    def sent_messages(self) -> dict[tuple[str, ...], float]:
+        """Return the number of messages sent to all peers, by type."""
+        return _by_name(self._sent.messages)
+
+    def sent_bytes(self) -> dict[tuple[str, ...], float]:
+        """Return the bytes sent to all peers, by message type."""
+        return _by_name(self._sent.sizes)
+
     def _link(self, host_id: ids.HostId) -> link.Link:
         found = self._links.get(host_id)
         if found is None:
             found = link.Link(host_id, self._dial, self._random)
+            found.traffic.sent = self._sent
             self._links[host_id] = found
         return found
 
@@ -242,6 +253,15 @@
             task.add_done_callback(self._tasks.discard)
 
 
+def _by_name(
+    counts: typing.Mapping[int, int],
+) -> dict[tuple[str, ...], float]:
+    return {
+        (catalogue.generated().name_of(number),): count
+        for number, count in counts.items()
+    }
+
+
 def _listen_address(hello: ttypes.Hello) -> ids.Address | None:
     try:
         return ids.parse_address(hello.listen or '')
