On-time leader: a new server at an address shows that the one before crashed

Callers saw a request that crashes servers go on to the next servers for some 7 s, on average each 0.6 s, with the loss of what ran beside it.

Cause: each start of a server has a new id, and one that crashed reports nothing of its end. Its lease makes it silent, and silent servers stay announced, so the leader learnt of the crash only if it happened to grant one more request to the dead id and the new server answered 421. Until then no crash was counted.

Change: when a server appears at the address of one with incomplete answers, the contents of these answers that are unexplained are counted as under a crash. The old id stays announced, as before: a first report that a partition delayed may be of the server that ended, and then nothing but this evidence is wrong.

Red before, green now: test_restart_under_another_id_is_found_to_be_a_crash. Beside it a test that answered requests aren't blamed.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -67,6 +67,7 @@
     }
     if live:
         leader.server_seen_at = now
+    _suspect_replaced(leader, live)
     for server_id, announcement in live.items():
         server = leader.servers.get(server_id)
         if server is not None and server.start != _start(announcement):
@@ -220,6 +221,30 @@
     )
 
 
+def _suspect_replaced(
+    leader: state.OnTimeLeaderState,
+    live: typing.Mapping[ids.ServerId, servers.Announcement],
+) -> None:
+    """Suspect the requests of servers whose address another one took.
+
+    A server that starts again under a new id sends nothing about its end, and
+    its reports are missed much later. It stays announced until then: a delayed
+    first report may be of the server that ended.
+    """
+    new = [found for name, found in live.items() if name not in leader.servers]
+    if not new:
+        return
+    known = {
+        server.announcement.address: server
+        for server in leader.servers.values()
+        if server.incomplete_answers
+    }
+    for found in new:
+        replaced = known.get(found.address)
+        if replaced is not None:
+            _suspect_requests(leader, replaced, ())
+
+
 def _suspect_requests(
     leader: state.OnTimeLeaderState,
     server: records.Server,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_crashes.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_crashes.py
@@ -1,6 +1,7 @@
 """Requests that crash the servers that run them are quarantined in time."""
 
 import asyncio
+import dataclasses
 import typing
 
 from geraniumweir.common import ids, virtual
@@ -10,14 +11,21 @@
 
 _CONTENT = ids.Fingerprint(7)
 _LEASE_SECONDS = 1.5
+_RESTART_SECONDS = 0.8
 
 
 class _Pool:
     """A pool whose servers stop reporting on demand."""
 
     def __init__(self, *names: str) -> None:
-        self._live = {name: play.server(name) for name in names}
+        self._live = {
+            name: dataclasses.replace(
+                play.server(name), address=ids.Address('127.0.0.1', port)
+            )
+            for port, name in enumerate(names, 1)
+        }
         self._number = 0
+        self._ended: set[str] = set()
         self._now = asyncio.get_running_loop().time
         cfg = leader.settings.LeaderSettings(play.POOL)
         self.leader = leader.OnTimePoolLeader(
@@ -43,9 +51,30 @@
         if isinstance(answer, requests.Denial):
             assert answer.reason is requests.DenialReason.quarantined
             return None
-        self.leader.release(requests.Release(slot_request.request_id, outcome))
+        if answer.server_id in self._ended:
+            self._release(slot_request, requests.Outcome.not_sent)
+            return await self.send(outcome, content)
+        self._release(slot_request, outcome)
         return answer.server_id
 
+    def _release(
+        self, slot_request: requests.SlotRequest, outcome: requests.Outcome
+    ) -> None:
+        self.leader.release(requests.Release(slot_request.request_id, outcome))
+
+    async def restart(self, name: str) -> None:
+        """Start a server again, under another id at the same address.
+
+        What was known of it stays announced: its lease has not ended.
+        """
+        await asyncio.sleep(_RESTART_SECONDS)
+        new = f'{name}+'
+        address = self._live[name].address
+        started = dataclasses.replace(play.server(new), address=address)
+        self._live[new] = started
+        self._ended.add(name)
+        self.leader.grant_waiting()
+
     async def expire(self, name: str) -> None:
         """Keep a server silent until its lease has ended."""
         await asyncio.sleep(_LEASE_SECONDS)
@@ -175,3 +204,32 @@
         assert await pool.send(requests.Outcome.failed) is None
 
     _run(work)
+
+
+def test_restart_under_another_id_is_found_to_be_a_crash() -> None:
+    """Its lease ends seconds later, and each retry ends one more server."""
+
+    async def work() -> None:
+        pool = _Pool('a', 'b', 'c', 'd')
+        for _ in range(2):
+            server = await pool.send(requests.Outcome.failed)
+            assert server is not None
+            await pool.restart(server)
+        assert await pool.send(requests.Outcome.failed) is None
+        other = ids.Fingerprint(8)
+        assert await pool.send(requests.Outcome.done, other) is not None
+
+    _run(work)
+
+
+def test_other_server_at_an_address_suspects_no_answered_request() -> None:
+    """Only responses that were incomplete since the last good one count."""
+
+    async def work() -> None:
+        pool = _Pool('a', 'b', 'c', 'd')
+        for name in ('a', 'b'):
+            await pool.send(requests.Outcome.done)
+            await pool.restart(name)
+        assert await pool.send(requests.Outcome.done) is not None
+
+    _run(work)
