Feed: gather changes of servers for as long as their answers take

Cause, two of three of the full control hosts at 300 machines: a change of one server was answered to all watchers 1 ms later, so that n servers that start or leave one after the other cost n answers to each of m watchers.

Evidence: 40 changes within 0.4 s cost 42 answers to each watcher at 30, 60 and 100 watchers (test_changes_in_quick_succession_cost_few_answers on the code before).

Change: changes are gathered for 2 ms for each waiting watcher, 0.25 s at most, so that answers take a bounded part of a thread's time at any size; with six entry hosts that is a few milliseconds, as before. A leave must be known within 2 s. The document and orders of rollouts wake watchers at once, as before.

Red before, green now: the test above, at 30, 60 and 100 watchers.

--- a/libs/control/geraniumweir/control/feed.py
+++ b/libs/control/geraniumweir/control/feed.py
@@ -29,10 +29,11 @@
 # A watch is answered by then, whatever wait the reader requested: the reader
 # takes silence for a lost host.
 _MAX_WAIT_SECONDS = 2.0
-# Enrolments arrive one by one; those that arrive within this time are sent
-# together. It is negligible compared with the 2 s in which a leaving server
-# must be known everywhere.
-_GATHER_SECONDS = 0.001
+# Enrolments arrive one by one; those that arrive within this time for each
+# watcher are sent together, so that answers take a bounded part of the time.
+_GATHER_SECONDS_PER_WATCHER = 0.002
+# A leaving server must be known everywhere within 2 s.
+_MAX_GATHER_SECONDS = 0.25
 
 
 class Feed:
@@ -60,12 +61,28 @@
         self._clock = timers.TimerService()
         self._lists = server_lists.ServerLists(table, self._clock)
         self._changed = asyncio.Event()
+        self._waiting = 0
+        self._gathering: asyncio.TimerHandle | None = None
         self._newest: published.PublishedDocument | None = None
         log.documents.subscribe(self._set_newest)
         link.handle(ttypes.Watch, self._on_watch)
 
     def notify(self) -> None:
-        """Answer waiting watches: an enrolment changed."""
+        """Answer waiting watches soon: an enrolment changed."""
+        if self._gathering is None:
+            self._gathering = self._clock.after(
+                min(
+                    self._waiting * _GATHER_SECONDS_PER_WATCHER,
+                    _MAX_GATHER_SECONDS,
+                ),
+                self._end_gathering,
+            )
+
+    def _end_gathering(self) -> None:
+        self._gathering = None
+        self._wake_all()
+
+    def _wake_all(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -73,7 +90,7 @@
         # A recorder that was reopened replays older documents.
         if self._newest is None or document.version > self._newest.version:
             self._newest = document
-            self.notify()
+            self._wake_all()
 
     async def _on_watch(
         self,
@@ -91,12 +108,17 @@
         return self._answer(watch)
 
     async def _wait_for_update(self, watch: ttypes.Watch) -> None:
-        while not self._has_update(watch):
-            await self._changed.wait()
-        await asyncio.sleep(_GATHER_SECONDS)
+        self._waiting += 1
+        try:
+            while not self._has_update(watch):
+                await self._changed.wait()
+        finally:
+            self._waiting -= 1
 
     def _has_update(self, watch: ttypes.Watch) -> bool:
-        if watch.epoch != self._epoch or watch.revision < self._table.revision:
+        if watch.epoch != self._epoch:
+            return True
+        if watch.revision < self._table.revision and self._gathering is None:
             return True
         return self._is_newer(watch) or self._has_rollouts(watch)
 
--- a/libs/control/geraniumweir/control/tests/test_server_lists.py
+++ b/libs/control/geraniumweir/control/tests/test_server_lists.py
@@ -13,6 +13,7 @@
 from geraniumweir.wire.gen.control import ttypes
 
 _SERVERS = 200
+_CHANGES = 40
 _NEWS = 'News'
 
 
@@ -125,6 +126,46 @@
     _run(monkeypatch, 1, work)
 
 
+@pytest.mark.parametrize('watchers', [30, 60, 100])
+def test_changes_in_quick_succession_cost_few_answers(
+    monkeypatch: pytest.MonkeyPatch,
+    watchers: int,
+) -> None:
+    """One answer for each change and watcher filled the threads."""
+
+    async def work(found: bed.Bed, started: list[watching.Watcher]) -> None:
+        found.network.sent.clear()
+        for number in range(_CHANGES):
+            _enrol(found, number, '2')
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(1)
+        answers = found.network.sent[(ids.HostId('ant'), _NEWS)]
+        # One every half second without a change, and one for all that changed
+        # within the time that 30 answers may take.
+        assert answers / watchers < 3.2 + 0.6 / (watchers * 0.002) + 1
+        for one in started:
+            known = one.servers.known()
+            assert sum(row.version == '2' for row in known) == _CHANGES
+
+    _run(monkeypatch, watchers, work)
+
+
+@pytest.mark.parametrize('watchers', [30, 100])
+def test_host_that_differs_is_sent_the_document_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+    watchers: int,
+) -> None:
+    """Gathering changes of servers must not delay it."""
+
+    async def work(found: bed.Bed, started: list[watching.Watcher]) -> None:
+        _enrol(found, 0, '2')
+        await bed.publish(found.controls['ant'], 7)
+        await asyncio.sleep(0.02)
+        assert {one.version for one in started} == {7}
+
+    _run(monkeypatch, watchers, work)
+
+
 def test_server_that_is_gone_everywhere_is_removed_by_a_partial_list(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
