Entry hosts ping a coordinator less often where there are hundreds

Change: a ping's period grows from 0.2 s at up to 150 entry hosts to 0.4 s at 300, so that a coordinator gets 750 a second at that size. A lost coordinator is found 0.2 s later there; the time of a handover, after which hosts that weren't seen count as partitioned, grows by the same.

--- a/libs/control/geraniumweir/control/coordinator_client.py
+++ b/libs/control/geraniumweir/control/coordinator_client.py
@@ -19,15 +19,18 @@
 
 import reactivex
 from geraniumweir.common import eventlog, ids, timers
-from geraniumweir.control import hosts, logevents, notice_exchange, usage_codec
+from geraniumweir.control import (
+    hosts,
+    logevents,
+    notice_exchange,
+    pinging,
+    usage_codec,
+)
 from geraniumweir.scheduling import notices, recent_usage
 from geraniumweir.wire import errors, peers
 from geraniumweir.wire.gen.control import ttypes
 from reactivex import subject
 
-# Interval between pings of the coordinator. Two messages of about 150 bytes
-# each, so 1.5 KB a second.
-_PING_SECONDS = 0.2
 # Longest wait for the answer: twice the first retransmission of a lost packet
 # (0.2 s).
 _PING_TIMEOUT_SECONDS = 0.4
@@ -146,7 +149,7 @@
             period = (
                 _ELECTION_PING_SECONDS
                 if self._awaits_election
-                else _PING_SECONDS
+                else pinging.period_seconds(self._host_count)
             )
             await asyncio.sleep(max(period - took, 0))
 
--- a/libs/control/geraniumweir/control/leadership.py
+++ b/libs/control/geraniumweir/control/leadership.py
@@ -19,6 +19,7 @@
     demand,
     logevents,
     notice_exchange,
+    pinging,
     recorders,
     stall_detector,
 )
@@ -29,12 +30,12 @@
 
 # Interval for checking who leads: a tenth of an election.
 _POLL_SECONDS = 0.1
-# An entry host that sent nothing for this long counts as unreachable: six of
-# its pings, so that one lost packet, sent again after 0.2 s, does not count.
+# An entry host that sent nothing for this long counts as unreachable: three of
+# its pings, so that a lost packet, sent again after 0.2 s, does not count.
 REACHABLE_SECONDS = 1.2
-# Within this time entry hosts that can reach a new coordinator contact it: a
-# missed answer (0.4 s), a search (0.4 s) and a ping (0.2 s).
-_HANDOVER_SECONDS = 1.0
+# Within this time and a ping's period entry hosts that can reach a new
+# coordinator contact it: a missed answer (0.4 s) and a search (0.4 s).
+_HANDOVER_SECONDS = 0.8
 _NO_HOST = ids.HostId('')
 # A change of the granted share of the quotas by this much is logged.
 _MIN_LOGGED_CHANGE = 0.1
@@ -190,7 +191,10 @@
 
         :param host_count: number of all entry hosts.
         """
-        if now - self._term_start < _HANDOVER_SECONDS:
+        handover_seconds = _HANDOVER_SECONDS + pinging.period_seconds(
+            host_count
+        )
+        if now - self._term_start < handover_seconds:
             return 0
         if host_count <= len(self._last_seen):
             return 0
