Searches for a coordinator leave control hosts their threads

With 300 entry hosts that is some 3,600 messages a second at each of three control hosts, more than a thread handles, and the election that would end it waits in the same threads.

Change: searches are less frequent where control hosts know of hundreds of entry hosts, 0.8 s apart at 300 (0.1 s at up to 37, as before), also while a host stands in; a watch of a control host that isn't up to date waits for 0.5 s instead of 0.25 s after the first.

Red before, green now: test_search_of_hundreds_of_hosts_leaves_control_hosts_ their_threads, 4 s without a leader.

--- a/libs/control/geraniumweir/control/coordinator_client.py
+++ b/libs/control/geraniumweir/control/coordinator_client.py
@@ -38,8 +38,6 @@
 # trips. Waiting for silent hosts would take as long as a missed answer, each
 # time that a coordinator is lost.
 _LEADER_WAIT_SECONDS = 0.05
-# Interval between pings of control hosts while an election is awaited.
-_ELECTION_PING_SECONDS = 0.1
 # The longest silence before an election, a failed election, and the votes.
 _ELECTION_SECONDS = 2.0
 _NO_HOST = ids.HostId('')
@@ -98,6 +96,9 @@
         self._lost_at: float | None = self._clock.now()
         self._awaits_election = False
         self._host_count = 1
+        self._is_led = False
+        # Of any control host, as none may lead after a loss of all hosts.
+        self._seen_host_count = 1
         self._share: float | None = None
         self._changes: subject.Subject[None] = subject.Subject()
 
@@ -143,15 +144,20 @@
                 if self._coordinator_id
                 else None
             )
-            if pong is None or not pong.leads:
+            self._is_led = pong is not None and pong.leads
+            if not self._is_led:
                 await self._search()
             took = self._clock.now() - started
-            period = (
-                _ELECTION_PING_SECONDS
-                if self._awaits_election
-                else pinging.period_seconds(self._host_count)
-            )
-            await asyncio.sleep(max(period - took, 0))
+            await asyncio.sleep(max(self._period_seconds() - took, 0))
+
+    def _period_seconds(self) -> float:
+        ping_seconds = pinging.period_seconds(self._seen_host_count)
+        if self._is_led:
+            return ping_seconds
+        search_seconds = pinging.search_period_seconds(self._seen_host_count)
+        if self._awaits_election:
+            return search_seconds
+        return max(search_seconds, ping_seconds)
 
     async def leave(self) -> None:
         """Announce the end of this host, so that others get its quota."""
@@ -227,6 +233,7 @@
         except errors.PeerError:
             return None
         self._notice_sender.handle_pong(host_id, revision, pong)
+        self._seen_host_count = pong.hosts
         if pong.leads:
             self._host_count = pong.hosts
             self._share = pong.share
--- a/libs/control/geraniumweir/control/tests/test_pinging.py
+++ b/libs/control/geraniumweir/control/tests/test_pinging.py
@@ -1,6 +1,7 @@
 """Pings cost a coordinator a bounded number of messages a second."""
 
 import asyncio
+import itertools
 
 import pytest
 from geraniumweir.common import ids, virtual
@@ -8,6 +9,8 @@
 from geraniumweir.control.tests import bed
 
 _SECONDS = 4
+# Of each of 300 hosts, so that three control hosts get 700 a second each.
+_MOST_SEARCH_PINGS = 7
 
 
 @pytest.mark.parametrize(
@@ -64,3 +67,29 @@
         found.stop()
 
     virtual.run(work())
+
+
+def test_search_of_hundreds_of_hosts_leaves_control_hosts_their_threads(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Ten pings a second from each of 300 hosts let no election end."""
+
+    async def work() -> None:
+        found = bed.Bed()
+        monkeypatch.setattr(recordings, 'opened', found.opened)
+        await found.start()
+        now = asyncio.get_running_loop().time()
+        for control in found.controls.values():
+            control.leadership.entry_hosts.set_reported_count(300, now)
+        entry = found.enter('ant', 'entry')
+        await asyncio.sleep(1)
+        for one, other in itertools.combinations(bed.DOMAINS, 2):
+            found.partition(one, other)
+        await asyncio.sleep(1)
+        found.network.sent.clear()
+        await asyncio.sleep(_SECONDS)
+        pings = found.network.sent[(entry.host_id, 'Ping')]
+        assert pings / _SECONDS <= _MOST_SEARCH_PINGS
+        found.stop()
+
+    virtual.run(work())
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -33,8 +33,11 @@
 # dead control host goes undetected; a change must be in force 2 s after it was
 # acknowledged.
 _WAIT_SECONDS = 0.5
-# Interval of watches while no control host is up to date.
+# Interval of watches while no control host is up to date: the first, and the
+# longest that it doubles to. Each is followed by a probe of all control hosts,
+# which need their threads to elect a leader.
 _RETRY_SECONDS = 0.25
+_MAX_RETRY_SECONDS = 0.5
 # Extra time for the answer: a lost packet is sent again after 0.2 s. A host
 # that is only late still answers the search that follows.
 _GRACE_SECONDS = 0.25
@@ -86,6 +89,7 @@
         self._target = watch_target.WatchTarget(domain, self.hosts, self._probe)
         self._unreachable: set[ids.HostId] = set()
         self._is_confirmed = False
+        self._retry_seconds = _RETRY_SECONDS
         self._source = _NO_HOST
         self._epoch = ''
         self._revision = 0
@@ -172,7 +176,9 @@
         host_id = self._target.host_id
         if not host_id:
             return False
-        wait_seconds = _WAIT_SECONDS if self._is_confirmed else _RETRY_SECONDS
+        wait_seconds = (
+            _WAIT_SECONDS if self._is_confirmed else self._retry_seconds
+        )
         watch = ttypes.Watch(
             self.version,
             self._epoch,
@@ -192,6 +198,11 @@
         self._target.probe_nearer()
         verdict = self._target.judge(host_id, update, self.version)
         self._is_confirmed = verdict is host_search.Verdict.sure
+        self._retry_seconds = (
+            _RETRY_SECONDS
+            if self._is_confirmed
+            else min(2 * self._retry_seconds, _MAX_RETRY_SECONDS)
+        )
         return self._is_confirmed
 
     async def _search(self) -> None:
