Rollouts: a version that is still suspected at its time limit is rolled back

Operators saw an order that neither completed nor went back: 4 s after its time limit a version that fails stayed in progress, and its servers' part of the requests with it.

Cause: a suspected version isn't trusted with more, and it was only found bad by more answers. Where what is left of the canaries' budget is smaller than a batch none come, and nothing ends the order.

Tried and reverted: letting the rest of the budget go in smaller batches.

Red before, green now: test_version_that_is_suspected_at_the_time_limit_is_rolled_ back; one without bad answers that is only late goes on.

--- a/libs/rollout/geraniumweir/rollout/controller.py
+++ b/libs/rollout/geraniumweir/rollout/controller.py
@@ -35,6 +35,8 @@
 _MIN_ANSWERS = 20
 # A phase does not end while the suspicion of the detector is at least this.
 _MAX_SUSPICION = 0.35
+# Reason for the end of a version that is still suspected at its time limit.
+_UNDECIDED = 'bad answers were not explained within the time limit'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +106,11 @@
     excluded_servers: frozenset[ids.ServerId] = _NO_SERVERS
     bad: str = ''
 
+    @property
+    def is_suspected(self) -> bool:
+        """Whether too many answers were bad to trust the version."""
+        return self.detector.suspicion >= _MAX_SUSPICION
+
 
 class RolloutController:
     """Controller of the rollout of one pool, used by its pool leader.
@@ -252,9 +259,12 @@
         """Return what the log should record now, None for nothing."""
         if not self.is_running:
             return None
-        if self._evidence.bad:
-            return End(orders.State.rolled_back, self._evidence.bad)
         elapsed = self._now() - self._started
+        bad = self._evidence.bad
+        if elapsed >= self.rollout.seconds and self._evidence.is_suspected:
+            bad = bad or _UNDECIDED
+        if bad:
+            return End(orders.State.rolled_back, bad)
         planned = schedule.plan(self.rollout.seconds, load.held)
         match self.rollout.phase:
             case orders.Phase.canary:
@@ -330,8 +340,11 @@
     def _count_good_answers(self) -> int:
         """Return the answers that a new coordinator may count as good."""
         evidence = self._evidence
-        seems_good = evidence.detector.suspicion < _MAX_SUSPICION
-        return evidence.answers if seems_good else self.rollout.answers
+        return (
+            self.rollout.answers
+            if self._evidence.is_suspected
+            else evidence.answers
+        )
 
     def _is_trusted(self, load: Load) -> bool:
         """Return whether the new version may get more requests.
@@ -346,7 +359,7 @@
         )
         return (
             evidence.answers >= enough
-            and evidence.detector.suspicion < _MAX_SUSPICION
+            and not self._evidence.is_suspected
             and load.new_slots >= max(load.running, 1)
         )
 
--- a/libs/rollout/geraniumweir/rollout/tests/test_controller.py
+++ b/libs/rollout/geraniumweir/rollout/tests/test_controller.py
@@ -150,3 +150,31 @@
     load = dataclasses.replace(_LOAD, new_slots=4)
     step = scenario.guide.next_step(load)
     assert step is None or step.phase is orders.Phase.canary
+
+
+def _serve_suspected(scenario: _Rollout) -> None:
+    """Let a version give bad answers, too few of them to judge it."""
+    scenario.step()
+    scenario.serve(250)
+    for name in ('0', '1', '2'):
+        server = ids.ServerId(name)
+        scenario.guide.record_answer(_NEW, server, 'r', failed=True)
+    assert scenario.guide.role(_NEW) is orders.Role.canary
+
+
+def test_version_that_is_suspected_at_the_time_limit_is_rolled_back() -> None:
+    """Nothing more decides about it; it was neither completed nor ended."""
+    scenario = _Rollout()
+    _serve_suspected(scenario)
+    scenario.now = _SECONDS
+    step = scenario.guide.next_step(_LOAD)
+    assert isinstance(step, controller.End)
+    assert step.state is orders.State.rolled_back
+
+
+def test_version_without_bad_answers_stays_in_progress_at_the_limit() -> None:
+    """A good one that is only late completes."""
+    scenario = _Rollout()
+    scenario.step()
+    scenario.now = _SECONDS
+    assert not isinstance(scenario.guide.next_step(_LOAD), controller.End)
