Rollouts: after the move, one failing server doesn't stand for itself alone

All callers got a version that turned bad a moment after the traffic had moved: 17 answers with 500, none of which counted, and the order was completed.

Cause: where the bad answers come from one server, it is set aside and its answers count no more, whatever the others did. Canaries are spread over three servers, so there it tells a broken server from a bad version. After the move most requests go to the quickest server: it gives the bad answers because it gives nearly all answers, and the few of the others never make up the sum again.

Change: once the traffic has moved, a server is set aside only if the others' answers since the first suspicion would be improbable (one in twenty) for servers that fail as often; otherwise the version is bad. A server that alone breaks after the move is still told apart, as the others' answers are good.

Red before, green now: test_version_that_fails_at_one_server_after_the_move_is_ bad. Beside it: test_server_that_breaks_after_the_move_does_not_make_the_version_ bad.

--- a/libs/rollout/geraniumweir/rollout/detection.py
+++ b/libs/rollout/geraniumweir/rollout/detection.py
@@ -35,6 +35,11 @@
 # fraction of all; those of a bad version come from several servers.
 _MIN_BAD_ANSWERS = 2
 _MIN_SERVER_FRACTION = 0.3
+# The others count as good if their answers would be this many times less
+# probable with the failing servers' ratio of bad answers; a bad answer of them
+# counts against that by the same factor.
+_MAX_ODDS = 20.0
+_MAX_FAILING_RATIO = 0.95
 
 
 class Detection(typing.NamedTuple):
@@ -44,12 +49,15 @@
     :ivar failing_servers: servers that gave a large part of the bad answers.
     :ivar bad: number of bad answers.
     :ivar answers: number of answers among which they were.
+    :ivar others_are_good: whether the other servers gave enough good answers to
+        show that the failing ones are faulty, and not the version.
     """
 
     rule: str
     failing_servers: tuple[ids.ServerId, ...]
     bad: int
     answers: int
+    others_are_good: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,10 +87,15 @@
 
     :ivar total: the sum, reset to 0 when it falls below; the counts are reset
         with it.
+    :ivar good: number of good answers by server.
+    :ivar bad: number of bad answers by server.
     """
 
     total: float = 0
     answers: int = 0
+    good: collections.Counter[ids.ServerId] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
     bad: collections.Counter[ids.ServerId] = dataclasses.field(
         default_factory=collections.Counter,
     )
@@ -94,6 +107,7 @@
             self.bad[server] += 1
         else:
             self.total += math.log((1 - bad_version_ratio) / (1 - baseline))
+            self.good[server] += 1
         self.answers += 1
         if self.total <= 0:
             self.clear()
@@ -101,8 +115,22 @@
     def clear(self) -> None:
         self.total = 0
         self.answers = 0
+        self.good.clear()
         self.bad.clear()
 
+    def others_are_good(self, failing: typing.Collection[ids.ServerId]) -> bool:
+        """Return whether the others fail much less often than some servers.
+
+        Their answers must be improbable for servers that fail as often.
+        """
+        bad = sum(self.bad[server] for server in failing)
+        good = sum(self.good[server] for server in failing)
+        bad_ratio = min(bad / max(bad + good, 1), _MAX_FAILING_RATIO)
+        other_good = self.good.total() - good
+        other_bad = self.bad.total() - bad
+        probability = (1 - bad_ratio) ** other_good
+        return probability * _MAX_ODDS**other_bad < 1 / _MAX_ODDS
+
 
 class Detector(typing.Protocol):
     """Detector of bad versions."""
@@ -192,5 +220,9 @@
         server for server, count in evidence.bad.items() if count >= min_count
     )
     return Detection(
-        rule, failing_servers, evidence.bad.total(), evidence.answers
+        rule,
+        failing_servers,
+        evidence.bad.total(),
+        evidence.answers,
+        evidence.others_are_good(failing_servers),
     )
--- a/libs/rollout/geraniumweir/rollout/tests/test_controller.py
+++ b/libs/rollout/geraniumweir/rollout/tests/test_controller.py
@@ -178,3 +178,37 @@
     scenario.step()
     scenario.now = _SECONDS
     assert not isinstance(scenario.guide.next_step(_LOAD), controller.End)
+
+
+def _moved() -> _Rollout:
+    scenario = _Rollout()
+    scenario.step()
+    scenario.rollout = dataclasses.replace(
+        scenario.rollout, phase=orders.Phase.moved
+    )
+    scenario.guide.refresh()
+    return scenario
+
+
+def test_version_that_fails_at_one_server_after_the_move_is_bad() -> None:
+    """That server gets most requests, and its answers were ignored then."""
+    scenario = _moved()
+    for number in range(20):
+        name = ids.ServerId('other' if number % 5 == 4 else 'quickest')
+        failed = bool(number % 2)
+        scenario.guide.record_answer(_NEW, name, 'r', failed=failed)
+    assert scenario.guide.role(_NEW) is orders.Role.barred
+
+
+def test_server_that_breaks_after_the_move_does_not_make_the_version_bad() -> (
+    None
+):
+    """The others go on giving good answers."""
+    scenario = _moved()
+    broken = ids.ServerId('broken')
+    for number in range(40):
+        scenario.guide.record_answer(_NEW, broken, 'r', failed=True)
+        name = ids.ServerId(str(number % 3))
+        scenario.guide.record_answer(_NEW, name, 'r', failed=False)
+    assert scenario.guide.excluded_servers == {broken}
+    assert scenario.guide.role(_NEW) is orders.Role.serves
