Rollouts: one failing server needs the others' good answers in the ramp too

There three in ten requests go to the new version, most of them to its quickest server. Setting it aside clears the suspicion, and the traffic moved 0.1 s later.

Red before, green now: test_version_that_fails_mostly_at_one_server_after_the_ canaries_is_bad[ramp].

--- a/libs/rollout/geraniumweir/rollout/controller.py
+++ b/libs/rollout/geraniumweir/rollout/controller.py
@@ -368,12 +368,12 @@
 
         If a single server is failing, the server may be faulty and not the
         version: it is excluded, and the answers of the others decide. That
-        happens for one server only. Once all traffic has moved, the others must
+        happens for one server only. Once the ramp has begun, the others must
         have shown that they are good: most requests may go to one server.
         """
         evidence = self._evidence
         alone = len(detected.failing_servers) == 1 and self.new_server_count > 1
-        if self.rollout.phase is orders.Phase.moved:
+        if self.rollout.phase is not orders.Phase.canary:
             alone = alone and detected.others_are_good
         if alone and not evidence.excluded_servers:
             evidence.excluded_servers = frozenset(detected.failing_servers)
--- a/libs/rollout/geraniumweir/rollout/tests/test_controller.py
+++ b/libs/rollout/geraniumweir/rollout/tests/test_controller.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import pytest
 from geraniumweir.common import ids
 from geraniumweir.rollout import budget, controller, orders
 from hypothesis import given
@@ -180,19 +181,20 @@
     assert not isinstance(scenario.guide.next_step(_LOAD), controller.End)
 
 
-def _moved() -> _Rollout:
+def _reached(phase: orders.Phase) -> _Rollout:
     scenario = _Rollout()
     scenario.step()
-    scenario.rollout = dataclasses.replace(
-        scenario.rollout, phase=orders.Phase.moved
-    )
+    scenario.rollout = dataclasses.replace(scenario.rollout, phase=phase)
     scenario.guide.refresh()
     return scenario
 
 
-def test_version_that_fails_at_one_server_after_the_move_is_bad() -> None:
+@pytest.mark.parametrize('phase', [orders.Phase.ramp, orders.Phase.moved])
+def test_version_that_fails_mostly_at_one_server_after_the_canaries_is_bad(
+    phase: orders.Phase,
+) -> None:
     """That server gets most requests, and its answers were ignored then."""
-    scenario = _moved()
+    scenario = _reached(phase)
     for number in range(20):
         name = ids.ServerId('other' if number % 5 == 4 else 'quickest')
         failed = bool(number % 2)
@@ -204,7 +206,7 @@
     None
 ):
     """The others go on giving good answers."""
-    scenario = _moved()
+    scenario = _reached(orders.Phase.moved)
     broken = ids.ServerId('broken')
     for number in range(40):
         scenario.guide.record_answer(_NEW, broken, 'r', failed=True)
