Entry hosts without a path to servers dispatch through other entry hosts

Cause: only the owner of a request could dispatch it, and what one host failed to reach was put down to the server. Class of fault: what one host sees alone, taken for the state of what it looks at.

Change: an entry host knows which of its paths to servers are in doubt (a failed connection, until a probe connects; all of them once two servers failed and none worked). It then sends through a relay, another entry host that the coordinator named, of its own failure domain first. The owner stays the owner: one grant, one deadline, one count; not sent is proven by the relay's word or by no connection to it, all else may have run. A server that only this host failed to reach isn't reported; one that a relay does not reach either is.

--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -254,6 +254,27 @@
     return Answer(resp)
 
 
+async def probe(address: ids.Address, seconds: float) -> bool:
+    """Return whether a new connection to a server can be made.
+
+    Nothing is sent on it.
+
+    :param seconds: longest time to make it.
+    """
+    made = _make_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
+    try:
+        async with asyncio.timeout(seconds):
+            await asyncio.get_running_loop().sock_connect(
+                made, (address.host, address.port)
+            )
+    except OSError:
+        # This includes TimeoutError.
+        return False
+    finally:
+        made.close()
+    return True
+
+
 async def cancel(
     session: aiohttp.ClientSession,
     address: ids.Address,
--- a/libs/control/geraniumweir/control/coordinator_client.py
+++ b/libs/control/geraniumweir/control/coordinator_client.py
@@ -24,6 +24,7 @@
     logevents,
     notice_exchange,
     pinging,
+    relay_hosts,
     usage_codec,
 )
 from geraniumweir.scheduling import notices, recent_usage
@@ -66,6 +67,10 @@
     )
 
 
+def _relays_nothing() -> bool:
+    return False
+
+
 class CoordinatorClient:
     """The coordinator as an entry host sees it; see :class:`views.HostView`."""
 
@@ -76,6 +81,7 @@
         known: hosts.ControlHosts,
         usage_for: typing.Callable[[ids.HostId], recent_usage.RecentUsage],
         server_notices: notices.Notices,
+        relays: typing.Callable[[], bool] = _relays_nothing,
     ) -> None:
         """Initialize without a coordinator.
 
@@ -83,7 +89,10 @@
         :param usage_for: returns what this host was granted, for a new
             coordinator.
         :param server_notices: notices of servers that this host has.
+        :param relays: returns whether this host dispatches for others.
         """
+        self._relays = relays
+        self._assigned_relays = ttypes.Relays([], [])
         self._usage_for = usage_for
         self._link = link
         self._domain = domain
@@ -135,6 +144,13 @@
         """Return this host's coordinator: itself where it is alone."""
         return self._coordinator_id or self._link.host_id
 
+    def assigned_relays(self) -> ttypes.Relays:
+        """Return the relays that a coordinator last assigned to this host.
+
+        They stay valid while this host is alone.
+        """
+        return self._assigned_relays
+
     async def run(self) -> None:
         """Ping and replace the coordinator until cancelled."""
         while True:
@@ -226,6 +242,8 @@
             self._domain,
             leaving=False,
             share=self._share,
+            relays=self._relays(),
+            relays_digest=relay_hosts.digest(self._assigned_relays),
         )
         revision = self._notice_sender.fill(host_id, ping)
         try:
@@ -234,11 +252,18 @@
             return None
         self._notice_sender.handle_pong(host_id, revision, pong)
         self._seen_host_count = pong.hosts
+        if pong.relays is not None and host_id == self._coordinator_id:
+            self._set_relays(pong.relays)
         if pong.leads:
             self._host_count = pong.hosts
             self._share = pong.share
         return pong
 
+    def _set_relays(self, relays: ttypes.Relays) -> None:
+        # A coordinator that has just started knows none yet.
+        if relays.near or relays.far:
+            self._assigned_relays = relays
+
     def _set_coordinator(self, host_id: ids.HostId) -> None:
         if host_id == self._coordinator_id:
             return
--- a/libs/control/geraniumweir/control/leadership.py
+++ b/libs/control/geraniumweir/control/leadership.py
@@ -21,6 +21,7 @@
     notice_exchange,
     pinging,
     recorders,
+    relay_hosts,
     stall_detector,
 )
 from geraniumweir.scheduling import notices
@@ -69,6 +70,7 @@
     """The entry hosts that a control host can or could lately reach.
 
     :ivar demand: what they requested from this host as the coordinator.
+    :ivar relays: those that dispatch requests for others.
     """
 
     def __init__(self, quota_seconds: float) -> None:
@@ -77,6 +79,7 @@
         :param quota_seconds: length of the window over which quotas hold.
         """
         self.demand = demand.Demand()
+        self.relays = relay_hosts.RelayHosts()
         self._quota_seconds = quota_seconds
         self._term_start = float('inf')
         self._partitions: list[_Partition] = []
@@ -109,6 +112,11 @@
         self._last_seen.pop(host_id, None)
         self._last_seen[host_id] = now
 
+    def is_reachable(self, host_id: ids.HostId, now: float) -> bool:
+        """Return whether an entry host was heard lately."""
+        seen_at = self._last_seen.get(host_id, float('-inf'))
+        return now - seen_at <= REACHABLE_SECONDS
+
     def set_share(self, host_id: ids.HostId, share: float) -> None:
         """Record the share of all requests that was last sent to a host."""
         self._shares[host_id] = share
@@ -120,6 +128,7 @@
         self._shares.pop(host_id, None)
         self._initial_shares.pop(host_id, None)
         self.demand.remove(host_id)
+        self.relays.remove(host_id)
 
     def set_reported_count(self, host_count: int, now: float) -> None:
         """Record the number of entry hosts that the log's leader reported."""
@@ -358,6 +367,23 @@
             return self.entry_hosts.standalone_share_for(host_id, now)
         return self.entry_hosts.share_of(host_id, now)
 
+    def _relays_for(
+        self,
+        host_id: ids.HostId,
+        ping: ttypes.Ping,
+        now: float,
+    ) -> ttypes.Relays | None:
+        """Return the relays of an entry host, None if it knows them."""
+        if ping.relays_digest is None:
+            return None
+        found = self.entry_hosts.relays.assign(
+            host_id,
+            ids.FailureDomain(ping.failure_domain),
+            lambda other: self.entry_hosts.is_reachable(other, now),
+        )
+        same = relay_hosts.digest(found) == ping.relays_digest
+        return None if same else found
+
     def _log_quota_share(self) -> None:
         """Log the share that is granted here when it has changed."""
         quota_share = self.share()
@@ -385,6 +411,11 @@
             self.entry_hosts.remove_host(sender)
         else:
             self.entry_hosts.heard(sender, now)
+            self.entry_hosts.relays.record(
+                sender,
+                ids.FailureDomain(ping.failure_domain),
+                bool(ping.relays),
+            )
         if ping.share is not None:
             self.entry_hosts.set_share(sender, ping.share)
         self._notice_receiver.apply_notices(sender, ping)
@@ -395,6 +426,7 @@
             hosts=self.entry_hosts.count(now),
             heard=self.entry_hosts.count_reachable(now),
             share=self._share_for(sender, now),
+            relays=self._relays_for(sender, ping, now),
         )
         self._notice_receiver.fill(ping, pong)
         return pong
--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -8,7 +8,6 @@
 import dataclasses
 import typing
 
-import aiohttp
 from geraniumweir.backends import calls
 from geraniumweir.backends import errors as backend_errors
 from geraniumweir.common import ids
@@ -17,6 +16,7 @@
     errors,
     events,
     outcomes,
+    relay_client,
     request_record,
     response_writer,
 )
@@ -85,7 +85,7 @@
         response.
     """
 
-    session: aiohttp.ClientSession
+    sender: relay_client.RequestSender
     codec: codec.Codec
     caller_request: codec.Request
     body: bytes
@@ -112,7 +112,15 @@
             self.body,
         )
         try:
-            answer = await calls.send(self.session, self.address, sent)
+            answer = await self.sender.send(
+                self.dispatch.server_id, self.address, sent
+            )
+        except relay_client.UnconfirmedError as exc:
+            return outcomes.NotRun(
+                exc.message,
+                arrived=False,
+                own_path=self.sender.paths.is_cut,
+            )
         except backend_errors.NotSentError as exc:
             return outcomes.NotRun(exc.message, arrived=False)
         except backend_errors.AnswerError as exc:
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -13,9 +13,7 @@
 import functools
 import typing
 
-import aiohttp
 from aiohttp import web
-from geraniumweir.common import eventlog, ids
 from geraniumweir.gateway import (
     attempts,
     codec,
@@ -23,12 +21,14 @@
     logevents,
     outcomes,
     refusals,
+    relay_client,
     request_record,
+    response_notices,
     response_writer,
 )
 from geraniumweir.observe import metricnames, metrics
 from geraniumweir.routing import tables
-from geraniumweir.scheduling import notices, requests, views
+from geraniumweir.scheduling import requests, views
 
 # Rejections after which a request is refused: if two more servers reject it
 # too, it is unlikely that another one accepts it.
@@ -49,11 +49,10 @@
 class SharedResources:
     """Resources that all requests of a host share."""
 
-    session: aiohttp.ClientSession
+    sender: relay_client.RequestSender
     codec: codec.Codec
     scheduler: views.Scheduler
-    host_id: ids.HostId
-    server_notices: notices.Notices
+    server_notices: response_notices.NoticeRecorder
     check: GrantCheck
     meter: metrics.Metrics
 
@@ -313,7 +312,7 @@
         admitted = self._admitted
         customer = admitted.customer
         return attempts.Attempt(
-            session=self._shared.session,
+            sender=self._shared.sender,
             codec=self._shared.codec,
             caller_request=admitted.caller_request,
             body=admitted.body,
@@ -338,24 +337,7 @@
         head: codec.ResponseHead,
     ) -> None:
         """Record the notices in the head of a server's response."""
-        for content in head.said:
-            if isinstance(content, notices.Unreadable):
-                eventlog.emit(
-                    logevents.NOTICE_UNREADABLE,
-                    server=grant.server_id,
-                    said=content.said,
-                )
-                continue
-            self._shared.server_notices.apply(
-                notices.Notice(
-                    grant.server_id,
-                    grant.incarnation,
-                    content,
-                    self._shared.host_id,
-                    started,
-                    response_writer.now(),
-                ),
-            )
+        self._shared.server_notices.record(grant.start, started, head)
 
     def _report_first_event(self, seconds: float) -> None:
         if self._admitted.slot_request.streams:
@@ -394,13 +376,20 @@
     match outcome:
         case outcomes.CompleteResponse() | outcomes.CompleteStream():
             return requests.Outcome.done
-        case outcomes.NotRun(wrong_server=True):
-            return requests.Outcome.wrong_server
-        case outcomes.NotRun(arrived=True):
-            return requests.Outcome.turned_away
         case outcomes.NotRun():
-            return requests.Outcome.not_sent
+            return _not_run_outcome(outcome)
         case outcomes.Failed(answer=None):
             return requests.Outcome.failed
         case outcomes.Failed():
             return requests.Outcome.answered_failure
+
+
+def _not_run_outcome(outcome: outcomes.NotRun) -> requests.Outcome:
+    if outcome.wrong_server:
+        return requests.Outcome.wrong_server
+    if outcome.arrived:
+        return requests.Outcome.turned_away
+    if outcome.own_path:
+        # Says nothing about the server, which other hosts may reach.
+        return requests.Outcome.given_up
+    return requests.Outcome.not_sent
--- a/libs/gateway/geraniumweir/gateway/grant_check.py
+++ b/libs/gateway/geraniumweir/gateway/grant_check.py
@@ -42,17 +42,24 @@
         self._clock = clock
 
     def unusable_reason(self, grant: requests.Grant) -> UnusableReason | None:
-        """Return why a grant can't be used, None if it can.
+        """Return why a grant can't be used, None if it can."""
+        return self.unusable_start(grant.start)
+
+    def unusable_start(
+        self,
+        start: notices.ServerIncarnation,
+    ) -> UnusableReason | None:
+        """Return why this host may not send to a server, None if it may.
 
         A server that is leaving is also recorded as a notice, so that the
         pool leader learns of it.
         """
-        if self._servers.is_leaving(grant.start):
+        if self._servers.is_leaving(start):
             now = self._clock.now()
             self._server_notices.apply(
-                notices.leaving(grant.start, self._host_id, now)
+                notices.leaving(start, self._host_id, now)
             )
             return UnusableReason.leaving
-        if grant.start in self._server_notices.pauses(self._host_id):
+        if start in self._server_notices.pauses(self._host_id):
             return UnusableReason.pausing
         return None
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -5,7 +5,9 @@
 import contextlib
 import dataclasses
 import socket
+import typing
 
+import aiohttp
 from aiohttp import web
 from geraniumweir.backends import calls
 from geraniumweir.common import eventlog, ids, starting, timers
@@ -25,6 +27,10 @@
     listening,
     logevents,
     readiness,
+    relay_client,
+    relay_server,
+    response_notices,
+    server_paths,
     serving,
 )
 from geraniumweir.observe import metricnames, metrics
@@ -55,6 +61,10 @@
 _POLL_SECONDS = 0.05
 
 
+def _no_address(_host_id: ids.HostId) -> None:
+    """Return no address."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """Settings of an entry host.
@@ -69,6 +79,9 @@
         has no figures of.
     :ivar grace_seconds: seconds from the stop signal until the process is
         killed.
+    :ivar relay: address at which other entry hosts send requests for backend
+        servers that they don't reach, None to dispatch for no others.
+    :ivar relay_of: returns that address of another entry host.
     :ivar callers_socket: socket that listens at ``callers`` already, None
         without one.
     """
@@ -84,6 +97,8 @@
     tolerance: quotas.Tolerance
     grace_seconds: float
     callers_socket: socket.socket | None = None
+    relay: ids.Address | None = None
+    relay_of: typing.Callable[[ids.HostId], ids.Address | None] = _no_address
 
 
 class EntryHost:
@@ -114,7 +129,14 @@
             self.watcher.hosts,
             self._get_usage,
             self._server_notices,
+            self._relays_for_others,
+        )
+        self._paths = server_paths.ServerPaths(
+            self._clock,
+            calls.probe,
+            lambda: [one.address for one in self.watcher.servers.known()],
         )
+        self._relay_server: relay_server.RelayServer | None = None
         self._roster = pool_servers.PoolServers(
             self.watcher.servers,
             self._index,
@@ -191,20 +213,7 @@
         session = await stack.enter_async_context(
             calls.make_session(_CONNECT_SECONDS, _BACKEND_IDLE_SECONDS),
         )
-        shared = forwarding.SharedResources(
-            session,
-            self._codec,
-            self._scheduler,
-            self._cfg.host_id,
-            self._server_notices,
-            grant_check.GrantCheck(
-                self._cfg.host_id,
-                self._server_notices,
-                self._roster,
-                self._clock,
-            ),
-            self._meter,
-        )
+        shared = self._shared_resources(session)
         caller_server = serving.CallerServer(
             serving.HostLocation(self._cfg.host_id, self._cfg.failure_domain),
             self.document_state,
@@ -212,6 +221,7 @@
             self._meter,
         )
         self._start(stack)
+        await self._serve_others(stack, session, shared)
         ready = listening.make_runner(self._readiness.server())
         await listening.listen(stack, ready, self._cfg.ready)
         callers = listening.make_runner(caller_server.server())
@@ -229,6 +239,68 @@
         await stop.wait()
         await self._drain(caller_server, callers)
 
+    def _shared_resources(
+        self,
+        session: aiohttp.ClientSession,
+    ) -> forwarding.SharedResources:
+        return forwarding.SharedResources(
+            relay_client.RequestSender(
+                session, self._paths, self._relays, self._meter, self._clock
+            ),
+            self._codec,
+            self._scheduler,
+            response_notices.NoticeRecorder(
+                self._cfg.host_id, self._server_notices, self._clock
+            ),
+            grant_check.GrantCheck(
+                self._cfg.host_id,
+                self._server_notices,
+                self._roster,
+                self._clock,
+            ),
+            self._meter,
+        )
+
+    async def _serve_others(
+        self,
+        stack: contextlib.AsyncExitStack,
+        session: aiohttp.ClientSession,
+        shared: forwarding.SharedResources,
+    ) -> None:
+        """Dispatch requests for other entry hosts from now on."""
+        if self._cfg.relay is None:
+            return
+        self._relay_server = relay_server.RelayServer(
+            relay_server.Dependencies(
+                session,
+                self._codec,
+                self.watcher.servers.get,
+                self._paths,
+                shared.check,
+                shared.server_notices,
+                self._meter,
+            ),
+        )
+        runner = listening.make_runner(self._relay_server.server())
+        await listening.listen(stack, runner, self._cfg.relay)
+
+    def _relays_for_others(self) -> bool:
+        return self._relay_server is not None and self._relay_server.accepts()
+
+    def _relays(self) -> relay_client.Relays:
+        assigned = self._coordinator.assigned_relays()
+        return relay_client.Relays(
+            self._relay_addresses(assigned.near),
+            self._relay_addresses(assigned.far),
+        )
+
+    def _relay_addresses(
+        self,
+        host_ids: typing.Iterable[str],
+    ) -> tuple[ids.Address, ...]:
+        found = (self._cfg.relay_of(ids.HostId(one)) for one in host_ids)
+        return tuple(filter(None, found))
+
     def _limited_servers(self) -> dict[tuple[str, ...], float]:
         """Return the number of servers with a rate limit, by pool."""
         counted: collections.Counter[tuple[str, ...]] = collections.Counter()
@@ -260,10 +332,19 @@
         stack.push_async_callback(self._link.close)
         stack.callback(self._service.close)
         stack.callback(self._broker.close)
-        for work in (self.watcher.run(), self._coordinator.run()):
+        for work in (
+            self.watcher.run(),
+            self._coordinator.run(),
+            self._paths.run(),
+        ):
             task = asyncio.create_task(work)
             stack.callback(task.cancel)
 
+    def _is_busy(self, caller_server: serving.CallerServer) -> bool:
+        """Return whether requests of callers or other entry hosts are open."""
+        relayed = self._relay_server.open if self._relay_server else 0
+        return bool(caller_server.traffic.open or relayed)
+
     async def _drain(
         self,
         caller_server: serving.CallerServer,
@@ -274,6 +355,8 @@
         end = started + self._cfg.grace_seconds - _FORCED_CLOSE_SECONDS
         self._readiness.leave()
         caller_server.traffic.closing = True
+        if self._relay_server is not None:
+            self._relay_server.closing = True
         eventlog.emit(
             logevents.DRAINING,
             open=caller_server.traffic.open,
@@ -283,7 +366,7 @@
         for site in list(callers.sites):
             await site.stop()
         caller_server.close_idle()
-        while caller_server.traffic.open and self._clock.now() < end:
+        while self._is_busy(caller_server) and self._clock.now() < end:
             await asyncio.sleep(_POLL_SECONDS)
         await self._coordinator.leave()
         eventlog.emit(logevents.STOPPED, open=caller_server.traffic.open)
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -56,6 +56,27 @@
     'request {request} not sent to server {server}, which is {reason}',
 )
 RETRIED: typing.Final = _Event(168, _Level.info, 'request {request} is retried')
+SERVERS_UNREACHABLE: typing.Final = _Event(
+    170,
+    _Level.warning,
+    'this host reaches no backend server, {servers} failed; requests are sent'
+    ' through relays',
+)
+SERVERS_REACHABLE: typing.Final = _Event(
+    171,
+    _Level.notice,
+    'this host reaches backend servers again; {doubtful} paths are in doubt',
+)
+RELAY_REFUSED: typing.Final = _Event(
+    172,
+    _Level.info,
+    'request of another entry host is {outcome}: {reason}',
+)
+RELAY_BROKE_OFF: typing.Final = _Event(
+    173,
+    _Level.info,
+    'response to another entry host aborted: {reason}',
+)
 NOT_RETRIED: typing.Final = _Event(
     169,
     _Level.info,
--- a/libs/gateway/geraniumweir/gateway/outcomes.py
+++ b/libs/gateway/geraniumweir/gateway/outcomes.py
@@ -24,11 +24,14 @@
 
     :ivar arrived: whether the request reached the server.
     :ivar wrong_server: whether another server has the address.
+    :ivar own_path: whether this host reaches no server, so that nothing is
+        known about this one.
     """
 
     reason: str
     arrived: bool
     wrong_server: bool = False
+    own_path: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/libs/gateway/geraniumweir/gateway/server_paths.py
@@ -0,0 +1,134 @@
+"""Paths from this host to backend servers, as its own connections show them.
+
+That a connection to a server fails says nothing yet about the server: the
+fault may be this host's. A path that failed is in doubt, and nothing is sent on
+it until a new connection to the server could be made. Once the paths to two
+servers failed and none worked since, all paths are in doubt.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import random
+import typing
+
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.gateway import logevents
+
+# A partition lasts seconds; meanwhile requests are dispatched through relays.
+_PROBE_SECONDS = 0.5
+# Some hundred round trips; a lost SYN packet is sent again by the next probe.
+_CONNECT_SECONDS = 0.3
+# Probes of one round while none succeeds, and after one did.
+_MAX_PROBES = 2
+_MAX_PROBES_AFTER_SUCCESS = 16
+# Servers that must have failed before all paths are in doubt.
+_MIN_FAILED_SERVERS = 2
+# A path that wasn't probed for so long is tried again: its server may be gone.
+_MAX_DOUBT_SECONDS = 30.0
+
+Probe = typing.Callable[[ids.Address, float], typing.Awaitable[bool]]
+KnownServers = typing.Callable[[], typing.Sequence[ids.Address]]
+
+
+class ServerPaths:
+    """State of the paths to all servers.
+
+    :ivar is_cut: whether all paths are in doubt.
+    """
+
+    def __init__(
+        self,
+        clock: timers.TimerService,
+        probe: Probe,
+        known: KnownServers,
+    ) -> None:
+        """Initialize without doubts.
+
+        :param probe: returns whether a connection to an address can be made
+            within some seconds.
+        :param known: returns the addresses of all servers.
+        """
+        self.is_cut = False
+        self._known = known
+        self._rng = random.Random()
+        self._cut_found = asyncio.Event()
+        self._clock = clock
+        self._probe = probe
+        self._doubted: dict[ids.Address, float] = {}
+        self._failed_since_success: set[ids.Address] = set()
+
+    def is_doubtful(self, address: ids.Address) -> bool:
+        """Return whether nothing should be sent on the path to a server."""
+        return self.is_cut or address in self._doubted
+
+    def record_failure(self, address: ids.Address) -> None:
+        """Record that a connection failed, or broke during a request."""
+        self._doubted.setdefault(address, self._clock.now())
+        self._failed_since_success.add(address)
+        failed = len(self._failed_since_success)
+        if not self.is_cut and failed >= _MIN_FAILED_SERVERS:
+            self.is_cut = True
+            self._cut_found.set()
+            eventlog.emit(logevents.SERVERS_UNREACHABLE, servers=failed)
+
+    def record_success(self, address: ids.Address) -> None:
+        """Record that a connection to a server was made or a head came."""
+        self._doubted.pop(address, None)
+        self._failed_since_success.clear()
+        if self.is_cut:
+            self.is_cut = False
+            eventlog.emit(
+                logevents.SERVERS_REACHABLE, doubtful=len(self._doubted)
+            )
+
+    async def run(self) -> None:
+        """Probe the paths in doubt until cancelled."""
+        while True:
+            self._cut_found.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_PROBE_SECONDS):
+                    await self._cut_found.wait()
+            if await self._probe_some(_MAX_PROBES):
+                await self._probe_some(_MAX_PROBES_AFTER_SUCCESS)
+
+    async def _probe_some(self, most: int) -> bool:
+        """Return whether a path works again.
+
+        :param most: highest number of paths to probe.
+        """
+        self._drop_old_doubts()
+        chosen = list(itertools.islice(self._doubted, most))
+        if self.is_cut:
+            # Those that failed may be down while all others are reached.
+            chosen += self._sample_others(most)
+        results = await asyncio.gather(
+            *(self._probe(address, _CONNECT_SECONDS) for address in chosen)
+        )
+        for address, works in zip(chosen, results, strict=True):
+            if works:
+                self.record_success(address)
+            else:
+                self._move_to_end(address)
+        return any(results)
+
+    def _move_to_end(self, address: ids.Address) -> None:
+        """Let the other paths in doubt be probed first."""
+        since = self._doubted.pop(address, None)
+        if since is not None:
+            self._doubted[address] = since
+
+    def _sample_others(self, most: int) -> list[ids.Address]:
+        """Return some servers whose own path is not in doubt."""
+        known = self._known()
+        sample = self._rng.sample(known, min(most, len(known)))
+        return [address for address in sample if address not in self._doubted]
+
+    def _drop_old_doubts(self) -> None:
+        oldest = self._clock.now() - _MAX_DOUBT_SECONDS
+        for address, since in list(self._doubted.items()):
+            if since < oldest:
+                self._doubted.pop(address)
+        if not self._doubted:
+            self.is_cut = False
+            self._failed_since_success.clear()
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -84,14 +84,7 @@
 
     def server(self) -> web.Server:
         """Return the HTTP server; one handler serves all requests."""
-        self._server = web.Server(
-            self.handle,
-            request_factory=_make_request,
-            handler_cancellation=True,
-            max_line_size=_DEFAULT_MAX_HEADER_BYTES,
-            max_field_size=_DEFAULT_MAX_HEADER_BYTES,
-            access_log=None,
-        )
+        self._server = make_server(self.handle)
         return self._server
 
     def close_idle(self) -> None:
@@ -260,6 +253,22 @@
             ) from exc
 
 
+def make_server(
+    handler: typing.Callable[
+        [web.BaseRequest], typing.Awaitable[web.StreamResponse]
+    ],
+) -> web.Server:
+    """Return an HTTP server; the handler is cancelled when a caller leaves."""
+    return web.Server(
+        handler,
+        request_factory=_make_request,
+        handler_cancellation=True,
+        max_line_size=_DEFAULT_MAX_HEADER_BYTES,
+        max_field_size=_DEFAULT_MAX_HEADER_BYTES,
+        access_log=None,
+    )
+
+
 def _result_label(status: int) -> str:
     """Return the metric label for a status, 0 if there was no response."""
     if not status:
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -18,6 +18,9 @@
     codec,
     forwarding,
     grant_check,
+    relay_client,
+    response_notices,
+    server_paths,
     serving,
 )
 from geraniumweir.gateway import listening as serving_at
@@ -208,6 +211,10 @@
     scheduler: Scheduler
     client: aiohttp.ClientSession
     server_notices: notices.Notices
+    paths: server_paths.ServerPaths
+    relays: list[ids.Address]
+    shared: forwarding.SharedResources
+    session: aiohttp.ClientSession
 
 
 @contextlib.asynccontextmanager
@@ -227,13 +234,21 @@
             server.address = ids.Address(_LOCAL, port)
         session = await stack.enter_async_context(calls.make_session())
         scheduler = Scheduler(servers)
-        server_notices = notices.Notices(timers.TimerService())
+        clock = timers.TimerService()
+        server_notices = notices.Notices(clock)
+        paths = server_paths.ServerPaths(clock, calls.probe, list)
+        relays: list[ids.Address] = []
         shared = forwarding.SharedResources(
-            session,
+            relay_client.RequestSender(
+                session,
+                paths,
+                lambda: relay_client.Relays(tuple(relays)),
+                metrics.Metrics(),
+                clock,
+            ),
             PlainCodec(),
             scheduler,
-            HOST,
-            server_notices,
+            response_notices.NoticeRecorder(HOST, server_notices, clock),
             grant_check.GrantCheck(
                 HOST,
                 server_notices,
@@ -253,7 +268,7 @@
             shared,
             metrics.Metrics(),
         )
-        address = ids.Address(_LOCAL, _free_port())
+        address = ids.Address(_LOCAL, free_port())
         runner = serving_at.make_runner(caller_server.server())
         await serving_at.listen(stack, runner, address)
         client = await stack.enter_async_context(aiohttp.ClientSession())
@@ -263,10 +278,15 @@
             scheduler,
             client,
             server_notices,
+            paths,
+            relays,
+            shared,
+            session,
         )
 
 
-def _free_port() -> int:
+def free_port() -> int:
+    """Return a port that nothing listens at."""
     import socket  # noqa: WPS433
 
     with socket.socket() as sock:
--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -64,6 +64,13 @@
     ' denied.',
     ('pool', 'outcome'),
 )
+RELAYED: typing.Final = Metric(
+    'geraniumweir_relayed_total',
+    Kind.counter,
+    'Requests sent through other entry hosts, or taken from them; outcome is'
+    ' answered, declined, unreachable, failed or not_reached.',
+    ('side', 'outcome'),
+)
 OUTPUT_TOKENS: typing.Final = Metric(
     'geraniumweir_output_tokens_total',
     Kind.counter,
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -1517,6 +1517,8 @@
      - share
      - notices
      - notices_revision
+     - relays
+     - relays_digest
 
     """
 
@@ -1526,15 +1528,19 @@
         'share',
         'notices',
         'notices_revision',
+        'relays',
+        'relays_digest',
     )
 
 
-    def __init__(self, failure_domain=None, leaving=None, share=None, notices=None, notices_revision=None,):
+    def __init__(self, failure_domain=None, leaving=None, share=None, notices=None, notices_revision=None, relays=None, relays_digest=None,):
         self.failure_domain = failure_domain
         self.leaving = leaving
         self.share = share
         self.notices = notices
         self.notices_revision = notices_revision
+        self.relays = relays
+        self.relays_digest = relays_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1571,6 +1577,16 @@
                     self.notices_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.relays = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.relays_digest = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1601,6 +1617,110 @@
             oprot.writeFieldBegin('notices_revision', TType.I64, 7)
             oprot.writeI64(self.notices_revision)
             oprot.writeFieldEnd()
+        if self.relays is not None:
+            oprot.writeFieldBegin('relays', TType.BOOL, 8)
+            oprot.writeBool(self.relays)
+            oprot.writeFieldEnd()
+        if self.relays_digest is not None:
+            oprot.writeFieldBegin('relays_digest', TType.I32, 9)
+            oprot.writeI32(self.relays_digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Relays(object):
+    """
+    Attributes:
+     - near
+     - far
+
+    """
+
+    __slots__ = (
+        'near',
+        'far',
+    )
+
+
+    def __init__(self, near=None, far=None,):
+        self.near = near
+        self.far = far
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.near = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.near.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.far = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.far.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Relays')
+        if self.near is not None:
+            oprot.writeFieldBegin('near', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.near))
+            for iter82 in self.near:
+                oprot.writeString(iter82.encode('utf-8') if sys.version_info[0] == 2 else iter82)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.far is not None:
+            oprot.writeFieldBegin('far', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.far))
+            for iter83 in self.far:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1636,6 +1756,7 @@
      - share
      - notices
      - notices_revision
+     - relays
 
     """
 
@@ -1647,10 +1768,11 @@
         'share',
         'notices',
         'notices_revision',
+        'relays',
     )
 
 
-    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None, notices=None, notices_revision=None,):
+    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None, notices=None, notices_revision=None, relays=None,):
         self.leads = leads
         self.stands_in = stands_in
         self.hosts = hosts
@@ -1658,6 +1780,7 @@
         self.share = share
         self.notices = notices
         self.notices_revision = notices_revision
+        self.relays = relays
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1704,6 +1827,12 @@
                     self.notices_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.relays = Relays()
+                    self.relays.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1742,6 +1871,10 @@
             oprot.writeFieldBegin('notices_revision', TType.I64, 9)
             oprot.writeI64(self.notices_revision)
             oprot.writeFieldEnd()
+        if self.relays is not None:
+            oprot.writeFieldBegin('relays', TType.STRUCT, 10)
+            self.relays.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1802,11 +1935,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.amounts = {}
-                    (_ktype71, _vtype72, _size70) = iprot.readMapBegin()
-                    for _i74 in range(_size70):
-                        _key75 = iprot.readI32()
-                        _val76 = iprot.readI32()
-                        self.amounts[_key75] = _val76
+                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
+                    for _i88 in range(_size84):
+                        _key89 = iprot.readI32()
+                        _val90 = iprot.readI32()
+                        self.amounts[_key89] = _val90
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1827,9 +1960,9 @@
         if self.amounts is not None:
             oprot.writeFieldBegin('amounts', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.amounts))
-            for kiter77, viter78 in self.amounts.items():
-                oprot.writeI32(kiter77)
-                oprot.writeI32(viter78)
+            for kiter91, viter92 in self.amounts.items():
+                oprot.writeI32(kiter91)
+                oprot.writeI32(viter92)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1898,33 +2031,33 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.requests = {}
-                    (_ktype80, _vtype81, _size79) = iprot.readMapBegin()
-                    for _i83 in range(_size79):
-                        _key84 = iprot.readI32()
-                        _val85 = iprot.readI32()
-                        self.requests[_key84] = _val85
+                    (_ktype94, _vtype95, _size93) = iprot.readMapBegin()
+                    for _i97 in range(_size93):
+                        _key98 = iprot.readI32()
+                        _val99 = iprot.readI32()
+                        self.requests[_key98] = _val99
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.here = {}
-                    (_ktype87, _vtype88, _size86) = iprot.readMapBegin()
-                    for _i90 in range(_size86):
-                        _key91 = iprot.readI32()
-                        _val92 = iprot.readI32()
-                        self.here[_key91] = _val92
+                    (_ktype101, _vtype102, _size100) = iprot.readMapBegin()
+                    for _i104 in range(_size100):
+                        _key105 = iprot.readI32()
+                        _val106 = iprot.readI32()
+                        self.here[_key105] = _val106
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.elsewhere = {}
-                    (_ktype94, _vtype95, _size93) = iprot.readMapBegin()
-                    for _i97 in range(_size93):
-                        _key98 = iprot.readI32()
-                        _val99 = iprot.readI32()
-                        self.elsewhere[_key98] = _val99
+                    (_ktype108, _vtype109, _size107) = iprot.readMapBegin()
+                    for _i111 in range(_size107):
+                        _key112 = iprot.readI32()
+                        _val113 = iprot.readI32()
+                        self.elsewhere[_key112] = _val113
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1945,25 +2078,25 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.requests))
-            for kiter100, viter101 in self.requests.items():
-                oprot.writeI32(kiter100)
-                oprot.writeI32(viter101)
+            for kiter114, viter115 in self.requests.items():
+                oprot.writeI32(kiter114)
+                oprot.writeI32(viter115)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.here is not None:
             oprot.writeFieldBegin('here', TType.MAP, 3)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.here))
-            for kiter102, viter103 in self.here.items():
-                oprot.writeI32(kiter102)
-                oprot.writeI32(viter103)
+            for kiter116, viter117 in self.here.items():
+                oprot.writeI32(kiter116)
+                oprot.writeI32(viter117)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.elsewhere is not None:
             oprot.writeFieldBegin('elsewhere', TType.MAP, 4)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.elsewhere))
-            for kiter104, viter105 in self.elsewhere.items():
-                oprot.writeI32(kiter104)
-                oprot.writeI32(viter105)
+            for kiter118, viter119 in self.elsewhere.items():
+                oprot.writeI32(kiter118)
+                oprot.writeI32(viter119)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2032,11 +2165,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.customers = []
-                    (_etype109, _size106) = iprot.readListBegin()
-                    for _i110 in range(_size106):
-                        _elem111 = CustomerSpent()
-                        _elem111.read(iprot)
-                        self.customers.append(_elem111)
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = CustomerSpent()
+                        _elem125.read(iprot)
+                        self.customers.append(_elem125)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2048,11 +2181,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.pools = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = PoolCounts()
-                        _elem117.read(iprot)
-                        self.pools.append(_elem117)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = PoolCounts()
+                        _elem131.read(iprot)
+                        self.pools.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2073,8 +2206,8 @@
         if self.customers is not None:
             oprot.writeFieldBegin('customers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.customers))
-            for iter118 in self.customers:
-                iter118.write(oprot)
+            for iter132 in self.customers:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.retries_known_seconds is not None:
@@ -2084,8 +2217,8 @@
         if self.pools is not None:
             oprot.writeFieldBegin('pools', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.pools))
-            for iter119 in self.pools:
-                iter119.write(oprot)
+            for iter133 in self.pools:
+                iter133.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2562,6 +2695,14 @@
     None,  # 5
     (6, TType.STRUCT, 'notices', [Notices, None], None, ),  # 6
     (7, TType.I64, 'notices_revision', None, None, ),  # 7
+    (8, TType.BOOL, 'relays', None, None, ),  # 8
+    (9, TType.I32, 'relays_digest', None, None, ),  # 9
+)
+all_structs.append(Relays)
+Relays.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'near', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'far', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(Pong)
 Pong.thrift_spec = (
@@ -2575,6 +2716,7 @@
     None,  # 7
     (8, TType.STRUCT, 'notices', [Notices, None], None, ),  # 8
     (9, TType.I64, 'notices_revision', None, None, ),  # 9
+    (10, TType.STRUCT, 'relays', [Relays, None], None, ),  # 10
 )
 all_structs.append(CustomerSpent)
 CustomerSpent.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -139,6 +139,8 @@
 // share: its part of all requests, as it was last told.
 // notices: those that are new since its last ping was answered.
 // notices_revision: of the answerer, up to which the asker has its notices.
+// relays: whether it dispatches requests for other entry hosts.
+// relays_digest: of the relays that it was last told of.
 // Numbers 4 and 5 were used by earlier releases.
 struct Ping {
   1: string failure_domain
@@ -146,6 +148,15 @@
   3: optional double share
   6: optional Notices notices
   7: optional i64 notices_revision
+  8: optional bool relays
+  9: optional i32 relays_digest
+}
+
+// Entry hosts that dispatch requests for another one: those in its failure
+// domain, and some in others.
+struct Relays {
+  1: list<string> near
+  2: list<string> far
 }
 
 // leads: the answerer leads the log. stands_in: it coordinates because it
@@ -161,6 +172,8 @@
   // Those that the asker doesn't have yet.
   8: optional Notices notices
   9: optional i64 notices_revision
+  // Where the digest differs.
+  10: optional Relays relays
 }
 
 // What an entry host was granted of a customer's quota: amounts by how many
