Brittle servers: keep what they have to reject in a second within what they bear

Change: read strictly at the boundary, told as limits of requests are, kept by whoever grants: requests that a server has not begun to answer and its rejections of the last 1.1 s stay within the number together. A host that is alone keeps to its part of it.

--- a/libs/control/geraniumweir/control/notice_exchange.py
+++ b/libs/control/geraniumweir/control/notice_exchange.py
@@ -20,7 +20,8 @@
 # Durations are sent as 32-bit numbers; a longer one is cut to this.
 _MAX_MS = 2_000_000_000
 _NO_HOST = ids.HostId('')
-_NoticeStruct = ttypes.RateLimit | ttypes.Leaving | ttypes.Pause
+_LimitStruct = ttypes.RateLimit | ttypes.RejectionLimit
+_NoticeStruct = _LimitStruct | ttypes.Leaving | ttypes.Pause
 
 
 class NoticeSender:
@@ -143,17 +144,20 @@
 
     :param now: in seconds.
     """
-    message = ttypes.Notices([], [], [])
+    message = ttypes.Notices([], [], [], [])
     for one in found:
         heard_ms = _to_ms(now - one.received_at)
         match one.content:
             case notices.RateLimit(per_second=per_second):
+                sent_ms = _to_ms(now - one.sent_at)
                 message.limits.append(
-                    ttypes.RateLimit(
-                        *one.start,
-                        per_second,
-                        _to_ms(now - one.sent_at),
-                        heard_ms,
+                    ttypes.RateLimit(*one.start, per_second, sent_ms, heard_ms),
+                )
+            case notices.RejectionLimit(per_second=per_second):
+                sent_ms = _to_ms(now - one.sent_at)
+                message.rejection_limits.append(
+                    ttypes.RejectionLimit(
+                        *one.start, per_second, sent_ms, heard_ms
                     ),
                 )
             case notices.Leaving():
@@ -189,6 +193,7 @@
     received: ttypes.Notices,
 ) -> typing.Iterator[typing.Iterable[_NoticeStruct]]:
     yield received.limits or ()
+    yield received.rejection_limits or ()
     yield received.leaving or ()
     yield received.pauses or ()
 
@@ -197,7 +202,7 @@
     if one.server_id is None or one.incarnation is None:
         return False
     match one:
-        case ttypes.RateLimit():
+        case ttypes.RateLimit() | ttypes.RejectionLimit():
             return _is_readable_limit(one)
         case ttypes.Leaving():
             return one.heard_ms is not None
@@ -205,7 +210,7 @@
             return one.left_ms is not None
 
 
-def _is_readable_limit(one: ttypes.RateLimit) -> bool:
+def _is_readable_limit(one: _LimitStruct) -> bool:
     if one.sent_ms is None or one.heard_ms is None:
         return False
     rate = one.per_second
@@ -221,6 +226,10 @@
             content = notices.RateLimit(one.per_second)
             sent_at = now - one.sent_ms / _MS
             heard_at = now - one.heard_ms / _MS
+        case ttypes.RejectionLimit():
+            content = notices.RejectionLimit(one.per_second)
+            sent_at = now - one.sent_ms / _MS
+            heard_at = now - one.heard_ms / _MS
         case ttypes.Leaving():
             content = notices.Leaving()
             heard_at = now - one.heard_ms / _MS
--- a/libs/control/geraniumweir/control/pool_coordination.py
+++ b/libs/control/geraniumweir/control/pool_coordination.py
@@ -93,6 +93,21 @@
             for start, per_second in named.items()
         }
 
+    def rejections(self) -> dict[notices.ServerIncarnation, int]:
+        """Return the share of servers' rejection limits to cause here."""
+        if self.server_notices is None:
+            return {}
+        named = self.server_notices.rejection_limits()
+        share = self.share() if named else 1
+        return {
+            start: ratelimits.share_of_rejections(
+                per_second,
+                share,
+                rendezvous.rand(self.link.host_id, start[0]),
+            )
+            for start, per_second in named.items()
+        }
+
     def pauses(
         self,
         host_id: ids.HostId,
@@ -264,6 +279,7 @@
         deps.guide(pool) if deps.guide else None,
         deps.rates,
         deps.pauses,
+        deps.rejections,
     )
     if deps.on_new_leader is not None:
         deps.on_new_leader(new_leader)
--- a/libs/control/geraniumweir/control/tests/test_notice_exchange.py
+++ b/libs/control/geraniumweir/control/tests/test_notice_exchange.py
@@ -123,6 +123,24 @@
     virtual.run(work())
 
 
+def test_rejection_limit_reaches_all_hosts() -> None:
+    """Also its end; a host that is alone needs it to know its part."""
+
+    async def work() -> None:
+        bed = _Bed()
+        first, second = bed.entries
+        await asyncio.sleep(1)
+        for limit, expected in ((2, {_START: 2}), (None, {})):
+            first.receive(notices.RejectionLimit(limit))
+            await asyncio.sleep(0.02)
+            assert bed.controls[0].known.rejection_limits() == expected
+            await asyncio.sleep(_KNOWN_SECONDS)
+            assert second.known.rejection_limits() == expected
+            assert not second.known.limits()
+
+    virtual.run(work())
+
+
 def test_new_coordinator_has_limits_before_the_first_slot_request() -> None:
     """Each host sends all its notices when it contacts a coordinator."""
 
--- a/libs/scheduling/geraniumweir/scheduling/logevents.py
+++ b/libs/scheduling/geraniumweir/scheduling/logevents.py
@@ -59,6 +59,11 @@
     logevents.Level.info,
     'server {server} asked {asked} to pause for {seconds} s',
 )
+REJECTION_LIMIT = logevents.Event(
+    254,
+    logevents.Level.notice,
+    'server {server} bears {per_second} rejections per second from all hosts',
+)
 RETRY_DENIED = logevents.Event(
     252,
     logevents.Level.info,
--- a/libs/scheduling/geraniumweir/scheduling/notices.py
+++ b/libs/scheduling/geraniumweir/scheduling/notices.py
@@ -36,6 +36,19 @@
     per_second: float | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RejectionLimit:
+    """Rejections that a server bears from all hosts together.
+
+    A server that has to reject more requests in a second, as it has no room for
+    them, fails.
+
+    :ivar per_second: the limit, None for no limit.
+    """
+
+    per_second: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leaving:
     """The server shuts down: it finishes its requests and accepts none."""
@@ -61,9 +74,11 @@
     said: str
 
 
-Content = RateLimit | Leaving | Pause
+Content = RateLimit | RejectionLimit | Leaving | Pause
+_Limit = RateLimit | RejectionLimit
 _Key = tuple[ServerIncarnation, ids.HostId]
 _ALL_HOSTS = ids.HostId('')
+_NO_LIMITS = (RateLimit(None), RejectionLimit(None))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,7 +118,7 @@
         older than the limit, however late it arrives.
         """
         match self.content:
-            case RateLimit(per_second=None):
+            case RateLimit(per_second=None) | RejectionLimit(per_second=None):
                 return self.sent_at > known.received_at
             case Pause():
                 return self.until > known.until
@@ -113,9 +128,9 @@
     def is_expired(self, now: float) -> bool:
         """Return whether it can be removed."""
         match self.content:
-            case RateLimit(per_second=None):
+            case RateLimit(per_second=None) | RejectionLimit(per_second=None):
                 return now - self.received_at > _ENDED_RETENTION_SECONDS
-            case RateLimit():
+            case RateLimit() | RejectionLimit():
                 return False
             case Leaving():
                 return now - self.received_at > _LEAVING_RETENTION_SECONDS
@@ -152,6 +167,7 @@
         self._clock = clock
         self._rows: dict[type[Content], dict[_Key, _Row]] = {
             RateLimit: {},
+            RejectionLimit: {},
             Leaving: {},
             Pause: {},
         }
@@ -165,21 +181,18 @@
 
     def limits(self) -> dict[ServerIncarnation, float]:
         """Return the limits that hold, in requests per second."""
-        found = {}
-        for notice in self.limits_since(0):
-            content = notice.content
-            if (
-                isinstance(content, RateLimit)
-                and content.per_second is not None
-            ):
-                found[notice.start] = content.per_second
-        return found
+        return self._in_force(RateLimit)
+
+    def rejection_limits(self) -> dict[ServerIncarnation, float]:
+        """Return the limits that hold, in rejections per second."""
+        return self._in_force(RejectionLimit)
 
     def limits_since(self, revision: int) -> list[Notice]:
         """List the limits that changed, or were lifted, after a revision."""
         return [
             row.notice
-            for row in self._rows[RateLimit].values()
+            for kind in (RateLimit, RejectionLimit)
+            for row in self._rows[kind].values()
             if row.revision > revision
         ]
 
@@ -214,7 +227,7 @@
         key = _key(notice)
         known = self._rows[type(notice.content)].get(key)
         if known is None:
-            if notice.content != RateLimit(None):
+            if notice.content not in _NO_LIMITS:
                 self._store_change(key, notice)
             return
         if not notice.supersedes(known.notice):
@@ -224,6 +237,14 @@
             return
         self._store_change(key, notice)
 
+    def _in_force(self, kind: type[_Limit]) -> dict[ServerIncarnation, float]:
+        found = {}
+        for row in self._rows[kind].values():
+            per_second = getattr(row.notice.content, 'per_second', None)
+            if per_second is not None:
+                found[row.notice.start] = per_second
+        return found
+
     def _store_change(self, key: _Key, notice: Notice) -> None:
         self._remove_expired()
         self.revision += 1
@@ -278,6 +299,12 @@
                 server=notice.server_id,
                 per_second=per_second,
             )
+        case RejectionLimit(per_second=per_second):
+            eventlog.emit(
+                logevents.REJECTION_LIMIT,
+                server=notice.server_id,
+                per_second='any' if per_second is None else per_second,
+            )
         case Leaving():
             eventlog.emit(
                 logevents.SERVER_LEAVING,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -159,6 +159,19 @@
             server.throttle = ratelimits.Throttle(per_second, now)
         else:
             server.throttle.change(per_second, now)
+    _set_rejection_budgets(leader)
+
+
+def _set_rejection_budgets(leader: state.OnTimeLeaderState) -> None:
+    limits = leader.rejections()
+    for server in leader.servers.values():
+        per_second = limits.get(server.start)
+        if per_second is None:
+            server.rejection_budget = None
+        elif server.rejection_budget is None:
+            server.rejection_budget = ratelimits.RejectionBudget(per_second)
+        else:
+            server.rejection_budget.per_second = per_second
 
 
 def _reference_servers(leader: state.OnTimeLeaderState) -> list[records.Server]:
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -53,6 +53,10 @@
             typing.Mapping[notices.ServerIncarnation, float],
         ] = dict,
         pauses: state.Pauses = _no_pauses,
+        rejections: typing.Callable[
+            [],
+            typing.Mapping[notices.ServerIncarnation, int],
+        ] = dict,
     ) -> None:
         """Initialize with an empty queue.
 
@@ -63,6 +67,8 @@
             servers that set a limit.
         :param pauses: returns the servers that asked a host for a pause, with
             the end of each pause.
+        :param rejections: returns the rejections a second that may be caused
+            here at servers that bear no more.
         """
         self._state = state.OnTimeLeaderState(
             pool=cfg.pool,
@@ -73,6 +79,7 @@
             guide=guide or controller.RolloutController(lambda: None, now),
             rates=rates,
             pauses=pauses,
+            rejections=rejections,
             takeover_ends_at=now() + cfg.takeover_seconds,
             server_seen_at=now(),
         )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
@@ -88,9 +88,7 @@
                 server, cooldowns.Cause.unreachable, now, running
             )
         case requests.Outcome.turned_away:
-            cooldowns.record_fault(
-                server, cooldowns.Cause.turned_away, now, running
-            )
+            _record_rejection(leader, running, server)
         case requests.Outcome.wrong_server:
             fleet.server_replaced(leader, server)
         case requests.Outcome.failed | requests.Outcome.crashed:
@@ -104,6 +102,17 @@
             pass
 
 
+def _record_rejection(
+    leader: state.OnTimeLeaderState,
+    running: records.Running,
+    server: records.Server,
+) -> None:
+    now = leader.now()
+    if server.rejection_budget is not None:
+        server.rejection_budget.record(now)
+    cooldowns.record_fault(server, cooldowns.Cause.turned_away, now, running)
+
+
 def _record_truncation(
     leader: state.OnTimeLeaderState,
     running: records.Running,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -86,6 +86,8 @@
         seconds.
     :ivar incomplete_answers: times and fingerprints of incomplete responses.
     :ivar throttle: limits the rate of its grants; None where it sets no limit.
+    :ivar rejection_budget: limits the requests that it may reject; None where
+        it sets no limit.
     :ivar slot_usage: for how long requests hold its slots.
     """
 
@@ -112,6 +114,7 @@
         )
     )
     throttle: ratelimits.Throttle | None = None
+    rejection_budget: ratelimits.RejectionBudget | None = None
     slot_usage: occupancy.Occupancy = dataclasses.field(
         default_factory=occupancy.Occupancy,
     )
@@ -192,6 +195,9 @@
             return 0
         max_running = self.condition.max_requests(self.slots, now)
         free_slots = max_running - len(self.running) + stuck
+        if self.rejection_budget is not None:
+            allowed = self.rejection_budget.allowed(len(self.prefilling), now)
+            free_slots = min(free_slots, allowed)
         if self.throttle is None:
             return free_slots
         return min(free_slots, self.throttle.ready(now))
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -52,6 +52,8 @@
     :ivar guide: decides what servers of each version may get.
     :ivar rates: returns the requests a second that may be granted to servers
         that set a limit.
+    :ivar rejections: returns the rejections a second that may be caused at
+        servers that bear no more.
     :ivar pauses: returns the servers that asked a host for a pause, and the end
         of each pause in seconds.
     :ivar takeover_ends_at: time before which nothing is granted, in seconds.
@@ -78,6 +80,9 @@
     rng: random.Random
     guide: controller.RolloutController
     rates: typing.Callable[[], typing.Mapping[notices.ServerIncarnation, float]]
+    rejections: typing.Callable[
+        [], typing.Mapping[notices.ServerIncarnation, int]
+    ]
     pauses: Pauses
     takeover_ends_at: float
     server_seen_at: float
--- a/libs/scheduling/geraniumweir/scheduling/ratelimits.py
+++ b/libs/scheduling/geraniumweir/scheduling/ratelimits.py
@@ -1,11 +1,13 @@
-"""Division of the request rate limits of backend servers among hosts.
+"""Division of the limits that backend servers set among hosts.
 
 See Also
 ========
 geraniumweir.scheduling.notices
 """
 
+import collections
 import dataclasses
+import math
 
 # Rate of the requests that probe a server with a limit of zero: without any
 # request there is no answer that could lift the limit.
@@ -19,6 +21,9 @@
 _DRAW_FRACTION = 0.5
 # Time for which tokens accumulate, for requests that arrive at once.
 _BURST_SECONDS = 0.5
+# Servers count rejections over a second; releases that report them are delayed
+# by a few milliseconds.
+_REJECTION_WINDOW_SECONDS = 1.1
 # Tokens are sums of fractions; a whole token may fall short by this much.
 _ROUNDING = 1e-6
 
@@ -79,3 +84,53 @@
     def take(self) -> None:
         """Count a request that was granted."""
         self._tokens -= 1
+
+
+def share_of_rejections(per_second: float, share: float, draw: float) -> int:
+    """Return the rejections per second that one host may cause of a limit.
+
+    :param share: the host's share of all requests.
+    :param draw: random number from 0 to 1, constant for host and server.
+
+    >>> share_of_rejections(5, 1, 0.5), share_of_rejections(5, 0.5, 0.9)
+    (5, 2)
+    >>> share_of_rejections(5, 0.01, 0.9), share_of_rejections(5, 0.01, 0.01)
+    (0, 1)
+    """
+    part = per_second * min(share, 1)
+    whole = math.floor(part)
+    return whole + (draw < part - whole)
+
+
+@dataclasses.dataclass(slots=True)
+class RejectionBudget:
+    """Rejections that may still be caused at a server within a second.
+
+    Any request that the server didn't begin to answer may be rejected yet.
+
+    >>> one = RejectionBudget(3)
+    >>> one.record(10)
+    >>> one.allowed(1, 10.5), one.allowed(2, 10.5), one.allowed(1, 11.2)
+    (1, 0, 2)
+
+    :ivar per_second: rejections that may be caused here.
+    """
+
+    per_second: int
+    _rejected_at: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def record(self, now: float) -> None:
+        """Record a rejection, at a time in seconds."""
+        self._rejected_at.append(now)
+
+    def allowed(self, unanswered: int, now: float) -> int:
+        """Return how many more requests may be granted.
+
+        :param unanswered: requests that may be rejected yet.
+        """
+        oldest = now - _REJECTION_WINDOW_SECONDS
+        while self._rejected_at and self._rejected_at[0] < oldest:
+            self._rejected_at.popleft()
+        return max(self.per_second - unanswered - len(self._rejected_at), 0)
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -1206,6 +1206,122 @@
         return not (self == other)
 
 
+class RejectionLimit(object):
+    """
+    Attributes:
+     - server_id
+     - incarnation
+     - per_second
+     - sent_ms
+     - heard_ms
+
+    """
+
+    __slots__ = (
+        'server_id',
+        'incarnation',
+        'per_second',
+        'sent_ms',
+        'heard_ms',
+    )
+
+
+    def __init__(self, server_id=None, incarnation=None, per_second=None, sent_ms=None, heard_ms=None,):
+        self.server_id = server_id
+        self.incarnation = incarnation
+        self.per_second = per_second
+        self.sent_ms = sent_ms
+        self.heard_ms = heard_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.per_second = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.sent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.heard_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RejectionLimit')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.per_second is not None:
+            oprot.writeFieldBegin('per_second', TType.DOUBLE, 3)
+            oprot.writeDouble(self.per_second)
+            oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I32, 4)
+            oprot.writeI32(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.heard_ms is not None:
+            oprot.writeFieldBegin('heard_ms', TType.I32, 5)
+            oprot.writeI32(self.heard_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Leaving(object):
     """
     Attributes:
@@ -1396,6 +1512,7 @@
      - limits
      - leaving
      - pauses
+     - rejection_limits
 
     """
 
@@ -1403,13 +1520,15 @@
         'limits',
         'leaving',
         'pauses',
+        'rejection_limits',
     )
 
 
-    def __init__(self, limits=None, leaving=None, pauses=None,):
+    def __init__(self, limits=None, leaving=None, pauses=None, rejection_limits=None,):
         self.limits = limits
         self.leaving = leaving
         self.pauses = pauses
+        self.rejection_limits = rejection_limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1453,6 +1572,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.rejection_limits = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = RejectionLimit()
+                        _elem72.read(iprot)
+                        self.rejection_limits.append(_elem72)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1466,22 +1596,29 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter67 in self.limits:
-                iter67.write(oprot)
+            for iter73 in self.limits:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter68 in self.leaving:
-                iter68.write(oprot)
+            for iter74 in self.leaving:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter69 in self.pauses:
-                iter69.write(oprot)
+            for iter75 in self.pauses:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rejection_limits is not None:
+            oprot.writeFieldBegin('rejection_limits', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.rejection_limits))
+            for iter76 in self.rejection_limits:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1680,20 +1817,20 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.near = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.near.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.near.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.far = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.far.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.far.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1710,15 +1847,15 @@
         if self.near is not None:
             oprot.writeFieldBegin('near', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.near))
-            for iter82 in self.near:
-                oprot.writeString(iter82.encode('utf-8') if sys.version_info[0] == 2 else iter82)
+            for iter89 in self.near:
+                oprot.writeString(iter89.encode('utf-8') if sys.version_info[0] == 2 else iter89)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.far is not None:
             oprot.writeFieldBegin('far', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.far))
-            for iter83 in self.far:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter90 in self.far:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1935,11 +2072,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.amounts = {}
-                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
-                    for _i88 in range(_size84):
-                        _key89 = iprot.readI32()
-                        _val90 = iprot.readI32()
-                        self.amounts[_key89] = _val90
+                    (_ktype92, _vtype93, _size91) = iprot.readMapBegin()
+                    for _i95 in range(_size91):
+                        _key96 = iprot.readI32()
+                        _val97 = iprot.readI32()
+                        self.amounts[_key96] = _val97
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1960,9 +2097,9 @@
         if self.amounts is not None:
             oprot.writeFieldBegin('amounts', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.amounts))
-            for kiter91, viter92 in self.amounts.items():
-                oprot.writeI32(kiter91)
-                oprot.writeI32(viter92)
+            for kiter98, viter99 in self.amounts.items():
+                oprot.writeI32(kiter98)
+                oprot.writeI32(viter99)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2031,33 +2168,33 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.requests = {}
-                    (_ktype94, _vtype95, _size93) = iprot.readMapBegin()
-                    for _i97 in range(_size93):
-                        _key98 = iprot.readI32()
-                        _val99 = iprot.readI32()
-                        self.requests[_key98] = _val99
-                    iprot.readMapEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.MAP:
-                    self.here = {}
                     (_ktype101, _vtype102, _size100) = iprot.readMapBegin()
                     for _i104 in range(_size100):
                         _key105 = iprot.readI32()
                         _val106 = iprot.readI32()
-                        self.here[_key105] = _val106
+                        self.requests[_key105] = _val106
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 3:
                 if ftype == TType.MAP:
-                    self.elsewhere = {}
+                    self.here = {}
                     (_ktype108, _vtype109, _size107) = iprot.readMapBegin()
                     for _i111 in range(_size107):
                         _key112 = iprot.readI32()
                         _val113 = iprot.readI32()
-                        self.elsewhere[_key112] = _val113
+                        self.here[_key112] = _val113
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.elsewhere = {}
+                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
+                    for _i118 in range(_size114):
+                        _key119 = iprot.readI32()
+                        _val120 = iprot.readI32()
+                        self.elsewhere[_key119] = _val120
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2078,25 +2215,25 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.requests))
-            for kiter114, viter115 in self.requests.items():
-                oprot.writeI32(kiter114)
-                oprot.writeI32(viter115)
+            for kiter121, viter122 in self.requests.items():
+                oprot.writeI32(kiter121)
+                oprot.writeI32(viter122)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.here is not None:
             oprot.writeFieldBegin('here', TType.MAP, 3)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.here))
-            for kiter116, viter117 in self.here.items():
-                oprot.writeI32(kiter116)
-                oprot.writeI32(viter117)
+            for kiter123, viter124 in self.here.items():
+                oprot.writeI32(kiter123)
+                oprot.writeI32(viter124)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.elsewhere is not None:
             oprot.writeFieldBegin('elsewhere', TType.MAP, 4)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.elsewhere))
-            for kiter118, viter119 in self.elsewhere.items():
-                oprot.writeI32(kiter118)
-                oprot.writeI32(viter119)
+            for kiter125, viter126 in self.elsewhere.items():
+                oprot.writeI32(kiter125)
+                oprot.writeI32(viter126)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2165,11 +2302,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.customers = []
-                    (_etype123, _size120) = iprot.readListBegin()
-                    for _i124 in range(_size120):
-                        _elem125 = CustomerSpent()
-                        _elem125.read(iprot)
-                        self.customers.append(_elem125)
+                    (_etype130, _size127) = iprot.readListBegin()
+                    for _i131 in range(_size127):
+                        _elem132 = CustomerSpent()
+                        _elem132.read(iprot)
+                        self.customers.append(_elem132)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2181,11 +2318,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.pools = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = PoolCounts()
-                        _elem131.read(iprot)
-                        self.pools.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = PoolCounts()
+                        _elem138.read(iprot)
+                        self.pools.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2206,8 +2343,8 @@
         if self.customers is not None:
             oprot.writeFieldBegin('customers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.customers))
-            for iter132 in self.customers:
-                iter132.write(oprot)
+            for iter139 in self.customers:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.retries_known_seconds is not None:
@@ -2217,8 +2354,8 @@
         if self.pools is not None:
             oprot.writeFieldBegin('pools', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.pools))
-            for iter133 in self.pools:
-                iter133.write(oprot)
+            for iter140 in self.pools:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2664,6 +2801,15 @@
     (4, TType.I32, 'sent_ms', None, None, ),  # 4
     (5, TType.I32, 'heard_ms', None, None, ),  # 5
 )
+all_structs.append(RejectionLimit)
+RejectionLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.DOUBLE, 'per_second', None, None, ),  # 3
+    (4, TType.I32, 'sent_ms', None, None, ),  # 4
+    (5, TType.I32, 'heard_ms', None, None, ),  # 5
+)
 all_structs.append(Leaving)
 Leaving.thrift_spec = (
     None,  # 0
@@ -2684,6 +2830,7 @@
     (1, TType.LIST, 'limits', (TType.STRUCT, [RateLimit, None], False), None, ),  # 1
     (2, TType.LIST, 'leaving', (TType.STRUCT, [Leaving, None], False), None, ),  # 2
     (3, TType.LIST, 'pauses', (TType.STRUCT, [Pause, None], False), None, ),  # 3
+    (4, TType.LIST, 'rejection_limits', (TType.STRUCT, [RejectionLimit, None], False), None, ),  # 4
 )
 all_structs.append(Ping)
 Ping.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -112,6 +112,16 @@
   5: i32 heard_ms
 }
 
+// What an answer of a server said of the requests that it can reject in a second,
+// from all hosts together, before it fails; without a number it named none.
+struct RejectionLimit {
+  1: string server_id
+  2: i64 incarnation
+  3: optional double per_second
+  4: i32 sent_ms
+  5: i32 heard_ms
+}
+
 // A server that said that it leaves.
 struct Leaving {
   1: string server_id
@@ -133,6 +143,7 @@
   1: list<RateLimit> limits
   2: list<Leaving> leaving
   3: list<Pause> pauses
+  4: optional list<RejectionLimit> rejection_limits
 }
 
 // From an entry host to a control host, several times a second.
