Relays: the time that is left is told when a request is offered

The deadline of a dispatch was computed before the first path was tried; with failed connections of 0.3 s each a relay could have told a server of up to 0.9 s more than there was. Read in the code, not seen in a run. The request is now written for each path anew. A relay also declines a body without a length, which its bound of memory couldn't cover.

--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -107,15 +107,12 @@
         :raises ConnectionError: if the caller closed its connection.
         """
         started = response_writer.now()
-        sent = calls.Call(
-            self.caller_request.method,
-            self.caller_request.target,
-            self.codec.dispatch_headers(self.caller_request, self.dispatch),
-            self.body,
-        )
         try:
             answer = await self.sender.send(
-                self.dispatch.server_id, self.address, sent, self.may_repeat
+                self.dispatch.server_id,
+                self.address,
+                lambda: self._make_call(response_writer.now() - started),
+                self.may_repeat,
             )
         except relay_client.UnconfirmedError as exc:
             return outcomes.NotRun(
@@ -136,6 +133,20 @@
         ) as exc:
             return outcomes.Failed(exc.message)
 
+    def _make_call(self, waited: float) -> calls.Call:
+        """Return the request as it is sent to a server.
+
+        :param waited: seconds since the start of this attempt.
+        """
+        seconds_left = self.dispatch.seconds_left - waited
+        dispatch = dataclasses.replace(self.dispatch, seconds_left=seconds_left)
+        return calls.Call(
+            self.caller_request.method,
+            self.caller_request.target,
+            self.codec.dispatch_headers(self.caller_request, dispatch),
+            self.body,
+        )
+
     async def _receive(
         self,
         answer: calls.Answer,
--- a/libs/gateway/geraniumweir/gateway/relay_client.py
+++ b/libs/gateway/geraniumweir/gateway/relay_client.py
@@ -27,6 +27,9 @@
 _AVOID_SECONDS = 1.0
 
 
+MakeCall = typing.Callable[[], calls.Call]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Relays:
     """Addresses of the relays of this host.
@@ -80,11 +83,12 @@
         self,
         server_id: ids.ServerId,
         address: ids.Address,
-        call: calls.Call,
+        make_call: MakeCall,
         may_repeat: bool = False,
     ) -> calls.Answer:
         """Send a request and wait for the head of the response.
 
+        :param make_call: returns the request as it is sent now.
         :param may_repeat: whether to give up while the server is silent, as
             the request may run again elsewhere. One that may not waits until
             the connection is lost: a sound server may be silent for a moment.
@@ -93,32 +97,37 @@
         :raises geraniumweir.backends.errors.BrokenError: if it was sent and no
             response came.
         """
-        relays = self._relays()
-        if not (relays.near or relays.far):
-            return await self._send_directly(address, call, may_repeat)
-        if self.paths.is_doubtful(address):
-            return await self._send_in_doubt(
-                server_id, address, call, may_repeat
-            )
+        if self.paths.is_doubtful(address) and self._has_relays():
+            answer = await self._send_in_doubt(server_id, make_call)
+            if answer is not None:
+                return answer
         try:
-            return await self._send_directly(address, call, may_repeat)
+            return await self._send_directly(address, make_call(), may_repeat)
         except backend_errors.NotSentError as exc:
-            return await self._send_by_relay(server_id, call, exc)
+            if not self._has_relays():
+                raise
+            return await self._send_by_relay(server_id, make_call, exc)
 
     async def _send_in_doubt(
         self,
         server_id: ids.ServerId,
-        address: ids.Address,
-        call: calls.Call,
-        may_repeat: bool,
-    ) -> calls.Answer:
-        """Send through a relay, or directly where no relay is reached."""
+        make_call: MakeCall,
+    ) -> calls.Answer | None:
+        """Send through a relay.
+
+        :returns: None if no relay could tell of the server, and this host's
+            path to it is the only one in doubt.
+        """
         try:
-            return await self._send_by_relay(server_id, call, None)
+            return await self._send_by_relay(server_id, make_call, None)
         except UnconfirmedError:
             if self.paths.is_cut:
                 raise
-        return await self._send_directly(address, call, may_repeat)
+            return None
+
+    def _has_relays(self) -> bool:
+        relays = self._relays()
+        return bool(relays.near or relays.far)
 
     async def _send_directly(
         self,
@@ -141,19 +150,18 @@
     async def _send_by_relay(
         self,
         server_id: ids.ServerId,
-        call: calls.Call,
+        make_call: MakeCall,
         cause: backend_errors.NotSentError | None,
     ) -> calls.Answer:
         """Offer a request to relays until one sends it.
 
         :param cause: why this host couldn't send it, None if it didn't try.
         """
-        headers = call.headers.copy()
-        headers[relay_protocol.SERVER] = server_id
-        offered = dataclasses.replace(call, headers=headers)
         for relay in self._candidates():
+            call = make_call()
+            call.headers[relay_protocol.SERVER] = server_id
             try:
-                return await self._offer(relay, offered)
+                return await self._offer(relay, call)
             except _DeclinedError:
                 self._avoided[relay] = self._clock.now() + _AVOID_SECONDS
         reason = 'no relay sent the request' if cause is None else cause.message
--- a/libs/gateway/geraniumweir/gateway/relay_server.py
+++ b/libs/gateway/geraniumweir/gateway/relay_server.py
@@ -82,6 +82,8 @@
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Return the response to one request."""
         size = req.content_length or 0
+        if req.can_read_body and not size:
+            return self._end(relay_protocol.Outcome.declined, 'no length')
         if self.open >= _MAX_OPEN or self._body_bytes + size > _MAX_BODY_BYTES:
             return self._end(relay_protocol.Outcome.declined, 'limit')
         self.open += 1
