Relays: look whether a server is back before confirming that it isn't reached

A relay answered from its own doubt, up to half a second old, or seconds with many doubts: a server that had started again would have been reported unreachable by two hosts, and rested for longer each time. Read in the code. It now tries a connection first. Doubts of servers that are gone are dropped, so that they don't hold up the probes of others. test_relay_in_doubt_looks_before_it_blames_a_server is red before (503).

--- a/libs/gateway/geraniumweir/gateway/relay_server.py
+++ b/libs/gateway/geraniumweir/gateway/relay_server.py
@@ -103,7 +103,7 @@
         reason = self._unusable_reason(found)
         if reason:
             return self._end(relay_protocol.Outcome.declined, reason)
-        if self._deps.paths.is_doubtful(found.address):
+        if not await self._reaches(found.address):
             # This host's own failure confirms that of the owner.
             outcome = relay_protocol.Outcome.unreachable
             return self._end(outcome, 'path in doubt')
@@ -130,6 +130,10 @@
         self._deps.notices.record(found.start, sent_at, head)
         return await self._pass_on(req, answer)
 
+    async def _reaches(self, address: ids.Address) -> bool:
+        paths = self._deps.paths
+        return not paths.is_doubtful(address) or await paths.check(address)
+
     def _unusable_reason(self, found: enrolments.Enrolment) -> str:
         """Return why this host doesn't send to a server, or nothing."""
         if self.closing:
--- a/libs/gateway/geraniumweir/gateway/server_paths.py
+++ b/libs/gateway/geraniumweir/gateway/server_paths.py
@@ -27,7 +27,7 @@
 _MIN_FAILED_SERVERS = 2
 # Servers of which the last success is kept.
 _MAX_HEARD = 4096
-# A path that wasn't probed for so long is tried again: its server may be gone.
+# After so long a path is tried again, whatever its probes say.
 _MAX_DOUBT_SECONDS = 30.0
 
 Probe = typing.Callable[[ids.Address, float], typing.Awaitable[bool]]
@@ -102,6 +102,10 @@
         """
         if self._heard_at.get(address, float('-inf')) > since:
             return False
+        return not await self.check(address)
+
+    async def check(self, address: ids.Address) -> bool:
+        """Return whether a new connection to a server can be made now."""
         check = self._checks.get(address)
         if check is None:
             check = asyncio.ensure_future(
@@ -109,11 +113,12 @@
             )
             self._checks[address] = check
             check.add_done_callback(lambda _: self._checks.pop(address))
-        if await asyncio.shield(check):
+        works = await asyncio.shield(check)
+        if works:
             self.record_success(address)
-            return False
-        self.record_failure(address)
-        return True
+        else:
+            self.record_failure(address)
+        return works
 
     async def run(self) -> None:
         """Probe the paths in doubt until cancelled."""
@@ -158,10 +163,15 @@
         return [address for address in sample if address not in self._doubted]
 
     def _drop_old_doubts(self) -> None:
+        if not self._doubted:
+            return
         oldest = self._clock.now() - _MAX_DOUBT_SECONDS
-        for address, since in list(self._doubted.items()):
-            if since < oldest:
-                self._doubted.pop(address)
+        known = frozenset(self._known())
+        self._doubted = {
+            address: since
+            for address, since in self._doubted.items()
+            if since >= oldest and address in known
+        }
         if not self._doubted:
             self.is_cut = False
             self._failed_since_success.clear()
--- a/libs/gateway/geraniumweir/gateway/tests/test_relaying.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_relaying.py
@@ -211,6 +211,22 @@
     assert found == [requests.Outcome.not_sent, requests.Outcome.done]
 
 
+def test_relay_in_doubt_looks_before_it_blames_a_server() -> None:
+    """The server may have started again since the relay failed to reach it."""
+
+    async def scenario() -> tuple[int, bytes]:
+        server = testbed.Server(testbed.answers(b'good'))
+        async with (
+            testbed.running(server, **_ONCE) as running,
+            _relay(running, [server]) as relay,
+        ):
+            _cut(running)
+            relay._deps.paths.record_failure(server.address)
+            return await _get(running)
+
+    assert asyncio.run(scenario()) == (200, b'good')
+
+
 def test_caller_that_leaves_ends_the_request_behind_a_relay() -> None:
     """The server's connection closes, and nothing stays open at the relay."""
 
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -238,7 +238,9 @@
         scheduler = Scheduler(servers)
         clock = timers.TimerService()
         server_notices = notices.Notices(clock)
-        paths = server_paths.ServerPaths(clock, probe, list)
+        paths = server_paths.ServerPaths(
+            clock, probe, lambda: [one.address for one in servers]
+        )
         relays: list[ids.Address] = []
         shared = forwarding.SharedResources(
             relay_client.RequestSender(
