Rollouts: servers of old versions are removed before pools grant again

What callers saw: streams that broke off or were refused in the moment in which a good version was completed.

Cause: when `completed` is applied, the coordinator removes the old servers one after the other and lets its pools grant after each. A completed rollout bars no version, so that the requests that wait were granted to those that weren't removed yet.

Change: all old servers are marked first, then published and announced once.

--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -268,10 +268,21 @@
             raise errors.NothingToRollOutError(f'{to} serves all of {pool}')
 
     def _remove_old_versions(self, rollout: orders.Rollout) -> None:
-        """Record that the servers of old versions stop now, unannounced."""
-        for one in self.servers.known():
-            if one.pool == rollout.pool and one.version != rollout.to:
-                self.leave(one.server_id, one.born)
+        """Record that the servers of old versions stop now, unannounced.
+
+        All are removed before pools grant again: a waiting request must not be
+        granted to one of them.
+        """
+        now = self._clock.now()
+        marked = [
+            self.servers.mark_gone(one.server_id, now, one.born)
+            for one in self.servers.known()
+            if one.pool == rollout.pool and one.version != rollout.to
+        ]
+        removed = [one for one in marked if one is not None]
+        self._presence.publish_changes(removed)
+        if removed:
+            self._servers_changed()
 
     def _load_servers(self) -> server_store.ServerStore:
         """Merge the servers that were stored before the start."""
