Entry hosts: a begun stream isn't refused as one without a first event

What callers saw: streams that had begun and broke off at a server were aborted although another server could have continued them.

Cause: the slot request of the next attempt still had the target and the patience of the caller's first event. Seconds later both are past, and the pool leader refuses what it can't serve before its caller leaves. A caller that has got events waits for the next one, until the route's patience after it.

Change: once the head was sent, target and patience count from now.

Red before, green now: test_begun_stream_is_not_refused_as_one_without_a_first_ event.

--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -192,8 +192,20 @@
         )
 
     def _next_slot_request(self) -> requests.SlotRequest:
-        """Return the next slot request; quota is charged for one run only."""
+        """Return the next slot request; quota is charged for one run only.
+
+        The caller of a stream that has begun waits for its next event as it
+        does for a first one.
+        """
         slot_request = self._admitted.slot_request
+        if self._stream.head_sent:
+            now = response_writer.now()
+            route = self._admitted.route
+            slot_request = dataclasses.replace(
+                slot_request,
+                target=now + route.target,
+                patience=now + route.patience,
+            )
         cost = 0 if self._state.runs else slot_request.quota_cost
         sending = self._state.sending
         return dataclasses.replace(
--- a/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
@@ -380,3 +380,20 @@
     assert status == 200
     assert body == b''.join(map(testbed.event, (1, 2, 3)))
     assert released == [requests.Outcome.done]
+
+
+def test_begun_stream_is_not_refused_as_one_without_a_first_event() -> None:
+    """Its caller waits for the next event as long as for a first one."""
+
+    async def scenario() -> None:
+        broken = testbed.Server(_streams((1,), complete=False))
+        good = testbed.Server(_streams((2, 3), complete=True))
+        changes = {**_RESUMABLE, 'target': 0.1, 'patience': 0.2}
+        async with testbed.running(broken, good, **changes) as running:
+            started = asyncio.get_running_loop().time()
+            await _get(running)
+            first, second = running.scheduler.asked
+            assert started + 0.2 < first.patience < second.patience
+            assert first.target < second.target
+
+    asyncio.run(scenario())
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -122,6 +122,7 @@
     :ivar server_ids: server ids by number of the grant, a new id by default.
     :ivar released: outcomes of the releases, in order.
     :ivar slot_requested: kinds of the slot requests, in order.
+    :ivar asked: the slot requests, in order.
     :ivar retries: whether retries are granted.
     :ivar grant_count: number of grants so far.
     """
@@ -130,6 +131,7 @@
         self.server_ids: dict[int, str] = {}
         self.released: list[requests.Outcome] = []
         self.slot_requested: list[requests.Sending] = []
+        self.asked: list[requests.SlotRequest] = []
         self.retries = True
         self._servers = servers
         self.grant_count = 0
@@ -139,6 +141,7 @@
         slot_request: requests.SlotRequest,
     ) -> requests.Grant | requests.Denial:
         self.slot_requested.append(slot_request.sending)
+        self.asked.append(slot_request)
         if slot_request.sending is requests.Sending.retry and not self.retries:
             reason = requests.DenialReason.retry_budget
             return requests.Denial(slot_request.request_id, reason)
