Rollouts: requests that still run on old servers move before these stop

What callers saw: streams broke off in the moment in which a good version was completed.

Change: from 3.5 in 100 of the time before the planned end on, entry hosts end their own requests at old servers, if these may run again, and continue them on new ones as retries. They know order and phase by the feed; no coordinator is needed. The planned end is 0.3 s before a limit of 12 s instead of 0.72 s; the traffic moves when it did.

Why it works: what may run again has left the old servers 0.3 s before the latest moment at which they stop, however long it takes.

--- a/libs/control/geraniumweir/control/tests/test_rollouts.py
+++ b/libs/control/geraniumweir/control/tests/test_rollouts.py
@@ -123,3 +123,28 @@
         assert watcher.rollout(_POOL).rollout.state is orders.State.completed
 
     _play(monkeypatch, scene)
+
+
+def test_entry_host_keeps_the_time_of_an_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its requests move off old servers at a time after the order."""
+
+    async def scene(
+        some: bed.Bed,
+        leading: bed.Control,
+        found: dict[str, rollouts.Rollouts],
+    ) -> None:
+        watcher = some.watch('bee')
+        await found['ant'].order(_POOL, _NEW, 12)
+        await asyncio.sleep(0.5)
+        ordered = watcher.rollout(_POOL)
+        work = found[leading.host_id].run(lambda _: _IdlePool())
+        task = asyncio.create_task(work)
+        await asyncio.sleep(11)
+        task.cancel()
+        moved = watcher.rollout(_POOL)
+        assert moved.rollout.phase is orders.Phase.moved
+        assert moved.started == ordered.started
+
+    _play(monkeypatch, scene)
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -298,8 +298,12 @@
         now = self._clock.now()
         for one in update.rollouts:
             rollout = _rollout(one)
+            before = self._rollouts.get(rollout.pool)
+            is_known = (
+                before is not None and before.rollout.number == rollout.number
+            )
             self._rollouts[rollout.pool] = controller.ObservedOrder(
-                rollout, now
+                rollout, before.started if is_known else now
             )
         return True
 
--- a/libs/fakes/geraniumweir/fakes/rollouts/main.py
+++ b/libs/fakes/geraniumweir/fakes/rollouts/main.py
@@ -59,6 +59,7 @@
         f'  after {sum(one.after for one in found):3}'
         f'  ended {max(ended, default=0):5.1f} s  lost {lost:3}'
         f'  refused {sum(one.refused for one in found):4}'
+        f'  moved {sum(one.moved for one in found):3}'
     )
 
 
--- a/libs/fakes/geraniumweir/fakes/rollouts/playing.py
+++ b/libs/fakes/geraniumweir/fakes/rollouts/playing.py
@@ -6,9 +6,15 @@
 import typing
 
 from geraniumweir.common import ids, virtual
-from geraniumweir.fakes.rollouts import versions
+from geraniumweir.fakes.rollouts import owners, versions
 from geraniumweir.membership import servers
-from geraniumweir.rollout import budget, controller, detection, orders
+from geraniumweir.rollout import (
+    budget,
+    controller,
+    detection,
+    orders,
+    schedule,
+)
 from geraniumweir.scheduling import requests, settings
 from geraniumweir.scheduling.ontime import leader
 
@@ -18,6 +24,9 @@
 _DOMAINS = ('one', 'two', 'three')
 _STEP_SECONDS = 0.1
 _STORE_SECONDS = 0.02
+_FOLLOW_SECONDS = 0.1
+_TARGET_SECONDS = 1.0
+_PATIENCE_SECONDS = 5.0
 _FAILURE_SECONDS = 0.05
 _RARE_PART = 0.1
 _RARE = ids.RuleName('rare')
@@ -64,6 +73,7 @@
     :ivar bad: bad answers of the new version.
     :ivar after: requests that it got too long after its 50th bad answer.
     :ivar lost: requests that ran on old servers when these stopped.
+    :ivar moved: requests that moved from old servers to others.
     :ivar refused: requests that got no server.
     :ivar ended: seconds after the order, None where it didn't.
     """
@@ -74,11 +84,32 @@
     bad: int = 0
     after: int = 0
     lost: int = 0
+    moved: int = 0
     refused: int = 0
     ended: float | None = None
     reason: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Work:
+    """How a server serves a request.
+
+    :ivar first: seconds to the first token, or to the failure.
+    :ivar speed: of the server, relative to the slowest.
+    """
+
+    first: float
+    speed: float
+    fails: bool = False
+
+    @property
+    def outcome(self) -> requests.Outcome:
+        """Return how it ends if it isn't moved."""
+        if self.fails:
+            return requests.Outcome.answered_failure
+        return requests.Outcome.done
+
+
 def run(plan: Plan) -> Result:
     """Play a plan to its end."""
     return virtual.run(_run(plan))
@@ -106,6 +137,7 @@
             name: self._chance.choice(_SPEEDS) for name in self._known
         }
         self._running = dict.fromkeys(self._known, 0)
+        self._owners = owners.Owners(now)
         self._fiftieth: float | None = None
         rollout = orders.Rollout(POOL, 1, NEW, plan.seconds)
         self._sighted = controller.ObservedOrder(rollout, self._start)
@@ -117,6 +149,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._offer(group, end))
             group.create_task(self._conduct(end))
+            group.create_task(self._follow(end))
             if self._plan.trouble is versions.Trouble.takeover:
                 group.create_task(self._take_over())
         self._result.state = self._sighted.rollout.state
@@ -155,6 +188,13 @@
                 await asyncio.sleep(_STORE_SECONDS)
                 self._store(step)
 
+    async def _follow(self, end: float) -> None:
+        """Let the entry hosts move requests off old servers."""
+        while self._age() < end:
+            await asyncio.sleep(_FOLLOW_SECONDS)
+            if schedule.moves_running(self._sighted.rollout, self._age()):
+                self._owners.preempt_old_versions(NEW)
+
     def _store(self, step: controller.Advance | controller.End) -> None:
         before = self._sighted.rollout
         match step:
@@ -196,7 +236,7 @@
         now = self._now()
         ask = requests.SlotRequest(
             request_id=ids.RequestId(f'{self._chance.getrandbits(_ID_BITS):x}'),
-            owner=ids.HostId('entry'),
+            owner=self._owners.next_owner(),
             pool=POOL,
             customer=ids.CustomerName('customer'),
             rule=_RARE if rare else _COMMON,
@@ -206,46 +246,73 @@
             max_tokens=_TOKENS,
             likely_tokens=_TOKENS,
             fingerprint=ids.Fingerprint(self._chance.getrandbits(_ID_BITS)),
-            target=now + 1,
-            patience=now + 5,
+            target=now + _TARGET_SECONDS,
+            patience=now + _PATIENCE_SECONDS,
         )
-        answer = await self._leader.request_slot(ask)
-        if isinstance(answer, requests.Denial):
-            self._result.refused += 1
-            return
-        await self._serve(ask, answer)
+        held: float | None = None
+        while True:
+            answer = await self._leader.request_slot(ask)
+            if isinstance(answer, requests.Denial):
+                self._result.refused += 1
+                return
+            held = await self._serve(ask, answer, held)
+            if held is None:
+                return
+            self._result.moved += 1
+            ask = dataclasses.replace(
+                ask,
+                sending=requests.Sending.retry,
+                target=self._now() + _TARGET_SECONDS,
+                patience=self._now() + _PATIENCE_SECONDS,
+            )
 
     async def _serve(
-        self, ask: requests.SlotRequest, grant: requests.Grant
-    ) -> None:
-        age = self._age()
-        bad = self._count(ask, grant, age)
-        name = grant.server_id
-        fails = bad and self._plan.version.kind is not versions.Kind.slow
-        slowness = self._plan.version.slowness if bad and not fails else 1
-        held = self._chance.expovariate(1 / self._plan.held)
-        first = _FIRST_SECONDS / self._speeds[name] * slowness
-        taken_by = self._leader
-        self._running[name] += 1
-        await asyncio.sleep(_FAILURE_SECONDS if fails else first)
-        if not fails:
-            taken_by.progress(requests.Progress(ask.request_id, first))
-            await asyncio.sleep(held / self._speeds[name] * slowness)
-        self._running[name] -= 1
-        outcome = (
-            requests.Outcome.answered_failure
-            if fails
-            else requests.Outcome.done
-        )
-        taken_by.release(
+        self,
+        ask: requests.SlotRequest,
+        grant: requests.Grant,
+        held: float | None,
+    ) -> float | None:
+        """Serve a request on the server that was granted.
+
+        :param held: seconds of work that are left, None for a new request.
+        :returns: seconds of work for another server, None where it ended.
+        """
+        work = self._work(ask, grant)
+        if held is None:
+            held = self._chance.expovariate(1 / self._plan.held)
+        served = self._owners.begin(ask, grant)
+        self._running[grant.server_id] += 1
+        is_done = await served.work(work.first)
+        if is_done and not work.fails:
+            served.first_token = work.first
+            self._leader.progress(requests.Progress(ask.request_id, work.first))
+            is_done = await served.work(held / work.speed)
+        self._running[grant.server_id] -= 1
+        self._owners.end(served)
+        outcome = work.outcome if is_done else requests.Outcome.preempted
+        self._leader.release(
             requests.Release(
                 ask.request_id,
                 outcome,
-                first_token=None if fails else first,
+                first_token=served.first_token,
                 output_tokens=_TOKENS,
-                seconds=first + held,
+                seconds=work.first + held,
             ),
         )
+        if is_done:
+            return None
+        worked = self._now() - served.granted_at - work.first
+        return max(held - max(worked, 0) * work.speed, 0)
+
+    def _work(self, ask: requests.SlotRequest, grant: requests.Grant) -> _Work:
+        """Return how the server serves a request."""
+        bad = self._count(ask, grant, self._age())
+        speed = self._speeds[grant.server_id]
+        if bad and self._plan.version.kind is versions.Kind.slow:
+            speed /= self._plan.version.slowness
+        elif bad:
+            return _Work(_FAILURE_SECONDS, speed, fails=True)
+        return _Work(_FIRST_SECONDS / speed, speed)
 
     def _count(
         self,
--- a/libs/fakes/geraniumweir/fakes/rollouts/tests/test_playing.py
+++ b/libs/fakes/geraniumweir/fakes/rollouts/tests/test_playing.py
@@ -4,6 +4,13 @@
 from geraniumweir.fakes.rollouts import main, versions
 from geraniumweir.rollout import orders
 
+# Troubles and seeds with which requests last until the old servers stop.
+_LASTING = (
+    (versions.Trouble.calm, 5110),
+    (versions.Trouble.burst, 5110),
+    (versions.Trouble.old_fails, 5115),
+    (versions.Trouble.new_broken, 5115),
+)
 _BAD = [kind for kind in versions.Kind if kind is not versions.Kind.good]
 
 
@@ -37,3 +44,15 @@
     broken = versions.Trouble.new_broken
     for found in main.plays(versions.Kind.good, broken, [201]):
         assert found.state is orders.State.completed, found
+
+
+@pytest.mark.parametrize(('trouble', 'seed'), _LASTING)
+def test_no_request_runs_on_old_servers_when_these_stop(
+    trouble: versions.Trouble, seed: int
+) -> None:
+    """It has ended, or moved to another server."""
+    for found in main.plays(versions.Kind.good, trouble, [seed]):
+        assert found.state is orders.State.completed, found
+        assert found.ended <= 12, found
+        assert not found.lost, found
+        assert not found.refused, found
--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -4,6 +4,7 @@
 to the caller. Of a stream, complete events are forwarded as they arrive.
 """
 
+import asyncio
 import contextlib
 import dataclasses
 import typing
@@ -100,20 +101,35 @@
     on_head: typing.Callable[[codec.ResponseHead], None]
     first: float | None = None
     gaps: EventGaps = dataclasses.field(default_factory=EventGaps)
+    _stopped: bool = False
+    _head_limit: asyncio.Timeout | None = None
+    _answer: calls.Answer | None = None
 
     async def run(self) -> outcomes.Outcome:
         """Return the outcome of sending the request.
 
         :raises ConnectionError: if the caller closed its connection.
         """
+        outcome = await self._run()
+        if self._stopped and outcomes.is_broken_off(outcome):
+            return outcomes.Preempted()
+        return outcome
+
+    def stop(self) -> None:
+        """End the attempt by closing the connection to the server.
+
+        What was received from it is still sent to the caller.
+        """
+        self._stopped = True
+        if self._answer is not None:
+            self._answer.abandon()
+        elif self._head_limit is not None:
+            self._head_limit.reschedule(response_writer.now())
+
+    async def _run(self) -> outcomes.Outcome:
         started = response_writer.now()
         try:
-            answer = await self.sender.send(
-                self.dispatch.server_id,
-                self.address,
-                lambda: self._make_call(response_writer.now() - started),
-                self.may_repeat,
-            )
+            answer = await self._send(started)
         except relay_client.UnconfirmedError as exc:
             return outcomes.NotRun(
                 exc.message,
@@ -124,6 +140,7 @@
             return outcomes.NotRun(exc.message, arrived=False)
         except backend_errors.AnswerError as exc:
             return outcomes.Failed(exc.message)
+        self._answer = answer
         try:
             async with answer:
                 return await self._receive(answer, started)
@@ -133,6 +150,25 @@
         ) as exc:
             return outcomes.Failed(exc.message)
 
+    async def _send(self, started: float) -> calls.Answer:
+        """Send the request and wait for the head of the response.
+
+        :raises geraniumweir.backends.errors.AnswerError: if there is none, or
+            if the attempt is stopped before.
+        """
+        try:
+            async with asyncio.timeout(None) as limit:
+                self._head_limit = limit
+                return await self.sender.send(
+                    self.dispatch.server_id,
+                    self.address,
+                    lambda: self._make_call(response_writer.now() - started),
+                    self.may_repeat,
+                )
+        except TimeoutError as exc:
+            reason = 'the attempt was stopped'
+            raise backend_errors.BrokenError(reason) from exc
+
     def _make_call(self, waited: float) -> calls.Call:
         """Return the request as it is sent to a server.
 
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -20,9 +20,11 @@
     events,
     logevents,
     outcomes,
+    preemption,
     refusals,
     relay_client,
     request_record,
+    request_state,
     response_notices,
     response_writer,
 )
@@ -55,6 +57,9 @@
     server_notices: response_notices.NoticeRecorder
     check: GrantCheck
     meter: metrics.Metrics
+    running: preemption.RunningAttempts = dataclasses.field(
+        default_factory=preemption.RunningAttempts,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,35 +79,6 @@
     event_tokens: int
 
 
-@dataclasses.dataclass(slots=True)
-class RequestState:
-    """Progress of a request.
-
-    :ivar runs: servers that ran it or may have run it.
-    :ivar rejected: servers that certainly did not run it.
-    :ivar arrivals: servers that it reached, whatever the outcome.
-    :ivar slot_requested: whether a slot was requested for it.
-    :ivar sent: whether it is at a server now.
-    :ivar failure: the last error response of a server itself.
-    """
-
-    runs: int = 0
-    rejected: int = 0
-    arrivals: int = 0
-    slot_requested: bool = False
-    sent: bool = False
-    failure: outcomes.CompleteResponse | None = None
-
-    @property
-    def sending(self) -> requests.Sending:
-        """Kind of the next slot request: first, repeated or a retry."""
-        if self.arrivals:
-            return requests.Sending.retry
-        if self.slot_requested:
-            return requests.Sending.again
-        return requests.Sending.first
-
-
 class RequestForwarder:
     """Forwarder of one admitted request."""
 
@@ -118,7 +94,7 @@
         self._admitted = admitted
         self._writer = writer
         self._record = record
-        self._state = RequestState()
+        self._state = request_state.RequestState()
         self._stream = attempts.StreamState(
             events.EventSplitter(admitted.caller_request.last_event),
         )
@@ -248,6 +224,14 @@
                 return self._writer.complete(outcome)
             case outcomes.CompleteStream():
                 return typing.cast(web.StreamResponse, self._writer.resp)
+            case outcomes.Preempted():
+                self._record.log(
+                    logevents.PREEMPTED,
+                    response_writer.now(),
+                    server=grant.server_id,
+                )
+                self._state.record_run()
+                return None
             case outcomes.NotRun(reason=reason):
                 self._log_failed_attempt(grant, reason)
                 return self._handle_not_run(outcome)
@@ -281,8 +265,7 @@
     def _handle_failure(
         self, outcome: outcomes.Failed
     ) -> web.StreamResponse | None:
-        self._state.runs += 1
-        self._state.arrivals += 1
+        self._state.record_run()
         self._state.failure = outcome.answer or self._state.failure
         if self._may_run_again():
             return None
@@ -309,11 +292,16 @@
         self._record.software.append(grant.version)
         self._state.sent = True
         release_outcome = requests.Outcome.cancelled
+        running = preemption.RunningAttempt(
+            grant, self._admitted.slot_request.pool, attempt
+        )
+        self._shared.running.add(running)
         try:
             outcome = await attempt.run()
-            release_outcome = _release_outcome(outcome)
+            release_outcome = outcomes.to_release(outcome)
             return outcome
         finally:
+            self._shared.running.remove(running)
             # After a timeout the request was still at a server.
             self._state.sent = release_outcome is requests.Outcome.cancelled
             self._release(
@@ -387,26 +375,3 @@
                 attempt.gaps.longest,
             ),
         )
-
-
-def _release_outcome(outcome: outcomes.Outcome) -> requests.Outcome:
-    match outcome:
-        case outcomes.CompleteResponse() | outcomes.CompleteStream():
-            return requests.Outcome.done
-        case outcomes.NotRun():
-            return _not_run_outcome(outcome)
-        case outcomes.Failed(answer=None):
-            return requests.Outcome.failed
-        case outcomes.Failed():
-            return requests.Outcome.answered_failure
-
-
-def _not_run_outcome(outcome: outcomes.NotRun) -> requests.Outcome:
-    if outcome.wrong_server:
-        return requests.Outcome.wrong_server
-    if outcome.arrived:
-        return requests.Outcome.turned_away
-    if outcome.own_path:
-        # Says nothing about the server, which other hosts may reach.
-        return requests.Outcome.given_up
-    return requests.Outcome.not_sent
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -26,6 +26,7 @@
     grant_check,
     listening,
     logevents,
+    preemption,
     readiness,
     relay_client,
     relay_server,
@@ -220,7 +221,7 @@
             shared,
             self._meter,
         )
-        self._start(stack)
+        self._start(stack, shared)
         await self._serve_others(stack, session, shared)
         ready = listening.make_runner(self._readiness.server())
         await listening.listen(stack, ready, self._cfg.ready)
@@ -328,11 +329,19 @@
     def _index(self) -> finding.Index | None:
         return self.watcher.index
 
-    def _start(self, stack: contextlib.AsyncExitStack) -> None:
+    def _start(
+        self,
+        stack: contextlib.AsyncExitStack,
+        shared: forwarding.SharedResources,
+    ) -> None:
         stack.push_async_callback(self._link.close)
         stack.callback(self._service.close)
         stack.callback(self._broker.close)
+        follower = preemption.RolloutFollower(
+            shared.running, self.watcher.rollout, self._clock.now
+        )
         for work in (
+            follower.run(),
             self.watcher.run(),
             self._coordinator.run(),
             self._paths.run(),
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -55,6 +55,11 @@
     _Level.info,
     'request {request} not sent to server {server}, which is {reason}',
 )
+PREEMPTED: typing.Final = _Event(
+    174,
+    _Level.info,
+    'request {request} moves from server {server} to another one',
+)
 RETRIED: typing.Final = _Event(168, _Level.info, 'request {request} is retried')
 SERVERS_UNREACHABLE: typing.Final = _Event(
     170,
--- a/libs/gateway/geraniumweir/gateway/outcomes.py
+++ b/libs/gateway/geraniumweir/gateway/outcomes.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from geraniumweir.gateway import codec
+from geraniumweir.scheduling import requests
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,4 +47,44 @@
     answer: CompleteResponse | None = None
 
 
-Outcome = CompleteResponse | CompleteStream | NotRun | Failed
+@dataclasses.dataclass(frozen=True, slots=True)
+class Preempted:
+    """A request that was ended so that it runs on another server."""
+
+
+Outcome = CompleteResponse | CompleteStream | NotRun | Failed | Preempted
+
+
+def is_broken_off(outcome: Outcome) -> bool:
+    """Return whether the server's response is missing or incomplete."""
+    match outcome:
+        case Failed(answer=None):
+            return True
+        case _:
+            return False
+
+
+def to_release(outcome: Outcome) -> requests.Outcome:
+    """Return the outcome of the grant."""
+    match outcome:
+        case CompleteResponse() | CompleteStream():
+            return requests.Outcome.done
+        case Preempted():
+            return requests.Outcome.preempted
+        case NotRun():
+            return _not_run_to_release(outcome)
+        case Failed(answer=None):
+            return requests.Outcome.failed
+        case Failed():
+            return requests.Outcome.answered_failure
+
+
+def _not_run_to_release(outcome: NotRun) -> requests.Outcome:
+    if outcome.wrong_server:
+        return requests.Outcome.wrong_server
+    if outcome.arrived:
+        return requests.Outcome.turned_away
+    if outcome.own_path:
+        # Says nothing about the server, which other hosts may reach.
+        return requests.Outcome.given_up
+    return requests.Outcome.not_sent
--- a/libs/rollout/geraniumweir/rollout/controller.py
+++ b/libs/rollout/geraniumweir/rollout/controller.py
@@ -13,9 +13,9 @@
 from geraniumweir.rollout import (
     budget,
     detection,
+    evidence,
     orders,
     schedule,
-    slow_answers,
 )
 
 # Requests reserved in the log ahead of use, the smallest additional
@@ -33,8 +33,6 @@
 # Answers of the new version that are needed before it gets more, or fewer where
 # its budget allows fewer.
 _MIN_ANSWERS = 20
-# A phase does not end while the suspicion of the detector is at least this.
-_MAX_SUSPICION = 0.35
 # Reason for the end of a version that is still suspected at its time limit.
 _UNDECIDED = 'bad answers were not explained within the time limit'
 
@@ -85,31 +83,9 @@
 
 
 Source = typing.Callable[[], ObservedOrder | None]
-_DEFAULT_BOUNDS: typing.Final = budget.Bounds()
-_NO_SERVERS: typing.Final[frozenset[ids.ServerId]] = frozenset()
-
 
-@dataclasses.dataclass(slots=True)
-class _Evidence:
-    """Evidence about the new version of one order.
-
-    :ivar answers: answers of the new version that were evaluated.
-    :ivar excluded_servers: servers whose failures are not due to the version.
-    :ivar bad: why the version is bad, empty if it is not.
-    """
 
-    detector: detection.Detector
-    slow_answer_detector: slow_answers.SlowAnswerDetector = dataclasses.field(
-        default_factory=slow_answers.SlowAnswerDetector
-    )
-    answers: int = 0
-    excluded_servers: frozenset[ids.ServerId] = _NO_SERVERS
-    bad: str = ''
-
-    @property
-    def is_suspected(self) -> bool:
-        """Whether too many answers were bad to trust the version."""
-        return self.detector.suspicion >= _MAX_SUSPICION
+_DEFAULT_BOUNDS: typing.Final = budget.Bounds()
 
 
 class RolloutController:
@@ -150,9 +126,9 @@
         self._may_spend_budget = may_spend_budget
         self._make_detector = judge
         self._started: float = 0
-        self._moved_at: float = 0
+        self._moved_at: float = -math.inf
         self.budget = budget.Budget(bounds, 0, 0)
-        self._evidence = _Evidence(judge())
+        self._evidence = evidence.Evidence(judge())
 
     @property
     def is_running(self) -> bool:
@@ -183,16 +159,18 @@
             return
         before = self.rollout
         self.rollout = found.rollout
-        if before is None or before.phase is not found.rollout.phase:
+        is_new = before is None or before.number != found.rollout.number
+        if not is_new and before.phase is not found.rollout.phase:
             self._moved_at = self._now()
-        if before is None or before.number != found.rollout.number:
+        if is_new:
             self._started = found.started
+            self._moved_at = -math.inf
             self.budget = budget.Budget(
                 self._bounds,
                 found.rollout.exposure,
                 found.rollout.requests,
             )
-            self._evidence = _Evidence(
+            self._evidence = evidence.Evidence(
                 self._make_detector(),
                 answers=found.rollout.answers,
             )
@@ -240,18 +218,18 @@
         """
         if not self.is_running:
             return
-        evidence = self._evidence
+        observed = self._evidence
         old = version != self.rollout.to
         bad = failed
         if ratio is not None and not failed:
-            bad = evidence.slow_answer_detector.is_slow(server, ratio, old=old)
+            bad = observed.slow_answer_detector.is_slow(server, ratio, old=old)
         if old:
-            evidence.detector.record_old_answer(rule, bad=bad)
+            observed.detector.record_old_answer(rule, bad=bad)
             return
-        if server in evidence.excluded_servers:
+        if server in observed.excluded_servers:
             return
-        evidence.answers += 1
-        detected = evidence.detector.record_new_answer(rule, server, bad=bad)
+        observed.answers += 1
+        detected = observed.detector.record_new_answer(rule, server, bad=bad)
         if detected is not None:
             self._handle_detection(detected)
 
@@ -272,31 +250,27 @@
             case orders.Phase.ramp:
                 may_move = elapsed >= planned.move and self._is_trusted(load)
                 return self._advance(orders.Phase.moved) if may_move else None
-        if self._is_drained(load, planned) and self._is_trusted(load):
-            return End(orders.State.completed, self._completion_reason())
+        if self._may_complete(load, planned) and self._is_trusted(load):
+            reason = f'{self._evidence.answers} answers were judged good'
+            return End(orders.State.completed, reason)
         return None
 
     def summary(self) -> dict[str, object]:
         """Return the state of the rollout for the log."""
-        evidence = self._evidence
+        observed = self._evidence
         return {
             'exposure': self.budget.consumed,
             'requests': self.budget.requests,
-            'answers': evidence.answers,
-            'suspicion': round(evidence.detector.suspicion, 2),
-            'set_aside': sorted(evidence.excluded_servers),
+            'answers': observed.answers,
+            'suspicion': round(observed.detector.suspicion, 2),
+            'set_aside': sorted(observed.excluded_servers),
         }
 
-    def _is_drained(self, load: Load, planned: schedule.Schedule) -> bool:
-        """Return whether the servers of old versions may stop.
-
-        Running requests get the planned time to end even if the traffic moved
-        late.
-        """
+    def _may_complete(self, load: Load, planned: schedule.Schedule) -> bool:
+        """Return whether the servers of old versions may stop."""
         if not load.old_running:
             return True
-        since_move = self._now() - self._moved_at
-        return since_move >= planned.end - planned.move
+        return self._now() >= planned.end_time(self._started, self._moved_at)
 
     def _next_canary_step(self, load: Load, due: bool) -> Advance | None:
         if due and self._is_trusted(load):
@@ -320,7 +294,8 @@
             > logged.requests * _MAX_UNLOGGED_RATIO + _MAX_UNLOGGED_REQUESTS
         ):
             return True
-        if self._count_good_answers() - logged.answers >= _MAX_UNLOGGED_ANSWERS:
+        answers = self._evidence.count_good_answers(logged.answers)
+        if answers - logged.answers >= _MAX_UNLOGGED_ANSWERS:
             return True
         unused = logged.exposure - self.budget.consumed
         additional = self.budget.canary_allowance() - logged.exposure
@@ -334,16 +309,7 @@
             phase,
             reserved,
             self.budget.requests,
-            self._count_good_answers(),
-        )
-
-    def _count_good_answers(self) -> int:
-        """Return the answers that a new coordinator may count as good."""
-        evidence = self._evidence
-        return (
-            self.rollout.answers
-            if self._evidence.is_suspected
-            else evidence.answers
+            self._evidence.count_good_answers(self.rollout.answers),
         )
 
     def _is_trusted(self, load: Load) -> bool:
@@ -351,14 +317,14 @@
 
         Its servers must have the slots for all running requests.
         """
-        evidence = self._evidence
+        observed = self._evidence
         enough = min(
             _MIN_ANSWERS,
             self.budget.canary_allowance() / 2,
             self.budget.requests,
         )
         return (
-            evidence.answers >= enough
+            observed.answers >= enough
             and not self._evidence.is_suspected
             and load.new_slots >= max(load.running, 1)
         )
@@ -371,21 +337,17 @@
         happens for one server only. Once the ramp has begun, the others must
         have shown that they are good: most requests may go to one server.
         """
-        evidence = self._evidence
+        observed = self._evidence
         alone = len(detected.failing_servers) == 1 and self.new_server_count > 1
         if self.rollout.phase is not orders.Phase.canary:
             alone = alone and detected.others_are_good
-        if alone and not evidence.excluded_servers:
-            evidence.excluded_servers = frozenset(detected.failing_servers)
-            evidence.detector.reset()
+        if alone and not observed.excluded_servers:
+            observed.excluded_servers = frozenset(detected.failing_servers)
+            observed.detector.reset()
             return
         where = (
             f'on route {detected.rule}' if detected.rule else 'on all routes'
         )
-        evidence.bad = (
+        observed.bad = (
             f'{detected.bad} of {detected.answers} answers were bad {where}'
         )
-
-    def _completion_reason(self) -> str:
-        evidence = self._evidence
-        return f'{evidence.answers} answers were judged good'
--- a/libs/rollout/geraniumweir/rollout/schedule.py
+++ b/libs/rollout/geraniumweir/rollout/schedule.py
@@ -2,16 +2,21 @@
 
 The traffic moves late, because a version may turn bad some time after its
 start and requests before that count as exposure. It moves early enough that
-requests on old servers have ended when these stop, as they stop without
-draining.
+nearly all requests on old servers have ended when these stop, as they stop
+without draining. Those that still run shortly before that are moved.
 """
 
 import dataclasses
 
+from geraniumweir.rollout import orders
+
 # The rollout ends before its time limit by this fraction of it and at least by
 # this time: the end must be stored, and the operator must read it.
-_MARGIN_FRACTION = 0.06
-_MIN_MARGIN_SECONDS = 0.5
+_MARGIN_FRACTION = 0.025
+_MIN_MARGIN_SECONDS = 0.3
+# Time for moving the requests that still run on old servers to others, as a
+# fraction of the time limit.
+_MOVE_RUNNING_FRACTION = 0.035
 # Requests occupy slots for different times; nearly all end within this factor
 # of the mean plus this time.
 _DRAIN_FACTOR = 3.0
@@ -28,13 +33,56 @@
 
     :ivar ramp: a fraction of all requests goes to the new version.
     :ivar move: all new requests go to it.
+    :ivar move_running: requests that still run on old servers move too.
     :ivar end: the rollout ends, even if old servers still run requests.
     """
 
     ramp: float
     move: float
+    move_running: float
     end: float
 
+    def end_time(self, started: float, moved_at: float) -> float:
+        """Return when the rollout ends at the latest, in seconds.
+
+        Running requests get the time to move even if the traffic moved late.
+
+        :param started: time of the order.
+        :param moved_at: time at which the traffic moved.
+        """
+        move_running_at = max(started + self.move_running, moved_at)
+        return move_running_at + self.end - self.move_running
+
+
+def end_seconds(seconds: float) -> float:
+    """Return when a rollout ends at the latest, in seconds after the order.
+
+    :param seconds: time limit of the rollout.
+    """
+    end = seconds - max(seconds * _MARGIN_FRACTION, _MIN_MARGIN_SECONDS)
+    return max(end, seconds / 2)
+
+
+def move_running_seconds(seconds: float) -> float:
+    """Return when requests on old servers move, in seconds after the order.
+
+    :param seconds: time limit of the rollout.
+    """
+    moving_seconds = seconds * _MOVE_RUNNING_FRACTION
+    return max(end_seconds(seconds) - moving_seconds, seconds / 2)
+
+
+def moves_running(rollout: orders.Rollout, elapsed: float) -> bool:
+    """Return whether requests on old servers move to others now.
+
+    :param elapsed: seconds since the order.
+    """
+    return (
+        rollout.state is orders.State.running
+        and rollout.phase is orders.Phase.moved
+        and elapsed >= move_running_seconds(rollout.seconds)
+    )
+
 
 def plan(seconds: float, held: float) -> Schedule:
     """Return the schedule of a rollout.
@@ -43,12 +91,13 @@
     :param held: mean seconds for which a request occupies a slot.
 
     >>> found = plan(12, 1)
-    >>> round(found.move, 1), round(found.end, 1)
-    (8.0, 11.3)
+    >>> round(found.move, 1), round(found.move_running, 1), round(found.end, 1)
+    (8.0, 11.3, 11.7)
     """
-    end = seconds - max(seconds * _MARGIN_FRACTION, _MIN_MARGIN_SECONDS)
-    end = max(end, seconds / 2)
+    end = end_seconds(seconds)
+    move_running = move_running_seconds(seconds)
     drain = held * _DRAIN_FACTOR + _DRAIN_SECONDS
-    move = end - min(drain, seconds * _MAX_DRAIN_FRACTION)
+    move = move_running - min(drain, seconds * _MAX_DRAIN_FRACTION)
     move = max(move, 0)
-    return Schedule(max(move - seconds * _RAMP_FRACTION, 0), move, end)
+    ramp = max(move - seconds * _RAMP_FRACTION, 0)
+    return Schedule(ramp, move, move_running, end)
--- a/libs/rollout/geraniumweir/rollout/tests/test_controller.py
+++ b/libs/rollout/geraniumweir/rollout/tests/test_controller.py
@@ -4,7 +4,7 @@
 
 import pytest
 from geraniumweir.common import ids
-from geraniumweir.rollout import budget, controller, orders
+from geraniumweir.rollout import budget, controller, orders, schedule
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -33,9 +33,11 @@
         guide.new_server_count = 4
         return guide
 
-    def step(self) -> controller.Advance | controller.End | None:
+    def step(
+        self, load: controller.Load = _LOAD
+    ) -> controller.Advance | controller.End | None:
         """Record the next step in the log and return it."""
-        step = self.guide.next_step(_LOAD)
+        step = self.guide.next_step(load)
         if isinstance(step, controller.Advance):
             self.rollout = dataclasses.replace(
                 self.rollout,
@@ -214,3 +216,47 @@
         scenario.guide.record_answer(_NEW, name, 'r', failed=False)
     assert scenario.guide.excluded_servers == {broken}
     assert scenario.guide.role(_NEW) is orders.Role.serves
+
+
+_DRAINED = dataclasses.replace(_LOAD, old_running=0)
+
+
+def _moved() -> _Rollout:
+    """Return a rollout whose traffic has just moved."""
+    scenario = _Rollout()
+    while scenario.rollout.phase is not orders.Phase.moved:
+        scenario.serve(10)
+        scenario.now += 0.1
+        scenario.step()
+    return scenario
+
+
+def _completed_at(scenario: _Rollout, load: controller.Load) -> float:
+    while not isinstance(scenario.step(load), controller.End):
+        scenario.now += 0.1
+        assert scenario.now < 2 * _SECONDS
+    return scenario.now
+
+
+def test_coordinator_completes_when_nothing_runs_on_old_servers() -> None:
+    """It granted all requests since the order."""
+    scenario = _moved()
+    assert _completed_at(scenario, _DRAINED) == scenario.now
+
+
+def test_version_completes_in_time_though_requests_run_on() -> None:
+    """Those that still run get all the time that there is."""
+    scenario = _moved()
+    completed_at = _completed_at(scenario, _LOAD)
+    assert schedule.end_seconds(_SECONDS) <= completed_at < _SECONDS
+
+
+def test_requests_get_time_to_move_after_a_late_move_of_the_traffic() -> None:
+    """Even if the version was trusted only at its time limit."""
+    scenario = _Rollout()
+    scenario.now = _SECONDS
+    while scenario.rollout.phase is not orders.Phase.moved:
+        scenario.serve(10)
+    moving = schedule.end_seconds(_SECONDS)
+    moving -= schedule.move_running_seconds(_SECONDS)
+    assert _completed_at(scenario, _LOAD) >= _SECONDS + moving
