Rollouts: a new coordinator doesn't take nothing known for nothing running

Cause, two: `completed` was noted as soon as no request was known to run on old servers, also by a coordinator that had granted none of them. And what entry hosts hand over after the move wasn't counted, as requests were counted by the servers that the pool leader lists, and a new one doesn't list barred servers.

Change: only a coordinator that has granted since the order, and reaches all entry hosts, completes early; any other waits for the planned end, counted from the order. Running requests are counted by their grants.

Ruled out: an account of each entry host before an early end.

--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -132,6 +132,7 @@
             cfg.again_seconds,
         )
         self.rollouts.on_completed = self._remove_old_versions
+        self.rollouts.reaches_all_owners = self._reaches_all_entry_hosts
         self._presence = presence.Presence(
             self._link,
             cfg.me,
@@ -318,6 +319,9 @@
     def _count_entry_hosts(self) -> int:
         return self.leadership.entry_hosts.count(self._clock.now())
 
+    def _reaches_all_entry_hosts(self) -> bool:
+        return self.leadership.entry_hosts.reaches_all(self._clock.now())
+
     def _record_demand(self, slot_request: requests.SlotRequest) -> None:
         self.leadership.entry_hosts.demand.record(
             slot_request.owner,
--- a/libs/control/geraniumweir/control/leadership.py
+++ b/libs/control/geraniumweir/control/leadership.py
@@ -152,6 +152,17 @@
             self._unseen_for(REACHABLE_SECONDS, now)
         )
 
+    def reaches_all(self, now: float) -> bool:
+        """Return whether all known entry hosts are reachable.
+
+        >>> some = EntryHosts(8)
+        >>> some.heard(ids.HostId('a'), 0), some.heard(ids.HostId('b'), 5)
+        (None, None)
+        >>> some.reaches_all(5)
+        False
+        """
+        return self.count_reachable(now) >= self.count(now)
+
     def share_of(self, host_id: ids.HostId, now: float) -> float:
         """Return a host's share of all requests."""
         return self.demand.share(host_id, self.count(now), now)
--- a/libs/control/geraniumweir/control/rollouts.py
+++ b/libs/control/geraniumweir/control/rollouts.py
@@ -58,6 +58,7 @@
         :param resend_seconds: how long operators may send an order again.
         """
         self.on_completed: OnCompleted = _ignore
+        self.reaches_all_owners: typing.Callable[[], bool] = _unknown
         self._access = access
         self._log = log
         self._clock = clock
@@ -126,6 +127,7 @@
             self._clock.now,
             self._bounds,
             may_spend_budget=self._log.is_leading,
+            reaches_all_owners=lambda: self.reaches_all_owners(),
         )
         self._guides[pool] = made
         return made
@@ -257,5 +259,10 @@
             return phase.name
 
 
+def _unknown() -> bool:
+    """Return that nothing is known of entry hosts where no callback is set."""
+    return False
+
+
 def _ignore(_rollout: orders.Rollout) -> None:
     """Do nothing where no callback is set."""
--- a/libs/fakes/geraniumweir/fakes/rollouts/owners.py
+++ b/libs/fakes/geraniumweir/fakes/rollouts/owners.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import dataclasses
+import random
 import typing
 
 from geraniumweir.common import ids
 from geraniumweir.scheduling import requests
+from geraniumweir.scheduling.ontime import leader
 
 _HOSTS = tuple(ids.HostId(f'entry-{number}') for number in range(6))
+# Entry hosts find a new coordinator within this time.
+_HANDOVER_SECONDS = (0.03, 1.0)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -40,9 +44,10 @@
 class Owners:
     """The entry hosts, which own the requests of callers."""
 
-    def __init__(self, now: typing.Callable[[], float]) -> None:
+    def __init__(self, now: typing.Callable[[], float], seed: int) -> None:
         """Initialize without requests."""
         self._now = now
+        self._chance = random.Random(f'{seed} owners')
         self._open: dict[ids.RequestId, OpenRequest] = {}
         self._count = 0
 
@@ -68,3 +73,32 @@
         for found in self._open.values():
             if found.grant.version != to and found.ask.idempotent:
                 found.preempted.set()
+
+    async def hand_over(self, to: leader.OnTimePoolLeader) -> None:
+        """Hand over to a new coordinator, each host when it finds it.
+
+        One of them doesn't reach it, but still reaches its servers.
+        """
+        silent = self._chance.choice(_HOSTS)
+        async with asyncio.TaskGroup() as group:
+            for host in _HOSTS:
+                delay = self._chance.uniform(*_HANDOVER_SECONDS)
+                if host != silent:
+                    group.create_task(self._hand_over(host, delay, to))
+
+    async def _hand_over(
+        self, host: ids.HostId, delay: float, to: leader.OnTimePoolLeader
+    ) -> None:
+        await asyncio.sleep(delay)
+        to.adopt(
+            [
+                requests.OpenGrant(
+                    one.ask,
+                    one.grant,
+                    self._now() - one.granted_at,
+                    one.first_token,
+                )
+                for one in self._open.values()
+                if one.ask.owner == host
+            ],
+        )
--- a/libs/fakes/geraniumweir/fakes/rollouts/playing.py
+++ b/libs/fakes/geraniumweir/fakes/rollouts/playing.py
@@ -137,7 +137,7 @@
             name: self._chance.choice(_SPEEDS) for name in self._known
         }
         self._running = dict.fromkeys(self._known, 0)
-        self._owners = owners.Owners(now)
+        self._owners = owners.Owners(now, plan.seed)
         self._fiftieth: float | None = None
         rollout = orders.Rollout(POOL, 1, NEW, plan.seconds)
         self._sighted = controller.ObservedOrder(rollout, self._start)
@@ -179,6 +179,7 @@
         """Let another coordinator begin in the middle of the rollout."""
         await asyncio.sleep(self._chance.uniform(0, self._plan.seconds))
         self._lead()
+        await self._owners.hand_over(self._leader)
 
     async def _conduct(self, end: float) -> None:
         while self._age() < end:
--- a/libs/fakes/geraniumweir/fakes/rollouts/tests/test_playing.py
+++ b/libs/fakes/geraniumweir/fakes/rollouts/tests/test_playing.py
@@ -56,3 +56,14 @@
         assert found.ended <= 12, found
         assert not found.lost, found
         assert not found.refused, found
+
+
+@pytest.mark.parametrize('seed', [5101, 5103, 5110, 5115])
+def test_new_coordinator_takes_nothing_known_for_nothing_running(
+    seed: int,
+) -> None:
+    """It takes over when requests run on old servers."""
+    takeover = versions.Trouble.takeover
+    for found in main.plays(versions.Kind.good, takeover, [seed]):
+        assert found.ended <= 12, found
+        assert not found.lost, found
--- a/libs/rollout/geraniumweir/rollout/controller.py
+++ b/libs/rollout/geraniumweir/rollout/controller.py
@@ -33,6 +33,9 @@
 # Answers of the new version that are needed before it gets more, or fewer where
 # its budget allows fewer.
 _MIN_ANSWERS = 20
+# A controller that first sees an order later than this after its start has not
+# granted all requests that run: another coordinator did before it.
+_MAX_ORDER_DELAY_SECONDS = 0.5
 # Reason for the end of a version that is still suspected at its time limit.
 _UNDECIDED = 'bad answers were not explained within the time limit'
 
@@ -85,6 +88,10 @@
 Source = typing.Callable[[], ObservedOrder | None]
 
 
+def _always() -> bool:
+    return True
+
+
 _DEFAULT_BOUNDS: typing.Final = budget.Bounds()
 
 
@@ -104,6 +111,7 @@
         bounds: budget.Bounds = _DEFAULT_BOUNDS,
         *,
         may_spend_budget: typing.Callable[[], bool] | None = None,
+        reaches_all_owners: typing.Callable[[], bool] = _always,
         judge: typing.Callable[
             [], detection.Detector
         ] = detection.CusumDetector,
@@ -115,6 +123,8 @@
         :param bounds: bound on the requests of a bad version.
         :param may_spend_budget: whether this host may spend the budget: only
             the leader of the log may; None where it never may.
+        :param reaches_all_owners: returns whether this host reaches all entry
+            hosts that may use servers of the pool.
         :param judge: makes the detector of bad versions.
         """
         self.rollout: orders.Rollout | None = None
@@ -124,9 +134,11 @@
         self._now = now
         self._bounds = bounds
         self._may_spend_budget = may_spend_budget
+        self._reaches_all_owners = reaches_all_owners
         self._make_detector = judge
         self._started: float = 0
         self._moved_at: float = -math.inf
+        self._granted_all = False
         self.budget = budget.Budget(bounds, 0, 0)
         self._evidence = evidence.Evidence(judge())
 
@@ -165,6 +177,9 @@
         if is_new:
             self._started = found.started
             self._moved_at = -math.inf
+            self._granted_all = (
+                self._now() - found.started <= _MAX_ORDER_DELAY_SECONDS
+            )
             self.budget = budget.Budget(
                 self._bounds,
                 found.rollout.exposure,
@@ -264,11 +279,21 @@
             'answers': observed.answers,
             'suspicion': round(observed.detector.suspicion, 2),
             'set_aside': sorted(observed.excluded_servers),
+            'knows_all': self._knows_all_requests(),
         }
 
+    def _knows_all_requests(self) -> bool:
+        """Return whether all requests that run were granted here."""
+        return self._granted_all and self._reaches_all_owners()
+
     def _may_complete(self, load: Load, planned: schedule.Schedule) -> bool:
-        """Return whether the servers of old versions may stop."""
-        if not load.old_running:
+        """Return whether the servers of old versions may stop.
+
+        That no request is known to run there proves nothing to a coordinator
+        that took over, or that doesn't reach all entry hosts: it waits for the
+        planned end.
+        """
+        if self._knows_all_requests() and not load.old_running:
             return True
         return self._now() >= planned.end_time(self._started, self._moved_at)
 
--- a/libs/rollout/geraniumweir/rollout/tests/test_controller.py
+++ b/libs/rollout/geraniumweir/rollout/tests/test_controller.py
@@ -20,6 +20,7 @@
     def __init__(self, *, leads: bool = True) -> None:
         self.now: float = 0
         self.leads = leads
+        self.reaches_all = True
         self.rollout = orders.Rollout(ids.PoolName('p'), 1, _NEW, _SECONDS)
         self.guide = self.make()
 
@@ -28,6 +29,7 @@
             lambda: controller.ObservedOrder(self.rollout, 0),
             lambda: self.now,
             may_spend_budget=lambda: self.leads,
+            reaches_all_owners=lambda: self.reaches_all,
         )
         guide.refresh()
         guide.new_server_count = 4
@@ -244,6 +246,27 @@
     assert _completed_at(scenario, _DRAINED) == scenario.now
 
 
+def test_new_coordinator_takes_nothing_known_for_nothing_running() -> None:
+    """It completes at the planned end, within the time limit."""
+    scenario = _moved()
+    moved_at = scenario.now
+    scenario.guide = scenario.make()
+    completed_at = _completed_at(scenario, _DRAINED)
+    assert schedule.end_seconds(_SECONDS) <= completed_at < _SECONDS
+    assert completed_at > moved_at + 1
+
+
+def test_unreachable_entry_hosts_may_still_use_old_servers() -> None:
+    """The coordinator waits for the planned end until it reaches them."""
+    scenario = _moved()
+    scenario.reaches_all = False
+    for _ in range(5):
+        assert scenario.step(_DRAINED) is None
+        scenario.now += 0.1
+    scenario.reaches_all = True
+    assert isinstance(scenario.step(_DRAINED), controller.End)
+
+
 def test_version_completes_in_time_though_requests_run_on() -> None:
     """Those that still run get all the time that there is."""
     scenario = _moved()
--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -203,8 +203,9 @@
     to = leader.guide.target_version
     all_servers = leader.servers.values()
     return controller.Load(
+        # Of grants, as servers that get no requests may be unknown here.
         old_running=sum(
-            len(one.running) for one in all_servers if one.version != to
+            one.grant.version != to for one in leader.running.values()
         ),
         running=len(leader.running),
         new_slots=sum(
