Entry hosts: an attempt is stopped once

Cause: the demand to move a request is repeated each 0.1 s until its attempt has ended, and a timeout that is expiring can't be rescheduled: the error would end the task that moves requests. Read in the code; no run showed it. Change: a second stop does nothing. The tests of moves repeat the demand."

--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -120,6 +120,8 @@
 
         What was received from it is still sent to the caller.
         """
+        if self._stopped:
+            return
         self._stopped = True
         if self._answer is not None:
             self._answer.abandon()
--- a/libs/gateway/geraniumweir/gateway/tests/test_preemption.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_preemption.py
@@ -73,11 +73,16 @@
         return resp.status, await resp.read()
 
 
-def _preempt(running: testbed.Testbed, to: str = 'v2') -> None:
-    """Move requests to servers of a version; the servers have none."""
-    running.shared.running.preempt_old_versions(
-        testbed.POOL, ids.SoftwareVersion(to)
-    )
+async def _preempt(running: testbed.Testbed, to: str = 'v2') -> None:
+    """Move requests to servers of a version; the servers have none.
+
+    The demand is repeated until an attempt has ended.
+    """
+    for _ in range(3):
+        running.shared.running.preempt_old_versions(
+            testbed.POOL, ids.SoftwareVersion(to)
+        )
+        await asyncio.sleep(0)
 
 
 @pytest.mark.parametrize(
@@ -102,7 +107,7 @@
             work = asyncio.create_task(_get(running))
             await stuck.sent.wait()
             await asyncio.sleep(0.05)
-            _preempt(running)
+            await _preempt(running)
             status, body = await asyncio.wait_for(work, 3)
             await asyncio.wait_for(first.disconnected.wait(), 1)
             assert status == 200
@@ -128,7 +133,7 @@
         async with testbed.running(first, second) as running:
             work = asyncio.create_task(_get(running))
             await stuck.sent.wait()
-            _preempt(running)
+            await _preempt(running)
             assert await asyncio.wait_for(work, 3) == (200, b'good')
 
     asyncio.run(scenario())
@@ -169,7 +174,7 @@
             work = asyncio.create_task(_get(running))
             while not first.seen:
                 await asyncio.sleep(0.01)
-            _preempt(running, to)
+            await _preempt(running, to)
             await asyncio.sleep(0.05)
             go_on.set()
             assert (await asyncio.wait_for(work, 3))[0] == 200
