Rollouts: requests get the planned time after a late move of the traffic

Red before, green now: test_running_requests_get_time_after_a_late_move_of_the_traffic with the new bound."

--- a/libs/rollout/geraniumweir/rollout/schedule.py
+++ b/libs/rollout/geraniumweir/rollout/schedule.py
@@ -45,13 +45,13 @@
     def end_time(self, started: float, moved_at: float) -> float:
         """Return when the rollout ends at the latest, in seconds.
 
-        Running requests get the time to move even if the traffic moved late.
+        Running requests get the planned time even if the traffic moved late.
 
         :param started: time of the order.
         :param moved_at: time at which the traffic moved.
         """
-        move_running_at = max(started + self.move_running, moved_at)
-        return move_running_at + self.end - self.move_running
+        drain_seconds = self.move_running - self.move
+        return max(started + self.end, moved_at + drain_seconds)
 
 
 def end_seconds(seconds: float) -> float:
--- a/libs/rollout/geraniumweir/rollout/tests/test_controller.py
+++ b/libs/rollout/geraniumweir/rollout/tests/test_controller.py
@@ -274,12 +274,12 @@
     assert schedule.end_seconds(_SECONDS) <= completed_at < _SECONDS
 
 
-def test_requests_get_time_to_move_after_a_late_move_of_the_traffic() -> None:
-    """Even if the version was trusted only at its time limit."""
+def test_running_requests_get_time_after_a_late_move_of_the_traffic() -> None:
+    """Those that may run once only have to end on old servers."""
     scenario = _Rollout()
     scenario.now = _SECONDS
     while scenario.rollout.phase is not orders.Phase.moved:
         scenario.serve(10)
-    moving = schedule.end_seconds(_SECONDS)
-    moving -= schedule.move_running_seconds(_SECONDS)
-    assert _completed_at(scenario, _LOAD) >= _SECONDS + moving
+    planned = schedule.plan(_SECONDS, _LOAD.held)
+    drained_at = _SECONDS + planned.move_running - planned.move
+    assert _completed_at(scenario, _LOAD) >= drained_at
