Entry hosts: say what becomes of unread events when an attempt is stopped

Cause: the doc comment said that everything received is still sent to the caller. What was received but not read is dropped with the connection; the next server sends it again, as the stream goes on after the last event that was read. Change: the comment. Checked: format, flake8 and the tests of the gateway.

--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -118,7 +118,7 @@
     def stop(self) -> None:
         """End the attempt by closing the connection to the server.
 
-        What was received from it is still sent to the caller.
+        Events that were not read from it yet come from the next server.
         """
         if self._stopped:
             return
