--- a/libs/control/geraniumweir/control/stream_exchange.py
+++ b/libs/control/geraniumweir/control/stream_exchange.py
@@ -2,7 +2,8 @@
 
 The coordinator hears of each stream that begins and publishes it to the other
 control hosts, so that a new coordinator knows the streams of entry hosts that
-were lost too. Entry hosts report theirs to a new coordinator.
+were lost too. Entry hosts repeat a report until it is answered, and report all
+their streams to a new coordinator.
 """
 
 import asyncio
@@ -13,7 +14,7 @@
 import reactivex
 from geraniumweir.common import ids, timers
 from geraniumweir.control import enrolments, hosts
-from geraniumweir.scheduling import stream_origins, translation
+from geraniumweir.scheduling import channel, stream_origins, translation
 from geraniumweir.wire import errors, peers
 from geraniumweir.wire.gen.control import ttypes
 
@@ -24,6 +25,9 @@
 _MAX_PUBLISHED = 4096
 # An answer takes a few milliseconds; a lost packet is sent again after 0.2 s.
 _FIND_SECONDS = 0.3
+# A report that was lost is repeated within the time in which hosts are in touch
+# again after a disturbance, some 3 s.
+_CONFIRM_SECONDS = 1.5
 # The report of an event may arrive later than its caller's next attempt, and a
 # new coordinator gets the reports of entry hosts within this time.
 _REPEAT_SECONDS = 0.1
@@ -146,7 +150,7 @@
         self,
         sender: ids.HostId,
         message: ttypes.BegunStreams,
-    ) -> None:
+    ) -> ttypes.StreamsRecorded:
         from_control_host = any(
             host.host_id == sender for host in self._known.known()
         )
@@ -155,6 +159,7 @@
                 self.origins.record(begin)
             else:
                 self.record(begin)
+        return ttypes.StreamsRecorded()
 
     async def _on_find(
         self,
@@ -173,19 +178,33 @@
 
     def __init__(
         self,
-        link: peers.Peers,
+        link: channel.Channel,
         origins: stream_origins.StreamOrigins,
         view: CoordinatorView,
+        clock: timers.TimerService,
     ) -> None:
-        """Report to each new coordinator from now on."""
+        """Report to the coordinator from now on."""
         self._origins = origins
         self._link = link
         self._coordinator = view.coordinator_id
-        view.changes.subscribe(lambda _: self._report())
+        self._unconfirmed: set[ids.StreamKey] = set()
+        self._subscriptions = (
+            clock.every(_CONFIRM_SECONDS).subscribe(lambda _: self._report()),
+            view.changes.subscribe(lambda _: self._report_all()),
+        )
+
+    def close(self) -> None:
+        """Stop reporting."""
+        for subscription in self._subscriptions:
+            subscription.dispose()
 
     def record(self, begin: stream_origins.StreamBegin) -> None:
-        """Record a stream that begins at this host."""
-        self._origins.record(begin)
+        """Record a stream that begins at this host.
+
+        The coordinator hears of it at once, with the progress of the request.
+        """
+        if self._origins.record(begin):
+            self._unconfirmed.add(begin.key)
 
     def is_certain(self, origin: stream_origins.StreamOrigin) -> bool:
         """Return whether the version of an origin is certain by now."""
@@ -219,10 +238,32 @@
             ids.PoolName(reply.pool), ids.SoftwareVersion(reply.version)
         )
 
+    def _report_all(self) -> None:
+        self._unconfirmed = {begin.key for begin in self._origins.known()}
+        self._report()
+
     def _report(self) -> None:
+        """Report what the coordinator has not confirmed, if there is one."""
         coordinator = self._coordinator()
-        if coordinator != self._link.host_id:
-            _send(self._link, coordinator, self._origins.known())
+        if not self._unconfirmed or coordinator == self._link.host_id:
+            return
+        keys = self._unconfirmed
+        self._unconfirmed = set()
+        begins = [one for one in self._origins.known() if one.key in keys]
+        for first in range(0, len(begins), _MAX_PUBLISHED):
+            part = begins[first : first + _MAX_PUBLISHED]
+            self._link.start(self._confirm(coordinator, part))
+
+    async def _confirm(
+        self,
+        coordinator: ids.HostId,
+        begins: typing.Sequence[stream_origins.StreamBegin],
+    ) -> None:
+        try:
+            await self._link.call(coordinator, pack(begins), _FIND_SECONDS)
+        except errors.PeerError:
+            # Repeated in the next interval, or to the next coordinator.
+            self._unconfirmed.update(one.key for one in begins)
 
 
 def pack(begins: Begins) -> ttypes.BegunStreams:
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -200,6 +200,7 @@
             self._link,
             stream_exchange.make_origins(self._clock, self.watcher.servers.get),
             self._coordinator,
+            self._clock,
         )
 
     def document_state(self) -> admission.DocumentState:
@@ -347,6 +348,7 @@
         stack.push_async_callback(self._link.close)
         stack.callback(self._service.close)
         stack.callback(self._broker.close)
+        stack.callback(self._streams.close)
         follower = preemption.RolloutFollower(
             shared.running, self.watcher.rollout, self._clock.now
         )
--- a/libs/scheduling/geraniumweir/scheduling/stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/stream_origins.py
@@ -105,7 +105,8 @@
 
         :param is_doubtful: returns whether the server of an origin may have
             run another version when it sent the first event.
-        :param max_streams: the oldest are discarded beyond this number.
+        :param max_streams: beyond this number, those that expire first are
+            discarded.
         """
         self._clock = clock
         self._is_doubtful = is_doubtful
@@ -113,10 +114,6 @@
         self._records: dict[ids.StreamKey, _Record] = {}
         self._expiries: list[tuple[float, ids.StreamKey]] = []
 
-    def __len__(self) -> int:
-        """Return the number of streams."""
-        return len(self._records)
-
     def record(self, begin: StreamBegin) -> bool:
         """Record a stream, unless it is known.
 
@@ -136,7 +133,7 @@
         self._records[begin.key] = _Record(begin.origin, expires_at)
         heapq.heappush(self._expiries, (expires_at, begin.key))
         if len(self._records) > self._max_streams:
-            self._records.pop(next(iter(self._records)))
+            self._discard_first()
         return True
 
     def find(self, key: ids.StreamKey) -> StreamOrigin | None:
@@ -170,5 +167,9 @@
 
     def _discard_expired(self, now: float) -> None:
         while self._expiries and self._expiries[0][0] <= now:
-            _, key = heapq.heappop(self._expiries)
-            self._records.pop(key, None)
+            self._discard_first()
+
+    def _discard_first(self) -> None:
+        """Discard the stream that expires first."""
+        _, key = heapq.heappop(self._expiries)
+        self._records.pop(key)
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_stream_origins.py
@@ -0,0 +1,92 @@
+"""The table of the versions that began streams."""
+
+import asyncio
+
+from geraniumweir.common import ids, timers, virtual
+from geraniumweir.scheduling import requests, stream_origins, translation
+
+_POOL = ids.PoolName('pool')
+_START = (ids.ServerId('server'), ids.Incarnation(7))
+
+
+def _begin(
+    key: int, version: str = 'v1', seconds: float = 10
+) -> stream_origins.StreamBegin:
+    origin = stream_origins.StreamOrigin(
+        _POOL, ids.SoftwareVersion(version), _START
+    )
+    return stream_origins.StreamBegin(ids.StreamKey(key), origin, seconds)
+
+
+def test_stream_is_known_for_as_long_as_its_caller_may_return() -> None:
+    """Others expire before or after it."""
+
+    async def work() -> None:
+        origins = stream_origins.StreamOrigins(timers.TimerService())
+        for key, seconds in enumerate((3, 1, 2, 0)):
+            origins.record(_begin(key, seconds=seconds))
+        await asyncio.sleep(1.5)
+        assert [one.key for one in origins.known()] == [0, 2]
+        assert origins.find(ids.StreamKey(1)) is None
+        assert int(origins.known()[0].seconds * 10) == 15
+        await asyncio.sleep(2)
+        assert not origins.known()
+
+    virtual.run(work())
+
+
+def test_contradicting_reports_make_a_stream_unknown() -> None:
+    """The same report again does not."""
+
+    async def work() -> None:
+        origins = stream_origins.StreamOrigins(timers.TimerService())
+        assert origins.record(_begin(1))
+        assert not origins.record(_begin(1))
+        assert origins.find(ids.StreamKey(1)).version == 'v1'
+        assert origins.record(_begin(1, 'v1.1'))
+        assert origins.find(ids.StreamKey(1)) is None
+        assert not origins.record(_begin(1))
+        assert not origins.known()
+
+    virtual.run(work())
+
+
+def test_memory_is_bounded() -> None:
+    """The oldest streams go first."""
+
+    async def work() -> None:
+        origins = stream_origins.StreamOrigins(
+            timers.TimerService(), max_streams=10
+        )
+        for key in range(30):
+            origins.record(_begin(key))
+        assert [one.key for one in origins.known()] == list(range(20, 30))
+        await asyncio.sleep(11)
+        assert not origins.known()
+
+    virtual.run(work())
+
+
+def test_begin_and_version_survive_their_messages() -> None:
+    """An empty version isn't taken for any version."""
+    begin = _begin(2**63 + 5)
+    progress = requests.Progress(ids.RequestId('r'), 0.5, 1, begin)
+    found = translation.unpack_progress(
+        translation.pack_progress(_POOL, progress)
+    )
+    assert found.begin.key == begin.key
+    assert found.begin.origin.agrees_with(begin.origin)
+    assert found.begin.origin.start == _START
+    for version in (None, '', 'v1'):
+        slot_request = requests.SlotRequest(
+            ids.RequestId('r'),
+            ids.HostId('h'),
+            _POOL,
+            ids.CustomerName('c'),
+            ids.RuleName('r'),
+            ids.Tier.normal,
+            10,
+            version=version,
+        )
+        packed = translation.pack_ask(slot_request, 1, 0)
+        assert translation.unpack_ask(packed, 0).version == version
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -2580,6 +2580,56 @@
         return not (self == other)
 
 
+class StreamsRecorded(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamsRecorded')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class FindStream(object):
     """
     Attributes:
@@ -3245,6 +3295,9 @@
     None,  # 0
     (1, TType.LIST, 'versions', (TType.STRUCT, [VersionStreams, None], False), None, ),  # 1
 )
+all_structs.append(StreamsRecorded)
+StreamsRecorded.thrift_spec = (
+)
 all_structs.append(FindStream)
 FindStream.thrift_spec = (
     None,  # 0
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -223,11 +223,14 @@
 }
 
 // From the coordinator to the other control hosts, several times a second, and
-// from an entry host to a new coordinator.
+// from an entry host to its coordinator, which answers StreamsRecorded.
 struct BegunStreams {
   1: list<VersionStreams> versions
 }
 
+struct StreamsRecorded {
+}
+
 // From an entry host to its coordinator.
 struct FindStream {
   1: i64 key
