Streams whose callers name no attempt are known by their content

Change: a stream is recorded under a second key too, of its customer and the content of the request. It serves callers that name no attempt; one that names an unknown attempt is refused as before. Two streams of one content that began at different versions are both unknown by it.

--- a/libs/control/geraniumweir/control/stream_exchange.py
+++ b/libs/control/geraniumweir/control/stream_exchange.py
@@ -205,6 +205,8 @@
         """
         if self._origins.record(begin):
             self._unconfirmed.add(begin.key)
+            if begin.content is not None:
+                self._unconfirmed.add(begin.content)
 
     def is_certain(self, origin: stream_origins.StreamOrigin) -> bool:
         """Return whether the version of an origin is certain by now."""
@@ -270,17 +272,20 @@
     """Return the message of some streams, grouped by version."""
     groups: dict[
         tuple[ids.PoolName, ids.SoftwareVersion],
-        list[stream_origins.StreamBegin],
+        list[tuple[ids.StreamKey, float]],
     ] = collections.defaultdict(list)
     for begin in begins:
-        groups[(begin.origin.pool, begin.origin.version)].append(begin)
+        group = groups[(begin.origin.pool, begin.origin.version)]
+        group.append((begin.key, begin.seconds))
+        if begin.content is not None:
+            group.append((begin.content, begin.seconds))
     return ttypes.BegunStreams(
         [
             ttypes.VersionStreams(
                 pool,
                 version,
-                [translation.signed(one.key) for one in found],
-                [int(one.seconds * _MS) for one in found],
+                [translation.signed(key) for key, _ in found],
+                [int(seconds * _MS) for _, seconds in found],
             )
             for (pool, version), found in groups.items()
         ],
--- a/libs/gateway/geraniumweir/gateway/admission.py
+++ b/libs/gateway/geraniumweir/gateway/admission.py
@@ -109,12 +109,11 @@
 
 
 def resumed_stream(
-    document_state: DocumentState, caller_request: codec.Request
+    document_state: DocumentState, caller_request: codec.Request, body: bytes
 ) -> ids.StreamKey | None:
     """Return the key of the stream that a request takes up, None for none.
 
-    :raises geraniumweir.common.errors.Refused: if it can't be served, or if it
-        doesn't name the attempt that began the stream.
+    :raises geraniumweir.common.errors.Refused: if it can't be served.
     """
     if caller_request.last_event is None or document_state.index is None:
         return None
@@ -122,10 +121,11 @@
     customer = find_customer(document_state, caller_request, route)
     if route.kind is not tables.Kind.stream:
         return None
-    if not caller_request.resumes:
-        raise refusals.stream_unknown()
-    return stream_origins.key_of(
-        _customer_name(customer), caller_request.resumes
+    name = _customer_name(customer)
+    if caller_request.resumes:
+        return stream_origins.key_of(name, caller_request.resumes)
+    return stream_origins.key_of_content(
+        name, _fingerprint(caller_request, body)
     )
 
 
--- a/libs/gateway/geraniumweir/gateway/begun_streams.py
+++ b/libs/gateway/geraniumweir/gateway/begun_streams.py
@@ -50,7 +50,10 @@
             self.state.origin = began_at
         if self.admitted.route.resumable:
             self.begin = stream_origins.StreamBegin(
-                self.admitted.stream_key, began_at, self._resumable_seconds()
+                self.admitted.stream_key,
+                began_at,
+                self._resumable_seconds(),
+                self.admitted.content_key,
             )
             self.directory.record(self.begin)
 
--- a/libs/gateway/geraniumweir/gateway/context.py
+++ b/libs/gateway/geraniumweir/gateway/context.py
@@ -78,3 +78,10 @@
         return stream_origins.key_of(
             self.slot_request.customer, self.caller_request.request_id
         )
+
+    @property
+    def content_key(self) -> ids.StreamKey:
+        """The same for an attempt that names none before it."""
+        return stream_origins.key_of_content(
+            self.slot_request.customer, self.slot_request.fingerprint
+        )
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -218,7 +218,9 @@
             ids.RequestId(f'{caller_request.request_id}.{number}'),
             record.arrived,
         )
-        began = await self._find_stream(document_state, caller_request, record)
+        began = await self._find_stream(
+            document_state, caller_request, body, record
+        )
         admitted = admission.admit(
             document_state, caller_request, body, origin, self._rng, began
         )
@@ -234,6 +236,7 @@
         self,
         document_state: admission.DocumentState,
         caller_request: codec.Request,
+        body: bytes,
         record: request_record.RequestRecord,
     ) -> stream_origins.StreamOrigin | None:
         """Return where the stream began that a request takes up.
@@ -242,7 +245,7 @@
         :raises geraniumweir.common.errors.Refused: if it isn't known.
         """
         record.resumes = caller_request.resumes
-        key = admission.resumed_stream(document_state, caller_request)
+        key = admission.resumed_stream(document_state, caller_request, body)
         if key is None:
             return None
         began = await self._shared.streams.find(key)
--- a/libs/gateway/geraniumweir/gateway/tests/test_begun_streams.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_begun_streams.py
@@ -140,6 +140,21 @@
     _run(scenario, _ENDS, _ENDS, _ENDS)
 
 
+def test_caller_that_names_no_attempt_is_known_by_its_content() -> None:
+    """Unless that began at two versions."""
+
+    async def scenario(running: testbed.Testbed) -> None:
+        running.scheduler.versions = {1: 'v1.1', 2: 'v1', 3: 'v1.1', 4: 'v1.1'}
+        await _get(running, 'a')
+        assert (await _get(running, 'b', Last_Event_Id='3'))[0] == 200
+        assert _asked_versions(running)[-1] == 'v1.1'
+        running.scheduler.versions[5] = 'v1'
+        await _get(running, 'c')
+        assert (await _get(running, 'd', Last_Event_Id='3'))[0] == 503
+
+    _run(scenario, _ENDS, _ENDS, _ENDS, _ENDS, _ENDS)
+
+
 def test_begin_is_reported_before_its_first_event_is_forwarded() -> None:
     """With the version of the server that sent it, once for an attempt."""
 
--- a/libs/scheduling/geraniumweir/scheduling/stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/stream_origins.py
@@ -3,7 +3,8 @@
 What servers of two software versions write does not fit together, so a stream
 goes on only at the version of the server that sent its first event to the
 caller. The entry host that forwards that event records it under a key that
-stands for the caller's attempt; a later attempt names the earlier one.
+stands for the caller's attempt; a later attempt names the earlier one. A caller
+that names none is known by the content of its request.
 """
 
 import dataclasses
@@ -43,11 +44,13 @@
     """A stream whose first event is forwarded to its caller.
 
     :ivar seconds: for how long another attempt may resume it.
+    :ivar content: key of what the attempt requests, None if it has none.
     """
 
     key: ids.StreamKey
     origin: StreamOrigin
     seconds: float
+    content: ids.StreamKey | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +83,17 @@
     return ids.StreamKey(xxhash.xxh3_64_intdigest(text.encode()))
 
 
+def key_of_content(
+    customer: ids.CustomerName, fingerprint: ids.Fingerprint
+) -> ids.StreamKey:
+    """Return the key of the attempts at one content.
+
+    :param fingerprint: equal for the same content sent again.
+    """
+    text = f'{customer}\r{fingerprint}'
+    return ids.StreamKey(xxhash.xxh3_64_intdigest(text.encode()))
+
+
 class StreamOrigins:
     """The origins that a host knows, for as long as callers may return.
 
@@ -118,23 +132,16 @@
         """Record a stream, unless it is known.
 
         An attempt has one first event. If two reports contradict each other, as
-        the caller used an id twice, the stream counts as unknown.
+        the caller used an id twice, or requested the same content twice, the
+        stream counts as unknown.
 
         :returns: whether it changed anything.
         """
-        now = self._clock.now()
-        self._discard_expired(now)
-        known = self._records.get(begin.key)
-        if known is not None:
-            return self._check(begin, known)
-        if begin.seconds <= 0:
-            return False
-        expires_at = now + begin.seconds
-        self._records[begin.key] = _Record(begin.origin, expires_at)
-        heapq.heappush(self._expiries, (expires_at, begin.key))
-        if len(self._records) > self._max_streams:
-            self._discard_first()
-        return True
+        changed = self._record(begin)
+        if begin.content is None:
+            return changed
+        by_content = dataclasses.replace(begin, key=begin.content, content=None)
+        return self._record(by_content) or changed
 
     def find(self, key: ids.StreamKey) -> StreamOrigin | None:
         """Return the origin of a stream, None if it isn't known for sure."""
@@ -159,6 +166,21 @@
             if found.origin is not None
         ]
 
+    def _record(self, begin: StreamBegin) -> bool:
+        now = self._clock.now()
+        self._discard_expired(now)
+        known = self._records.get(begin.key)
+        if known is not None:
+            return self._check(begin, known)
+        if begin.seconds <= 0:
+            return False
+        expires_at = now + begin.seconds
+        self._records[begin.key] = _Record(begin.origin, expires_at)
+        heapq.heappush(self._expiries, (expires_at, begin.key))
+        if len(self._records) > self._max_streams:
+            self._discard_first()
+        return True
+
     def _check(self, begin: StreamBegin, known: _Record) -> bool:
         if known.origin is None or known.origin.agrees_with(begin.origin):
             return False
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_stream_origins.py
@@ -1,6 +1,7 @@
 """The table of the versions that began streams."""
 
 import asyncio
+import dataclasses
 
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.scheduling import requests, stream_origins, translation
@@ -69,7 +70,9 @@
 
 def test_begin_and_version_survive_their_messages() -> None:
     """An empty version isn't taken for any version."""
-    begin = _begin(2**63 + 5)
+    begin = dataclasses.replace(
+        _begin(2**63 + 5), content=ids.StreamKey(2**64 - 1)
+    )
     progress = requests.Progress(ids.RequestId('r'), 0.5, 1, begin)
     found = translation.unpack_progress(
         translation.pack_progress(_POOL, progress)
@@ -77,6 +80,7 @@
     assert found.begin.key == begin.key
     assert found.begin.origin.agrees_with(begin.origin)
     assert found.begin.origin.start == _START
+    assert found.begin.content == begin.content
     for version in (None, '', 'v1'):
         slot_request = requests.SlotRequest(
             ids.RequestId('r'),
--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -230,7 +230,11 @@
     if origin.start is None:
         return None
     return ttypes.StreamBegin(
-        signed(begin.key), *origin.start, origin.version, float(begin.seconds)
+        signed(begin.key),
+        *origin.start,
+        origin.version,
+        float(begin.seconds),
+        None if begin.content is None else signed(begin.content),
     )
 
 
@@ -250,6 +254,9 @@
             time.time(),
         ),
         message.left,
+        None
+        if message.content is None
+        else ids.StreamKey(unsigned(message.content)),
     )
 
 
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -1132,6 +1132,7 @@
      - incarnation
      - version
      - left
+     - content
 
     """
 
@@ -1141,15 +1142,17 @@
         'incarnation',
         'version',
         'left',
+        'content',
     )
 
 
-    def __init__(self, key=None, server_id=None, incarnation=None, version=None, left=None,):
+    def __init__(self, key=None, server_id=None, incarnation=None, version=None, left=None, content=None,):
         self.key = key
         self.server_id = server_id
         self.incarnation = incarnation
         self.version = version
         self.left = left
+        self.content = content
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1185,6 +1188,11 @@
                     self.left = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.content = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1215,6 +1223,10 @@
             oprot.writeFieldBegin('left', TType.DOUBLE, 5)
             oprot.writeDouble(self.left)
             oprot.writeFieldEnd()
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.I64, 6)
+            oprot.writeI64(self.content)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2530,6 +2542,7 @@
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
     (5, TType.DOUBLE, 'left', None, None, ),  # 5
+    (6, TType.I64, 'content', None, None, ),  # 6
 )
 all_structs.append(Progress)
 Progress.thrift_spec = (
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -104,6 +104,8 @@
   3: i64 incarnation
   4: string version
   5: double left
+  // Stands for what the attempt requests.
+  6: optional i64 content
 }
 
 struct Progress {
