Rollouts: begun streams on old servers are waited for, not moved

Change: the end of a rollout waits for what is known to run on old servers, for half of the time limit more at most; requests without a first event still move. The traffic moves five times the mean time on a slot before the last ones move, not three times.

--- a/libs/fakes/geraniumweir/fakes/rollouts/main.py
+++ b/libs/fakes/geraniumweir/fakes/rollouts/main.py
@@ -60,6 +60,8 @@
         f'  ended {max(ended, default=0):5.1f} s  lost {lost:3}'
         f'  refused {sum(one.refused for one in found):4}'
         f'  moved {sum(one.moved for one in found):3}'
+        f'  begun {sum(one.mixed for one in found):3}'
+        f'  late {sum(end > _SECONDS for end in ended):3}'
     )
 
 
--- a/libs/fakes/geraniumweir/fakes/rollouts/playing.py
+++ b/libs/fakes/geraniumweir/fakes/rollouts/playing.py
@@ -74,6 +74,7 @@
     :ivar after: requests that it got too long after its 50th bad answer.
     :ivar lost: requests that ran on old servers when these stopped.
     :ivar moved: requests that moved from old servers to others.
+    :ivar mixed: of these, streams that had begun.
     :ivar refused: requests that got no server.
     :ivar ended: seconds after the order, None where it didn't.
     """
@@ -85,6 +86,7 @@
     after: int = 0
     lost: int = 0
     moved: int = 0
+    mixed: int = 0
     refused: int = 0
     ended: float | None = None
     reason: str = ''
@@ -302,6 +304,7 @@
         )
         if is_done:
             return None
+        self._result.mixed += served.first_token is not None
         worked = self._now() - served.granted_at - work.first
         return max(held - max(worked, 0) * work.speed, 0)
 
--- a/libs/rollout/geraniumweir/rollout/controller.py
+++ b/libs/rollout/geraniumweir/rollout/controller.py
@@ -301,13 +301,17 @@
     def _may_complete(self, load: Load, planned: schedule.Schedule) -> bool:
         """Return whether the servers of old versions may stop.
 
-        That no request is known to run there proves nothing to a coordinator
-        that took over, or that doesn't reach all entry hosts: it waits for the
-        planned end.
+        Streams that run there can't go on elsewhere, so their ends are waited
+        for. That none is known to run proves nothing to a coordinator that took
+        over, or that doesn't reach all entry hosts: it waits for the planned
+        end.
         """
-        if self._knows_all_requests() and not load.old_running:
+        if not load.old_running and self._knows_all_requests():
             return True
-        return self._now() >= planned.end_time(self._started, self._moved_at)
+        times = (self._started, self._moved_at)
+        if load.old_running:
+            return self._now() >= planned.latest_end_time(*times)
+        return self._now() >= planned.end_time(*times)
 
     def _next_canary_step(self, load: Load, due: bool) -> Advance | None:
         if due and self._is_trusted(load):
--- a/libs/rollout/geraniumweir/rollout/schedule.py
+++ b/libs/rollout/geraniumweir/rollout/schedule.py
@@ -3,7 +3,8 @@
 The traffic moves late, because a version may turn bad some time after its
 start and requests before that count as exposure. It moves early enough that
 nearly all requests on old servers have ended when these stop, as they stop
-without draining. Those that still run shortly before that are moved.
+without draining. Shortly before that, requests without a first event are moved;
+begun streams can't be, so the end waits for them.
 """
 
 import dataclasses
@@ -19,10 +20,13 @@
 _MOVE_RUNNING_FRACTION = 0.035
 # Requests occupy slots for different times; nearly all end within this factor
 # of the mean plus this time.
-_DRAIN_FACTOR = 3.0
+_DRAIN_FACTOR = 5.0
 _DRAIN_SECONDS = 0.3
 # Longest time for draining old servers, as a fraction of the time limit.
 _MAX_DRAIN_FRACTION = 0.4
+# Streams that still run on old servers at the planned end are waited for, until
+# this factor of the time limit at most.
+_LATEST_END_FACTOR = 1.5
 # Duration of the ramp before the move, as a fraction of the time limit.
 _RAMP_FRACTION = 0.06
 
@@ -34,16 +38,26 @@
     :ivar ramp: a fraction of all requests goes to the new version.
     :ivar move: all new requests go to it.
     :ivar move_running: requests that still run on old servers move too.
-    :ivar end: the rollout ends, even if old servers still run requests.
+    :ivar end: the rollout ends, if nothing is known to run on old servers.
+    :ivar latest_end: it ends whatever runs there.
     """
 
     ramp: float
     move: float
     move_running: float
     end: float
+    latest_end: float
+
+    def latest_end_time(self, started: float, moved_at: float) -> float:
+        """Return until when running requests are waited for, in seconds.
+
+        :param started: time of the order.
+        :param moved_at: time at which the traffic moved.
+        """
+        return max(started + self.latest_end, self.end_time(started, moved_at))
 
     def end_time(self, started: float, moved_at: float) -> float:
-        """Return when the rollout ends at the latest, in seconds.
+        """Return the planned end of the rollout, in seconds.
 
         Running requests get the planned time even if the traffic moved late.
 
@@ -55,7 +69,7 @@
 
 
 def end_seconds(seconds: float) -> float:
-    """Return when a rollout ends at the latest, in seconds after the order.
+    """Return the planned end of a rollout, in seconds after the order.
 
     :param seconds: time limit of the rollout.
     """
@@ -92,7 +106,7 @@
 
     >>> found = plan(12, 1)
     >>> round(found.move, 1), round(found.move_running, 1), round(found.end, 1)
-    (8.0, 11.3, 11.7)
+    (6.5, 11.3, 11.7)
     """
     end = end_seconds(seconds)
     move_running = move_running_seconds(seconds)
@@ -100,4 +114,4 @@
     move = move_running - min(drain, seconds * _MAX_DRAIN_FRACTION)
     move = max(move, 0)
     ramp = max(move - seconds * _RAMP_FRACTION, 0)
-    return Schedule(ramp, move, move_running, end)
+    return Schedule(ramp, move, move_running, end, seconds * _LATEST_END_FACTOR)
