--- a/libs/control/geraniumweir/control/stream_exchange.py
+++ b/libs/control/geraniumweir/control/stream_exchange.py
@@ -216,24 +216,32 @@
         self, key: ids.StreamKey
     ) -> stream_origins.StreamOrigin | None:
         """Return the origin of a stream, None if no host in touch knows it."""
-        found = self._origins.find(key) or await self._find_elsewhere(key)
-        if found is None and self._coordinator() != self._link.host_id:
-            await asyncio.sleep(_REPEAT_SECONDS)
-            found = await self._find_elsewhere(key)
-        return found
-
-    async def _find_elsewhere(
-        self, key: ids.StreamKey
-    ) -> stream_origins.StreamOrigin | None:
-        coordinator = self._coordinator()
-        if coordinator == self._link.host_id:
-            return None
-        message = ttypes.FindStream(translation.signed(key))
+        found = self._origins.find(key)
+        if found is not None or self._coordinator() == self._link.host_id:
+            return found
         try:
-            reply = await self._link.call(coordinator, message, _FIND_SECONDS)
+            return await self._ask(key) or await self._ask_again(key)
         except errors.PeerError:
             # Lost or cut off: the caller is refused, which is logged.
             return None
+
+    async def _ask_again(
+        self, key: ids.StreamKey
+    ) -> stream_origins.StreamOrigin | None:
+        await asyncio.sleep(_REPEAT_SECONDS)
+        return await self._ask(key)
+
+    async def _ask(
+        self, key: ids.StreamKey
+    ) -> stream_origins.StreamOrigin | None:
+        """Ask the coordinator.
+
+        :raises errors.PeerError: if it doesn't answer.
+        """
+        message = ttypes.FindStream(translation.signed(key))
+        reply = await self._link.call(
+            self._coordinator(), message, _FIND_SECONDS
+        )
         if reply.pool is None:
             return None
         return stream_origins.StreamOrigin(
