Begun streams: servers are looked up once for a version, a doubtful one is denied

Cause: each waiting stream looked at all servers of its pool in every cycle, and an attempt whose stream became doubtful before its first event was broken off where it could be refused.

Change: one look for each version that waits; a doubtful stream is denied as one whose version is gone, which breaks off, answers or refuses as the attempt stands.

--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -92,8 +92,6 @@
 
     async def _serve_until_answered(self) -> web.StreamResponse:
         while True:
-            if not self._begun.is_certain():
-                return self._abort_stream('its version is uncertain')
             decision = await self._acquire_grant()
             if isinstance(decision, requests.Denial):
                 return self._handle_denial(decision)
@@ -107,6 +105,11 @@
         """Return a grant that can be used, or a denial."""
         delay = float(0)
         while True:
+            if not self._begun.is_certain():
+                return requests.Denial(
+                    self._admitted.slot_request.request_id,
+                    requests.DenialReason.version_gone,
+                )
             slot_request = self._next_slot_request()
             self._state.slot_requested = True
             decision = await self._shared.scheduler.request_slot(slot_request)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/continuations.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/continuations.py
@@ -5,21 +5,20 @@
 geraniumweir.scheduling.stream_origins
 """
 
-from geraniumweir.scheduling import requests
+from geraniumweir.common import ids
 from geraniumweir.scheduling.ontime import placing, records, state
 
 
 def servers(
     leader: state.OnTimeLeaderState,
-    slot_request: requests.SlotRequest,
+    version: ids.SoftwareVersion,
 ) -> list[records.Server]:
-    """List the servers on which a begun stream may go on.
+    """List the servers on which streams of a version may go on.
 
     Servers of an old version stay open for them until a rollout is completed.
     Those of a new version have to be allowed by its controller: a request that
     comes again counts as one more that the version gets.
     """
-    version = slot_request.version
     guide = leader.guide
     is_new = guide.is_running and version == guide.target_version
     if is_new and not guide.may_continue_at_new_version():
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -284,7 +284,9 @@
     slot_request = turn.waiting.slot_request
     offers = cycle.without_paused(
         placing.open_offers(
-            continuations.servers(leader, slot_request), 0, cycle.estimates
+            continuations.servers(leader, slot_request.version),
+            0,
+            cycle.estimates,
         ),
         slot_request.owner,
     )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/refusing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/refusing.py
@@ -32,11 +32,19 @@
     """
     if not leader.servers:
         return
-    for waiting in list(leader.waiting.values()):
-        slot_request = waiting.slot_request
-        if slot_request.version is None:
-            continue
-        if not continuations.servers(leader, slot_request):
+    waiting_streams = [
+        waiting
+        for waiting in leader.waiting.values()
+        if waiting.slot_request.version is not None
+    ]
+    versions = {one.slot_request.version for one in waiting_streams}
+    gone = {
+        version
+        for version in versions
+        if not continuations.servers(leader, version)
+    }
+    for waiting in waiting_streams:
+        if waiting.slot_request.version in gone:
             version_gone = requests.DenialReason.version_gone
             state.refuse(leader, waiting, version_gone)
 
