--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -242,7 +242,7 @@
         return
     cycle.failed_in_row = 0
     _grant_and_count(leader, cycle, turn, placement)
-    _take_slot(cycle.candidates, placement.offer, cycle.estimates)
+    placing.take_slot(cycle.candidates, placement.offer, cycle.estimates)
 
 
 def _try_canary(
@@ -265,7 +265,7 @@
     if placement is None:
         return False
     _grant_and_count(leader, cycle, turn, placement)
-    _take_slot(cycle.canaries, placement.offer, cycle.estimates)
+    placing.take_slot(cycle.canaries, placement.offer, cycle.estimates)
     return True
 
 
@@ -296,7 +296,7 @@
         return
     _grant_and_count(leader, cycle, turn, placement)
     for listed in (cycle.candidates, cycle.canaries):
-        _take_slot_of(listed, placement.offer.server, cycle.estimates)
+        placing.take_slot_of(listed, placement.offer.server, cycle.estimates)
 
 
 def _grant_and_count(
@@ -346,31 +346,6 @@
     return None if placement is None or placement.delays_streams else placement
 
 
-def _take_slot(
-    offers: list[placing.Offer],
-    offer: placing.Offer,
-    estimates: placing.Estimates,
-) -> None:
-    """Take one slot of a candidate and update or remove its offer."""
-    offers.remove(offer)
-    if offer.free_slots > 1:
-        reduced = placing.make_offer(
-            offer.server, offer.free_slots - 1, estimates
-        )
-        offers.append(reduced)
-
-
-def _take_slot_of(
-    offers: list[placing.Offer],
-    server: records.Server,
-    estimates: placing.Estimates,
-) -> None:
-    """Take one slot of a server, if it is among the candidates."""
-    found = [offer for offer in offers if offer.server is server]
-    if found:
-        _take_slot(offers, found[0], estimates)
-
-
 def _grant(
     leader: state.OnTimeLeaderState,
     waiting: records.Waiting,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
@@ -203,6 +203,29 @@
     )
 
 
+def take_slot(
+    offers: list[Offer],
+    offer: Offer,
+    estimates: Estimates,
+) -> None:
+    """Take one slot of a candidate and update or remove its offer."""
+    offers.remove(offer)
+    if offer.free_slots > 1:
+        reduced = make_offer(offer.server, offer.free_slots - 1, estimates)
+        offers.append(reduced)
+
+
+def take_slot_of(
+    offers: list[Offer],
+    server: records.Server,
+    estimates: Estimates,
+) -> None:
+    """Take one slot of a server, if it is among the candidates."""
+    found = [offer for offer in offers if offer.server is server]
+    if found:
+        take_slot(offers, found[0], estimates)
+
+
 def choose_on_time(
     offers: typing.Iterable[Offer],
     waiting: records.Waiting,
