Entry hosts: requests name and log the shared parts of their prompts

Change: a slot request carries 64-bit hashes of all parts but the last, 64 at most, each independent of the parts before it; events of requests log them.

Measured: tests of gateway and scheduling pass.

--- a/libs/gateway/geraniumweir/gateway/admission.py
+++ b/libs/gateway/geraniumweir/gateway/admission.py
@@ -21,6 +21,8 @@
 # prompt of the users (54,600 tokens) has fewer than the 512 blocks that an
 # index keeps.
 _BLOCK_TOKENS = 256
+# Further parts of a prompt are not compared with those of other prompts.
+_MAX_SHARED_PARTS = 64
 _LOWEST_TIER = int(max(ids.Tier))
 
 
@@ -233,6 +235,7 @@
         'max_tokens': requested.max_tokens,
         'likely_tokens': requested.likely_tokens,
         'blocks': _blocks(requested.parts),
+        'parts': _shared_parts(requested.parts),
         'streams': True,
     }
 
@@ -251,6 +254,16 @@
     return tuple(blocks)
 
 
+def _shared_parts(
+    parts: tuple[codec.PromptPart, ...],
+) -> tuple[ids.PromptPart, ...]:
+    """Return hashes of all parts but the last, which no other prompt has."""
+    return tuple(
+        ids.PromptPart(xxhash.xxh3_64_intdigest(f'{part.part_id:x}'.encode()))
+        for part in parts[: min(len(parts) - 1, _MAX_SHARED_PARTS)]
+    )
+
+
 def _fingerprint(caller_request: codec.Request, body: bytes) -> ids.Fingerprint:
     """Return a hash that is equal for a repeated request."""
     head = (
--- a/libs/gateway/geraniumweir/gateway/request_record.py
+++ b/libs/gateway/geraniumweir/gateway/request_record.py
@@ -18,6 +18,7 @@
     :ivar patience: seconds that the caller waits, None if it sent none.
     :ivar cost: charged to the customer's quota, in the quota's unit.
     :ivar content: fingerprint, equal for a repeated request.
+    :ivar parts: shared parts of its prompt.
     :ivar granted: seconds from arrival to the last grant, None without one.
     :ivar first: seconds from arrival to the first byte of a response.
     :ivar longest_pause: longest gap between two events, in seconds.
@@ -39,6 +40,7 @@
     patience: float | None = None
     cost: float = 0
     content: int = 0
+    parts: tuple[int, ...] = ()
     granted: float | None = None
     first: float | None = None
     longest_pause: float = 0
@@ -73,6 +75,7 @@
             gap_ms=_ms(self.gap),
             patience_ms=_ms(self.patience),
             content=f'{self.content:016x}',
+            parts=[f'{part:016x}' for part in self.parts],
             granted_ms=_ms(self.granted),
             first_ms=_ms(self.first),
             longest_pause_ms=_ms(self.longest_pause),
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -318,6 +318,7 @@
     record.gap = admitted.route.gap or None
     record.patience = admitted.caller_request.patience
     record.content = slot_request.fingerprint
+    record.parts = slot_request.parts
 
 
 def _make_request(
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -34,6 +34,7 @@
     :ivar prompt_tokens: estimated prompt length.
     :ivar max_tokens: limit of output tokens, 0 if unspecified.
     :ivar blocks: hashes of the prompt's blocks, first to last.
+    :ivar parts: parts of the prompt that other requests may share.
     :ivar fingerprint: equal for the same content sent again.
     :ivar share: the customer's weight within the tier.
     :ivar owner: the entry host that accepted the request.
@@ -67,6 +68,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     blocks: tuple[ids.BlockHash, ...] = ()
+    parts: tuple[ids.PromptPart, ...] = ()
     fingerprint: ids.Fingerprint = ids.Fingerprint(0)
     idempotent: bool = True
     share: float = 1
--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -33,6 +33,7 @@
         prompt_tokens=slot_request.prompt_tokens,
         max_tokens=slot_request.max_tokens,
         blocks=[signed(block) for block in slot_request.blocks],
+        parts=[signed(part) for part in slot_request.parts] or None,
         fingerprint=signed(slot_request.fingerprint),
         idempotent=slot_request.idempotent,
         share=float(slot_request.share),
@@ -72,6 +73,7 @@
         prompt_tokens=message.prompt_tokens,
         max_tokens=message.max_tokens,
         blocks=block_hashes(message.blocks),
+        parts=prompt_parts(message.parts or ()),
         fingerprint=ids.Fingerprint(unsigned(message.fingerprint)),
         idempotent=message.idempotent,
         share=message.share,
@@ -290,3 +292,8 @@
 def block_hashes(numbers: typing.Iterable[int]) -> tuple[ids.BlockHash, ...]:
     """Read hashes of prompt blocks."""
     return tuple(ids.BlockHash(unsigned(number)) for number in numbers)
+
+
+def prompt_parts(parts: typing.Iterable[int]) -> tuple[ids.PromptPart, ...]:
+    """Read hashes of prompt parts."""
+    return tuple(ids.PromptPart(unsigned(part)) for part in parts)
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -47,6 +47,7 @@
      - failure_domain
      - sending
      - version
+     - parts
 
     """
 
@@ -79,10 +80,11 @@
         'failure_domain',
         'sending',
         'version',
+        'parts',
     )
 
 
-    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None, streams=None, quota_cost=None, target_left=None, rank=None, likely_tokens=None, patience_left=None, gap=None, failure_domain=None, sending=None, version=None,):
+    def __init__(self, request_id=None, owner=None, pool=None, customer=None, rule=None, tier=None, time_left=None, model=None, prompt_tokens=None, max_tokens=None, blocks=None, fingerprint=None, idempotent=None, share=None, max_running=None, max_waiting=None, attempt=None, rate_per_s=None, streams=None, quota_cost=None, target_left=None, rank=None, likely_tokens=None, patience_left=None, gap=None, failure_domain=None, sending=None, version=None, parts=None,):
         self.request_id = request_id
         self.owner = owner
         self.pool = pool
@@ -111,6 +113,7 @@
         self.failure_domain = failure_domain
         self.sending = sending
         self.version = version
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -266,6 +269,16 @@
                     self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readI64()
+                        self.parts.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -319,8 +332,8 @@
         if self.blocks is not None:
             oprot.writeFieldBegin('blocks', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.blocks))
-            for iter6 in self.blocks:
-                oprot.writeI64(iter6)
+            for iter12 in self.blocks:
+                oprot.writeI64(iter12)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fingerprint is not None:
@@ -391,6 +404,13 @@
             oprot.writeFieldBegin('version', TType.STRING, 28)
             oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
             oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 29)
+            oprot.writeListBegin(TType.I64, len(self.parts))
+            for iter13 in self.parts:
+                oprot.writeI64(iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1673,22 +1693,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.open = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = OpenGrant()
-                        _elem12.read(iprot)
-                        self.open.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = OpenGrant()
+                        _elem19.read(iprot)
+                        self.open.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.waiting = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = Ask()
-                        _elem18.read(iprot)
-                        self.waiting.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = Ask()
+                        _elem25.read(iprot)
+                        self.waiting.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1709,15 +1729,15 @@
         if self.open is not None:
             oprot.writeFieldBegin('open', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.open))
-            for iter19 in self.open:
-                iter19.write(oprot)
+            for iter26 in self.open:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.waiting))
-            for iter20 in self.waiting:
-                iter20.write(oprot)
+            for iter27 in self.waiting:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1791,20 +1811,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.waiting = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.waiting.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.waiting.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.open = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.open.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.open.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1829,15 +1849,15 @@
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.waiting))
-            for iter33 in self.waiting:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter40 in self.waiting:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.open is not None:
             oprot.writeFieldBegin('open', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.open))
-            for iter34 in self.open:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter41 in self.open:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1903,20 +1923,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.waiting = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.waiting.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.waiting.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.open = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.open.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.open.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1937,15 +1957,15 @@
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.waiting))
-            for iter47 in self.waiting:
-                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
+            for iter54 in self.waiting:
+                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.open is not None:
             oprot.writeFieldBegin('open', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.open))
-            for iter48 in self.open:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter55 in self.open:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2163,20 +2183,20 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.stored = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readI64()
-                        self.stored.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readI64()
+                        self.stored.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.evicted = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = iprot.readI64()
-                        self.evicted.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readI64()
+                        self.evicted.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2209,15 +2229,15 @@
         if self.stored is not None:
             oprot.writeFieldBegin('stored', TType.LIST, 5)
             oprot.writeListBegin(TType.I64, len(self.stored))
-            for iter61 in self.stored:
-                oprot.writeI64(iter61)
+            for iter68 in self.stored:
+                oprot.writeI64(iter68)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.evicted is not None:
             oprot.writeFieldBegin('evicted', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.evicted))
-            for iter62 in self.evicted:
-                oprot.writeI64(iter62)
+            for iter69 in self.evicted:
+                oprot.writeI64(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2400,11 +2420,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.cases = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Case()
-                        _elem68.read(iprot)
-                        self.cases.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Case()
+                        _elem75.read(iprot)
+                        self.cases.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2421,10 +2441,371 @@
         if self.cases is not None:
             oprot.writeFieldBegin('cases', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.cases))
-            for iter69 in self.cases:
-                iter69.write(oprot)
+            for iter76 in self.cases:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashedPart(object):
+    """
+    Attributes:
+     - part
+     - customers
+
+    """
+
+    __slots__ = (
+        'part',
+        'customers',
+    )
+
+
+    def __init__(self, part=None, customers=None,):
+        self.part = part
+        self.customers = customers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.part = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.customers = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.customers.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashedPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I64, 1)
+            oprot.writeI64(self.part)
+            oprot.writeFieldEnd()
+        if self.customers is not None:
+            oprot.writeFieldBegin('customers', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.customers))
+            for iter83 in self.customers:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServerCrash(object):
+    """
+    Attributes:
+     - server_id
+     - incarnation
+     - age
+     - log_ratio
+     - confirmed
+     - parts
+     - domains
+     - unbegun
+
+    """
+
+    __slots__ = (
+        'server_id',
+        'incarnation',
+        'age',
+        'log_ratio',
+        'confirmed',
+        'parts',
+        'domains',
+        'unbegun',
+    )
+
+
+    def __init__(self, server_id=None, incarnation=None, age=None, log_ratio=None, confirmed=None, parts=None, domains=None, unbegun=None,):
+        self.server_id = server_id
+        self.incarnation = incarnation
+        self.age = age
+        self.log_ratio = log_ratio
+        self.confirmed = confirmed
+        self.parts = parts
+        self.domains = domains
+        self.unbegun = unbegun
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.log_ratio = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.confirmed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = CrashedPart()
+                        _elem89.read(iprot)
+                        self.parts.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.domains = []
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.domains.append(_elem95)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.unbegun = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerCrash')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 3)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        if self.log_ratio is not None:
+            oprot.writeFieldBegin('log_ratio', TType.DOUBLE, 4)
+            oprot.writeDouble(self.log_ratio)
+            oprot.writeFieldEnd()
+        if self.confirmed is not None:
+            oprot.writeFieldBegin('confirmed', TType.BOOL, 5)
+            oprot.writeBool(self.confirmed)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter96 in self.parts:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.domains is not None:
+            oprot.writeFieldBegin('domains', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.domains))
+            for iter97 in self.domains:
+                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.unbegun is not None:
+            oprot.writeFieldBegin('unbegun', TType.I32, 8)
+            oprot.writeI32(self.unbegun)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartTrials(object):
+    """
+    Attributes:
+     - part
+     - next_in
+     - crashed
+     - by_customer
+
+    """
+
+    __slots__ = (
+        'part',
+        'next_in',
+        'crashed',
+        'by_customer',
+    )
+
+
+    def __init__(self, part=None, next_in=None, crashed=None, by_customer=None,):
+        self.part = part
+        self.next_in = next_in
+        self.crashed = crashed
+        self.by_customer = by_customer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.part = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.next_in = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.crashed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.by_customer = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartTrials')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I64, 1)
+            oprot.writeI64(self.part)
+            oprot.writeFieldEnd()
+        if self.next_in is not None:
+            oprot.writeFieldBegin('next_in', TType.DOUBLE, 2)
+            oprot.writeDouble(self.next_in)
+            oprot.writeFieldEnd()
+        if self.crashed is not None:
+            oprot.writeFieldBegin('crashed', TType.I32, 3)
+            oprot.writeI32(self.crashed)
+            oprot.writeFieldEnd()
+        if self.by_customer is not None:
+            oprot.writeFieldBegin('by_customer', TType.BOOL, 4)
+            oprot.writeBool(self.by_customer)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2479,6 +2860,7 @@
     (26, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 26
     (27, TType.STRING, 'sending', 'UTF8', None, ),  # 27
     (28, TType.STRING, 'version', 'UTF8', None, ),  # 28
+    (29, TType.LIST, 'parts', (TType.I64, None, False), None, ),  # 29
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
@@ -2630,5 +3012,31 @@
     None,  # 0
     (1, TType.LIST, 'cases', (TType.STRUCT, [Case, None], False), None, ),  # 1
 )
+all_structs.append(CrashedPart)
+CrashedPart.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'part', None, None, ),  # 1
+    (2, TType.LIST, 'customers', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(ServerCrash)
+ServerCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.DOUBLE, 'age', None, None, ),  # 3
+    (4, TType.DOUBLE, 'log_ratio', None, None, ),  # 4
+    (5, TType.BOOL, 'confirmed', None, None, ),  # 5
+    (6, TType.LIST, 'parts', (TType.STRUCT, [CrashedPart, None], False), None, ),  # 6
+    (7, TType.LIST, 'domains', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (8, TType.I32, 'unbegun', None, None, ),  # 8
+)
+all_structs.append(PartTrials)
+PartTrials.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'part', None, None, ),  # 1
+    (2, TType.DOUBLE, 'next_in', None, None, ),  # 2
+    (3, TType.I32, 'crashed', None, None, ),  # 3
+    (4, TType.BOOL, 'by_customer', None, None, ),  # 4
+)
 fix_spec(all_structs)
 del all_structs
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -42,6 +42,8 @@
   27: optional string sending
   // Of the servers on which a begun stream may go on; unsaid for any.
   28: optional string version
+  // Parts of the prompt that other requests may share; unsaid for none.
+  29: optional list<i64> parts
 }
 
 struct Grant {
@@ -189,3 +191,29 @@
 struct Cases {
   1: list<Case> cases
 }
+
+// A part of prompts that were on a server when it crashed, and whose they were.
+struct CrashedPart {
+  1: i64 part
+  2: list<string> customers
+}
+
+struct ServerCrash {
+  1: string server_id
+  2: i64 incarnation
+  // Seconds since.
+  3: double age
+  4: double log_ratio
+  5: bool confirmed
+  6: list<CrashedPart> parts
+  7: list<string> domains
+  8: i32 unbegun
+}
+
+// Trials of a part that is refused; the next one is due in some seconds.
+struct PartTrials {
+  1: i64 part
+  2: double next_in
+  3: i32 crashed
+  4: bool by_customer
+}
