Entry hosts: a rejection is no longer reported as the first event of a stream

Cause: any answer with a body, a rejection of a full server or a 500 too, was reported to the pool's leader as the first token of its request. It counted as a success of the server and into the speed estimates, and would clear the parts of a prompt that crash servers.

Change: the first token is recorded only for a whole answer that isn't a rejection or a failure, or for the first event of a stream.

Measured: the new test fails on the code before, both cases.

--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -88,7 +88,7 @@
     :ivar on_head: called with the head of the server's response.
     :ivar on_begin: called before the first event to the caller is forwarded.
     :ivar first: seconds from dispatch to the first event or to the complete
-        response.
+        response; None for a rejection or a failure.
     """
 
     sender: relay_client.RequestSender
@@ -208,8 +208,11 @@
         if head.status == _OK and head.streams:
             return await self._forward_stream(answer, head, started)
         body = await _read_body_bytes(answer)
-        self._record_first(started)
-        return _classify(outcomes.CompleteResponse(head, body))
+        outcome = _classify(outcomes.CompleteResponse(head, body))
+        # A rejection or a failure isn't the begin of what was asked for.
+        if isinstance(outcome, outcomes.CompleteResponse):
+            self._record_first(started)
+        return outcome
 
     async def _forward_stream(
         self,
--- a/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_forwarding.py
@@ -120,6 +120,28 @@
     assert released[0] is requests.Outcome.turned_away
 
 
+@pytest.mark.parametrize(
+    'turned_down',
+    [
+        testbed.answers(b'', '503 Full', extra='Not-Run: 1\r\n'),
+        testbed.answers(b'', '500 Failed'),
+    ],
+    ids=['rejected', 'failed'],
+)
+def test_rejection_is_not_reported_as_the_begin_of_a_stream(
+    turned_down: testbed.Behavior,
+) -> None:
+    """It would show that parts of the prompt crash no server."""
+
+    async def scenario() -> list[float | None]:
+        servers = [testbed.Server(turned_down)]
+        async with testbed.running(*servers, **_STREAM) as running:
+            await _get(running)
+            return running.scheduler.first_tokens
+
+    assert set(asyncio.run(scenario())) == {None}
+
+
 def test_wrong_server_is_reported_to_the_scheduler() -> None:
     """Another incarnation of a server has the address."""
     wrong = testbed.answers(b'', '421 Misdirected', 'Not-Run: yes\r\n')
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -126,6 +126,7 @@
     :ivar asked: the slot requests, in order.
     :ivar versions: software versions by number of the grant.
     :ivar begins: streams that began, in order.
+    :ivar first_tokens: seconds to the first token of the releases, in order.
     :ivar retries: whether retries are granted.
     :ivar grant_count: number of grants so far.
     """
@@ -137,6 +138,7 @@
         self.asked: list[requests.SlotRequest] = []
         self.versions: dict[int, str] = {}
         self.begins: list[stream_origins.StreamBegin] = []
+        self.first_tokens: list[float | None] = []
         self.retries = True
         self._servers = servers
         self.grant_count = 0
@@ -171,6 +173,7 @@
 
     def release(self, release: requests.Release) -> None:
         self.released.append(release.outcome)
+        self.first_tokens.append(release.first_token)
 
 
 class Streams:
