--- a/libs/control/geraniumweir/control/coordinator_client.py
+++ b/libs/control/geraniumweir/control/coordinator_client.py
@@ -27,9 +27,15 @@
     relay_hosts,
     usage_codec,
 )
-from geraniumweir.scheduling import notices, recent_usage
+from geraniumweir.scheduling import (
+    notices,
+    part_encoding,
+    part_evidence,
+    recent_usage,
+)
 from geraniumweir.wire import errors, peers
 from geraniumweir.wire.gen.control import ttypes
+from geraniumweir.wire.gen.scheduling import ttypes as scheduling_types
 from reactivex import subject
 
 # Longest wait for the answer: twice the first retransmission of a lost packet
@@ -82,6 +88,7 @@
         usage_for: typing.Callable[[ids.HostId], recent_usage.RecentUsage],
         server_notices: notices.Notices,
         relays: typing.Callable[[], bool] = _relays_nothing,
+        parts: part_evidence.PartEvidence | None = None,
     ) -> None:
         """Initialize without a coordinator.
 
@@ -90,9 +97,12 @@
             coordinator.
         :param server_notices: notices of servers that this host has.
         :param relays: returns whether this host dispatches for others.
+        :param parts: takes the prompt parts that the coordinator refuses.
         """
         self._relays = relays
         self._assigned_relays = ttypes.Relays([], [])
+        self._parts = parts or part_evidence.PartEvidence()
+        self._refused_digest = 0
         self._usage_for = usage_for
         self._link = link
         self._domain = domain
@@ -244,6 +254,7 @@
             share=self._share,
             relays=self._relays(),
             relays_digest=relay_hosts.digest(self._assigned_relays),
+            refused_digest=self._refused_digest,
         )
         revision = self._notice_sender.fill(host_id, ping)
         try:
@@ -254,6 +265,8 @@
         self._seen_host_count = pong.hosts
         if pong.relays is not None and host_id == self._coordinator_id:
             self._set_relays(pong.relays)
+        if pong.refused is not None and host_id == self._coordinator_id:
+            self._set_refused(pong.refused)
         if pong.leads:
             self._host_count = pong.hosts
             self._share = pong.share
@@ -264,6 +277,13 @@
         if relays.near or relays.far:
             self._assigned_relays = relays
 
+    def _set_refused(
+        self, structs: typing.Iterable[scheduling_types.PartTrials]
+    ) -> None:
+        refused = part_encoding.unpack_refused(structs, self._clock.now())
+        self._parts.set_refused_elsewhere(refused)
+        self._refused_digest = part_encoding.digest(refused)
+
     def _set_coordinator(self, host_id: ids.HostId) -> None:
         if host_id == self._coordinator_id:
             return
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -21,10 +21,10 @@
     logaccess,
     logevents,
     pool_coordination,
-    pool_servers,
     presence,
     recorder_changes,
     recorders,
+    request_facts,
     rollouts,
     server_store,
 )
@@ -156,7 +156,7 @@
         )
         self.log.documents.subscribe(self._activate_document)
         self.log.rollouts.subscribe(lambda _: self._servers_changed())
-        self._streams = pool_coordination.make_stream_exchange(
+        self._facts = request_facts.RequestFacts(
             self._link,
             self.hosts,
             self.servers.get,
@@ -167,7 +167,7 @@
             pool_coordination.Dependencies(
                 link=self._link,
                 view=self.leadership,
-                pool_servers=pool_servers.PoolServers(
+                pool_servers=pool_coordination.make_pool_servers(
                     self.servers, lambda: self.index
                 ),
                 index=lambda: self.index,
@@ -184,12 +184,14 @@
                 on_slot_request=self._record_demand,
                 guide=self.rollouts.guide,
                 server_notices=self.leadership.server_notices,
-                on_new_leader=self._presence.crash_cases.apply_to,
-                on_stream_begin=self._streams.record,
+                on_new_leader=self._facts.apply_to,
+                on_stream_begin=self._facts.streams.record,
+                parts=self._facts.parts,
             ),
             self._clock,
         )
-        self._presence.crash_cases.leaders = self._leaders
+        self._facts.follow_leaders(self._leaders)
+        self.leadership.fill_pong = self._facts.fill_pong
         for changes in (self._changes, self.leadership.server_notices.changes):
             pool_coordination.grant_on_changes(self._service, changes)
 
@@ -203,8 +205,7 @@
         stack.push_async_callback(self._link.close)
         stack.callback(self.leadership.close)
         stack.callback(self._service.close)
-        stack.callback(self._streams.close)
-        stack.callback(self._presence.crash_cases.close)
+        stack.callback(self._facts.close)
         server_file = self._load_servers()
         stack.callback(server_file.close)
         for work in (
--- a/libs/control/geraniumweir/control/leadership.py
+++ b/libs/control/geraniumweir/control/leadership.py
@@ -272,11 +272,19 @@
         return [host_id for host_id, _ in reported]
 
 
+FillPong = typing.Callable[[ttypes.Ping, ttypes.Pong], None]
+
+
+def _add_nothing(_ping: ttypes.Ping, _pong: ttypes.Pong) -> None:
+    """Add nothing to an answer."""
+
+
 class Leadership:
     """The coordinator as a control host sees it; see :class:`views.HostView`.
 
     :ivar entry_hosts: those that watch or ping this host.
     :ivar server_notices: notices of servers that entry hosts forwarded.
+    :ivar fill_pong: adds to the answer for an entry host.
     """
 
     def __init__(
@@ -296,6 +304,7 @@
         self._notice_receiver = notice_exchange.NoticeReceiver(
             link, self.server_notices, clock
         )
+        self.fill_pong: FillPong = _add_nothing
         self._host_id = link.host_id
         self._log = log
         self._clock = clock
@@ -444,4 +453,5 @@
             relays=self._relays_for(sender, ping, now),
         )
         self._notice_receiver.fill(ping, pong)
+        self.fill_pong(ping, pong)
         return pong
--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -137,3 +137,8 @@
     _Level.warning,
     'malformed notice of server {server} from {teller} ignored',
 )
+FACTS_UNKNOWN: typing.Final = _Event(
+    783,
+    _Level.info,
+    'control host {host} did not say what it knows of requests: {reason}',
+)
--- a/libs/control/geraniumweir/control/pool_coordination.py
+++ b/libs/control/geraniumweir/control/pool_coordination.py
@@ -6,9 +6,8 @@
 import reactivex
 from geraniumweir.common import ids, timers
 from geraniumweir.control import (
-    hosts,
+    enrolments,
     pool_servers,
-    stream_exchange,
     usage_codec,
 )
 from geraniumweir.rollout import controller
@@ -18,6 +17,7 @@
     channel,
     gating,
     notices,
+    part_evidence,
     quotas,
     ratelimits,
     recent_usage,
@@ -64,6 +64,7 @@
     :ivar server_notices: notices of servers.
     :ivar on_new_leader: called with each new leader of a pool.
     :ivar on_stream_begin: called with each stream that begins.
+    :ivar parts: what crashes show about prompt parts, for all pools.
     """
 
     link: channel.Channel
@@ -86,6 +87,9 @@
         None
     )
     on_stream_begin: remote.OnStreamBegin | None = None
+    parts: part_evidence.PartEvidence = dataclasses.field(
+        default_factory=part_evidence.PartEvidence
+    )
 
     def rates(self) -> dict[notices.ServerIncarnation, float]:
         """Return the share of servers' rate limits that may be granted here."""
@@ -232,21 +236,11 @@
     )
 
 
-def make_stream_exchange(
-    link: channel.Channel,
-    known: hosts.ControlHosts,
-    get_server: stream_exchange.GetServer,
-    view: stream_exchange.CoordinatorView,
-    clock: timers.TimerService,
-) -> stream_exchange.StreamExchange:
-    """Return the exchange of streams' origins of a control host."""
-    return stream_exchange.StreamExchange(
-        link,
-        known,
-        stream_exchange.make_origins(clock, get_server),
-        view,
-        clock,
-    )
+def make_pool_servers(
+    table: enrolments.Enrolments, index: Index
+) -> pool_servers.PoolServers:
+    """Return the servers of pools as a control host knows them."""
+    return pool_servers.PoolServers(table, index)
 
 
 def make_broker(
@@ -306,6 +300,7 @@
         deps.pauses,
         deps.rejections,
     )
+    new_leader.use_parts(deps.parts)
     if deps.on_new_leader is not None:
         deps.on_new_leader(new_leader)
     return new_leader
--- a/libs/control/geraniumweir/control/presence.py
+++ b/libs/control/geraniumweir/control/presence.py
@@ -10,7 +10,6 @@
 
 from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.control import (
-    crash_cases,
     enrolment_codec,
     enrolments,
     hosts,
@@ -37,7 +36,6 @@
     """The exchange between control hosts.
 
     :ivar on_change: called when enrolments changed.
-    :ivar crash_cases: exchange of requests that crash servers.
     """
 
     def __init__(
@@ -63,7 +61,6 @@
         self._log = log
         self._entry_hosts = entry_hosts
         self._clock = timers.TimerService()
-        self.crash_cases = crash_cases.CrashCases(link, known, self._clock)
         self._unreachable: set[ids.HostId] = set()
         self.on_change: typing.Callable[[], None] = _ignore
         link.handle(ttypes.Presence, self._on_presence)
--- a/libs/control/geraniumweir/control/stream_exchange.py
+++ b/libs/control/geraniumweir/control/stream_exchange.py
@@ -19,8 +19,6 @@
 from geraniumweir.wire.gen.control import ttypes
 
 _MS = 1000
-# Interval in which a coordinator publishes new streams: they are lost with it.
-_PUBLISH_SECONDS = 0.1
 # Streams in one message, which then has some 60 kilobytes.
 _MAX_PUBLISHED = 4096
 # An answer takes a few milliseconds; a lost packet is sent again after 0.2 s.
@@ -86,7 +84,7 @@
 
 
 class StreamExchange:
-    """Exchange of origins between control hosts, and answers to entry hosts.
+    """Origins of streams on control hosts, and answers to entry hosts.
 
     :ivar origins: those that this host knows.
     """
@@ -97,26 +95,21 @@
         known: hosts.ControlHosts,
         origins: stream_origins.StreamOrigins,
         view: CoordinatorView,
-        clock: timers.TimerService,
     ) -> None:
-        """Receive and publish from now on."""
+        """Receive reports from now on."""
         self.origins = origins
         self._link = link
         self._known = known
         self._coordinator = view.coordinator_id
         self._coordinates = self._is_coordinator()
         self._unpublished: list[stream_origins.StreamBegin] = []
-        self._subscriptions = (
-            clock.every(_PUBLISH_SECONDS).subscribe(lambda _: self._publish()),
-            view.changes.subscribe(lambda _: self._on_change()),
-        )
+        self._subscription = view.changes.subscribe(lambda _: self._on_change())
         link.handle(ttypes.BegunStreams, self._on_begun)
         link.handle(ttypes.FindStream, self._on_find)
 
     def close(self) -> None:
-        """Stop publishing."""
-        for subscription in self._subscriptions:
-            subscription.dispose()
+        """Stop following the coordinator."""
+        self._subscription.dispose()
 
     def record(self, begin: stream_origins.StreamBegin) -> None:
         """Record a stream and publish it."""
@@ -137,14 +130,24 @@
         if coordinated and not self._coordinates and coordinator:
             _send(self._link, coordinator, self.origins.known())
 
-    def _publish(self) -> None:
-        begins = self._unpublished
-        self._unpublished = []
+    def fill(self, message: ttypes.RequestFacts, _now: float) -> bool:
+        """Add streams that are not published yet."""
+        begins = self._unpublished[:_MAX_PUBLISHED]
         if not begins:
-            return
-        for host in self._known.known():
-            if host.host_id != self._link.host_id:
-                _send(self._link, host.host_id, begins)
+            return False
+        self._unpublished = self._unpublished[_MAX_PUBLISHED:]
+        message.streams = pack(begins).versions
+        return True
+
+    def fill_all(self, message: ttypes.RequestFacts, _now: float) -> None:
+        """Add the streams that began last."""
+        begins = self.origins.known()[-_MAX_PUBLISHED:]
+        message.streams = pack(begins).versions
+
+    def apply(self, message: ttypes.RequestFacts, _now: float) -> None:
+        """Take over streams of another coordinator."""
+        for begin in unpack(message.streams or ()):
+            self.origins.record(begin)
 
     async def _on_begun(
         self,
@@ -154,7 +157,7 @@
         from_control_host = any(
             host.host_id == sender for host in self._known.known()
         )
-        for begin in unpack(message):
+        for begin in unpack(message.versions):
             if from_control_host:
                 self.origins.record(begin)
             else:
@@ -301,10 +304,10 @@
 
 
 def unpack(
-    message: ttypes.BegunStreams,
+    versions: typing.Iterable[ttypes.VersionStreams],
 ) -> typing.Iterator[stream_origins.StreamBegin]:
     """Generate the streams of a message."""
-    for group in message.versions:
+    for group in versions:
         origin = stream_origins.StreamOrigin(
             ids.PoolName(group.pool), ids.SoftwareVersion(group.version)
         )
--- a/libs/control/geraniumweir/control/tests/test_crash_cases.py
+++ b/libs/control/geraniumweir/control/tests/test_crash_cases.py
@@ -4,13 +4,21 @@
 import typing
 
 from geraniumweir.common import ids, timers, virtual
-from geraniumweir.control import crash_cases, hosts
-from geraniumweir.scheduling import settings, suspects
+from geraniumweir.control import crash_cases, hosts, request_exchange
+from geraniumweir.scheduling import (
+    crash_records,
+    part_evidence,
+    settings,
+    suspects,
+)
 from geraniumweir.scheduling.ontime import leader
 from geraniumweir.wire import memory
 
 _REQUEST = ids.Fingerprint(7)
 _POOL = ids.PoolName('pool')
+_PART = ids.PromptPart(9)
+_CUSTOMER = ids.CustomerName('household')
+_DOMAIN = ids.FailureDomain('here')
 
 
 class _Control:
@@ -22,10 +30,15 @@
         self.address = ids.Address(f'10.0.0.{number}', 1)
         self.link = network.join(self.host_id, self.address)
         self.known = hosts.ControlHosts()
-        self.crash_cases = crash_cases.CrashCases(
+        self.crash_cases = crash_cases.CrashCases()
+        self.parts = part_evidence.PartEvidence()
+        part_cases = crash_cases.PartCases(self.parts)
+        part_cases.leads = lambda: bool(self.led)
+        request_exchange.RequestExchange(
             self.link,
             self.known,
             self.clock,
+            (self.crash_cases, part_cases),
         )
         self.led: list[leader.OnTimePoolLeader] = []
         self.crash_cases.leaders = lambda: self.led
@@ -40,13 +53,26 @@
         """Lead the pool, with the crash cases received here."""
         cfg = settings.LeaderSettings(_POOL, f'{self.host_id}/{_POOL}')
         made = leader.OnTimePoolLeader(cfg, self.clock.now, list)
-        self.crash_cases.apply_to(made)
+        self.crash_cases.apply_to(made, self.clock.now())
+        made.use_parts(self.parts)
         self.led = [made]
 
     def crash(self) -> None:
         """Record the crash of a server that ran only the request."""
         self.led[0].suspects.record_crash([_REQUEST], self.clock.now())
 
+    def break_off(self, number: int) -> None:
+        """Record that a server crashed under a request with the part."""
+        broken = crash_records.Broken(_CUSTOMER, _DOMAIN, (_PART,), begun=False)
+        start = ids.ServerId(f's{number}'), ids.Incarnation(0)
+        self.parts.record_break(start, broken, self.clock.now())
+
+    def part_verdict(
+        self, customer: ids.CustomerName = _CUSTOMER
+    ) -> part_evidence.Verdict:
+        """Return the verdict about requests with the part."""
+        return self.parts.verdict(customer, (_PART,), self.clock.now())
+
     def verdict(self) -> suspects.Verdict:
         """Return the verdict about the request."""
         return self.led[0].suspects.verdict(_REQUEST, self.clock.now())
@@ -127,3 +153,59 @@
         assert other.verdict() is suspects.Verdict.clear
 
     _run(work)
+
+
+def test_crashes_of_a_part_under_several_coordinators_add_up() -> None:
+    """Each sees some of the crashes that show the part."""
+
+    async def work(one: _Control, other: _Control) -> None:
+        one.coordinate()
+        one.break_off(1)
+        await asyncio.sleep(0.5)
+        one.break_off(2)
+        await asyncio.sleep(0.5)
+        one.led = []
+        other.coordinate()
+        assert other.part_verdict() is part_evidence.Verdict.trial
+        for number in (3, 4):
+            other.break_off(number)
+            await asyncio.sleep(0.5)
+        assert other.part_verdict() is part_evidence.Verdict.refused
+
+    _run(work)
+
+
+def test_part_that_is_answered_is_clear_after_a_coordinator_change() -> None:
+    """The others hear that its crashes are explained otherwise."""
+
+    async def work(one: _Control, other: _Control) -> None:
+        one.coordinate()
+        for number in range(4):
+            one.break_off(number)
+            await asyncio.sleep(0.5)
+        other.coordinate()
+        assert other.part_verdict() is part_evidence.Verdict.refused
+        other.led = []
+        start = ids.ServerId('sound'), ids.Incarnation(0)
+        one.parts.record_begin(start, (_PART,), one.clock.now())
+        await asyncio.sleep(0.5)
+        other.coordinate()
+        assert other.part_verdict() is part_evidence.Verdict.clear
+
+    _run(work)
+
+
+def test_two_coordinators_do_not_publish_the_same_evidence_in_turn() -> None:
+    """During a partition of others, both lead and hear each other."""
+
+    async def work(one: _Control, other: _Control) -> None:
+        one.coordinate()
+        other.coordinate()
+        one.break_off(1)
+        await asyncio.sleep(0.5)
+        revisions = one.parts.revision, other.parts.revision
+        await asyncio.sleep(2)
+        assert (one.parts.revision, other.parts.revision) == revisions
+        assert other.parts.crashes.crashes(other.clock.now())
+
+    _run(work)
--- a/libs/control/geraniumweir/control/tests/test_stream_exchange.py
+++ b/libs/control/geraniumweir/control/tests/test_stream_exchange.py
@@ -9,7 +9,7 @@
 import pytest
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.control import coordinator_client, enrolments, hosts
-from geraniumweir.control import stream_exchange
+from geraniumweir.control import request_exchange, stream_exchange
 from geraniumweir.scheduling import (
     channel,
     notices,
@@ -60,8 +60,8 @@
             known,
             stream_exchange.make_origins(clock, lambda _: None),
             self,
-            clock,
         )
+        request_exchange.RequestExchange(link, known, clock, (self.exchange,))
         link.handle(ttypes.Ping, self._on_ping)
         link.handle(scheduling_types.Progress, self._on_progress)
 
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -41,6 +41,7 @@
 from geraniumweir.scheduling import (
     channel,
     notices,
+    part_evidence,
     quotas,
     recent_usage,
     retrybudget,
@@ -125,6 +126,7 @@
             read,
         )
         self._server_notices = notices.Notices(self._clock)
+        parts = part_evidence.PartEvidence()
         self._coordinator = coordinator_client.CoordinatorClient(
             self._link,
             cfg.failure_domain,
@@ -132,6 +134,7 @@
             self._get_usage,
             self._server_notices,
             self._relays_for_others,
+            parts,
         )
         self._paths = server_paths.ServerPaths(
             self._clock,
@@ -161,6 +164,7 @@
                 retries=retrybudget.ALONE,
                 guide=self._rollout_controller,
                 server_notices=self._server_notices,
+                parts=parts,
             ),
             self._clock,
         )
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/crash_records.py
@@ -0,0 +1,122 @@
+"""Records of crashes, and the rate at which sound requests are in one.
+
+See Also
+========
+geraniumweir.scheduling.part_evidence
+"""
+
+import dataclasses
+import math
+
+from geraniumweir.common import ids
+from geraniumweir.scheduling import notices
+
+# Parts kept for one crash.
+_MAX_PARTS = 48
+# Requests are forgotten by half in this time.
+_HALF_LIFE_SECONDS = 10.0
+# Assumed requests before any was seen, of which one was in a crash.
+_ASSUMED_REQUESTS = 20.0
+_MIN_RATE = 0.02
+_MAX_RATE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """A request whose answer broke off.
+
+    :ivar failure_domain: of the entry host that sent it.
+    :ivar parts: shared parts of its prompt.
+    :ivar begun: whether an event of the answer had come before.
+    :ivar sent_at: when the server was chosen, in seconds.
+    """
+
+    customer: ids.CustomerName
+    failure_domain: ids.FailureDomain
+    parts: tuple[ids.PromptPart, ...]
+    begun: bool
+    sent_at: float = float('-inf')
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Crash:
+    """A crash of a server, or what looks like one.
+
+    :ivar at: when the first answer broke off, in seconds.
+    :ivar log_ratio: logarithm of the likelihood ratio by which it speaks
+        against each part.
+    :ivar confirmed: whether the server is known to have ended.
+    :ivar parts: parts of the requests that had no answer, with the customers
+        that sent them; without those that were answered since.
+    :ivar domains: failure domains whose requests broke off.
+    :ivar unbegun: number of requests that had no answer.
+    """
+
+    start: notices.ServerIncarnation
+    at: float
+    log_ratio: float
+    confirmed: bool = False
+    parts: dict[ids.PromptPart, set[ids.CustomerName]] = dataclasses.field(
+        default_factory=dict
+    )
+    domains: set[ids.FailureDomain] = dataclasses.field(default_factory=set)
+    unbegun: int = 0
+
+    def add(self, broken: Broken) -> None:
+        """Add a request that ran on the server."""
+        self.domains.add(broken.failure_domain)
+        if broken.begun:
+            return
+        self.unbegun += 1
+        for part in broken.parts:
+            if part in self.parts or len(self.parts) < _MAX_PARTS:
+                self.parts.setdefault(part, set()).add(broken.customer)
+
+
+@dataclasses.dataclass(slots=True)
+class CollateralRate:
+    """Estimated share of sound requests that are on a server when it crashes.
+
+    Of the requests without an answer in a crash, all but one had no part in it.
+
+    >>> rate = CollateralRate()
+    >>> for _ in range(80):
+    ...     rate.record_answer(0)
+    >>> rate.record_break(True, 0)
+    >>> round(math.exp(-rate.log_ratio(0)), 3)
+    0.02
+    >>> for _ in range(20):
+    ...     rate.record_break(True, 0)
+    >>> round(math.exp(-rate.log_ratio(0)), 2)
+    0.18
+    """
+
+    answered: float = 0
+    broken: float = 0
+    updated_at: float = 0
+
+    def record_answer(self, now: float) -> None:
+        """Record an answer that began."""
+        self._decay(now)
+        self.answered += 1
+
+    def record_break(self, is_collateral: bool, now: float) -> None:
+        """Record a request without an answer.
+
+        :param is_collateral: whether it isn't the first in its crash.
+        """
+        self._decay(now)
+        self.broken += is_collateral
+
+    def log_ratio(self, now: float) -> float:
+        """Return the logarithm of the inverse rate."""
+        self._decay(now)
+        total = self.answered + self.broken + _ASSUMED_REQUESTS
+        rate = (self.broken + 1) / total
+        return -math.log(min(max(rate, _MIN_RATE), _MAX_RATE))
+
+    def _decay(self, now: float) -> None:
+        factor = 2 ** ((self.updated_at - now) / _HALF_LIFE_SECONDS)
+        self.answered *= factor
+        self.broken *= factor
+        self.updated_at = now
--- a/libs/scheduling/geraniumweir/scheduling/logevents.py
+++ b/libs/scheduling/geraniumweir/scheduling/logevents.py
@@ -70,6 +70,18 @@
     'retry of {request} denied: pool {pool} has used {used} of {allowed} '
     'retries',
 )
+PART_REFUSED = logevents.Event(
+    255,
+    logevents.Level.warning,
+    'requests with prompt part {part} are refused: it explains {crashes} '
+    'crashes of servers, most lately of pool {pool}',
+)
+PART_CLEARED = logevents.Event(
+    256,
+    logevents.Level.notice,
+    'requests with prompt part {part} are no longer refused: a server of pool '
+    '{pool} answered one',
+)
 CONTENT_QUARANTINED = logevents.Event(
     253,
     logevents.Level.warning,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -37,6 +37,7 @@
 ) -> None:
     """Record that another server answers at a server's address."""
     leader.replaced_at[server.start] = leader.now()
+    leader.parts.crashes.confirm(server.start)
     request_sync(leader)
 
 
@@ -282,6 +283,7 @@
         if truncated_at >= since
     ]
     server.incomplete_answers.clear()
+    leader.parts.crashes.confirm(server.start)
     content_ids = [*lost, *leader.suspects.unexplained(incomplete_answers)]
     if not content_ids:
         return
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -12,6 +12,7 @@
     continuations,
     fleet,
     ordering,
+    part_checks,
     placing,
     records,
     refusing,
@@ -170,6 +171,7 @@
     refusing.refuse_version_gone(leader)
     refusing.refuse_too_long(leader, now)
     refusing.refuse_paused(leader, now)
+    part_checks.refuse_crashing(leader, now)
     waiting = list(leader.waiting.values())[-_MAX_PLANNED:]
     pace = state.pace(leader)
     deficits = leader.shares.deficits(now)
@@ -192,6 +194,8 @@
     cycle.canaries = canary_requests.open_canaries(leader, cycle.estimates)
     is_full = False
     for turn in turns:
+        if part_checks.must_wait(leader, turn.waiting, cycle.now):
+            continue
         if turn.waiting.slot_request.version is not None:
             _try_continuation(leader, cycle, turn)
         elif not is_full and not _try_canary(leader, cycle, turn):
@@ -373,6 +377,7 @@
         tokens=waiting.tokens,
     )
     leader.waiting.pop(slot_request.request_id)
+    part_checks.record_grant(leader, slot_request, now)
     if server.throttle is not None:
         server.throttle.take()
     state.register_running(leader, server, running)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -19,6 +19,7 @@
 from geraniumweir.scheduling import (
     joining,
     notices,
+    part_evidence,
     requests,
     settings,
     suspects,
@@ -28,6 +29,7 @@
     fleet,
     granting,
     observations,
+    part_checks,
     records,
     state,
 )
@@ -89,6 +91,10 @@
         """Return the requests suspected of crashing servers."""
         return self._state.suspects
 
+    def use_parts(self, parts: part_evidence.PartEvidence) -> None:
+        """Use what crashes of all pools led on this host show of parts."""
+        self._state.parts = parts
+
     async def request_slot(
         self,
         slot_request: requests.SlotRequest,
@@ -136,6 +142,7 @@
         running = self._state.running.pop(release.request_id, None)
         if running is None:
             return
+        part_checks.record_end(self._state, running, release)
         observations.record_end(self._state, running, release)
         server = fleet.server_of(self._state, running)
         if server is not None:
@@ -216,7 +223,7 @@
         if slot_request.deadline <= now:
             too_late = requests.DenialReason.too_late
             return state.denial(self._state, slot_request, too_late)
-        return None
+        return part_checks.denial(self._state, slot_request, now)
 
     def _enqueue(self, slot_request: requests.SlotRequest) -> records.Waiting:
         now = self._state.now()
--- a/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
@@ -7,6 +7,7 @@
     canary_requests,
     cooldowns,
     fleet,
+    part_checks,
     paths,
     records,
     state,
@@ -49,6 +50,7 @@
     if running.first_token is not None:
         return
     running.first_token = seconds
+    part_checks.record_begin(leader, running, leader.now())
     server = fleet.server_of(leader, running)
     if server is None:
         return
@@ -93,11 +95,7 @@
             fleet.server_replaced(leader, server)
         case requests.Outcome.failed | requests.Outcome.crashed:
             _record_truncation(leader, running, server)
-        case (
-            requests.Outcome.cancelled
-            | requests.Outcome.preempted
-            | requests.Outcome.given_up
-        ):
+        case _:
             # Ended by their owners; that says nothing about the server.
             pass
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -8,7 +8,12 @@
 from geraniumweir.common import ids
 from geraniumweir.membership import servers
 from geraniumweir.rollout import controller
-from geraniumweir.scheduling import notices, requests, suspects
+from geraniumweir.scheduling import (
+    notices,
+    part_evidence,
+    requests,
+    suspects,
+)
 from geraniumweir.scheduling.ontime import (
     arrivals,
     classes,
@@ -58,6 +63,7 @@
         of each pause in seconds.
     :ivar takeover_ends_at: time before which nothing is granted, in seconds.
     :ivar server_seen_at: when a server was last announced, in seconds.
+    :ivar parts: prompt parts suspected of crashing servers, of all pools.
     :ivar quickest: server with the earliest first token for a reference prompt,
         by the estimates of the last synchronization; None without servers.
     :ivar synced_at: when the servers were last looked up, in seconds.
@@ -86,6 +92,9 @@
     pauses: Pauses
     takeover_ends_at: float
     server_seen_at: float
+    parts: part_evidence.PartEvidence = dataclasses.field(
+        default_factory=part_evidence.PartEvidence
+    )
     quickest: records.Server | None = None
     synced_at: float = float('-inf')
     waiting: dict[ids.RequestId, records.Waiting] = dataclasses.field(
--- /dev/null
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
@@ -0,0 +1,242 @@
+"""Parts of prompts that crash servers stand out soon, and sound ones don't."""
+
+import random
+import typing
+
+import pytest
+from geraniumweir.common import ids
+from geraniumweir.scheduling import crash_records, notices, part_evidence
+
+_BAD = ids.PromptPart(666)
+_HOUSEHOLD = ids.CustomerName('household')
+_NEIGHBOUR = ids.CustomerName('neighbour')
+_FIRST_PARTS = 3
+_SECOND_PARTS = 200
+_DOMAINS = ('a', 'b', 'c')
+_RESTART_SECONDS = 3.0
+_Verdict = part_evidence.Verdict
+_Parts = tuple[ids.PromptPart, ...]
+
+
+def _start(number: int) -> notices.ServerIncarnation:
+    return ids.ServerId(f's{number}'), ids.Incarnation(0)
+
+
+def _broken(
+    parts: _Parts,
+    customer: ids.CustomerName = _HOUSEHOLD,
+    domain: str = 'a',
+) -> crash_records.Broken:
+    return crash_records.Broken(
+        customer, ids.FailureDomain(domain), parts, begun=False
+    )
+
+
+def _parts(*numbers: int) -> _Parts:
+    return tuple(map(ids.PromptPart, numbers))
+
+
+class _Pool:
+    """Servers in virtual time; each request is answered after a while.
+
+    :ivar crashes: of servers, by a bad part.
+    :ivar refused: sound requests that were refused.
+    """
+
+    def __init__(self, seed: int, bad: typing.Sequence[ids.PromptPart]) -> None:
+        self.evidence = part_evidence.PartEvidence()
+        self.now = float(0)
+        self.crashes = dict.fromkeys(bad, 0)
+        self.sent = dict.fromkeys(bad, 0)
+        self.refused = 0
+        self.sound = 0
+        self._rng = random.Random(seed)
+        self._number = 0
+        self._ended: list[tuple[float, int]] = []
+
+    def draw(self) -> _Parts:
+        """Draw the shared parts of a sound prompt."""
+        return _parts(
+            self._rng.randrange(_FIRST_PARTS),
+            _FIRST_PARTS + self._rng.randrange(_SECOND_PARTS),
+        )
+
+    def draw_bad(self, bad: ids.PromptPart) -> _Parts:
+        """Draw the shared parts of a prompt with a bad one."""
+        first, second = self.draw()
+        return self._rng.choice(((first, bad), (bad, second)))
+
+    def send(self, parts: _Parts, beside: int) -> None:
+        """Send a request.
+
+        :param beside: sound requests that wait on the same server.
+        """
+        self.now += 0.02
+        while self._ended and self._ended[0][0] < self.now - _RESTART_SECONDS:
+            _, number = self._ended.pop(0)
+            self.evidence.crashes.confirm(_start(number))
+        bad = [part for part in parts if part in self.crashes]
+        verdict = self.evidence.verdict(_HOUSEHOLD, parts, self.now)
+        self.sound += not bad
+        if verdict is _Verdict.refused:
+            self.evidence.refuse(parts, self.now)
+            self.refused += not bad
+            return
+        if not bad:
+            self.evidence.record_begin(_start(-1), parts, self.now)
+            return
+        if verdict is _Verdict.trial:
+            request_id = ids.RequestId(str(self.now))
+            self.evidence.begin_trial(request_id, _HOUSEHOLD, parts, self.now)
+        for part in bad:
+            self.sent[part] += 1
+        self.crash([parts, *(self.draw() for _ in range(beside))])
+        for part in bad:
+            self.crashes[part] += 1
+        if verdict is _Verdict.trial:
+            self.evidence.end_trial(request_id, parts)
+
+    def crash(self, lost: typing.Sequence[_Parts]) -> None:
+        """Crash a server, with requests that have no answer."""
+        self._number += 1
+        self._ended.append((self.now, self._number))
+        for one in lost:
+            self.evidence.record_break(
+                _start(self._number),
+                _broken(one, domain=self._rng.choice(_DOMAINS)),
+                self.now,
+            )
+
+
+@pytest.mark.parametrize('beside', [0, 2, 5])
+@pytest.mark.parametrize('count', [1, 3])
+def test_bad_parts_are_refused_within_six_crashes(
+    beside: int, count: int
+) -> None:
+    """Beside plain crashes; no sound request is refused, over 50 seeds."""
+    refused, sound = 0, 0
+    for seed in range(50):
+        bad = [ids.PromptPart(_BAD + number) for number in range(count)]
+        pool = _Pool(seed, bad)
+        for _ in range(200):
+            pool.send(pool.draw(), 0)
+        for number in range(2000):
+            pool.send(pool.draw(), 0)
+            if number % 25 == 0:
+                pool.send(pool.draw_bad(bad[number % count]), beside)
+            if number % 100 == 0:
+                pool.crash([pool.draw() for _ in range(beside + 1)])
+        assert max(pool.crashes.values()) <= 6, (seed, pool.crashes)
+        refused += pool.refused
+        sound += pool.sound
+    assert refused <= sound / 1000
+
+
+def test_parts_that_always_come_together_are_told_apart_by_trials() -> None:
+    """A sound one is refused only beside the bad one."""
+    evidence = part_evidence.PartEvidence()
+    sound = ids.PromptPart(1)
+    for number in range(4):
+        evidence.record_break(_start(number), _broken((sound, _BAD)), number)
+    assert evidence.verdict(_HOUSEHOLD, (sound, _BAD), 5) is _Verdict.refused
+    assert evidence.verdict(_HOUSEHOLD, (sound,), 5) is _Verdict.trial
+    request_id = ids.RequestId('trial')
+    evidence.begin_trial(request_id, _HOUSEHOLD, (sound,), 5)
+    assert evidence.verdict(_HOUSEHOLD, (sound,), 5) is _Verdict.waits
+    evidence.record_begin(_start(9), (sound,), 5.2)
+    assert evidence.verdict(_HOUSEHOLD, (sound,), 5.2) is _Verdict.clear
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 5.2) is _Verdict.refused
+
+
+def test_answers_before_a_part_turns_bad_do_not_clear_it() -> None:
+    """Each answer clears it of the crashes before only."""
+    evidence = part_evidence.PartEvidence()
+    for number in range(100):
+        evidence.record_begin(_start(0), (_BAD,), number / 10)
+    for number in range(1, 4):
+        evidence.record_break(_start(number), _broken((_BAD,)), 10 + number)
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 14) is _Verdict.refused
+
+
+def test_customer_cannot_have_another_ones_part_refused() -> None:
+    """It names the part in requests that crash servers for another reason."""
+    evidence = part_evidence.PartEvidence()
+    named = ids.PromptPart(1)
+    for number in range(40):
+        own = ids.PromptPart(100 + number)
+        evidence.record_break(
+            _start(number), _broken((named, own), _NEIGHBOUR), number
+        )
+    assert evidence.verdict(_NEIGHBOUR, (named,), 41) is _Verdict.refused
+    assert evidence.verdict(_HOUSEHOLD, (named,), 41) is _Verdict.clear
+
+
+def test_bad_part_of_several_customers_is_refused_to_all() -> None:
+    """A customer whose requests were in no crash has one trial at most."""
+    evidence = part_evidence.PartEvidence()
+    for number in range(6):
+        customer = (_HOUSEHOLD, _NEIGHBOUR)[number % 2]
+        evidence.record_break(
+            _start(number), _broken((_BAD,), customer), number
+        )
+    third = ids.CustomerName('third')
+    assert evidence.verdict(third, (_BAD,), 7) is _Verdict.trial
+    evidence.begin_trial(ids.RequestId('t'), third, (_BAD,), 7)
+    fourth = ids.CustomerName('fourth')
+    assert evidence.verdict(third, (_BAD,), 11) is _Verdict.refused
+    assert evidence.verdict(fourth, (_BAD,), 11) is _Verdict.refused
+
+
+def test_connections_that_the_network_breaks_off_are_no_crashes() -> None:
+    """One failure domain's requests break off on several servers at a time."""
+    evidence = part_evidence.PartEvidence()
+    for number in range(6):
+        evidence.record_break(_start(number), _broken((_BAD,)), 1)
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 1.1) is _Verdict.clear
+    for number in range(6):
+        evidence.crashes.confirm(_start(number))
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 1.2) is _Verdict.refused
+
+
+def test_server_that_answers_afterwards_did_not_crash() -> None:
+    """Its connections broke off for another reason."""
+    evidence = part_evidence.PartEvidence()
+    for number in range(4):
+        evidence.record_break(_start(number), _broken((_BAD,)), number)
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 4) is _Verdict.refused
+    for number in range(2):
+        evidence.crashes.record_answer(_start(number), 5)
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 5) is not _Verdict.refused
+
+
+def test_refused_part_is_tried_by_one_request_at_a_time_and_rarely() -> None:
+    """Once a minute has passed; each crash doubles the time."""
+    evidence = part_evidence.PartEvidence()
+    for number in range(4):
+        evidence.record_break(_start(number), _broken((_BAD,)), number)
+        evidence.crashes.confirm(_start(number))
+    evidence.refuse((_BAD,), 4)
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 60) is _Verdict.refused
+    assert evidence.retry_seconds(_HOUSEHOLD, (_BAD,), 60) == 4
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 65) is _Verdict.trial
+    evidence.begin_trial(ids.RequestId('t'), _HOUSEHOLD, (_BAD,), 65)
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 66) is _Verdict.refused
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 150) is _Verdict.refused
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 190) is _Verdict.trial
+    cleared = evidence.record_begin(_start(9), (_BAD,), 190)
+    assert cleared == [_BAD]
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 191) is _Verdict.clear
+
+
+def test_flood_of_new_parts_does_not_evict_a_refused_one() -> None:
+    """Other parts crash more servers than the table holds."""
+    evidence = part_evidence.PartEvidence()
+    for number in range(4):
+        evidence.record_break(_start(number), _broken((_BAD,)), 1)
+        evidence.crashes.confirm(_start(number))
+    evidence.refuse((_BAD,), 2)
+    for number in range(1000):
+        flood = _parts(*range(number * 100, number * 100 + 100))
+        evidence.record_break(_start(10 + number), _broken(flood), 3)
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 4) is _Verdict.refused
+    assert len(evidence.crashes.crashes(4)) <= 64
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -11,6 +11,7 @@
 from thrift.TRecursive import fix_spec
 
 import sys
+import geraniumweir.wire.gen.scheduling.ttypes
 
 from thrift.transport import TTransport
 all_structs = []
@@ -1656,6 +1657,7 @@
      - notices_revision
      - relays
      - relays_digest
+     - refused_digest
 
     """
 
@@ -1667,10 +1669,11 @@
         'notices_revision',
         'relays',
         'relays_digest',
+        'refused_digest',
     )
 
 
-    def __init__(self, failure_domain=None, leaving=None, share=None, notices=None, notices_revision=None, relays=None, relays_digest=None,):
+    def __init__(self, failure_domain=None, leaving=None, share=None, notices=None, notices_revision=None, relays=None, relays_digest=None, refused_digest=None,):
         self.failure_domain = failure_domain
         self.leaving = leaving
         self.share = share
@@ -1678,6 +1681,7 @@
         self.notices_revision = notices_revision
         self.relays = relays
         self.relays_digest = relays_digest
+        self.refused_digest = refused_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1724,6 +1728,11 @@
                     self.relays_digest = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.refused_digest = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1762,6 +1771,10 @@
             oprot.writeFieldBegin('relays_digest', TType.I32, 9)
             oprot.writeI32(self.relays_digest)
             oprot.writeFieldEnd()
+        if self.refused_digest is not None:
+            oprot.writeFieldBegin('refused_digest', TType.I32, 10)
+            oprot.writeI32(self.refused_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1894,6 +1907,7 @@
      - notices
      - notices_revision
      - relays
+     - refused
 
     """
 
@@ -1906,10 +1920,11 @@
         'notices',
         'notices_revision',
         'relays',
+        'refused',
     )
 
 
-    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None, notices=None, notices_revision=None, relays=None,):
+    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None, notices=None, notices_revision=None, relays=None, refused=None,):
         self.leads = leads
         self.stands_in = stands_in
         self.hosts = hosts
@@ -1918,6 +1933,7 @@
         self.notices = notices
         self.notices_revision = notices_revision
         self.relays = relays
+        self.refused = refused
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1970,6 +1986,17 @@
                     self.relays.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.refused = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = geraniumweir.wire.gen.scheduling.ttypes.PartTrials()
+                        _elem96.read(iprot)
+                        self.refused.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2012,6 +2039,13 @@
             oprot.writeFieldBegin('relays', TType.STRUCT, 10)
             self.relays.write(oprot)
             oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.refused))
+            for iter97 in self.refused:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2072,11 +2106,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.amounts = {}
-                    (_ktype92, _vtype93, _size91) = iprot.readMapBegin()
-                    for _i95 in range(_size91):
-                        _key96 = iprot.readI32()
-                        _val97 = iprot.readI32()
-                        self.amounts[_key96] = _val97
+                    (_ktype99, _vtype100, _size98) = iprot.readMapBegin()
+                    for _i102 in range(_size98):
+                        _key103 = iprot.readI32()
+                        _val104 = iprot.readI32()
+                        self.amounts[_key103] = _val104
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2097,9 +2131,9 @@
         if self.amounts is not None:
             oprot.writeFieldBegin('amounts', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.amounts))
-            for kiter98, viter99 in self.amounts.items():
-                oprot.writeI32(kiter98)
-                oprot.writeI32(viter99)
+            for kiter105, viter106 in self.amounts.items():
+                oprot.writeI32(kiter105)
+                oprot.writeI32(viter106)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2168,33 +2202,33 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.requests = {}
-                    (_ktype101, _vtype102, _size100) = iprot.readMapBegin()
-                    for _i104 in range(_size100):
-                        _key105 = iprot.readI32()
-                        _val106 = iprot.readI32()
-                        self.requests[_key105] = _val106
-                    iprot.readMapEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.MAP:
-                    self.here = {}
                     (_ktype108, _vtype109, _size107) = iprot.readMapBegin()
                     for _i111 in range(_size107):
                         _key112 = iprot.readI32()
                         _val113 = iprot.readI32()
-                        self.here[_key112] = _val113
+                        self.requests[_key112] = _val113
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 3:
                 if ftype == TType.MAP:
-                    self.elsewhere = {}
+                    self.here = {}
                     (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
                     for _i118 in range(_size114):
                         _key119 = iprot.readI32()
                         _val120 = iprot.readI32()
-                        self.elsewhere[_key119] = _val120
+                        self.here[_key119] = _val120
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.elsewhere = {}
+                    (_ktype122, _vtype123, _size121) = iprot.readMapBegin()
+                    for _i125 in range(_size121):
+                        _key126 = iprot.readI32()
+                        _val127 = iprot.readI32()
+                        self.elsewhere[_key126] = _val127
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2215,25 +2249,25 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.requests))
-            for kiter121, viter122 in self.requests.items():
-                oprot.writeI32(kiter121)
-                oprot.writeI32(viter122)
+            for kiter128, viter129 in self.requests.items():
+                oprot.writeI32(kiter128)
+                oprot.writeI32(viter129)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.here is not None:
             oprot.writeFieldBegin('here', TType.MAP, 3)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.here))
-            for kiter123, viter124 in self.here.items():
-                oprot.writeI32(kiter123)
-                oprot.writeI32(viter124)
+            for kiter130, viter131 in self.here.items():
+                oprot.writeI32(kiter130)
+                oprot.writeI32(viter131)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.elsewhere is not None:
             oprot.writeFieldBegin('elsewhere', TType.MAP, 4)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.elsewhere))
-            for kiter125, viter126 in self.elsewhere.items():
-                oprot.writeI32(kiter125)
-                oprot.writeI32(viter126)
+            for kiter132, viter133 in self.elsewhere.items():
+                oprot.writeI32(kiter132)
+                oprot.writeI32(viter133)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2302,11 +2336,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.customers = []
-                    (_etype130, _size127) = iprot.readListBegin()
-                    for _i131 in range(_size127):
-                        _elem132 = CustomerSpent()
-                        _elem132.read(iprot)
-                        self.customers.append(_elem132)
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = CustomerSpent()
+                        _elem139.read(iprot)
+                        self.customers.append(_elem139)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2318,11 +2352,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.pools = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = PoolCounts()
-                        _elem138.read(iprot)
-                        self.pools.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = PoolCounts()
+                        _elem145.read(iprot)
+                        self.pools.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2343,8 +2377,8 @@
         if self.customers is not None:
             oprot.writeFieldBegin('customers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.customers))
-            for iter139 in self.customers:
-                iter139.write(oprot)
+            for iter146 in self.customers:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.retries_known_seconds is not None:
@@ -2354,8 +2388,8 @@
         if self.pools is not None:
             oprot.writeFieldBegin('pools', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.pools))
-            for iter140 in self.pools:
-                iter140.write(oprot)
+            for iter147 in self.pools:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2429,20 +2463,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = iprot.readI64()
-                        self.keys.append(_elem146)
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = iprot.readI64()
+                        self.keys.append(_elem153)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.left_ms = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = iprot.readI32()
-                        self.left_ms.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = iprot.readI32()
+                        self.left_ms.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2467,15 +2501,15 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.keys))
-            for iter153 in self.keys:
-                oprot.writeI64(iter153)
+            for iter160 in self.keys:
+                oprot.writeI64(iter160)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.left_ms is not None:
             oprot.writeFieldBegin('left_ms', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.left_ms))
-            for iter154 in self.left_ms:
-                oprot.writeI32(iter154)
+            for iter161 in self.left_ms:
+                oprot.writeI32(iter161)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2530,11 +2564,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = VersionStreams()
-                        _elem160.read(iprot)
-                        self.versions.append(_elem160)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = VersionStreams()
+                        _elem167.read(iprot)
+                        self.versions.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2551,8 +2585,148 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter161 in self.versions:
-                iter161.write(oprot)
+            for iter168 in self.versions:
+                iter168.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RequestFacts(object):
+    """
+    Attributes:
+     - cases
+     - crashes
+     - trials
+     - streams
+
+    """
+
+    __slots__ = (
+        'cases',
+        'crashes',
+        'trials',
+        'streams',
+    )
+
+
+    def __init__(self, cases=None, crashes=None, trials=None, streams=None,):
+        self.cases = cases
+        self.crashes = crashes
+        self.trials = trials
+        self.streams = streams
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.cases = []
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = geraniumweir.wire.gen.scheduling.ttypes.Case()
+                        _elem174.read(iprot)
+                        self.cases.append(_elem174)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = geraniumweir.wire.gen.scheduling.ttypes.ServerCrash()
+                        _elem180.read(iprot)
+                        self.crashes.append(_elem180)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.trials = []
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = geraniumweir.wire.gen.scheduling.ttypes.PartTrials()
+                        _elem186.read(iprot)
+                        self.trials.append(_elem186)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.streams = []
+                    (_etype190, _size187) = iprot.readListBegin()
+                    for _i191 in range(_size187):
+                        _elem192 = VersionStreams()
+                        _elem192.read(iprot)
+                        self.streams.append(_elem192)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RequestFacts')
+        if self.cases is not None:
+            oprot.writeFieldBegin('cases', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.cases))
+            for iter193 in self.cases:
+                iter193.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter194 in self.crashes:
+                iter194.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.trials is not None:
+            oprot.writeFieldBegin('trials', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.trials))
+            for iter195 in self.trials:
+                iter195.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.streams))
+            for iter196 in self.streams:
+                iter196.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2580,6 +2754,56 @@
         return not (self == other)
 
 
+class AskRequestFacts(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AskRequestFacts')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StreamsRecorded(object):
 
     __slots__ = (
@@ -3239,6 +3463,7 @@
     (7, TType.I64, 'notices_revision', None, None, ),  # 7
     (8, TType.BOOL, 'relays', None, None, ),  # 8
     (9, TType.I32, 'relays_digest', None, None, ),  # 9
+    (10, TType.I32, 'refused_digest', None, None, ),  # 10
 )
 all_structs.append(Relays)
 Relays.thrift_spec = (
@@ -3259,6 +3484,7 @@
     (8, TType.STRUCT, 'notices', [Notices, None], None, ),  # 8
     (9, TType.I64, 'notices_revision', None, None, ),  # 9
     (10, TType.STRUCT, 'relays', [Relays, None], None, ),  # 10
+    (11, TType.LIST, 'refused', (TType.STRUCT, [geraniumweir.wire.gen.scheduling.ttypes.PartTrials, None], False), None, ),  # 11
 )
 all_structs.append(CustomerSpent)
 CustomerSpent.thrift_spec = (
@@ -3295,6 +3521,17 @@
     None,  # 0
     (1, TType.LIST, 'versions', (TType.STRUCT, [VersionStreams, None], False), None, ),  # 1
 )
+all_structs.append(RequestFacts)
+RequestFacts.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'cases', (TType.STRUCT, [geraniumweir.wire.gen.scheduling.ttypes.Case, None], False), None, ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [geraniumweir.wire.gen.scheduling.ttypes.ServerCrash, None], False), None, ),  # 2
+    (3, TType.LIST, 'trials', (TType.STRUCT, [geraniumweir.wire.gen.scheduling.ttypes.PartTrials, None], False), None, ),  # 3
+    (4, TType.LIST, 'streams', (TType.STRUCT, [VersionStreams, None], False), None, ),  # 4
+)
+all_structs.append(AskRequestFacts)
+AskRequestFacts.thrift_spec = (
+)
 all_structs.append(StreamsRecorded)
 StreamsRecorded.thrift_spec = (
 )
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -2734,6 +2734,7 @@
      - next_in
      - crashed
      - by_customer
+     - customers
 
     """
 
@@ -2742,14 +2743,16 @@
         'next_in',
         'crashed',
         'by_customer',
+        'customers',
     )
 
 
-    def __init__(self, part=None, next_in=None, crashed=None, by_customer=None,):
+    def __init__(self, part=None, next_in=None, crashed=None, by_customer=None, customers=None,):
         self.part = part
         self.next_in = next_in
         self.crashed = crashed
         self.by_customer = by_customer
+        self.customers = customers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2780,6 +2783,16 @@
                     self.by_customer = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.customers = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.customers.append(_elem103)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2806,6 +2819,13 @@
             oprot.writeFieldBegin('by_customer', TType.BOOL, 4)
             oprot.writeBool(self.by_customer)
             oprot.writeFieldEnd()
+        if self.customers is not None:
+            oprot.writeFieldBegin('customers', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.customers))
+            for iter104 in self.customers:
+                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3037,6 +3057,7 @@
     (2, TType.DOUBLE, 'next_in', None, None, ),  # 2
     (3, TType.I32, 'crashed', None, None, ),  # 3
     (4, TType.BOOL, 'by_customer', None, None, ),  # 4
+    (5, TType.LIST, 'customers', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -2,6 +2,8 @@
 // force, the enrolled backend servers and who coordinates.
 namespace py control
 
+include "scheduling.thrift"
+
 // A backend server's enrolment. The sequence grows with each report of the
 // same start of a server; a start that has gone never returns.
 struct Enrolment {
@@ -161,6 +163,8 @@
   7: optional i64 notices_revision
   8: optional bool relays
   9: optional i32 relays_digest
+  // Of the refused prompt parts that the asker knows.
+  10: optional i32 refused_digest
 }
 
 // Entry hosts that dispatch requests for another one: those in its failure
@@ -185,6 +189,7 @@
   9: optional i64 notices_revision
   // Where the digest differs.
   10: optional Relays relays
+  11: optional list<scheduling.PartTrials> refused
 }
 
 // What an entry host was granted of a customer's quota: amounts by how many
@@ -222,12 +227,26 @@
   4: list<i32> left_ms
 }
 
-// From the coordinator to the other control hosts, several times a second, and
-// from an entry host to its coordinator, which answers StreamsRecorded.
+// From an entry host, or the coordinator before, to the coordinator, which
+// answers StreamsRecorded.
 struct BegunStreams {
   1: list<VersionStreams> versions
 }
 
+// From the coordinator to the other control hosts: what changed of the facts
+// about requests. Cases, and crashes with trials, are whole lists.
+struct RequestFacts {
+  1: optional list<scheduling.Case> cases
+  2: optional list<scheduling.ServerCrash> crashes
+  3: optional list<scheduling.PartTrials> trials
+  4: optional list<VersionStreams> streams
+}
+
+// From a new coordinator to the other control hosts, which answer RequestFacts
+// with all they know.
+struct AskRequestFacts {
+}
+
 struct StreamsRecorded {
 }
 
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -216,4 +216,6 @@
   2: double next_in
   3: i32 crashed
   4: bool by_customer
+  // Whose requests were in the crashes.
+  5: list<string> customers
 }
