--- a/libs/control/geraniumweir/control/tests/test_crash_cases.py
+++ b/libs/control/geraniumweir/control/tests/test_crash_cases.py
@@ -6,6 +6,7 @@
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.control import crash_cases, hosts, request_exchange
 from geraniumweir.scheduling import (
+    channel,
     crash_records,
     part_evidence,
     settings,
@@ -28,19 +29,23 @@
         self.clock = timers.TimerService()
         self.host_id = ids.HostId(f'c{number}')
         self.address = ids.Address(f'10.0.0.{number}', 1)
-        self.link = network.join(self.host_id, self.address)
+        self.link = channel.Channel(network.join(self.host_id, self.address))
         self.known = hosts.ControlHosts()
+        self.led: list[leader.OnTimePoolLeader] = []
+        self.join()
+
+    def join(self) -> None:
+        """Start without any cases."""
         self.crash_cases = crash_cases.CrashCases()
         self.parts = part_evidence.PartEvidence()
         part_cases = crash_cases.PartCases(self.parts)
         part_cases.leads = lambda: bool(self.led)
-        request_exchange.RequestExchange(
+        self.exchange = request_exchange.RequestExchange(
             self.link,
             self.known,
             self.clock,
             (self.crash_cases, part_cases),
         )
-        self.led: list[leader.OnTimePoolLeader] = []
         self.crash_cases.leaders = lambda: self.led
 
     def meet(self, other: '_Control') -> None:
@@ -209,3 +214,22 @@
         assert other.parts.crashes.crashes(other.clock.now())
 
     _run(work)
+
+
+def test_coordinator_that_started_after_the_last_crash_knows_of_it() -> None:
+    """It asks the other control hosts when it begins to coordinate."""
+
+    async def work(one: _Control, other: _Control) -> None:
+        one.coordinate()
+        for number in range(4):
+            one.break_off(number)
+            await asyncio.sleep(0.5)
+        one.led = []
+        one.join()
+        assert one.part_verdict() is part_evidence.Verdict.clear
+        one.exchange.ask()
+        await asyncio.sleep(0.5)
+        one.coordinate()
+        assert one.part_verdict() is part_evidence.Verdict.refused
+
+    _run(work)
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
@@ -240,3 +240,22 @@
         evidence.record_break(_start(10 + number), _broken(flood), 3)
     assert evidence.verdict(_HOUSEHOLD, (_BAD,), 4) is _Verdict.refused
     assert len(evidence.crashes.crashes(4)) <= 64
+
+
+def test_host_without_a_coordinator_refuses_what_the_last_one_refused() -> None:
+    """To the customers whose requests crashed servers, or to all if several."""
+    coordinator = part_evidence.PartEvidence()
+    for number in range(4):
+        coordinator.record_break(_start(number), _broken((_BAD,)), number)
+    coordinator.refuse((_BAD,), 4)
+    alone = part_evidence.PartEvidence()
+    alone.set_refused_elsewhere(coordinator.refused())
+    assert alone.verdict(_HOUSEHOLD, (_BAD,), 5) is _Verdict.refused
+    assert alone.verdict(_NEIGHBOUR, (_BAD,), 5) is _Verdict.clear
+    assert alone.retry_seconds(_HOUSEHOLD, (_BAD,), 5) == 59
+    other = _broken((_BAD,), _NEIGHBOUR)
+    coordinator.record_break(_start(9), other, 5)
+    alone.set_refused_elsewhere(coordinator.refused())
+    assert alone.verdict(_NEIGHBOUR, (_BAD,), 6) is _Verdict.refused
+    alone.set_refused_elsewhere(())
+    assert alone.verdict(_HOUSEHOLD, (_BAD,), 6) is _Verdict.clear
