Prompt parts: bursts of crashes raise the estimated share of sound requests in crashes

Cause: sound requests are on a crashing server far more often within a burst than over 15 s, so that a few such crashes counted as proof; and the first trial came after a minute.

Change: the larger of two estimates counts, with half-lives of 2 and 10 s; a refused part is tried after 30 s, then each time four times as long. Entry hosts to which far more requests lead than to others close new connections unread while their thread is late, or when descriptors run short.

--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -87,3 +87,15 @@
     _Level.info,
     'request {request} is not retried, the retry budget is used up',
 )
+CONNECTIONS_REFUSED: typing.Final = _Event(
+    174,
+    _Level.warning,
+    'this host refuses new connections: {connections} open, its events wait for'
+    ' {delay_ms} ms',
+)
+CONNECTIONS_ACCEPTED: typing.Final = _Event(
+    175,
+    _Level.notice,
+    'this host accepts connections again: {connections} open, its events wait'
+    ' for {delay_ms} ms',
+)
--- /dev/null
+++ b/libs/gateway/geraniumweir/gateway/overload.py
@@ -0,0 +1,112 @@
+"""Protection of an entry host that gets far more connections than others.
+
+A load balancer may lead most new connections to one host. Requests that it
+reads then wait for its thread, while the others idle. A connection that is
+closed before its request is read shows the caller at once that it can go to
+another host. If all hosts are equally busy, that would only lose requests, so
+connections are refused only where this host's share of all requests is well
+above an equal one.
+"""
+
+import asyncio
+import resource
+import typing
+
+from aiohttp import web
+from geraniumweir.common import eventlog, timers
+from geraniumweir.gateway import logevents
+
+# Period in which the delay of the event loop is measured.
+_PERIOD_SECONDS = 0.05
+# Events of a busy host wait this long for its thread; a request takes several.
+_MAX_DELAY_SECONDS = 0.15
+# Multiple of an equal share of all requests.
+_MIN_SHARE_RATIO = 1.5
+# File descriptors for connections to servers and hosts, and for files.
+_RESERVED_DESCRIPTORS = 600
+_MIN_CONNECTIONS = 64
+_MS = 1000
+
+
+class Overload:
+    """Decides whether new connections of callers are accepted."""
+
+    def __init__(
+        self,
+        clock: timers.TimerService,
+        share_ratio: typing.Callable[[], float],
+    ) -> None:
+        """Measure from now on.
+
+        :param share_ratio: returns this host's share of all requests, relative
+            to an equal share.
+        """
+        self._clock = clock
+        self._share_ratio = share_ratio
+        self._measured_at = clock.now()
+        self._delay = float(0)
+        self._refuses = False
+        soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._max_connections = max(
+            soft_limit - _RESERVED_DESCRIPTORS, _MIN_CONNECTIONS
+        )
+        self._subscription = clock.every(_PERIOD_SECONDS).subscribe(
+            lambda _: self._measure()
+        )
+
+    def close(self) -> None:
+        """Stop measuring."""
+        self._subscription.dispose()
+
+    def accepts(self, connections: int) -> bool:
+        """Return whether a new connection is accepted.
+
+        :param connections: number of open ones.
+        """
+        busy = max(self._delay, self._pending_delay()) > _MAX_DELAY_SECONDS
+        refuses = connections >= self._max_connections or (
+            busy and self._share_ratio() > _MIN_SHARE_RATIO
+        )
+        if refuses != self._refuses:
+            self._refuses = refuses
+            eventlog.emit(
+                logevents.CONNECTIONS_REFUSED
+                if refuses
+                else logevents.CONNECTIONS_ACCEPTED,
+                connections=connections,
+                delay_ms=round(self._delay * _MS),
+            )
+        return not refuses
+
+    def _measure(self) -> None:
+        self._delay = self._pending_delay()
+        self._measured_at = self._clock.now()
+
+    def _pending_delay(self) -> float:
+        """Return the seconds by which the next measurement is late."""
+        since = self._clock.now() - self._measured_at
+        return max(since - _PERIOD_SECONDS, 0)
+
+
+class Refusal(asyncio.Protocol):
+    """A connection that is closed before anything is read from it."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Close the connection."""
+        typing.cast(asyncio.Transport, transport).abort()
+
+
+class CallerSideServer(web.Server):
+    """HTTP server that refuses connections when the host is overloaded.
+
+    :ivar overload: decides that; None accepts all.
+    """
+
+    overload: Overload | None = None
+
+    def __call__(self) -> asyncio.Protocol:
+        """Return the protocol of a new connection."""
+        open_connections = len(self.connections)
+        if self.overload and not self.overload.accepts(open_connections):
+            return Refusal()
+        return super().__call__()
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -16,6 +16,7 @@
     errors,
     forwarding,
     logevents,
+    overload,
     refusals,
     request_record,
     response_writer,
@@ -81,12 +82,16 @@
         self._meter = meter
         self._rng = random.Random()
         self._request_numbers = itertools.count(1)
-        self._server: web.Server | None = None
+        self._server: overload.CallerSideServer | None = None
         self._busy_connections: set[typing.Any] = set()
 
-    def server(self) -> web.Server:
-        """Return the HTTP server; one handler serves all requests."""
+    def server(self, protection: overload.Overload | None = None) -> web.Server:
+        """Return the HTTP server; one handler serves all requests.
+
+        :param protection: refuses connections while this host is overloaded.
+        """
         self._server = make_server(self.handle)
+        self._server.overload = protection
         return self._server
 
     def close_idle(self) -> None:
@@ -286,9 +291,9 @@
     handler: typing.Callable[
         [web.BaseRequest], typing.Awaitable[web.StreamResponse]
     ],
-) -> web.Server:
+) -> overload.CallerSideServer:
     """Return an HTTP server; the handler is cancelled when a caller leaves."""
-    return web.Server(
+    return overload.CallerSideServer(
         handler,
         request_factory=_make_request,
         handler_cancellation=True,
--- a/libs/scheduling/geraniumweir/scheduling/crash_records.py
+++ b/libs/scheduling/geraniumweir/scheduling/crash_records.py
@@ -13,8 +13,7 @@
 
 # Parts kept for one crash.
 _MAX_PARTS = 48
-# Requests are forgotten by half in this time.
-_HALF_LIFE_SECONDS = 10.0
+_HALF_LIVES_SECONDS = (2.0, 10.0)
 # Assumed requests before any was seen, of which one was in a crash.
 _ASSUMED_REQUESTS = 20.0
 _MIN_RATE = 0.02
@@ -74,10 +73,31 @@
 
 
 @dataclasses.dataclass(slots=True)
+class _DecayingCounts:
+    """Requests with and without an answer, forgotten by half in some time."""
+
+    half_life: float
+    answered: float = 0
+    broken: float = 0
+    updated_at: float = 0
+
+    def decay(self, now: float) -> None:
+        factor = 2 ** ((self.updated_at - now) / self.half_life)
+        self.answered *= factor
+        self.broken *= factor
+        self.updated_at = now
+
+    def rate(self) -> float:
+        total = self.answered + self.broken + _ASSUMED_REQUESTS
+        return (self.broken + 1) / total
+
+
 class CollateralRate:
     """Estimated share of sound requests that are on a server when it crashes.
 
     Of the requests without an answer in a crash, all but one had no part in it.
+    The larger of two estimates counts, over seconds and over some ten of them:
+    crashes come in bursts.
 
     >>> rate = CollateralRate()
     >>> for _ in range(80):
@@ -91,32 +111,28 @@
     0.18
     """
 
-    answered: float = 0
-    broken: float = 0
-    updated_at: float = 0
+    def __init__(self) -> None:
+        """Initialize without requests."""
+        self._counts = tuple(map(_DecayingCounts, _HALF_LIVES_SECONDS))
 
     def record_answer(self, now: float) -> None:
         """Record an answer that began."""
-        self._decay(now)
-        self.answered += 1
+        for counts in self._counts:
+            counts.decay(now)
+            counts.answered += 1
 
     def record_break(self, is_collateral: bool, now: float) -> None:
         """Record a request without an answer.
 
         :param is_collateral: whether it isn't the first in its crash.
         """
-        self._decay(now)
-        self.broken += is_collateral
+        for counts in self._counts:
+            counts.decay(now)
+            counts.broken += is_collateral
 
     def log_ratio(self, now: float) -> float:
         """Return the logarithm of the inverse rate."""
-        self._decay(now)
-        total = self.answered + self.broken + _ASSUMED_REQUESTS
-        rate = (self.broken + 1) / total
+        for counts in self._counts:
+            counts.decay(now)
+        rate = max(one.rate() for one in self._counts)
         return -math.log(min(max(rate, _MIN_RATE), _MAX_RATE))
-
-    def _decay(self, now: float) -> None:
-        factor = 2 ** ((self.updated_at - now) / _HALF_LIFE_SECONDS)
-        self.answered *= factor
-        self.broken *= factor
-        self.updated_at = now
--- a/libs/scheduling/geraniumweir/scheduling/part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_evidence.py
@@ -25,7 +25,7 @@
 confirmed. A later answer of the server disproves the crash.
 
 A part that is refused is tried again with one request after some time, which
-doubles with each crash.
+grows with each crash.
 
 References
 ==========
--- a/libs/scheduling/geraniumweir/scheduling/part_trials.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_trials.py
@@ -12,7 +12,8 @@
 
 # A trial without a report of its end is given up after this time.
 _TRIAL_SECONDS = 3.0
-_FIRST_RETRIAL_SECONDS = 60.0
+_FIRST_RETRIAL_SECONDS = 30.0
+_RETRIAL_GROWTH = 4
 _MAX_RETRIAL_SECONDS = 3600.0
 _MAX_PARTS = 256
 
@@ -53,11 +54,11 @@
 
         >>> trials = Trials()
         >>> trials.refuse(0)
-        >>> trials.begin(ids.RequestId('a'), 60)
+        >>> trials.begin(ids.RequestId('a'), 30)
         >>> trials.next_at
-        180.0
+        150.0
         """
-        seconds = _FIRST_RETRIAL_SECONDS * 2**self.crashed
+        seconds = _FIRST_RETRIAL_SECONDS * _RETRIAL_GROWTH**self.crashed
         self.next_at = now + min(seconds, _MAX_RETRIAL_SECONDS)
 
 
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
@@ -210,22 +210,22 @@
 
 
 def test_refused_part_is_tried_by_one_request_at_a_time_and_rarely() -> None:
-    """Once a minute has passed; each crash doubles the time."""
+    """After half a minute; each crash makes the time four times as long."""
     evidence = part_evidence.PartEvidence()
     for number in range(4):
         evidence.record_break(_start(number), _broken((_BAD,)), number)
         evidence.crashes.confirm(_start(number))
     evidence.refuse((_BAD,), 4)
-    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 60) is _Verdict.refused
-    assert evidence.retry_seconds(_HOUSEHOLD, (_BAD,), 60) == 4
-    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 65) is _Verdict.trial
-    evidence.begin_trial(ids.RequestId('t'), _HOUSEHOLD, (_BAD,), 65)
-    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 66) is _Verdict.refused
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 30) is _Verdict.refused
+    assert evidence.retry_seconds(_HOUSEHOLD, (_BAD,), 30) == 4
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 35) is _Verdict.trial
+    evidence.begin_trial(ids.RequestId('t'), _HOUSEHOLD, (_BAD,), 35)
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 36) is _Verdict.refused
     assert evidence.verdict(_HOUSEHOLD, (_BAD,), 150) is _Verdict.refused
-    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 190) is _Verdict.trial
-    cleared = evidence.record_begin(_start(9), (_BAD,), 190)
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 160) is _Verdict.trial
+    cleared = evidence.record_begin(_start(9), (_BAD,), 160)
     assert cleared == [_BAD]
-    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 191) is _Verdict.clear
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 161) is _Verdict.clear
 
 
 def test_flood_of_new_parts_does_not_evict_a_refused_one() -> None:
@@ -252,7 +252,7 @@
     alone.set_refused_elsewhere(coordinator.refused())
     assert alone.verdict(_HOUSEHOLD, (_BAD,), 5) is _Verdict.refused
     assert alone.verdict(_NEIGHBOUR, (_BAD,), 5) is _Verdict.clear
-    assert alone.retry_seconds(_HOUSEHOLD, (_BAD,), 5) == 59
+    assert alone.retry_seconds(_HOUSEHOLD, (_BAD,), 5) == 29
     other = _broken((_BAD,), _NEIGHBOUR)
     coordinator.record_break(_start(9), other, 5)
     alone.set_refused_elsewhere(coordinator.refused())
