--- a/libs/control/geraniumweir/control/crash_cases.py
+++ b/libs/control/geraniumweir/control/crash_cases.py
@@ -49,8 +49,11 @@
         new_leader.suspects.merge(self._valid(now), now)
 
     def fill_all(self, message: ttypes.RequestFacts, now: float) -> None:
-        """Add all cases that are still valid."""
-        message.cases = case_encoding.pack(self._valid(now))
+        """Add all cases that are still valid.
+
+        No list is added where there are none: another host may know some.
+        """
+        message.cases = case_encoding.pack(self._valid(now)) or None
 
     def fill(self, message: ttypes.RequestFacts, now: float) -> bool:
         """Add the cases when there are new or fewer ones."""
