Prompt parts: crashes beside another customer's requests don't count as one's own

Cause: requests of the first customer were on the servers that the second one's crashed, and each such crash counted in full against the part for the first customer too.

Change: a crash in which requests of others had the part counts as theirs, up to the bound for foreign crashes; a customer counts as having crashed servers only by crashes without requests of others.

Measured: the new test fails on the code before.

--- a/libs/scheduling/geraniumweir/scheduling/crash_table.py
+++ b/libs/scheduling/geraniumweir/scheduling/crash_table.py
@@ -116,9 +116,14 @@
         ]
 
     def customers(self, part: ids.PromptPart) -> frozenset[ids.CustomerName]:
-        """Return the customers whose requests with a part were in crashes."""
+        """Return the customers whose requests with a part were in crashes.
+
+        Only where no other customer's requests with it were in the same crash.
+        """
         found = (crash.parts[part] for crash in self._by_part.get(part, ()))
-        return frozenset(itertools.chain.from_iterable(found))
+        return frozenset(
+            itertools.chain.from_iterable(one for one in found if len(one) == 1)
+        )
 
     def crashes(self, now: float) -> list[_Crash]:
         """List the crashes that still hold."""
--- a/libs/scheduling/geraniumweir/scheduling/part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_evidence.py
@@ -18,7 +18,8 @@
 them apart.
 
 What one customer's requests show counts less for the other customers' requests:
-a customer whose own parts crash servers could name the parts of others.
+a customer whose own parts crash servers could name the parts of others. That
+holds also for a crash in which requests of both were.
 
 A connection that breaks off may be due to the network. Requests of one failure
 domain that break off on several servers at a time don't count until a crash is
@@ -90,7 +91,8 @@
 class RefusedPart:
     """A part that is refused.
 
-    :ivar customers: whose requests with it were in crashes.
+    :ivar customers: whose requests with it were in crashes, without those of
+        others.
     """
 
     part: ids.PromptPart
@@ -404,10 +406,10 @@
     total = float(0)
     foreign: collections.Counter[ids.CustomerName] = collections.Counter()
     for crash in crashes:
-        customers = crash.parts[part]
-        if customer in customers:
-            total += crash.log_ratio
+        others = crash.parts[part] - {customer}
+        if others:
+            foreign[min(others)] += crash.log_ratio
         else:
-            foreign[min(customers)] += crash.log_ratio
+            total += crash.log_ratio
     total += sum(min(log, _MAX_FOREIGN_LOG) for log in foreign.values())
     return math.exp(min(total, _MAX_LOG)) * _PRIOR
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
@@ -171,6 +171,24 @@
     assert evidence.verdict(_HOUSEHOLD, (named,), 41) is _Verdict.clear
 
 
+def test_customer_beside_another_ones_crashes_keeps_its_part() -> None:
+    """Its own requests were on the servers when those crashed them."""
+    evidence = part_evidence.PartEvidence()
+    named = ids.PromptPart(1)
+    for number in range(6):
+        own = ids.PromptPart(100 + number)
+        for broken in (
+            _broken((named, own), _NEIGHBOUR),
+            _broken((named,), _HOUSEHOLD),
+        ):
+            evidence.record_break(_start(number), broken, number)
+    evidence.refuse((named,), 7)
+    assert evidence.verdict(_HOUSEHOLD, (named,), 7) is _Verdict.clear
+    alone = part_evidence.PartEvidence()
+    alone.set_refused_elsewhere(evidence.refused())
+    assert alone.verdict(_HOUSEHOLD, (named,), 7) is _Verdict.clear
+
+
 def test_bad_part_of_several_customers_is_refused_to_all() -> None:
     """A customer whose requests were in no crash has one trial at most."""
     evidence = part_evidence.PartEvidence()
