--- a/libs/scheduling/geraniumweir/scheduling/part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_evidence.py
@@ -36,10 +36,8 @@
    Mathematical Statistics 16(2), 1945.
 """
 
-import collections
 import dataclasses
 import enum
-import math
 import typing
 
 from geraniumweir.common import ids
@@ -48,26 +46,15 @@
     crash_table,
     notices,
     part_trials,
+    part_weights,
 )
 
-# Prior probability that a part is bad. A sound part is refused with at most
-# this probability, divided by the odds of a refusal.
-_PRIOR = 1e-3
 # A request is refused from this probability on that it crashes its server.
 _REFUSED_PROBABILITY = 0.9
 # From this probability on, requests are sent one at a time.
 _DOUBTFUL_PROBABILITY = 0.2
-# Sum of the logarithms of ratios up to which the crashes of one customer's
-# requests count for another customer; those of two customers suffice.
-_MAX_FOREIGN_LOG = 4.6
-# Beyond this exponent a weight is certain.
-_MAX_LOG = 200.0
-# Latest crashes of a part that are looked at for one request.
-_MAX_COMPARED = 8
 # Time for which computed probabilities are used while no crash is recorded.
 _COMPUTED_SECONDS = 0.25
-# Parts with less than this share of a request's weight don't explain a crash.
-_MIN_SHARE = 0.1
 
 Parts = typing.Sequence[ids.PromptPart]
 
@@ -116,7 +103,7 @@
         self.trials = part_trials.TrialTable()
         self.crashes = crash_table.CrashTable(self.trials.is_refused)
         self._refused_elsewhere: dict[ids.PromptPart, RefusedPart] = {}
-        self._computed = _Computed(self.crashes, float('-inf'))
+        self._computed = part_weights.PartWeights(self.crashes, float('-inf'))
 
     @property
     def revision(self) -> int:
@@ -306,110 +293,9 @@
 
         :returns: besides, the parts that explain the crash which shows it.
         """
-        known = self._up_to_date(now)
-        key = customer, tuple(suspected)
-        if key not in known.probabilities:
-            found = self._compute_probability(customer, suspected, known)
-            known.probabilities[key] = found
-        return known.probabilities[key]
-
-    def _compute_probability(
-        self,
-        customer: ids.CustomerName,
-        suspected: Parts,
-        known: '_Computed',
-    ) -> tuple[float, list[ids.PromptPart]]:
-        highest, leading = float(0), []
-        for crash in _compared(suspected, known):
-            own = [part for part in suspected if part in crash.parts]
-            explained = known.weight(customer, own)
-            probability = explained / (1 + known.weight(customer, crash.parts))
-            if probability > highest:
-                highest = probability
-                least = _MIN_SHARE * explained
-                leading = [
-                    part
-                    for part in own
-                    if known.weight(customer, (part,)) >= least
-                ]
-        return highest, leading
-
-    def _up_to_date(self, now: float) -> '_Computed':
-        """Return what was computed since the last change of the crashes."""
         known = self._computed
         is_old = now - known.at > _COMPUTED_SECONDS
         if is_old or known.revision != self.crashes.revision:
-            known = _Computed(self.crashes, now)
+            known = part_weights.PartWeights(self.crashes, now)
             self._computed = known
-        return known
-
-
-class _Computed:
-    """Values computed for one revision of the crashes.
-
-    :ivar at: when the first was computed, in seconds.
-    :ivar probabilities: of requests to crash servers, by customer and parts.
-    """
-
-    def __init__(self, crashes: crash_table.CrashTable, now: float) -> None:
-        self.revision = crashes.revision
-        self.at = now
-        self.probabilities: dict[
-            tuple[ids.CustomerName, Parts],
-            tuple[float, list[ids.PromptPart]],
-        ] = {}
-        self._crashes = crashes
-        self._weights: dict[tuple[ids.CustomerName, ids.PromptPart], float] = {}
-        self._counted: dict[ids.PromptPart, list[crash_records.Crash]] = {}
-
-    def counted(self, part: ids.PromptPart) -> list[crash_records.Crash]:
-        """List the crashes that speak against a part."""
-        if part not in self._counted:
-            self._counted[part] = self._crashes.counted(part, self.at)
-        return self._counted[part]
-
-    def weight(
-        self,
-        customer: ids.CustomerName,
-        parts: typing.Iterable[ids.PromptPart],
-    ) -> float:
-        """Return the sum of the weights of parts for a customer's requests."""
-        return sum(self._weight(customer, part) for part in parts)
-
-    def _weight(
-        self, customer: ids.CustomerName, part: ids.PromptPart
-    ) -> float:
-        key = customer, part
-        if key not in self._weights:
-            self._weights[key] = _weight(customer, part, self.counted(part))
-        return self._weights[key]
-
-
-def _compared(
-    suspected: Parts, known: _Computed
-) -> typing.Iterable[crash_records.Crash]:
-    """Return the latest crashes of some parts, each once."""
-    crashes = [
-        crash
-        for part in suspected
-        for crash in known.counted(part)[-_MAX_COMPARED:]
-    ]
-    return dict.fromkeys(crashes)
-
-
-def _weight(
-    customer: ids.CustomerName,
-    part: ids.PromptPart,
-    crashes: typing.Iterable[crash_records.Crash],
-) -> float:
-    """Return the weight of a part for a customer's requests."""
-    total = float(0)
-    foreign: collections.Counter[ids.CustomerName] = collections.Counter()
-    for crash in crashes:
-        others = crash.parts[part] - {customer}
-        if others:
-            foreign[min(others)] += crash.log_ratio
-        else:
-            total += crash.log_ratio
-    total += sum(min(log, _MAX_FOREIGN_LOG) for log in foreign.values())
-    return math.exp(min(total, _MAX_LOG)) * _PRIOR
+        return known.crash_probability(customer, tuple(suspected))
