--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -88,7 +88,7 @@
     'request {request} is not retried, the retry budget is used up',
 )
 CONNECTIONS_REFUSED: typing.Final = _Event(
-    174,
+    176,
     _Level.warning,
     'this host refuses new connections: {connections} open, its events wait for'
     ' {delay_ms} ms',
