Entry hosts: the coordinator's client tells this host's share ratio

Cause: the host computed it from two of the client's values, and a comment told how a value is used.

Change: CoordinatorClient.share_ratio; the comment. Behaviour is the same.

Measured: gateway/tests/test_overload.py and test_herds.py of the emulator pass.

--- a/libs/control/geraniumweir/control/coordinator_client.py
+++ b/libs/control/geraniumweir/control/coordinator_client.py
@@ -150,6 +150,10 @@
         """Return the share of slots and quotas that this host may use alone."""
         return self._share or 1 / max(self._host_count, 1)
 
+    def share_ratio(self) -> float:
+        """Return this host's share of all requests, 1 for an equal one."""
+        return self.share() * self.hosts()
+
     def coordinator_id(self) -> ids.HostId:
         """Return this host's coordinator: itself where it is alone."""
         return self._coordinator_id or self._link.host_id
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -240,7 +240,9 @@
         await self._serve_others(stack, session, shared)
         ready = listening.make_runner(self._readiness.server())
         await listening.listen(stack, ready, self._cfg.ready)
-        protection = overload.Overload(self._clock, self._share_ratio)
+        protection = overload.Overload(
+            self._clock, self._coordinator.share_ratio
+        )
         stack.callback(protection.close)
         callers = listening.make_runner(caller_server.server(protection))
         await listening.listen(
@@ -303,10 +305,6 @@
         runner = listening.make_runner(self._relay_server.server())
         await listening.listen(stack, runner, self._cfg.relay)
 
-    def _share_ratio(self) -> float:
-        """Return this host's share of all requests, 1 for an equal one."""
-        return self._coordinator.share() * self._coordinator.hosts()
-
     def _relays_for_others(self) -> bool:
         return self._relay_server is not None and self._relay_server.accepts()
 
--- a/libs/gateway/geraniumweir/gateway/overload.py
+++ b/libs/gateway/geraniumweir/gateway/overload.py
@@ -16,7 +16,7 @@
 from geraniumweir.common import eventlog, timers
 from geraniumweir.gateway import logevents
 
-# Period in which the delay of the event loop is measured.
+# Period of the timer whose lateness is the delay of the event loop.
 _PERIOD_SECONDS = 0.05
 # Events of a busy host wait this long for its thread; a request takes several.
 _MAX_DELAY_SECONDS = 0.15
