--- a/libs/fakes/geraniumweir/fakes/surge/callers.py
+++ b/libs/fakes/geraniumweir/fakes/surge/callers.py
@@ -7,14 +7,6 @@
 
 from geraniumweir.fakes.surge import shapes
 
-# Sizes are drawn from log-normal distributions, about the medians: by the
-# spread of the logarithm, and cut at so many medians.
-_PROMPT_SPREAD = 0.75
-_OUTPUT_SPREAD = 0.45
-_LONGEST = 4.0
-# What callers say of an output's length is right at the median only.
-_HINT_SPREAD = 0.3
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Caller:
@@ -36,7 +28,7 @@
     """Draw all callers of a play."""
     return [
         caller
-        for kind in shapes.kinds()
+        for kind in shapes.kinds(shape.kinds)
         for caller in _of_kind(shape, kind, rng)
     ]
 
@@ -48,20 +40,25 @@
 ) -> typing.Iterator[Caller]:
     at = float(0)
     for number in itertools.count():
-        at += rng.expovariate(kind.rate * shape.load_at(at))
+        if number % shape.clump == 0:
+            rate = kind.rate * shape.load_at(at) / shape.clump
+            at += rng.expovariate(rate)
         if at > shape.seconds:
             return
-        output = _size(kind.output_tokens, _OUTPUT_SPREAD, rng)
+        output = _size(kind.output_tokens, kind.output_spread, kind, rng)
         yield Caller(
             f'{kind.name}-{number}',
             kind,
             at,
-            _size(kind.prompt_tokens, _PROMPT_SPREAD, rng),
+            _size(kind.prompt_tokens, kind.prompt_spread, kind, rng),
             output,
-            _size(output, _HINT_SPREAD, rng),
+            _size(output, kind.hint_spread, kind, rng),
         )
 
 
-def _size(median: int, spread: float, rng: random.Random) -> int:
-    factor = min(rng.lognormvariate(0, spread), _LONGEST)
+def _size(
+    median: int, spread: float, kind: shapes.Kind, rng: random.Random
+) -> int:
+    """Draw a length from a log-normal distribution."""
+    factor = min(rng.lognormvariate(0, spread), kind.longest)
     return max(int(median * factor), 1)
--- a/libs/fakes/geraniumweir/fakes/surge/main.py
+++ b/libs/fakes/geraniumweir/fakes/surge/main.py
@@ -15,6 +15,18 @@
     return shapes.Burst(start, end, factor)
 
 
+def _wave(text: str) -> shapes.Wave:
+    """Read ``SWING:PERIOD``."""
+    swing, period = map(float, text.split(':'))
+    return shapes.Wave(swing, period)
+
+
+def _slow_spells(text: str) -> shapes.SlowSpells:
+    """Read ``SHARE:FACTOR:SECONDS``."""
+    share, factor, seconds = map(float, text.split(':'))
+    return shapes.SlowSpells(share, factor, seconds)
+
+
 def _shape(argv: typing.Sequence[str]) -> shapes.Shape:
     usual = shapes.Shape()
     parser = argparse.ArgumentParser(prog='surge', description=__doc__)
@@ -29,6 +41,17 @@
         default=[],
         metavar='START:END:FACTOR',
     )
+    parser.add_argument(
+        '--wave', type=_wave, default=usual.wave, metavar='SWING:PERIOD'
+    )
+    parser.add_argument('--clump', type=int, default=usual.clump)
+    parser.add_argument(
+        '--slow-spells',
+        type=_slow_spells,
+        default=usual.slow_spells,
+        metavar='SHARE:FACTOR:SECONDS',
+    )
+    parser.add_argument('--kinds', default=usual.kinds)
     opts = parser.parse_args(argv)
     return shapes.Shape(
         seconds=opts.seconds,
@@ -36,15 +59,20 @@
         bursts=tuple(opts.burst),
         freeze=None if opts.freeze is None else shapes.Freeze(opts.freeze),
         seed=opts.seed,
+        wave=opts.wave,
+        clump=opts.clump,
+        slow_spells=opts.slow_spells,
+        kinds=opts.kinds,
     )
 
 
 def main(argv: typing.Sequence[str]) -> None:
     """Play what the arguments say."""
-    accounts = playing.run(_shape(argv))
-    for kind in shapes.kinds():
+    shape = _shape(argv)
+    accounts = playing.run(shape)
+    for kind in shapes.kinds(shape.kinds):
         sys.stdout.write(f'{kind.name:9} {accounts[kind.name]}\n')
-    percent = _PERCENT * shapes.whole_worth(accounts)
+    percent = _PERCENT * shapes.whole_worth(accounts, shape.kinds)
     sys.stdout.write(f'earned    {percent:.1f} of 100\n')
 
 
--- a/libs/fakes/geraniumweir/fakes/surge/playing.py
+++ b/libs/fakes/geraniumweir/fakes/surge/playing.py
@@ -60,7 +60,9 @@
     """One play."""
 
     def __init__(self, shape: shapes.Shape) -> None:
-        self.accounts = {kind.name: shapes.Account() for kind in shapes.kinds()}
+        self.accounts = {
+            kind.name: shapes.Account() for kind in shapes.kinds(shape.kinds)
+        }
         self._shape = shape
         self._loop = asyncio.get_running_loop()
         self._rng = random.Random(shape.seed)
@@ -85,9 +87,26 @@
             asyncio.create_task(self._call(caller))
             for caller in callers.draw(self._shape, self._rng)
         ]
+        spells = [
+            asyncio.create_task(self._slow_down(engine))
+            for engine in self._engines
+            if self._shape.slow_spells.share
+        ]
         if self._shape.freeze is not None:
             tasks.append(asyncio.create_task(self._freeze(self._shape.freeze)))
         await asyncio.gather(*tasks)
+        for task in spells:
+            task.cancel()
+
+    async def _slow_down(self, engine: engine_model.Engine) -> None:
+        """Draw anew from time to time whether an engine is slow."""
+        spells = self._shape.slow_spells
+        rng = random.Random(f'{self._shape.seed}/{engine.server_id}')
+        await asyncio.sleep(rng.uniform(0, spells.seconds))
+        while True:
+            is_slow = rng.random() < spells.share
+            engine.set_pace(1 / spells.factor if is_slow else 1)
+            await asyncio.sleep(spells.seconds)
 
     def _new_leader(self) -> leader.OnTimePoolLeader:
         return leader.OnTimePoolLeader(
--- a/libs/fakes/geraniumweir/fakes/surge/shapes.py
+++ b/libs/fakes/geraniumweir/fakes/surge/shapes.py
@@ -2,13 +2,14 @@
 
 import dataclasses
 import functools
+import math
 import pathlib
 import tomllib
 import typing
 
 from geraniumweir.common import ids
 
-_KINDS = pathlib.Path(__file__).with_name('kinds.toml')
+_FOLDER = pathlib.Path(__file__).parent
 # Callers leave a stream that doesn't begin within so many targets, in seconds
 # at least.
 _PATIENCE_TARGETS = 4
@@ -23,6 +24,11 @@
     :ivar target: seconds to the first token.
     :ivar time_limit: seconds that a caller has in all.
     :ivar late_worth: of an answer whose first token came late.
+    :ivar prompt_spread: standard deviation of the logarithm of prompt lengths.
+    :ivar output_spread: the same of output lengths.
+    :ivar longest: longest length, as a multiple of the median.
+    :ivar hint_spread: standard deviation of the logarithm of the error of what
+        callers say of an output's length; it is right at the median only.
     """
 
     name: ids.RuleName
@@ -34,6 +40,10 @@
     time_limit: float
     worth: float
     late_worth: float
+    prompt_spread: float = 0.75
+    output_spread: float = 0.45
+    longest: float = 4.0
+    hint_spread: float = 0.3
 
     @property
     def patience(self) -> float:
@@ -50,6 +60,40 @@
     factor: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wave:
+    """Demand that rises and falls.
+
+    :ivar swing: largest difference from the mean, as a fraction of it.
+    :ivar period: in seconds.
+    """
+
+    swing: float = 0
+    period: float = 15
+
+    def factor_at(self, at: float) -> float:
+        """Return the demand at a time as a multiple of the mean.
+
+        >>> round(Wave(0.5, 8).factor_at(2), 2)
+        1.5
+        """
+        return 1 + self.swing * math.sin(math.tau * at / self.period)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlowSpells:
+    """Times in which an engine takes longer for each step.
+
+    :ivar share: fraction of the time.
+    :ivar factor: of the time that a step takes.
+    :ivar seconds: length of a spell.
+    """
+
+    share: float = 0
+    factor: float = 2.5
+    seconds: float = 0.6
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Freeze:
     """A loss of the coordinator.
@@ -69,6 +113,8 @@
     """What is played.
 
     :ivar load: as a part of the usual one.
+    :ivar clump: number of callers that arrive together.
+    :ivar kinds: name of the file with the classes of requests.
     """
 
     seconds: float = 16
@@ -79,6 +125,10 @@
     bursts: tuple[Burst, ...] = ()
     freeze: Freeze | None = None
     seed: int = 1
+    wave: Wave = Wave()
+    clump: int = 1
+    slow_spells: SlowSpells = SlowSpells()
+    kinds: str = 'kinds'
 
     def load_at(self, at: float) -> float:
         """Give the load at a time in seconds.
@@ -91,7 +141,8 @@
             for burst in self.bursts
             if burst.start <= at < burst.end
         ]
-        return self.load * max(factors, default=1)
+        factor = max(factors, default=1) * self.wave.factor_at(at)
+        return self.load * factor
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,17 +161,25 @@
 
 
 @functools.cache
-def kinds() -> tuple[Kind, ...]:
-    """Read the classes of requests, the most important first."""
-    found = tomllib.loads(_KINDS.read_text())['kind']
+def kinds(name: str = 'kinds') -> tuple[Kind, ...]:
+    """Read the classes of requests, the most important first.
+
+    :param name: of their file.
+    """
+    found = tomllib.loads((_FOLDER / f'{name}.toml').read_text())['kind']
     return tuple(Kind(**table) for table in found)
 
 
-def whole_worth(accounts: typing.Mapping[ids.RuleName, Account]) -> float:
-    """Give what was earned of what all requests were worth."""
+def whole_worth(
+    accounts: typing.Mapping[ids.RuleName, Account], name: str = 'kinds'
+) -> float:
+    """Give what was earned of what all requests were worth.
+
+    :param name: of the file with the classes of requests.
+    """
     owed = float(0)
     earned = float(0)
-    for kind in kinds():
+    for kind in kinds(name):
         found = accounts[kind.name]
         owed += found.asked * kind.worth
         earned += found.earned(kind)
