Coordinator: long requests give way first in overload, hanging plain servers are found

Cause: in overload, requests of a class were served by arrival, though a tenth of them holds nearly half of the slot time; a slot that a new request could have used in time went to one that was late already; and a plain server that hangs was never found out, as its callers leave before their requests count as lost.

Requests without a place in the plan that still can be in time go before late ones. A request counts as lost after 0.3 of its caller's time, and two lost ones without any response in between show a hang.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -176,7 +176,11 @@
     pace = state.pace(leader)
     deficits = leader.shares.deficits(now)
     planned = ordering.plan(
-        waiting, now, pace, refusing.lead_time(leader), deficits
+        waiting,
+        now,
+        pace,
+        refusing.lead_time(leader),
+        ordering.Deficits(deficits, leader.length_bands.starved(now)),
     )
     estimates = placing.Estimates(leader.estimates, leader.path_quality, now)
     cycle = _Cycle(now, pace, estimates, leader.pauses)
@@ -311,8 +315,13 @@
 ) -> None:
     """Grant a request a slot and add it to the usage of its class."""
     _grant(leader, turn.waiting, placement, cycle.now)
+    request_class = classes.class_of(turn.waiting.slot_request)
+    if not turn.late:
+        leader.length_bands.record_grant(
+            request_class, turn.waiting.band, cycle.now
+        )
     leader.shares.record_grant(
-        classes.class_of(turn.waiting.slot_request),
+        request_class,
         placement.hold_seconds,
         late=turn.late,
         now=cycle.now,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -28,6 +28,7 @@
     classes,
     fleet,
     granting,
+    lengths,
     observations,
     part_checks,
     records,
@@ -232,17 +233,26 @@
         waited_seconds = self._state.repeated.waited_seconds(
             slot_request.fingerprint, now
         )
+        tokens = observations.expected_tokens(self._state, slot_request)
+        work_seconds = observations.work_seconds(
+            self._state, slot_request, tokens
+        )
+        band = lengths.Band.usual
         if not waited_seconds:
-            self._state.shares.record_arrival(
-                classes.class_of(slot_request), now
+            request_class = classes.class_of(slot_request)
+            self._state.shares.record_arrival(request_class, now)
+            band = self._state.length_bands.record_arrival(
+                request_class, work_seconds, now
             )
         waiting = records.Waiting(
             slot_request,
             self._state.sequence,
             now,
             waited_seconds,
-            observations.expected_tokens(self._state, slot_request),
+            tokens,
             asyncio.get_running_loop().create_future(),
+            work_seconds=work_seconds,
+            band=band,
         )
         self._state.waiting[slot_request.request_id] = waiting
         return waiting
--- a/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
@@ -38,6 +38,24 @@
     return min(slot_request.likely_tokens or usual, most)
 
 
+def work_seconds(
+    leader: state.OnTimeLeaderState,
+    slot_request: requests.SlotRequest,
+    tokens: float,
+) -> float:
+    """Predict the time for which a request holds a slot of a usual server.
+
+    :param tokens: expected output tokens.
+    """
+    if not slot_request.streams:
+        return 0
+    pool = leader.estimates.pool
+    return (
+        pool.first_token_line.predict(slot_request.prompt_tokens)
+        + leader.estimates.decode(pool) * tokens
+    )
+
+
 def record_first_token(
     leader: state.OnTimeLeaderState,
     running: records.Running,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -34,10 +34,9 @@
 
 import dataclasses
 import heapq
-import types
 import typing
 
-from geraniumweir.scheduling.ontime import classes, records
+from geraniumweir.scheduling.ontime import classes, lengths, records
 
 # A plan is a prediction; a request is refused only if its predicted wait
 # exceeds the time that it has by this factor.
@@ -61,12 +60,19 @@
     :ivar in_time_ratio: fraction of its class's callers that were served in
         time, where the class has a deficit, otherwise 1. Within a tier the
         lowest goes first.
+    :ivar is_starved: whether requests of its length are served too seldom.
     """
 
     waiting: records.Waiting
     latest_start: float
     late: bool
     in_time_ratio: float = 1
+    is_starved: bool = False
+
+    @property
+    def work_seconds(self) -> float:
+        """Return its predicted slot time, 0 for one that goes before others."""
+        return 0 if self.is_starved else self.waiting.work_seconds
 
     @property
     def has_deficit(self) -> bool:
@@ -123,9 +129,28 @@
         return ahead + (late + 1) * self.interval / spare
 
 
-_Value = tuple[int, float, int, int]
-_Deficits = typing.Mapping[classes.Class, float]
-_NO_DEFICITS: typing.Final[_Deficits] = types.MappingProxyType({})
+_Value = tuple[int, float, int, float, int]
+_NO_BANDS: typing.Final[frozenset[lengths.Band]] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deficits:
+    """What was served too seldom.
+
+    :ivar by_class: classes that go before more important ones, with the fraction
+        of their callers that were served in time.
+    :ivar bands: lengths of requests that go before others of their class.
+    """
+
+    by_class: typing.Mapping[classes.Class, float] = dataclasses.field(
+        default_factory=dict
+    )
+    bands: typing.Mapping[classes.Class, frozenset[lengths.Band]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
+_NO_DEFICITS: typing.Final = Deficits()
 LeadTime = typing.Callable[[records.Waiting], float]
 
 
@@ -143,30 +168,27 @@
     now: float,
     pace: Pace,
     lead_time: LeadTime,
-    deficits: _Deficits = _NO_DEFICITS,
+    deficits: Deficits = _NO_DEFICITS,
 ) -> Plan:
     """Order the waiting requests and find those that can't be served.
 
     :param now: in seconds on the loop's clock.
     :param lead_time: returns the seconds from a start to the first token.
-    :param deficits: classes that go before more important ones, with the
-        fraction of their callers that were served in time.
+    :param deficits: what was served too seldom and goes first.
     """
     lead_times = {one.sequence: lead_time(one) for one in waiting}
     candidates = [
-        Turn(
-            one,
-            one.target - lead_times[one.sequence],
-            late=False,
-            in_time_ratio=deficits.get(classes.class_of(one.slot_request), 1),
-        )
-        for one in waiting
+        _candidate(one, lead_times[one.sequence], deficits) for one in waiting
     ]
     on_time, missed = _feasible(candidates, now, pace.interval)
     if pace.is_crowded:
         on_time.sort(
-            key=_newest_first if pace.is_overloaded else _by_importance
+            key=_shortest_first if pace.is_overloaded else _by_importance
         )
+    displaced = [turn for turn in missed if turn.latest_start >= now]
+    if pace.is_crowded:
+        on_time += sorted(displaced, key=_shortest_first)
+        missed = [turn for turn in missed if turn.latest_start < now]
     late = sorted(
         (_late(turn.waiting, lead_times) for turn in missed),
         key=_by_importance,
@@ -187,6 +209,19 @@
     return Plan(turns, hopeless)
 
 
+def _candidate(
+    waiting: records.Waiting, lead_time_seconds: float, deficits: Deficits
+) -> Turn:
+    request_class = classes.class_of(waiting.slot_request)
+    return Turn(
+        waiting,
+        waiting.target - lead_time_seconds,
+        late=False,
+        in_time_ratio=deficits.by_class.get(request_class, 1),
+        is_starved=waiting.band in deficits.bands.get(request_class, _NO_BANDS),
+    )
+
+
 def _late(
     waiting: records.Waiting,
     lead_times: typing.Mapping[int, float],
@@ -232,16 +267,19 @@
     )
 
 
-def _newest_first(turn: Turn) -> tuple[int, float, int, float]:
-    """Return the sort key by importance; equal plain requests newest first."""
-    if turn.waiting.slot_request.streams:
-        return _by_importance(turn)
+def _shortest_first(turn: Turn) -> tuple[int, float, int, float, float]:
+    """Return the sort key by importance and slot time.
+
+    Equal plain requests come newest first.
+    """
     slot_request = turn.waiting.slot_request
+    start = turn.latest_start
     return (
         int(slot_request.tier),
         turn.in_time_ratio,
         slot_request.rank,
-        -turn.latest_start,
+        turn.work_seconds,
+        start if slot_request.streams else -start,
     )
 
 
@@ -252,5 +290,6 @@
         -int(slot_request.tier),
         -turn.in_time_ratio,
         -slot_request.rank,
+        -turn.work_seconds,
         -turn.waiting.sequence,
     )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -9,13 +9,26 @@
 from geraniumweir.membership import servers
 from geraniumweir.rollout import orders
 from geraniumweir.scheduling import notices, ratelimits, requests
-from geraniumweir.scheduling.ontime import conditions, occupancy, speeds
+from geraniumweir.scheduling.ontime import (
+    conditions,
+    lengths,
+    occupancy,
+    speeds,
+)
 
 
 # A first token is given up as lost when it takes longer than predicted by this
 # factor and the seconds below: its owner is unreachable, or the server hangs.
 _STUCK_FACTOR = 3.0
 _STUCK_SECONDS = 0.75
+# The seconds are at most this fraction of the time that the caller had. Callers
+# of short requests leave before the seconds above are over; a hanging server
+# would get new requests in their place and never be found out.
+_STUCK_TIME_FRACTION = 0.3
+# So many lost requests show that a server hangs, if no response came since they
+# were sent. One may have been lost on its way. Newer requests aren't waited
+# for: each one that is given up makes room for another.
+_STUCK_IN_ROW = 2
 # Number of incomplete responses kept for each server.
 _MAX_INCOMPLETE_ANSWERS = 32
 
@@ -30,6 +43,9 @@
         content.
     :ivar tokens: expected output tokens.
     :ivar joined: number of slot requests that wait for the same answer.
+    :ivar work_seconds: predicted time for which it holds a slot of the quickest
+        server, by which requests of a class are compared.
+    :ivar band: length band of its class.
     """
 
     slot_request: requests.SlotRequest
@@ -39,6 +55,8 @@
     tokens: float
     fut: asyncio.Future[requests.Grant | requests.Denial]
     joined: int = 0
+    work_seconds: float = 0
+    band: lengths.Band = lengths.Band.usual
 
     @property
     def target(self) -> float:
@@ -74,6 +92,14 @@
         """Return the id and incarnation of the server."""
         return self.grant.start
 
+    def is_stuck(self, now: float) -> bool:
+        """Return whether its first token is so late that it is lost."""
+        leaves_at = min(self.slot_request.patience, self.slot_request.deadline)
+        caller_seconds = max(leaves_at - self.granted_at, 0)
+        slack = min(_STUCK_SECONDS, caller_seconds * _STUCK_TIME_FRACTION)
+        limit = self.predicted * _STUCK_FACTOR + slack
+        return now - self.granted_at > limit
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Server:
@@ -252,12 +278,7 @@
 
     def stuck(self, now: float) -> list[Running]:
         """List the requests whose first token is so late that it is lost."""
-        return [
-            one
-            for one in self.prefilling.values()
-            if now - one.granted_at
-            > one.predicted * _STUCK_FACTOR + _STUCK_SECONDS
-        ]
+        return [one for one in self.prefilling.values() if one.is_stuck(now)]
 
     def hangs(self, stuck: typing.Sequence[Running]) -> bool:
         """Return whether no response came to any recent request.
@@ -272,4 +293,5 @@
         sent = [
             one for one in self.prefilling.values() if one.granted_at > since
         ]
-        return bool(sent) and all(one in stuck for one in sent)
+        lost = sum(one in stuck for one in sent)
+        return bool(sent) and lost >= min(len(sent), _STUCK_IN_ROW)
