Coordinator: a class that needs little slot time is served more often in overload

Cause: the least important class of a tier was served 35 in 100 in time in lasting overload, also where all its requests together need a tenth of the slots.

Change: the fraction at which a class goes before more important ones rises to 0.7 for a class that would need 0.15 of the slot time or less.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/classes.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/classes.py
@@ -22,6 +22,11 @@
 # A class has a deficit while a smaller fraction of its callers was served in
 # time.
 _MIN_IN_TIME_RATIO = 0.35
+# The same for a class that all its callers together need little slot time for:
+# refusing them frees hardly a slot for more important ones.
+_MAX_IN_TIME_RATIO = 0.7
+# Fraction of the slot time up to which a class is served that often.
+_LIGHT_SHARE = 0.15
 # Fraction of the slot time for classes with a deficit, so that the most
 # important class can have a third of it, whatever else arrives.
 _MAX_DEFICIT_FRACTION = 0.65
@@ -167,13 +172,28 @@
             in_time_ratio = self.in_time_ratio(one)
             above = lowest.get(one.tier, 0)
             if (
-                in_time_ratio < min(_MIN_IN_TIME_RATIO, above)
+                in_time_ratio < min(self._min_ratio(one), above)
                 and self._of(one).arrivals > min_arrivals
             ):
                 selected.append(one)
             lowest[one.tier] = min(lowest.get(one.tier, 1), in_time_ratio)
         return selected
 
+    def _min_ratio(self, request_class: Class) -> float:
+        """Return the fraction of a class's callers to serve in time.
+
+        What the class would need for all of its callers is predicted from what
+        it got for those that were served.
+        """
+        in_time_ratio = self.in_time_ratio(request_class)
+        if not in_time_ratio:
+            return _MIN_IN_TIME_RATIO
+        needed_share = self.slot_share(request_class) / in_time_ratio
+        if not needed_share:
+            return _MAX_IN_TIME_RATIO
+        affordable = _LIGHT_SHARE / needed_share
+        return min(max(affordable, _MIN_IN_TIME_RATIO), _MAX_IN_TIME_RATIO)
+
     def _ahead(self, request_class: Class) -> float:
         return self._of(request_class).granted_ahead
 
