--- a/libs/scheduling/geraniumweir/scheduling/ontime/lengths.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/lengths.py
@@ -20,7 +20,6 @@
 import enum
 import math
 
-from geraniumweir.common import ids
 from geraniumweir.scheduling.ontime import classes
 
 # Time constant of the counts: several times the duration of most requests, so
@@ -122,6 +121,7 @@
 class Lengths:
     """Lengths of requests, and how often each band of them is served.
 
+    >>> from geraniumweir.common import ids
     >>> lengths = Lengths()
     >>> one = classes.Class(ids.Tier.normal, 0)
     >>> bands = [
--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -15,11 +15,18 @@
 and as the pace falls in overload they miss their targets, though they are the
 most important.
 
+Above the capacity, the shortest of equally important requests goes first and
+the longest is rejected first, so that most callers are served in time [1]_; see
+:mod:`geraniumweir.scheduling.ontime.lengths`.
+
 A plain response counts once it is complete, and how long it takes isn't known
 in advance: if it starts at its latest useful time, every other one just misses
 its target. Above the capacity the newest of equally important requests goes
 first instead, with time to spare, and the oldest is rejected.
 
+A request without a place in the plan goes before those that are late: it is
+answered in time if a slot suits no request of the plan.
+
 Requests that can't meet their targets any more come last, with the slots that
 new requests leave. If they were served earlier, just before their callers
 leave, every new request would be late too, and a pool that was overloaded for
@@ -137,8 +144,8 @@
 class Deficits:
     """What was served too seldom.
 
-    :ivar by_class: classes that go before more important ones, with the fraction
-        of their callers that were served in time.
+    :ivar by_class: classes that go before more important ones, with the
+        fraction of their callers that were served in time.
     :ivar bands: lengths of requests that go before others of their class.
     """
 
@@ -185,14 +192,22 @@
         on_time.sort(
             key=_shortest_first if pace.is_overloaded else _by_importance
         )
-    displaced = [turn for turn in missed if turn.latest_start >= now]
-    if pace.is_crowded:
+        # Those without a place in the plan that are not late yet: a server may
+        # have a slot that suits no request before them.
+        displaced = [turn for turn in missed if turn.latest_start >= now]
         on_time += sorted(displaced, key=_shortest_first)
         missed = [turn for turn in missed if turn.latest_start < now]
     late = sorted(
         (_late(turn.waiting, lead_times) for turn in missed),
         key=_by_importance,
     )
+    return _append_late(on_time, late, now, pace)
+
+
+def _append_late(
+    on_time: list[Turn], late: list[Turn], now: float, pace: Pace
+) -> Plan:
+    """Return the plan with the late turns for which slots are left."""
     turns = list(on_time)
     hopeless = []
     for turn in late:
