On-time leader: a request is granted only where the engine's memory has room

Cause: slots alone limited what an engine got. With twelve slots free, twelve prompts of 54,600 tokens were granted on an engine that keeps 421,601, which holds seven; the others would be preempted and read again.

Change: server_memory sums up the prompt and expected output tokens of what runs, adopted requests included; the choice of a server skips those without room. A request larger than the largest announced memory is refused at once. Unknown capacity sets no limit. The log of a busy pool shows the tokens kept.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -6,7 +6,7 @@
 from geraniumweir.membership import servers
 from geraniumweir.rollout import controller, orders
 from geraniumweir.scheduling import logevents, notices, ratelimits
-from geraniumweir.scheduling.ontime import records, state
+from geraniumweir.scheduling.ontime import records, server_memory, state
 
 # Minimum time between two look-ups of the servers; a notified change is looked
 # up at once.
@@ -87,6 +87,9 @@
             _suspect_requests(leader, server, ())
         _close_server(leader, server)
     _set_throttles(leader)
+    leader.max_memory_tokens = server_memory.max_tokens(
+        server for server in leader.servers.values() if server.live
+    )
     leader.quickest = min(
         _reference_servers(leader),
         key=lambda server: leader.estimates.first_token_seconds(
--- a/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
@@ -11,7 +11,13 @@
 import typing
 
 from geraniumweir.scheduling import requests
-from geraniumweir.scheduling.ontime import cooldowns, paths, records, speeds
+from geraniumweir.scheduling.ontime import (
+    cooldowns,
+    paths,
+    records,
+    server_memory,
+    speeds,
+)
 
 # Free fraction that a server without free slots would count with. It bounds how
 # much the cost rises as free slots get scarce.
@@ -70,6 +76,7 @@
         server stop, for each prompt token.
     :ivar max_unread_tokens: prompt tokens that may be unread without making the
         pauses of running streams too long.
+    :ivar spare_tokens: tokens of memory that are not taken.
     """
 
     server: records.Server
@@ -81,6 +88,11 @@
     seconds_per_output_token: float
     stall_seconds_per_token: float
     max_unread_tokens: float
+    spare_tokens: float
+
+    def fits(self, waiting: records.Waiting) -> bool:
+        """Return whether the server's memory has room for a request."""
+        return server_memory.tokens_needed(waiting) <= self.spare_tokens
 
     def first_token_seconds(self, slot_request: requests.SlotRequest) -> float:
         """Predict the seconds to a first token."""
@@ -200,6 +212,7 @@
         estimates.speeds.decode(server.speed),
         server.speed.first_token_line.slope(),
         _max_unread_tokens(server),
+        server_memory.spare_tokens(server),
     )
 
 
@@ -241,6 +254,7 @@
         candidate
         for candidate in offers
         if candidate.is_on_time(waiting, now)
+        and candidate.fits(waiting)
         and candidate.ends_before_deadline(waiting, now)
     ]
     if not suitable:
@@ -265,7 +279,8 @@
     suitable = [
         candidate
         for candidate in offers
-        if candidate.ends_before_deadline(waiting, estimates.now)
+        if candidate.fits(waiting)
+        and candidate.ends_before_deadline(waiting, estimates.now)
     ]
     best = min(
         suitable,
@@ -281,7 +296,7 @@
 ) -> Placement | None:
     """Choose the server that holds the request for the least time."""
     best = min(
-        offers,
+        (candidate for candidate in offers if candidate.fits(waiting)),
         key=lambda candidate: _by_hold_seconds(candidate, waiting),
         default=None,
     )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -180,16 +180,21 @@
         """Return its state for the log.
 
         That is running requests and their limit, requests without a first
-        token, the lateness of the next first token, and the rate limit.
+        token, the lateness of the next first token, the tokens that running
+        requests keep and the capacity for them, and the rate limit.
         """
         max_running = self.condition.max_requests(self.slots, now)
         late = round(self.overdue_seconds(now), 2)
+        memory = ''
+        if self.announcement.kv_tokens:
+            capacity = self.announcement.kv_tokens
+            memory = f' kv {round(self.kept_tokens())}/{capacity}'
         limit = ''
         if self.throttle is not None:
             limit = f' limit {round(self.throttle.per_second, 2)}'
         return (
             f'{len(self.running)}/{max_running} '
-            f'prefilling {len(self.prefilling)} late {late}{limit}'
+            f'prefilling {len(self.prefilling)} late {late}{memory}{limit}'
         )
 
     def free_slots(self, now: float, stuck: int) -> int:
@@ -232,6 +237,13 @@
             one.slot_request.prompt_tokens for one in self.prefilling.values()
         )
 
+    def kept_tokens(self) -> float:
+        """Return the prompt and expected output tokens of what runs here."""
+        return sum(
+            one.slot_request.prompt_tokens + one.tokens
+            for one in self.running.values()
+        )
+
     def overdue_seconds(self, now: float) -> float:
         """Return the seconds by which the next first token is late.
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/refusing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/refusing.py
@@ -6,6 +6,7 @@
     ordering,
     placing,
     records,
+    server_memory,
     state,
 )
 
@@ -50,12 +51,18 @@
 
 
 def refuse_too_long(leader: state.OnTimeLeaderState, now: float) -> None:
-    """Refuse requests that take too long even for the quickest server."""
+    """Refuse requests that no server can serve.
+
+    They take too long even for the quickest one, or need more than the whole
+    memory of the largest one.
+    """
     if leader.quickest is None:
         return
     seconds_per_output_token = leader.estimates.decode(leader.quickest.speed)
     for waiting in list(leader.waiting.values()):
-        if placing.exceeds_deadline(
+        if server_memory.tokens_needed(
+            waiting
+        ) > leader.max_memory_tokens or placing.exceeds_deadline(
             waiting, seconds_per_output_token * waiting.tokens, now
         ):
             state.refuse(leader, waiting, requests.DenialReason.too_late)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -66,6 +66,8 @@
     :ivar parts: prompt parts suspected of crashing servers, of all pools.
     :ivar quickest: server with the earliest first token for a reference prompt,
         by the estimates of the last synchronization; None without servers.
+    :ivar max_memory_tokens: capacity of the live server with the largest memory
+        at the last synchronization, in tokens; infinite if unknown.
     :ivar synced_at: when the servers were last looked up, in seconds.
     :ivar replaced_at: when another server took over the address of a server.
     :ivar output_lengths: mean output tokens by rule.
@@ -96,6 +98,7 @@
         default_factory=part_evidence.PartEvidence
     )
     quickest: records.Server | None = None
+    max_memory_tokens: float = float('inf')
     synced_at: float = float('-inf')
     waiting: dict[ids.RequestId, records.Waiting] = dataclasses.field(
         default_factory=dict,
