On-time leader: servers in the caller's failure domain are preferred

Cause: equal servers were chosen regardless of domain, so with three domains 63 of 100 requests crossed a border.

Change: the cost of a server in another domain rises by the seconds that two link delays and the bytes of prompt and answer count for, at most 0.4 of the hold time, not multiplied by the scarcity of slots. Up to eight of the sixteen servers compared come from the domain of the first request, from an index that is made with each look-up of the servers. The log of a busy pool counts the requests that cross.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -6,7 +6,12 @@
 from geraniumweir.membership import servers
 from geraniumweir.rollout import controller, orders
 from geraniumweir.scheduling import logevents, notices, ratelimits
-from geraniumweir.scheduling.ontime import records, server_memory, state
+from geraniumweir.scheduling.ontime import (
+    distance,
+    records,
+    server_memory,
+    state,
+)
 
 # Minimum time between two look-ups of the servers; a notified change is looked
 # up at once.
@@ -90,6 +95,9 @@
     leader.max_memory_tokens = server_memory.max_tokens(
         server for server in leader.servers.values() if server.live
     )
+    leader.by_domain = distance.index(
+        server for server in leader.servers.values() if server.serves
+    )
     leader.quickest = min(
         _reference_servers(leader),
         key=lambda server: leader.estimates.first_token_seconds(
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -10,6 +10,7 @@
     canary_requests,
     classes,
     continuations,
+    distance,
     fleet,
     ordering,
     part_checks,
@@ -153,6 +154,7 @@
         held_back=sum(
             one.is_rate_limited(now) for one in leader.servers.values()
         ),
+        crossing=distance.count_crossing(leader.servers.values()),
         servers={
             server.server_id: server.log_summary(now)
             for server in leader.servers.values()
@@ -212,18 +214,27 @@
     :returns: whether there are slots for further requests.
     """
     if not cycle.candidates:
-        _open_servers(leader, cycle)
+        _open_servers(leader, cycle, turn.waiting.slot_request)
     if not cycle.candidates or cycle.failed_in_row == _MAX_FAILED_IN_ROW:
         return False
     _try_grant(leader, cycle, turn)
     return True
 
 
-def _open_servers(leader: state.OnTimeLeaderState, cycle: _Cycle) -> None:
+def _open_servers(
+    leader: state.OnTimeLeaderState,
+    cycle: _Cycle,
+    slot_request: requests.SlotRequest,
+) -> None:
+    """List candidates, some of them in the domain of the next request.
+
+    While there is room for all, hardly more than one request waits in a cycle.
+    """
     eligible = [server for server in leader.servers.values() if server.serves]
     first_index = leader.rng.randrange(len(eligible)) if eligible else 0
+    nearby = distance.nearby(leader.by_domain, slot_request, leader.rng)
     cycle.candidates = placing.open_offers(
-        eligible, first_index, cycle.estimates
+        eligible, first_index, cycle.estimates, nearby
     )
     rate_limited = sum(one.is_rate_limited(cycle.now) for one in eligible)
     cycle.all_open = len(cycle.candidates) == len(eligible) - rate_limited
--- a/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
@@ -13,6 +13,7 @@
 from geraniumweir.scheduling import requests
 from geraniumweir.scheduling.ontime import (
     cooldowns,
+    distance,
     paths,
     records,
     server_memory,
@@ -39,6 +40,9 @@
 # best of sixteen is on average within the best tenth of any number, and the
 # time of a cycle doesn't grow with the pool.
 _MAX_COMPARED = 16
+# Of these, so many may be chosen because they are in the failure domain of the
+# first request.
+_MAX_NEARBY_COMPARED = 8
 # Increase of a server's cost with the fraction of its responses that fail.
 _FAILURE_COST_FACTOR = 8.0
 # The same for the fraction of responses that the path to it delays: a delayed
@@ -174,14 +178,35 @@
     servers: typing.Sequence[records.Server],
     first_index: int,
     estimates: Estimates,
+    nearby: typing.Sequence[records.Server] = (),
 ) -> list[Offer]:
     """List servers with a free slot, up to a maximum number.
 
     :param first_index: index of the first server to look at. With another one
         in each cycle, all servers of a large pool get their turn.
+    :param nearby: servers to look at first, of which up to half of the maximum
+        number are listed.
     """
-    offers = []
-    for server in (*servers[first_index:], *servers[:first_index]):
+    offers: list[Offer] = []
+    _add_offers(offers, nearby, _MAX_NEARBY_COMPARED, estimates)
+    listed = {offer.server.server_id for offer in offers}
+    others = (
+        server
+        for server in (*servers[first_index:], *servers[:first_index])
+        if server.server_id not in listed
+    )
+    _add_offers(offers, others, _MAX_COMPARED, estimates)
+    return offers
+
+
+def _add_offers(
+    offers: list[Offer],
+    servers: typing.Iterable[records.Server],
+    max_offers: int,
+    estimates: Estimates,
+) -> None:
+    """Add offers of servers with a free slot, up to a number in all."""
+    for server in servers:
         stuck = server.stuck(estimates.now)
         if server.hangs(stuck):
             # After the cooldown one request probes whether it still hangs.
@@ -189,9 +214,8 @@
         free_slots = server.free_slots(estimates.now, len(stuck))
         if free_slots > 0:
             offers.append(make_offer(server, free_slots, estimates))
-        if len(offers) == _MAX_COMPARED:
+        if len(offers) == max_offers:
             break
-    return offers
 
 
 def make_offer(
@@ -347,7 +371,11 @@
     scarcity = 1 / (
         candidate.free_slots / candidate.server.slots + _MIN_FREE_FRACTION
     )
-    return hold_seconds * scarcity * _failure_factor(
+    # As a factor, distance is the ratio of this sum to the scarcity.
+    weight = scarcity + distance.saved_fraction(
+        waiting, candidate.server, hold_seconds
+    )
+    return hold_seconds * weight * _failure_factor(
         candidate.server, slot_request, estimates
     ), _server_id(candidate)
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -17,6 +17,7 @@
 from geraniumweir.scheduling.ontime import (
     arrivals,
     classes,
+    distance,
     occupancy,
     ordering,
     paths,
@@ -68,6 +69,8 @@
         by the estimates of the last synchronization; None without servers.
     :ivar max_memory_tokens: capacity of the live server with the largest memory
         at the last synchronization, in tokens; infinite if unknown.
+    :ivar by_domain: servers that serve, by failure domain, at the last
+        synchronization.
     :ivar synced_at: when the servers were last looked up, in seconds.
     :ivar replaced_at: when another server took over the address of a server.
     :ivar output_lengths: mean output tokens by rule.
@@ -99,6 +102,7 @@
     )
     quickest: records.Server | None = None
     max_memory_tokens: float = float('inf')
+    by_domain: distance.Index = dataclasses.field(default_factory=dict)
     synced_at: float = float('-inf')
     waiting: dict[ids.RequestId, records.Waiting] = dataclasses.field(
         default_factory=dict,
