--- a/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
@@ -11,7 +11,14 @@
 import typing
 
 from geraniumweir.scheduling import requests
-from geraniumweir.scheduling.ontime import cooldowns, paths, records, speeds
+from geraniumweir.scheduling.ontime import (
+    cooldowns,
+    distance,
+    paths,
+    records,
+    server_memory,
+    speeds,
+)
 
 # Free fraction that a server without free slots would count with. It bounds how
 # much the cost rises as free slots get scarce.
@@ -33,6 +40,9 @@
 # best of sixteen is on average within the best tenth of any number, and the
 # time of a cycle doesn't grow with the pool.
 _MAX_COMPARED = 16
+# Of these, so many may be chosen because they are in the failure domain of the
+# first request.
+_MAX_NEARBY_COMPARED = 8
 # Increase of a server's cost with the fraction of its responses that fail.
 _FAILURE_COST_FACTOR = 8.0
 # The same for the fraction of responses that the path to it delays: a delayed
@@ -70,6 +80,7 @@
         server stop, for each prompt token.
     :ivar max_unread_tokens: prompt tokens that may be unread without making the
         pauses of running streams too long.
+    :ivar spare_tokens: tokens of memory that are not taken.
     """
 
     server: records.Server
@@ -81,6 +92,11 @@
     seconds_per_output_token: float
     stall_seconds_per_token: float
     max_unread_tokens: float
+    spare_tokens: float
+
+    def fits(self, waiting: records.Waiting) -> bool:
+        """Return whether the server's memory has room for a request."""
+        return server_memory.tokens_needed(waiting) <= self.spare_tokens
 
     def first_token_seconds(self, slot_request: requests.SlotRequest) -> float:
         """Predict the seconds to a first token."""
@@ -162,14 +178,35 @@
     servers: typing.Sequence[records.Server],
     first_index: int,
     estimates: Estimates,
+    nearby: typing.Sequence[records.Server] = (),
 ) -> list[Offer]:
     """List servers with a free slot, up to a maximum number.
 
     :param first_index: index of the first server to look at. With another one
         in each cycle, all servers of a large pool get their turn.
+    :param nearby: servers to look at first, of which up to half of the maximum
+        number are listed.
     """
-    offers = []
-    for server in (*servers[first_index:], *servers[:first_index]):
+    offers: list[Offer] = []
+    _add_offers(offers, nearby, _MAX_NEARBY_COMPARED, estimates)
+    listed = {offer.server.server_id for offer in offers}
+    others = (
+        server
+        for server in (*servers[first_index:], *servers[:first_index])
+        if server.server_id not in listed
+    )
+    _add_offers(offers, others, _MAX_COMPARED, estimates)
+    return offers
+
+
+def _add_offers(
+    offers: list[Offer],
+    servers: typing.Iterable[records.Server],
+    max_offers: int,
+    estimates: Estimates,
+) -> None:
+    """Add offers of servers with a free slot, up to a number in all."""
+    for server in servers:
         stuck = server.stuck(estimates.now)
         if server.hangs(stuck):
             # After the cooldown one request probes whether it still hangs.
@@ -177,9 +214,8 @@
         free_slots = server.free_slots(estimates.now, len(stuck))
         if free_slots > 0:
             offers.append(make_offer(server, free_slots, estimates))
-        if len(offers) == _MAX_COMPARED:
+        if len(offers) == max_offers:
             break
-    return offers
 
 
 def make_offer(
@@ -200,6 +236,7 @@
         estimates.speeds.decode(server.speed),
         server.speed.first_token_line.slope(),
         _max_unread_tokens(server),
+        server_memory.spare_tokens(server),
     )
 
 
@@ -241,6 +278,7 @@
         candidate
         for candidate in offers
         if candidate.is_on_time(waiting, now)
+        and candidate.fits(waiting)
         and candidate.ends_before_deadline(waiting, now)
     ]
     if not suitable:
@@ -265,7 +303,8 @@
     suitable = [
         candidate
         for candidate in offers
-        if candidate.ends_before_deadline(waiting, estimates.now)
+        if candidate.fits(waiting)
+        and candidate.ends_before_deadline(waiting, estimates.now)
     ]
     best = min(
         suitable,
@@ -281,7 +320,7 @@
 ) -> Placement | None:
     """Choose the server that holds the request for the least time."""
     best = min(
-        offers,
+        (candidate for candidate in offers if candidate.fits(waiting)),
         key=lambda candidate: _by_hold_seconds(candidate, waiting),
         default=None,
     )
@@ -332,7 +371,11 @@
     scarcity = 1 / (
         candidate.free_slots / candidate.server.slots + _MIN_FREE_FRACTION
     )
-    return hold_seconds * scarcity * _failure_factor(
+    # As a factor, distance is the ratio of this sum to the scarcity.
+    weight = scarcity + distance.saved_fraction(
+        waiting, candidate.server, hold_seconds
+    )
+    return hold_seconds * weight * _failure_factor(
         candidate.server, slot_request, estimates
     ), _server_id(candidate)
 
