Fair queueing: slot time by weight among the customers of a class

Cause: a customer that sends several times its usual load gets slots in proportion to it, and all others are refused as often as it is.

Change: ontime.fair_shares keeps decaying slot time and demand by class and customer; while the pool is crowded, ordering puts requests of customers above their max-min share later and rejects them first within their class. Off without weights; nothing sets them yet.

Measured: the tests of scheduling.ontime and the doctests pass.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -46,6 +46,8 @@
 _MAX_FAILED_CONTINUATIONS = 16
 # Minimum time between two log entries on the state of a busy pool.
 _LOG_SECONDS = 1.0
+# Names of customers in such an entry.
+_MAX_LOGGED_CUSTOMERS = 8
 _MS = 1000
 
 
@@ -150,6 +152,7 @@
         interval_ms=round(state.pace(leader).interval * _MS, 1),
         load=round(state.pace(leader).load, 2),
         classes=leader.shares.log_summary(),
+        above_share=leader.customer_shares.above(now)[:_MAX_LOGGED_CUSTOMERS],
         held_back=sum(
             one.is_rate_limited(now) for one in leader.servers.values()
         ),
@@ -174,9 +177,13 @@
     part_checks.refuse_crashing(leader, now)
     waiting = list(leader.waiting.values())[-_MAX_PLANNED:]
     pace = state.pace(leader)
-    deficits = leader.shares.deficits(now)
     planned = ordering.plan(
-        waiting, now, pace, refusing.lead_time(leader), deficits
+        waiting,
+        now,
+        pace,
+        refusing.lead_time(leader),
+        leader.shares.deficits(now),
+        leader.customer_shares.excess(now) if pace.is_crowded else {},
     )
     estimates = placing.Estimates(leader.estimates, leader.path_quality, now)
     cycle = _Cycle(now, pace, estimates, leader.pauses)
@@ -309,10 +316,15 @@
     turn: ordering.Turn,
     placement: placing.Placement,
 ) -> None:
-    """Grant a request a slot and add it to the usage of its class."""
+    """Grant a request a slot and add it to the usage of class and customer."""
     _grant(leader, turn.waiting, placement, cycle.now)
+    slot_request = turn.waiting.slot_request
+    request_class = classes.class_of(slot_request)
+    leader.customer_shares.record_grant(
+        request_class, slot_request.customer, placement.hold_seconds, cycle.now
+    )
     leader.shares.record_grant(
-        classes.class_of(turn.waiting.slot_request),
+        request_class,
         placement.hold_seconds,
         late=turn.late,
         now=cycle.now,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -26,6 +26,7 @@
 )
 from geraniumweir.scheduling.ontime import (
     classes,
+    fair_shares,
     fleet,
     granting,
     observations,
@@ -95,6 +96,20 @@
         """Use what crashes of all pools led on this host show of parts."""
         self._state.parts = parts
 
+    def use_weights(
+        self, weights: typing.Callable[[], fair_shares.Weights]
+    ) -> None:
+        """Give customers fair shares of the slots.
+
+        :param weights: returns the weights of customers; without any, no shares
+            are kept.
+        """
+        self._state.customer_shares.weights = weights
+
+    def customers_above_share(self) -> list[ids.CustomerName]:
+        """List the customers that are limited to their fair shares now."""
+        return self._state.customer_shares.above(self._state.now())
+
     async def request_slot(
         self,
         slot_request: requests.SlotRequest,
@@ -233,8 +248,10 @@
             slot_request.fingerprint, now
         )
         if not waited_seconds:
-            self._state.shares.record_arrival(
-                classes.class_of(slot_request), now
+            request_class = classes.class_of(slot_request)
+            self._state.shares.record_arrival(request_class, now)
+            self._state.customer_shares.record_arrival(
+                request_class, slot_request.customer, now
             )
         waiting = records.Waiting(
             slot_request,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -10,6 +10,10 @@
 of its tier, for a fraction of the slot time; see
 :mod:`geraniumweir.scheduling.ontime.classes`.
 
+Within a class, requests of customers above their fair share come later and are
+rejected first while the pool is crowded; see
+:mod:`geraniumweir.scheduling.ontime.fair_shares`.
+
 While new requests take nearly all slots, the order is by importance instead. In
 the order of latest start times, requests with the longest targets come last,
 and as the pace falls in overload they miss their targets, though they are the
@@ -37,7 +41,7 @@
 import types
 import typing
 
-from geraniumweir.scheduling.ontime import classes, records
+from geraniumweir.scheduling.ontime import classes, fair_shares, records
 
 # A plan is a prediction; a request is refused only if its predicted wait
 # exceeds the time that it has by this factor.
@@ -61,12 +65,14 @@
     :ivar in_time_ratio: fraction of its class's callers that were served in
         time, where the class has a deficit, otherwise 1. Within a tier the
         lowest goes first.
+    :ivar excess: by how much its customer is above its fair share of the class.
     """
 
     waiting: records.Waiting
     latest_start: float
     late: bool
     in_time_ratio: float = 1
+    excess: int = 0
 
     @property
     def has_deficit(self) -> bool:
@@ -123,9 +129,11 @@
         return ahead + (late + 1) * self.interval / spare
 
 
-_Value = tuple[int, float, int, int]
+_Value = tuple[int, float, int, int, int]
+_Importance = tuple[int, float, int, int, float]
 _Deficits = typing.Mapping[classes.Class, float]
 _NO_DEFICITS: typing.Final[_Deficits] = types.MappingProxyType({})
+_NO_EXCESS: typing.Final[fair_shares.Excess] = types.MappingProxyType({})
 LeadTime = typing.Callable[[records.Waiting], float]
 
 
@@ -144,6 +152,7 @@
     pace: Pace,
     lead_time: LeadTime,
     deficits: _Deficits = _NO_DEFICITS,
+    excess: fair_shares.Excess = _NO_EXCESS,
 ) -> Plan:
     """Order the waiting requests and find those that can't be served.
 
@@ -151,6 +160,7 @@
     :param lead_time: returns the seconds from a start to the first token.
     :param deficits: classes that go before more important ones, with the
         fraction of their callers that were served in time.
+    :param excess: customers above their fair shares, by class.
     """
     lead_times = {one.sequence: lead_time(one) for one in waiting}
     candidates = [
@@ -159,6 +169,7 @@
             one.target - lead_times[one.sequence],
             late=False,
             in_time_ratio=deficits.get(classes.class_of(one.slot_request), 1),
+            excess=_excess_of(one, excess),
         )
         for one in waiting
     ]
@@ -168,7 +179,7 @@
             key=_newest_first if pace.is_overloaded else _by_importance
         )
     late = sorted(
-        (_late(turn.waiting, lead_times) for turn in missed),
+        (_late(turn, lead_times) for turn in missed),
         key=_by_importance,
     )
     turns = list(on_time)
@@ -187,14 +198,26 @@
     return Plan(turns, hopeless)
 
 
-def _late(
-    waiting: records.Waiting,
-    lead_times: typing.Mapping[int, float],
-) -> Turn:
+def _excess_of(waiting: records.Waiting, excess: fair_shares.Excess) -> int:
+    if not excess:
+        return 0
+    slot_request = waiting.slot_request
+    return excess.get(
+        (classes.class_of(slot_request), slot_request.customer), 0
+    )
+
+
+def _late(turn: Turn, lead_times: typing.Mapping[int, float]) -> Turn:
+    waiting = turn.waiting
     leaves_at = min(
         waiting.slot_request.patience, waiting.slot_request.deadline
     )
-    return Turn(waiting, leaves_at - lead_times[waiting.sequence], late=True)
+    return Turn(
+        waiting,
+        leaves_at - lead_times[waiting.sequence],
+        late=True,
+        excess=turn.excess,
+    )
 
 
 def _feasible(
@@ -222,17 +245,18 @@
     return turn.latest_start, turn.waiting.sequence
 
 
-def _by_importance(turn: Turn) -> tuple[int, float, int, float]:
+def _by_importance(turn: Turn) -> _Importance:
     slot_request = turn.waiting.slot_request
     return (
         int(slot_request.tier),
         turn.in_time_ratio,
         slot_request.rank,
+        turn.excess,
         turn.latest_start,
     )
 
 
-def _newest_first(turn: Turn) -> tuple[int, float, int, float]:
+def _newest_first(turn: Turn) -> _Importance:
     """Return the sort key by importance; equal plain requests newest first."""
     if turn.waiting.slot_request.streams:
         return _by_importance(turn)
@@ -241,6 +265,7 @@
         int(slot_request.tier),
         turn.in_time_ratio,
         slot_request.rank,
+        turn.excess,
         -turn.latest_start,
     )
 
@@ -252,5 +277,6 @@
         -int(slot_request.tier),
         -turn.in_time_ratio,
         -slot_request.rank,
+        -turn.excess,
         -turn.waiting.sequence,
     )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -17,6 +17,7 @@
 from geraniumweir.scheduling.ontime import (
     arrivals,
     classes,
+    fair_shares,
     occupancy,
     ordering,
     paths,
@@ -71,6 +72,7 @@
     :ivar output_lengths: mean output tokens by rule.
     :ivar path_quality: quality of the paths from entry hosts to servers.
     :ivar shares: what each class of requests got lately.
+    :ivar customer_shares: what each customer got lately of each class.
     :ivar repeated: first arrivals of refused requests.
     :ivar last_cycle_at: start of the last scheduling cycle, in seconds.
     :ivar interval: seconds from one free slot of the pool to the next.
@@ -130,6 +132,9 @@
         default_factory=arrivals.Arrivals,
     )
     shares: classes.Shares = dataclasses.field(default_factory=classes.Shares)
+    customer_shares: fair_shares.SharesByClass = dataclasses.field(
+        default_factory=fair_shares.SharesByClass,
+    )
 
 
 def interval(leader: OnTimeLeaderState) -> float:
