Routing: weights of customers in fair shares of slots

Cause: pool leaders can divide slots among customers but know no weights.

Change: the optional field weight of a tenant; without it the rate of the quota, and without that the mean of the others. A weight below 0, above 1e12 or that isn't a number is an error with the customer's name. The coordinator's pool leaders, and those of entry hosts on their own, use the weights of the document in force; with fewer than two there are no shares.

--- a/libs/control/geraniumweir/control/pool_coordination.py
+++ b/libs/control/geraniumweir/control/pool_coordination.py
@@ -1,6 +1,7 @@
 """Creates the pool leaders of a coordinator, for itself or for other hosts."""
 
 import dataclasses
+import types
 import typing
 
 import reactivex
@@ -43,6 +44,10 @@
 # within a check of the log (0.1 s) and a ping (0.2 s).
 _EARLY_REPORT_SECONDS = 1.0
 
+_NO_WEIGHTS: typing.Final[typing.Mapping[ids.CustomerName, float]] = (
+    types.MappingProxyType({})
+)
+
 Index = typing.Callable[[], finding.Index | None]
 OnSlotRequest = typing.Callable[[requests.SlotRequest], None]
 
@@ -301,11 +306,18 @@
         deps.rejections,
     )
     new_leader.use_parts(deps.parts)
+    new_leader.use_weights(lambda: _weights(deps.index()))
     if deps.on_new_leader is not None:
         deps.on_new_leader(new_leader)
     return new_leader
 
 
+def _weights(
+    index: finding.Index | None,
+) -> typing.Mapping[ids.CustomerName, float]:
+    return index.customer_weights if index else _NO_WEIGHTS
+
+
 def _allowance(
     index: finding.Index | None,
     name: ids.CustomerName,
--- a/libs/routing/geraniumweir/routing/__init__.py
+++ b/libs/routing/geraniumweir/routing/__init__.py
@@ -2,5 +2,6 @@
 
 See Also
 ========
-geraniumweir.routing.tables, geraniumweir.routing.finding
+geraniumweir.routing.tables, geraniumweir.routing.finding,
+geraniumweir.routing.weights
 """
--- a/libs/routing/geraniumweir/routing/finding.py
+++ b/libs/routing/geraniumweir/routing/finding.py
@@ -5,11 +5,12 @@
 routes.
 """
 
+import functools
 import random
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.routing import tables
+from geraniumweir.routing import tables, weights
 
 _Prefixes = dict[str, tables.Route]
 
@@ -74,6 +75,14 @@
         """Return a customer by name, None if unknown."""
         return self._customers_by_name.get(name)
 
+    @functools.cached_property
+    def customer_weights(self) -> typing.Mapping[ids.CustomerName, float]:
+        """Weights of customers in fair shares of slots, none for no shares.
+
+        They are computed at the first use, as only pool leaders need them.
+        """
+        return weights.of_customers(self.document.customers)
+
 
 def normalize_host(host: str) -> str:
     """Return a ``Host`` header without its port, in lower case.
@@ -94,5 +103,5 @@
     """
     if len(targets) == 1:
         return targets[0].pool
-    weights = [target.weight for target in targets]
-    return rng.choices(targets, weights)[0].pool
+    target_weights = [target.weight for target in targets]
+    return rng.choices(targets, target_weights)[0].pool
--- a/libs/routing/geraniumweir/routing/tables.py
+++ b/libs/routing/geraniumweir/routing/tables.py
@@ -9,6 +9,10 @@
 
 from geraniumweir.common import errors, ids
 
+# Upper bound of a customer's weight, so that sums of weights stay finite. It is
+# above any rate of a quota in tokens.
+MAX_WEIGHT = 1e12
+
 
 class DocumentError(errors.GeraniumweirError, ValueError):
     """An invalid routing document."""
@@ -126,12 +130,15 @@
 
     :ivar keys: API keys, each of which identifies the customer.
     :ivar rank: priority that overrides that of the route, None to keep it.
+    :ivar weight: weight in fair shares of slots, 0 for only what others leave;
+        None to derive it from the quota.
     """
 
     name: ids.CustomerName
     keys: tuple[str, ...]
     rank: int | None = None
     quota: Quota | None = None
+    weight: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,6 +182,7 @@
             raise DocumentError(f'two routes lead from {location}')
         locations.add(location)
     _check_keys(doc.customers)
+    _check_weights(doc.customers)
 
 
 def _check_route(route: Route, pools: set[ids.PoolName]) -> None:
@@ -204,3 +212,14 @@
                     f'customers {owners[key]!r} and {customer.name!r} share'
                     ' a key',
                 )
+
+
+def _check_weights(customers: tuple[Customer, ...]) -> None:
+    for customer in customers:
+        weight = customer.weight
+        # The comparison is false for NaN too.
+        if weight is not None and not 0 <= weight <= MAX_WEIGHT:
+            raise DocumentError(
+                f'customer {customer.name!r}: the weight {weight!r} is not'
+                f' a number from 0 to {MAX_WEIGHT:g}',
+            )
