--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -319,6 +319,17 @@
         ]
         return near[0] if near else self._cfg.me
 
+    def customers_above_share(self) -> dict[tuple[str, ...], float]:
+        """Return the number of customers above their fair shares, by pool."""
+        found = {
+            pool: self._service.leader(pool) for pool in self._service.pools()
+        }
+        return {
+            (pool,): len(one.customers_above_share())
+            for pool, one in found.items()
+            if isinstance(one, leader.OnTimePoolLeader)
+        }
+
     def _leaders(self) -> list[leader.OnTimePoolLeader]:
         """Return the leaders of the pools that are coordinated here."""
         found = map(self._service.leader, self._service.pools())
--- a/libs/control/geraniumweir/control/tests/test_pool_coordination.py
+++ b/libs/control/geraniumweir/control/tests/test_pool_coordination.py
@@ -12,7 +12,13 @@
     usage_codec,
 )
 from geraniumweir.routing import finding, tables
-from geraniumweir.scheduling import channel, recent_usage, retrybudget
+from geraniumweir.scheduling import (
+    channel,
+    recent_usage,
+    requests,
+    retrybudget,
+    views,
+)
 from geraniumweir.wire import memory
 from geraniumweir.wire.gen.control import ttypes
 from reactivex import subject
@@ -206,3 +212,53 @@
         assert bed.retry()
 
     _run(work)
+
+
+async def _limited_customers(
+    pool_leader: views.PoolLeader, customer: ids.CustomerName
+) -> list[ids.CustomerName]:
+    """Send a request to a pool without servers and withdraw it."""
+    now = asyncio.get_running_loop().time()
+    slot_request = requests.SlotRequest(
+        ids.RequestId(f'at {now}'),
+        _ENTRY,
+        _POOL,
+        customer,
+        ids.RuleName('rule'),
+        ids.Tier.normal,
+        now + 5,
+    )
+    answer = asyncio.create_task(pool_leader.request_slot(slot_request))
+    await asyncio.sleep(0.5)
+    limited = pool_leader.customers_above_share()
+    pool_leader.withdraw(slot_request.request_id)
+    await answer
+    return limited
+
+
+def test_pool_leaders_use_the_weights_of_the_document_in_force() -> None:
+    """Also those of a document that comes after the leader began."""
+    weightless = tables.Customer(
+        ids.CustomerName('weightless'), ('other',), weight=0
+    )
+
+    async def work() -> None:
+        network = memory.MemoryNetwork()
+        deps = _parts(_View(), network.join(_HERE, ids.Address('10.0.0.1', 1)))
+        indexes = [deps.index()]
+        service = pool_coordination.make_leader_service(
+            dataclasses.replace(deps, index=lambda: indexes[-1]),
+            timers.TimerService(),
+        )
+        pool_leader = service.leader(_POOL)
+        assert not await _limited_customers(pool_leader, weightless.name)
+        before = indexes[-1].document
+        after = dataclasses.replace(
+            before, customers=(*before.customers, weightless)
+        )
+        indexes.append(finding.Index(after))
+        limited = await _limited_customers(pool_leader, weightless.name)
+        assert limited == [weightless.name]
+        service.close()
+
+    virtual.run(work())
--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -142,6 +142,12 @@
     'Backend servers of a pool that name how many requests they take.',
     ('pool',),
 )
+CUSTOMERS_ABOVE_SHARE: typing.Final = Metric(
+    'geraniumweir_customers_above_share',
+    Kind.gauge,
+    'Customers held at their fair shares of slots by a pool led here.',
+    ('pool',),
+)
 RESUMED_STREAMS: typing.Final = Metric(
     'geraniumweir_resumed_streams_total',
     Kind.counter,
