Fair queueing: large customers have a narrow dead band

Change: the band is at most 0.03 of the slot time. Shares of many customers are computed half as often: a computation for 1,400 took 1.6 to 3 ms on the busy machine, not 1 ms.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/fair_shares.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fair_shares.py
@@ -15,11 +15,11 @@
 
 Cost: a recorded arrival or grant updates one entry. Fair shares are computed
 for all customers of a class at once, in time proportional to their number and
-with a sort, but at most every 10 ms and at most every 0.1 ms for each customer:
-for 1,400 customers that is about one millisecond every 140 ms. The lookup for a
-request is one access to a dictionary that holds only the customers above their
-shares. Memory is bounded by the number of customers in the routing document for
-each class, as others aren't counted.
+with a sort, but at most every 10 ms and at most every 0.2 ms for each customer:
+for 1,400 customers that is 1.6 to 3 ms every 280 ms. The lookup for a request
+is one access to a dictionary that holds only the customers above their shares.
+Memory is bounded by the number of customers in the routing document for each
+class, as others aren't counted.
 
 References
 ==========
@@ -41,9 +41,12 @@
 # Time constant of the counts: as long as a burst, so that a new leader, which
 # has no counts, has fair shares again within 5 s.
 _WINDOW_SECONDS = 5.0
-# A customer is limited from this multiple of its fair share on, so that small
+# A customer is limited above this multiple of its fair share, so that small
 # differences don't reorder requests.
 _LIMIT_RATIO = 1.25
+# A large customer is limited earlier: its dead band is at most this fraction of
+# the slot time, as all of it is taken from the others.
+_MAX_BAND = 0.03
 # It is no longer limited once it uses less than this fraction: its demand fell.
 _RELEASE_RATIO = 0.8
 # A limited customer with more than this multiple yields to other limited ones.
@@ -59,7 +62,7 @@
 _GUESS_SECONDS = 1.0
 # Minimum time between two computations of fair shares, and for each customer.
 _REFRESH_SECONDS = 0.01
-_REFRESH_SECONDS_PER_CUSTOMER = 1e-4
+_REFRESH_SECONDS_PER_CUSTOMER = 2e-4
 # Customers count as above their shares for so long after the last computation,
 # which takes place only while the pool is crowded.
 _REPORT_SECONDS = 1.0
@@ -110,6 +113,24 @@
         return total_seconds / (self.grants + guess_weight)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Bounds:
+    """Usage beyond the fair share that limits no customer.
+
+    :ivar slack_seconds: of a customer with any share.
+    :ivar band_seconds: upper bound of the further usage in proportion to the
+        share.
+    """
+
+    slack_seconds: float
+    band_seconds: float
+
+    def dead_band(self, fair_seconds: float) -> float:
+        """Return the usage beyond a fair share that doesn't limit."""
+        band_seconds = fair_seconds * (_LIMIT_RATIO - 1)
+        return min(band_seconds, self.band_seconds) + self.slack_seconds
+
+
 class CustomerShares:
     """Fair shares of the customers in one class.
 
@@ -191,12 +212,13 @@
             self._demands(weights, usual_seconds, event_weight),
             self._total.used_seconds,
         )
-        slack_seconds = _SLACK_REQUESTS * usual_seconds * event_weight
+        bounds = _Bounds(
+            slack_seconds=_SLACK_REQUESTS * usual_seconds * event_weight,
+            band_seconds=_MAX_BAND * self._total.used_seconds,
+        )
         self.levels = {}
         for customer, counts in self._counts.items():
-            excess = _update_excess(
-                counts, weights[customer], level, slack_seconds
-            )
+            excess = _update_excess(counts, weights[customer], level, bounds)
             if excess:
                 self.levels[customer] = excess
 
@@ -350,7 +372,7 @@
     counts: _Counts,
     weight: float,
     level: float,
-    slack_seconds: float,
+    bounds: _Bounds,
 ) -> int:
     """Limit or release a customer and return its excess.
 
@@ -358,17 +380,16 @@
     the dead band: its excess is above 0 whenever its usage is above the share.
 
     :param level: fair share for each unit of weight, in slot time.
-    :param slack_seconds: usage beyond the share that limits nobody.
     """
     if not weight:
         counts.limited = True
         return _LAST
     fair_seconds = weight * level
     used_seconds = min(
-        counts.used_seconds, fair_seconds * _MAX_RATIO + slack_seconds
+        counts.used_seconds, fair_seconds * _MAX_RATIO + bounds.slack_seconds
     )
     counts.used_seconds = used_seconds
-    if used_seconds > fair_seconds * _LIMIT_RATIO + slack_seconds:
+    if used_seconds > fair_seconds + bounds.dead_band(fair_seconds):
         counts.limited = True
     elif used_seconds < fair_seconds * _RELEASE_RATIO:
         counts.limited = False
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_fair_shares.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_fair_shares.py
@@ -53,6 +53,7 @@
     first: float = _SETTLE_SECONDS
     last: float = _SECONDS
     restart_at: float = float('inf')
+    streams: bool = True
     granted: dict[str, int] = dataclasses.field(default_factory=dict)
     on_time: dict[str, int] = dataclasses.field(default_factory=dict)
     pool: leader.OnTimePoolLeader | None = None
@@ -110,6 +111,7 @@
             f'{name} {number}',
             start,
             customer=ids.CustomerName(name),
+            streams=self.streams,
             target=start + _TARGET_SECONDS,
         )
         pool = self.pool
@@ -162,6 +164,37 @@
     assert sum(heavy.granted.values()) >= 0.95 * sum(without.granted.values())
 
 
+@pytest.mark.parametrize('seed', _SEEDS)
+def test_heavy_customer_does_not_harm_others_of_plain_servers(
+    seed: int,
+) -> None:
+    """In the order of plain requests, newest first, some harm is left.
+
+    The others have 0.95 to 0.99 of what they usually have, 0.81 to 0.87 without
+    shares: what the heavy customer may have competes with their bursts.
+    """
+    usual = _Play(_USUAL, _equal(_USUAL), seed, streams=False).run()
+    heavy = _Play(_ONE_HEAVY, _equal(_USUAL), seed, streams=False).run()
+    assert _others(heavy) >= 0.92 * _others(usual)
+
+
+@pytest.mark.parametrize('seed', _SEEDS)
+def test_large_customer_with_twice_its_load_does_not_harm_the_others(
+    seed: int,
+) -> None:
+    """A dead band of a quarter of a large share would cost the others a tenth.
+
+    The largest has two sevenths of the usual load, and weights are by size.
+    """
+    sizes = {'c0': 20, 'c1': 14, 'c2': 10}
+    sizes.update({f'c{number}': 2 for number in range(3, 16)})
+    scale = 0.9 * _CAPACITY / sum(sizes.values())
+    rates = {name: size * scale for name, size in sizes.items()}
+    usual = _Play(rates, sizes, seed).run()
+    heavy = _Play({**rates, 'c0': 2 * rates['c0']}, sizes, seed).run()
+    assert _others(heavy) >= 0.95 * _others(usual)
+
+
 @pytest.mark.parametrize('seed', _SEEDS)
 def test_slots_are_divided_by_weight(seed: int) -> None:
     """Both send 1.5 times what all slots serve; the weights are 1 and 4."""
