--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -47,6 +47,8 @@
 _MAX_FAILED_CONTINUATIONS = 16
 # Minimum time between two log entries on the state of a busy pool.
 _LOG_SECONDS = 1.0
+# Names of customers in such an entry.
+_MAX_LOGGED_CUSTOMERS = 8
 _MS = 1000
 
 
@@ -151,6 +153,7 @@
         interval_ms=round(state.pace(leader).interval * _MS, 1),
         load=round(state.pace(leader).load, 2),
         classes=leader.shares.log_summary(),
+        above_share=leader.customer_shares.above(now)[:_MAX_LOGGED_CUSTOMERS],
         held_back=sum(
             one.is_rate_limited(now) for one in leader.servers.values()
         ),
@@ -176,13 +179,16 @@
     part_checks.refuse_crashing(leader, now)
     waiting = list(leader.waiting.values())[-_MAX_PLANNED:]
     pace = state.pace(leader)
-    deficits = leader.shares.deficits(now)
     planned = ordering.plan(
         waiting,
         now,
         pace,
         refusing.lead_time(leader),
-        ordering.Deficits(deficits, leader.length_bands.starved(now)),
+        ordering.Priorities(
+            leader.shares.deficits(now),
+            leader.length_bands.starved(now),
+            leader.customer_shares.excess(now) if pace.is_crowded else {},
+        ),
     )
     estimates = placing.Estimates(leader.estimates, leader.path_quality, now)
     cycle = _Cycle(now, pace, estimates, leader.pauses)
@@ -324,13 +330,17 @@
     turn: ordering.Turn,
     placement: placing.Placement,
 ) -> None:
-    """Grant a request a slot and add it to the usage of its class."""
+    """Grant a request a slot and add it to the usage of class and customer."""
     _grant(leader, turn.waiting, placement, cycle.now)
-    request_class = classes.class_of(turn.waiting.slot_request)
+    slot_request = turn.waiting.slot_request
+    request_class = classes.class_of(slot_request)
     if not turn.late:
         leader.length_bands.record_grant(
             request_class, turn.waiting.band, cycle.now
         )
+    leader.customer_shares.record_grant(
+        request_class, slot_request.customer, placement.hold_seconds, cycle.now
+    )
     leader.shares.record_grant(
         request_class,
         placement.hold_seconds,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -26,6 +26,7 @@
 )
 from geraniumweir.scheduling.ontime import (
     classes,
+    fair_shares,
     fleet,
     granting,
     lengths,
@@ -96,6 +97,20 @@
         """Use what crashes of all pools led on this host show of parts."""
         self._state.parts = parts
 
+    def use_weights(
+        self, weights: typing.Callable[[], fair_shares.Weights]
+    ) -> None:
+        """Give customers fair shares of the slots.
+
+        :param weights: returns the weights of customers; without any, no shares
+            are kept.
+        """
+        self._state.customer_shares.weights = weights
+
+    def customers_above_share(self) -> list[ids.CustomerName]:
+        """List the customers that are limited to their fair shares now."""
+        return self._state.customer_shares.above(self._state.now())
+
     async def request_slot(
         self,
         slot_request: requests.SlotRequest,
@@ -246,6 +261,9 @@
             band = self._state.length_bands.record_arrival(
                 request_class, work_seconds, now
             )
+            self._state.customer_shares.record_arrival(
+                request_class, slot_request.customer, now
+            )
         waiting = records.Waiting(
             slot_request,
             self._state.sequence,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -10,6 +10,10 @@
 of its tier, for a fraction of the slot time; see
 :mod:`geraniumweir.scheduling.ontime.classes`.
 
+Within a class, requests of customers above their fair share come later and are
+rejected first while the pool is crowded; see
+:mod:`geraniumweir.scheduling.ontime.fair_shares`.
+
 While new requests take nearly all slots, the order is by importance instead. In
 the order of latest start times, requests with the longest targets come last,
 and as the pace falls in overload they miss their targets, though they are the
@@ -43,7 +47,12 @@
 import heapq
 import typing
 
-from geraniumweir.scheduling.ontime import classes, lengths, records
+from geraniumweir.scheduling.ontime import (
+    classes,
+    fair_shares,
+    lengths,
+    records,
+)
 
 # A plan is a prediction; a request is refused only if its predicted wait
 # exceeds the time that it has by this factor.
@@ -68,6 +77,7 @@
         time, where the class has a deficit, otherwise 1. Within a tier the
         lowest goes first.
     :ivar is_starved: whether requests of its length are served too seldom.
+    :ivar excess: by how much its customer is above its fair share of the class.
     """
 
     waiting: records.Waiting
@@ -75,6 +85,7 @@
     late: bool
     in_time_ratio: float = 1
     is_starved: bool = False
+    excess: int = 0
 
     @property
     def work_seconds(self) -> float:
@@ -136,17 +147,20 @@
         return ahead + (late + 1) * self.interval / spare
 
 
-_Value = tuple[int, float, int, float, int]
+_Rank = tuple[int, float, int]
+_Value = tuple[_Rank, int, float, int]
 _NO_BANDS: typing.Final[frozenset[lengths.Band]] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Deficits:
-    """What was served too seldom.
+class Priorities:
+    """What goes before or after other requests of its class or tier.
 
     :ivar by_class: classes that go before more important ones, with the
         fraction of their callers that were served in time.
     :ivar bands: lengths of requests that go before others of their class.
+    :ivar excess: by how much customers are above their fair shares, by class;
+        their requests go after others of their class.
     """
 
     by_class: typing.Mapping[classes.Class, float] = dataclasses.field(
@@ -155,9 +169,10 @@
     bands: typing.Mapping[classes.Class, frozenset[lengths.Band]] = (
         dataclasses.field(default_factory=dict)
     )
+    excess: fair_shares.Excess = dataclasses.field(default_factory=dict)
 
 
-_NO_DEFICITS: typing.Final = Deficits()
+_NO_PRIORITIES: typing.Final = Priorities()
 LeadTime = typing.Callable[[records.Waiting], float]
 
 
@@ -175,17 +190,17 @@
     now: float,
     pace: Pace,
     lead_time: LeadTime,
-    deficits: Deficits = _NO_DEFICITS,
+    priorities: Priorities = _NO_PRIORITIES,
 ) -> Plan:
     """Order the waiting requests and find those that can't be served.
 
     :param now: in seconds on the loop's clock.
     :param lead_time: returns the seconds from a start to the first token.
-    :param deficits: what was served too seldom and goes first.
+    :param priorities: what goes first or last in its class or tier.
     """
     lead_times = {one.sequence: lead_time(one) for one in waiting}
     candidates = [
-        _candidate(one, lead_times[one.sequence], deficits) for one in waiting
+        _candidate(one, lead_times[one.sequence], priorities) for one in waiting
     ]
     on_time, missed = _feasible(candidates, now, pace.interval)
     if pace.is_crowded:
@@ -198,7 +213,7 @@
         on_time += sorted(displaced, key=_shortest_first)
         missed = [turn for turn in missed if turn.latest_start < now]
     late = sorted(
-        (_late(turn.waiting, lead_times) for turn in missed),
+        (_late(turn, lead_times) for turn in missed),
         key=_by_importance,
     )
     return _append_late(on_time, late, now, pace)
@@ -225,26 +240,32 @@
 
 
 def _candidate(
-    waiting: records.Waiting, lead_time_seconds: float, deficits: Deficits
+    waiting: records.Waiting, lead_time_seconds: float, priorities: Priorities
 ) -> Turn:
-    request_class = classes.class_of(waiting.slot_request)
+    slot_request = waiting.slot_request
+    request_class = classes.class_of(slot_request)
     return Turn(
         waiting,
         waiting.target - lead_time_seconds,
         late=False,
-        in_time_ratio=deficits.by_class.get(request_class, 1),
-        is_starved=waiting.band in deficits.bands.get(request_class, _NO_BANDS),
+        in_time_ratio=priorities.by_class.get(request_class, 1),
+        is_starved=waiting.band
+        in priorities.bands.get(request_class, _NO_BANDS),
+        excess=priorities.excess.get((request_class, slot_request.customer), 0),
     )
 
 
-def _late(
-    waiting: records.Waiting,
-    lead_times: typing.Mapping[int, float],
-) -> Turn:
+def _late(turn: Turn, lead_times: typing.Mapping[int, float]) -> Turn:
+    waiting = turn.waiting
     leaves_at = min(
         waiting.slot_request.patience, waiting.slot_request.deadline
     )
-    return Turn(waiting, leaves_at - lead_times[waiting.sequence], late=True)
+    return Turn(
+        waiting,
+        leaves_at - lead_times[waiting.sequence],
+        late=True,
+        excess=turn.excess,
+    )
 
 
 def _feasible(
@@ -272,39 +293,33 @@
     return turn.latest_start, turn.waiting.sequence
 
 
-def _by_importance(turn: Turn) -> tuple[int, float, int, float]:
+def _rank(turn: Turn) -> _Rank:
+    """Return the sort key of its class, the most important first."""
     slot_request = turn.waiting.slot_request
-    return (
-        int(slot_request.tier),
-        turn.in_time_ratio,
-        slot_request.rank,
-        turn.latest_start,
-    )
+    return int(slot_request.tier), turn.in_time_ratio, slot_request.rank
 
 
-def _shortest_first(turn: Turn) -> tuple[int, float, int, float, float]:
+def _by_importance(turn: Turn) -> tuple[_Rank, int, float]:
+    return _rank(turn), turn.excess, turn.latest_start
+
+
+def _shortest_first(turn: Turn) -> tuple[_Rank, int, float, float]:
     """Return the sort key by importance and slot time.
 
     Equal plain requests come newest first.
     """
-    slot_request = turn.waiting.slot_request
     start = turn.latest_start
-    return (
-        int(slot_request.tier),
-        turn.in_time_ratio,
-        slot_request.rank,
-        turn.work_seconds,
-        start if slot_request.streams else -start,
-    )
+    if not turn.waiting.slot_request.streams:
+        start = -start
+    return _rank(turn), turn.excess, turn.work_seconds, start
 
 
 def _value(turn: Turn) -> _Value:
     """Return the value of serving a request; the lowest is rejected first."""
-    slot_request = turn.waiting.slot_request
+    tier, in_time_ratio, rank = _rank(turn)
     return (
-        -int(slot_request.tier),
-        -turn.in_time_ratio,
-        -slot_request.rank,
+        (-tier, -in_time_ratio, -rank),
+        -turn.excess,
         -turn.work_seconds,
         -turn.waiting.sequence,
     )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -18,6 +18,7 @@
     arrivals,
     classes,
     distance,
+    fair_shares,
     lengths,
     occupancy,
     ordering,
@@ -78,6 +79,7 @@
     :ivar path_quality: quality of the paths from entry hosts to servers.
     :ivar shares: what each class of requests got lately.
     :ivar length_bands: how often long requests of each class are served.
+    :ivar customer_shares: what each customer got lately of each class.
     :ivar repeated: first arrivals of refused requests.
     :ivar last_cycle_at: start of the last scheduling cycle, in seconds.
     :ivar interval: seconds from one free slot of the pool to the next.
@@ -142,6 +144,9 @@
     length_bands: lengths.Lengths = dataclasses.field(
         default_factory=lengths.Lengths
     )
+    customer_shares: fair_shares.SharesByClass = dataclasses.field(
+        default_factory=fair_shares.SharesByClass,
+    )
 
 
 def interval(leader: OnTimeLeaderState) -> float:
