Slot requests: a wait without an answer ends as a refusal in time

Cause: a slot request waited at a leader up to its deadline, which the caller no longer sees; repeats ended after 3 s, longer than a plain request's whole time limit and most streams' patience. A request that had moved to another leader still counted as queued there, so it was repeated up to its deadline.

Change: `scheduling.ask_limits` limits the wait to half of the time left, and for a stream to its patience. Near the limit the leader is asked again; a reply that the request is queued extends the wait. Otherwise it is denied with `no_answer`.

The wait is a new argument of `SlotRequester.request_at`, so test_led passes one.

--- a/libs/daemon/geraniumweir/daemon/refusals.py
+++ b/libs/daemon/geraniumweir/daemon/refusals.py
@@ -45,6 +45,10 @@
             catalogue.NO_LEADER,
             'the pool has no leader just now',
         ),
+        requests.DenialReason.no_answer: (
+            catalogue.NO_LEADER,
+            "the pool's leader did not answer in time",
+        ),
         requests.DenialReason.withdrawn: (
             catalogue.WITHDRAWN,
             'the request was withdrawn before it was served',
--- a/libs/gateway/geraniumweir/gateway/refusals.py
+++ b/libs/gateway/geraniumweir/gateway/refusals.py
@@ -36,6 +36,7 @@
         ),
         requests.DenialReason.not_leader: 'nobody coordinates just now',
         requests.DenialReason.withdrawn: 'it was withdrawn',
+        requests.DenialReason.no_answer: 'no coordinator answered in time',
     }
 )
 _LIMIT_REASONS = frozenset(
--- a/libs/scheduling/geraniumweir/scheduling/broker.py
+++ b/libs/scheduling/geraniumweir/scheduling/broker.py
@@ -6,6 +6,9 @@
 When a leader moves, the waiting requests move to the new one, which also gets
 the grants in use.
 
+Waits without an answer are limited; see
+:mod:`geraniumweir.scheduling.ask_limits`.
+
 See Also
 ========
 geraniumweir.scheduling.requesting, geraniumweir.scheduling.upkeep,
@@ -19,6 +22,7 @@
 
 from geraniumweir.common import ids, timers
 from geraniumweir.scheduling import (
+    ask_limits,
     channel,
     home,
     owned,
@@ -175,10 +179,14 @@
     async def _request_at_home(
         self, slot_request: requests.SlotRequest
     ) -> _HomeAnswer:
-        give_up_at = self._clock.now() + _HOME_TIMEOUT_SECONDS
+        now = self._clock.now()
+        wait = ask_limits.begin(slot_request, now)
+        give_up_at = now + _HOME_TIMEOUT_SECONDS
         while slot_request.request_id not in self._withdrawn:
             host = self._home.leader(slot_request.pool)
-            place = await self._request_at(slot_request, host, at_home=True)
+            place = await self._request_at(
+                slot_request, host, wait, at_home=True
+            )
             slot_request = place.slot_request
             answer = place.fut.result()
             if answer is not None and not _is_not_leader(answer):
@@ -188,7 +196,12 @@
             give_up_at = max(
                 give_up_at, self._last_seen_at(place) + _HOME_TIMEOUT_SECONDS
             )
-            if self._clock.now() >= give_up_at:
+            now = self._clock.now()
+            if now >= wait.refuse_at():
+                return _HomeAnswer(
+                    slot_request, wait.denial_at(slot_request, now)
+                )
+            if now >= give_up_at:
                 no_server = requests.DenialReason.no_server
                 denial = requests.Denial(slot_request.request_id, no_server)
                 return _HomeAnswer(slot_request, denial)
@@ -220,25 +233,29 @@
         slot_request: requests.SlotRequest,
         host: ids.HostId,
     ) -> _Answer | None:
-        place = await self._request_at(slot_request, host, at_home=False)
+        wait = ask_limits.begin(slot_request, self._clock.now())
+        place = await self._request_at(slot_request, host, wait, at_home=False)
         answer = place.fut.result()
         if answer is None or not _is_not_leader(answer):
             return answer
         if place.hint is None or place.hint == host:
             return None
-        place = await self._request_at(slot_request, place.hint, at_home=False)
+        place = await self._request_at(
+            slot_request, place.hint, wait, at_home=False
+        )
         return place.fut.result()
 
     async def _request_at(
         self,
         slot_request: requests.SlotRequest,
         host: ids.HostId,
+        wait: ask_limits.Wait,
         *,
         at_home: bool,
     ) -> owned.Place:
         self._upkeep.touch(host, slot_request.pool)
         return await self._requester.request_at(
-            slot_request, host, home=at_home
+            slot_request, host, wait, home=at_home
         )
 
     async def _on_preempt(
--- a/libs/scheduling/geraniumweir/scheduling/owned.py
+++ b/libs/scheduling/geraniumweir/scheduling/owned.py
@@ -11,7 +11,7 @@
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.scheduling import requests
+from geraniumweir.scheduling import ask_limits, requests
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -21,6 +21,7 @@
     :ivar host: host of the pool leader.
     :ivar home: whether it leads the pool in the own failure domain.
     :ivar fut: resolves to a grant or denial, or None when the place is lost.
+    :ivar wait: until when the request may wait.
     :ivar hint: the leader's host according to a host that doesn't lead.
     :ivar reached: whether a leader had the slot request in its queue.
     :ivar failed: whether a leader got the slot request and raised an error.
@@ -32,11 +33,16 @@
     home: bool
     attempt: int
     fut: asyncio.Future[requests.Grant | requests.Denial | None]
+    wait: ask_limits.Wait
     hint: ids.HostId | None = None
     reached: bool = False
     failed: bool = False
     delivery: asyncio.Task[None] | None = None
 
+    def is_being_sent(self) -> bool:
+        """Return whether the slot request, or a repeat of it, is sent."""
+        return self.delivery is not None and not self.delivery.done()
+
     def resolve(
         self,
         answer: requests.Grant | requests.Denial | None,
--- a/libs/scheduling/geraniumweir/scheduling/requesting.py
+++ b/libs/scheduling/geraniumweir/scheduling/requesting.py
@@ -3,7 +3,8 @@
 A slot request is sent until the leader has it; the leader joins repeats. The
 answer arrives in the call's reply or, for a slot request that waits, in a
 separate message. A grant for a place that no longer waits is rejected at once,
-so that the leader releases it.
+so that the leader releases it. A request whose wait is over without an answer
+is denied here; see :mod:`geraniumweir.scheduling.ask_limits`.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 
 from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.scheduling import (
+    ask_limits,
     channel,
     logevents,
     owned,
@@ -46,18 +48,20 @@
         self,
         slot_request: requests.SlotRequest,
         host: ids.HostId,
+        wait: ask_limits.Wait,
         *,
         home: bool,
     ) -> owned.Place:
         """Wait in one leader's queue.
 
+        :param wait: until when the request may wait.
         :param home: whether it leads the pool in the own failure domain.
         :returns: the place with its answer; None as answer means that the
             leader is unreachable or lost the slot request.
         """
         fut = asyncio.get_running_loop().create_future()
         attempt = self._owned.next_attempt()
-        place = owned.Place(slot_request, host, home, attempt, fut)
+        place = owned.Place(slot_request, host, home, attempt, fut, wait)
         self._owned.places[slot_request.request_id] = place
         self.deliver(place)
         try:
@@ -71,13 +75,19 @@
         """Send the slot request until the leader has it."""
         if place.delivery is not None:
             place.delivery.cancel()
-        place.delivery = self._link.start(self._deliver(place))
+        place.delivery = self._link.start(
+            self._deliver(place, place.slot_request)
+        )
 
     def move(self, place: owned.Place, host: ids.HostId) -> None:
         """Move a waiting request to another leader of the same pool."""
         self._withdraw(place)
         place.host = host
         place.attempt = self._owned.next_attempt()
+        # The new leader doesn't have it yet.
+        place.reached = False
+        place.failed = False
+        place.hint = None
         self.deliver(place)
 
     def release(
@@ -95,14 +105,28 @@
         self._link.start(self._release(host, message))
 
     async def _answered(self, place: owned.Place) -> None:
-        try:
-            async with asyncio.timeout_at(place.slot_request.deadline):
-                await asyncio.shield(place.fut)
-        except TimeoutError:
-            reason = requests.DenialReason.too_late
-            place.resolve(
-                requests.Denial(place.slot_request.request_id, reason)
-            )
+        while not place.fut.done():
+            now = self._clock.now()
+            wait = place.wait
+            if now >= wait.refuse_at():
+                place.resolve(wait.denial_at(place.slot_request, now))
+                return
+            wakes_at = wait.refuse_at()
+            if wait.needs_confirmation():
+                if now < wait.confirm_at():
+                    wakes_at = wait.confirm_at()
+                elif not place.is_being_sent():
+                    self._confirm(place)
+            await asyncio.wait((place.fut,), timeout=wakes_at - now)
+
+    def _confirm(self, place: owned.Place) -> None:
+        """Send the slot request again; the leader joins it to the first.
+
+        The reply has the answer if there is one that got lost. The prompt's
+        blocks, most of the message, are left out as the leader has them.
+        """
+        short = dataclasses.replace(place.slot_request, blocks=())
+        place.delivery = self._link.start(self._deliver(place, short))
 
     def _leave_queue(self, place: owned.Place) -> None:
         if place.delivery is not None:
@@ -123,10 +147,12 @@
         )
         self._link.send(place.host, message)
 
-    async def _deliver(self, place: owned.Place) -> None:
+    async def _deliver(
+        self, place: owned.Place, slot_request: requests.SlotRequest
+    ) -> None:
         for _ in range(_REQUEST_ATTEMPTS):
             message = translation.pack_ask(
-                place.slot_request,
+                slot_request,
                 place.attempt,
                 self._clock.now(),
             )
@@ -140,15 +166,21 @@
                 place.failed = isinstance(exc, errors.RemoteError)
                 await asyncio.sleep(_RETRY_PAUSE_SECONDS)
                 continue
-            place.hint = reply.leader
-            if reply.leader is None:
-                place.reached = True
-                _clear_rate_limit(place, reply)
-                self._owned.last_seen[place.host] = self._clock.now()
-            self._accept_answer(place, reply)
+            self._accept_reply(place, reply)
             return
         place.resolve(None)
 
+    def _accept_reply(self, place: owned.Place, reply: ttypes.AskReply) -> None:
+        now = self._clock.now()
+        place.hint = reply.leader
+        if reply.leader is None:
+            place.reached = True
+            _clear_rate_limit(place, reply)
+            self._owned.last_seen[place.host] = now
+            if reply.grant is None and reply.denial is None:
+                place.wait.queued_at = now
+        self._accept_answer(place, reply)
+
     async def _on_answer(
         self,
         sender: ids.HostId,
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -112,6 +112,7 @@
 
     :cvar version_gone: no server of the version that began the stream may get
         requests.
+    :cvar no_answer: no leader answered in time; made by the owner itself.
     """
 
     shed = 'shed'
@@ -125,6 +126,7 @@
     version_gone = 'version_gone'
     not_leader = 'not_leader'
     withdrawn = 'withdrawn'
+    no_answer = 'no_answer'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/scheduling/geraniumweir/scheduling/spill.py
+++ b/libs/scheduling/geraniumweir/scheduling/spill.py
@@ -18,6 +18,7 @@
         requests.DenialReason.queue_full,
         requests.DenialReason.no_server,
         requests.DenialReason.not_leader,
+        requests.DenialReason.no_answer,
     ),
 )
 
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_led.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_led.py
@@ -6,6 +6,7 @@
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.scheduling import (
     answer_delivery,
+    ask_limits,
     channel,
     led,
     owned,
@@ -207,8 +208,9 @@
             return ttypes.AskReply()
 
         leader.handle(ttypes.Ask, queue)
+        wait = ask_limits.begin(_slot_request(), 0)
         asked = asyncio.create_task(
-            asker.request_at(_slot_request(), _LEADER, home=True)
+            asker.request_at(_slot_request(), _LEADER, wait, home=True)
         )
         await asyncio.sleep(0.1)
 
