--- a/libs/scheduling/geraniumweir/scheduling/ask_limits.py
+++ b/libs/scheduling/geraniumweir/scheduling/ask_limits.py
@@ -85,11 +85,20 @@
         until now, and ``no_answer`` otherwise.
         """
         is_queued = now - self.queued_at < _CONFIRMED_SECONDS
-        reason = requests.DenialReason.no_answer
-        retry_ms = math.ceil(self._retry_seconds(now) * _MS)
         if is_queued:
-            reason, retry_ms = requests.DenialReason.too_late, 0
-        return requests.Denial(slot_request.request_id, reason, retry_ms)
+            too_late = requests.DenialReason.too_late
+            return requests.Denial(slot_request.request_id, too_late)
+        return self.no_answer(slot_request, now)
+
+    def no_answer(
+        self, slot_request: requests.SlotRequest, now: float
+    ) -> requests.Denial:
+        """Return the denial of a request that no leader answered."""
+        return requests.Denial(
+            slot_request.request_id,
+            requests.DenialReason.no_answer,
+            math.ceil(self._retry_seconds(now) * _MS),
+        )
 
     def _retry_seconds(self, now: float) -> float:
         """Return the seconds until another coordinator is available.
--- a/libs/scheduling/geraniumweir/scheduling/broker.py
+++ b/libs/scheduling/geraniumweir/scheduling/broker.py
@@ -202,9 +202,9 @@
                     slot_request, wait.denial_at(slot_request, now)
                 )
             if now >= give_up_at:
-                no_server = requests.DenialReason.no_server
-                denial = requests.Denial(slot_request.request_id, no_server)
-                return _HomeAnswer(slot_request, denial)
+                return _HomeAnswer(
+                    slot_request, wait.no_answer(slot_request, now)
+                )
             await asyncio.sleep(_RETRY_PAUSE_SECONDS)
         return _HomeAnswer(slot_request, _withdrawn(slot_request.request_id))
 
--- a/libs/scheduling/geraniumweir/scheduling/led.py
+++ b/libs/scheduling/geraniumweir/scheduling/led.py
@@ -222,6 +222,10 @@
         return self.entries.get(entry.slot_request.request_id) is entry
 
     async def _decide(self, entry: Entry) -> None:
+        if not self.has(entry):
+            # Withdrawn in the same iteration of the loop, as after a stall. A
+            # grant made now would never be released.
+            return
         answer = await self._admitted(entry)
         if self.has(entry):
             entry.answer = answer
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_led.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_led.py
@@ -191,6 +191,20 @@
     virtual.run(scenario())
 
 
+def test_request_withdrawn_before_its_decision_gets_no_grant() -> None:
+    """After a stall both messages are handled at once; the grant was lost."""
+
+    async def scenario() -> None:
+        fixture = _Fixture()
+        assert fixture.found.join(_slot_request(), 1) is not None
+        fixture.found.withdraw(_REQUEST, 1)
+        await asyncio.sleep(0.1)
+        assert not fixture.decisions.asked
+        assert not fixture.found.entries
+
+    virtual.run(scenario())
+
+
 def test_only_the_current_place_takes_a_grant() -> None:
     """Grants of former leaders and attempts and repeats are not used."""
 
