--- a/libs/scheduling/geraniumweir/scheduling/tests/test_awaited_leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_awaited_leader.py
@@ -152,3 +152,17 @@
         bed.broker.close()
 
     virtual.run(work())
+
+
+def test_request_does_not_wait_for_an_election_beyond_its_limit() -> None:
+    """It was requested again until its deadline, which its caller misses."""
+
+    async def work() -> None:
+        bed = _Bed(_REASONS.over_quota)
+        answer = await bed.request_slot()
+        assert isinstance(answer, requests.Denial)
+        assert answer.reason is _REASONS.no_answer
+        assert asyncio.get_running_loop().time() < 6
+        bed.broker.close()
+
+    virtual.run(work())
