--- a/libs/scheduling/geraniumweir/scheduling/tests/test_led.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_led.py
@@ -6,6 +6,7 @@
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.scheduling import (
     answer_delivery,
+    ask_limits,
     channel,
     led,
     owned,
@@ -190,6 +191,20 @@
     virtual.run(scenario())
 
 
+def test_request_withdrawn_before_its_decision_gets_no_grant() -> None:
+    """After a stall both messages are handled at once; the grant was lost."""
+
+    async def scenario() -> None:
+        fixture = _Fixture()
+        assert fixture.found.join(_slot_request(), 1) is not None
+        fixture.found.withdraw(_REQUEST, 1)
+        await asyncio.sleep(0.1)
+        assert not fixture.decisions.asked
+        assert not fixture.found.entries
+
+    virtual.run(scenario())
+
+
 def test_only_the_current_place_takes_a_grant() -> None:
     """Grants of former leaders and attempts and repeats are not used."""
 
@@ -207,8 +222,9 @@
             return ttypes.AskReply()
 
         leader.handle(ttypes.Ask, queue)
+        wait = ask_limits.begin(_slot_request(), 0)
         asked = asyncio.create_task(
-            asker.request_at(_slot_request(), _LEADER, home=True)
+            asker.request_at(_slot_request(), _LEADER, wait, home=True)
         )
         await asyncio.sleep(0.1)
 
