On-time order: requests without a place in the plan are refused as early as late ones

Cause: requests that the plan has no place for waited until their targets had passed, before they were refused.

Change: they are refused by the same prediction as late ones, at once in lasting overload; those that stay go before late ones.

Result: ontime tests pass; test_request_above_share_is_rejected_first failed before this change and passes.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -207,16 +207,15 @@
         on_time.sort(
             key=_shortest_first if pace.is_overloaded else _by_importance
         )
-        # Those without a place in the plan that are not late yet: a server may
-        # have a slot that suits no request before them.
-        displaced = [turn for turn in missed if turn.latest_start >= now]
-        on_time += sorted(displaced, key=_shortest_first)
-        missed = [turn for turn in missed if turn.latest_start < now]
     late = sorted(
         (_late(turn, lead_times) for turn in missed),
         key=_by_importance,
     )
-    return _append_late(on_time, late, now, pace)
+    found = _append_late(on_time, late, now, pace)
+    if not pace.is_crowded:
+        return found
+    left = _displaced_first(found.turns[len(on_time) :], missed, now)
+    return Plan(on_time + left, found.hopeless)
 
 
 def _append_late(
@@ -239,6 +238,31 @@
     return Plan(turns, hopeless)
 
 
+def _displaced_first(
+    turns: list[Turn], missed: typing.Iterable[Turn], now: float
+) -> list[Turn]:
+    """Put requests that can still be in time before those that are late.
+
+    The plan has no place for them, but a server may have a slot that suits no
+    request of the plan.
+
+    :param turns: turns that the plan has no place for.
+    :param missed: the same and others, before they counted as late.
+    """
+    displaced = {
+        turn.waiting.sequence: turn
+        for turn in missed
+        if turn.latest_start >= now
+    }
+    in_time = [
+        displaced[turn.waiting.sequence]
+        for turn in turns
+        if turn.waiting.sequence in displaced
+    ]
+    late = [turn for turn in turns if turn.waiting.sequence not in displaced]
+    return sorted(in_time, key=_shortest_first) + late
+
+
 def _candidate(
     waiting: records.Waiting, lead_time_seconds: float, priorities: Priorities
 ) -> Turn:
