Fair queueing: tests of the log entry and the metric

Cause: nothing guarded what an operator sees.

Measured: test_fair_shares.py and test_pool_coordination.py pass.

--- a/libs/control/geraniumweir/control/tests/test_pool_coordination.py
+++ b/libs/control/geraniumweir/control/tests/test_pool_coordination.py
@@ -2,19 +2,23 @@
 
 import asyncio
 import dataclasses
+import types
 import typing
 
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.control import (
     enrolments,
+    host,
     pool_coordination,
     pool_servers,
     usage_codec,
 )
+from geraniumweir.observe import metricnames, metrics
 from geraniumweir.routing import finding, tables
 from geraniumweir.scheduling import (
     channel,
     recent_usage,
+    remote,
     requests,
     retrybudget,
     views,
@@ -236,6 +240,18 @@
     return limited
 
 
+def _check_metric(service: remote.LeaderService) -> None:
+    """Check that a control host counts the one limited customer."""
+    meter = metrics.Metrics()
+    control_host = types.SimpleNamespace(_service=service)
+    meter.gauge(
+        metricnames.CUSTOMERS_ABOVE_SHARE,
+        lambda: host.ControlHost.customers_above_share(control_host),
+    )
+    expected = 'geraniumweir_customers_above_share{pool="pool"} 1.0'
+    assert expected in meter.exposition()
+
+
 def test_pool_leaders_use_the_weights_of_the_document_in_force() -> None:
     """Also those of a document that comes after the leader began."""
     weightless = tables.Customer(
@@ -259,6 +275,7 @@
         indexes.append(finding.Index(after))
         limited = await _limited_customers(pool_leader, weightless.name)
         assert limited == [weightless.name]
+        _check_metric(service)
         service.close()
 
     virtual.run(work())
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_fair_shares.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_fair_shares.py
@@ -10,8 +10,8 @@
 import typing
 
 import pytest
-from geraniumweir.common import ids, virtual
-from geraniumweir.scheduling import requests
+from geraniumweir.common import eventlog, ids, virtual
+from geraniumweir.scheduling import logevents, requests
 from geraniumweir.scheduling.ontime import (
     classes,
     fair_shares,
@@ -224,6 +224,24 @@
     assert _others(heavy) >= 0.95 * _others(usual)
 
 
+def test_log_names_few_customers_above_their_shares(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An operator sees whom the pool limits, and one line stays readable."""
+    logged: list[list[str]] = []
+
+    def emit(event: object, **fields: typing.Any) -> None:
+        if event is logevents.POOL_BUSY:
+            logged.append(fields['above_share'])
+
+    monkeypatch.setattr(eventlog, 'emit', emit)
+    rates = {f'c{number}': 0.15 * _CAPACITY for number in range(12)}
+    weights = {name: int(name in {'c0', 'c1'}) for name in rates}
+    _Play(rates, weights, last=4).run()
+    assert len(logged[-1]) == 8
+    assert not {'c0', 'c1'} & set(logged[-1])
+
+
 _CLASS = classes.Class(ids.Tier.normal, 1)
 _HEAVY = ids.CustomerName('heavy')
 _LIGHT = ids.CustomerName('light')
