--- a/libs/control/geraniumweir/control/tests/test_pool_coordination.py
+++ b/libs/control/geraniumweir/control/tests/test_pool_coordination.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import dataclasses
+import types
 import typing
 
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.control import (
     enrolments,
+    host,
     pool_coordination,
     pool_servers,
     usage_codec,
@@ -15,6 +17,7 @@
 from geraniumweir.scheduling import (
     channel,
     recent_usage,
+    remote,
     requests,
     retrybudget,
     views,
@@ -236,6 +239,15 @@
     return limited
 
 
+def _customers_above_share(
+    service: remote.LeaderService,
+) -> dict[tuple[str, ...], float]:
+    """Return what the metric of a control host with this service counts."""
+    return host.ControlHost.customers_above_share(
+        types.SimpleNamespace(_service=service)
+    )
+
+
 def test_pool_leaders_use_the_weights_of_the_document_in_force() -> None:
     """Also those of a document that comes after the leader began."""
     weightless = tables.Customer(
@@ -259,6 +271,7 @@
         indexes.append(finding.Index(after))
         limited = await _limited_customers(pool_leader, weightless.name)
         assert limited == [weightless.name]
+        assert _customers_above_share(service) == {(_POOL,): 1}
         service.close()
 
     virtual.run(work())
