Entry hosts: responses are read ahead while callers are slow

Cause: each chunk waited for the caller's socket, so a slow caller's pace became the server's, and a server cuts off a response that stays unread.

Change: gateway.response_buffer writes without waiting; what a caller has not taken stays in its transport's write buffer, within the bounds of held_bytes. The slot is released when the server's response is complete; the handler waits until the caller has it. Plain responses are counted while they are read. Events 177 and 178, metrics geraniumweir_held_bytes and geraniumweir_reading_paused_total.

--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -207,7 +207,7 @@
         self.on_head(head)
         if head.status == _OK and head.streams:
             return await self._forward_stream(answer, head, started)
-        body = await _read_body_bytes(answer)
+        body = await self._read_body(answer)
         outcome = _classify(outcomes.CompleteResponse(head, body))
         # A rejection or a failure isn't the begin of what was asked for.
         if isinstance(outcome, outcomes.CompleteResponse):
@@ -246,6 +246,18 @@
             await self.response_writer.begin(head)
         await self.response_writer.write(complete)
 
+    async def _read_body(self, answer: calls.Answer) -> bytes:
+        """Read a response that is sent only when it is complete.
+
+        It is counted as held but never waits for room: its caller can take
+        nothing of it until it is complete.
+        """
+        chunks = []
+        async for chunk in answer.chunks():
+            chunks.append(chunk)
+            self.response_writer.buffer.count_read(len(chunk))
+        return b''.join(chunks)
+
     def _record_first(self, started: float) -> None:
         if self.first is None:
             self.first = response_writer.now() - started
@@ -256,11 +268,6 @@
                 )
 
 
-async def _read_body_bytes(answer: calls.Answer) -> bytes:
-    chunks = [chunk async for chunk in answer.chunks()]
-    return b''.join(chunks)
-
-
 def _classify(complete: outcomes.CompleteResponse) -> outcomes.Outcome:
     head = complete.head
     if head.not_run:
--- a/libs/gateway/geraniumweir/gateway/context.py
+++ b/libs/gateway/geraniumweir/gateway/context.py
@@ -9,6 +9,7 @@
     codec,
     preemption,
     relay_client,
+    response_buffer,
     response_notices,
 )
 from geraniumweir.observe import metrics
@@ -49,6 +50,7 @@
     check: GrantCheck
     meter: metrics.Metrics
     streams: StreamDirectory
+    buffers: response_buffer.ResponseBuffers
     running: preemption.RunningAttempts = dataclasses.field(
         default_factory=preemption.RunningAttempts,
     )
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -71,13 +71,19 @@
         """
         try:
             async with asyncio.timeout_at(self._admitted.deadline):
-                return await self._serve_until_answered()
+                resp = await self._serve_until_answered()
+                if self._stream.head_sent:
+                    # The server's slot is free already.
+                    await self._writer.end_stream()
+                return resp
         except TimeoutError:
             return self._handle_timeout()
 
     def _handle_timeout(self) -> web.StreamResponse:
         if self._stream.head_sent:
-            return self._abort_stream('its time is over')
+            if not self._writer.aborted:
+                self._abort_stream('its time is over')
+            return self._writer.abort()
         if self._state.failure is not None:
             return self._writer.complete(self._state.failure)
         if self._state.sent or self._state.runs:
@@ -88,7 +94,7 @@
         self._record.log(
             logevents.RESPONSE_ABORTED, response_writer.now(), reason=reason
         )
-        return self._writer.abort()
+        return self._writer.break_off()
 
     async def _serve_until_answered(self) -> web.StreamResponse:
         while True:
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -25,6 +25,7 @@
     codec,
     context,
     grant_check,
+    held_bytes,
     listening,
     logevents,
     overload,
@@ -32,6 +33,7 @@
     readiness,
     relay_client,
     relay_server,
+    response_buffer,
     response_notices,
     server_paths,
     serving,
@@ -86,6 +88,7 @@
     :ivar relay: address at which other entry hosts send requests for backend
         servers that they don't reach, None to dispatch for no others.
     :ivar relay_of: returns that address of another entry host.
+    :ivar memory_bytes: memory that the process may use, None if unknown.
     :ivar callers_socket: socket that listens at ``callers`` already, None
         without one.
     """
@@ -100,6 +103,7 @@
     quota_seconds: float
     tolerance: quotas.Tolerance
     grace_seconds: float
+    memory_bytes: int | None = None
     callers_socket: socket.socket | None = None
     relay: ids.Address | None = None
     relay_of: typing.Callable[[ids.HostId], ids.Address | None] = _no_address
@@ -197,6 +201,11 @@
         self._codec = caller_codec
         self._meter = meter
         meter.gauge(metricnames.LIMITED_SERVERS, self._limited_servers)
+        self._buffers = response_buffer.ResponseBuffers(
+            meter,
+            held_bytes.HeldBytes(held_bytes.bound_of(cfg.memory_bytes)),
+        )
+        meter.gauge(metricnames.HELD_BYTES, self._buffers.held)
         self._readiness = readiness.Readiness(self.document_state)
         self._caller_server: serving.CallerServer | None = None
 
@@ -280,6 +289,7 @@
             ),
             self._meter,
             self._streams,
+            self._buffers,
         )
 
     async def _serve_others(
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -93,6 +93,18 @@
     'this host refuses new connections: {connections} open, its events wait for'
     ' {delay_ms} ms',
 )
+READING_PAUSED: typing.Final = _Event(
+    177,
+    _Level.info,
+    'response to request {request} is not read ahead: {held} bytes wait for its'
+    ' caller, bound of the {bound}',
+)
+CALLER_STALLED: typing.Final = _Event(
+    178,
+    _Level.info,
+    'caller of request {request} read nothing for {seconds} s, its connection'
+    ' is closed: {held} bytes discarded',
+)
 CONNECTIONS_ACCEPTED: typing.Final = _Event(
     175,
     _Level.notice,
--- a/libs/gateway/geraniumweir/gateway/response_writer.py
+++ b/libs/gateway/geraniumweir/gateway/response_writer.py
@@ -1,10 +1,14 @@
 """Writes the response to one request to its caller."""
 
 import asyncio
-import typing
 
 from aiohttp import web
-from geraniumweir.gateway import codec, outcomes
+from geraniumweir.gateway import (
+    codec,
+    outcomes,
+    request_record,
+    response_buffer,
+)
 
 
 class ResponseWriter:
@@ -14,7 +18,13 @@
     :ivar aborted: whether the connection was closed before its end.
     """
 
-    def __init__(self, req: web.BaseRequest, close_connection: bool) -> None:
+    def __init__(
+        self,
+        req: web.BaseRequest,
+        close_connection: bool,
+        buffers: response_buffer.ResponseBuffers,
+        record: request_record.RequestRecord,
+    ) -> None:
         """Initialize without a response.
 
         :param close_connection: whether to close it after this response.
@@ -23,6 +33,16 @@
         self.aborted = False
         self._req = req
         self._close_connection = close_connection
+        self._buffers = buffers
+        self._record = record
+        self._buffer: response_buffer.ResponseBuffer | None = None
+
+    @property
+    def buffer(self) -> response_buffer.ResponseBuffer:
+        """The buffer of the response, from its first bytes on."""
+        if self._buffer is None:
+            self._buffer = self._buffers.open(self._req, self._record)
+        return self._buffer
 
     def request_close(self) -> None:
         """Close the connection after this response."""
@@ -56,26 +76,55 @@
         await resp.prepare(self._req)
 
     async def write(self, chunk: bytes) -> None:
-        """Send complete events.
+        """Send complete events, or hold them until the caller reads.
+
+        :raises ConnectionError: if the caller closed its connection.
+        """
+        await self.buffer.write(chunk)
+
+    async def end_stream(self) -> None:
+        """Wait until the caller has all events; end a complete stream.
 
         :raises ConnectionError: if the caller closed its connection.
         """
-        resp = typing.cast(web.StreamResponse, self.resp)
-        await resp.write(chunk)
+        if not self.aborted:
+            self._req.writer.set_eof()
+        await self.buffer.deliver()
+        if self.aborted:
+            self.buffer.close_connection()
+
+    async def send(self, resp: web.StreamResponse) -> None:
+        """Send a complete response until the caller has it.
 
-    async def end(self) -> None:
-        """End a complete stream."""
-        resp = typing.cast(web.StreamResponse, self.resp)
+        A stream was sent before.
+
+        :raises ConnectionError: if the caller closed its connection.
+        """
+        if self.aborted or not isinstance(resp, web.Response):
+            return
+        await resp.prepare(self._req)
+        self.buffer.watch()
         await resp.write_eof()
+        await self.buffer.deliver()
 
-    def abort(self) -> web.StreamResponse:
-        """Close the connection, so that the response can't look complete."""
+    def break_off(self) -> web.StreamResponse:
+        """Let the connection close after the events that the caller gets.
+
+        The response can't look complete, as its end is missing.
+        """
         self.aborted = True
-        transport = self._req.transport
-        if transport is not None:
-            transport.close()
         return self.resp or web.Response(status=_BAD_GATEWAY)
 
+    def abort(self) -> web.StreamResponse:
+        """Close the connection at once; held events are discarded."""
+        self.buffer.close_connection()
+        return self.break_off()
+
+    def close(self) -> None:
+        """End the accounting of the response."""
+        if self._buffer is not None:
+            self._buffer.close()
+
 
 _BAD_GATEWAY = 502
 
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -111,10 +111,10 @@
         """Return the response to one request."""
         self.traffic.open += 1
         self._busy_connections.add(req.protocol)
+        record = request_record.RequestRecord('', response_writer.now())
         caller_writer = response_writer.ResponseWriter(
-            req, self.traffic.closing
+            req, self.traffic.closing, self._shared.buffers, record
         )
-        record = request_record.RequestRecord('', response_writer.now())
         status = 0
         try:
             resp = await self._respond(req, caller_writer, record)
@@ -124,6 +124,7 @@
             record.log(logevents.CALLER_GONE, response_writer.now())
             raise
         finally:
+            caller_writer.close()
             self.traffic.open -= 1
             self._busy_connections.discard(req.protocol)
             self._count(record, status)
@@ -172,6 +173,7 @@
             return self._refuse(caller_writer, record, refused.refusal)
         if self.traffic.closing:
             resp.force_close()
+        await caller_writer.send(resp)
         if not caller_writer.aborted:
             record.log(
                 logevents.ENDED, response_writer.now(), status=resp.status
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -18,7 +18,9 @@
     codec,
     context,
     grant_check,
+    held_bytes,
     relay_client,
+    response_buffer,
     response_notices,
     server_paths,
     serving,
@@ -248,11 +250,13 @@
 async def running(
     *servers: Server,
     probe: server_paths.Probe = calls.probe,
+    accounts: held_bytes.HeldBytes | None = None,
     **changes: typing.Any,
 ) -> typing.AsyncIterator[Testbed]:
     """Run servers and an entry host with one route to them.
 
     :param probe: returns whether a connection to a server can be made.
+    :param accounts: bounds of the held bytes.
     :param changes: fields of that route that differ from the default.
     """
     async with contextlib.AsyncExitStack() as stack:
@@ -292,6 +296,9 @@
             ),
             metrics.Metrics(),
             Streams(clock),
+            response_buffer.ResponseBuffers(
+                metrics.Metrics(), accounts or held_bytes.HeldBytes()
+            ),
         )
         known = admission.DocumentState(finding.Index(_document(changes)), True)
         caller_server = serving.CallerServer(
--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -142,6 +142,17 @@
     'Backend servers of a pool that name how many requests they take.',
     ('pool',),
 )
+HELD_BYTES: typing.Final = Metric(
+    'geraniumweir_held_bytes',
+    Kind.gauge,
+    'Bytes of responses that callers have not taken yet.',
+)
+READING_PAUSED: typing.Final = Metric(
+    'geraniumweir_reading_paused_total',
+    Kind.counter,
+    'Responses no longer read ahead, by the bound: response or host.',
+    ('bound',),
+)
 RESUMED_STREAMS: typing.Final = Metric(
     'geraniumweir_resumed_streams_total',
     Kind.counter,
