--- a/libs/gateway/geraniumweir/gateway/response_buffer.py
+++ b/libs/gateway/geraniumweir/gateway/response_buffer.py
@@ -32,6 +32,7 @@
     """Buffers of all responses of a host.
 
     :ivar accounts: number of held bytes, as of the last check of each response.
+    :ivar meter: counts the responses that are no longer read ahead.
     """
 
     def __init__(
@@ -41,7 +42,7 @@
     ) -> None:
         """Initialize without responses."""
         self.accounts = accounts
-        self._meter = meter
+        self.meter = meter
         self._holding: dict['ResponseBuffer', None] = {}
         self._waiting: dict['ResponseBuffer', None] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -97,7 +98,7 @@
 
     def count_paused(self, bound: held_bytes.Bound) -> None:
         """Count a response that is no longer read ahead."""
-        self._meter.count(metricnames.READING_PAUSED, bound.value)
+        self.meter.count(metricnames.READING_PAUSED, bound.value)
 
     def _measure(self) -> None:
         if self._holding:
--- a/libs/gateway/geraniumweir/gateway/tests/test_relaying.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_relaying.py
@@ -29,7 +29,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _relay(
+async def run_relay(
     running: testbed.Testbed,
     servers: list[testbed.Server],
 ) -> typing.AsyncIterator[relay_server.RelayServer]:
@@ -72,7 +72,7 @@
     )
 
 
-def _cut(running: testbed.Testbed) -> None:
+def cut(running: testbed.Testbed) -> None:
     """Let the host take all its paths to servers for broken."""
     for port in (1, 2):
         running.paths.record_failure(ids.Address(_LOCAL, port))
@@ -93,8 +93,8 @@
     async def scenario() -> tuple[int, bytes, list[requests.Outcome]]:
         servers = [testbed.Server(behavior) for behavior in behaviors]
         async with testbed.running(*servers, **changes) as running:
-            _cut(running)
-            async with _relay(running, servers):
+            cut(running)
+            async with run_relay(running, servers):
                 status, body = await _get(running)
             return status, body, running.scheduler.released
 
@@ -167,11 +167,11 @@
     async def scenario() -> tuple[int, int]:
         server = testbed.Server(testbed.answers(b'good'))
         async with testbed.running(server, **_ONCE) as running:
-            _cut(running)
+            cut(running)
             async with (
-                _relay(running, [server]) as draining,
-                _relay(running, []),
-                _relay(running, [server]),
+                run_relay(running, [server]) as draining,
+                run_relay(running, []),
+                run_relay(running, [server]),
             ):
                 draining.closing = True
                 status, _ = await _get(running)
@@ -186,7 +186,7 @@
     async def scenario() -> tuple[int, set[requests.Outcome]]:
         servers = [testbed.Server(testbed.answers(b'good')) for _ in range(3)]
         async with testbed.running(*servers) as running:
-            _cut(running)
+            cut(running)
             running.relays.append(ids.Address(_LOCAL, testbed.free_port()))
             status, _ = await _get(running)
             return status, set(running.scheduler.released)
@@ -203,7 +203,7 @@
         good = testbed.Server(testbed.answers(b'good'))
         async with testbed.running(gone, good) as running:
             gone.address = ids.Address(_LOCAL, testbed.free_port())
-            async with _relay(running, [gone, good]):
+            async with run_relay(running, [gone, good]):
                 assert await _get(running) == (200, b'good')
             return running.scheduler.released
 
@@ -218,9 +218,9 @@
         server = testbed.Server(testbed.answers(b'good'))
         async with (
             testbed.running(server, **_ONCE) as running,
-            _relay(running, [server]) as relay,
+            run_relay(running, [server]) as relay,
         ):
-            _cut(running)
+            cut(running)
             relay._deps.paths.record_failure(server.address)
             return await _get(running)
 
@@ -237,10 +237,10 @@
         server = testbed.Server(never_answers)
         async with (
             testbed.running(server, **_ONCE) as running,
-            _relay(running, [server]) as relay,
+            run_relay(running, [server]) as relay,
             asyncio.timeout(5),
         ):
-            _cut(running)
+            cut(running)
             with pytest.raises(TimeoutError):
                 await asyncio.wait_for(_get(running), 0.3)
             await server.disconnected.wait()
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import socket
 import typing
 
 import aiohttp
@@ -251,12 +252,15 @@
     *servers: Server,
     probe: server_paths.Probe = calls.probe,
     accounts: held_bytes.HeldBytes | None = None,
+    send_buffer: int | None = None,
     **changes: typing.Any,
 ) -> typing.AsyncIterator[Testbed]:
     """Run servers and an entry host with one route to them.
 
     :param probe: returns whether a connection to a server can be made.
     :param accounts: bounds of the held bytes.
+    :param send_buffer: bytes that the kernel keeps for a caller, None for its
+        own choice, which is megabytes on loopback.
     :param changes: fields of that route that differ from the default.
     """
     async with contextlib.AsyncExitStack() as stack:
@@ -307,9 +311,10 @@
             shared,
             metrics.Metrics(),
         )
-        address = ids.Address(_LOCAL, free_port())
+        sock = _caller_socket(send_buffer)
+        address = ids.Address(*sock.getsockname())
         runner = serving_at.make_runner(caller_server.server())
-        await serving_at.listen(stack, runner, address)
+        await serving_at.listen(stack, runner, address, sock)
         client = await stack.enter_async_context(aiohttp.ClientSession())
         yield Testbed(
             f'http://{address}/a/b',
@@ -324,10 +329,17 @@
         )
 
 
+def _caller_socket(send_buffer: int | None) -> socket.socket:
+    """Return a bound socket; accepted ones inherit the size of its buffer."""
+    sock = socket.socket()
+    if send_buffer is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer)
+    sock.bind((_LOCAL, 0))
+    return sock
+
+
 def free_port() -> int:
     """Return a port that nothing listens at."""
-    import socket  # noqa: WPS433
-
     with socket.socket() as sock:
         sock.bind((_LOCAL, 0))
         return int(sock.getsockname()[1])
