--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_fair_shares.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_fair_shares.py
@@ -168,14 +168,10 @@
 def test_heavy_customer_does_not_harm_others_of_plain_servers(
     seed: int,
 ) -> None:
-    """In the order of plain requests, newest first, some harm is left.
-
-    The others have 0.95 to 0.99 of what they usually have, 0.81 to 0.87 without
-    shares: what the heavy customer may have competes with their bursts.
-    """
+    """In the order of plain requests, newest first, the same holds."""
     usual = _Play(_USUAL, _equal(_USUAL), seed, streams=False).run()
     heavy = _Play(_ONE_HEAVY, _equal(_USUAL), seed, streams=False).run()
-    assert _others(heavy) >= 0.92 * _others(usual)
+    assert _others(heavy) >= 0.95 * _others(usual)
 
 
 @pytest.mark.parametrize('seed', _SEEDS)
