--- a/libs/control/geraniumweir/control/tests/test_starts.py
+++ b/libs/control/geraniumweir/control/tests/test_starts.py
@@ -76,6 +76,50 @@
     assert table.get(_SERVER).state is enrolments.State.ready
 
 
+def test_later_incarnation_counts_its_sequence_from_the_start() -> None:
+    """Its reports would be taken for old ones, and it would fall silent."""
+    table = _table()
+    table.report(_report(1, 1000), 0)
+    table.report(_report(2, 1), 1)
+    table.report(_report(2, 2), 1 + _LEASE)
+    assert not table.expire(2 + _LEASE)
+    assert table.get(_SERVER) == _report(2, 2)
+
+
+def test_late_leave_told_to_an_entry_host_changes_nothing() -> None:
+    """An answer of the earlier incarnation was on its way meanwhile."""
+    table = _table()
+    table.report(_report(2, 1), 0)
+    assert table.mark_leaving(_SERVER, 1, 1) is None
+    assert table.get(_SERVER) == _report(2, 1)
+
+
+def test_silence_of_an_earlier_incarnation_is_not_taken_over() -> None:
+    """Another control host marks it after the next one reported here."""
+    table = _table()
+    table.report(_report(2, 1), 0)
+    silent = _report(1, 50, silent=True)
+    assert not table.merge(silent, 1, _HOSTS[1])
+    assert table.get(_SERVER) == _report(2, 1)
+
+
+def test_later_incarnation_is_merged_over_a_silent_one() -> None:
+    """It reported to another control host, with a lower sequence."""
+    table = _table()
+    table.report(_report(1, 1000), 0)
+    assert table.expire(_LEASE + 1)
+    assert table.merge(_report(2, 1), _LEASE + 2, _HOSTS[1])
+    assert table.get(_SERVER) == _report(2, 1)
+
+
+def test_delayed_report_does_not_keep_a_server_from_falling_silent() -> None:
+    """Reports of the earlier incarnation say nothing about the later one."""
+    table = _table()
+    table.report(_report(2, 1), 0)
+    table.report(_report(1, 99), _LEASE)
+    assert [found.born for found in table.expire(_LEASE + 1)] == [2]
+
+
 def test_incarnation_is_unchanged_by_encoding() -> None:
     """The file of a control host has the same form."""
     enrolment = _report(1_800_000_000_000, 3)
