--- a/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
@@ -58,7 +58,9 @@
     server.prefilling.pop(running.slot_request.request_id, None)
     server.last_first_token_at = leader.now()
     server.last_success_at = server.last_first_token_at
-    leader.estimates.add_first_token(server.speed, running.read_tokens, seconds)
+    leader.estimates.add_first_token(
+        server.speed, running.read_tokens, seconds, server.last_first_token_at
+    )
     server.condition.record_success()
 
 
@@ -164,6 +166,7 @@
         server.speed,
         release.output_tokens,
         release.seconds - first,
+        server.mean_running(running, leader.now()),
     )
     # A pause caused by the path must not count as one of the engine: it would
     # keep long prompts off the server.
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -9,7 +9,12 @@
 from geraniumweir.membership import servers
 from geraniumweir.rollout import orders
 from geraniumweir.scheduling import notices, ratelimits, requests
-from geraniumweir.scheduling.ontime import conditions, occupancy, speeds
+from geraniumweir.scheduling.ontime import (
+    conditions,
+    occupancy,
+    occupancy_speed,
+    speeds,
+)
 
 
 # A first token is given up as lost when it takes longer than predicted by this
@@ -59,6 +64,8 @@
     :ivar predicted: predicted seconds from the grant to its first token.
     :ivar tokens: expected output tokens.
     :ivar first_token: seconds from the grant to its first token, None before.
+    :ivar counted_from: count of running requests when it was added to its
+        server.
     """
 
     slot_request: requests.SlotRequest
@@ -68,6 +75,9 @@
     predicted: float
     tokens: float
     first_token: float | None = None
+    counted_from: occupancy_speed.RunningCount = dataclasses.field(
+        default_factory=occupancy_speed.RunningCount
+    )
 
     @property
     def start(self) -> notices.ServerIncarnation:
@@ -90,6 +100,7 @@
     :ivar rejection_budget: limits the requests that it may reject; None where
         it sets no limit.
     :ivar slot_usage: for how long requests hold its slots.
+    :ivar running_count: how many requests ran, over time.
     """
 
     announcement: servers.Announcement
@@ -119,6 +130,9 @@
     slot_usage: occupancy.Occupancy = dataclasses.field(
         default_factory=occupancy.Occupancy,
     )
+    running_count: occupancy_speed.RunningCount = dataclasses.field(
+        default_factory=occupancy_speed.RunningCount
+    )
 
     @property
     def server_id(self) -> ids.ServerId:
@@ -153,7 +167,8 @@
     def add_running(self, running: Running, now: float) -> None:
         """Add a running request."""
         request_id = running.slot_request.request_id
-        self.slot_usage.advance(len(self.running), now)
+        self._count_running(now)
+        running.counted_from = dataclasses.replace(self.running_count)
         self.running[request_id] = running
         if running.first_token is None:
             self.prefilling[request_id] = running
@@ -170,7 +185,7 @@
         :param answered: whether the response was complete, so that it counts
             for the time that a slot is held.
         """
-        self.slot_usage.advance(len(self.running), now)
+        self._count_running(now)
         self.running.pop(request_id, None)
         self.prefilling.pop(request_id, None)
         if answered:
@@ -181,7 +196,8 @@
 
         That is running requests and their limit, requests without a first
         token, the lateness of the next first token, the tokens that running
-        requests keep and the capacity for them, and the rate limit.
+        requests keep and the capacity for them, how many times as long it
+        takes in a slow spell, and the rate limit.
         """
         max_running = self.condition.max_requests(self.slots, now)
         late = round(self.overdue_seconds(now), 2)
@@ -189,12 +205,15 @@
         if self.announcement.kv_tokens:
             capacity = self.announcement.kv_tokens
             memory = f' kv {round(self.kept_tokens())}/{capacity}'
+        slowness = self.speed.spell.factor(now)
+        spell = f' spell {round(slowness, 1)}' if slowness > 1 else ''
         limit = ''
         if self.throttle is not None:
             limit = f' limit {round(self.throttle.per_second, 2)}'
         return (
             f'{len(self.running)}/{max_running} '
-            f'prefilling {len(self.prefilling)} late {late}{memory}{limit}'
+            f'prefilling {len(self.prefilling)} late {late}'
+            f'{memory}{spell}{limit}'
         )
 
     def free_slots(self, now: float, stuck: int) -> int:
@@ -285,3 +304,17 @@
             one for one in self.prefilling.values() if one.granted_at > since
         ]
         return bool(sent) and all(one in stuck for one in sent)
+
+    def mean_running(self, running: Running, now: float) -> float:
+        """Return the mean number of requests that ran beside and with one."""
+        self._count_running(now)
+        since = running.counted_from
+        seconds = now - since.counted_at
+        if seconds <= 0:
+            return max(len(self.running), 1)
+        total = self.running_count.request_seconds - since.request_seconds
+        return max(total / seconds, 1)
+
+    def _count_running(self, now: float) -> None:
+        self.slot_usage.advance(len(self.running), now)
+        self.running_count.advance(len(self.running), now)
