--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -12,6 +12,7 @@
     continuations,
     distance,
     fleet,
+    open_servers,
     ordering,
     part_checks,
     placing,
@@ -233,7 +234,7 @@
     eligible = [server for server in leader.servers.values() if server.serves]
     first_index = leader.rng.randrange(len(eligible)) if eligible else 0
     nearby = distance.nearby(leader.by_domain, slot_request, leader.rng)
-    cycle.candidates = placing.open_offers(
+    cycle.candidates = open_servers.open_offers(
         eligible, first_index, cycle.estimates, nearby
     )
     rate_limited = sum(one.is_rate_limited(cycle.now) for one in eligible)
@@ -257,7 +258,7 @@
         return
     cycle.failed_in_row = 0
     _grant_and_count(leader, cycle, turn, placement)
-    placing.take_slot(cycle.candidates, placement.offer, cycle.estimates)
+    open_servers.take_slot(cycle.candidates, placement.offer, cycle.estimates)
 
 
 def _try_canary(
@@ -280,7 +281,7 @@
     if placement is None:
         return False
     _grant_and_count(leader, cycle, turn, placement)
-    placing.take_slot(cycle.canaries, placement.offer, cycle.estimates)
+    open_servers.take_slot(cycle.canaries, placement.offer, cycle.estimates)
     return True
 
 
@@ -298,7 +299,7 @@
         return
     slot_request = turn.waiting.slot_request
     offers = cycle.without_paused(
-        placing.open_offers(
+        open_servers.open_offers(
             continuations.servers(leader, slot_request.version),
             0,
             cycle.estimates,
@@ -311,7 +312,9 @@
         return
     _grant_and_count(leader, cycle, turn, placement)
     for listed in (cycle.candidates, cycle.canaries):
-        placing.take_slot_of(listed, placement.offer.server, cycle.estimates)
+        open_servers.take_slot_of(
+            listed, placement.offer.server, cycle.estimates
+        )
 
 
 def _grant_and_count(
--- a/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
@@ -12,7 +12,6 @@
 
 from geraniumweir.scheduling import requests
 from geraniumweir.scheduling.ontime import (
-    cooldowns,
     distance,
     paths,
     records,
@@ -36,13 +35,6 @@
 # Pauses between events must stay within this fraction of the longest one that
 # has full worth.
 _GAP_FRACTION = 0.85
-# Number of open servers of a large pool that are compared for a request. The
-# best of sixteen is on average within the best tenth of any number, and the
-# time of a cycle doesn't grow with the pool.
-_MAX_COMPARED = 16
-# Of these, so many may be chosen because they are in the failure domain of the
-# first request.
-_MAX_NEARBY_COMPARED = 8
 # Increase of a server's cost with the fraction of its responses that fail.
 _FAILURE_COST_FACTOR = 8.0
 # The same for the fraction of responses that the path to it delays: a delayed
@@ -174,50 +166,6 @@
     hold_seconds: float
 
 
-def open_offers(
-    servers: typing.Sequence[records.Server],
-    first_index: int,
-    estimates: Estimates,
-    nearby: typing.Sequence[records.Server] = (),
-) -> list[Offer]:
-    """List servers with a free slot, up to a maximum number.
-
-    :param first_index: index of the first server to look at. With another one
-        in each cycle, all servers of a large pool get their turn.
-    :param nearby: servers to look at first, of which up to half of the maximum
-        number are listed.
-    """
-    offers: list[Offer] = []
-    _add_offers(offers, nearby, _MAX_NEARBY_COMPARED, estimates)
-    listed = {offer.server.server_id for offer in offers}
-    others = (
-        server
-        for server in (*servers[first_index:], *servers[:first_index])
-        if server.server_id not in listed
-    )
-    _add_offers(offers, others, _MAX_COMPARED, estimates)
-    return offers
-
-
-def _add_offers(
-    offers: list[Offer],
-    servers: typing.Iterable[records.Server],
-    max_offers: int,
-    estimates: Estimates,
-) -> None:
-    """Add offers of servers with a free slot, up to a number in all."""
-    for server in servers:
-        stuck = server.stuck(estimates.now)
-        if server.hangs(stuck):
-            # After the cooldown one request probes whether it still hangs.
-            cooldowns.record_fault(server, cooldowns.Cause.hung, estimates.now)
-        free_slots = server.free_slots(estimates.now, len(stuck))
-        if free_slots > 0:
-            offers.append(make_offer(server, free_slots, estimates))
-        if len(offers) == max_offers:
-            break
-
-
 def make_offer(
     server: records.Server, free_slots: int, estimates: Estimates
 ) -> Offer:
@@ -241,29 +189,6 @@
     )
 
 
-def take_slot(
-    offers: list[Offer],
-    offer: Offer,
-    estimates: Estimates,
-) -> None:
-    """Take one slot of a candidate and update or remove its offer."""
-    offers.remove(offer)
-    if offer.free_slots > 1:
-        reduced = make_offer(offer.server, offer.free_slots - 1, estimates)
-        offers.append(reduced)
-
-
-def take_slot_of(
-    offers: list[Offer],
-    server: records.Server,
-    estimates: Estimates,
-) -> None:
-    """Take one slot of a server, if it is among the candidates."""
-    found = [offer for offer in offers if offer.server is server]
-    if found:
-        take_slot(offers, found[0], estimates)
-
-
 def choose_on_time(
     offers: typing.Iterable[Offer],
     waiting: records.Waiting,
