--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -25,7 +25,6 @@
     codec,
     context,
     grant_check,
-    held_bytes,
     listening,
     logevents,
     overload,
@@ -201,11 +200,7 @@
         self._codec = caller_codec
         self._meter = meter
         meter.gauge(metricnames.LIMITED_SERVERS, self._limited_servers)
-        self._buffers = response_buffer.ResponseBuffers(
-            meter,
-            held_bytes.HeldBytes(held_bytes.bound_of(cfg.memory_bytes)),
-        )
-        meter.gauge(metricnames.HELD_BYTES, self._buffers.held)
+        self._buffers = response_buffer.make_buffers(meter, cfg.memory_bytes)
         self._readiness = readiness.Readiness(self.document_state)
         self._caller_server: serving.CallerServer | None = None
 
--- a/libs/gateway/geraniumweir/gateway/response_buffer.py
+++ b/libs/gateway/geraniumweir/gateway/response_buffer.py
@@ -294,6 +294,19 @@
         )
 
 
+def make_buffers(
+    meter: metrics.Metrics, memory_bytes: int | None
+) -> ResponseBuffers:
+    """Return the buffers of a host, which its metrics show.
+
+    :param memory_bytes: memory of the host, None if it isn't known.
+    """
+    bound = held_bytes.bound_of(memory_bytes)
+    buffers = ResponseBuffers(meter, held_bytes.HeldBytes(bound))
+    meter.gauge(metricnames.HELD_BYTES, buffers.held)
+    return buffers
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
--- a/libs/gateway/geraniumweir/gateway/tests/test_response_buffer.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_response_buffer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 import types
 import typing
 
@@ -102,10 +103,13 @@
     """Callers of one host."""
 
     def __init__(
-        self, bound: int = _BOUND, response_bound: int = _RESPONSE_BOUND
+        self,
+        bound: int = _BOUND,
+        response_bound: int = _RESPONSE_BOUND,
+        buffers: response_buffer.ResponseBuffers | None = None,
     ) -> None:
         self.meter = metrics.Metrics()
-        self.buffers = response_buffer.ResponseBuffers(
+        self.buffers = buffers or response_buffer.ResponseBuffers(
             self.meter, held_bytes.HeldBytes(bound, response_bound)
         )
 
@@ -308,6 +312,54 @@
     virtual.run(scenario())
 
 
+def _acknowledged(transport: asyncio.Transport) -> int:
+    """Return how many of 8 MiB the peer has acknowledged."""
+    unsent = transport.get_write_buffer_size()
+    return 8192 * _KIB - unsent - response_buffer._unacknowledged(transport)
+
+
+def test_bytes_in_the_socket_count_until_the_caller_acknowledges_them() -> None:
+    """A slow caller would look stalled while the kernel's buffer is sent."""
+
+    async def scenario() -> None:
+        tcp = socket.create_server(('127.0.0.1', 0))
+        with tcp, socket.create_connection(tcp.getsockname()) as peer:
+            accepted, _ = tcp.accept()
+            loop = asyncio.get_running_loop()
+            transport, _ = await loop.create_connection(
+                asyncio.Protocol, sock=accepted
+            )
+            transport.write(bytes(8192 * _KIB))
+            await asyncio.sleep(0.1)
+            before = _acknowledged(transport)
+            assert before < 8192 * _KIB - transport.get_write_buffer_size()
+            peer.recv(1024 * _KIB)
+            await asyncio.sleep(0.1)
+            assert _acknowledged(transport) > before
+            transport.abort()
+
+    asyncio.run(scenario())
+
+
+def test_gauge_shows_the_bytes_held_by_a_host() -> None:
+    """Operators see by it whether the memory for slow callers is short."""
+
+    async def scenario() -> str:
+        meter = metrics.Metrics()
+        buffers = response_buffer.make_buffers(meter, 64 * _KIB * _KIB)
+        caller = _Host(buffers=buffers).add()
+        await caller.buffer.write(bytes(100))
+        return meter.exposition()
+
+    assert 'geraniumweir_held_bytes 100.0' in virtual.run(scenario())
+
+
+def test_bound_of_the_host_is_a_quarter_of_its_memory() -> None:
+    """A host of 200 MiB that held more could be killed."""
+    assert held_bytes.bound_of(200 * _KIB * _KIB) == 50 * _KIB * _KIB
+    assert held_bytes.bound_of(None) == 64 * _KIB * _KIB
+
+
 def test_connection_that_closes_keeps_no_bytes() -> None:
     """A transport that closes sends on for as long as its peer hangs."""
 
