--- a/libs/gateway/geraniumweir/gateway/relay_server.py
+++ b/libs/gateway/geraniumweir/gateway/relay_server.py
@@ -3,14 +3,9 @@
 A relay passes on what it gets, one hop only: a request that it can't send
 itself is declined. It reads a request completely before it connects to the
 server, and passes the response on as it comes, no faster than the owner reads
-<<<<<<< HEAD
-it; the owner reads ahead of a slow caller. When the owner closes the connection, the server's connection closes too; a
-response that breaks off breaks off for the owner as well.
-=======
 it; the owner reads ahead of a slow caller. When the owner closes the
 connection, the server's connection closes too; a response that breaks off
 breaks off for the owner as well.
->>>>>>> readers
 """
 
 import asyncio
