Coordinator: what a slot request costs grows less with the pool

Cause: each scheduling cycle listed all servers twice, and the pace was computed from all of them every 10 ms, whatever their number.

Change: the servers that serve, and those with a rate limit, are listed when servers are looked up; the pace is computed at most every 50 µs for each server.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fleet.py
@@ -95,9 +95,9 @@
     leader.max_memory_tokens = server_memory.max_tokens(
         server for server in leader.servers.values() if server.live
     )
-    leader.by_domain = distance.index(
-        server for server in leader.servers.values() if server.serves
-    )
+    leader.serving = [one for one in leader.servers.values() if one.serves]
+    leader.throttled = [one for one in leader.serving if one.throttle]
+    leader.by_domain = distance.index(leader.serving)
     leader.quickest = min(
         _reference_servers(leader),
         key=lambda server: leader.estimates.first_token_seconds(
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -241,13 +241,15 @@
 
     While there is room for all, hardly more than one request waits in a cycle.
     """
-    eligible = [server for server in leader.servers.values() if server.serves]
+    eligible = leader.serving
     first_index = leader.rng.randrange(len(eligible)) if eligible else 0
     nearby = distance.nearby(leader.by_domain, slot_request, leader.rng)
     cycle.candidates = open_servers.open_offers(
         eligible, first_index, cycle.estimates, nearby
     )
-    rate_limited = sum(one.is_rate_limited(cycle.now) for one in eligible)
+    rate_limited = sum(
+        one.is_rate_limited(cycle.now) for one in leader.throttled
+    )
     cycle.all_open = len(cycle.candidates) == len(eligible) - rate_limited
 
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -177,8 +177,9 @@
         """Record the crash of a server; its requests are suspected of it."""
         server = self._state.servers.pop(server_id, None)
         if server is not None:
-            # The index of servers by domain lists it until the next look-up.
+            # It is listed among those that serve until the next look-up.
             server.live = False
+            fleet.request_sync(self._state)
             lost = [
                 one.slot_request.fingerprint for one in server.running.values()
             ]
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -37,6 +37,8 @@
 # The pace is computed again after this time, not for each of hundreds of
 # requests.
 _PACE_SECONDS = 0.01
+# The same for each server: all of them are looked at, at some 5 µs each.
+_PACE_SECONDS_PER_SERVER = 5e-5
 # Above this load a queue of late requests hardly gets shorter.
 _HIGH_LOAD = 0.8
 # Retry times are spread over up to this fraction more.
@@ -71,8 +73,10 @@
         by the estimates of the last synchronization; None without servers.
     :ivar max_memory_tokens: capacity of the live server with the largest memory
         at the last synchronization, in tokens; infinite if unknown.
-    :ivar by_domain: servers that serve, by failure domain, at the last
+    :ivar serving: servers that may get any request, at the last
         synchronization.
+    :ivar throttled: those of them that have a rate limit.
+    :ivar by_domain: the same servers by failure domain.
     :ivar synced_at: when the servers were last looked up, in seconds.
     :ivar replaced_at: when another server took over the address of a server.
     :ivar output_lengths: mean output tokens by rule.
@@ -106,6 +110,8 @@
     )
     quickest: records.Server | None = None
     max_memory_tokens: float = float('inf')
+    serving: list[records.Server] = dataclasses.field(default_factory=list)
+    throttled: list[records.Server] = dataclasses.field(default_factory=list)
     by_domain: distance.Index = dataclasses.field(default_factory=dict)
     synced_at: float = float('-inf')
     waiting: dict[ids.RequestId, records.Waiting] = dataclasses.field(
@@ -165,7 +171,8 @@
 def pace(leader: OnTimeLeaderState) -> ordering.Pace:
     """Return the slot rate and the arrival rate of the pool."""
     now = leader.now()
-    if now - leader.paced_at >= _PACE_SECONDS:
+    delay = max(_PACE_SECONDS, len(leader.servers) * _PACE_SECONDS_PER_SERVER)
+    if now - leader.paced_at >= delay:
         leader.paced_at = now
         leader.interval = interval(leader)
     return ordering.Pace(leader.interval, leader.arrival_rate.rate(now))
