On-time leader: lengths are compared at one time; occupancy and spells are taken out

Decode time by occupancy and slow spells let a good version beside a broken server complete after 12.4 s of 12.

Change: predicted slot times are computed in each cycle from one estimate.

Result: tests of fakes.rollouts and of ontime pass, three of the first failed before.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -12,6 +12,7 @@
     continuations,
     distance,
     fleet,
+    observations,
     open_servers,
     ordering,
     part_checks,
@@ -189,6 +190,7 @@
             leader.shares.deficits(now),
             leader.length_bands.starved(now),
             leader.customer_shares.excess(now) if pace.is_crowded else {},
+            observations.hold_time(leader),
         ),
     )
     estimates = placing.Estimates(leader.estimates, leader.path_quality, now)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -252,15 +252,14 @@
             slot_request.fingerprint, now
         )
         tokens = observations.expected_tokens(self._state, slot_request)
-        work_seconds = observations.work_seconds(
-            self._state, slot_request, tokens
-        )
         band = lengths.Band.usual
         if not waited_seconds:
             request_class = classes.class_of(slot_request)
             self._state.shares.record_arrival(request_class, now)
             band = self._state.length_bands.record_arrival(
-                request_class, work_seconds, now
+                request_class,
+                observations.hold_time(self._state)(slot_request, tokens),
+                now,
             )
             self._state.customer_shares.record_arrival(
                 request_class, slot_request.customer, now
@@ -272,7 +271,6 @@
             waited_seconds,
             tokens,
             asyncio.get_running_loop().create_future(),
-            work_seconds=work_seconds,
             band=band,
         )
         self._state.waiting[slot_request.request_id] = waiting
--- a/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
@@ -38,21 +38,21 @@
     return min(slot_request.likely_tokens or usual, most)
 
 
-def work_seconds(
+def hold_time(
     leader: state.OnTimeLeaderState,
-    slot_request: requests.SlotRequest,
-    tokens: float,
-) -> float:
-    """Predict the time for which a request holds a slot of a usual server.
+) -> typing.Callable[[requests.SlotRequest, float], float]:
+    """Return a predictor of the time for which a request holds a slot.
 
-    :param tokens: expected output tokens.
+    It takes the request and its expected output tokens, and predicts seconds
+    on a usual server. Plain requests are equal.
     """
-    if not slot_request.streams:
-        return 0
     pool = leader.estimates.pool
-    return (
-        pool.first_token_line.predict(slot_request.prompt_tokens)
-        + leader.estimates.decode(pool) * tokens
+    fixed_seconds, seconds_per_token = pool.first_token_line.fit()
+    seconds_per_output_token = leader.estimates.decode(pool)
+    return lambda slot_request, tokens: (
+        fixed_seconds
+        + seconds_per_token * slot_request.prompt_tokens
+        + seconds_per_output_token * tokens
     )
 
 
@@ -76,9 +76,7 @@
     server.prefilling.pop(running.slot_request.request_id, None)
     server.last_first_token_at = leader.now()
     server.last_success_at = server.last_first_token_at
-    leader.estimates.add_first_token(
-        server.speed, running.read_tokens, seconds, server.last_first_token_at
-    )
+    leader.estimates.add_first_token(server.speed, running.read_tokens, seconds)
     server.condition.record_success()
 
 
@@ -184,7 +182,6 @@
         server.speed,
         release.output_tokens,
         release.seconds - first,
-        server.mean_running(running, leader.now()),
     )
     # A pause caused by the path must not count as one of the engine: it would
     # keep long prompts off the server.
--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -47,6 +47,7 @@
 import heapq
 import typing
 
+from geraniumweir.scheduling import requests
 from geraniumweir.scheduling.ontime import (
     classes,
     fair_shares,
@@ -76,21 +77,17 @@
     :ivar in_time_ratio: fraction of its class's callers that were served in
         time, where the class has a deficit, otherwise 1. Within a tier the
         lowest goes first.
-    :ivar is_starved: whether requests of its length are served too seldom.
     :ivar excess: by how much its customer is above its fair share of the class.
+    :ivar hold_seconds: predicted slot time by which it is compared with others
+        of its class; 0 if requests of its length are served too seldom.
     """
 
     waiting: records.Waiting
     latest_start: float
     late: bool
     in_time_ratio: float = 1
-    is_starved: bool = False
     excess: int = 0
-
-    @property
-    def work_seconds(self) -> float:
-        """Return its predicted slot time, 0 for one that goes before others."""
-        return 0 if self.is_starved else self.waiting.work_seconds
+    hold_seconds: float = 0
 
     @property
     def has_deficit(self) -> bool:
@@ -152,6 +149,15 @@
 _NO_BANDS: typing.Final[frozenset[lengths.Band]] = frozenset()
 
 
+HoldTime = typing.Callable[[requests.SlotRequest, float], float]
+
+
+def _equal_hold_time(
+    _slot_request: requests.SlotRequest, _tokens: float
+) -> float:
+    return 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Priorities:
     """What goes before or after other requests of its class or tier.
@@ -161,6 +167,9 @@
     :ivar bands: lengths of requests that go before others of their class.
     :ivar excess: by how much customers are above their fair shares, by class;
         their requests go after others of their class.
+    :ivar hold_time: predicts the seconds for which a request holds a slot; in
+        overload shorter requests go before longer ones of their class. It takes
+        the request and its expected output tokens.
     """
 
     by_class: typing.Mapping[classes.Class, float] = dataclasses.field(
@@ -170,6 +179,7 @@
         dataclasses.field(default_factory=dict)
     )
     excess: fair_shares.Excess = dataclasses.field(default_factory=dict)
+    hold_time: HoldTime = _equal_hold_time
 
 
 _NO_PRIORITIES: typing.Final = Priorities()
@@ -273,9 +283,10 @@
         waiting.target - lead_time_seconds,
         late=False,
         in_time_ratio=priorities.by_class.get(request_class, 1),
-        is_starved=waiting.band
-        in priorities.bands.get(request_class, _NO_BANDS),
         excess=priorities.excess.get((request_class, slot_request.customer), 0),
+        hold_seconds=0
+        if waiting.band in priorities.bands.get(request_class, _NO_BANDS)
+        else priorities.hold_time(slot_request, waiting.tokens),
     )
 
 
@@ -335,7 +346,7 @@
     start = turn.latest_start
     if not turn.waiting.slot_request.streams:
         start = -start
-    return _rank(turn), turn.excess, turn.work_seconds, start
+    return _rank(turn), turn.excess, turn.hold_seconds, start
 
 
 def _value(turn: Turn) -> _Value:
@@ -344,6 +355,6 @@
     return (
         (-tier, -in_time_ratio, -rank),
         -turn.excess,
-        -turn.work_seconds,
+        -turn.hold_seconds,
         -turn.waiting.sequence,
     )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/placing.py
@@ -174,15 +174,14 @@
     :param free_slots: number of its free slots.
     """
     fixed_seconds, seconds_per_token = estimates.speeds.line(server.speed).fit()
-    slowness = server.speed.spell.factor(estimates.now)
     return Offer(
         server,
         free_slots,
         server.unread_tokens(),
         max(server.overdue_seconds(estimates.now), 0),
-        fixed_seconds * slowness,
-        seconds_per_token * slowness,
-        estimates.speeds.decode(server.speed, len(server.running) + 1),
+        fixed_seconds,
+        seconds_per_token,
+        estimates.speeds.decode(server.speed),
         server.speed.first_token_line.slope(),
         _max_unread_tokens(server),
         server_memory.spare_tokens(server),
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -13,7 +13,6 @@
     conditions,
     lengths,
     occupancy,
-    occupancy_speed,
     speeds,
 )
 
@@ -44,8 +43,6 @@
         content.
     :ivar tokens: expected output tokens.
     :ivar joined: number of slot requests that wait for the same answer.
-    :ivar work_seconds: predicted time for which it holds a slot of the quickest
-        server, by which requests of a class are compared.
     :ivar band: length band of its class.
     """
 
@@ -56,7 +53,6 @@
     tokens: float
     fut: asyncio.Future[requests.Grant | requests.Denial]
     joined: int = 0
-    work_seconds: float = 0
     band: lengths.Band = lengths.Band.usual
 
     @property
@@ -78,8 +74,6 @@
     :ivar predicted: predicted seconds from the grant to its first token.
     :ivar tokens: expected output tokens.
     :ivar first_token: seconds from the grant to its first token, None before.
-    :ivar counted_from: count of running requests when it was added to its
-        server.
     """
 
     slot_request: requests.SlotRequest
@@ -89,9 +83,6 @@
     predicted: float
     tokens: float
     first_token: float | None = None
-    counted_from: occupancy_speed.RunningCount = dataclasses.field(
-        default_factory=occupancy_speed.RunningCount
-    )
 
     @property
     def start(self) -> notices.ServerIncarnation:
@@ -122,7 +113,6 @@
     :ivar rejection_budget: limits the requests that it may reject; None where
         it sets no limit.
     :ivar slot_usage: for how long requests hold its slots.
-    :ivar running_count: how many requests ran, over time.
     """
 
     announcement: servers.Announcement
@@ -152,9 +142,6 @@
     slot_usage: occupancy.Occupancy = dataclasses.field(
         default_factory=occupancy.Occupancy,
     )
-    running_count: occupancy_speed.RunningCount = dataclasses.field(
-        default_factory=occupancy_speed.RunningCount
-    )
 
     @property
     def server_id(self) -> ids.ServerId:
@@ -189,8 +176,7 @@
     def add_running(self, running: Running, now: float) -> None:
         """Add a running request."""
         request_id = running.slot_request.request_id
-        self._count_running(now)
-        running.counted_from = dataclasses.replace(self.running_count)
+        self.slot_usage.advance(len(self.running), now)
         self.running[request_id] = running
         if running.first_token is None:
             self.prefilling[request_id] = running
@@ -207,7 +193,7 @@
         :param answered: whether the response was complete, so that it counts
             for the time that a slot is held.
         """
-        self._count_running(now)
+        self.slot_usage.advance(len(self.running), now)
         self.running.pop(request_id, None)
         self.prefilling.pop(request_id, None)
         if answered:
@@ -218,8 +204,7 @@
 
         That is running requests and their limit, requests without a first
         token, the lateness of the next first token, the tokens that running
-        requests keep and the capacity for them, how many times as long it
-        takes in a slow spell, and the rate limit.
+        requests keep and the capacity for them, and the rate limit.
         """
         max_running = self.condition.max_requests(self.slots, now)
         late = round(self.overdue_seconds(now), 2)
@@ -227,15 +212,12 @@
         if self.announcement.kv_tokens:
             capacity = self.announcement.kv_tokens
             memory = f' kv {round(self.kept_tokens())}/{capacity}'
-        slowness = self.speed.spell.factor(now)
-        spell = f' spell {round(slowness, 1)}' if slowness > 1 else ''
         limit = ''
         if self.throttle is not None:
             limit = f' limit {round(self.throttle.per_second, 2)}'
         return (
             f'{len(self.running)}/{max_running} '
-            f'prefilling {len(self.prefilling)} late {late}'
-            f'{memory}{spell}{limit}'
+            f'prefilling {len(self.prefilling)} late {late}{memory}{limit}'
         )
 
     def free_slots(self, now: float, stuck: int) -> int:
@@ -322,17 +304,3 @@
         ]
         lost = sum(one in stuck for one in sent)
         return bool(sent) and lost >= min(len(sent), _STUCK_IN_ROW)
-
-    def mean_running(self, running: Running, now: float) -> float:
-        """Return the mean number of requests that ran beside and with one."""
-        self._count_running(now)
-        since = running.counted_from
-        seconds = now - since.counted_at
-        if seconds <= 0:
-            return max(len(self.running), 1)
-        total = self.running_count.request_seconds - since.request_seconds
-        return max(total / seconds, 1)
-
-    def _count_running(self, now: float) -> None:
-        self.slot_usage.advance(len(self.running), now)
-        self.running_count.advance(len(self.running), now)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/speeds.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/speeds.py
@@ -14,8 +14,6 @@
 
 import dataclasses
 
-from geraniumweir.scheduling.ontime import occupancy_speed
-
 # Each further sample reduces the weight of older ones by this factor; about 30
 # samples count, a second or two at the usual load of a server.
 _DECAY = 0.97
@@ -128,8 +126,7 @@
 
     :ivar first_token_line: seconds to a first token by the prompt tokens read
         before it.
-    :ivar decode: seconds for each output token by the running requests.
-    :ivar spell: its slow spells.
+    :ivar decode: seconds for each output token.
     :ivar mean_gap: mean pause between a stream's events, in seconds.
     :ivar longest_gap: longest recent pause, in seconds; it occurs while long
         prompts are read between the tokens of running streams.
@@ -137,12 +134,7 @@
     """
 
     first_token_line: Line = dataclasses.field(default_factory=Line)
-    decode: occupancy_speed.DecodeLine = dataclasses.field(
-        default_factory=occupancy_speed.DecodeLine
-    )
-    spell: occupancy_speed.Spell = dataclasses.field(
-        default_factory=occupancy_speed.Spell
-    )
+    decode: DecayingMean = dataclasses.field(default_factory=DecayingMean)
     mean_gap: DecayingMean = dataclasses.field(default_factory=DecayingMean)
     longest_gap: float = 0
     samples: int = 0
@@ -166,7 +158,6 @@
     def __init__(self) -> None:
         """Initialize with the guess."""
         self.pool = Speed()
-        self.pool_slope = occupancy_speed.PoolSlope()
 
     def first_token_seconds(self, server: Speed, tokens: float) -> float:
         """Predict the seconds to a first token.
@@ -181,37 +172,22 @@
         speed = server if server.samples >= _MIN_SAMPLES else self.pool
         return speed.first_token_line
 
-    def decode(self, server: Speed, running: float | None = None) -> float:
-        """Predict the seconds for an output token.
-
-        :param running: number of requests that run on the server with it; its
-            usual one if None.
-        """
-        own = bool(server.decode.weight)
-        line = server.decode if own else self.pool.decode
-        if not line.weight:
-            return _DECODE_GUESS
-        if running is None:
-            return line.mean_seconds()
-        return line.predict(running, self.pool_slope.get(), mixed=not own)
+    def decode(self, server: Speed) -> float:
+        """Predict the seconds for an output token."""
+        pool_mean = self.pool.decode.get(_DECODE_GUESS)
+        return server.decode.get(pool_mean)
 
     def add_first_token(
         self,
         server: Speed,
         tokens: float,
         seconds: float,
-        now: float,
     ) -> None:
         """Add a first token.
 
         :param tokens: prompt tokens read before it.
         :param seconds: from the grant to the first token.
-        :param now: when it came, in seconds.
         """
-        # The line of the pool says nothing about the spells of one server.
-        if server.samples >= _MIN_SAMPLES:
-            predicted = server.first_token_line.predict(tokens)
-            server.spell.add(seconds, predicted, now)
         for speed in (server, self.pool):
             speed.first_token_line.add(tokens, seconds)
             speed.samples += 1
@@ -221,17 +197,13 @@
         server: Speed,
         tokens: float,
         decode_seconds: float,
-        running: float,
     ) -> None:
         """Add a complete response.
 
         :param tokens: output tokens, 0 for none.
         :param decode_seconds: time after the first token.
-        :param running: mean number of requests that ran on the server with it.
         """
         if tokens <= 0:
             return
-        seconds_per_token = max(decode_seconds, 0) / tokens
-        self.pool_slope.add(server.decode, running, seconds_per_token)
         for speed in (server, self.pool):
-            speed.decode.add(running, seconds_per_token)
+            speed.decode.add(decode_seconds / tokens)
