--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -4,8 +4,8 @@
 import dataclasses
 import typing
 
-from geraniumweir.common import eventlog, ids
-from geraniumweir.scheduling import logevents, requests
+from geraniumweir.common import ids
+from geraniumweir.scheduling import requests
 from geraniumweir.scheduling.ontime import (
     canary_requests,
     classes,
@@ -17,6 +17,7 @@
     ordering,
     part_checks,
     placing,
+    pool_log,
     records,
     refusing,
     state,
@@ -47,11 +48,6 @@
 _MAX_FAILED_IN_ROW = 128
 # The same for begun streams, whose offers are made for each of them.
 _MAX_FAILED_CONTINUATIONS = 16
-# Minimum time between two log entries on the state of a busy pool.
-_LOG_SECONDS = 1.0
-# Names of customers in such an entry.
-_MAX_LOGGED_CUSTOMERS = 8
-_MS = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -125,7 +121,7 @@
     fleet.sync(leader)
     if leader.waiting and leader.now() >= leader.takeover_ends_at:
         _process_queue(leader)
-        _log_state(leader)
+        pool_log.log_state(leader)
     if leader.waiting:
         _arm_timer(leader, _CYCLE_SECONDS)
 
@@ -141,32 +137,6 @@
     leader.timer = loop.call_later(seconds, _on_timer, leader)
 
 
-def _log_state(leader: state.OnTimeLeaderState) -> None:
-    """Log the state of the pool while requests wait."""
-    now = leader.now()
-    if not leader.waiting or now - leader.logged_at < _LOG_SECONDS:
-        return
-    leader.logged_at = now
-    eventlog.emit(
-        logevents.POOL_BUSY,
-        pool=leader.pool,
-        waiting=len(leader.waiting),
-        running=len(leader.running),
-        interval_ms=round(state.pace(leader).interval * _MS, 1),
-        load=round(state.pace(leader).load, 2),
-        classes=leader.shares.log_summary(),
-        above_share=leader.customer_shares.above(now)[:_MAX_LOGGED_CUSTOMERS],
-        held_back=sum(
-            one.is_rate_limited(now) for one in leader.servers.values()
-        ),
-        crossing=distance.count_crossing(leader.servers.values()),
-        servers={
-            server.server_id: server.log_summary(now)
-            for server in leader.servers.values()
-        },
-    )
-
-
 def _on_timer(leader: state.OnTimeLeaderState) -> None:
     leader.timer = None
     if leader.waiting:
