Slow readers: a socket that can't tell its queue doesn't end the checks for stalls

Cause: an error of the ioctl would have left the timer of all checks unarmed.

Change: such a socket counts as without unacknowledged bytes.

--- a/libs/gateway/geraniumweir/gateway/response_buffer.py
+++ b/libs/gateway/geraniumweir/gateway/response_buffer.py
@@ -321,5 +321,9 @@
     sock: typing.Any = transport and transport.get_extra_info('socket')
     if not sock or sock.fileno() < 0:
         return 0
-    queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    try:
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        # Not every socket can tell; the buffer's size alone is used then.
+        return 0
     return int(struct.unpack('i', queued)[0])
