--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -28,7 +28,7 @@
 its target. Above the capacity the newest of equally important requests goes
 first instead, with time to spare, and the oldest is rejected.
 
-A request without a place in the plan goes before those that are late: it is
+A request without a place in the plan goes before late ones of its tier: it is
 answered in time if a slot suits no request of the plan.
 
 Requests that can't meet their targets any more come last, with the slots that
@@ -251,7 +251,7 @@
 def _displaced_first(
     turns: list[Turn], missed: typing.Iterable[Turn], now: float
 ) -> list[Turn]:
-    """Put requests that can still be in time before those that are late.
+    """Put requests that can still be in time before late ones of their tier.
 
     The plan has no place for them, but a server may have a slot that suits no
     request of the plan.
@@ -270,7 +270,8 @@
         if turn.waiting.sequence in displaced
     ]
     late = [turn for turn in turns if turn.waiting.sequence not in displaced]
-    return sorted(in_time, key=_shortest_first) + late
+    in_time.sort(key=_shortest_first)
+    return sorted(in_time + late, key=_tier)
 
 
 def _candidate(
@@ -324,6 +325,10 @@
     return sorted(timely, key=_by_start), rejected
 
 
+def _tier(turn: Turn) -> int:
+    return int(turn.waiting.slot_request.tier)
+
+
 def _by_start(turn: Turn) -> tuple[float, int]:
     return turn.latest_start, turn.waiting.sequence
 
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_leader.py
@@ -88,6 +88,39 @@
     virtual.run(work())
 
 
+def test_request_without_a_place_goes_before_late_ones_of_its_tier() -> None:
+    """Late ones would take slots in which it could be in time."""
+
+    async def work() -> None:
+        planned = _make_plan(
+            _make_waiting(1, -0.1),
+            _make_waiting(2, 0.03),
+            _make_waiting(3, 0.05, rank=1),
+            interval=0.1,
+            arrivals=9.2,
+        )
+        assert _names(planned.turns) == [2, 3, 1]
+        assert not planned.turns[1].late
+
+    virtual.run(work())
+
+
+def test_late_request_of_a_higher_tier_goes_before_a_lower_one() -> None:
+    """Not even if the plan has no place for the lower one in time."""
+
+    async def work() -> None:
+        planned = _make_plan(
+            _make_waiting(1, -0.1, tier=ids.Tier.high),
+            _make_waiting(2, 0.03),
+            _make_waiting(3, 0.05, rank=1),
+            interval=0.1,
+            arrivals=9.2,
+        )
+        assert _names(planned.turns) == [2, 1, 3]
+
+    virtual.run(work())
+
+
 async def _request_grant(
     pool: play.leader.OnTimePoolLeader,
     name: str,
