Coordinator: a hanging plain server is found by callers that leave it

Cause: a request counted as lost after 0.3 of its caller's time, and two lost ones as a hang. Ends are reported late when the coordinator is busy, so sound servers could count as hanging.

Change: two callers in a row that leave after eight times the predicted time, with no response of the server since their grants, show a hang. Plain requests, which are equal, get no length band.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -159,6 +159,7 @@
         if running is None:
             return
         part_checks.record_end(self._state, running, release)
+        observations.record_unanswered(self._state, running, release.outcome)
         observations.record_end(self._state, running, release)
         server = fleet.server_of(self._state, running)
         if server is not None:
@@ -256,11 +257,12 @@
         if not waited_seconds:
             request_class = classes.class_of(slot_request)
             self._state.shares.record_arrival(request_class, now)
-            band = self._state.length_bands.record_arrival(
-                request_class,
-                observations.hold_time(self._state)(slot_request, tokens),
-                now,
-            )
+            if slot_request.streams:
+                band = self._state.length_bands.record_arrival(
+                    request_class,
+                    observations.hold_time(self._state)(slot_request, tokens),
+                    now,
+                )
             self._state.customer_shares.record_arrival(
                 request_class, slot_request.customer, now
             )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
@@ -19,6 +19,11 @@
 ANSWERED: typing.Final = frozenset(
     (requests.Outcome.done, requests.Outcome.answered_failure),
 )
+# A request whose caller leaves counts as unanswered if it waited this many
+# times as long as predicted.
+_UNANSWERED_FACTOR = 8.0
+# So many of them in a row show a hang; one may have been lost on its way.
+_UNANSWERED_IN_ROW = 2
 # Output lengths differ a hundredfold; their mean is over some ten responses.
 _LENGTH_WEIGHT = 0.1
 
@@ -80,6 +85,35 @@
     server.condition.record_success()
 
 
+def record_unanswered(
+    leader: state.OnTimeLeaderState,
+    running: records.Running,
+    outcome: requests.Outcome,
+) -> None:
+    """Record the end of a request whose caller left without an answer.
+
+    Callers of short requests leave before these count as stuck, and new ones
+    take their slots. So a server hangs, too, if it answers nothing while two
+    requests in a row wait several times as long as predicted.
+    """
+    server = fleet.server_of(leader, running)
+    if server is None or outcome is not requests.Outcome.cancelled:
+        return
+    now = leader.now()
+    waited = now - running.granted_at
+    if running.first_token is not None or (
+        waited < running.predicted * _UNANSWERED_FACTOR
+    ):
+        return
+    if server.last_success_at > running.granted_at:
+        server.unanswered_in_row = 0
+        return
+    server.unanswered_in_row += 1
+    if server.unanswered_in_row >= _UNANSWERED_IN_ROW:
+        server.unanswered_in_row = 0
+        cooldowns.record_fault(server, cooldowns.Cause.hung, now)
+
+
 def record_end(
     leader: state.OnTimeLeaderState,
     running: records.Running,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -21,14 +21,6 @@
 # factor and the seconds below: its owner is unreachable, or the server hangs.
 _STUCK_FACTOR = 3.0
 _STUCK_SECONDS = 0.75
-# The seconds are at most this fraction of the time that the caller had. Callers
-# of short requests leave before the seconds above are over; a hanging server
-# would get new requests in their place and never be found out.
-_STUCK_TIME_FRACTION = 0.3
-# So many lost requests show that a server hangs, if no response came since they
-# were sent. One may have been lost on its way. Newer requests aren't waited
-# for: each one that is given up makes room for another.
-_STUCK_IN_ROW = 2
 # Number of incomplete responses kept for each server.
 _MAX_INCOMPLETE_ANSWERS = 32
 
@@ -89,14 +81,6 @@
         """Return the id and incarnation of the server."""
         return self.grant.start
 
-    def is_stuck(self, now: float) -> bool:
-        """Return whether its first token is so late that it is lost."""
-        leaves_at = min(self.slot_request.patience, self.slot_request.deadline)
-        caller_seconds = max(leaves_at - self.granted_at, 0)
-        slack = min(_STUCK_SECONDS, caller_seconds * _STUCK_TIME_FRACTION)
-        limit = self.predicted * _STUCK_FACTOR + slack
-        return now - self.granted_at > limit
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Server:
@@ -108,6 +92,8 @@
     :ivar last_first_token_at: in seconds.
     :ivar last_success_at: time of its last first token or successful end, in
         seconds.
+    :ivar unanswered_in_row: requests in a row whose callers left without any
+        response from it.
     :ivar incomplete_answers: times and fingerprints of incomplete responses.
     :ivar throttle: limits the rate of its grants; None where it sets no limit.
     :ivar rejection_budget: limits the requests that it may reject; None where
@@ -130,6 +116,7 @@
     )
     last_first_token_at: float = float('-inf')
     last_success_at: float = float('-inf')
+    unanswered_in_row: int = 0
     incomplete_answers: collections.deque[tuple[float, ids.Fingerprint]] = (
         dataclasses.field(
             default_factory=lambda: collections.deque(
@@ -287,7 +274,12 @@
 
     def stuck(self, now: float) -> list[Running]:
         """List the requests whose first token is so late that it is lost."""
-        return [one for one in self.prefilling.values() if one.is_stuck(now)]
+        return [
+            one
+            for one in self.prefilling.values()
+            if now - one.granted_at
+            > one.predicted * _STUCK_FACTOR + _STUCK_SECONDS
+        ]
 
     def hangs(self, stuck: typing.Sequence[Running]) -> bool:
         """Return whether no response came to any recent request.
@@ -302,5 +294,4 @@
         sent = [
             one for one in self.prefilling.values() if one.granted_at > since
         ]
-        lost = sum(one in stuck for one in sent)
-        return bool(sent) and lost >= min(len(sent), _STUCK_IN_ROW)
+        return bool(sent) and all(one in stuck for one in sent)
