--- a/libs/control/geraniumweir/control/tests/bed.py
+++ b/libs/control/geraniumweir/control/tests/bed.py
@@ -25,9 +25,9 @@
 )
 from geraniumweir.rollout import orders
 from geraniumweir.routing import tables
-from geraniumweir.scheduling import notices, recent_usage
+from geraniumweir.scheduling import channel, notices, recent_usage
 from geraniumweir.store import folder, guard, memory_disk
-from geraniumweir.wire import memory
+from geraniumweir.wire import memory, peers, stream_network
 
 # One control host in each failure domain, named as its domain.
 DOMAINS = ('ant', 'bee', 'cow')
@@ -53,6 +53,36 @@
         return action()
 
 
+class Network(typing.Protocol):
+    """Connects the hosts of a bed."""
+
+    def join(self, host_id: ids.HostId, where: ids.Address) -> peers.Peers:
+        """Return the peer layer of a new host."""
+
+    def cut(self, sender: ids.HostId, receiver: ids.HostId) -> None:
+        """Lose all messages in one direction."""
+
+    def heal(self) -> None:
+        """Remove all partitions."""
+
+
+class Streams:
+    """Hosts that talk over connections, and to themselves directly.
+
+    :ivar network: the connections.
+    """
+
+    def __init__(self) -> None:
+        """Initialize without hosts."""
+        self.network = stream_network.StreamNetwork()
+        self.cut = self.network.cut
+        self.heal = self.network.heal
+
+    def join(self, host_id: ids.HostId, where: ids.Address) -> peers.Peers:
+        """Return the peer layer of a new host."""
+        return channel.Channel(self.network.join(host_id, where))
+
+
 class Control:
     """The parts of a control host that store and publish the document."""
 
@@ -64,6 +94,7 @@
         known = hosts.ControlHosts()
         for other in DOMAINS:
             known.register(card(other), 0)
+            self.link.learn(ids.HostId(other), address(other))
         first = {ids.HostId(name): address(name) for name in DOMAINS}
         place = recordings.Place(self.host_id, pathlib.Path(domain), first)
         self.known = known
@@ -148,9 +179,9 @@
     :ivar media: the disks, by failure domain.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, network: Network | None = None) -> None:
         """Initialize without starting anything."""
-        self.network = memory.MemoryNetwork()
+        self.network = network or memory.MemoryNetwork()
         self.media = {
             domain: Medium(memory_disk.MemoryDisk()) for domain in DOMAINS
         }
@@ -209,7 +240,7 @@
     async def opened(
         self,
         place: recordings.Place,
-        link: memory.MemoryPeers,
+        link: peers.Peers,
     ) -> typing.AsyncIterator[recordings.Recording]:
         """Open a recorder as :func:`recordings.opened` does, in memory."""
         medium = self.media[str(place.folder)]
@@ -229,7 +260,7 @@
             log_recorder.kill()
 
 
-def _watcher(link: memory.MemoryPeers, domain: str) -> watching.Watcher:
+def _watcher(link: peers.Peers, domain: str) -> watching.Watcher:
     watcher = watching.Watcher(
         link,
         ids.FailureDomain(domain),
@@ -238,6 +269,7 @@
     )
     for one in DOMAINS:
         watcher.hosts.register(card(one), 0)
+        link.learn(ids.HostId(one), address(one))
     return watcher
 
 
--- a/libs/wire/geraniumweir/wire/tcp.py
+++ b/libs/wire/geraniumweir/wire/tcp.py
@@ -28,6 +28,10 @@
 from geraniumweir.wire.gen.peering import ttypes
 
 _Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+_Accept = typing.Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter],
+    typing.Coroutine[typing.Any, typing.Any, None],
+]
 
 # The kernel retransmits a lost SYN packet only after a second. Another attempt
 # is made after this, in seconds, twenty round trips between failure domains,
@@ -37,6 +41,21 @@
 _ATTEMPT_GROWTH = 2
 
 
+class Sockets(typing.Protocol):
+    """How a host connects and listens; :mod:`asyncio` does it by sockets."""
+
+    async def open_connection(self, host: str, port: int) -> _Streams:
+        """Connect as :func:`asyncio.open_connection` does."""
+
+    async def start_server(
+        self, accept: _Accept, host: str, port: int
+    ) -> asyncio.Server:
+        """Listen as :func:`asyncio.start_server` does."""
+
+
+_KERNEL = typing.cast(Sockets, asyncio)
+
+
 class TcpPeers:
     """The peer layer of one entry host.
 
@@ -49,17 +68,20 @@
         address: ids.Address,
         random_source: random.Random | None = None,
         delay: float = 0,
+        sockets: Sockets = _KERNEL,
     ) -> None:
         """Initialize without peers; :meth:`start` listens.
 
         :param address: where to listen; port 0 takes a free one.
         :param random_source: randomizes the pauses between attempts to connect.
         :param delay: delay of each sent frame, for tests, in seconds.
+        :param sockets: replaced by tests.
         """
         self.host_id = host_id
         self.address = address
         self._random = random_source or random.Random()
         self._delay_seconds = delay
+        self._sockets = sockets
         self._links: dict[ids.HostId, link.Link] = {}
         self._router = handling.Router()
         self._sent = connection.SentCounts()
@@ -71,7 +93,7 @@
 
         :raises OSError: when the address can't be bound.
         """
-        self._server = await asyncio.start_server(
+        self._server = await self._sockets.start_server(
             self._accept,
             self.address.host,
             self.address.port,
@@ -190,7 +212,7 @@
         ):
             await asyncio.sleep(greeting.TIMEOUT_SECONDS)
             raise errors.UnreachableError(f'nobody answers at {address}')
-        streams = await _connect(address)
+        streams = await _connect(self._sockets, address)
         greeting.send_hello(streams[1], self.host_id, str(self.address))
         try:
             hello = await greeting.receive_hello(streams[0])
@@ -270,7 +292,7 @@
         return None
 
 
-async def _connect(address: ids.Address) -> _Streams:
+async def _connect(sockets: Sockets, address: ids.Address) -> _Streams:
     """Connect, retrying sooner than the kernel would.
 
     :raises errors.UnreachableError: when no host answers there.
@@ -282,7 +304,7 @@
         remaining_seconds = deadline_at - loop.time()
         try:
             async with asyncio.timeout(min(attempt_seconds, remaining_seconds)):
-                return await asyncio.open_connection(address.host, address.port)
+                return await sockets.open_connection(address.host, address.port)
         except TimeoutError as exc:
             if remaining_seconds <= attempt_seconds:
                 raise _unreachable(address, exc) from exc
