Links: a peer whose open connection went silent is dialled beside it

What callers saw: entry hosts handled requests by a document older than one acknowledged more than 2 s before, though new connections to all control hosts worked. Cause: a link used its newest open connection until the kernel ended it, 5 s after the first byte that nobody acknowledged; calls on it timed out one after another, and introduce took it for an answer of the seed. Change: a call that times out while no byte came for 0.5 s marks its connection as silent. The link dials beside it; until that succeeds, calls and messages go on the silent one as before, which recovers with its next byte. At most three connections a peer. Why it works: a new connection shows whether the path is open, whatever the old one's next retransmission is. No message of the protocol changes.

--- a/libs/wire/geraniumweir/wire/connection.py
+++ b/libs/wire/geraniumweir/wire/connection.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import itertools
+import typing
 
 from geraniumweir.common import eventlog, ids
 from geraniumweir.wire import (
@@ -18,6 +19,7 @@
     handling,
     logevents,
     peers,
+    silence,
 )
 from geraniumweir.wire.gen.peering import ttypes
 
@@ -72,6 +74,7 @@
     """A connection after the greeting.
 
     :ivar peer: the host at the other end.
+    :ivar on_recovery: called when it delivers again after a silence.
     """
 
     def __init__(
@@ -88,6 +91,8 @@
         :param delay_seconds: delay of each sent frame, for tests, in seconds.
         """
         self.peer = peer
+        self.on_recovery: typing.Callable[[], None] = _ignore
+        self._silence = silence.SilenceDetector()
         self._reader = streams[0]
         self._writer = streams[1]
         self._traffic = traffic
@@ -102,6 +107,11 @@
         """Whether a message may still be written."""
         return not (self._writer.is_closing() or self._reader.at_eof())
 
+    @property
+    def delivers(self) -> bool:
+        """Whether it is usable and has not gone silent."""
+        return self.usable and not self._silence.is_silent
+
     async def run(self) -> None:
         """Read frames until the stream ends; fail pending calls then."""
         eventlog.emit(logevents.CONNECTED, peer=self.peer)
@@ -139,13 +149,16 @@
         call_id = next(self._call_ids)
         envelope = envelopes.seal(envelopes.Kind.call, call_id, message)
         loop = asyncio.get_running_loop()
+        sent_at = loop.time()
         fut: asyncio.Future[ttypes.Envelope] = loop.create_future()
         self._pending[call_id] = fut
         try:
             async with asyncio.timeout(timeout):
                 self._write(envelope)
+                self._silence.call_sent(sent_at)
                 answer = await fut
         except TimeoutError as exc:
+            self._silence.call_timed_out(sent_at, loop.time())
             text = f'{self.peer} gave no answer in {timeout} s'
             raise errors.PeerTimeoutError(text) from exc
         finally:
@@ -170,7 +183,9 @@
 
     async def _read_all(self) -> None:
         while True:
-            frame = await framing.read_frame(self._reader)
+            frame = await framing.read_frame(
+                self._reader, on_bytes=self._record_bytes
+            )
             if self._partition.incoming:
                 continue
             self._traffic.messages_in += 1
@@ -178,6 +193,12 @@
             envelope = framing.decode(ttypes.Envelope, frame)
             await self._handle_envelope(envelope)
 
+    def _record_bytes(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if not self._partition.incoming and self._silence.received(now):
+            eventlog.emit(logevents.DELIVERS_AGAIN, peer=self.peer)
+            self.on_recovery()
+
     async def _handle_envelope(self, envelope: ttypes.Envelope) -> None:
         match envelope.kind:
             case envelopes.Kind.answer | envelopes.Kind.failure:
@@ -235,3 +256,7 @@
             if not fut.done():
                 text = f'the connection to {self.peer} broke'
                 fut.set_exception(errors.PeerError(text))
+
+
+def _ignore() -> None:
+    """Do nothing for a connection that no link has."""
--- a/libs/wire/geraniumweir/wire/framing.py
+++ b/libs/wire/geraniumweir/wire/framing.py
@@ -22,6 +22,8 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 _MAX_CONTAINER_LENGTH = 1024 * 1024
 _LENGTH_BYTES = 4
+# A longer body is read in parts, so that its progress shows.
+_PART_BYTES = 32768
 
 # Shared: the accelerated codec has no state between structs, and creating a
 # protocol costs several times as much as encoding a small struct.
@@ -83,18 +85,31 @@
     return len(body).to_bytes(_LENGTH_BYTES, 'big') + body
 
 
+def _ignore() -> None:
+    """Do nothing where nobody asks for progress."""
+
+
 async def read_frame(
     reader: asyncio.StreamReader,
     max_bytes: int = MAX_FRAME_BYTES,
+    on_bytes: typing.Callable[[], None] = _ignore,
 ) -> bytes:
     """Read one frame's body.
 
     :param max_bytes: longest body to accept, in bytes.
+    :param on_bytes: called when a part of the frame has arrived.
     :raises errors.FrameError: when the announced length exceeds it.
     :raises asyncio.IncompleteReadError: when the stream ends.
     """
     head = await reader.readexactly(_LENGTH_BYTES)
+    on_bytes()
     length = int.from_bytes(head, 'big')
     if length > max_bytes:
         raise errors.FrameError(f'a frame of {length} bytes, limit {max_bytes}')
-    return await reader.readexactly(length)
+    if length <= _PART_BYTES:
+        return await reader.readexactly(length)
+    body = bytearray()
+    while len(body) < length:
+        body += await reader.readexactly(min(_PART_BYTES, length - len(body)))
+        on_bytes()
+    return bytes(body)
--- a/libs/wire/geraniumweir/wire/link.py
+++ b/libs/wire/geraniumweir/wire/link.py
@@ -1,10 +1,14 @@
 """Link to one peer: address, connections and the dialling task.
 
 Two hosts that dial each other at the same time end up with two connections;
-both stay open, and the newest usable one carries what is sent. A connection is
-made when something is to be sent, and a failed attempt is followed by a
-pause that doubles up to a bound and is randomized, so that the peers
-of a host that restarts don't all dial at once.
+both stay open, and the newest one that delivers carries what is sent. A
+connection is made when something is to be sent, and a failed attempt is
+followed by a pause that doubles up to a bound and is randomized, so that the
+peers of a host that restarts don't all dial at once.
+
+A silent connection doesn't keep its peer unreachable: another one is dialled
+beside it. Until that is there, what is sent goes on the silent one, which may
+recover.
 
 References
 ==========
@@ -23,6 +27,8 @@
 INITIAL_BACKOFF_SECONDS = 0.05
 MAX_BACKOFF_SECONDS = 1.0
 MAX_QUEUED_MESSAGES = 64
+# Two hosts may dial each other at the same time, beside a silent connection.
+MAX_CONNECTIONS = 3
 
 Dial = typing.Callable[
     [ids.Address],
@@ -62,23 +68,24 @@
         self._task: asyncio.Task[None] | None = None
 
     def newest(self) -> connection.Connection | None:
-        """Return the newest usable connection, if there is one."""
+        """Return the newest connection that delivers, if there is one."""
         for conn in reversed(self._connections):
-            if conn.usable:
+            if conn.delivers:
                 return conn
         return None
 
     async def connected(self) -> connection.Connection:
-        """Return a connection, dialling when there is none.
+        """Return a connection, dialling when there is none that delivers.
 
-        :raises errors.UnreachableError: when the attempt fails, or during
-            the back-off after a failed one.
+        :returns: a silent one where the attempt fails, or during the back-off
+            after a failed one.
+        :raises errors.UnreachableError: when there is none then.
         """
         conn = self.newest()
         if conn is not None:
             return conn
         if self.address is None or self._backing_off:
-            raise errors.UnreachableError(f'{self.host_id} is not connected')
+            return self._silent_or_raise('is not connected')
         loop = asyncio.get_running_loop()
         fut: asyncio.Future[connection.Connection] = loop.create_future()
         self._waiters.append(fut)
@@ -87,22 +94,24 @@
 
     def send(self, message: peers.Message) -> None:
         """Send without an answer; queue the message while dialling."""
-        conn = self.newest()
+        conn = self.newest() or self._silent()
         if conn is None:
             self._queue_message(message)
-        else:
-            conn.send(message)
+            return
+        conn.send(message)
+        if not conn.delivers and not self._backing_off:
+            self._request_dial()
 
     def add(self, conn: connection.Connection) -> None:
         """Add a connection; it is preferred to all older ones."""
         self._connections.append(conn)
+        for old in self._connections[:-MAX_CONNECTIONS]:
+            old.abort()
+        conn.on_recovery = lambda: self._resolve_waiters(conn)
         for message in self._queued_messages:
             conn.send(message)
         self._queued_messages.clear()
-        for fut in self._waiters:
-            if not fut.done():
-                fut.set_result(conn)
-        self._waiters.clear()
+        self._resolve_waiters(conn)
 
     def remove(self, conn: connection.Connection) -> None:
         """Remove a connection that ended."""
@@ -118,6 +127,25 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def _silent(self) -> connection.Connection | None:
+        """Return the newest usable connection, silent or not."""
+        for conn in reversed(self._connections):
+            if conn.usable:
+                return conn
+        return None
+
+    def _silent_or_raise(self, reason: str) -> connection.Connection:
+        conn = self._silent()
+        if conn is None:
+            raise errors.UnreachableError(f'{self.host_id} {reason}')
+        return conn
+
+    def _resolve_waiters(self, conn: connection.Connection) -> None:
+        for fut in self._waiters:
+            if not fut.done():
+                fut.set_result(conn)
+        self._waiters.clear()
+
     def _queue_message(self, message: peers.Message) -> None:
         if self.address is None or self._backing_off:
             self.traffic.dropped += 1
@@ -152,6 +180,8 @@
     async def _try_dial(self) -> bool:
         if self.newest() is not None or self.address is None:
             return False
+        if self._silent() is not None:
+            eventlog.emit(logevents.SILENT, peer=self.host_id)
         try:
             await self._dial(self.address)
         except errors.PeerError as exc:
@@ -170,6 +200,11 @@
         return False
 
     def _fail_waiting(self, exc: errors.PeerError) -> None:
+        """Have waiting calls use a silent connection, or fail without one."""
+        conn = self._silent()
+        if conn is not None:
+            self._resolve_waiters(conn)
+            return
         self.traffic.dropped += len(self._queued_messages)
         self._queued_messages.clear()
         for fut in self._waiters:
--- a/libs/wire/geraniumweir/wire/logevents.py
+++ b/libs/wire/geraniumweir/wire/logevents.py
@@ -42,3 +42,13 @@
     logevents.Level.warning,
     'peer {peer} sends faster than its messages are handled',
 )
+SILENT = logevents.Event(
+    409,
+    logevents.Level.notice,
+    'nothing arrives from peer {peer} on the open connections; dialling',
+)
+DELIVERS_AGAIN = logevents.Event(
+    410,
+    logevents.Level.info,
+    'a connection to peer {peer} delivers again after a silence',
+)
