Logs: age of the document in force, and geraniumctl document-timeline

Change: 763 on entry hosts names the control host that sent a document, whether it was current, and how long the document before was unconfirmed; 179 tells once for each gap that requests are handled by a document that nobody confirmed for longer than a change may take; a gauge has the age; document-timeline lists when each host had a version, hosts that skipped it included.

--- a/libs/control/geraniumweir/control/active_document.py
+++ b/libs/control/geraniumweir/control/active_document.py
@@ -38,16 +38,22 @@
         """The version in force, -1 before the first."""
         return ids.Version(-1) if self.index is None else self.index.version
 
-    def offer(self, update: ttypes.News) -> bool:
+    def offer(
+        self,
+        update: ttypes.News,
+        **source: typing.Any,
+    ) -> bool:
         """Activate a newer document; return whether there was one.
 
         The first one must come from an up-to-date control host; one of another
         host is kept for :meth:`activate_pending`.
+
+        :param source: fields of the log entry that tell where it comes from.
         """
         if update.document is None or update.version <= self.version:
             return False
         if update.sure or self.index is not None:
-            return self._activate(update)
+            return self._activate(update, source)
         if self._pending is None or self._pending.version < update.version:
             self._pending = update
         return False
@@ -62,9 +68,11 @@
             return False
         pending = self._pending
         self._pending = None
-        return self.index is None and self._activate(pending)
+        return self.index is None and self._activate(pending, {})
 
-    def _activate(self, update: ttypes.News) -> bool:
+    def _activate(
+        self, update: ttypes.News, source: typing.Mapping[str, typing.Any]
+    ) -> bool:
         try:
             document = self._read(zlib.decompress(update.document))
         except (errors.GeraniumweirError, zlib.error) as exc:
@@ -80,5 +88,7 @@
             logevents.DOCUMENT_IN_FORCE,
             version=update.version,
             before=before,
+            current=bool(update.sure),
+            **source,
         )
         return True
--- a/libs/control/geraniumweir/control/tests/test_watching.py
+++ b/libs/control/geraniumweir/control/tests/test_watching.py
@@ -63,9 +63,9 @@
     async def work() -> None:
         watcher = _watcher()
         watcher.apply(_CONTROL, _news(version=7, sure=False))
-        assert watcher.confirmed_at == float('-inf')
+        assert watcher.age.confirmed_at == float('-inf')
         watcher.apply(_CONTROL, _news(version=7))
-        assert watcher.confirmed_at >= 0
+        assert watcher.age.confirmed_at >= 0
 
     virtual.run(work())
 
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -14,6 +14,7 @@
 from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.control import (
     active_document,
+    document_age,
     enrolment_codec,
     enrolments,
     host_search,
@@ -46,10 +47,6 @@
 _MS = 1000
 # Pause between two searches while no control host answers.
 _SEARCH_PAUSE_SECONDS = 0.05
-# A gap of this length without an up-to-date answer is logged: twice the
-# duration of a watch without news.
-_MIN_LOGGED_GAP_SECONDS = 1.0
-_SECONDS_DIGITS = 3
 # A server that the control host does not list is kept this long: servers report
 # every 1 to 2 s, so one that runs is listed by then.
 _UNLISTED_SECONDS = 8.0
@@ -63,8 +60,8 @@
 
     :ivar hosts: the control hosts.
     :ivar servers: the backend servers.
-    :ivar confirmed_at: when a control host that has all committed entries last
-        answered, in seconds.
+    :ivar age: when a control host that has all committed entries last
+        answered.
     """
 
     def __init__(
@@ -81,11 +78,11 @@
         """
         self.hosts = hosts.ControlHosts()
         self.servers = enrolments.Enrolments(link.host_id, _NO_LEASE_SECONDS)
-        self.confirmed_at = float('-inf')
         self._link = link
         self._seeds = seeds
         self._document = active_document.ActiveDocument(read)
         self._clock = timers.TimerService()
+        self.age = document_age.DocumentAge(self._clock)
         self._target = watch_target.WatchTarget(domain, self.hosts, self._probe)
         self._unreachable: set[ids.HostId] = set()
         self._is_confirmed = False
@@ -154,23 +151,16 @@
         :param changed: whether the servers changed.
         """
         self._add_hosts(sender, update, now)
-        changed = self._document.offer(update) or changed
+        activated = self._document.offer(
+            update, source=sender, unconfirmed_s=self.age.seconds()
+        )
+        changed = activated or changed
         changed = self._apply_rollouts(update) or changed
         if update.sure and update.version <= self.version:
-            self._record_confirmed(now)
+            self.age.confirm(self.version)
         if changed:
             self._changes.on_next(None)
 
-    def _record_confirmed(self, now: float) -> None:
-        unconfirmed_seconds = now - self.confirmed_at
-        if _MIN_LOGGED_GAP_SECONDS < unconfirmed_seconds < float('inf'):
-            eventlog.emit(
-                logevents.CONFIRMED_AGAIN,
-                seconds=round(unconfirmed_seconds, _SECONDS_DIGITS),
-                version=self.version,
-            )
-        self.confirmed_at = now
-
     async def _watch(self) -> bool:
         """Watch the chosen host once; return whether it is up to date."""
         host_id = self._target.host_id
--- a/libs/ctl/geraniumweir/ctl/arguments.py
+++ b/libs/ctl/geraniumweir/ctl/arguments.py
@@ -11,6 +11,7 @@
 from geraniumweir.common import ids
 from geraniumweir.ctl import (
     configcommands,
+    documenttimeline,
     errors,
     logcommands,
     losses,
@@ -196,7 +197,11 @@
     pools = _command(commands, 'pool-timeline', pooltimeline.pool_timeline)
     moves = _command(commands, 'rollouts', rolloutcommand.rollouts)
     moves.add_argument('--pool', default='', help='only of this pool')
-    for command in (explain, refused, late, pools, moves):
+    spread = _command(
+        commands, 'document-timeline', documenttimeline.document_timeline
+    )
+    spread.add_argument('version', type=int, help='of the document')
+    for command in (explain, refused, late, pools, moves, spread):
         command.add_argument(
             'file',
             nargs='*',
--- a/libs/ctl/geraniumweir/ctl/tests/test_logcommands.py
+++ b/libs/ctl/geraniumweir/ctl/tests/test_logcommands.py
@@ -179,3 +179,33 @@
         ('canary', '9 of 90', ''),
         ('is rolled_back', '', 'bad'),
     ]
+
+
+def test_spread_of_a_version_lists_hosts_that_skipped_it(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A host that was behind has a newer version in force at once."""
+    log = tmp_path / 'log'
+    log.write_text(
+        _line(3, 'core', 757, version=7, taken=True)
+        + _line(4, 'near', 763, version=7, before=6, source='core')
+        + _line(9, 'far', 763, version=8, before=6, unconfirmed_s=5.2)
+        + _line(9, 'new', 763, version=9, before=8)
+    )
+    assert _run('--output', 'json', 'document-timeline', '7', str(log)) == 0
+    rows = json.loads(capsys.readouterr().out)['events']
+    assert [(row['host'], row['ms']) for row in rows] == [
+        ('core', 0),
+        ('near', 1000),
+        ('far', 6000),
+    ]
+    assert str(rows[-1]['unconfirmed_s']) == '5.2'
+
+
+def test_version_that_no_log_has_is_an_error(tmp_path: pathlib.Path) -> None:
+    """A wrong number must not look like a version that is nowhere in force."""
+    log = tmp_path / 'log'
+    log.write_text(_line(3, 'core', 757, version=7, taken=True))
+    found = _run('document-timeline', '70', str(log))
+    assert found == errors.EXIT_FAILED
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -23,6 +23,7 @@
 from geraniumweir.gateway import (
     admission,
     codec,
+    confirmation,
     context,
     grant_check,
     listening,
@@ -201,6 +202,9 @@
         self._meter = meter
         meter.gauge(metricnames.LIMITED_SERVERS, self._limited_servers)
         self._buffers = response_buffer.make_buffers(meter, cfg.memory_bytes)
+        self._confirmation = confirmation.Confirmation(
+            self.watcher, cfg.sure_seconds, meter
+        )
         self._readiness = readiness.Readiness(self.document_state)
         self._caller_server: serving.CallerServer | None = None
 
@@ -214,11 +218,7 @@
 
     def document_state(self) -> admission.DocumentState:
         """Return the routing document that is in force now."""
-        age = self._clock.now() - self.watcher.confirmed_at
-        return admission.DocumentState(
-            self.watcher.index,
-            age <= self._cfg.sure_seconds,
-        )
+        return self._confirmation.document_state()
 
     async def run(
         self,
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -111,3 +111,9 @@
     'this host accepts connections again: {connections} open, its events wait'
     ' for {delay_ms} ms',
 )
+DOCUMENT_UNCONFIRMED: typing.Final = _Event(
+    179,
+    _Level.warning,
+    'requests are handled by document version {version}, which no control host'
+    ' confirmed for {seconds} s',
+)
--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -142,6 +142,11 @@
     'Backend servers of a pool that name how many requests they take.',
     ('pool',),
 )
+DOCUMENT_UNCONFIRMED: typing.Final = Metric(
+    'geraniumweir_document_unconfirmed_seconds',
+    Kind.gauge,
+    'Time since a control host last confirmed the document in force.',
+)
 CUSTOMERS_ABOVE_SHARE: typing.Final = Metric(
     'geraniumweir_customers_above_share',
     Kind.gauge,
