Log: a leader is as current as its contact with a majority

What callers saw: an entry host could take its document for the newest, and refuse a new route or key for good, after a newer document was acknowledged. Cause: a leader called itself current while it led, up to 1.05 s after the others were cut off from it; they had elected another one and stored a document after 0.71 s. Evidence: test_replaced_leader_confirms_nothing_once_a_newer_version_is_stored, red before; six starts of the same cut gave 0.71 s and 0.97 to 1.05 s each. Change: the staleness of a leader is the age of the newest messages that a majority answered. Why it works: whoever answered grants no vote for the shortest election timeout after it, and a control host calls itself current for less than that.

--- a/libs/consensus/geraniumweir/consensus/core.py
+++ b/libs/consensus/geraniumweir/consensus/core.py
@@ -261,12 +261,18 @@
 
         Contact with a leader isn't enough: entries are applied here only once
         this disk has synced them, and a leader that receives no answers sends
-        no entries.
+        no entries. A leader is as stale as its contact with a majority, which
+        may follow another one since.
         """
-        if self.leadership is not None:
-            started = self.applied.height >= self.leadership.start_index
-            return 0 if started else math.inf
-        return self.timers.now() - self.leader_contact.caught_up_at
+        now = self.timers.now()
+        if self.leadership is None:
+            return now - self.leader_contact.caught_up_at
+        if self.applied.height < self.leadership.start_index:
+            return math.inf
+        followed_at = self.leadership.majority_contact(
+            self.history.current, self.identity, now
+        )
+        return now - followed_at
 
     def _enter_members(self, entry: entries.Entry) -> None:
         current = members.decode(entry.payload)
--- a/libs/consensus/geraniumweir/consensus/leadership.py
+++ b/libs/consensus/geraniumweir/consensus/leadership.py
@@ -114,6 +114,26 @@
         progress.last_contact_at = max(progress.last_contact_at, sent_at)
         self.notify()
 
+    def majority_contact(
+        self, current: members.Members, own: members.RecorderId, now: float
+    ) -> float:
+        """Return the time up to which a majority is known to have followed.
+
+        :param current: the members of the log.
+        :param own: identity of the leader.
+        :param now: in loop time.
+        :returns: when the messages that a majority answered were sent, in loop
+            time; that of the slowest recorder of the fastest majority.
+        """
+        times = [
+            now
+            if member.identity == own
+            else self.progress[member.identity].last_contact_at
+            for member in current.voters
+        ]
+        times.sort(reverse=True)
+        return times[current.majority - 1]
+
     def notify(self) -> None:
         """Resume all calls of :meth:`wait_for_change`."""
         self._changed.set()
--- a/libs/consensus/geraniumweir/consensus/leading.py
+++ b/libs/consensus/geraniumweir/consensus/leading.py
@@ -166,14 +166,9 @@
     :returns: when the messages that a majority answered were sent, in loop
         time; that of the slowest recorder of the fastest majority.
     """
-    times = [
-        this.timers.now()
-        if member.identity == this.identity
-        else leader_state.progress[member.identity].last_contact_at
-        for member in this.history.current.voters
-    ]
-    times.sort(reverse=True)
-    return times[this.history.current.majority - 1]
+    return leader_state.majority_contact(
+        this.history.current, this.identity, this.timers.now()
+    )
 
 
 async def _sync_appended(
--- a/libs/control/geraniumweir/control/tests/test_active_document.py
+++ b/libs/control/geraniumweir/control/tests/test_active_document.py
@@ -236,3 +236,23 @@
         assert behind < _BEGIN_SECONDS
 
     virtual.run(work())
+
+
+def test_replaced_leader_confirms_nothing_once_a_newer_version_is_stored(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It may not have noticed yet that the others follow another one."""
+
+    async def work() -> None:
+        hosts = bed.Bed()
+        monkeypatch.setattr(recordings, 'opened', hosts.opened)
+        leading = await hosts.start()
+        await bed.publish(leading, 1)
+        await asyncio.sleep(1)
+        _isolate(hosts, leading.host_id)
+        await _publish_anywhere(hosts, leading.host_id, 2)
+        is_current = leading.log.is_current()
+        hosts.stop()
+        assert not is_current
+
+    virtual.run(work())
--- a/libs/wire/geraniumweir/wire/stream_network.py
+++ b/libs/wire/geraniumweir/wire/stream_network.py
@@ -38,6 +38,7 @@
     """Hosts, and the paths and connections between them.
 
     :ivar delay: one way, in seconds.
+    :ivar late: additional delay of what a host receives, in seconds.
     """
 
     def __init__(self, delay: float = _DEFAULT_DELAY_SECONDS) -> None:
@@ -46,6 +47,7 @@
         :param delay: one way, in seconds.
         """
         self.delay = delay
+        self.late: dict[ids.HostId, float] = {}
         self._listeners: dict[ids.Address, _Listener] = {}
         self._cuts: set[_Path] = set()
         self._pipes: list[_Pipe] = []
@@ -290,8 +292,11 @@
             return
         if self._passes(self.path) and not oldest.is_received:
             oldest.is_received = True
+            late_seconds = self._network.late.get(self.path[1], 0)
             self._loop.call_later(
-                self._network.delay, self._deliver, oldest.content
+                self._network.delay + late_seconds,
+                self._deliver,
+                oldest.content,
             )
         if oldest.is_received and self._passes(self._reverse):
             self._send_next()
