Servers: endless interim answers and chunk extensions end the call

Cause: the HTTP parser skips interim answers and extensions of chunks, however many come. Change: a connection is ended once it received 64 KiB and eight times the body beyond what became of a body, unless bytes wait unparsed as the body's reader is slow. Answer.skip keeps nothing. Why it works: the comparison needs no knowledge of the parser's state; a real answer has at most five bytes around each byte of its chunks.

--- /dev/null
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -0,0 +1,71 @@
+"""Ends connections to servers whose bytes never become an answer.
+
+The HTTP parser skips interim answers and extensions of chunks, however many
+come. Here the received bytes are compared with the body that came of them.
+Load: each piece that a socket delivers, up to some ten thousand a second.
+"""
+
+import asyncio
+import functools
+import typing
+
+import aiohttp
+from aiohttp import client_proto
+
+# Bytes for the head with all interim answers before it, and for the lines
+# between chunks that hold little.
+_FRAMING_BYTES = 65536
+# A chunk of one byte has five bytes around it.
+_FRAMING_RATIO = 8
+_FINAL = 200
+_SWITCHES = 101
+
+
+class BoundedHandler(client_proto.ResponseHandler):
+    """Reads answers from one connection."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Initialize for a new connection."""
+        super().__init__(loop)
+        self._received = 0
+        self._body: aiohttp.StreamReader | None = None
+
+    def set_response_params(self, **options: typing.Any) -> None:
+        """Prepare for the next answer."""
+        self._received = 0
+        self._body = None
+        super().set_response_params(**options)
+
+    def feed_data(self, answer: typing.Any, size: int = 0) -> None:
+        """Take an answer's head from the parser."""
+        head, body = answer
+        if head.code >= _FINAL or head.code == _SWITCHES:
+            self._body = body
+        super().feed_data(answer, size)
+
+    def data_received(self, content: bytes) -> None:
+        """Parse bytes, and end the connection where they are no answer."""
+        self._received += len(content)
+        super().data_received(content)
+        # Bytes wait unparsed while the body's reader is slow.
+        if not self._reading_paused:
+            self._check()
+
+    def _check(self) -> None:
+        read = 0 if self._body is None else self._body.total_bytes
+        if self._received > _FRAMING_BYTES + (1 + _FRAMING_RATIO) * read:
+            self._end(f'{self._received} bytes received, {read} of a body')
+
+    def _end(self, reason: str) -> None:
+        exc = aiohttp.ClientPayloadError(reason)
+        if self._body is not None:
+            self._body.set_exception(exc)
+        self.set_exception(exc)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def apply(connector: aiohttp.BaseConnector) -> None:
+    """Have all new connections of a connector read by these handlers."""
+    make = functools.partial(BoundedHandler, asyncio.get_running_loop())
+    connector._factory = make  # noqa: WPS437
--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -20,7 +20,7 @@
 import aiohttp
 import multidict
 import yarl
-from geraniumweir.backends import errors
+from geraniumweir.backends import answer_limits, errors
 from geraniumweir.common import ids
 
 # A connection to a server that is there takes a few milliseconds, in seconds.
@@ -86,12 +86,14 @@
     :param connect_seconds: longest time to make a connection.
     :param idle_seconds: longest time to keep one idle.
     """
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=idle_seconds,
+        socket_factory=_make_socket,
+    )
+    answer_limits.apply(connector)
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0,
-            keepalive_timeout=idle_seconds,
-            socket_factory=_make_socket,
-        ),
+        connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=_UNNAMED,
@@ -184,7 +186,8 @@
         :raises errors.CutShortError: when it breaks off.
         """
         try:
-            await self._resp.content.read()
+            while not self._resp.content.at_eof():
+                await self._resp.content.readany()
         except (aiohttp.ClientError, OSError) as exc:
             raise errors.CutShortError(f'the answer broke off: {exc}') from exc
 
