Servers: the body of a plain answer is bounded

Cause: nothing bounded a body that is kept until it is whole. Streams have a bound for each event already.

--- a/libs/backends/geraniumweir/backends/tests/test_floods.py
+++ b/libs/backends/geraniumweir/backends/tests/test_floods.py
@@ -6,7 +6,7 @@
 
 import multidict
 import pytest
-from geraniumweir.backends import calls, errors
+from geraniumweir.backends import bodies, calls, errors
 from geraniumweir.common import ids
 
 _CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -59,7 +59,8 @@
         session = await stack.enter_async_context(calls.make_session())
         await stack.enter_async_context(asyncio.timeout(_HANG_SECONDS))
         async with await calls.send(session, address, call) as answer:
-            await answer.skip()
+            async for _ in bodies.bounded(answer):
+                await asyncio.sleep(0)
 
 
 @pytest.mark.parametrize('flood', _FLOODS)
@@ -69,6 +70,21 @@
         asyncio.run(_read(*_FLOODS[flood]))
 
 
+@pytest.mark.parametrize(
+    'head',
+    [
+        _CHUNKED,
+        b'HTTP/1.1 200 OK\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 100000000000\r\n\r\n',
+    ],
+)
+def test_endless_body_is_not_kept(head: bytes) -> None:
+    """A caller of a plain request gets nothing before its end."""
+    chunk = b'100\r\n%b\r\n' % (b'a' * 256)
+    with pytest.raises(errors.TooLongError):
+        asyncio.run(_read(head, chunk))
+
+
 def test_small_chunks_and_interim_answers_are_an_answer() -> None:
     """Also on a connection that has carried many of them."""
     interim = b'HTTP/1.1 100 Continue\r\n\r\n' * 20
--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -9,7 +9,7 @@
 import dataclasses
 import typing
 
-from geraniumweir.backends import calls
+from geraniumweir.backends import bodies, calls
 from geraniumweir.backends import errors as backend_errors
 from geraniumweir.common import ids
 from geraniumweir.gateway import (
@@ -253,7 +253,7 @@
         nothing of it until it is complete.
         """
         chunks = []
-        async for chunk in answer.chunks():
+        async for chunk in bodies.bounded(answer):
             chunks.append(chunk)
             self.response_writer.buffer.count_read(len(chunk))
         return b''.join(chunks)
