--- a/libs/wire/geraniumweir/wire/connection.py
+++ b/libs/wire/geraniumweir/wire/connection.py
@@ -180,6 +180,10 @@
         except errors.BusyError:
             self._traffic.dropped += 1
 
+    def lose_frames(self) -> None:
+        """Lose all frames from now on, in both directions; for tests."""
+        self._partition = Partition(outgoing=True, incoming=True)
+
     def abort(self) -> None:
         """Abort the connection; :meth:`run` ends soon."""
         self._writer.transport.abort()
--- a/libs/wire/geraniumweir/wire/link.py
+++ b/libs/wire/geraniumweir/wire/link.py
@@ -117,6 +117,12 @@
         """Remove a connection that ended."""
         self._connections.remove(conn)
 
+    def silence(self, seconds: float) -> None:
+        """Lose all frames of the open connections, and abort them later."""
+        for conn in self._connections:
+            conn.lose_frames()
+            asyncio.get_running_loop().call_later(seconds, conn.abort)
+
     async def close(self) -> None:
         """Abort all connections and stop dialling."""
         for conn in self._connections:
--- a/libs/wire/geraniumweir/wire/tcp.py
+++ b/libs/wire/geraniumweir/wire/tcp.py
@@ -186,6 +186,14 @@
         for host_id in self._links:
             self.cut(host_id, outgoing=False, incoming=False)
 
+    def silence(self) -> None:
+        """Lose all frames of the open connections; new ones work.
+
+        Each ends as the kernel ends one on which nothing is acknowledged.
+        """
+        for peer_link in self._links.values():
+            peer_link.silence(greeting.UNACKNOWLEDGED_SECONDS)
+
     def traffic(self, host_id: ids.HostId) -> connection.Traffic:
         """Return the traffic counters of a peer."""
         return self._link(host_id).traffic
