--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -233,7 +233,7 @@
                 host_id,
                 watch,
                 timeout,
-                # It says what was true when it was asked for, or later.
+                # A late answer confirms no later time than that of its call.
                 lambda late: self._apply_rest(host_id, late, now, False),
             )
         except errors.PeerError as exc:
--- a/libs/gateway/geraniumweir/gateway/tests/test_confirmation.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_confirmation.py
@@ -53,6 +53,32 @@
     assert len(told) == 2
 
 
+def test_document_of_a_start_without_a_current_host_is_logged() -> None:
+    """Such a document may not be the newest."""
+
+    async def work() -> list[logbook.LogRecord]:
+        layer = memory.MemoryNetwork().join(
+            ids.HostId('entry'), ids.Address('10.0.0.9', 1)
+        )
+        watcher = watching.Watcher(layer, ids.FailureDomain('x'), dict, _read)
+        found = confirmation.Confirmation(
+            watcher, _LIMIT_SECONDS, metrics.Metrics()
+        )
+        found.document_state()
+        news = _news()
+        news.sure = False
+        watcher.apply(_CONTROL, news)
+        handler = logbook.TestHandler()
+        with handler:
+            await asyncio.sleep(_LIMIT_SECONDS + 2)
+            watcher._document.activate_pending()
+            found.document_state()
+        return handler.records
+
+    told = [one.message for one in virtual.run(work())]
+    assert any('confirmed for 4.0 s' in message for message in told)
+
+
 @pytest.mark.parametrize('seconds', [0.5, 1.9])
 def test_document_is_up_to_date_within_the_limit(seconds: float) -> None:
     """A watch without news takes half a second."""
--- a/libs/wire/geraniumweir/wire/link.py
+++ b/libs/wire/geraniumweir/wire/link.py
@@ -85,7 +85,7 @@
         if conn is not None:
             return conn
         if self.address is None or self._backing_off:
-            return self._silent_or_raise('is not connected')
+            return self._usable_or_raise()
         loop = asyncio.get_running_loop()
         fut: asyncio.Future[connection.Connection] = loop.create_future()
         self._waiters.append(fut)
@@ -94,7 +94,7 @@
 
     def send(self, message: peers.Message) -> None:
         """Send without an answer; queue the message while dialling."""
-        conn = self.newest() or self._silent()
+        conn = self.newest() or self._newest_usable()
         if conn is None:
             self._queue_message(message)
             return
@@ -133,17 +133,17 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    def _silent(self) -> connection.Connection | None:
+    def _newest_usable(self) -> connection.Connection | None:
         """Return the newest usable connection, silent or not."""
         for conn in reversed(self._connections):
             if conn.usable:
                 return conn
         return None
 
-    def _silent_or_raise(self, reason: str) -> connection.Connection:
-        conn = self._silent()
+    def _usable_or_raise(self) -> connection.Connection:
+        conn = self._newest_usable()
         if conn is None:
-            raise errors.UnreachableError(f'{self.host_id} {reason}')
+            raise errors.UnreachableError(f'{self.host_id} is not connected')
         return conn
 
     def _resolve_waiters(self, conn: connection.Connection) -> None:
@@ -186,7 +186,7 @@
     async def _try_dial(self) -> bool:
         if self.newest() is not None or self.address is None:
             return False
-        if self._silent() is not None:
+        if self._newest_usable() is not None:
             eventlog.emit(logevents.SILENT, peer=self.host_id)
         try:
             await self._dial(self.address)
@@ -207,7 +207,7 @@
 
     def _fail_waiting(self, exc: errors.PeerError) -> None:
         """Have waiting calls use a silent connection, or fail without one."""
-        conn = self._silent()
+        conn = self._newest_usable()
         if conn is not None:
             self._resolve_waiters(conn)
             return
