--- a/libs/backends/geraniumweir/backends/bodies.py
+++ b/libs/backends/geraniumweir/backends/bodies.py
@@ -12,7 +12,7 @@
 async def bounded(
     answer: calls.Answer, longest: int | None = None
 ) -> typing.AsyncIterator[bytes]:
-    """Give the body of an answer as it comes.
+    """Yield the body of an answer as it comes.
 
     :param longest: most bytes, by default less where no length is announced.
     :raises errors.CutShortError: when it breaks off.
--- a/libs/ctl/geraniumweir/ctl/documenttimeline.py
+++ b/libs/ctl/geraniumweir/ctl/documenttimeline.py
@@ -1,4 +1,4 @@
-"""Tells from logs when each host had a document version in force."""
+"""Shows from logs when each host had a document version in force."""
 
 import argparse
 import datetime
