Entry host: its parts ask the confirmation for the document directly

Cause: EntryHost.document_state only passed on to Confirmation.document_state. Change: readiness and the caller server get that method; the wrapper is gone. Behaviour is unchanged.

--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -21,7 +21,6 @@
     watching,
 )
 from geraniumweir.gateway import (
-    admission,
     codec,
     confirmation,
     context,
@@ -205,7 +204,7 @@
         self._confirmation = confirmation.Confirmation(
             self.watcher, cfg.sure_seconds, meter
         )
-        self._readiness = readiness.Readiness(self.document_state)
+        self._readiness = readiness.Readiness(self._confirmation.document_state)
         self._caller_server: serving.CallerServer | None = None
 
     def _make_stream_directory(self) -> stream_exchange.StreamDirectory:
@@ -216,10 +215,6 @@
             self._clock,
         )
 
-    def document_state(self) -> admission.DocumentState:
-        """Return the routing document that is in force now."""
-        return self._confirmation.document_state()
-
     async def run(
         self,
         stack: contextlib.AsyncExitStack,
@@ -236,7 +231,7 @@
         shared = self._shared_resources(session)
         caller_server = serving.CallerServer(
             serving.HostLocation(self._cfg.host_id, self._cfg.failure_domain),
-            self.document_state,
+            self._confirmation.document_state,
             shared,
             self._meter,
         )
