Logs: what becomes of each route's requests, and why repeats are denied

Cause: the lines of a pool sum routes of one tier and rank, and a repeat that was denied for another reason than the retry budget left no line, so the hypotheses on a route that earns less than another of its rank could not be told apart from logs. Change: geraniumctl route-timeline has each route by second: on time, late, failed and refused by reason, failed attempts and their repeats, beside the pool's slots. Event 169 and the metric of retries tell of every denied repeat, with the reason.

--- a/libs/ctl/geraniumweir/ctl/arguments.py
+++ b/libs/ctl/geraniumweir/ctl/arguments.py
@@ -19,6 +19,7 @@
     pooltimeline,
     reportcommand,
     rolloutcommand,
+    routetimeline,
     systemcommands,
 )
 
@@ -195,13 +196,15 @@
     refused = _command(commands, 'why-refused', logcommands.why_refused)
     late = _command(commands, 'why-late', losses.why_late)
     pools = _command(commands, 'pool-timeline', pooltimeline.pool_timeline)
+    routes = _command(commands, 'route-timeline', routetimeline.route_timeline)
+    routes.add_argument('--route', default='', help='only of this route')
     moves = _command(commands, 'rollouts', rolloutcommand.rollouts)
     moves.add_argument('--pool', default='', help='only of this pool')
     spread = _command(
         commands, 'document-timeline', documenttimeline.document_timeline
     )
     spread.add_argument('version', type=int, help='of the document')
-    for command in (explain, refused, late, pools, moves, spread):
+    for command in (explain, refused, late, pools, routes, moves, spread):
         command.add_argument(
             'file',
             nargs='*',
--- a/libs/ctl/geraniumweir/ctl/losses.py
+++ b/libs/ctl/geraniumweir/ctl/losses.py
@@ -20,7 +20,7 @@
 _GONE = 164
 _FIRST_FAILURE = 500
 _FIRST_ERROR = 400
-_ON_TIME = 'on time'
+ON_TIME = 'on time'
 # Part of the target that the queue may take before it is to blame.
 _QUEUE_PART = 0.5
 _PERCENT = 100
@@ -94,7 +94,7 @@
     gap = told.get('gap_ms') or float('inf')
     if (told.get('longest_pause_ms') or 0) > gap:
         return 'late: pause'
-    return _ON_TIME
+    return ON_TIME
 
 
 def _cause_of_lateness(told: _Fields, target: float) -> str:
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -170,15 +170,21 @@
         self,
         decision: requests.Grant | requests.Denial,
     ) -> None:
-        """Record a retry that was granted or that the budget denied."""
+        """Record a retry that was granted or denied."""
+        now = response_writer.now()
         match decision:
             case requests.Grant():
-                event, outcome = logevents.RETRIED, 'sent'
-            case requests.Denial(reason=requests.DenialReason.retry_budget):
-                event, outcome = logevents.NOT_RETRIED, 'denied'
-            case _:
-                return
-        self._record.log(event, response_writer.now())
+                outcome = 'sent'
+                self._record.log(logevents.RETRIED, now)
+            case requests.Denial(reason=reason):
+                outcome = (
+                    'denied'
+                    if reason is requests.DenialReason.retry_budget
+                    else 'no_slot'
+                )
+                self._record.log(
+                    logevents.NOT_RETRIED, now, reason=reason.value
+                )
         pool = self._admitted.slot_request.pool
         self._shared.meter.count(metricnames.RETRIES, pool, outcome)
 
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -85,7 +85,7 @@
 NOT_RETRIED: typing.Final = _Event(
     169,
     _Level.info,
-    'request {request} is not retried, the retry budget is used up',
+    'request {request} is not retried: {reason}',
 )
 CONNECTIONS_REFUSED: typing.Final = _Event(
     176,
--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -60,8 +60,8 @@
 RETRIES: typing.Final = Metric(
     'geraniumweir_retries_total',
     Kind.counter,
-    'Requests to be sent once more; outcome is sent or, for want of budget,'
-    ' denied.',
+    'Requests to be sent once more; outcome is sent, denied for want of budget,'
+    ' or no_slot for any other denial.',
     ('pool', 'outcome'),
 )
 RELAYED: typing.Final = Metric(
