Common: one decaying count in place of three

Cause: the length bands, the arrival rate and the demand of entry hosts each had a decaying count of their own, and the shares of routes need one more. Change: common.decay.Count, with its window as a field; behaviour is unchanged.

--- a/libs/control/geraniumweir/control/demand.py
+++ b/libs/control/geraniumweir/control/demand.py
@@ -5,10 +5,7 @@
 before.
 """
 
-import dataclasses
-import math
-
-from geraniumweir.common import ids
+from geraniumweir.common import decay, ids
 
 # Time constant of the decay: longer than the waves in which callers come (11
 # s), so that a partition finds the usual shares.
@@ -18,19 +15,6 @@
 _MIN_EVEN_RATIO = 0.25
 
 
-@dataclasses.dataclass(slots=True)
-class _Count:
-    amount: float = 0
-    at: float = 0
-
-    def add(self, amount: float, now: float) -> None:
-        self.amount = self.decayed(now) + amount
-        self.at = now
-
-    def decayed(self, now: float) -> float:
-        return self.amount * math.exp(-max(now - self.at, 0) / _DECAY_SECONDS)
-
-
 class Demand:
     """Decaying counts by entry host.
 
@@ -41,19 +25,21 @@
 
     def __init__(self) -> None:
         """Initialize without counts."""
-        self._counts: dict[ids.HostId, _Count] = {}
-        self._total = _Count()
+        self._counts: dict[ids.HostId, decay.Count] = {}
+        self._total = decay.Count(_DECAY_SECONDS)
 
     def record(self, host_id: ids.HostId, amount: float, now: float) -> None:
         """Add to what a host requested."""
-        self._counts.setdefault(host_id, _Count()).add(amount, now)
-        self._total.add(amount, now)
+        if host_id not in self._counts:
+            self._counts[host_id] = decay.Count(_DECAY_SECONDS)
+        self._counts[host_id].add(now, amount)
+        self._total.add(now, amount)
 
     def remove(self, host_id: ids.HostId) -> None:
         """Remove a host that has gone."""
         gone = self._counts.pop(host_id, None)
         if gone is not None:
-            self._total.amount -= gone.decayed(self._total.at)
+            self._total.amount -= gone.at(self._total.counted_at)
 
     def share(self, host_id: ids.HostId, hosts: int, now: float) -> float:
         """Return a host's share of all requests.
@@ -70,7 +56,7 @@
         found = self._counts.get(host_id)
         if found is None:
             return even
-        total = self._total.decayed(now)
+        total = self._total.at(now)
         if not total:
             return even
-        return max(found.decayed(now) / total, even * _MIN_EVEN_RATIO)
+        return max(found.at(now) / total, even * _MIN_EVEN_RATIO)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/arrivals.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/arrivals.py
@@ -1,19 +1,22 @@
 """Arrival rate of requests."""
 
 import dataclasses
-import math
+
+from geraniumweir.common import decay
 
 # Time constant of the count: longer than the clusters in which callers come
 # (some tenths of a second), shorter than a burst (2 to 5 s).
 _WINDOW_SECONDS = 1.0
 
 
+def _make_count() -> decay.Count:
+    return decay.Count(_WINDOW_SECONDS)
+
+
 @dataclasses.dataclass(slots=True)
 class Arrivals:
     """A decaying count.
 
-    :ivar counted_at: time of the last request, in seconds.
-
     >>> some = Arrivals()
     >>> for at in range(500):
     ...     some.record(at / 100)
@@ -21,21 +24,15 @@
     1.0
     """
 
-    count: float = 0
-    counted_at: float = 0
+    count: decay.Count = dataclasses.field(default_factory=_make_count)
 
     def record(self, now: float) -> None:
         """Count a request.
 
         :param now: in seconds.
         """
-        self.count = self._decayed(now) + 1
-        self.counted_at = now
+        self.count.add(now)
 
     def rate(self, now: float) -> float:
         """Return the requests a second."""
-        return self._decayed(now) / _WINDOW_SECONDS
-
-    def _decayed(self, now: float) -> float:
-        elapsed = max(now - self.counted_at, 0)
-        return self.count * math.exp(-elapsed / _WINDOW_SECONDS)
+        return self.count.at(now) / _WINDOW_SECONDS
--- a/libs/scheduling/geraniumweir/scheduling/ontime/lengths.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/lengths.py
@@ -20,6 +20,7 @@
 import enum
 import math
 
+from geraniumweir.common import decay
 from geraniumweir.scheduling.ontime import classes
 
 # Time constant of the counts: several times the duration of most requests, so
@@ -46,28 +47,16 @@
 _QUANTILES = ((Band.longest, 0.9), (Band.long, 0.7))
 
 
-@dataclasses.dataclass(slots=True)
-class _Count:
-    """A decaying count."""
-
-    amount: float = 0
-    counted_at: float = 0
-
-    def add(self, now: float) -> None:
-        self.amount = self.at(now) + 1
-        self.counted_at = now
-
-    def at(self, now: float) -> float:
-        elapsed = max(now - self.counted_at, 0)
-        return self.amount * math.exp(-elapsed / _WINDOW_SECONDS)
+def _make_count() -> decay.Count:
+    return decay.Count(_WINDOW_SECONDS)
 
 
 @dataclasses.dataclass(slots=True)
 class _BandCounts:
     """Requests of a band, or of a class, and those granted in time."""
 
-    arrivals: _Count = dataclasses.field(default_factory=_Count)
-    in_time: _Count = dataclasses.field(default_factory=_Count)
+    arrivals: decay.Count = dataclasses.field(default_factory=_make_count)
+    in_time: decay.Count = dataclasses.field(default_factory=_make_count)
 
     def ratio(self, now: float) -> float:
         """Return the fraction granted in time, 1 for too few to tell."""
