Scheduling: routes of one rank are served alike

Cause: who starves was judged by tier and rank only, so that nothing counted a route beside its peers. Change: a route that is served less often than its class goes before the rest of it, below customers above their fair shares, until it has caught up. Failures are made up for as far as a fifth more grants, so that a route whose requests all fail takes nothing from others. Customers held at their fair shares don't count. The higher tier is served as before.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/fair_shares.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/fair_shares.py
@@ -33,7 +33,7 @@
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.scheduling.ontime import classes
+from geraniumweir.scheduling.ontime import classes, max_min
 
 Weights = typing.Mapping[ids.CustomerName, float]
 Excess = typing.Mapping[tuple[classes.Class, ids.CustomerName], int]
@@ -134,6 +134,8 @@
 class CustomerShares:
     """Fair shares of the customers in one class.
 
+    :ivar levels: excess of the customers above their fair shares.
+
     >>> a, b = ids.CustomerName('a'), ids.CustomerName('b')
     >>> shares = CustomerShares()
     >>> for at in range(10):
@@ -142,8 +144,8 @@
     ...     shares.record_grant(a, 1, at / 10)
     >>> shares.refresh({a: 1, b: 1}, 1)
     True
-    >>> shares.excess(a), shares.excess(b)
-    (2, 0)
+    >>> shares.levels
+    {'a': 2}
     """
 
     def __init__(self) -> None:
@@ -189,12 +191,10 @@
         self._update_levels(weights, self._event_weight(now))
         return True
 
-    def excess(self, customer: ids.CustomerName) -> int:
-        """Return by how much a customer is above its fair share.
-
-        :returns: 0 up to its fair share, otherwise one of a few levels.
-        """
-        return self.levels.get(customer, 0)
+    def is_limited(self, customer: ids.CustomerName) -> bool:
+        """Return whether a customer is held at its fair share."""
+        counts = self._counts.get(customer)
+        return counts is not None and counts.limited
 
     def above(self, now: float) -> list[ids.CustomerName]:
         """List the customers that are limited to their fair shares."""
@@ -208,7 +208,7 @@
         :param event_weight: weight of an event now.
         """
         usual_seconds = self._total.mean_seconds(_GUESS_SECONDS, event_weight)
-        level = _fair_level(
+        level = max_min.fair_level(
             self._demands(weights, usual_seconds, event_weight),
             self._total.used_seconds,
         )
@@ -322,6 +322,13 @@
             }
         return self._excess
 
+    def is_limited(
+        self, request_class: classes.Class, customer: ids.CustomerName
+    ) -> bool:
+        """Return whether a customer is held at its fair share of a class."""
+        shares = self._shares.get(request_class)
+        return shares is not None and shares.is_limited(customer)
+
     def above(self, now: float) -> list[ids.CustomerName]:
         """List the customers limited to their fair shares of any class."""
         return sorted(
@@ -336,38 +343,6 @@
         return self._shares.setdefault(request_class, CustomerShares())
 
 
-def _fair_level(
-    demands: typing.Iterable[tuple[float, float]],
-    total_seconds: float,
-) -> float:
-    """Return the slot time for each unit of weight in max-min fair shares.
-
-    It is infinite if all demands are met.
-
-    :param demands: weights and demands of the customers.
-    :param total_seconds: slot time of all customers together.
-
-    >>> _fair_level([(1, 1), (1, 4), (2, 20)], 10)
-    3.0
-    >>> _fair_level([(1, 1), (0, 5)], 4)
-    inf
-    """
-    weighted = [entry for entry in demands if entry[0] > 0]
-    weighted.sort(key=_demand_by_weight)
-    weight_left = math.fsum(entry[0] for entry in weighted)
-    seconds_left = total_seconds
-    for weight, demand in weighted:
-        if demand * weight_left > seconds_left * weight:
-            return max(seconds_left, 0) / weight_left
-        seconds_left -= demand
-        weight_left -= weight
-    return float('inf')
-
-
-def _demand_by_weight(entry: tuple[float, float]) -> float:
-    return entry[1] / entry[0]
-
-
 def _update_excess(
     counts: _Counts,
     weight: float,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -160,6 +160,7 @@
             leader.shares.deficits(now),
             leader.length_bands.starved(now),
             leader.customer_shares.excess(now) if pace.is_crowded else {},
+            leader.routes.behind(now) if pace.is_crowded else frozenset(),
             observations.hold_time(leader),
         ),
     )
@@ -308,7 +309,10 @@
     placement: placing.Placement,
 ) -> None:
     """Grant a request a slot and add it to the usage of class and customer."""
-    _grant(leader, turn.waiting, placement, cycle.now)
+    counts_for_route = turn.waiting.counts_for_route and not turn.late
+    _grant(leader, turn.waiting, placement, cycle.now, counts_for_route)
+    if counts_for_route:
+        leader.routes.record_grant(turn.waiting.slot_request, cycle.now)
     slot_request = turn.waiting.slot_request
     request_class = classes.class_of(slot_request)
     if not turn.late:
@@ -362,6 +366,7 @@
     waiting: records.Waiting,
     placement: placing.Placement,
     now: float,
+    counts_for_route: bool,
 ) -> None:
     slot_request = waiting.slot_request
     server = placement.offer.server
@@ -382,6 +387,7 @@
         read_tokens=placement.tokens_to_read,
         predicted=placement.first_token_seconds,
         tokens=waiting.tokens,
+        counts_for_route=counts_for_route,
     )
     leader.waiting.pop(slot_request.request_id)
     part_checks.record_grant(leader, slot_request, now)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -159,6 +159,10 @@
         if running is None:
             return
         part_checks.record_end(self._state, running, release)
+        if running.counts_for_route:
+            self._state.routes.record_end(
+                running.slot_request, release.outcome, self._state.now()
+            )
         observations.record_unanswered(self._state, running, release.outcome)
         observations.record_end(self._state, running, release)
         server = fleet.server_of(self._state, running)
@@ -266,6 +270,12 @@
             self._state.customer_shares.record_arrival(
                 request_class, slot_request.customer, now
             )
+        counts_for_route = not self._state.customer_shares.is_limited(
+            classes.class_of(slot_request), slot_request.customer
+        )
+        is_first = slot_request.sending is requests.Sending.first
+        if counts_for_route and is_first and not waited_seconds:
+            self._state.routes.record_caller(slot_request, now)
         waiting = records.Waiting(
             slot_request,
             self._state.sequence,
@@ -274,6 +284,7 @@
             tokens,
             asyncio.get_running_loop().create_future(),
             band=band,
+            counts_for_route=counts_for_route,
         )
         self._state.waiting[slot_request.request_id] = waiting
         return waiting
--- a/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/ordering.py
@@ -11,8 +11,10 @@
 :mod:`geraniumweir.scheduling.ontime.classes`.
 
 Within a class, requests of customers above their fair share come later and are
-rejected first while the pool is crowded; see
-:mod:`geraniumweir.scheduling.ontime.fair_shares`.
+rejected first while the pool is crowded, and of the others those of routes that
+are served less often than the class go before the rest; see
+:mod:`geraniumweir.scheduling.ontime.fair_shares` and
+:mod:`geraniumweir.scheduling.ontime.route_shares`.
 
 While new requests take nearly all slots, the order is by importance instead. In
 the order of latest start times, requests with the longest targets come last,
@@ -53,6 +55,7 @@
     fair_shares,
     lengths,
     records,
+    route_shares,
 )
 
 # A plan is a prediction; a request is refused only if its predicted wait
@@ -78,6 +81,7 @@
         time, where the class has a deficit, otherwise 1. Within a tier the
         lowest goes first.
     :ivar excess: by how much its customer is above its fair share of the class.
+    :ivar behind: whether its route is served less often than its class.
     :ivar hold_seconds: predicted slot time by which it is compared with others
         of its class; 0 if requests of its length are served too seldom.
     """
@@ -87,6 +91,7 @@
     late: bool
     in_time_ratio: float = 1
     excess: int = 0
+    behind: bool = False
     hold_seconds: float = 0
 
     @property
@@ -145,7 +150,8 @@
 
 
 _Rank = tuple[int, float, int]
-_Value = tuple[_Rank, int, float, int]
+_Order = tuple[_Rank, int, bool]
+_Value = tuple[_Rank, int, bool, float, int]
 _NO_BANDS: typing.Final[frozenset[lengths.Band]] = frozenset()
 
 
@@ -167,6 +173,7 @@
     :ivar bands: lengths of requests that go before others of their class.
     :ivar excess: by how much customers are above their fair shares, by class;
         their requests go after others of their class.
+    :ivar behind: routes whose requests go before others of their class.
     :ivar hold_time: predicts the seconds for which a request holds a slot; in
         overload shorter requests go before longer ones of their class. It takes
         the request and its expected output tokens.
@@ -179,6 +186,7 @@
         dataclasses.field(default_factory=dict)
     )
     excess: fair_shares.Excess = dataclasses.field(default_factory=dict)
+    behind: frozenset[route_shares.Key] = frozenset()
     hold_time: HoldTime = _equal_hold_time
 
 
@@ -285,6 +293,7 @@
         late=False,
         in_time_ratio=priorities.by_class.get(request_class, 1),
         excess=priorities.excess.get((request_class, slot_request.customer), 0),
+        behind=(request_class, slot_request.rule) in priorities.behind,
         hold_seconds=0
         if waiting.band in priorities.bands.get(request_class, _NO_BANDS)
         else priorities.hold_time(slot_request, waiting.tokens),
@@ -301,6 +310,7 @@
         leaves_at - lead_times[waiting.sequence],
         late=True,
         excess=turn.excess,
+        behind=turn.behind,
     )
 
 
@@ -339,11 +349,16 @@
     return int(slot_request.tier), turn.in_time_ratio, slot_request.rank
 
 
-def _by_importance(turn: Turn) -> tuple[_Rank, int, float]:
-    return _rank(turn), turn.excess, turn.latest_start
+def _order(turn: Turn) -> _Order:
+    """Return the sort key of its class, customer and route."""
+    return _rank(turn), turn.excess, not turn.behind
 
 
-def _shortest_first(turn: Turn) -> tuple[_Rank, int, float, float]:
+def _by_importance(turn: Turn) -> tuple[_Order, float]:
+    return _order(turn), turn.latest_start
+
+
+def _shortest_first(turn: Turn) -> tuple[_Order, float, float]:
     """Return the sort key by importance and slot time.
 
     Equal plain requests come newest first.
@@ -351,7 +366,7 @@
     start = turn.latest_start
     if not turn.waiting.slot_request.streams:
         start = -start
-    return _rank(turn), turn.excess, turn.hold_seconds, start
+    return _order(turn), turn.hold_seconds, start
 
 
 def _value(turn: Turn) -> _Value:
@@ -360,6 +375,7 @@
     return (
         (-tier, -in_time_ratio, -rank),
         -turn.excess,
+        turn.behind,
         -turn.hold_seconds,
         -turn.waiting.sequence,
     )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/pool_log.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/pool_log.py
@@ -6,6 +6,8 @@
 
 # Minimum time between two entries.
 _LOG_SECONDS = 1.0
+# Routes in an entry, those with most callers.
+_MAX_LOGGED_ROUTES = 8
 # Names of customers in an entry.
 _MAX_LOGGED_CUSTOMERS = 8
 _MS = 1000
@@ -25,6 +27,7 @@
         interval_ms=round(state.pace(leader).interval * _MS, 1),
         load=round(state.pace(leader).load, 2),
         classes=leader.shares.log_summary(),
+        routes=leader.routes.log_summary(now, _MAX_LOGGED_ROUTES),
         above_share=leader.customer_shares.above(now)[:_MAX_LOGGED_CUSTOMERS],
         held_back=sum(
             one.is_rate_limited(now) for one in leader.servers.values()
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -36,6 +36,7 @@
     :ivar tokens: expected output tokens.
     :ivar joined: number of slot requests that wait for the same answer.
     :ivar band: length band of its class.
+    :ivar counts_for_route: whether it counts for what its route gets.
     """
 
     slot_request: requests.SlotRequest
@@ -46,6 +47,7 @@
     fut: asyncio.Future[requests.Grant | requests.Denial]
     joined: int = 0
     band: lengths.Band = lengths.Band.usual
+    counts_for_route: bool = False
 
     @property
     def target(self) -> float:
@@ -66,6 +68,7 @@
     :ivar predicted: predicted seconds from the grant to its first token.
     :ivar tokens: expected output tokens.
     :ivar first_token: seconds from the grant to its first token, None before.
+    :ivar counts_for_route: whether the grant counts for what its route gets.
     """
 
     slot_request: requests.SlotRequest
@@ -75,6 +78,7 @@
     predicted: float
     tokens: float
     first_token: float | None = None
+    counts_for_route: bool = False
 
     @property
     def start(self) -> notices.ServerIncarnation:
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -25,6 +25,7 @@
     paths,
     records,
     repeats,
+    route_shares,
     speeds,
 )
 
@@ -84,6 +85,7 @@
     :ivar shares: what each class of requests got lately.
     :ivar length_bands: how often long requests of each class are served.
     :ivar customer_shares: what each customer got lately of each class.
+    :ivar routes: how often each route is served.
     :ivar repeated: first arrivals of refused requests.
     :ivar last_cycle_at: start of the last scheduling cycle, in seconds.
     :ivar interval: seconds from one free slot of the pool to the next.
@@ -150,6 +152,9 @@
     length_bands: lengths.Lengths = dataclasses.field(
         default_factory=lengths.Lengths
     )
+    routes: route_shares.RouteShares = dataclasses.field(
+        default_factory=route_shares.RouteShares
+    )
     customer_shares: fair_shares.SharesByClass = dataclasses.field(
         default_factory=fair_shares.SharesByClass,
     )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_route_shares.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_route_shares.py
@@ -10,6 +10,7 @@
 import pytest
 from geraniumweir.common import ids, virtual
 from geraniumweir.scheduling import requests
+from geraniumweir.scheduling.ontime import route_shares
 from geraniumweir.scheduling.ontime.tests import play
 
 _SECONDS = 20
@@ -33,6 +34,7 @@
     :ivar rate: callers a second.
     :ivar failures: fraction of the runs that the server fails.
     :ivar repeatable: whether a failed request is sent once more.
+    :ivar rule: name of the route if several customers have callers on it.
     :ivar callers: callers after the first seconds.
     :ivar in_time: those of them with a successful response in time.
     """
@@ -41,6 +43,8 @@
     failures: float = 0
     repeatable: bool = True
     tier: ids.Tier = ids.Tier.normal
+    customer: str = 'customer'
+    rule: str = ''
     callers: int = 0
     in_time: int = 0
 
@@ -69,6 +73,8 @@
         loop = asyncio.get_running_loop()
         server = dataclasses.replace(play.server('a', slots), kind='service')
         self._pool = play.make_leader(server, now=loop.time)
+        customers = {one.customer for one in routes.values()}
+        self._pool.use_weights(lambda: dict.fromkeys(customers, 1))
         self._routes = routes
         self._rng = random.Random(seed)
         self._numbers = itertools.count()
@@ -108,7 +114,8 @@
             slot_request = play.make_request(
                 f'{name} {next(self._numbers)}',
                 start,
-                rule=ids.RuleName(name),
+                rule=ids.RuleName(route.rule or name),
+                customer=ids.CustomerName(route.customer),
                 tier=route.tier,
                 sending=sending,
                 fingerprint=fingerprint,
@@ -173,3 +180,103 @@
         _simulate(routes, slots=12, seed=seed)
     lowest = ordinary['lookup'].share - _MAX_DIFFERENCE
     assert always['lookup'].share >= lowest
+
+
+def _request(
+    rule: str, now: float = 0, **changes: typing.Any
+) -> requests.SlotRequest:
+    return play.make_request(
+        f'{rule}-{now}',
+        now,
+        rule=ids.RuleName(rule),
+        **{'streams': False, **changes},
+    )
+
+
+def _shares(
+    served: typing.Mapping[str, tuple[int, int]], **changes: typing.Any
+) -> route_shares.RouteShares:
+    """Return shares of routes with some callers and grants in time."""
+    shares = route_shares.RouteShares()
+    for rule, (callers, grants) in served.items():
+        for _ in range(callers):
+            shares.record_caller(_request(rule, **changes), 0)
+        for _ in range(grants):
+            shares.record_grant(_request(rule, **changes), 0)
+    return shares
+
+
+def _rules_behind(shares: route_shares.RouteShares, now: float = 0) -> set[str]:
+    return {str(rule) for _, rule in shares.behind(now)}
+
+
+def test_route_with_few_callers_is_not_judged() -> None:
+    """One caller that was refused says nothing about its route."""
+    shares = _shares({'large': (100, 50), 'small': (3, 0)})
+    assert not _rules_behind(shares)
+    shares = _shares({'large': (100, 50), 'small': (6, 0)})
+    assert _rules_behind(shares) == {'small'}
+
+
+def test_failed_grants_serve_nobody() -> None:
+    """A route with as many grants as its peer is behind if some of them fail.
+
+    Beyond a sixth of the grants failures aren't made up for.
+    """
+    for failures, expected in ((0, set()), (20, {'status'})):
+        shares = _shares({'lookup': (100, 50), 'status': (100, 50)})
+        for _ in range(failures):
+            failed = requests.Outcome.answered_failure
+            shares.record_end(_request('status'), failed, 0)
+        assert _rules_behind(shares) == expected
+    shares = _shares({'lookup': (100, 50), 'status': (100, 63)})
+    for _ in range(63):
+        shares.record_end(_request('status'), requests.Outcome.failed, 0)
+    assert not _rules_behind(shares)
+
+
+def test_routes_of_other_ranks_are_not_compared() -> None:
+    """A less important route that is served less often isn't behind."""
+    shares = _shares({'first': (100, 90)})
+    for _ in range(100):
+        shares.record_caller(_request('second', rank=1), 0)
+    assert not _rules_behind(shares)
+
+
+def test_route_of_long_streams_yields_to_short_ones_within_bounds() -> None:
+    """Equal service would cost more callers of the short ones."""
+    for grants, expected in ((40, set()), (25, {'long'})):
+        served = {'short': (100, 60), 'long': (100, grants)}
+        assert _rules_behind(_shares(served, streams=True)) == expected
+
+
+def test_idle_routes_are_removed() -> None:
+    """The routes of old documents would fill the memory."""
+    shares = _shares({f'r{number}': (100, 0) for number in range(100)})
+    assert len(shares.log_summary(0, 200)) == 100
+    shares.record_caller(_request('new'), 1000)
+    assert len(shares.log_summary(1000, 200)) == 1
+
+
+@pytest.mark.parametrize('seed', _SEEDS)
+def test_customer_above_its_share_gains_nothing_for_its_route(
+    seed: int,
+) -> None:
+    """Its refused callers would let the route overtake those of others."""
+    routes = {'heavy': _Route(300, customer='heavy', rule='status')}
+    for customer in 'abcd':
+        for rule, rate in (('lookup', 45), ('status', 10)):
+            route = _Route(rate, customer=customer, rule=rule)
+            routes[f'{rule} {customer}'] = route
+    _simulate(routes, slots=12, seed=seed)
+    lookup, status = (
+        _total_share(one for name, one in routes.items() if name.startswith(of))
+        for of in ('lookup', 'status')
+    )
+    assert abs(lookup - status) <= _MAX_DIFFERENCE
+
+
+def _total_share(routes: typing.Iterable[_Route]) -> float:
+    listed = list(routes)
+    callers = sum(one.callers for one in listed)
+    return sum(one.in_time for one in listed) / callers
