Scheduling: plain servers stay busy while grants and releases travel

Cause: a grant holds its slot from the leader's decision until its release has arrived, and never more were granted than a server has slots. So its slots were idle while messages were on their way, a quarter of the time; the log calls such a pool full. Change: while new requests take all slots, a plain server gets as many requests beyond its slots as are on their way by the times that entry hosts report, at most half of its slots. Servers with a rate limit or a rejection limit, and engines, are served as before.

--- a/libs/control/geraniumweir/control/pool_servers.py
+++ b/libs/control/geraniumweir/control/pool_servers.py
@@ -163,7 +163,7 @@
             server_id=found.server_id,
             incarnation=ids.Incarnation(found.born),
             address=found.address,
-            kind='engine' if engine else 'service',
+            kind=servers.ENGINE if engine else servers.SERVICE,
             pool=pool.name,
             failure_domain=found.failure_domain,
             models=found.models,
--- a/libs/membership/geraniumweir/membership/servers.py
+++ b/libs/membership/geraniumweir/membership/servers.py
@@ -16,6 +16,7 @@
 import dataclasses
 import enum
 import math
+import typing
 
 import reactivex
 import xxhash
@@ -27,6 +28,9 @@
 RETENTION_SECONDS = 600.0
 MAX_SERVERS = 4096
 _KEY_SHIFT = 23
+# Kinds of servers.
+ENGINE: typing.Final = 'engine'
+SERVICE: typing.Final = 'service'
 
 
 class ServerState(enum.Enum):
@@ -41,7 +45,7 @@
     """Announcement of a backend server.
 
     :ivar incarnation: higher at each start of the server.
-    :ivar kind: ``engine`` or ``service``.
+    :ivar kind: :data:`ENGINE` or :data:`SERVICE`.
     :ivar slots: requests it runs concurrently.
     :ivar kv_tokens: capacity of its KV cache, in tokens.
     :ivar max_context: longest prompt and output together, in tokens.
--- a/libs/scheduling/geraniumweir/scheduling/ontime/conditions.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/conditions.py
@@ -44,6 +44,7 @@
     :ivar failure_ratio: fraction of recent responses that were failures.
     :ivar concurrency_limit: concurrent requests that it takes, where it was
         full lately.
+    :ivar queues: whether it queues requests beyond its slots, as far as known.
     """
 
     cooldown_until: float = float('-inf')
@@ -51,13 +52,17 @@
     trusted: bool = True
     failure_ratio: float = 0
     concurrency_limit: float = float('inf')
+    queues: bool = True
     _cooldown_seconds: float = _MIN_COOLDOWN_SECONDS
     _truncated_in_row: int = 0
     _unreachable_in_row: int = 0
     _limit_cut_at: float = float('-inf')
 
-    def max_requests(self, slots: int, now: float) -> int:
-        """Return the number of requests that it may run now.
+    def max_requests(self, slots: int, now: float, max_queued: int = 0) -> int:
+        """Return the number of requests that it may get now.
+
+        :param max_queued: requests beyond its slots that it may queue if it is
+            not known to be full sooner.
 
         >>> tired = Condition()
         >>> tired.record_hang(10)
@@ -70,10 +75,12 @@
         """
         if now < self.cooldown_until:
             return 0
-        return self._allowed(slots) if self.trusted else 1
+        return self._allowed(slots, max_queued) if self.trusted else 1
 
-    def expected_requests(self, slots: int, now: float) -> int:
-        """Return the number of requests that it is expected to run soon.
+    def expected_requests(
+        self, slots: int, now: float, max_queued: int = 0
+    ) -> int:
+        """Return the number of requests that it is expected to get soon.
 
         A first short cooldown is no reason to refuse callers.
         """
@@ -81,8 +88,8 @@
             now - self.cooldown_started_at
             < _MIN_COOLDOWN_SECONDS * _COOLDOWN_GROWTH
         ):
-            return self._allowed(slots)
-        return max(self.max_requests(slots, now), 1)
+            return self._allowed(slots, max_queued)
+        return max(self.max_requests(slots, now, max_queued), 1)
 
     def record_hang(self, now: float) -> bool:
         """Record that no response came to any request it was sent.
@@ -102,12 +109,13 @@
         return self._start_cooldown(now)
 
     def record_rejection(
-        self, running: int, granted_at: float, now: float
+        self, running: int, granted_at: float, now: float, slots: int
     ) -> bool:
         """Record that it rejected a request as it was full.
 
         Rejections of requests granted before the last cut don't show that the
-        present limit is too high.
+        present limit is too high. With all of its slots in use, it only shows
+        that it queues nothing.
 
         :param running: number of its other requests.
         :param granted_at: when the rejected request was granted, in seconds.
@@ -116,6 +124,9 @@
         if granted_at < self._limit_cut_at:
             return False
         self._limit_cut_at = now
+        if self.queues and running >= slots:
+            self.queues = False
+            return False
         if running < _MIN_LIMIT or not self.trusted:
             return self._start_cooldown(now)
         self.concurrency_limit = max(
@@ -152,8 +163,9 @@
         self._cooldown_seconds = _MIN_COOLDOWN_SECONDS
         self.cooldown_until = float('-inf')
 
-    def _allowed(self, slots: int) -> int:
-        return int(min(slots, max(self.concurrency_limit, _MIN_LIMIT)))
+    def _allowed(self, slots: int, max_queued: int) -> int:
+        most = slots + max_queued if self.queues else slots
+        return int(min(most, max(self.concurrency_limit, _MIN_LIMIT)))
 
     def _start_cooldown(self, now: float) -> bool:
         if now < self.cooldown_until:
--- a/libs/scheduling/geraniumweir/scheduling/ontime/cooldowns.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/cooldowns.py
@@ -59,7 +59,7 @@
                 server.running.keys() - {running.slot_request.request_id}
             )
             return server_condition.record_rejection(
-                others, running.granted_at, now
+                others, running.granted_at, now, server.slots
             )
         case _:
             return server_condition.record_hang(now)
--- a/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/observations.py
@@ -211,6 +211,9 @@
 ) -> None:
     if release.first_token is not None:
         record_first_token(leader, running, release.first_token)
+    if not running.slot_request.streams:
+        held_seconds = leader.now() - running.granted_at
+        leader.travel.record(held_seconds, release.seconds)
     first = running.first_token or 0
     leader.estimates.add_response(
         server.speed,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -103,6 +103,7 @@
     :ivar rejection_budget: limits the requests that it may reject; None where
         it sets no limit.
     :ivar slot_usage: for how long requests hold its slots.
+    :ivar max_queued: requests that it may get beyond its slots.
     """
 
     announcement: servers.Announcement
@@ -133,6 +134,7 @@
     slot_usage: occupancy.Occupancy = dataclasses.field(
         default_factory=occupancy.Occupancy,
     )
+    max_queued: int = 0
 
     @property
     def server_id(self) -> ids.ServerId:
@@ -144,6 +146,15 @@
         """Return the version of its software."""
         return self.announcement.version
 
+    @property
+    def is_plain(self) -> bool:
+        """Return whether it runs plain requests and sets itself no limit."""
+        return (
+            self.announcement.kind == servers.SERVICE
+            and self.throttle is None
+            and self.rejection_budget is None
+        )
+
     @property
     def serves(self) -> bool:
         """Return whether it may get any request of the pool."""
@@ -197,7 +208,9 @@
         token, the lateness of the next first token, the tokens that running
         requests keep and the capacity for them, and the rate limit.
         """
-        max_running = self.condition.max_requests(self.slots, now)
+        max_running = self.condition.max_requests(
+            self.slots, now, self.max_queued
+        )
         late = round(self.overdue_seconds(now), 2)
         memory = ''
         if self.announcement.kv_tokens:
@@ -218,7 +231,9 @@
         """
         if not self.live:
             return 0
-        max_running = self.condition.max_requests(self.slots, now)
+        max_running = self.condition.max_requests(
+            self.slots, now, self.max_queued
+        )
         free_slots = max_running - len(self.running) + stuck
         if self.rejection_budget is not None:
             allowed = self.rejection_budget.allowed(len(self.prefilling), now)
@@ -237,7 +252,9 @@
         :param pool_hold_seconds: time for which a request of the pool holds a
             slot.
         """
-        expected_requests = self.condition.expected_requests(self.slots, now)
+        expected_requests = self.condition.expected_requests(
+            self.slots, now, self.max_queued
+        )
         rate = expected_requests / self.slot_usage.hold_seconds(
             pool_hold_seconds
         )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -27,6 +27,7 @@
     repeats,
     route_shares,
     speeds,
+    travel_times,
 )
 
 _MS = 1000
@@ -85,6 +86,7 @@
     :ivar shares: what each class of requests got lately.
     :ivar length_bands: how often long requests of each class are served.
     :ivar customer_shares: what each customer got lately of each class.
+    :ivar travel: how long grants and releases are on their way.
     :ivar routes: how often each route is served.
     :ivar repeated: first arrivals of refused requests.
     :ivar last_cycle_at: start of the last scheduling cycle, in seconds.
@@ -152,6 +154,9 @@
     length_bands: lengths.Lengths = dataclasses.field(
         default_factory=lengths.Lengths
     )
+    travel: travel_times.TravelTimes = dataclasses.field(
+        default_factory=travel_times.TravelTimes
+    )
     routes: route_shares.RouteShares = dataclasses.field(
         default_factory=route_shares.RouteShares
     )
@@ -180,9 +185,23 @@
     if now - leader.paced_at >= delay:
         leader.paced_at = now
         leader.interval = interval(leader)
+        _set_max_queued(leader)
     return ordering.Pace(leader.interval, leader.arrival_rate.rate(now))
 
 
+def _set_max_queued(leader: OnTimeLeaderState) -> None:
+    """Let plain servers queue requests while new ones take all slots."""
+    arrivals_per_second = leader.arrival_rate.rate(leader.now())
+    is_crowded = ordering.Pace(leader.interval, arrivals_per_second).is_crowded
+    for server in leader.servers.values():
+        server.max_queued = 0
+        if is_crowded and server.is_plain:
+            seconds, _ = leader.estimates.line(server.speed).fit()
+            server.max_queued = leader.travel.requests_on_way(
+                server.slots, seconds
+            )
+
+
 def denial(
     leader: OnTimeLeaderState,
     slot_request: requests.SlotRequest,
--- a/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_cooldowns.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/tests/test_cooldowns.py
@@ -130,10 +130,10 @@
 def test_concurrency_limit_grows_with_answers() -> None:
     """A server that was full for a moment gets all its slots back soon."""
     condition = conditions.Condition()
-    condition.record_rejection(6, 0, 1)
+    condition.record_rejection(6, 0, 1, slots=7)
     assert condition.max_requests(6, 1) == 4
     # This one was sent before the first rejection was known.
-    condition.record_rejection(5, 0.5, 1)
+    condition.record_rejection(5, 0.5, 1, slots=7)
     assert condition.max_requests(6, 1) == 4
     for _ in range(10):
         condition.record_answer(well=True)
