Scheduling: requests queued at plain servers cover the variation of what is on its way

Cause: a server got as many requests beyond its slots as are on their way on average, so its slots were idle whenever more were. Change: the square root of that number is added, as for the variation of independent events.

--- a/libs/scheduling/geraniumweir/scheduling/ontime/travel_times.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/travel_times.py
@@ -6,9 +6,9 @@
 So with as many grants as slots some slots are always idle.
 
 Servers queue a few requests. A server gets as many beyond its slots as are on
-their way by Little's law [1]_, so that on average as many are there as it has
-slots. While callers are not refused anyway, or where a server doesn't queue, it
-gets none.
+their way by Little's law [1]_, and the square root of that for their variation,
+so that mostly at least as many are there as it has slots. While new requests
+leave slots free, or where a server doesn't queue, it gets none.
 
 References
 ==========
@@ -17,6 +17,7 @@
 """
 
 import dataclasses
+import math
 
 from geraniumweir.scheduling.ontime import speeds
 
@@ -53,9 +54,9 @@
         self.seconds.add(max(held_seconds - server_seconds, 0))
 
     def requests_on_way(self, slots: int, server_seconds: float) -> int:
-        """Return the requests that are on their way for a busy server.
+        """Return the requests that may be on their way for a busy server.
 
         :param server_seconds: usual time from the dispatch to the end.
         """
         on_way = slots * self.seconds.get(0) / server_seconds
-        return round(min(on_way, slots * _MAX_FRACTION))
+        return int(min(on_way + math.sqrt(on_way), slots * _MAX_FRACTION))
