--- a/libs/scheduling/geraniumweir/scheduling/ontime/records.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/records.py
@@ -147,8 +147,12 @@
         return self.announcement.version
 
     @property
-    def is_plain(self) -> bool:
-        """Return whether it runs plain requests and sets itself no limit."""
+    def may_queue(self) -> bool:
+        """Return whether requests may be sent to it beyond its slots.
+
+        Engines slow down all of their streams then, and servers that limit
+        requests or rejections set a limit of their own.
+        """
         return (
             self.announcement.kind == servers.SERVICE
             and self.throttle is None
--- a/libs/scheduling/geraniumweir/scheduling/ontime/route_shares.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/route_shares.py
@@ -14,10 +14,9 @@
 only as far as the usual repeats go. So a route whose requests all fail can take
 hardly more slots from its peers than its callers stand for.
 
-Streams go shortest first within a class in overload. To equal service among
-routes of different lengths most callers would be lost, so such a route is
-behind only below a lower fraction; see
-:mod:`geraniumweir.scheduling.ontime.lengths`.
+Streams go shortest first within a class in overload, which serves most callers.
+So a route of long streams is behind only below a lower fraction, as bands of
+long requests are; see :mod:`geraniumweir.scheduling.ontime.lengths`.
 
 Cost: a recorded event updates one or two counts. Which routes are behind is
 computed at most every 10 ms and at most every 0.2 ms for each route. Idle
@@ -144,7 +143,7 @@
             self._of(slot_request).failures.add(now)
 
     def behind(self, now: float) -> frozenset[Key]:
-        """Return the routes that are served less often than their class."""
+        """Return the routes that are behind their class."""
         delay = max(
             _REFRESH_SECONDS, len(self._routes) * _REFRESH_SECONDS_PER_ROUTE
         )
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -195,7 +195,7 @@
     is_crowded = ordering.Pace(leader.interval, arrivals_per_second).is_crowded
     for server in leader.servers.values():
         server.max_queued = 0
-        if is_crowded and server.is_plain:
+        if is_crowded and server.may_queue:
             seconds, _ = leader.estimates.line(server.speed).fit()
             server.max_queued = leader.travel.requests_on_way(
                 server.slots, seconds
