--- a/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/granting.py
@@ -309,11 +309,11 @@
     placement: placing.Placement,
 ) -> None:
     """Grant a request a slot and add it to the usage of class and customer."""
+    slot_request = turn.waiting.slot_request
     counts_for_route = turn.waiting.counts_for_route and not turn.late
     _grant(leader, turn.waiting, placement, cycle.now, counts_for_route)
     if counts_for_route:
-        leader.routes.record_grant(turn.waiting.slot_request, cycle.now)
-    slot_request = turn.waiting.slot_request
+        leader.routes.record_grant(slot_request, cycle.now)
     request_class = classes.class_of(slot_request)
     if not turn.late:
         leader.length_bands.record_grant(
--- a/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/leader.py
@@ -258,8 +258,8 @@
         )
         tokens = observations.expected_tokens(self._state, slot_request)
         band = lengths.Band.usual
+        request_class = classes.class_of(slot_request)
         if not waited_seconds:
-            request_class = classes.class_of(slot_request)
             self._state.shares.record_arrival(request_class, now)
             if slot_request.streams:
                 band = self._state.length_bands.record_arrival(
@@ -271,7 +271,7 @@
                 request_class, slot_request.customer, now
             )
         counts_for_route = not self._state.customer_shares.is_limited(
-            classes.class_of(slot_request), slot_request.customer
+            request_class, slot_request.customer
         )
         is_first = slot_request.sending is requests.Sending.first
         if counts_for_route and is_first and not waited_seconds:
--- a/libs/scheduling/geraniumweir/scheduling/ontime/route_shares.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/route_shares.py
@@ -199,7 +199,7 @@
         }
 
     def _of(self, slot_request: requests.SlotRequest) -> _Counts:
-        key = key_of(slot_request)
+        key = classes.class_of(slot_request), slot_request.rule
         counts = self._routes.get(key)
         if counts is None:
             min_ratio = _MIN_STREAM_RATIO if slot_request.streams else 1
@@ -207,11 +207,6 @@
         return counts
 
 
-def key_of(slot_request: requests.SlotRequest) -> Key:
-    """Return the class and the route of a request."""
-    return classes.class_of(slot_request), slot_request.rule
-
-
 def _ratios(
     served: typing.Mapping[Key, float], callers: typing.Mapping[Key, float]
 ) -> dict[classes.Class, float]:
--- a/libs/scheduling/geraniumweir/scheduling/ontime/state.py
+++ b/libs/scheduling/geraniumweir/scheduling/ontime/state.py
@@ -182,20 +182,21 @@
     """Return the slot rate and the arrival rate of the pool."""
     now = leader.now()
     delay = max(_PACE_SECONDS, len(leader.servers) * _PACE_SECONDS_PER_SERVER)
-    if now - leader.paced_at >= delay:
+    is_due = now - leader.paced_at >= delay
+    if is_due:
         leader.paced_at = now
         leader.interval = interval(leader)
-        _set_max_queued(leader)
-    return ordering.Pace(leader.interval, leader.arrival_rate.rate(now))
+    found = ordering.Pace(leader.interval, leader.arrival_rate.rate(now))
+    if is_due:
+        _set_max_queued(leader, found)
+    return found
 
 
-def _set_max_queued(leader: OnTimeLeaderState) -> None:
+def _set_max_queued(leader: OnTimeLeaderState, found: ordering.Pace) -> None:
     """Let plain servers queue requests while new ones take all slots."""
-    arrivals_per_second = leader.arrival_rate.rate(leader.now())
-    is_crowded = ordering.Pace(leader.interval, arrivals_per_second).is_crowded
     for server in leader.servers.values():
         server.max_queued = 0
-        if is_crowded and server.may_queue:
+        if found.is_crowded and server.may_queue:
             seconds, _ = leader.estimates.line(server.speed).fit()
             server.max_queued = leader.travel.requests_on_way(
                 server.slots, seconds
