--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -136,6 +136,7 @@
         self.record = Record(pathlib.Path(folder) / 'record.txt')
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.servers = []
+        self.killed = []
         self._tasks = []
         self._roles = tomllib.loads((ROOT / 'deploy/system.toml').read_text())[
             'roles'
@@ -656,7 +657,13 @@
                     Request(method, path, fields, body), writer
                 ):
                     return
-        except (OSError, EOFError, asyncio.LimitOverrunError, ValueError):
+        except (
+            OSError,
+            EOFError,
+            asyncio.LimitOverrunError,
+            ValueError,
+            asyncio.CancelledError,
+        ):
             return
         finally:
             self._writers.discard(writer)
@@ -756,9 +763,71 @@
 
 
 def resident_mb(node):
-    """Return the resident memory of a process of the system, in MB."""
-    text = pathlib.Path(f'/proc/{node.process.pid}/status').read_text()
-    return int(text.split('VmRSS:')[1].split()[0]) / 1024
+    """Return the resident memory of a process of the system, in MB; 0 at its end."""
+    try:
+        text = pathlib.Path(f'/proc/{node.process.pid}/status').read_text()
+    except OSError:
+        return 0
+    _, _, rest = text.partition('VmRSS:')
+    return int(rest.split()[0]) / 1024 if rest else 0
+
+
+async def limit_memory(rig):
+    """Kill a process over ``memoryMb`` and start it again, as DEPLOY.md says."""
+    while True:
+        for node in rig.nodes:
+            if not node.lives:
+                continue
+            used = resident_mb(node)
+            if used > LIMITS[node.kind]['memoryMb']:
+                rig.record(
+                    f'platform: {node.name} uses {used:.0f} MB, more than its memoryMb: killed'
+                )
+                rig.killed.append(node.name)
+                node.process.kill()
+                await node.process.wait()
+                await rig.start_node(node)
+        await asyncio.sleep(0.02)
+
+
+class KeptChannel:
+    """A requester's channel that stays open for several requests."""
+
+    def __init__(self, rig, node):
+        self._rig = rig
+        self._node = node
+
+    async def open(self):
+        self._reader, self._writer = await asyncio.open_connection(
+            self._node.ip, self._rig.front_port, limit=1 << 20
+        )
+
+    async def send(self, method, path, body=b'', seconds=15.0):
+        """Send a request; return its id and the answer, None if the channel ended."""
+        request_id = f'{random.getrandbits(64):016x}'
+        head = {
+            'Host': HOST,
+            REQUEST_ID: request_id,
+            'X-Geraniumweir-Deadline-Ms': str(int(seconds * 1000)),
+            'Api-Key': KEY,
+        }
+        self._rig.record(
+            f'requester: {request_id} {method} {path} to {self._node.name} on a kept channel'
+        )
+        try:
+            async with asyncio.timeout(seconds + 2):
+                self._writer.write(encode_request(method, path, head, body))
+                await self._writer.drain()
+                first, fields = await read_head(self._reader)
+                got, complete = await read_body(self._reader, fields)
+        except (OSError, EOFError, TimeoutError) as exc:
+            self._rig.record(f'requester: {request_id} got no answer: {exc!r}')
+            return request_id, None
+        self._rig.record(f'requester: {request_id} got {first.split()[1]}')
+        return request_id, Answer(int(first.split()[1]), fields, got, complete)
+
+    def close(self):
+        self._writer.close()
 
 
 def main(folder, case, fronts=2):
