Build: install pbr before packages that are built without isolation

Cause: there is no arm64 wheel of hdrhistogram 0.10.8. Its source takes the version from pbr at build time; the second pip call builds without isolation in an environment that had no pbr, so the metadata said 0.0.0 and pip discarded the package. A pip cache that has the built wheel hides this.

Change: pbr, which constraints.txt pins already, is installed beside setuptools. The README says that arm64 needs a C compiler. The deploy file's build runs pip with build isolation and isn't affected.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,9 @@
 
 $(STAMP): constraints.txt requirements-dev.txt $(PROJECTS)
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q -c constraints.txt setuptools -r requirements-dev.txt
+	# hdrhistogram takes its version from pbr where no wheel fits the machine.
+	$(BIN)/pip install -q -c constraints.txt setuptools pbr \
+		-r requirements-dev.txt
 	$(BIN)/pip install -q -c constraints.txt --no-build-isolation \
 		$(foreach lib,$(LIBS),-e $(lib))
 	touch $@
