Peer layer: a message that is too long for a frame is told apart from a lost one

Cause: framing.pack raised FrameError, a PeerError like a lost connection, so every sender took an oversized message for a lost one and logs had no trace of it; an oversized answer was dropped, and its caller waited for its timeout.

The in-memory network of the tests has the same limit.

--- a/libs/wire/geraniumweir/wire/connection.py
+++ b/libs/wire/geraniumweir/wire/connection.py
@@ -13,6 +13,7 @@
 
 from geraniumweir.common import eventlog, ids
 from geraniumweir.wire import (
+    catalogue,
     envelopes,
     errors,
     framing,
@@ -146,6 +147,7 @@
         :param timeout: in seconds.
         :param on_late: called with an answer that comes after the timeout, if
             it is among the last ones that are awaited so.
+        :raises errors.OversizeError: when it is too long for a frame.
         :raises errors.BusyError: when the send buffer is full.
         :raises errors.PeerTimeoutError: when no answer came in time.
         :raises errors.PeerError: when the connection was lost; the peer may
@@ -173,11 +175,11 @@
         return self._unseal(answer)
 
     def send(self, message: peers.Message) -> None:
-        """Send a message, or drop it when the send buffer is full."""
+        """Send a message; drop one that is too long or finds the buffer full."""
         envelope = envelopes.seal(envelopes.Kind.message, 0, message)
         try:
             self._write(envelope)
-        except errors.BusyError:
+        except (errors.BusyError, errors.OversizeError):
             self._traffic.dropped += 1
 
     def lose_frames(self) -> None:
@@ -244,6 +246,8 @@
     def _reply(self, envelope: ttypes.Envelope) -> None:
         try:
             self._write(envelope)
+        except errors.OversizeError as exc:
+            self._reply(envelopes.failure(envelope.call_id, exc.message))
         except errors.PeerError:
             # The caller notices by its timeout.
             self._traffic.dropped += 1
@@ -251,7 +255,7 @@
     def _write(self, envelope: ttypes.Envelope) -> None:
         if not self.usable:
             raise errors.UnreachableError(f'{self.peer} is disconnected')
-        frame = framing.pack(framing.encode(envelope))
+        frame = self._pack(envelope)
         buffered = self._writer.transport.get_write_buffer_size()
         if buffered + len(frame) > MAX_BUFFERED_BYTES:
             raise errors.BusyError(f'{buffered} bytes wait for {self.peer}')
@@ -266,6 +270,19 @@
         else:
             self._writer.write(frame)
 
+    def _pack(self, envelope: ttypes.Envelope) -> bytes:
+        body = framing.encode(envelope)
+        try:
+            return framing.pack(body)
+        except errors.OversizeError:
+            eventlog.emit(
+                logevents.MESSAGE_TOO_LONG,
+                message=catalogue.generated().name_of(envelope.message_type),
+                peer=self.peer,
+                size=len(body),
+            )
+            raise
+
     def _write_late(self, frame: bytes) -> None:
         if self.usable:
             self._writer.write(frame)
--- a/libs/wire/geraniumweir/wire/errors.py
+++ b/libs/wire/geraniumweir/wire/errors.py
@@ -33,6 +33,12 @@
     code = 'GW-4105'
 
 
+class OversizeError(FrameError):
+    """A message that is too long for a frame; it was not sent."""
+
+    code = 'GW-4107'
+
+
 class BusyError(UnreachableError):
     """The send buffer to the peer is full; the message was not sent."""
 
--- a/libs/wire/geraniumweir/wire/framing.py
+++ b/libs/wire/geraniumweir/wire/framing.py
@@ -20,6 +20,9 @@
 from thrift.transport import TTransport
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Largest part of a message that callers may choose, such as a command of the
+# log; the remainder of the frame is for the message's other fields.
+MAX_PAYLOAD_BYTES = MAX_FRAME_BYTES - 512 * 1024
 _MAX_CONTAINER_LENGTH = 1024 * 1024
 _LENGTH_BYTES = 4
 # A longer body is read in parts, so that its progress shows.
@@ -75,13 +78,15 @@
 def pack(body: bytes) -> bytes:
     """Return a frame: a body preceded by its length.
 
-    :raises errors.FrameError: when it is too long for a frame.
+    :raises errors.OversizeError: when it is too long for a frame.
 
     >>> len(pack(b'ab'))
     6
     """
     if len(body) > MAX_FRAME_BYTES:
-        raise errors.FrameError(f'{len(body)} bytes are too long for a frame')
+        raise errors.OversizeError(
+            f'{len(body)} bytes are too long for a frame'
+        )
     return len(body).to_bytes(_LENGTH_BYTES, 'big') + body
 
 
--- a/libs/wire/geraniumweir/wire/logevents.py
+++ b/libs/wire/geraniumweir/wire/logevents.py
@@ -52,3 +52,8 @@
     logevents.Level.info,
     'a connection to peer {peer} delivers again after a silence',
 )
+MESSAGE_TOO_LONG = logevents.Event(
+    411,
+    logevents.Level.error,
+    'a {message} to peer {peer} is too long to be sent: {size} bytes',
+)
--- a/libs/wire/geraniumweir/wire/memory.py
+++ b/libs/wire/geraniumweir/wire/memory.py
@@ -150,6 +150,7 @@
         """Send a message and wait for its answer.
 
         :param on_late: not called; late answers are lost here.
+        :raises errors.OversizeError: when it is too long for a frame.
         :raises errors.UnreachableError: when the host is gone.
         :raises errors.PeerTimeoutError: when no answer came in time.
         :raises errors.RemoteError: when the handler failed.
@@ -157,6 +158,7 @@
         if self._network.host(to) is None:
             await asyncio.sleep(self._network.delay)
             raise errors.UnreachableError(f'{to} is not connected')
+        _check_length(message)
         try:
             async with asyncio.timeout(timeout):
                 return await self._exchange(to, message)
@@ -165,7 +167,9 @@
 
     def send(self, to: ids.HostId, message: peers.Message) -> None:
         """Send a message without an answer; it may be lost."""
-        self.start(self._deliver_one_way(to, message))
+        with contextlib.suppress(errors.OversizeError):
+            _check_length(message)
+            self.start(self._deliver_one_way(to, message))
 
     async def receive(
         self,
@@ -174,15 +178,18 @@
     ) -> peers.Message | None:
         """Run the handler of a message that arrived.
 
-        :raises errors.RemoteError: when there is none or it failed.
+        :raises errors.RemoteError: when there is none or it failed, or its
+            answer is too long for a frame.
         """
         handler = self._handlers.get(type(message))
         if handler is None:
             raise errors.RemoteError(f'no handler of {type(message).__name__}')
         try:
-            return await handler(sender, _round_trip(message))
+            answer = await handler(sender, _round_trip(message))
+            _check_length(answer)
         except Exception as exc:
             raise errors.RemoteError(repr(exc)) from exc
+        return answer
 
     def start(
         self,
@@ -257,6 +264,15 @@
         return self._network.host(to) if passes_link else None
 
 
+def _check_length(message: peers.Message) -> None:
+    """Refuse what a real connection could not send.
+
+    :raises errors.OversizeError: when it is too long for a frame.
+    """
+    if hasattr(message, 'thrift_spec'):
+        framing.pack(framing.encode(message))
+
+
 def _round_trip(message: peers.Message) -> peers.Message:
     """Return a copy as a real connection would deliver it."""
     if hasattr(message, 'thrift_spec'):
