Log: commands that no message can carry are refused before they are appended

Cause: the log accepted commands of any size. An AppendEntries of over 4 MiB can't be packed; the failure was taken for a lost message, so the entry was sent again for ever and nothing behind it was committed. Empty messages kept the followers.

Change: one limit, wire.framing.MAX_PAYLOAD_BYTES (3.5 MiB, which leaves the rest of a frame to the other fields).

--- a/libs/configuration/geraniumweir/configuration/commands.py
+++ b/libs/configuration/geraniumweir/configuration/commands.py
@@ -9,6 +9,10 @@
 from geraniumweir.wire import framing
 from geraniumweir.wire.gen.configuration import ttypes
 
+# What a command adds to its document, at most.
+_COMMAND_BYTES = 4096
+MAX_DOCUMENT_BYTES = framing.MAX_PAYLOAD_BYTES - _COMMAND_BYTES
+
 
 def change(
     change_id: ids.ChangeId,
--- a/libs/consensus/geraniumweir/consensus/applying.py
+++ b/libs/consensus/geraniumweir/consensus/applying.py
@@ -24,7 +24,8 @@
     while True:
         await this.commit.reach(this.applied.height + 1)
         _apply_batch(this)
-        _start_snapshot(this)
+        if _is_snapshot_due(this):
+            start_snapshot(this)
         # A long catch-up must not delay heartbeats.
         await asyncio.sleep(0)
 
@@ -83,8 +84,9 @@
         fut.set_result(answer)
 
 
-def _start_snapshot(this: core.Core) -> None:
-    if not this.snapshot_progress.in_progress and _is_snapshot_due(this):
+def start_snapshot(this: core.Core) -> None:
+    """Take a snapshot, unless one is being taken."""
+    if not this.snapshot_progress.in_progress:
         this.snapshot_progress.in_progress = True
         this.spawn(_take_snapshot(this))
 
--- a/libs/consensus/geraniumweir/consensus/client.py
+++ b/libs/consensus/geraniumweir/consensus/client.py
@@ -60,10 +60,12 @@
         :param command: an idempotent command; it may be applied repeatedly.
         :param timeout: in seconds.
         :returns: the state machine's answer.
+        :raises errors.TooLargeError: when it could not be replicated.
         :raises errors.NoQuorumError: when no recorder accepted it.
         :raises errors.UncertainError: when it may have been committed.
         :raises errors.RefusedError: never for a command.
         """
+        errors.check_size(command)
         answer = await self._request(
             lambda remaining: ttypes.Propose(command, remaining),
             timeout,
--- a/libs/consensus/geraniumweir/consensus/errors.py
+++ b/libs/consensus/geraniumweir/consensus/errors.py
@@ -1,12 +1,13 @@
 """Errors of the replicated log.
 
 The class says what happened to a command. After :class:`NotLeaderError`,
-:class:`NoQuorumError` and :class:`RefusedError` it was certainly not appended
-to the log; after :class:`UncertainError` it may have been committed, or may
-still be.
+:class:`NoQuorumError`, :class:`RefusedError` and :class:`TooLargeError` it was
+certainly not appended to the log; after :class:`UncertainError` it may have
+been committed, or may still be.
 """
 
 from geraniumweir.common import errors, ids
+from geraniumweir.wire import framing
 
 
 class ConsensusError(errors.GeraniumweirError):
@@ -68,7 +69,25 @@
     code = 'GW-5107'
 
 
+class TooLargeError(ConsensusError):
+    """A command exceeds the size that the log accepts."""
+
+    code = 'GW-5109'
+
+
 class UnsafeError(ConsensusError):
     """A safety rule of the consensus was violated; the recorder stops."""
 
     code = 'GW-5108'
+
+
+def check_size(command: bytes) -> None:
+    """Check that a command can be replicated, in a message of its own.
+
+    :raises TooLargeError: when it can't.
+    """
+    if len(command) > framing.MAX_PAYLOAD_BYTES:
+        raise TooLargeError(
+            f'a command of {len(command)} bytes; the log accepts up to'
+            f' {framing.MAX_PAYLOAD_BYTES}'
+        )
--- a/libs/consensus/geraniumweir/consensus/leadership.py
+++ b/libs/consensus/geraniumweir/consensus/leadership.py
@@ -24,6 +24,8 @@
     :ivar replaced: whether its host has another data folder now.
     :ivar in_flight: number of messages not answered yet.
     :ivar sent_commit: the commit index it was last sent.
+    :ivar oversize_index: index of the last entry that was too large to be
+        sent, or 0.
     :ivar send_due: whether a message is due even without new entries.
     :ivar wakeup: set when the sending task must check for work.
     """
@@ -37,6 +39,7 @@
     replaced: bool = False
     in_flight: int = 0
     sent_commit: int = 0
+    oversize_index: int = 0
     send_due: bool = False
     wakeup: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
--- a/libs/consensus/geraniumweir/consensus/leading.py
+++ b/libs/consensus/geraniumweir/consensus/leading.py
@@ -85,9 +85,11 @@
     """Append a command and wait for the state machine's answer.
 
     :param timeout: in seconds.
+    :raises errors.TooLargeError: when it could not be replicated.
     :raises errors.UncertainError: when it wasn't applied in time or the
         leader stepped down; it may have been committed.
     """
+    errors.check_size(command)
     leader_state = current(this)
     index = append(this, leader_state, kind, command)
     fut = asyncio.get_running_loop().create_future()
--- a/libs/consensus/geraniumweir/consensus/logevents.py
+++ b/libs/consensus/geraniumweir/consensus/logevents.py
@@ -68,3 +68,8 @@
     logevents.Level.warning,
     'removed {lost} bytes of an unsynced write from the end of the log',
 )
+ENTRY_TOO_LARGE = logevents.Event(
+    533,
+    logevents.Level.error,
+    'log entry {index} of {size} bytes is too large to be sent to {host}',
+)
--- a/libs/consensus/geraniumweir/consensus/recorder.py
+++ b/libs/consensus/geraniumweir/consensus/recorder.py
@@ -83,6 +83,7 @@
         :param timeout: in seconds.
         :returns: the state machine's answer, once the command is synced on a
             majority and applied here.
+        :raises errors.TooLargeError: when it could not be replicated.
         :raises errors.NotLeaderError: when another recorder is the leader.
         :raises errors.NoQuorumError: when no leader is known; the command
             was not appended.
--- a/libs/consensus/geraniumweir/consensus/replication.py
+++ b/libs/consensus/geraniumweir/consensus/replication.py
@@ -9,6 +9,7 @@
 import contextlib
 
 from geraniumweir.consensus import (
+    applying,
     core,
     leadership,
     logevents,
@@ -140,6 +141,10 @@
             message,
             this.env.cfg.election_min,
         )
+    except wire_errors.OversizeError:
+        progress.reset_next_index()
+        _handle_oversize(this, progress, message)
+        return
     except wire_errors.PeerError:
         progress.reset_next_index()
         return
@@ -150,6 +155,32 @@
         _handle_answer(this, leader_state, progress, answer, sent_at)
 
 
+def _handle_oversize(
+    this: core.Core,
+    progress: leadership.Progress,
+    message: ttypes.AppendEntries,
+) -> None:
+    """Find another way for an entry that no message can carry.
+
+    Such an entry was appended by a build that accepted commands of any size.
+    """
+    entry = message.entries[0]
+    if entry.index != progress.oversize_index:
+        progress.oversize_index = entry.index
+        this.env.report(
+            logevents.ENTRY_TOO_LARGE,
+            index=entry.index,
+            size=len(entry.payload),
+            host=progress.member.host_id,
+        )
+    if entry.index <= this.applied.height:
+        # Committed while the log had one recorder; a snapshot covers it.
+        applying.start_snapshot(this)
+    elif entry.index > this.commit.height:
+        # No other recorder has it: one of those can lead and replace it.
+        this.become_follower(f'entry {entry.index} cannot be replicated')
+
+
 def _handle_answer(
     this: core.Core,
     leader_state: leadership.LeaderState,
--- a/libs/consensus/geraniumweir/consensus/serving.py
+++ b/libs/consensus/geraniumweir/consensus/serving.py
@@ -259,7 +259,7 @@
             verdict = ttypes.Verdict.no_quorum
         case errors.UncertainError():
             verdict = ttypes.Verdict.uncertain
-        case errors.RefusedError():
+        case errors.RefusedError() | errors.TooLargeError():
             verdict = ttypes.Verdict.refused
     return ttypes.ProposeAnswer(
         verdict,
--- a/libs/control/geraniumweir/control/documents.py
+++ b/libs/control/geraniumweir/control/documents.py
@@ -44,8 +44,14 @@
         """Store a document; returns once a majority of recorders synced it.
 
         :param document: has been checked.
+        :raises errors.DocumentTooLargeError: when no log can store it.
         :raises errors.NotStoredError: when it may not have been stored.
         """
+        if len(document) > commands.MAX_DOCUMENT_BYTES:
+            raise errors.DocumentTooLargeError(
+                f'a document of {len(document)} bytes; documents have up to'
+                f' {commands.MAX_DOCUMENT_BYTES}'
+            )
         at_ms = int(time.time() * _MS)
         command = commands.publish(version, document, at_ms)
         try:
--- a/libs/control/geraniumweir/control/errors.py
+++ b/libs/control/geraniumweir/control/errors.py
@@ -21,6 +21,12 @@
     code = 'GW-7302'
 
 
+class DocumentTooLargeError(ControlError):
+    """A document exceeds the size that the log accepts."""
+
+    code = 'GW-7305'
+
+
 class RolloutInProgressError(ControlError):
     """Another rollout of the pool is in progress."""
 
--- a/libs/daemon/geraniumweir/daemon/joinedops.py
+++ b/libs/daemon/geraniumweir/daemon/joinedops.py
@@ -232,13 +232,22 @@
     """Await a call of the log and convert its errors."""
     try:
         return await work
-    except log_errors.RefusedError as exc:
-        raise operations.NotNowError(exc.message) from exc
     except log_errors.ConsensusError as exc:
-        message = f'no majority of the recorders answered: {exc.message}'
-        raise operations.NoMajorityError(message, exc.ran) from exc
+        raise _converted(exc) from exc
     except common_errors.GeraniumweirError as exc:
         raise operations.NoMajorityError(
             exc.message,
             ids.Ran.unknown,
         ) from exc
+
+
+def _converted(
+    exc: log_errors.ConsensusError,
+) -> common_errors.GeraniumweirError:
+    match exc:
+        case log_errors.TooLargeError():
+            return operations.TooLargeError(exc.message)
+        case log_errors.RefusedError():
+            return operations.NotNowError(exc.message)
+    message = f'no majority of the recorders answered: {exc.message}'
+    return operations.NoMajorityError(message, exc.ran)
--- a/libs/daemon/geraniumweir/daemon/operations.py
+++ b/libs/daemon/geraniumweir/daemon/operations.py
@@ -55,6 +55,12 @@
     code = 'GW-1405'
 
 
+class TooLargeError(errors.GeraniumweirError):
+    """The change exceeds the size that the log accepts."""
+
+    code = 'GW-1408'
+
+
 class HostState(enum.Enum):
     """State of an entry host, as the answering host sees it."""
 
--- a/libs/daemon/geraniumweir/daemon/operators.py
+++ b/libs/daemon/geraniumweir/daemon/operators.py
@@ -27,6 +27,7 @@
 
 _STATUSES: typing.Final = {
     operations.MalformedError: http.HTTPStatus.BAD_REQUEST,
+    operations.TooLargeError: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     operations.UnknownError: http.HTTPStatus.NOT_FOUND,
     operations.NotNowError: http.HTTPStatus.CONFLICT,
     operations.UnavailableError: http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/libs/wire/geraniumweir/wire/connection.py
+++ b/libs/wire/geraniumweir/wire/connection.py
@@ -175,7 +175,7 @@
         return self._unseal(answer)
 
     def send(self, message: peers.Message) -> None:
-        """Send a message; drop one that is too long or finds the buffer full."""
+        """Send a message; drop it when it is too long or the buffer full."""
         envelope = envelopes.seal(envelopes.Kind.message, 0, message)
         try:
             self._write(envelope)
--- a/libs/wire/geraniumweir/wire/framing.py
+++ b/libs/wire/geraniumweir/wire/framing.py
@@ -20,9 +20,10 @@
 from thrift.transport import TTransport
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+_OTHER_FIELDS_BYTES = 524288
 # Largest part of a message that callers may choose, such as a command of the
 # log; the remainder of the frame is for the message's other fields.
-MAX_PAYLOAD_BYTES = MAX_FRAME_BYTES - 512 * 1024
+MAX_PAYLOAD_BYTES = MAX_FRAME_BYTES - _OTHER_FIELDS_BYTES
 _MAX_CONTAINER_LENGTH = 1024 * 1024
 _LENGTH_BYTES = 4
 # A longer body is read in parts, so that its progress shows.
--- a/libs/wire/geraniumweir/wire/tests/test_long_messages.py
+++ b/libs/wire/geraniumweir/wire/tests/test_long_messages.py
@@ -47,10 +47,12 @@
             peers.send(_TWO, _Ping(_LONG, 0, ''))
             await peers.call(_TWO, _Ping('', 0, ''), _LONG_SECONDS)
 
-    with logbook.TestHandler() as logged:
+    logged = logbook.TestHandler()
+    with logged.applicationbound():
         asyncio.run(scenario())
     events = [record.extra['event'] for record in logged.records]
-    assert events == [logevents.MESSAGE_TOO_LONG] * 2
+    too_long = logevents.MESSAGE_TOO_LONG
+    assert events == [too_long, too_long]
 
 
 def test_answer_that_is_too_long_fails_the_call_at_once() -> None:
