Control hosts: large documents reach entry hosts in pieces

An answer to a watch has the whole compressed document beside the list of servers, so the two together may exceed a frame; and where all entry hosts start at once, each control host has dozens of documents in its send buffers, as many as watchers and probes, up to 3.5 MiB each.

Change: a document of over 256 KiB, compressed, is named with its length, and the watched host is asked for it in pieces of 256 KiB, one after another. Hosts of an earlier build, which don't ask for pieces, get it whole.

--- /dev/null
+++ b/libs/control/geraniumweir/control/document_pieces.py
@@ -0,0 +1,73 @@
+"""Large documents, sent to watching hosts in pieces that these request.
+
+A decision under load: when all entry hosts start at once, each control host
+has dozens of watchers that lack the document. Whole documents would fill its
+send buffers; of pieces it holds one for each watcher, and a watcher requests
+the next one only once it has received the one before.
+"""
+
+from geraniumweir.common import ids
+from geraniumweir.configuration import published
+from geraniumweir.wire import errors, peers
+from geraniumweir.wire.gen.control import ttypes
+
+# A longer document is sent in pieces of this size.
+PIECE_BYTES = 262144
+_ANSWER_SECONDS = 0.9
+
+
+class DocumentPieces:
+    """Answers requests for pieces of the newest document."""
+
+    def __init__(self, link: peers.Peers) -> None:
+        """Answer from now on, at first without a document."""
+        self._newest: published.PublishedDocument | None = None
+        link.handle(ttypes.FetchDocument, self._on_fetch)
+
+    def set_newest(self, document: published.PublishedDocument) -> None:
+        """Set the document whose pieces are sent."""
+        self._newest = document
+
+    def add_document(self, watch: ttypes.Watch, update: ttypes.News) -> None:
+        """Add the newest document to an answer, or its length if it is large.
+
+        The version of the answer tells that there is a newer document.
+        """
+        if self._newest is None:
+            return
+        update.version = self._newest.version
+        if watch.pieces and len(self._newest.packed) > PIECE_BYTES:
+            update.document_bytes = len(self._newest.packed)
+        else:
+            update.document = self._newest.packed
+
+    async def _on_fetch(
+        self, _sender: ids.HostId, request: ttypes.FetchDocument
+    ) -> ttypes.DocumentPiece:
+        newest = self._newest
+        if newest is None or newest.version != request.version:
+            return ttypes.DocumentPiece(request.version, b'')
+        start = max(request.offset, 0)
+        content = newest.packed[start : start + PIECE_BYTES]
+        return ttypes.DocumentPiece(newest.version, content)
+
+
+async def fetch(
+    link: peers.Peers, host_id: ids.HostId, update: ttypes.News
+) -> bytes | None:
+    """Fetch the document that an answer names.
+
+    :returns: None if the host fails or has a newer document meanwhile; that is
+        named in its next answer.
+    """
+    content = bytearray()
+    while len(content) < update.document_bytes:
+        request = ttypes.FetchDocument(update.version, len(content))
+        try:
+            piece = await link.call(host_id, request, _ANSWER_SECONDS)
+        except errors.PeerError:
+            return None
+        if not piece.content:
+            return None
+        content += piece.content
+    return bytes(content)
--- a/libs/control/geraniumweir/control/feed.py
+++ b/libs/control/geraniumweir/control/feed.py
@@ -2,8 +2,9 @@
 
 A watch is answered when there is something newer than the watcher has, or when
 its wait is over. The document is sent compressed, and only when its version is
-newer. A watcher that comes from another control host sends digests of the
-servers that it has and gets only those that differ.
+newer; a large one is fetched in pieces. A watcher that comes from another
+control host sends digests of the servers that it has and gets only those that
+differ.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from geraniumweir.configuration import published
 from geraniumweir.configuration import rollouts as stored
 from geraniumweir.control import (
+    document_pieces,
     enrolments,
     hosts,
     leadership,
@@ -64,6 +66,7 @@
         self._waiting = 0
         self._gathering: asyncio.TimerHandle | None = None
         self._newest: published.PublishedDocument | None = None
+        self._pieces = document_pieces.DocumentPieces(link)
         log.documents.subscribe(self._set_newest)
         link.handle(ttypes.Watch, self._on_watch)
 
@@ -90,6 +93,7 @@
         # A recorder that was reopened replays older documents.
         if self._newest is None or document.version > self._newest.version:
             self._newest = document
+            self._pieces.set_newest(document)
             self._wake_all()
 
     async def _on_watch(
@@ -146,9 +150,8 @@
             hosts=[host.to_wire() for host in self._known.known()],
         )
         self._add_servers(watch, update)
-        if self._newest is not None and self._is_newer(watch):
-            update.version = self._newest.version
-            update.document = self._newest.packed
+        if self._is_newer(watch):
+            self._pieces.add_document(watch, update)
         if self._has_rollouts(watch):
             rollouts_known = self._rollouts()
             update.rollouts = [_to_wire(one) for one in rollouts_known]
--- a/libs/control/geraniumweir/control/tests/bed.py
+++ b/libs/control/geraniumweir/control/tests/bed.py
@@ -287,8 +287,8 @@
 
 
 def read(content: bytes) -> tables.Document:
-    """Return a document whose content is only its version."""
-    return tables.Document(ids.Version(int(content)))
+    """Return a document whose content begins with its version."""
+    return tables.Document(ids.Version(int(content.split(maxsplit=1)[0])))
 
 
 async def publish(control: Control, version: int) -> None:
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -15,6 +15,7 @@
 from geraniumweir.control import (
     active_document,
     document_age,
+    document_pieces,
     enrolment_codec,
     enrolments,
     host_search,
@@ -175,6 +176,7 @@
             self._revision,
             int(wait_seconds * _MS),
             self._rollouts_progress,
+            pieces=True,
         )
         if host_id != self._source:
             watch.epoch = ''
@@ -185,6 +187,7 @@
             self._source = _NO_HOST
         else:
             self.apply(host_id, update)
+            await self._fetch_document(host_id, update)
         self._target.probe_nearer()
         verdict = self._target.judge(host_id, update, self.version)
         self._is_confirmed = verdict is host_search.Verdict.sure
@@ -195,6 +198,17 @@
         )
         return self._is_confirmed
 
+    async def _fetch_document(
+        self, host_id: ids.HostId, update: ttypes.News
+    ) -> None:
+        """Activate a document that is too large for an answer."""
+        if update.document_bytes is None or update.version <= self.version:
+            return
+        content = await document_pieces.fetch(self._link, host_id, update)
+        if content is not None:
+            update.document = content
+            self._apply_rest(host_id, update, self._clock.now(), False)
+
     async def _search(self) -> None:
         answered = await self._target.search()
         if self._document.activate_pending():
@@ -213,6 +227,7 @@
             0,
             self._rollouts_progress,
             brief=True,
+            pieces=True,
         )
         update = await self._call(host_id, watch, _ANSWER_SECONDS)
         if update is not None:
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -726,6 +726,7 @@
      - rollouts_progress
      - brief
      - digests
+     - pieces
 
     """
 
@@ -737,10 +738,11 @@
         'rollouts_progress',
         'brief',
         'digests',
+        'pieces',
     )
 
 
-    def __init__(self, version=None, epoch=None, revision=None, wait_ms=None, rollouts_progress=None, brief=None, digests=None,):
+    def __init__(self, version=None, epoch=None, revision=None, wait_ms=None, rollouts_progress=None, brief=None, digests=None, pieces=None,):
         self.version = version
         self.epoch = epoch
         self.revision = revision
@@ -748,6 +750,7 @@
         self.rollouts_progress = rollouts_progress
         self.brief = brief
         self.digests = digests
+        self.pieces = pieces
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -793,6 +796,11 @@
                     self.digests = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.pieces = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -831,6 +839,10 @@
             oprot.writeFieldBegin('digests', TType.STRING, 7)
             oprot.writeBinary(self.digests)
             oprot.writeFieldEnd()
+        if self.pieces is not None:
+            oprot.writeFieldBegin('pieces', TType.BOOL, 8)
+            oprot.writeBool(self.pieces)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -871,6 +883,7 @@
      - rollouts_progress
      - buckets
      - packed
+     - document_bytes
 
     """
 
@@ -887,10 +900,11 @@
         'rollouts_progress',
         'buckets',
         'packed',
+        'document_bytes',
     )
 
 
-    def __init__(self, epoch=None, revision=None, version=None, document=None, sure=None, whole=None, servers=None, hosts=None, rollouts=None, rollouts_progress=None, buckets=None, packed=None,):
+    def __init__(self, epoch=None, revision=None, version=None, document=None, sure=None, whole=None, servers=None, hosts=None, rollouts=None, rollouts_progress=None, buckets=None, packed=None, document_bytes=None,):
         self.epoch = epoch
         self.revision = revision
         self.version = version
@@ -903,6 +917,7 @@
         self.rollouts_progress = rollouts_progress
         self.buckets = buckets
         self.packed = packed
+        self.document_bytes = document_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -996,6 +1011,11 @@
                     self.packed = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.document_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1066,6 +1086,170 @@
             oprot.writeFieldBegin('packed', TType.STRING, 12)
             oprot.writeBinary(self.packed)
             oprot.writeFieldEnd()
+        if self.document_bytes is not None:
+            oprot.writeFieldBegin('document_bytes', TType.I64, 13)
+            oprot.writeI64(self.document_bytes)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FetchDocument(object):
+    """
+    Attributes:
+     - version
+     - offset
+
+    """
+
+    __slots__ = (
+        'version',
+        'offset',
+    )
+
+
+    def __init__(self, version=None, offset=None,):
+        self.version = version
+        self.offset = offset
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FetchDocument')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 2)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DocumentPiece(object):
+    """
+    Attributes:
+     - version
+     - content
+
+    """
+
+    __slots__ = (
+        'version',
+        'content',
+    )
+
+
+    def __init__(self, version=None, content=None,):
+        self.version = version
+        self.content = content
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.content = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DocumentPiece')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.STRING, 2)
+            oprot.writeBinary(self.content)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3394,6 +3578,7 @@
     (5, TType.I64, 'rollouts_progress', None, None, ),  # 5
     (6, TType.BOOL, 'brief', None, None, ),  # 6
     (7, TType.STRING, 'digests', 'BINARY', None, ),  # 7
+    (8, TType.BOOL, 'pieces', None, None, ),  # 8
 )
 all_structs.append(News)
 News.thrift_spec = (
@@ -3410,6 +3595,19 @@
     (10, TType.I64, 'rollouts_progress', None, None, ),  # 10
     (11, TType.LIST, 'buckets', (TType.I16, None, False), None, ),  # 11
     (12, TType.STRING, 'packed', 'BINARY', None, ),  # 12
+    (13, TType.I64, 'document_bytes', None, None, ),  # 13
+)
+all_structs.append(FetchDocument)
+FetchDocument.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.I64, 'offset', None, None, ),  # 2
+)
+all_structs.append(DocumentPiece)
+DocumentPiece.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'content', 'BINARY', None, ),  # 2
 )
 all_structs.append(RateLimit)
 RateLimit.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -80,6 +80,8 @@
   // Digests by bucket of the servers that the asker has, sent when it doesn't
   // know the answerer's epoch: only buckets that differ are requested.
   7: optional binary digests
+  // The asker fetches a large document in pieces.
+  8: optional bool pieces
 }
 
 // sure: the answerer has all that is committed. whole: servers are all there
@@ -101,6 +103,20 @@
   // are in servers or, compressed, as Enrolled in packed.
   11: optional list<i16> buckets
   12: optional binary packed
+  // Length of the compressed document, where it is to be fetched in pieces.
+  13: optional i64 document_bytes
+}
+
+// Asks for a piece of the compressed document; the answer is DocumentPiece.
+struct FetchDocument {
+  1: i64 version
+  2: i64 offset
+}
+
+// Without content where the answerer has another version.
+struct DocumentPiece {
+  1: i64 version
+  2: binary content
 }
 
 // What an answer of a server said of the requests a second that it takes from
