Entry host: sendings of one request never share a connection to a server

Cause: answers name the request, and all sendings of a request have its id. After a "not executed" answer the connection was kept, so the next sending of the request could use it again, and a late copy of the first answer was taken for its answer.

A server on loopback that repeats its answers shows it each time: all five tests of test_repeated_answers failed before.

Change: kept connections are keyed by the number of the sending, which relays are told. Bytes on an idle connection end its use; they were taken for the answer to the next request.

Why it works: a connection carries at most one sending of a request, so an answer with its id there belongs to that sending.

Price: connections of later sendings are kept apart from those of first ones. With a server that rejects each first sending, ten requests use two connections, one before; without rejections nothing changes.

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -29,6 +29,7 @@
         super().__init__(loop)
         self._received = 0
         self._body: aiohttp.StreamReader | None = None
+        self._has_surplus = False
 
     def set_response_params(self, **options: typing.Any) -> None:
         """Prepare for the next answer."""
@@ -43,8 +44,17 @@
             self._body = body
         super().feed_data(answer, size)
 
+    def is_connected(self) -> bool:
+        """Return whether the connection may be used.
+
+        Bytes after a whole answer belong to no request that is sent later.
+        """
+        return super().is_connected() and not self._has_surplus
+
     def data_received(self, content: bytes) -> None:
         """Parse bytes, and end the connection where they are no answer."""
+        if content and self._body is not None and self._body.is_eof():
+            self._has_surplus = True
         self._received += len(content)
         super().data_received(content)
         # Bytes wait unparsed while the body's reader is slow.
--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -55,12 +55,14 @@
     """A caller's request as it goes to a backend server.
 
     :ivar path: with the query string, as it goes on the wire.
+    :ivar sending: number of this sending of the request, from 1.
     """
 
     method: str
     path: str
     headers: multidict.CIMultiDict[str]
     body: bytes = b''
+    sending: int = 1
 
 
 class _HeldResponse(aiohttp.ClientResponse):
@@ -232,6 +234,9 @@
 ) -> Answer:
     """Send a call and wait for the answer's head.
 
+    Sendings of one request never share a connection: an answer names only the
+    request, and servers may send an answer twice.
+
     :param session: of :func:`make_session`.
     :param address: of the backend server.
     :param call: what to send.
@@ -245,6 +250,8 @@
             data=call.body or None,
             headers=call.headers,
             allow_redirects=False,
+            # Part of the key of kept connections, and unused without TLS.
+            server_hostname=f'sending-{call.sending}',
         )
     except (
         aiohttp.ClientConnectorError,
--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -83,6 +83,7 @@
 class Attempt:
     """One dispatch to a server.
 
+    :ivar sending: number of this dispatch among those of the request, from 1.
     :ivar may_repeat: whether the request may run again on another server.
     :ivar on_first: called with the value of ``first``.
     :ivar on_head: called with the head of the server's response.
@@ -100,6 +101,7 @@
     response_writer: response_writer.ResponseWriter
     stream: StreamState
     request_record: request_record.RequestRecord
+    sending: int
     may_repeat: bool
     on_first: typing.Callable[[float], None]
     on_head: typing.Callable[[codec.ResponseHead], None]
@@ -192,6 +194,7 @@
             self.caller_request.target,
             self.codec.dispatch_headers(self.caller_request, dispatch),
             self.body,
+            self.sending,
         )
 
     async def _receive(
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -314,6 +314,7 @@
             response_writer=self._writer,
             stream=self._stream,
             request_record=self._record,
+            sending=len(self._record.servers) + 1,
             may_repeat=self._may_run_again(unfinished=1),
             on_first=self._report_first_event,
             on_head=functools.partial(self._record_notices, grant, started),
--- a/libs/gateway/geraniumweir/gateway/relay_client.py
+++ b/libs/gateway/geraniumweir/gateway/relay_client.py
@@ -160,6 +160,7 @@
         for relay in self._candidates():
             call = make_call()
             call.headers[relay_protocol.SERVER] = server_id
+            call.headers[relay_protocol.SENDING] = str(call.sending)
             try:
                 return await self._offer(relay, call)
             except _DeclinedError:
--- a/libs/gateway/geraniumweir/gateway/relay_protocol.py
+++ b/libs/gateway/geraniumweir/gateway/relay_protocol.py
@@ -5,11 +5,15 @@
 """
 
 import enum
+import re
+import typing
 
 import multidict
 
 # The backend server that the request was granted, by its id.
 SERVER = 'Geraniumweir-Relay-Server'
+# Number of this sending of the request to a server, from 1.
+SENDING = 'Geraniumweir-Relay-Sending'
 # What became of the request.
 OUTCOME = 'Geraniumweir-Relay-Outcome'
 # Hop-by-hop headers that end at a relay; RFC 9110, section 7.6.1.
@@ -17,6 +21,9 @@
     ('connection', 'keep-alive', 'transfer-encoding', 'te', 'upgrade')
 )
 
+_NUMBER = re.compile('[0-9]{1,9}', re.ASCII)
+_OWN = frozenset(name.lower() for name in (SERVER, SENDING, OUTCOME))
+
 
 class Outcome(enum.Enum):
     """What became of a request at a relay.
@@ -33,11 +40,20 @@
     failed = 'failed'
 
 
+def sending_of(headers: typing.Mapping[str, str]) -> int | None:
+    """Return the number of the sending, 1 if none is stated.
+
+    :returns: None if it is malformed.
+    """
+    text = headers.get(SENDING, '1')
+    return int(text) if _NUMBER.fullmatch(text) else None
+
+
 def forwarded(
     headers: multidict.CIMultiDictProxy[str],
 ) -> multidict.CIMultiDict[str]:
     """Return the headers that are not of this hop."""
-    excluded = _HOP_BY_HOP | {SERVER.lower(), OUTCOME.lower()}
+    excluded = _HOP_BY_HOP | _OWN
     return multidict.CIMultiDict(
         (name, text)
         for name, text in headers.items()
--- a/libs/gateway/geraniumweir/gateway/relay_server.py
+++ b/libs/gateway/geraniumweir/gateway/relay_server.py
@@ -85,6 +85,8 @@
         size = req.content_length or 0
         if req.can_read_body and not size:
             return self._end(relay_protocol.Outcome.declined, 'no length')
+        if relay_protocol.sending_of(req.headers) is None:
+            return self._end(relay_protocol.Outcome.declined, 'no sending')
         if self.open >= _MAX_OPEN or self._body_bytes + size > _MAX_BODY_BYTES:
             return self._end(relay_protocol.Outcome.declined, 'limit')
         self.open += 1
@@ -113,6 +115,7 @@
             req.raw_path,
             relay_protocol.forwarded(req.headers),
             await req.read(),
+            relay_protocol.sending_of(req.headers) or 1,
         )
         sent_at = asyncio.get_running_loop().time()
         try:
--- /dev/null
+++ b/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
@@ -0,0 +1,143 @@
+"""Servers that send an answer twice; the copy comes for the next sending."""
+
+import asyncio
+import typing
+
+import multidict
+from geraniumweir.gateway.tests import test_relaying, testbed
+from geraniumweir.routing import tables
+
+_ONCE: dict[str, typing.Any] = {'kind': tables.Kind.once, 'attempts': 1}
+_NOT_RUN = ('503 Full', 'Not-Run: yes\r\n')
+_PAUSE_SECONDS = 0.05
+
+
+class _Repeating:
+    """Behavior of a server that answers the first sendings in another way.
+
+    On each connection, the copy of an answer precedes the next answer.
+
+    :ivar runs: ids of the requests that ran.
+    :ivar connections: number of connections with a request.
+    """
+
+    def __init__(
+        self,
+        rejections: int,
+        status: str,
+        extra: str,
+        *,
+        repeats: bool = True,
+        at_once: bool = False,
+    ) -> None:
+        """Initialize without requests.
+
+        :param rejections: number of sendings of each request that are answered
+            with the status.
+        :param repeats: whether answers come twice.
+        :param at_once: whether the copy comes on the idle connection.
+        """
+        self.runs: list[str] = []
+        self.connections = 0
+        self._rejections = rejections
+        self._status = status
+        self._extra = extra
+        self._repeats = repeats
+        self._at_once = at_once
+        self._copies: dict[typing.Any, bytes] = {}
+
+    async def __call__(
+        self,
+        server: testbed.Server,
+        request_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        peer = writer.get_extra_info('peername')
+        if peer not in self._copies:
+            self.connections += 1
+        writer.write(self._copies.get(peer, b''))
+        if server.seen.count(request_id) > self._rejections:
+            self.runs.append(request_id)
+            answer = testbed.answer(request_id, b'done')
+        else:
+            answer = testbed.answer(request_id, b'', self._status, self._extra)
+        writer.write(answer)
+        is_late = self._repeats and not self._at_once
+        self._copies[peer] = answer if is_late else b''
+        if self._at_once:
+            await writer.drain()
+            await asyncio.sleep(_PAUSE_SECONDS)
+            writer.write(answer)
+
+
+async def _get(running: testbed.Testbed, request_id: str) -> tuple[int, bytes]:
+    head = {'Id': request_id}
+    async with running.client.get(running.url, headers=head) as resp:
+        return resp.status, await resp.read()
+
+
+def _send(
+    behavior: testbed.Behavior, *, relayed: bool = False, **changes: typing.Any
+) -> tuple[int, bytes]:
+    """Return the response to one request to a single server."""
+
+    async def scenario() -> tuple[int, bytes]:
+        server = testbed.Server(behavior)
+        async with testbed.running(server, **changes) as running:
+            if not relayed:
+                return await _get(running, 'r1')
+            test_relaying.cut(running)
+            async with test_relaying.run_relay(running, [server]):
+                return await _get(running, 'r1')
+
+    return asyncio.run(scenario())
+
+
+def test_copy_of_a_rejection_does_not_answer_the_next_sending() -> None:
+    """The caller got "not run" for a request that ran."""
+    behavior = _Repeating(1, *_NOT_RUN)
+    assert _send(behavior, **_ONCE) == (200, b'done')
+    assert behavior.runs == ['r1']
+
+
+def test_copy_of_a_rejection_does_not_answer_the_next_relayed_sending() -> None:
+    """A relay uses its own connections to the server again."""
+    behavior = _Repeating(1, *_NOT_RUN)
+    assert _send(behavior, relayed=True, **_ONCE) == (200, b'done')
+    assert behavior.runs == ['r1']
+
+
+def test_copy_of_a_failure_does_not_answer_the_retry() -> None:
+    """The request may run again, and its second run succeeds."""
+    behavior = _Repeating(1, '500 Failed', 'Signed: yes\r\n')
+    assert _send(behavior) == (200, b'done')
+
+
+def test_connections_of_first_sendings_are_kept_beside_rejections() -> None:
+    """Each further sending has connections of its own, which are kept too."""
+
+    async def scenario() -> None:
+        behavior = _Repeating(1, *_NOT_RUN, repeats=False)
+        server = testbed.Server(behavior)
+        async with testbed.running(server, **_ONCE) as running:
+            for number in range(10):
+                assert (await _get(running, f'r{number}'))[0] == 200
+        assert behavior.connections == 2
+
+    asyncio.run(scenario())
+
+
+def test_bytes_on_an_idle_connection_answer_no_request() -> None:
+    """They came before the request was sent; it goes on a new connection."""
+
+    async def scenario() -> None:
+        behavior = _Repeating(0, '200 OK', '', at_once=True)
+        server = testbed.Server(behavior)
+        async with testbed.running(server, **_ONCE) as running:
+            for number in range(3):
+                assert await _get(running, f'r{number}') == (200, b'done')
+                await asyncio.sleep(3 * _PAUSE_SECONDS)
+        assert behavior.connections == 3
+
+    asyncio.run(scenario())
