Control: entry hosts import only the fetching side of document pieces

Cause: the module of the pieces imports the published document, so the watcher, and with it each entry host, loaded geraniumweir.configuration (test_loading failed since "large documents reach entry hosts in pieces").

Change: the side that fetches has a module of its own.

--- a/libs/control/geraniumweir/control/document_pieces.py
+++ b/libs/control/geraniumweir/control/document_pieces.py
@@ -8,12 +8,11 @@
 
 from geraniumweir.common import ids
 from geraniumweir.configuration import published
-from geraniumweir.wire import errors, peers
+from geraniumweir.wire import peers
 from geraniumweir.wire.gen.control import ttypes
 
 # A longer document is sent in pieces of this size.
 PIECE_BYTES = 262144
-_ANSWER_SECONDS = 0.9
 
 
 class DocumentPieces:
@@ -50,24 +49,3 @@
         start = max(request.offset, 0)
         content = newest.packed[start : start + PIECE_BYTES]
         return ttypes.DocumentPiece(newest.version, content)
-
-
-async def fetch(
-    link: peers.Peers, host_id: ids.HostId, update: ttypes.News
-) -> bytes | None:
-    """Fetch the document that an answer names.
-
-    :returns: None if the host fails or has a newer document meanwhile; that is
-        named in its next answer.
-    """
-    content = bytearray()
-    while len(content) < update.document_bytes:
-        request = ttypes.FetchDocument(update.version, len(content))
-        try:
-            piece = await link.call(host_id, request, _ANSWER_SECONDS)
-        except errors.PeerError:
-            return None
-        if not piece.content:
-            return None
-        content += piece.content
-    return bytes(content)
--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -15,7 +15,7 @@
 from geraniumweir.control import (
     active_document,
     document_age,
-    document_pieces,
+    document_fetch,
     enrolment_codec,
     enrolments,
     host_search,
@@ -204,7 +204,7 @@
         """Activate a document that is too large for an answer."""
         if update.document_bytes is None or update.version <= self.version:
             return
-        content = await document_pieces.fetch(self._link, host_id, update)
+        content = await document_fetch.fetch(self._link, host_id, update)
         if content is not None:
             update.document = content
             self._apply_rest(host_id, update, self._clock.now(), False)
