Claims: a command has no more of them than the log accepts

It was put back and proposed again for ever, and no claim of the entry host was granted.

Change: a batch ends before the size of its steps exceeds the log's limit.

Measured: test_claims_with_long_keys_fit_into_the_log fails before with ClaimUnavailableError after 2 s, and passes now with two commands.

--- a/libs/configuration/geraniumweir/configuration/claims.py
+++ b/libs/configuration/geraniumweir/configuration/claims.py
@@ -25,6 +25,7 @@
     errors,
     logevents,
 )
+from geraniumweir.wire import framing
 from geraniumweir.wire.gen.configuration import ttypes
 
 MOST_STEPS = 512
@@ -192,8 +193,15 @@
                 pause = _PAUSE
 
     def _next_batch(self) -> list[_Item]:
-        count = min(len(self._items), MOST_STEPS)
-        return [self._items.popleft() for _ in range(count)]
+        """Take the items of one command, as many as the log accepts."""
+        batch: list[_Item] = []
+        size = 0
+        while self._items and len(batch) < MOST_STEPS:
+            size += len(framing.encode(self._items[0].step))
+            if batch and size > commands.MAX_DOCUMENT_BYTES:
+                break
+            batch.append(self._items.popleft())
+        return batch
 
     async def _propose_batch(self, batch: list[_Item]) -> None:
         steps = [item.step for item in batch]
--- a/libs/configuration/geraniumweir/configuration/tests/test_claims.py
+++ b/libs/configuration/geraniumweir/configuration/tests/test_claims.py
@@ -7,7 +7,13 @@
 import pytest
 from geraniumweir.common import errors as common_errors
 from geraniumweir.common import ids, virtual
-from geraniumweir.configuration import claims, claimtable, errors, state
+from geraniumweir.configuration import (
+    claims,
+    claimtable,
+    errors,
+    state,
+)
+from geraniumweir.wire import framing
 
 
 class _Log:
@@ -57,6 +63,29 @@
     assert virtual.run(scenario()) == 1
 
 
+def test_claims_with_long_keys_fit_into_the_log() -> None:
+    """A command over its limit was proposed again for ever."""
+
+    async def scenario() -> list[int]:
+        log = _Log()
+        sizes: list[int] = []
+
+        async def propose(command: bytes) -> bytes:
+            sizes.append(len(command))
+            if len(command) > framing.MAX_PAYLOAD_BYTES:
+                raise common_errors.GeraniumweirError('too large')
+            return await log.propose(command)
+
+        claimer = claims.Claimer(ids.HostId('h'), propose, log.now_ms)
+        keys = [f'{number}'.ljust(8000, 'k') for number in range(512)]
+        await asyncio.gather(
+            *(claimer.claim(_call(key, key[:3])) for key in keys)
+        )
+        return sizes
+
+    assert len(virtual.run(scenario())) == 2
+
+
 def test_repeat_is_told_how_far_the_first_is() -> None:
     """A key is granted once; another content under it is refused."""
 
