Streams: equal contents of several callers are not taken for one stream

Cause: a caller that names no attempt is known by the content of its request, which several streams may have. Reports at two versions make a content unknown, but one alone was believed: an entry host's own table has its own streams only, and the beginning of the other stream may be lost with its host or be on its way. After a kill of all entry hosts, only streams of the new version begin and are told.

Change: for a content only the coordinator is asked, and it records the version of each grant under the content before the stream begins.

Why it works: whatever began a stream of a content was granted at its version first, and the record of the grant doesn't depend on the entry host.

--- a/libs/control/geraniumweir/control/stream_exchange.py
+++ b/libs/control/geraniumweir/control/stream_exchange.py
@@ -216,12 +216,22 @@
         return self._origins.is_certain(origin)
 
     async def find(
+        self, key: ids.StreamKey, by_content: bool = False
+    ) -> stream_origins.StreamOrigin | None:
+        """Return the origin of a stream, None if no host in touch knows it.
+
+        :param by_content: whether the key stands for a content. Streams of
+            other hosts may have the same; only the coordinator hears of all.
+        """
+        own = self._origins.find(key)
+        is_alone = self._coordinator() == self._link.host_id
+        if by_content:
+            return None if is_alone else await self._find_elsewhere(key)
+        return own if own or is_alone else await self._find_elsewhere(key)
+
+    async def _find_elsewhere(
         self, key: ids.StreamKey
     ) -> stream_origins.StreamOrigin | None:
-        """Return the origin of a stream, None if no host in touch knows it."""
-        found = self._origins.find(key)
-        if found is not None or self._coordinator() == self._link.host_id:
-            return found
         try:
             return await self._ask(key) or await self._ask_again(key)
         except errors.PeerError:
--- a/libs/control/geraniumweir/control/tests/test_stream_exchange.py
+++ b/libs/control/geraniumweir/control/tests/test_stream_exchange.py
@@ -111,10 +111,15 @@
         )
         self.task = asyncio.create_task(self.client.run())
 
-    def begin(self, key: ids.StreamKey, version: ids.SoftwareVersion) -> None:
+    def begin(
+        self,
+        key: ids.StreamKey,
+        version: ids.SoftwareVersion,
+        content: ids.StreamKey | None = None,
+    ) -> None:
         """Forward the first event of a stream."""
         origin = stream_origins.StreamOrigin(_POOL, version, _START)
-        begin = stream_origins.StreamBegin(key, origin, 60)
+        begin = stream_origins.StreamBegin(key, origin, 60, content)
         self.streams.record(begin)
         progress = requests.Progress(ids.RequestId('r'), 0.1, 1, begin)
         coordinator = self.client.coordinator_id()
--- a/libs/gateway/geraniumweir/gateway/context.py
+++ b/libs/gateway/geraniumweir/gateway/context.py
@@ -24,9 +24,12 @@
         """Record a stream that begins at this host."""
 
     async def find(
-        self, key: ids.StreamKey
+        self, key: ids.StreamKey, by_content: bool = False
     ) -> stream_origins.StreamOrigin | None:
-        """Return the origin of a stream, None if it isn't known."""
+        """Return the origin of a stream, None if it isn't known.
+
+        :param by_content: whether the key stands for a content.
+        """
 
     def is_certain(self, origin: stream_origins.StreamOrigin) -> bool:
         """Return whether the version of an origin is certain by now."""
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -255,7 +255,9 @@
         key = admission.resumed_stream(document_state, caller_request, body)
         if key is None:
             return None
-        began = await self._shared.streams.find(key)
+        began = await self._shared.streams.find(
+            key, by_content=not caller_request.resumes
+        )
         outcome = 'unknown' if began is None else 'known'
         self._meter.count(metricnames.RESUMED_STREAMS, outcome)
         if began is None:
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -188,7 +188,7 @@
         self.is_certain = self._origins.is_certain
 
     async def find(
-        self, key: ids.StreamKey
+        self, key: ids.StreamKey, by_content: bool = False
     ) -> stream_origins.StreamOrigin | None:
         return self._origins.find(key)
 
--- a/libs/scheduling/geraniumweir/scheduling/remote.py
+++ b/libs/scheduling/geraniumweir/scheduling/remote.py
@@ -14,6 +14,7 @@
 from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.scheduling import (
     answer_delivery,
+    granted_streams,
     channel,
     home,
     led,
@@ -53,7 +54,8 @@
         :param make_leader: returns a new leader of a pool, whose takeover
             window should be :data:`takeover.TAKEOVER_WINDOW_SECONDS`.
         :param gate: admits slot requests before the leaders see them.
-        :param on_stream_begin: called with each stream that begins.
+        :param on_stream_begin: called with each stream that begins, and with
+            what grants tell of streams of the same content.
         """
         self._on_stream_begin = on_stream_begin
         self._link = link
@@ -199,10 +201,22 @@
             takeover.adopt(found, message, self._clock.now())
 
     def _answered(self, found: led.LedPool, entry: led.Entry) -> None:
+        self._record_stream(entry)
         if not entry.call_open and not entry.notifying:
             entry.notifying = True
             self._link.start(answer_delivery.deliver(self._link, found, entry))
 
+    def _record_stream(self, entry: led.Entry) -> None:
+        answer = entry.answer
+        slot_request = entry.slot_request
+        if self._on_stream_begin is None or isinstance(answer, requests.Denial):
+            return
+        if answer is not None and slot_request.streams:
+            begin = granted_streams.of_grant(
+                slot_request, answer, self._clock.now()
+            )
+            self._on_stream_begin(begin)
+
     def _preempt(self, preempt: requests.Preempt) -> None:
         message = ttypes.Preempt(preempt.request_id, preempt.server_id)
         self._link.send(preempt.owner, message)
