--- a/libs/control/geraniumweir/control/watching.py
+++ b/libs/control/geraniumweir/control/watching.py
@@ -204,10 +204,12 @@
         """Activate a document that is too large for an answer."""
         if update.document_bytes is None or update.version <= self.version:
             return
+        # The host was up to date when it answered, not when the fetch ended.
+        now = self._clock.now()
         content = await document_fetch.fetch(self._link, host_id, update)
         if content is not None:
             update.document = content
-            self._apply_rest(host_id, update, self._clock.now(), False)
+            self._apply_rest(host_id, update, now, False)
 
     async def _search(self) -> None:
         answered = await self._target.search()
