Entry host: the log tells the sendings of a request apart, and what ended each

Cause: event 162 named neither the number of a sending nor its connection, and what proved that a request did not run was text, so that the hypotheses of the incident could not be told apart in a host's log.

Change: 162 has the number of the sending and the proof (rejected, not_connected, not_relayed, or none where it may have run); all events of a request list the connection of each sending with the number of the request there; geraniumweir_failed_sendings_total counts the proofs by pool. A request that was not run carries its proof as a value. No decision changes.

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -27,12 +27,28 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Initialize for a new connection."""
         super().__init__(loop)
+        self._ends = ''
+        self._exchanges = 0
         self._received = 0
         self._body: aiohttp.StreamReader | None = None
         self._has_surplus = False
 
+    @property
+    def exchange(self) -> str:
+        """Both ends of the connection and the number of its requests."""
+        return f'{self._ends}/{self._exchanges}'
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start with a connection."""
+        super().connection_made(transport)
+        here = transport.get_extra_info('sockname')
+        there = transport.get_extra_info('peername')
+        if here and there:
+            self._ends = f'{here[0]}:{here[1]}-{there[0]}:{there[1]}'
+
     def set_response_params(self, **options: typing.Any) -> None:
         """Prepare for the next answer."""
+        self._exchanges += 1
         self._received = 0
         self._body = None
         super().set_response_params(**options)
--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -134,6 +134,8 @@
 class Answer:
     """The head of a server's answer, with its body to come.
 
+    :ivar connection: that it came on, with the number of the request there.
+
     Used as an asynchronous context manager; when the block ends before the
     body did, the connection is closed.
     """
@@ -144,6 +146,7 @@
         :param resp: whose head has come.
         """
         self._resp = resp
+        self.connection = _exchange_of(resp)
         self.status = resp.status
         self.headers = resp.headers
         self._lost = None if self.ends_visibly else _loss_of(resp)
@@ -219,6 +222,14 @@
         await self._lost
 
 
+def _exchange_of(resp: aiohttp.ClientResponse) -> str:
+    conn = resp.connection
+    found = conn and conn.protocol
+    if isinstance(found, answer_limits.BoundedHandler):
+        return found.exchange
+    return ''
+
+
 def _loss_of(
     resp: aiohttp.ClientResponse,
 ) -> typing.Awaitable[None] | None:
--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -112,6 +112,11 @@
     _head_limit: asyncio.Timeout | None = None
     _answer: calls.Answer | None = None
 
+    @property
+    def connection(self) -> str:
+        """Connection that the answer came on, empty without an answer."""
+        return '' if self._answer is None else self._answer.connection
+
     async def run(self) -> outcomes.Outcome:
         """Return the outcome of sending the request.
 
@@ -146,11 +151,11 @@
         except relay_client.UnconfirmedError as exc:
             return outcomes.NotRun(
                 exc.message,
-                arrived=False,
+                outcomes.Proof.not_relayed,
                 own_path=self.sender.paths.is_cut,
             )
         except backend_errors.NotSentError as exc:
-            return outcomes.NotRun(exc.message, arrived=False)
+            return outcomes.NotRun(exc.message, outcomes.Proof.not_connected)
         except backend_errors.AnswerError as exc:
             return outcomes.Failed(exc.message)
         self._answer = answer
@@ -276,7 +281,7 @@
     if head.not_run:
         return outcomes.NotRun(
             f'the server answered {head.status}',
-            arrived=True,
+            outcomes.Proof.rejected,
             wrong_server=head.status == _WRONG_SERVER,
         )
     if head.encoded or not head.signed:
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -37,6 +37,8 @@
 # Delay before the next slot request when a second grant in a row could not be
 # used: the pool leader may not have received the server's notice yet.
 _REPEAT_DELAY_SECONDS = 0.05
+# Logged for a sending after which nothing proves that the request did not run.
+_MAY_HAVE_RUN = 'none'
 
 
 class RequestForwarder:
@@ -216,18 +218,28 @@
                 )
                 self._state.record_run()
                 return None
-            case outcomes.NotRun(reason=reason):
-                self._log_failed_attempt(grant, reason)
+            case outcomes.NotRun(reason=reason, proof=proof):
+                self._log_failed_attempt(grant, reason, proof.value)
                 return self._handle_not_run(outcome)
             case outcomes.Failed(reason=reason):
-                self._log_failed_attempt(grant, reason)
+                self._log_failed_attempt(grant, reason, _MAY_HAVE_RUN)
                 return self._handle_failure(outcome)
 
-    def _log_failed_attempt(self, grant: requests.Grant, reason: str) -> None:
+    def _log_failed_attempt(
+        self, grant: requests.Grant, reason: str, proof: str
+    ) -> None:
+        """Log a sending without a good answer, and count it by its proof.
+
+        :param proof: what proves that the server did not run it.
+        """
+        pool = self._admitted.slot_request.pool
+        self._shared.meter.count(metricnames.FAILED_SENDINGS, pool, proof)
         self._record.log(
             logevents.ATTEMPT_FAILED,
             response_writer.now(),
             server=grant.server_id,
+            sending=len(self._record.servers),
+            proof=proof,
             reason=reason,
         )
 
@@ -288,6 +300,7 @@
             self._shared.running.remove(running)
             # After a timeout the request was still at a server.
             self._state.sent = release_outcome is requests.Outcome.cancelled
+            self._record.connections.append(attempt.connection)
             self._release(
                 grant, attempt, release_outcome, response_writer.now() - started
             )
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -32,7 +32,10 @@
     161, _Level.info, 'request {request} refused with {status}: {reason}'
 )
 ATTEMPT_FAILED: typing.Final = _Event(
-    162, _Level.info, 'request {request} failed at server {server}: {reason}'
+    162,
+    _Level.info,
+    'sending {sending} of request {request} failed at server {server}, proof'
+    ' that it did not run {proof}: {reason}',
 )
 RESPONSE_ABORTED: typing.Final = _Event(
     163, _Level.info, 'response to request {request} aborted: {reason}'
--- a/libs/gateway/geraniumweir/gateway/outcomes.py
+++ b/libs/gateway/geraniumweir/gateway/outcomes.py
@@ -1,6 +1,7 @@
 """Outcomes of one dispatch to one server."""
 
 import dataclasses
+import enum
 
 from geraniumweir.gateway import codec
 from geraniumweir.scheduling import requests
@@ -19,21 +20,38 @@
     """A complete stream that was sent to the caller up to its end."""
 
 
+class Proof(enum.Enum):
+    """What proves that a server did not run a request.
+
+    :cvar rejected: the server states it in its answer to this sending.
+    :cvar not_connected: neither this host nor a relay could connect.
+    :cvar not_relayed: no relay tried to send it.
+    """
+
+    rejected = 'rejected'
+    not_connected = 'not_connected'
+    not_relayed = 'not_relayed'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotRun:
     """A request that the server certainly did not run.
 
-    :ivar arrived: whether the request reached the server.
     :ivar wrong_server: whether another server has the address.
     :ivar own_path: whether this host reaches no server, so that nothing is
         known about this one.
     """
 
     reason: str
-    arrived: bool
+    proof: Proof
     wrong_server: bool = False
     own_path: bool = False
 
+    @property
+    def arrived(self) -> bool:
+        """Whether the request reached the server."""
+        return self.proof is Proof.rejected
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
--- a/libs/gateway/geraniumweir/gateway/request_record.py
+++ b/libs/gateway/geraniumweir/gateway/request_record.py
@@ -24,6 +24,8 @@
     :ivar longest_pause: longest gap between two events, in seconds.
     :ivar servers: servers that it was sent to, in order.
     :ivar software: software versions of these servers.
+    :ivar connections: those that their answers came on, in order; empty for a
+        sending without an answer.
     :ivar resumes: attempt that began the stream that it takes up, or empty.
     :ivar began: software version that began that stream, empty if unknown.
     """
@@ -46,6 +48,7 @@
     longest_pause: float = 0
     servers: list[str] = dataclasses.field(default_factory=list)
     software: list[str] = dataclasses.field(default_factory=list)
+    connections: list[str] = dataclasses.field(default_factory=list)
     resumes: str = ''
     began: str = ''
 
@@ -82,6 +85,7 @@
             ms=_ms(now - self.arrived),
             servers=self.servers,
             software=self.software,
+            connections=self.connections,
             resumes=self.resumes,
             began=self.began,
         )
--- a/libs/observe/geraniumweir/observe/metricnames.py
+++ b/libs/observe/geraniumweir/observe/metricnames.py
@@ -64,6 +64,13 @@
     ' or no_slot for any other denial.',
     ('pool', 'outcome'),
 )
+FAILED_SENDINGS: typing.Final = Metric(
+    'geraniumweir_failed_sendings_total',
+    Kind.counter,
+    'Requests sent to a server without a good answer; proof is what shows that'
+    ' the server did not run it: rejected, not_connected, not_relayed or none.',
+    ('pool', 'proof'),
+)
 RELAYED: typing.Final = Metric(
     'geraniumweir_relayed_total',
     Kind.counter,
