--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -215,15 +215,23 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Answer requests on a connection until it ends."""
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                raw = await reader.readuntil(b'\r\n\r\n')
-                head = _head(raw)
-                length = int(head.get('Content-Length', '0'))
-                await reader.readexactly(length)
-                self.seen.append(head['Id'])
-                await self.behavior(self, head['Id'], head, writer)
-        self.disconnected.set()
+        with contextlib.closing(writer):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    await self._serve_one(reader, writer)
+            self.disconnected.set()
+
+    async def _serve_one(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        raw = await reader.readuntil(b'\r\n\r\n')
+        head = _head(raw)
+        length = int(head.get('Content-Length', '0'))
+        await reader.readexactly(length)
+        self.seen.append(head['Id'])
+        await self.behavior(self, head['Id'], head, writer)
 
 
 def _head(raw: bytes) -> multidict.CIMultiDict[str]:
