Relay: what a server says in an answer to another request is void

A limit, a pause or a leave in a copy of an earlier answer was recorded as if the server had just said it.

The relay recorded the notices of any answer on its connection; only the owner compared the id.

Change: the relay compares the id first, and tells the owner that no answer came where it differs, as the owner itself decided before.

Evidence: a server that answers with another id and a limit: the limit was recorded over a relay and not directly; the test failed before.

Why it works: both paths compare the id before anything else is read.

--- a/libs/gateway/geraniumweir/gateway/codec.py
+++ b/libs/gateway/geraniumweir/gateway/codec.py
@@ -128,6 +128,9 @@
     def dispatch_headers(self, call: Request, dispatch: Dispatch) -> Headers:
         """Return the headers of a dispatch to a server."""
 
+    def request_id(self, headers: typing.Mapping[str, str]) -> str:
+        """Return the id that a request or a response names, or empty."""
+
     def read_response_head(
         self,
         status: int,
--- a/libs/gateway/geraniumweir/gateway/relay_server.py
+++ b/libs/gateway/geraniumweir/gateway/relay_server.py
@@ -110,13 +110,7 @@
             # This host's own failure confirms that of the owner.
             outcome = relay_protocol.Outcome.unreachable
             return self._end(outcome, 'path in doubt')
-        call = calls.Call(
-            req.method,
-            req.raw_path,
-            relay_protocol.forwarded(req.headers),
-            await req.read(),
-            relay_protocol.sending_of(req.headers) or 1,
-        )
+        call = await self._read_call(req)
         sent_at = asyncio.get_running_loop().time()
         try:
             answer = await calls.send(self._deps.session, found.address, call)
@@ -128,9 +122,36 @@
             self._deps.paths.record_failure(found.address)
             return self._end(relay_protocol.Outcome.failed, exc.message)
         self._deps.paths.record_success(found.address)
+        return await self._judge(req, answer, found, sent_at)
+
+    async def _read_call(self, req: web.BaseRequest) -> calls.Call:
+        """Return a request as it is sent to the server."""
+        return calls.Call(
+            req.method,
+            req.raw_path,
+            relay_protocol.forwarded(req.headers),
+            await req.read(),
+            relay_protocol.sending_of(req.headers) or 1,
+        )
+
+    async def _judge(
+        self,
+        req: web.BaseRequest,
+        answer: calls.Answer,
+        found: enrolments.Enrolment,
+        sent_at: float,
+    ) -> web.StreamResponse:
+        """Pass on an answer that is of the request.
+
+        :param sent_at: when the request was sent, in seconds.
+        """
         head = self._deps.codec.read_response_head(
             answer.status, answer.headers
         )
+        if head.request_id != self._deps.codec.request_id(req.headers):
+            answer.abandon()
+            reason = f'the answer is of request {head.request_id!r}'
+            return self._end(relay_protocol.Outcome.failed, reason)
         self._deps.notices.record(found.start, sent_at, head)
         return await self._pass_on(req, answer)
 
--- a/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
@@ -1,9 +1,11 @@
 """Servers that send an answer twice; the copy comes for the next sending."""
 
 import asyncio
+import contextlib
 import typing
 
 import multidict
+import pytest
 from geraniumweir.gateway.tests import test_relaying, testbed
 from geraniumweir.routing import tables
 
@@ -141,3 +143,51 @@
         assert behavior.connections == 3
 
     asyncio.run(scenario())
+
+
+def _send_series(
+    behavior: testbed.Behavior, count: int, *, relayed: bool = False
+) -> tuple[list[tuple[int, bytes]], int]:
+    """Return the responses to requests one after another, and the limits.
+
+    :returns: responses, and how many servers have named a rate limit.
+    """
+
+    async def scenario() -> tuple[list[tuple[int, bytes]], int]:
+        server = testbed.Server(behavior)
+        async with contextlib.AsyncExitStack() as stack:
+            running = await stack.enter_async_context(
+                testbed.running(server, **_ONCE)
+            )
+            if relayed:
+                test_relaying.cut(running)
+                servers = [server for _ in range(count)]
+                await stack.enter_async_context(
+                    test_relaying.run_relay(running, servers)
+                )
+            found = [
+                await _get(running, f'r{number}') for number in range(count)
+            ]
+            return found, len(list(running.server_notices.limits()))
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+def test_answer_of_a_request_of_another_connection_is_judged_at_once(
+    relayed: bool,
+) -> None:
+    """It is no copy, so no other answer is expected; its notices are void."""
+
+    async def behavior(
+        _server: testbed.Server,
+        _request_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        extra = 'Signed: yes\r\nLimit: 1\r\n'
+        writer.write(testbed.answer('other', b'done', '200 OK', extra))
+
+    found, limits = _send_series(behavior, 1, relayed=relayed)
+    assert [status for status, _ in found] == [502]
+    assert not limits
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -72,6 +72,9 @@
             head['Last-Event-Id'] = str(dispatch.last_event)
         return head
 
+    def request_id(self, headers: typing.Mapping[str, str]) -> str:
+        return headers.get('Id', '')
+
     def read_response_head(
         self,
         status: int,
