Entry host: an answer behind the copy of an earlier one is not lost

What callers saw: with servers that send answers twice, requests that ran and were answered got 502, "may have run": those whose connection brought the copy of an earlier answer where theirs was expected. What may run once can't be sent again after that.

Cause: since such a copy never answers another sending of its own request, and so it always meets another request, whose sending ended with it though its own answer followed on the same connection.

Change: a connection keeps the ids of its last eight requests. An answer to one of these is read to its end, and the next one is waited for; the connection is not used again. An answer that names any other request, one that doesn't end visibly and a copy of over 256 KiB end the sending as before.

Evidence: a server that sends each answer again before the next: every second request got 502, directly and over a relay; both tests failed before.

Why it works: answers come in the order of the requests on a connection, and those before were answered, so an answer to one of them is a copy. The answer that follows still has to name the request.

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import functools
 import typing
 
@@ -17,19 +18,28 @@
 _FRAMING_BYTES = 65536
 # A chunk of one byte has five bytes around it.
 _FRAMING_RATIO = 8
+# An extra answer comes soon after the first.
+_KEPT_REQUESTS = 8
 _FINAL = 200
 _SWITCHES = 101
 
 
 class BoundedHandler(client_proto.ResponseHandler):
-    """Reads answers from one connection."""
+    """Reads answers from one connection.
+
+    :ivar requests: ids of the last requests that were answered on it.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Initialize for a new connection."""
         super().__init__(loop)
+        self.requests: collections.deque[str] = collections.deque(
+            maxlen=_KEPT_REQUESTS
+        )
         self._ends = ''
         self._exchanges = 0
         self._received = 0
+        self._read_before = 0
         self._body: aiohttp.StreamReader | None = None
         self._has_surplus = False
 
@@ -50,6 +60,7 @@
         """Prepare for the next answer."""
         self._exchanges += 1
         self._received = 0
+        self._read_before = 0
         self._body = None
         super().set_response_params(**options)
 
@@ -57,6 +68,7 @@
         """Take an answer's head from the parser."""
         head, body = answer
         if head.code >= _FINAL or head.code == _SWITCHES:
+            self._read_before = self._read
             self._body = body
         super().feed_data(answer, size)
 
@@ -77,8 +89,14 @@
         if not self._reading_paused:
             self._check()
 
+    @property
+    def _read(self) -> int:
+        """Bytes of the bodies that came since the request was sent."""
+        found = 0 if self._body is None else self._body.total_bytes
+        return self._read_before + found
+
     def _check(self) -> None:
-        read = 0 if self._body is None else self._body.total_bytes
+        read = self._read
         if self._received > _FRAMING_BYTES + (1 + _FRAMING_RATIO) * read:
             self._end(f'{self._received} bytes received, {read} of a body')
 
--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -20,7 +20,7 @@
 import aiohttp
 import multidict
 import yarl
-from geraniumweir.backends import answer_limits, errors
+from geraniumweir.backends import answer_limits, errors, held_responses
 from geraniumweir.common import ids
 
 # A connection to a server that is there takes a few milliseconds, in seconds.
@@ -56,6 +56,8 @@
 
     :ivar path: with the query string, as it goes on the wire.
     :ivar sending: number of this sending of the request, from 1.
+    :ivar expected: how its answer is told from extra ones to earlier requests
+        on its connection, None to take any answer.
     """
 
     method: str
@@ -63,17 +65,7 @@
     headers: multidict.CIMultiDict[str]
     body: bytes = b''
     sending: int = 1
-
-
-class _HeldResponse(aiohttp.ClientResponse):
-    """A response that keeps its connection until it is judged.
-
-    The library gives a connection back as soon as the last byte was parsed;
-    whether the answer was what it should be is known only later.
-    """
-
-    def _response_eof(self) -> None:
-        """Leave the connection to :class:`Answer`."""
+    expected: held_responses.Expected | None = None
 
 
 def make_session(
@@ -100,7 +92,7 @@
         auto_decompress=False,
         skip_auto_headers=_UNNAMED,
         read_bufsize=_READ_AHEAD,
-        response_class=_HeldResponse,
+        response_class=held_responses.HeldResponse,
         timeout=aiohttp.ClientTimeout(
             total=None,
             sock_connect=connect_seconds,
@@ -140,7 +132,7 @@
     body did, the connection is closed.
     """
 
-    def __init__(self, resp: aiohttp.ClientResponse) -> None:
+    def __init__(self, resp: held_responses.HeldResponse) -> None:
         """Take over a response.
 
         :param resp: whose head has come.
@@ -174,11 +166,7 @@
     @property
     def ends_visibly(self) -> bool:
         """Whether the end of the body can be told from a lost connection."""
-        if 'Content-Length' in self.headers:
-            return True
-        if self.headers.get('Transfer-Encoding', '').lower() == 'chunked':
-            return True
-        return self._resp.method == 'HEAD' or self.status in {204, 304}
+        return self._resp.ends_visibly
 
     @property
     def length(self) -> int | None:
@@ -271,7 +259,26 @@
         raise errors.NotSentError(f'{address}: {exc}') from exc
     except (aiohttp.ClientError, OSError, ValueError) as exc:
         raise errors.BrokenError(f'{address}: {exc!r}') from exc
-    return Answer(resp)
+    held = typing.cast(held_responses.HeldResponse, resp)
+    if call.expected is not None:
+        await _skip_extra(held, call.expected)
+    return Answer(held)
+
+
+async def _skip_extra(
+    resp: held_responses.HeldResponse, expected: held_responses.Expected
+) -> None:
+    """Go on to the answer behind extra ones.
+
+    :raises errors.BrokenError: when the connection ends before it.
+    """
+    with contextlib.ExitStack() as stack:
+        stack.callback(resp.close)
+        try:
+            await resp.skip_extra(expected)
+        except (aiohttp.ClientError, OSError) as exc:
+            raise errors.BrokenError(f'behind an extra one: {exc!r}') from exc
+        stack.pop_all()
 
 
 async def probe(address: ids.Address, seconds: float) -> bool:
--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -9,7 +9,7 @@
 import dataclasses
 import typing
 
-from geraniumweir.backends import bodies, calls
+from geraniumweir.backends import bodies, calls, held_responses
 from geraniumweir.backends import errors as backend_errors
 from geraniumweir.common import ids
 from geraniumweir.gateway import (
@@ -200,6 +200,9 @@
             self.codec.dispatch_headers(self.caller_request, dispatch),
             self.body,
             self.sending,
+            held_responses.Expected(
+                self.caller_request.request_id, self.codec.request_id
+            ),
         )
 
     async def _receive(
--- a/libs/gateway/geraniumweir/gateway/relay_server.py
+++ b/libs/gateway/geraniumweir/gateway/relay_server.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 from aiohttp import web
-from geraniumweir.backends import calls
+from geraniumweir.backends import calls, held_responses
 from geraniumweir.backends import errors as backend_errors
 from geraniumweir.common import eventlog, ids
 from geraniumweir.control import enrolments
@@ -126,12 +126,14 @@
 
     async def _read_call(self, req: web.BaseRequest) -> calls.Call:
         """Return a request as it is sent to the server."""
+        request_id = self._deps.codec.request_id(req.headers)
         return calls.Call(
             req.method,
             req.raw_path,
             relay_protocol.forwarded(req.headers),
             await req.read(),
             relay_protocol.sending_of(req.headers) or 1,
+            held_responses.Expected(request_id, self._deps.codec.request_id),
         )
 
     async def _judge(
--- a/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
@@ -173,6 +173,37 @@
     return asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+def test_answer_behind_the_copy_of_an_earlier_one_is_not_lost(
+    relayed: bool,
+) -> None:
+    """Every second request was answered "may have run"."""
+    behavior = _Repeating(0, '200 OK', '')
+    found, _ = _send_series(behavior, 6, relayed=relayed)
+    assert all(one == (200, b'done') for one in found)
+    # A connection that brought a copy isn't used again.
+    assert behavior.connections == 3
+
+
+def test_answer_behind_a_long_copy_may_have_run() -> None:
+    """The copy is not read to its end."""
+    answers = iter((b'', b'x' * 300000))
+
+    async def behavior(
+        _server: testbed.Server,
+        request_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        copy = next(answers)
+        if copy:
+            writer.write(testbed.answer('r0', copy))
+        writer.write(testbed.answer(request_id, b'done'))
+
+    found, _ = _send_series(behavior, 2)
+    assert [status for status, _ in found] == [200, 502]
+
+
 @pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
 def test_answer_of_a_request_of_another_connection_is_judged_at_once(
     relayed: bool,
