Entry host: the begin of a copy behind an answer ends its connection

What callers saw: with servers that send answers twice, a few requests still got 502, "may have run": the reply to them was the rest of a copy.

Cause: the library gives each request a parser of its own. Where a copy begins in the same piece of bytes as the end of an answer, its begin is dropped with the earlier parser, and the rest of it is read as the next answer, which no parser accepts. Bytes that came on the idle connection were noticed, these were not.

Change: as a connection is given back, its parser is asked whether another message has begun; if so the connection is closed.

Why it works: a connection is used again only if its parser stands between two messages, so that whatever comes next was sent after the answer.

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -72,6 +72,25 @@
             self._body = body
         super().feed_data(answer, size)
 
+    @property
+    def should_close(self) -> bool:
+        """Return whether the connection ends with its present answer."""
+        return super().should_close or self._begins_another()
+
+    def _begins_another(self) -> bool:
+        """Return whether bytes behind a whole answer begin another one.
+
+        The next request gets a parser of its own, which would read the rest
+        of them as the begin of its answer.
+        """
+        if self._parser is None:
+            return False
+        try:
+            begun = self._parser.feed_eof()
+        except Exception:
+            return True
+        return begun is not None or bool(getattr(self._parser, '_tail', b''))
+
     def is_connected(self) -> bool:
         """Return whether the connection may be used.
 
--- a/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
@@ -6,6 +6,7 @@
 
 import multidict
 import pytest
+from aiohttp import client_proto, http_parser
 from geraniumweir.gateway.tests import test_relaying, testbed
 from geraniumweir.routing import tables
 
@@ -222,3 +223,32 @@
     found, limits = _send_series(behavior, 1, relayed=relayed)
     assert [status for status, _ in found] == [502]
     assert not limits
+
+
+@pytest.mark.parametrize('size', [1, 5, 12, 40, 60])
+@pytest.mark.parametrize('parser', ['compiled', 'python'])
+def test_begin_of_a_copy_behind_an_answer_ends_its_connection(
+    size: int, parser: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The rest of it came for the next request, which got 502."""
+    parsers = {
+        'compiled': http_parser.HttpResponseParser,
+        'python': http_parser.HttpResponseParserPy,
+    }
+    monkeypatch.setattr(client_proto, 'HttpResponseParser', parsers[parser])
+    rest: dict[typing.Any, bytes] = {}
+
+    async def behavior(
+        _server: testbed.Server,
+        request_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        peer = writer.get_extra_info('peername')
+        answer = testbed.answer(request_id, b'done')
+        writer.write(rest.get(peer, b'') + answer + answer[:size])
+        rest[peer] = answer[size:]
+
+    found, _ = _send_series(behavior, 4)
+    assert all(one == (200, b'done') for one in found)
+    assert len(rest) == 4
