Entry host: bytes behind an answer do not take it along

What callers saw: with servers that send further bytes behind a complete answer, requests that ran and were answered got 502, "may have run", where those bytes are no begin of an answer and came in one piece with it.

Cause: the library's parsers raise at such bytes and give none of the answers that they read before in the same piece. The end of the connection then also voided a body that was whole.

Change: bytes are given to the parser up to the end of each head first, so that it gives the answer before it meets what follows; a body that is whole stays whole when its connection ends. The connection is closed as before.

Why it works: a body is complete for its reader once its last byte was parsed, whatever the parser meets next; only the head was handed over too late.

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -20,6 +20,7 @@
 _FRAMING_RATIO = 8
 # An extra answer comes soon after the first.
 _KEPT_REQUESTS = 8
+_HEAD_END = b'\r\n\r\n'
 _FINAL = 200
 _SWITCHES = 101
 
@@ -103,11 +104,35 @@
         if content and self._body is not None and self._body.is_eof():
             self._has_surplus = True
         self._received += len(content)
-        super().data_received(content)
+        for piece in self._pieces(content):
+            super().data_received(piece)
         # Bytes wait unparsed while the body's reader is slow.
         if not self._reading_paused:
             self._check()
 
+    def _pieces(self, content: bytes) -> typing.Iterator[bytes]:
+        """Part bytes behind each head.
+
+        The parser gives no head that came in one piece with bytes which it
+        can't read, even if a whole answer ends before these.
+        """
+        while self.exception() is None:
+            if self._body is not None and not self._body.is_eof():
+                break
+            head, end, rest = content.partition(_HEAD_END)
+            if not rest:
+                break
+            yield head + end
+            content = rest
+        if self.exception() is None:
+            yield content
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End with a connection; an answer that is whole stays whole."""
+        if self._body is not None and self._body.is_eof():
+            self._payload = None
+        super().connection_lost(exc)
+
     @property
     def _read(self) -> int:
         """Bytes of the bodies that came since the request was sent."""
@@ -121,7 +146,7 @@
 
     def _end(self, reason: str) -> None:
         exc = aiohttp.ClientPayloadError(reason)
-        if self._body is not None:
+        if self._body is not None and not self._body.is_eof():
             self._body.set_exception(exc)
         self.set_exception(exc)
         if self.transport is not None:
--- a/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
@@ -13,6 +13,10 @@
 _ONCE: dict[str, typing.Any] = {'kind': tables.Kind.once, 'attempts': 1}
 _NOT_RUN = ('503 Full', 'Not-Run: yes\r\n')
 _PAUSE_SECONDS = 0.05
+_PARSERS = {
+    'compiled': http_parser.HttpResponseParser,
+    'python': http_parser.HttpResponseParserPy,
+}
 
 
 class _Repeating:
@@ -231,11 +235,7 @@
     size: int, parser: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The rest of it came for the next request, which got 502."""
-    parsers = {
-        'compiled': http_parser.HttpResponseParser,
-        'python': http_parser.HttpResponseParserPy,
-    }
-    monkeypatch.setattr(client_proto, 'HttpResponseParser', parsers[parser])
+    monkeypatch.setattr(client_proto, 'HttpResponseParser', _PARSERS[parser])
     rest: dict[typing.Any, bytes] = {}
 
     async def behavior(
@@ -252,3 +252,40 @@
     found, _ = _send_series(behavior, 4)
     assert all(one == (200, b'done') for one in found)
     assert len(rest) == 4
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+@pytest.mark.parametrize(
+    'surplus',
+    [
+        b'surplus',
+        b'\r\n\r\n',
+        b'\x00\x01',
+        b'HTTP/1.1 20',
+        b'HTTP/9.9 x\r\n\r\n',
+    ],
+)
+@pytest.mark.parametrize('body', [b'done', b''])
+@pytest.mark.parametrize('parser', ['compiled', 'python'])
+def test_bytes_behind_an_answer_do_not_take_it_along(
+    parser: str,
+    body: bytes,
+    surplus: bytes,
+    relayed: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They came in one piece, and the request got 502 for a whole answer."""
+    monkeypatch.setattr(client_proto, 'HttpResponseParser', _PARSERS[parser])
+
+    async def behavior(
+        _server: testbed.Server,
+        request_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        early = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+        answer = testbed.answer(request_id, body)
+        writer.write(b''.join((early, answer, surplus)))
+
+    found, _ = _send_series(behavior, 3, relayed=relayed)
+    assert all(one == (200, body) for one in found), found
