Entry host: refusals do not name the request to the server or its bytes

What callers saw: where a server sends bytes that are no answer, the message of the 502 had all headers of the request to the server, with the customer's name and the server's address and id, and the bytes that the server had sent.

Cause: the text of the library's error has both, and it was taken whole into the message and the log.

Change: such an error is named by its class, with what it means.

Why it works: no other error of the library has a request or an answer.

--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -258,13 +258,20 @@
     ) as exc:
         raise errors.NotSentError(f'{address}: {exc}') from exc
     except (aiohttp.ClientError, OSError, ValueError) as exc:
-        raise errors.BrokenError(f'{address}: {exc!r}') from exc
+        raise errors.BrokenError(f'{address}: {_text_of(exc)}') from exc
     held = typing.cast(held_responses.HeldResponse, resp)
     if call.expected is not None:
         await _skip_extra(held, call.expected)
     return Answer(held)
 
 
+def _text_of(exc: Exception) -> str:
+    """Describe an error; the library's text of some has request and answer."""
+    if isinstance(exc, aiohttp.ClientResponseError):
+        return f'{type(exc).__name__}, no answer of HTTP'
+    return repr(exc)
+
+
 async def _skip_extra(
     resp: held_responses.HeldResponse, expected: held_responses.Expected
 ) -> None:
@@ -277,7 +284,8 @@
         try:
             await resp.skip_extra(expected)
         except (aiohttp.ClientError, OSError) as exc:
-            raise errors.BrokenError(f'behind an extra one: {exc!r}') from exc
+            reason = f'behind an extra answer: {_text_of(exc)}'
+            raise errors.BrokenError(reason) from exc
         stack.pop_all()
 
 
--- a/libs/gateway/geraniumweir/gateway/tests/test_sending_records.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_sending_records.py
@@ -84,6 +84,19 @@
     ]
 
 
+def test_bytes_that_are_no_answer_show_nothing_of_the_request() -> None:
+    """Refusals named its headers to the server, and the bytes."""
+
+    async def sends_text(*parts: typing.Any) -> None:
+        parts[-1].write(b'Secret: 1\r\n\r\n')
+
+    fields, _, status = _play(sends_text)
+    assert status == 502
+    reason = next(one['reason'] for one in fields if 'proof' in one)
+    assert 'ClientResponseError' in reason
+    assert not any(word in reason for word in ('Secret', 'headers', 'r1'))
+
+
 def test_broken_answer_proves_nothing() -> None:
     """The request may have run."""
 
