--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -2,6 +2,8 @@
 
 The HTTP parser skips interim answers and extensions of chunks, however many
 come. Here the received bytes are compared with the body that came of them.
+Bytes behind an answer end the use of its connection, and leave the answer as
+it is.
 Load: each piece that a socket delivers, up to some ten thousand a second.
 """
 
@@ -111,10 +113,10 @@
             self._check()
 
     def _pieces(self, content: bytes) -> typing.Iterator[bytes]:
-        """Part bytes behind each head.
+        """Split bytes behind each head.
 
-        The parser gives no head that came in one piece with bytes which it
-        can't read, even if a whole answer ends before these.
+        Of a piece with bytes that it can't read, the parser gives no answer,
+        even if a whole one ends before them.
         """
         while self.exception() is None:
             if self._body is not None and not self._body.is_eof():
--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -266,9 +266,9 @@
 
 
 def _text_of(exc: Exception) -> str:
-    """Describe an error; the library's text of some has request and answer."""
+    """Describe an error without headers of the request or bytes received."""
     if isinstance(exc, aiohttp.ClientResponseError):
-        return f'{type(exc).__name__}, no answer of HTTP'
+        return f'{type(exc).__name__}, no HTTP response'
     return repr(exc)
 
 
--- a/libs/gateway/geraniumweir/gateway/logevents.py
+++ b/libs/gateway/geraniumweir/gateway/logevents.py
@@ -34,8 +34,8 @@
 ATTEMPT_FAILED: typing.Final = _Event(
     162,
     _Level.info,
-    'sending {sending} of request {request} failed at server {server}, proof'
-    ' that it did not run {proof}: {reason}',
+    'sending {sending} of request {request} failed at server {server}:'
+    ' {reason}; proof that it did not run: {proof}',
 )
 RESPONSE_ABORTED: typing.Final = _Event(
     163, _Level.info, 'response to request {request} aborted: {reason}'
