Entry host: bodies with a content encoding reach servers unchanged

Cause: the library's HTTP server decompresses bodies of requests by default.

Change: it doesn't, for callers and for relays.

Evidence: six tests, of both encodings and an invalid body, directly and over a relay, failed before and pass.

Why it works: the body is forwarded as the bytes that came, and the limit of a body counts these.

--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -301,6 +301,7 @@
         handler,
         request_factory=_make_request,
         handler_cancellation=True,
+        auto_decompress=False,
         max_line_size=_DEFAULT_MAX_HEADER_BYTES,
         max_field_size=_DEFAULT_MAX_HEADER_BYTES,
         access_log=None,
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -202,12 +202,14 @@
 
     :ivar behavior: writes the response to each request.
     :ivar seen: ids of the requests that reached it.
+    :ivar bodies: of these requests.
     :ivar disconnected: is set when a connection to it ends.
     """
 
     behavior: Behavior
     address: ids.Address = ids.Address(_LOCAL, 0)
     seen: list[str] = dataclasses.field(default_factory=list)
+    bodies: list[bytes] = dataclasses.field(default_factory=list)
     disconnected: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
@@ -232,7 +234,7 @@
         raw = await reader.readuntil(b'\r\n\r\n')
         head = _head(raw)
         length = int(head.get('Content-Length', '0'))
-        await reader.readexactly(length)
+        self.bodies.append(await reader.readexactly(length))
         self.seen.append(head['Id'])
         await self.behavior(self, head['Id'], head, writer)
 
