Entry host: headers are bounded by their size, not by their number

Cause: the library's parsers take 128 headers at most.

Change: they take as many as fit into the bytes that are read of a head; the limit of the document is checked afterwards, as before.

Evidence: a request and an answer with 1,000 short headers, directly and over a relay, and 4,000 headers beyond the limit, which were answered 400 in place of 431: five tests failed before and pass.

Why it works: what a head may cost is bounded by its bytes.

--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -47,6 +47,8 @@
 )
 # Bytes read of an answer before its reader takes them.
 _READ_AHEAD = 16384
+# The size of a head is bounded, whatever their number.
+_MAX_HEADERS = 16384
 _UNNAMED = ('Accept-Encoding', 'User-Agent', 'Accept', 'Content-Type')
 
 
@@ -91,6 +93,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=_UNNAMED,
+        max_headers=_MAX_HEADERS,
         read_bufsize=_READ_AHEAD,
         response_class=held_responses.HeldResponse,
         timeout=aiohttp.ClientTimeout(
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -38,6 +38,8 @@
 _POLL_SECONDS = 0.02
 # Limit of the HTTP parser; the limits of a document are checked afterwards.
 _DEFAULT_MAX_HEADER_BYTES = 65536
+# As many as fit into them.
+_MAX_HEADERS = _DEFAULT_MAX_HEADER_BYTES // 4
 # Limit of the HTTP library for bodies: 64 MiB.
 _DEFAULT_MAX_BODY_BYTES = 67108864
 
@@ -302,6 +304,7 @@
         request_factory=_make_request,
         handler_cancellation=True,
         auto_decompress=False,
+        max_headers=_MAX_HEADERS,
         max_line_size=_DEFAULT_MAX_HEADER_BYTES,
         max_field_size=_DEFAULT_MAX_HEADER_BYTES,
         access_log=None,
