Streams: a content is known until its last stream has expired

Callers saw: a stream that was taken up without the name of its attempt could go on at another version, with no host out of step.

Cause: the record of a content expired with the stream that had it first. A later stream of the same content and version changed nothing, so from the end of the first on a third one, at another version, was the only one known.

Change: a record lasts until the last of its reports has expired, and a contradiction until both sides have. Reports of one stream differ by less than half a second in their ends and are not published twice for that.

--- a/libs/scheduling/geraniumweir/scheduling/stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/stream_origins.py
@@ -18,6 +18,9 @@
 # Upper bound of the memory, for 2,500 streams a second that may be resumed for
 # 20 s.
 _MAX_STREAMS = 50000
+# Less than the time for which a stream is kept beyond its caller's patience;
+# reports of one stream differ by less.
+_MIN_EXTENSION_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,14 +58,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Record:
-    """A recorded stream.
+    """A recorded stream, or the streams of one content.
 
-    :ivar origin: None if reports contradict each other.
-    :ivar expires_at: in seconds on the loop's clock.
+    :ivar origin: of the first report.
+    :ivar expires_at: of the last one, in seconds on the loop's clock.
+    :ivar contradiction: an origin that doesn't agree with the first one.
     """
 
-    origin: StreamOrigin | None
+    origin: StreamOrigin
     expires_at: float
+    contradiction: StreamOrigin | None = None
 
 
 IsDoubtful = typing.Callable[[StreamOrigin], bool]
@@ -129,11 +134,11 @@
         self._expiries: list[tuple[float, ids.StreamKey]] = []
 
     def record(self, begin: StreamBegin) -> bool:
-        """Record a stream, unless it is known.
+        """Record a stream, or that another one has its content.
 
         An attempt has one first event. If two reports contradict each other, as
         the caller used an id twice, or requested the same content twice, the
-        stream counts as unknown.
+        stream counts as unknown until both have expired.
 
         :returns: whether it changed anything.
         """
@@ -148,7 +153,7 @@
         now = self._clock.now()
         self._discard_expired(now)
         known = self._records.get(key)
-        if known is None or known.origin is None:
+        if known is None or known.contradiction is not None:
             return None
         return known.origin if self.is_certain(known.origin) else None
 
@@ -163,35 +168,52 @@
         return [
             StreamBegin(key, found.origin, found.expires_at - now)
             for key, found in self._records.items()
-            if found.origin is not None
+            if found.contradiction is None
         ]
 
     def _record(self, begin: StreamBegin) -> bool:
         now = self._clock.now()
         self._discard_expired(now)
-        known = self._records.get(begin.key)
-        if known is not None:
-            return self._check(begin, known)
         if begin.seconds <= 0:
             return False
         expires_at = now + begin.seconds
-        self._records[begin.key] = _Record(begin.origin, expires_at)
-        heapq.heappush(self._expiries, (expires_at, begin.key))
-        if len(self._records) > self._max_streams:
-            self._discard_first()
-        return True
-
-    def _check(self, begin: StreamBegin, known: _Record) -> bool:
-        if known.origin is None or known.origin.agrees_with(begin.origin):
+        known = self._records.get(begin.key)
+        if known is None:
+            self._store(begin.key, _Record(begin.origin, expires_at))
+            if len(self._records) > self._max_streams:
+                self._discard_first()
+            return True
+        contradiction = known.contradiction
+        if contradiction is None and not known.origin.agrees_with(begin.origin):
+            contradiction = begin.origin
+        is_later = expires_at > known.expires_at + _MIN_EXTENSION_SECONDS
+        if contradiction is known.contradiction and not is_later:
             return False
-        self._records[begin.key] = dataclasses.replace(known, origin=None)
+        expires_at = max(expires_at, known.expires_at)
+        self._store(begin.key, _Record(known.origin, expires_at, contradiction))
         return True
 
+    def _store(self, key: ids.StreamKey, stored: _Record) -> None:
+        self._records[key] = stored
+        heapq.heappush(self._expiries, (stored.expires_at, key))
+
     def _discard_expired(self, now: float) -> None:
         while self._expiries and self._expiries[0][0] <= now:
-            self._discard_first()
+            self._pop_expiry()
 
     def _discard_first(self) -> None:
         """Discard the stream that expires first."""
-        _, key = heapq.heappop(self._expiries)
+        while not self._pop_expiry():
+            """A record that was extended has a later entry."""
+
+    def _pop_expiry(self) -> bool:
+        """Remove the earliest entry, and its stream if it has no later one.
+
+        :returns: whether a stream was removed.
+        """
+        expires_at, key = heapq.heappop(self._expiries)
+        known = self._records.get(key)
+        if known is None or known.expires_at > expires_at:
+            return False
         self._records.pop(key)
+        return True
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_stream_origins.py
@@ -52,6 +52,27 @@
     virtual.run(work())
 
 
+def test_content_is_known_while_its_last_stream_may_be_resumed() -> None:
+    """A third stream at another version was taken for the second one."""
+
+    async def work() -> None:
+        origins = stream_origins.StreamOrigins(timers.TimerService())
+        origins.record(_begin(1))
+        await asyncio.sleep(8)
+        assert origins.record(_begin(1))
+        assert not origins.record(_begin(1, seconds=9))
+        await asyncio.sleep(4)
+        assert origins.find(ids.StreamKey(1)).version == 'v1'
+        origins.record(_begin(1, 'v1.1', seconds=20))
+        assert origins.find(ids.StreamKey(1)) is None
+        await asyncio.sleep(7)
+        origins.record(_begin(2))
+        assert origins.find(ids.StreamKey(1)) is None
+        assert origins.find(ids.StreamKey(2)).version == 'v1'
+
+    virtual.run(work())
+
+
 def test_memory_is_bounded() -> None:
     """The oldest streams go first."""
 
