Streams: hosts pass on that a content began at two versions

Callers saw: after a change of the coordinator, a stream taken up without the name of its attempt could go on at another version.

Cause: a host listed only the streams that it knows for sure, and passed these on. Of a content that began at two versions it passed on nothing, so that a new coordinator believed the one version that it heard of from elsewhere.

Change: the list has each origin of a contradiction, so that whoever gets it finds the contradiction too. The check that nothing is listed then was wrong; it now asks for both versions.

The new test, with a cut off side whose entry host is lost, failed before and passes now, as do the other tests of the exchange.

--- a/libs/control/geraniumweir/control/tests/test_stream_exchange.py
+++ b/libs/control/geraniumweir/control/tests/test_stream_exchange.py
@@ -284,6 +284,31 @@
     _run(scenario)
 
 
+def test_content_of_two_versions_stays_unknown_after_a_cut() -> None:
+    """The host that coordinated meanwhile passes on what it saw of both."""
+
+    async def scenario(bed: _Bed) -> None:
+        alone = ['c2', 'e0', 'e1']
+        bed.cut(alone)
+        bed.lead('c0', alone)
+        await asyncio.sleep(2)
+        content = ids.StreamKey(1)
+        for number, version in enumerate(('v1', 'v1.1')):
+            bed.entries[f'e{number}'].begin(
+                ids.StreamKey(2 + number), ids.SoftwareVersion(version), content
+            )
+        await asyncio.sleep(0.5)
+        bed.network.leave(ids.HostId('e0'))
+        bed.network.heal()
+        bed.lead('c0')
+        await asyncio.sleep(_CONTACT_SECONDS)
+        streams = bed.entries['e2'].streams
+        assert await streams.find(content, by_content=True) is None
+        assert (await streams.find(ids.StreamKey(2))).version == 'v1'
+
+    _run(scenario)
+
+
 _ACTIONS = st.one_of(
     st.tuples(
         st.just('begin'), st.sampled_from(_ENTRIES), st.sampled_from(_VERSIONS)
--- a/libs/scheduling/geraniumweir/scheduling/stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/stream_origins.py
@@ -69,6 +69,13 @@
     expires_at: float
     contradiction: StreamOrigin | None = None
 
+    @property
+    def origins(self) -> tuple[StreamOrigin, ...]:
+        """The origins that reports gave."""
+        if self.contradiction is None:
+            return (self.origin,)
+        return self.origin, self.contradiction
+
 
 IsDoubtful = typing.Callable[[StreamOrigin], bool]
 
@@ -162,13 +169,16 @@
         return not self._is_doubtful(origin)
 
     def known(self) -> list[StreamBegin]:
-        """List the streams with the times that are left."""
+        """List the streams with the times that are left.
+
+        One whose reports contradict each other is listed with each origin.
+        """
         now = self._clock.now()
         self._discard_expired(now)
         return [
-            StreamBegin(key, found.origin, found.expires_at - now)
+            StreamBegin(key, origin, found.expires_at - now)
             for key, found in self._records.items()
-            if found.contradiction is None
+            for origin in found.origins
         ]
 
     def _record(self, begin: StreamBegin) -> bool:
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_stream_origins.py
@@ -47,7 +47,8 @@
         assert origins.record(_begin(1, 'v1.1'))
         assert origins.find(ids.StreamKey(1)) is None
         assert not origins.record(_begin(1))
-        assert not origins.known()
+        versions = [one.origin.version for one in origins.known()]
+        assert versions == ['v1', 'v1.1']
 
     virtual.run(work())
 
