Control: the entry hosts of a coordinator in a module of their own

Change: EntryHosts, its partitions and constants move to reachable_hosts unchanged; those who use them import that module.

--- a/libs/control/geraniumweir/control/feed.py
+++ b/libs/control/geraniumweir/control/feed.py
@@ -19,7 +19,7 @@
     document_pieces,
     enrolments,
     hosts,
-    leadership,
+    reachable_hosts,
     recorders,
     server_lists,
 )
@@ -47,7 +47,7 @@
         log: recorders.Recorders,
         table: enrolments.Enrolments,
         rollouts_known: hosts.ControlHosts,
-        entry_hosts: leadership.EntryHosts,
+        entry_hosts: reachable_hosts.EntryHosts,
         rollouts: typing.Callable[[], list[orders.Rollout]] = list,
     ) -> None:
         """Answer from now on.
--- a/libs/control/geraniumweir/control/presence.py
+++ b/libs/control/geraniumweir/control/presence.py
@@ -13,8 +13,8 @@
     enrolment_codec,
     enrolments,
     hosts,
-    leadership,
     logevents,
+    reachable_hosts,
     recorders,
 )
 from geraniumweir.scheduling import notices
@@ -45,7 +45,7 @@
         known: hosts.ControlHosts,
         table: enrolments.Enrolments,
         log: recorders.Recorders,
-        entry_hosts: leadership.EntryHosts,
+        entry_hosts: reachable_hosts.EntryHosts,
         seeds: hosts.Seeds = dict,
     ) -> None:
         """Answer the others from now on.
--- a/libs/control/geraniumweir/control/tests/test_leadership.py
+++ b/libs/control/geraniumweir/control/tests/test_leadership.py
@@ -2,16 +2,16 @@
 
 import pytest
 from geraniumweir.common import ids
-from geraniumweir.control import leadership
+from geraniumweir.control import reachable_hosts
 
 _LOST = ids.HostId('lost')
 _NEAR = ids.HostId('near')
 _CUT_SECONDS = 7
 
 
-def _at_cut() -> tuple[leadership.EntryHosts, float]:
+def _at_cut() -> tuple[reachable_hosts.EntryHosts, float]:
     """Return two hosts with half of all requests each, and one's share."""
-    hosts = leadership.EntryHosts(quota_seconds=8)
+    hosts = reachable_hosts.EntryHosts(quota_seconds=8)
     for name in (_LOST, _NEAR):
         hosts.heard(name, 0)
         hosts.demand.record(name, 100, 0)
@@ -32,7 +32,7 @@
 
 def test_hosts_seen_only_by_the_previous_coordinator_keep_their_share() -> None:
     """A partition separated them with the previous coordinator."""
-    hosts = leadership.EntryHosts(quota_seconds=8)
+    hosts = reachable_hosts.EntryHosts(quota_seconds=8)
     hosts.set_reported_count(4, 10)
     hosts.start_term(10)
     for now, part in ((10.2, 0.2), (11.2, 1 / 3)):
@@ -45,7 +45,7 @@
 
 def test_only_silent_hosts_count_as_unreachable() -> None:
     """In whatever order their first and last messages arrived."""
-    hosts = leadership.EntryHosts(quota_seconds=8)
+    hosts = reachable_hosts.EntryHosts(quota_seconds=8)
     first, second, third = map(ids.HostId, ('first', 'second', 'third'))
     for now, name in ((0, first), (0.5, second), (1, third), (2, first)):
         hosts.heard(name, now)
--- a/libs/control/geraniumweir/control/tests/test_presence.py
+++ b/libs/control/geraniumweir/control/tests/test_presence.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from geraniumweir.common import ids, virtual
-from geraniumweir.control import enrolments, hosts, leadership, presence
+from geraniumweir.control import enrolments, hosts, presence, reachable_hosts
 from geraniumweir.control.tests import bed
 from geraniumweir.wire import memory
 
@@ -34,7 +34,7 @@
         known,
         table,
         _NoLog(),
-        leadership.EntryHosts(8),
+        reachable_hosts.EntryHosts(8),
         lambda: {ids.HostId('cow'): bed.address('cow')},
     )
     return known, met
--- a/libs/control/geraniumweir/control/tests/test_quota_over_changes.py
+++ b/libs/control/geraniumweir/control/tests/test_quota_over_changes.py
@@ -10,7 +10,7 @@
 
 import hypothesis
 from geraniumweir.common import ids
-from geraniumweir.control import leadership
+from geraniumweir.control import reachable_hosts
 from geraniumweir.scheduling import quotas, recent_usage, windows
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -61,7 +61,7 @@
     """A control host."""
 
     def __init__(self, now: float, clock: typing.Callable[[], float]) -> None:
-        self.hosts = leadership.EntryHosts(_SECONDS)
+        self.hosts = reachable_hosts.EntryHosts(_SECONDS)
         self.quotas = quotas.Quotas(
             lambda _: _ALLOWANCE,
             lambda: self.hosts.reachable_share(clock()),
--- a/libs/control/geraniumweir/control/tests/test_quota_over_partitions.py
+++ b/libs/control/geraniumweir/control/tests/test_quota_over_partitions.py
@@ -8,7 +8,7 @@
 
 import pytest
 from geraniumweir.common import ids
-from geraniumweir.control import leadership
+from geraniumweir.control import reachable_hosts
 from geraniumweir.scheduling import quotas
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -38,7 +38,7 @@
     partitioned_at: float | None = None
 
     def __post_init__(self) -> None:
-        self.hosts = leadership.EntryHosts(_SECONDS)
+        self.hosts = reachable_hosts.EntryHosts(_SECONDS)
         self.hosts.start_term(self.now)
         self.granted: list[tuple[float, float]] = []
         self.central = self._quotas(
@@ -131,7 +131,7 @@
 
 def test_new_coordinator_assumes_no_earlier_partitions() -> None:
     """Messages from before it coordinated do not indicate partitions."""
-    hosts = leadership.EntryHosts(_SECONDS)
+    hosts = reachable_hosts.EntryHosts(_SECONDS)
     hosts.heard(_NEAR, 0)
     hosts.start_term(5)
     hosts.heard(_NEAR, 5.1)
--- a/libs/control/geraniumweir/control/tests/test_retries_over_changes.py
+++ b/libs/control/geraniumweir/control/tests/test_retries_over_changes.py
@@ -11,7 +11,7 @@
 
 import hypothesis
 from geraniumweir.common import ids
-from geraniumweir.control import leadership
+from geraniumweir.control import reachable_hosts
 from geraniumweir.scheduling import (
     requests,
     retrybudget,
@@ -80,7 +80,7 @@
     ) -> None:
         self.host_id = ids.HostId(name)
         self.leads = False
-        self.hosts = leadership.EntryHosts(_QUOTA_SECONDS)
+        self.hosts = reachable_hosts.EntryHosts(_QUOTA_SECONDS)
         self.budgets = retrybudget.RetryBudgets(
             _BUDGET,
             retrybudget.Scope(
