Control: the entry host's directory of streams in a module of its own

Change: StreamDirectory and its constants move to stream_directory unchanged; the number of streams in a message is public, as both ends use it.

--- a/libs/control/geraniumweir/control/stream_exchange.py
+++ b/libs/control/geraniumweir/control/stream_exchange.py
@@ -6,7 +6,6 @@
 their streams to a new coordinator.
 """
 
-import asyncio
 import collections
 import functools
 import typing
@@ -14,21 +13,13 @@
 import reactivex
 from geraniumweir.common import ids, timers
 from geraniumweir.control import enrolments, hosts
-from geraniumweir.scheduling import channel, stream_origins, translation
-from geraniumweir.wire import errors, peers
+from geraniumweir.scheduling import stream_origins, translation
+from geraniumweir.wire import peers
 from geraniumweir.wire.gen.control import ttypes
 
 _MS = 1000
 # Streams in one message, which then has some 60 kilobytes.
-_MAX_PUBLISHED = 4096
-# An answer takes a few milliseconds; a lost packet is sent again after 0.2 s.
-_FIND_SECONDS = 0.3
-# A report that was lost is repeated within the time in which hosts are in touch
-# again after a disturbance, some 3 s.
-_CONFIRM_SECONDS = 1.5
-# The report of an event may arrive later than its caller's next attempt, and a
-# new coordinator gets the reports of entry hosts within this time.
-_REPEAT_SECONDS = 0.1
+MAX_PUBLISHED = 4096
 # Wall clocks of hosts and servers differ by less.
 _MAX_CLOCK_SKEW_SECONDS = 1.0
 
@@ -132,16 +123,16 @@
 
     def fill(self, message: ttypes.RequestFacts, _now: float) -> bool:
         """Add streams that are not published yet."""
-        begins = self._unpublished[:_MAX_PUBLISHED]
+        begins = self._unpublished[:MAX_PUBLISHED]
         if not begins:
             return False
-        self._unpublished = self._unpublished[_MAX_PUBLISHED:]
+        self._unpublished = self._unpublished[MAX_PUBLISHED:]
         message.streams = pack(begins).versions
         return True
 
     def fill_all(self, message: ttypes.RequestFacts, _now: float) -> None:
         """Add the streams that began last."""
-        begins = self.origins.known()[-_MAX_PUBLISHED:]
+        begins = self.origins.known()[-MAX_PUBLISHED:]
         message.streams = pack(begins).versions
 
     def apply(self, message: ttypes.RequestFacts, _now: float) -> None:
@@ -176,113 +167,6 @@
         return ttypes.FoundStream(found.pool, found.version)
 
 
-class StreamDirectory:
-    """Origins of streams as an entry host finds them."""
-
-    def __init__(
-        self,
-        link: channel.Channel,
-        origins: stream_origins.StreamOrigins,
-        view: CoordinatorView,
-        clock: timers.TimerService,
-    ) -> None:
-        """Report to the coordinator from now on."""
-        self._origins = origins
-        self._link = link
-        self._coordinator = view.coordinator_id
-        self._unconfirmed: set[ids.StreamKey] = set()
-        self._subscriptions = (
-            clock.every(_CONFIRM_SECONDS).subscribe(lambda _: self._report()),
-            view.changes.subscribe(lambda _: self._report_all()),
-        )
-
-    def close(self) -> None:
-        """Stop reporting."""
-        for subscription in self._subscriptions:
-            subscription.dispose()
-
-    def record(self, begin: stream_origins.StreamBegin) -> None:
-        """Record a stream that begins at this host.
-
-        The coordinator hears of it at once, with the progress of the request.
-        """
-        if self._origins.record(begin):
-            self._unconfirmed.add(begin.key)
-            if begin.content is not None:
-                self._unconfirmed.add(begin.content)
-
-    def is_certain(self, origin: stream_origins.StreamOrigin) -> bool:
-        """Return whether the version of an origin is certain by now."""
-        return self._origins.is_certain(origin)
-
-    async def find(
-        self, key: ids.StreamKey, by_content: bool = False
-    ) -> stream_origins.StreamOrigin | None:
-        """Return the origin of a stream, None if no host in touch knows it.
-
-        :param by_content: whether the key stands for a content. Streams of
-            other hosts may have the same; only the coordinator hears of all.
-        """
-        own = None if by_content else self._origins.find(key)
-        if own is not None or self._coordinator() == self._link.host_id:
-            return own
-        try:
-            return await self._ask(key) or await self._ask_again(key)
-        except errors.PeerError:
-            # Lost or cut off: the caller is refused, which is logged.
-            return None
-
-    async def _ask_again(
-        self, key: ids.StreamKey
-    ) -> stream_origins.StreamOrigin | None:
-        await asyncio.sleep(_REPEAT_SECONDS)
-        return await self._ask(key)
-
-    async def _ask(
-        self, key: ids.StreamKey
-    ) -> stream_origins.StreamOrigin | None:
-        """Ask the coordinator.
-
-        :raises errors.PeerError: if it doesn't answer.
-        """
-        message = ttypes.FindStream(translation.signed(key))
-        reply = await self._link.call(
-            self._coordinator(), message, _FIND_SECONDS
-        )
-        if reply.pool is None:
-            return None
-        return stream_origins.StreamOrigin(
-            ids.PoolName(reply.pool), ids.SoftwareVersion(reply.version)
-        )
-
-    def _report_all(self) -> None:
-        self._unconfirmed = {begin.key for begin in self._origins.known()}
-        self._report()
-
-    def _report(self) -> None:
-        """Report what the coordinator has not confirmed, if there is one."""
-        coordinator = self._coordinator()
-        if not self._unconfirmed or coordinator == self._link.host_id:
-            return
-        keys = self._unconfirmed
-        self._unconfirmed = set()
-        begins = [one for one in self._origins.known() if one.key in keys]
-        for first in range(0, len(begins), _MAX_PUBLISHED):
-            part = begins[first : first + _MAX_PUBLISHED]
-            self._link.start(self._confirm(coordinator, part))
-
-    async def _confirm(
-        self,
-        coordinator: ids.HostId,
-        begins: typing.Sequence[stream_origins.StreamBegin],
-    ) -> None:
-        try:
-            await self._link.call(coordinator, pack(begins), _FIND_SECONDS)
-        except errors.PeerError:
-            # Repeated in the next interval, or to the next coordinator.
-            self._unconfirmed.update(one.key for one in begins)
-
-
 def pack(begins: Begins) -> ttypes.BegunStreams:
     """Return the message of some streams, grouped by version."""
     groups: dict[
@@ -326,5 +210,5 @@
     host_id: ids.HostId,
     begins: typing.Sequence[stream_origins.StreamBegin],
 ) -> None:
-    for first in range(0, len(begins), _MAX_PUBLISHED):
-        link.send(host_id, pack(begins[first : first + _MAX_PUBLISHED]))
+    for first in range(0, len(begins), MAX_PUBLISHED):
+        link.send(host_id, pack(begins[first : first + MAX_PUBLISHED]))
--- a/libs/control/geraniumweir/control/tests/test_stream_exchange.py
+++ b/libs/control/geraniumweir/control/tests/test_stream_exchange.py
@@ -9,7 +9,11 @@
 import pytest
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.control import coordinator_client, enrolments, hosts
-from geraniumweir.control import request_exchange, stream_exchange
+from geraniumweir.control import (
+    request_exchange,
+    stream_directory,
+    stream_exchange,
+)
 from geraniumweir.scheduling import (
     channel,
     notices,
@@ -103,7 +107,7 @@
             lambda _: recent_usage.RecentUsage(0, {}),
             notices.Notices(clock),
         )
-        self.streams = stream_exchange.StreamDirectory(
+        self.streams = stream_directory.StreamDirectory(
             self._link,
             stream_exchange.make_origins(clock, lambda _: None),
             self.client,
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -17,6 +17,7 @@
     hosts,
     active_document,
     pool_servers,
+    stream_directory,
     stream_exchange,
     watching,
 )
@@ -207,8 +208,8 @@
         self._readiness = readiness.Readiness(self._confirmation.document_state)
         self._caller_server: serving.CallerServer | None = None
 
-    def _make_stream_directory(self) -> stream_exchange.StreamDirectory:
-        return stream_exchange.StreamDirectory(
+    def _make_stream_directory(self) -> stream_directory.StreamDirectory:
+        return stream_directory.StreamDirectory(
             self._link,
             stream_exchange.make_origins(self._clock, self.watcher.servers.get),
             self._coordinator,
