Streams: a content is no identity beside entry hosts out of step

Callers saw: a stream that began at an entry host cut off from the control hosts, taken up a moment later at another host without the name of its attempt, went on at a server of another version.

Cause: the coordinator answers for a content from the streams that it knows. One that a host grants while it is alone, that a stand-in grants on another side of a cut, or that ended with its host, isn't among them; the stream of another caller with the same content is then the only one. The class: an answer drawn from the absence of other reports, where nothing says that all who could report have.

Change: entry hosts record the version of each grant under the content, and tell a coordinator in their pings whether it has confirmed all that others granted; the ping says by the coordinator's own clock when it was sent. For a customer that was seen to send a content twice, while servers of several versions are known, the coordinator answers for a content only after each entry host has said so since the question; else the caller is refused at once (event 784). Customers whose contents all differ, pools of one version and callers that name their attempt lose nothing.

--- a/libs/common/geraniumweir/common/ids.py
+++ b/libs/common/geraniumweir/common/ids.py
@@ -25,6 +25,7 @@
 # Of what a backend server runs, as its operator names it.
 SoftwareVersion = typing.NewType('SoftwareVersion', str)
 StreamKey = typing.NewType('StreamKey', int)
+CustomerKey = typing.NewType('CustomerKey', int)
 # Of a part of a prompt, whatever parts stand before it.
 PromptPart = typing.NewType('PromptPart', int)
 
--- a/libs/control/geraniumweir/control/coordinator_client.py
+++ b/libs/control/geraniumweir/control/coordinator_client.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import dataclasses
+import time
 import typing
 
 import reactivex
@@ -23,6 +24,7 @@
     hosts,
     logevents,
     notice_exchange,
+    ping_times,
     pinging,
     relay_hosts,
     usage_codec,
@@ -48,6 +50,7 @@
 # The longest silence before an election, a failed election, and the votes.
 _ELECTION_SECONDS = 2.0
 _NO_HOST = ids.HostId('')
+_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,12 +76,23 @@
     )
 
 
+IsSettled: typing.TypeAlias = typing.Callable[[ids.HostId], bool]
+
+
 def _relays_nothing() -> bool:
     return False
 
 
+def _is_never_settled(_host_id: ids.HostId) -> bool:
+    return False
+
+
 class CoordinatorClient:
-    """The coordinator as an entry host sees it; see :class:`views.HostView`."""
+    """The coordinator as an entry host sees it; see :class:`views.HostView`.
+
+    :ivar is_settled: returns whether a host coordinates for this one and knows
+        all that others granted.
+    """
 
     def __init__(
         self,
@@ -108,9 +122,13 @@
         self._domain = domain
         self._known = known
         self._clock = timers.TimerService()
+        self.is_settled: IsSettled = _is_never_settled
+        self._ping_times = ping_times.PingTimes()
         self._notice_sender = notice_exchange.NoticeSender(
             link, server_notices, self._clock
         )
+        # Tells the processes of a host apart.
+        self._started = int(time.time() * _MS)
         self._coordinator_id = _NO_HOST
         self._lost_at: float | None = self._clock.now()
         self._awaits_election = False
@@ -259,12 +277,16 @@
             relays=self._relays(),
             relays_digest=relay_hosts.digest(self._assigned_relays),
             refused_digest=self._refused_digest,
+            started=self._started,
+            settled=self.is_settled(host_id),
         )
+        self._ping_times.fill(host_id, ping, self._clock.now())
         revision = self._notice_sender.fill(host_id, ping)
         try:
             pong = await self._link.call(host_id, ping, _PING_TIMEOUT_SECONDS)
         except errors.PeerError:
             return None
+        self._ping_times.record(host_id, pong, self._clock.now())
         self._notice_sender.handle_pong(host_id, revision, pong)
         self._seen_host_count = pong.hosts
         if pong.relays is not None and host_id == self._coordinator_id:
--- a/libs/control/geraniumweir/control/host.py
+++ b/libs/control/geraniumweir/control/host.py
@@ -159,7 +159,7 @@
         self._facts = request_facts.RequestFacts(
             self._link,
             self.hosts,
-            self.servers.get,
+            self.servers,
             self.leadership,
             self._clock,
         )
--- a/libs/control/geraniumweir/control/leadership.py
+++ b/libs/control/geraniumweir/control/leadership.py
@@ -11,8 +11,10 @@
 from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.control import (
     reachable_hosts,
+    grant_coverage,
     logevents,
     notice_exchange,
+    ping_times,
     recorders,
     relay_hosts,
     stall_detector,
@@ -40,6 +42,7 @@
     """The coordinator as a control host sees it; see :class:`views.HostView`.
 
     :ivar entry_hosts: those that watch or ping this host.
+    :ivar coverage: until when their grants are known here.
     :ivar server_notices: notices of servers that entry hosts forwarded.
     :ivar fill_pong: adds to the answer for an entry host.
     """
@@ -57,6 +60,7 @@
         """
         self.entry_hosts = reachable_hosts.EntryHosts(quota_seconds)
         self.entry_hosts.start_term(clock.now())
+        self.coverage = grant_coverage.GrantCoverage()
         self.server_notices = notices.Notices(clock)
         self._notice_receiver = notice_exchange.NoticeReceiver(
             link, self.server_notices, clock
@@ -190,7 +194,16 @@
         now = self._clock.now()
         if ping.leaving:
             self.entry_hosts.remove_host(sender)
+            self.coverage.remove(sender)
         else:
+            self.coverage.record_ping(
+                sender,
+                started=ping.started,
+                covered_until=ping_times.sent_at(ping)
+                if ping.settled
+                else None,
+                now=now,
+            )
             self.entry_hosts.heard(sender, now)
             self.entry_hosts.relays.record(
                 sender,
@@ -208,6 +221,7 @@
             heard=self.entry_hosts.count_reachable(now),
             share=self._share_for(sender, now),
             relays=self._relays_for(sender, ping, now),
+            stamp=ping_times.stamp(now),
         )
         self._notice_receiver.fill(ping, pong)
         self.fill_pong(ping, pong)
--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -137,6 +137,12 @@
     _Level.warning,
     'malformed notice of server {server} from {teller} ignored',
 )
+STREAM_DOUBTFUL: typing.Final = _Event(
+    784,
+    _Level.info,
+    'stream of pool {pool} not identified by its content: entry hosts {hosts}'
+    ' may have begun others',
+)
 FACTS_UNKNOWN: typing.Final = _Event(
     783,
     _Level.info,
--- a/libs/control/geraniumweir/control/request_facts.py
+++ b/libs/control/geraniumweir/control/request_facts.py
@@ -10,8 +10,11 @@
 from geraniumweir.common import timers
 from geraniumweir.control import (
     crash_cases,
+    enrolments,
     hosts,
+    leadership,
     request_exchange,
+    stream_doubts,
     stream_exchange,
 )
 from geraniumweir.scheduling import channel, part_encoding, part_evidence
@@ -30,8 +33,8 @@
         self,
         link: channel.Channel,
         known: hosts.ControlHosts,
-        get_server: stream_exchange.GetServer,
-        view: stream_exchange.CoordinatorView,
+        servers: enrolments.Enrolments,
+        view: leadership.Leadership,
         clock: timers.TimerService,
     ) -> None:
         """Exchange from now on."""
@@ -39,8 +42,15 @@
         self.streams = stream_exchange.StreamExchange(
             link,
             known,
-            stream_exchange.make_origins(clock, get_server),
+            stream_exchange.make_origins(clock, servers.get),
             view,
+            stream_doubts.StreamDoubts(
+                view.coverage,
+                lambda: view.entry_hosts.count(clock.now()),
+                servers.known,
+                clock,
+            ),
+            clock,
         )
         self._clock = clock
         self._host_id = link.host_id
--- a/libs/control/geraniumweir/control/stream_exchange.py
+++ b/libs/control/geraniumweir/control/stream_exchange.py
@@ -11,8 +11,8 @@
 import typing
 
 import reactivex
-from geraniumweir.common import ids, timers
-from geraniumweir.control import enrolments, hosts
+from geraniumweir.common import eventlog, ids, timers
+from geraniumweir.control import enrolments, hosts, logevents, stream_doubts
 from geraniumweir.scheduling import stream_origins, translation
 from geraniumweir.wire import peers
 from geraniumweir.wire.gen.control import ttypes
@@ -86,9 +86,17 @@
         known: hosts.ControlHosts,
         origins: stream_origins.StreamOrigins,
         view: CoordinatorView,
+        doubts: stream_doubts.StreamDoubts,
+        clock: timers.TimerService,
     ) -> None:
-        """Receive reports from now on."""
+        """Receive reports from now on.
+
+        :param doubts: decides which streams their contents identify.
+        """
         self.origins = origins
+        self._doubts = doubts
+        self._clock = clock
+        self._unpublished_customers: list[ids.CustomerKey] = []
         self._link = link
         self._known = known
         self._coordinator = view.coordinator_id
@@ -104,9 +112,15 @@
 
     def record(self, begin: stream_origins.StreamBegin) -> None:
         """Record a stream and publish it."""
+        if self.origins.is_repeated(begin) and begin.customer is not None:
+            self._record_repeating(begin.customer)
         if self.origins.record(begin):
             self._unpublished.append(begin)
 
+    def _record_repeating(self, customer: ids.CustomerKey) -> None:
+        if self._doubts.repeating.record(customer, self._clock.now()):
+            self._unpublished_customers.append(customer)
+
     def _is_coordinator(self) -> bool:
         return self._coordinator() == self._link.host_id
 
@@ -124,21 +138,31 @@
     def fill(self, message: ttypes.RequestFacts, _now: float) -> bool:
         """Add streams that are not published yet."""
         begins = self._unpublished[:MAX_PUBLISHED]
-        if not begins:
+        customers = self._unpublished_customers
+        if not begins and not customers:
             return False
         self._unpublished = self._unpublished[MAX_PUBLISHED:]
+        self._unpublished_customers = []
         message.streams = pack(begins).versions
+        message.repeating = [translation.signed(one) for one in customers]
         return True
 
-    def fill_all(self, message: ttypes.RequestFacts, _now: float) -> None:
-        """Add the streams that began last."""
+    def fill_all(self, message: ttypes.RequestFacts, now: float) -> None:
+        """Add the streams that began last, and all repeating customers."""
         begins = self.origins.known()[-MAX_PUBLISHED:]
         message.streams = pack(begins).versions
+        customers = self._doubts.repeating.known(now)
+        message.repeating = [translation.signed(one) for one in customers]
 
-    def apply(self, message: ttypes.RequestFacts, _now: float) -> None:
-        """Take over streams of another coordinator."""
+    def apply(self, message: ttypes.RequestFacts, now: float) -> None:
+        """Take over what another coordinator knows."""
         for begin in unpack(message.streams or ()):
             self.origins.record(begin)
+        customers = message.repeating or ()
+        self._doubts.repeating.record_all(
+            (ids.CustomerKey(translation.unsigned(one)) for one in customers),
+            now,
+        )
 
     async def _on_begun(
         self,
@@ -162,6 +186,25 @@
     ) -> ttypes.FoundStream:
         key = ids.StreamKey(translation.unsigned(message.key))
         found = self.origins.find(key)
+        if found is None:
+            return ttypes.FoundStream()
+        if message.customer is not None:
+            customer = ids.CustomerKey(translation.unsigned(message.customer))
+            if self._doubts.is_ambiguous(customer, found):
+                return await self._find_unambiguous(key, found.pool)
+        return ttypes.FoundStream(found.pool, found.version)
+
+    async def _find_unambiguous(
+        self, key: ids.StreamKey, pool: ids.PoolName
+    ) -> ttypes.FoundStream:
+        """Find a content once all hosts have reported what others granted."""
+        uncovered = await self._doubts.uncovered()
+        if uncovered:
+            eventlog.emit(
+                logevents.STREAM_DOUBTFUL, pool=pool, hosts=', '.join(uncovered)
+            )
+            return ttypes.FoundStream(doubtful=True)
+        found = self.origins.find(key)
         if found is None:
             return ttypes.FoundStream()
         return ttypes.FoundStream(found.pool, found.version)
--- a/libs/control/geraniumweir/control/tests/test_stream_exchange.py
+++ b/libs/control/geraniumweir/control/tests/test_stream_exchange.py
@@ -8,10 +8,15 @@
 import hypothesis
 import pytest
 from geraniumweir.common import ids, timers, virtual
-from geraniumweir.control import coordinator_client, enrolments, hosts
 from geraniumweir.control import (
+    coordinator_client,
+    enrolments,
+    grant_coverage,
+    hosts,
+    ping_times,
     request_exchange,
     stream_directory,
+    stream_doubts,
     stream_exchange,
 )
 from geraniumweir.scheduling import (
@@ -32,6 +37,7 @@
 _CONTROLS = ('c0', 'c1', 'c2')
 _ENTRIES = ('e0', 'e1', 'e2')
 _VERSIONS = ('v1', 'v1.1', 'v1.2')
+_CUSTOMER_KEY = ids.CustomerKey(5)
 _START = (ids.ServerId('server'), ids.Incarnation(1))
 # Hosts that reach each other for so long are in touch.
 _CONTACT_SECONDS = 3.0
@@ -47,6 +53,22 @@
     )
 
 
+def _all_versions() -> list[enrolments.Enrolment]:
+    """Return a server of each version."""
+    return [
+        enrolments.Enrolment(
+            ids.ServerId(version),
+            _POOL,
+            _address(version),
+            ids.FailureDomain('x'),
+            1,
+            1,
+            version=ids.SoftwareVersion(version),
+        )
+        for version in _VERSIONS
+    ]
+
+
 class _Control:
     """A control host; it leads where a test says so."""
 
@@ -58,12 +80,18 @@
         known = hosts.ControlHosts()
         for other in _CONTROLS:
             known.register(_card(other), 0)
-        clock = timers.TimerService()
+        self._clock = timers.TimerService()
+        clock = self._clock
+        self._coverage = grant_coverage.GrantCoverage()
         self.exchange = stream_exchange.StreamExchange(
             link,
             known,
             stream_exchange.make_origins(clock, lambda _: None),
             self,
+            stream_doubts.StreamDoubts(
+                self._coverage, lambda: len(_ENTRIES), _all_versions, clock
+            ),
+            clock,
         )
         request_exchange.RequestExchange(link, known, clock, (self.exchange,))
         link.handle(ttypes.Ping, self._on_ping)
@@ -79,10 +107,18 @@
             self.changes.on_next(None)
 
     async def _on_ping(
-        self, _sender: ids.HostId, _ping: ttypes.Ping
+        self, sender: ids.HostId, ping: ttypes.Ping
     ) -> ttypes.Pong:
         leads = self.leader == self.host_id
-        return ttypes.Pong(leads, False, 3, 3, 0.5)
+        now = self._clock.now()
+        self._coverage.record_ping(
+            sender,
+            started=ping.started,
+            covered_until=ping_times.sent_at(ping) if ping.settled else None,
+            now=now,
+        )
+        stamp = ping_times.stamp(now)
+        return ttypes.Pong(leads, False, 3, 3, 0.5, stamp=stamp)
 
     async def _on_progress(
         self, _sender: ids.HostId, message: scheduling_types.Progress
@@ -113,6 +149,7 @@
             self.client,
             clock,
         )
+        self.client.is_settled = self.streams.is_settled
         self.task = asyncio.create_task(self.client.run())
 
     def begin(
@@ -120,10 +157,11 @@
         key: ids.StreamKey,
         version: ids.SoftwareVersion,
         content: ids.StreamKey | None = None,
+        customer: ids.CustomerKey | None = None,
     ) -> None:
         """Forward the first event of a stream."""
         origin = stream_origins.StreamOrigin(_POOL, version, _START)
-        begin = stream_origins.StreamBegin(key, origin, 60, content)
+        begin = stream_origins.StreamBegin(key, origin, 60, content, customer)
         self.streams.record(begin)
         progress = requests.Progress(ids.RequestId('r'), 0.1, 1, begin)
         coordinator = self.client.coordinator_id()
@@ -307,7 +345,7 @@
         bed.lead('c0')
         await asyncio.sleep(_CONTACT_SECONDS)
         streams = bed.entries['e2'].streams
-        assert await streams.find(content, by_content=True) is None
+        assert await streams.find(content, _CUSTOMER_KEY) is None
         assert (await streams.find(ids.StreamKey(2))).version == 'v1'
 
     _run(scenario)
--- a/libs/control/geraniumweir/control/tests/test_stream_joins.py
+++ b/libs/control/geraniumweir/control/tests/test_stream_joins.py
@@ -15,6 +15,7 @@
 )
 
 _CUSTOMER = ids.CustomerName('customer')
+CUSTOMER_KEY = stream_origins.key_of_customer(_CUSTOMER)
 _ADDRESS = ids.Address('10.0.0.9', 80)
 # Roll-outs that follow each other: first one server, then all others.
 _ROLLOUTS = (6.0, 20.0, 32.0)
@@ -111,7 +112,7 @@
                 found = await directory.find(stream.key)
             else:
                 key = _content_key(stream)
-                found = await directory.find(key, by_content=True)
+                found = await directory.find(key, CUSTOMER_KEY)
             if found is not None:
                 self.known += 1
                 assert found.version == stream.version
@@ -126,10 +127,10 @@
     return stream_origins.key_of_content(_CUSTOMER, stream.content)
 
 
-def grant(
-    bed: typing.Any, content: ids.Fingerprint, version: ids.SoftwareVersion
-) -> None:
-    """Grant a request for a content, at the host that coordinates."""
+def make_grant(
+    content: ids.Fingerprint, version: ids.SoftwareVersion
+) -> tuple[requests.SlotRequest, requests.Grant]:
+    """Return a slot request for a content, and its grant."""
     slot_request = requests.SlotRequest(
         request_id=ids.RequestId('r'),
         owner=ids.HostId('e0'),
@@ -140,14 +141,30 @@
         deadline=_now() + 2 * _STREAM_SECONDS,
         fingerprint=content,
     )
-    granted = requests.Grant(
+    return slot_request, requests.Grant(
         slot_request.request_id, *beds._START, _ADDRESS, version
     )
+
+
+def record_grant(
+    control: typing.Any,
+    slot_request: requests.SlotRequest,
+    granted: requests.Grant,
+) -> None:
+    """Record a grant as a control host that coordinates does."""
+    control.exchange.record(
+        granted_streams.of_grant(slot_request, granted, _now())
+    )
+
+
+def grant(
+    bed: typing.Any, content: ids.Fingerprint, version: ids.SoftwareVersion
+) -> None:
+    """Grant a request for a content, at the host that coordinates."""
+    slot_request, granted = make_grant(content, version)
     for control in bed.controls.values():
         if control.leader == control.host_id:
-            control.exchange.record(
-                granted_streams.of_grant(slot_request, granted, _now())
-            )
+            record_grant(control, slot_request, granted)
 
 
 @pytest.mark.parametrize('seed', range(20))
@@ -177,6 +194,6 @@
                 ids.StreamKey(number), ids.SoftwareVersion(version), key
             )
         for entry in bed.entries.values():
-            assert await entry.streams.find(key, by_content=True) is None
+            assert await entry.streams.find(key, CUSTOMER_KEY) is None
 
     beds._run(scenario)
--- a/libs/gateway/geraniumweir/gateway/admission.py
+++ b/libs/gateway/geraniumweir/gateway/admission.py
@@ -110,10 +110,22 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumedStream:
+    """A stream that a request takes up.
+
+    :ivar key: of the attempt that the request names, or of its content.
+    :ivar customer: whose content it is, None if the request names an attempt.
+    """
+
+    key: ids.StreamKey
+    customer: ids.CustomerKey | None = None
+
+
 def resumed_stream(
     document_state: DocumentState, caller_request: codec.Request, body: bytes
-) -> ids.StreamKey | None:
-    """Return the key of the stream that a request takes up, None for none.
+) -> ResumedStream | None:
+    """Return the stream that a request takes up, None for none.
 
     :raises geraniumweir.common.errors.Refused: if it can't be served.
     """
@@ -125,9 +137,11 @@
         return None
     name = _customer_name(customer)
     if caller_request.resumes:
-        return stream_origins.key_of(name, caller_request.resumes)
-    return stream_origins.key_of_content(
-        name, _fingerprint(caller_request, body)
+        key = stream_origins.key_of(name, caller_request.resumes)
+        return ResumedStream(key)
+    return ResumedStream(
+        stream_origins.key_of_content(name, _fingerprint(caller_request, body)),
+        stream_origins.key_of_customer(name),
     )
 
 
--- a/libs/gateway/geraniumweir/gateway/begun_streams.py
+++ b/libs/gateway/geraniumweir/gateway/begun_streams.py
@@ -35,6 +35,13 @@
     arrived: float
     begin: stream_origins.StreamBegin | None = None
 
+    def record_grant(
+        self, slot_request: requests.SlotRequest, grant: requests.Grant
+    ) -> None:
+        """Record the version at which its request may begin."""
+        if slot_request.streams and self.admitted.route.resumable:
+            self.directory.record_grant(slot_request, grant)
+
     def record_first_event(self, grant: requests.Grant) -> None:
         """Record the server whose event is the first to be forwarded.
 
@@ -46,6 +53,7 @@
             grant.start,
             time.time(),
         )
+        is_new = self.state.origin is None
         if self.state.origin is None:
             self.state.origin = began_at
         if self.admitted.route.resumable:
@@ -54,6 +62,7 @@
                 began_at,
                 self._resumable_seconds(),
                 self.admitted.content_key,
+                self.admitted.customer_key if is_new else None,
             )
             self.directory.record(self.begin)
 
--- a/libs/gateway/geraniumweir/gateway/context.py
+++ b/libs/gateway/geraniumweir/gateway/context.py
@@ -24,13 +24,18 @@
         """Record a stream that begins at this host."""
 
     async def find(
-        self, key: ids.StreamKey, by_content: bool = False
+        self, key: ids.StreamKey, customer: ids.CustomerKey | None = None
     ) -> stream_origins.StreamOrigin | None:
         """Return the origin of a stream, None if it isn't known.
 
-        :param by_content: whether the key stands for a content.
+        :param customer: whose content the key stands for, None for an attempt.
         """
 
+    def record_grant(
+        self, slot_request: requests.SlotRequest, grant: requests.Grant
+    ) -> None:
+        """Record the version of a grant for the content of its request."""
+
     def is_certain(self, origin: stream_origins.StreamOrigin) -> bool:
         """Return whether the version of an origin is certain by now."""
 
@@ -84,6 +89,11 @@
             self.slot_request.customer, self.caller_request.request_id
         )
 
+    @property
+    def customer_key(self) -> ids.CustomerKey:
+        """The key of its customer."""
+        return stream_origins.key_of_customer(self.slot_request.customer)
+
     @property
     def content_key(self) -> ids.StreamKey:
         """The same for an attempt that names none before it."""
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -198,6 +198,7 @@
             ),
         )
         self._streams = self._make_stream_directory()
+        self._coordinator.is_settled = self._streams.is_settled
         self._codec = caller_codec
         self._meter = meter
         meter.gauge(metricnames.LIMITED_SERVERS, self._limited_servers)
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -254,12 +254,10 @@
         :raises geraniumweir.common.errors.Refused: if it isn't known.
         """
         record.resumes = caller_request.resumes
-        key = admission.resumed_stream(document_state, caller_request, body)
-        if key is None:
+        resumed = admission.resumed_stream(document_state, caller_request, body)
+        if resumed is None:
             return None
-        began = await self._shared.streams.find(
-            key, by_content=not caller_request.resumes
-        )
+        began = await self._shared.streams.find(resumed.key, resumed.customer)
         outcome = 'unknown' if began is None else 'known'
         self._meter.count(metricnames.RESUMED_STREAMS, outcome)
         if began is None:
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -29,7 +29,12 @@
 from geraniumweir.gateway import listening as serving_at
 from geraniumweir.observe import metrics
 from geraniumweir.routing import finding, tables
-from geraniumweir.scheduling import notices, requests, stream_origins
+from geraniumweir.scheduling import (
+    granted_streams,
+    notices,
+    requests,
+    stream_origins,
+)
 
 POOL = ids.PoolName('pool')
 HOST = ids.HostId('entry')
@@ -186,12 +191,19 @@
     """Directory of streams of a host without a coordinator."""
 
     def __init__(self, clock: timers.TimerService) -> None:
+        self._clock = clock
         self._origins = stream_origins.StreamOrigins(clock)
         self.record = self._origins.record
         self.is_certain = self._origins.is_certain
 
+    def record_grant(
+        self, slot_request: requests.SlotRequest, grant: requests.Grant
+    ) -> None:
+        now = self._clock.now()
+        self.record(granted_streams.of_grant(slot_request, grant, now))
+
     async def find(
-        self, key: ids.StreamKey, by_content: bool = False
+        self, key: ids.StreamKey, customer: ids.CustomerKey | None = None
     ) -> stream_origins.StreamOrigin | None:
         return self._origins.find(key)
 
--- a/libs/scheduling/geraniumweir/scheduling/stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/stream_origins.py
@@ -48,12 +48,14 @@
 
     :ivar seconds: for how long another attempt may resume it.
     :ivar content: key of what the attempt requests, None if it has none.
+    :ivar customer: of an attempt that takes no stream up, None otherwise.
     """
 
     key: ids.StreamKey
     origin: StreamOrigin
     seconds: float
     content: ids.StreamKey | None = None
+    customer: ids.CustomerKey | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,11 +65,13 @@
     :ivar origin: of the first report.
     :ivar expires_at: of the last one, in seconds on the loop's clock.
     :ivar contradiction: an origin that doesn't agree with the first one.
+    :ivar attempt: of a content, the first attempt that began it.
     """
 
     origin: StreamOrigin
     expires_at: float
     contradiction: StreamOrigin | None = None
+    attempt: ids.StreamKey | None = None
 
     @property
     def origins(self) -> tuple[StreamOrigin, ...]:
@@ -106,6 +110,11 @@
     return ids.StreamKey(xxhash.xxh3_64_intdigest(text.encode()))
 
 
+def key_of_customer(customer: ids.CustomerName) -> ids.CustomerKey:
+    """Return the key of a customer."""
+    return ids.CustomerKey(xxhash.xxh3_64_intdigest(customer.encode()))
+
+
 class StreamOrigins:
     """The origins that a host knows, for as long as callers may return.
 
@@ -153,7 +162,20 @@
         if begin.content is None:
             return changed
         by_content = dataclasses.replace(begin, key=begin.content, content=None)
-        return self._record(by_content) or changed
+        changed = self._record(by_content) or changed
+        self._note_attempt(begin)
+        return changed
+
+    def is_repeated(self, begin: StreamBegin) -> bool:
+        """Return whether another attempt began the same content before.
+
+        Attempts that take a stream up have the content of that stream and don't
+        count.
+        """
+        if begin.content is None or begin.customer is None:
+            return False
+        known = self._records.get(begin.content)
+        return known is not None and known.attempt not in {None, begin.key}
 
     def find(self, key: ids.StreamKey) -> StreamOrigin | None:
         """Return the origin of a stream, None if it isn't known for sure."""
@@ -200,9 +222,24 @@
         if contradiction is known.contradiction and not is_later:
             return False
         expires_at = max(expires_at, known.expires_at)
-        self._store(begin.key, _Record(known.origin, expires_at, contradiction))
+        self._store(
+            begin.key,
+            dataclasses.replace(
+                known, expires_at=expires_at, contradiction=contradiction
+            ),
+        )
         return True
 
+    def _note_attempt(self, begin: StreamBegin) -> None:
+        """Note the first attempt that began a content."""
+        if begin.content is None or begin.customer is None:
+            return
+        known = self._records.get(begin.content)
+        if known is not None and known.attempt is None:
+            self._records[begin.content] = dataclasses.replace(
+                known, attempt=begin.key
+            )
+
     def _store(self, key: ids.StreamKey, stored: _Record) -> None:
         self._records[key] = stored
         heapq.heappush(self._expiries, (stored.expires_at, key))
--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -240,6 +240,7 @@
         origin.version,
         float(begin.seconds),
         None if begin.content is None else signed(begin.content),
+        None if begin.customer is None else signed(begin.customer),
     )
 
 
@@ -262,6 +263,9 @@
         None
         if message.content is None
         else ids.StreamKey(unsigned(message.content)),
+        None
+        if message.customer is None
+        else ids.CustomerKey(unsigned(message.customer)),
     )
 
 
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -1842,6 +1842,10 @@
      - relays
      - relays_digest
      - refused_digest
+     - started
+     - stamp
+     - since_ms
+     - settled
 
     """
 
@@ -1854,10 +1858,14 @@
         'relays',
         'relays_digest',
         'refused_digest',
+        'started',
+        'stamp',
+        'since_ms',
+        'settled',
     )
 
 
-    def __init__(self, failure_domain=None, leaving=None, share=None, notices=None, notices_revision=None, relays=None, relays_digest=None, refused_digest=None,):
+    def __init__(self, failure_domain=None, leaving=None, share=None, notices=None, notices_revision=None, relays=None, relays_digest=None, refused_digest=None, started=None, stamp=None, since_ms=None, settled=None,):
         self.failure_domain = failure_domain
         self.leaving = leaving
         self.share = share
@@ -1866,6 +1874,10 @@
         self.relays = relays
         self.relays_digest = relays_digest
         self.refused_digest = refused_digest
+        self.started = started
+        self.stamp = stamp
+        self.since_ms = since_ms
+        self.settled = settled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1917,6 +1929,26 @@
                     self.refused_digest = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.started = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.stamp = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.since_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.settled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1959,6 +1991,22 @@
             oprot.writeFieldBegin('refused_digest', TType.I32, 10)
             oprot.writeI32(self.refused_digest)
             oprot.writeFieldEnd()
+        if self.started is not None:
+            oprot.writeFieldBegin('started', TType.I64, 11)
+            oprot.writeI64(self.started)
+            oprot.writeFieldEnd()
+        if self.stamp is not None:
+            oprot.writeFieldBegin('stamp', TType.I64, 12)
+            oprot.writeI64(self.stamp)
+            oprot.writeFieldEnd()
+        if self.since_ms is not None:
+            oprot.writeFieldBegin('since_ms', TType.I32, 13)
+            oprot.writeI32(self.since_ms)
+            oprot.writeFieldEnd()
+        if self.settled is not None:
+            oprot.writeFieldBegin('settled', TType.BOOL, 14)
+            oprot.writeBool(self.settled)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2092,6 +2140,7 @@
      - notices_revision
      - relays
      - refused
+     - stamp
 
     """
 
@@ -2105,10 +2154,11 @@
         'notices_revision',
         'relays',
         'refused',
+        'stamp',
     )
 
 
-    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None, notices=None, notices_revision=None, relays=None, refused=None,):
+    def __init__(self, leads=None, stands_in=None, hosts=None, heard=None, share=None, notices=None, notices_revision=None, relays=None, refused=None, stamp=None,):
         self.leads = leads
         self.stands_in = stands_in
         self.hosts = hosts
@@ -2118,6 +2168,7 @@
         self.notices_revision = notices_revision
         self.relays = relays
         self.refused = refused
+        self.stamp = stamp
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2181,6 +2232,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.stamp = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2230,6 +2286,10 @@
                 iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.stamp is not None:
+            oprot.writeFieldBegin('stamp', TType.I64, 12)
+            oprot.writeI64(self.stamp)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2805,6 +2865,7 @@
      - crashes
      - trials
      - streams
+     - repeating
 
     """
 
@@ -2813,14 +2874,16 @@
         'crashes',
         'trials',
         'streams',
+        'repeating',
     )
 
 
-    def __init__(self, cases=None, crashes=None, trials=None, streams=None,):
+    def __init__(self, cases=None, crashes=None, trials=None, streams=None, repeating=None,):
         self.cases = cases
         self.crashes = crashes
         self.trials = trials
         self.streams = streams
+        self.repeating = repeating
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2875,6 +2938,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.repeating = []
+                    (_etype196, _size193) = iprot.readListBegin()
+                    for _i197 in range(_size193):
+                        _elem198 = iprot.readI64()
+                        self.repeating.append(_elem198)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2888,29 +2961,36 @@
         if self.cases is not None:
             oprot.writeFieldBegin('cases', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.cases))
-            for iter193 in self.cases:
-                iter193.write(oprot)
+            for iter199 in self.cases:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter194 in self.crashes:
-                iter194.write(oprot)
+            for iter200 in self.crashes:
+                iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.trials is not None:
             oprot.writeFieldBegin('trials', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.trials))
-            for iter195 in self.trials:
-                iter195.write(oprot)
+            for iter201 in self.trials:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter196 in self.streams:
-                iter196.write(oprot)
+            for iter202 in self.streams:
+                iter202.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.repeating is not None:
+            oprot.writeFieldBegin('repeating', TType.LIST, 5)
+            oprot.writeListBegin(TType.I64, len(self.repeating))
+            for iter203 in self.repeating:
+                oprot.writeI64(iter203)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3042,16 +3122,19 @@
     """
     Attributes:
      - key
+     - customer
 
     """
 
     __slots__ = (
         'key',
+        'customer',
     )
 
 
-    def __init__(self, key=None,):
+    def __init__(self, key=None, customer=None,):
         self.key = key
+        self.customer = customer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3067,6 +3150,11 @@
                     self.key = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.customer = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3081,6 +3169,10 @@
             oprot.writeFieldBegin('key', TType.I64, 1)
             oprot.writeI64(self.key)
             oprot.writeFieldEnd()
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.I64, 2)
+            oprot.writeI64(self.customer)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3111,18 +3203,21 @@
     Attributes:
      - pool
      - version
+     - doubtful
 
     """
 
     __slots__ = (
         'pool',
         'version',
+        'doubtful',
     )
 
 
-    def __init__(self, pool=None, version=None,):
+    def __init__(self, pool=None, version=None, doubtful=None,):
         self.pool = pool
         self.version = version
+        self.doubtful = doubtful
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3143,6 +3238,11 @@
                     self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.doubtful = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3161,6 +3261,10 @@
             oprot.writeFieldBegin('version', TType.STRING, 2)
             oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
             oprot.writeFieldEnd()
+        if self.doubtful is not None:
+            oprot.writeFieldBegin('doubtful', TType.BOOL, 3)
+            oprot.writeBool(self.doubtful)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3662,6 +3766,10 @@
     (8, TType.BOOL, 'relays', None, None, ),  # 8
     (9, TType.I32, 'relays_digest', None, None, ),  # 9
     (10, TType.I32, 'refused_digest', None, None, ),  # 10
+    (11, TType.I64, 'started', None, None, ),  # 11
+    (12, TType.I64, 'stamp', None, None, ),  # 12
+    (13, TType.I32, 'since_ms', None, None, ),  # 13
+    (14, TType.BOOL, 'settled', None, None, ),  # 14
 )
 all_structs.append(Relays)
 Relays.thrift_spec = (
@@ -3683,6 +3791,7 @@
     (9, TType.I64, 'notices_revision', None, None, ),  # 9
     (10, TType.STRUCT, 'relays', [Relays, None], None, ),  # 10
     (11, TType.LIST, 'refused', (TType.STRUCT, [geraniumweir.wire.gen.scheduling.ttypes.PartTrials, None], False), None, ),  # 11
+    (12, TType.I64, 'stamp', None, None, ),  # 12
 )
 all_structs.append(CustomerSpent)
 CustomerSpent.thrift_spec = (
@@ -3726,6 +3835,7 @@
     (2, TType.LIST, 'crashes', (TType.STRUCT, [geraniumweir.wire.gen.scheduling.ttypes.ServerCrash, None], False), None, ),  # 2
     (3, TType.LIST, 'trials', (TType.STRUCT, [geraniumweir.wire.gen.scheduling.ttypes.PartTrials, None], False), None, ),  # 3
     (4, TType.LIST, 'streams', (TType.STRUCT, [VersionStreams, None], False), None, ),  # 4
+    (5, TType.LIST, 'repeating', (TType.I64, None, False), None, ),  # 5
 )
 all_structs.append(AskRequestFacts)
 AskRequestFacts.thrift_spec = (
@@ -3737,12 +3847,14 @@
 FindStream.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'key', None, None, ),  # 1
+    (2, TType.I64, 'customer', None, None, ),  # 2
 )
 all_structs.append(FoundStream)
 FoundStream.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'doubtful', None, None, ),  # 3
 )
 all_structs.append(JoinLog)
 JoinLog.thrift_spec = (
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -1153,6 +1153,7 @@
      - version
      - left
      - content
+     - customer
 
     """
 
@@ -1163,16 +1164,18 @@
         'version',
         'left',
         'content',
+        'customer',
     )
 
 
-    def __init__(self, key=None, server_id=None, incarnation=None, version=None, left=None, content=None,):
+    def __init__(self, key=None, server_id=None, incarnation=None, version=None, left=None, content=None, customer=None,):
         self.key = key
         self.server_id = server_id
         self.incarnation = incarnation
         self.version = version
         self.left = left
         self.content = content
+        self.customer = customer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1213,6 +1216,11 @@
                     self.content = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.customer = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1247,6 +1255,10 @@
             oprot.writeFieldBegin('content', TType.I64, 6)
             oprot.writeI64(self.content)
             oprot.writeFieldEnd()
+        if self.customer is not None:
+            oprot.writeFieldBegin('customer', TType.I64, 7)
+            oprot.writeI64(self.customer)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2945,6 +2957,7 @@
     (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
     (5, TType.DOUBLE, 'left', None, None, ),  # 5
     (6, TType.I64, 'content', None, None, ),  # 6
+    (7, TType.I64, 'customer', None, None, ),  # 7
 )
 all_structs.append(Progress)
 Progress.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -181,6 +181,14 @@
   9: optional i32 relays_digest
   // Of the refused prompt parts that the asker knows.
   10: optional i32 refused_digest
+  // When the asker's process started, in Unix milliseconds.
+  11: optional i64 started
+  // Of the answerer's last answer, and the milliseconds since it came.
+  12: optional i64 stamp
+  13: optional i32 since_ms
+  // Whether the answerer coordinates for the asker and has confirmed all
+  // streams that the asker was granted by others.
+  14: optional bool settled
 }
 
 // Entry hosts that dispatch requests for another one: those in its failure
@@ -206,6 +214,8 @@
   // Where the digest differs.
   10: optional Relays relays
   11: optional list<scheduling.PartTrials> refused
+  // The answerer's clock in milliseconds, for its next ping.
+  12: optional i64 stamp
 }
 
 // What an entry host was granted of a customer's quota: amounts by how many
@@ -256,6 +266,8 @@
   2: optional list<scheduling.ServerCrash> crashes
   3: optional list<scheduling.PartTrials> trials
   4: optional list<VersionStreams> streams
+  // Customers of which several attempts began the same content lately.
+  5: optional list<i64> repeating
 }
 
 // From a new coordinator to the other control hosts, which answer RequestFacts
@@ -266,15 +278,19 @@
 struct StreamsRecorded {
 }
 
-// From an entry host to its coordinator.
+// From an entry host to its coordinator. customer: said for a key that stands
+// for a content.
 struct FindStream {
   1: i64 key
+  2: optional i64 customer
 }
 
-// pool: unsaid where the stream isn't known.
+// pool: unsaid where the stream isn't known. doubtful: hosts that don't answer
+// may have begun another stream of the same content.
 struct FoundStream {
   1: optional string pool
   2: optional string version
+  3: optional bool doubtful
 }
 
 // A control host with a data folder that isn't among the recorders asks the
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -108,6 +108,8 @@
   5: double left
   // Stands for what the attempt requests.
   6: optional i64 content
+  // Stands for the customer; unsaid for an attempt that takes a stream up.
+  7: optional i64 customer
 }
 
 struct Progress {
