Streams: a caller's time limit tells streams of one content apart

Cause: a content alone can't tell the caller of a stream that the coordinator knows from that of one that it doesn't.

Change: all attempts of a caller share its time limit, so each stream of a content is recorded with its end, to a few milliseconds by one clock. Where a content doesn't identify a stream, the one that ends within 0.05 s of the same time does, if all that end within 0.3 s are of its version. The content alone counts as before where no end fits. What is published says how old it is.

What remains is two callers whose limits end within 0.05 s of each other, one of them at a host that is alone.

--- a/libs/control/geraniumweir/control/stream_directory.py
+++ b/libs/control/geraniumweir/control/stream_directory.py
@@ -20,6 +20,7 @@
 from geraniumweir.wire import errors
 from geraniumweir.wire.gen.control import ttypes
 
+_MS = 1000
 # An answer takes a few milliseconds; a lost packet is sent again after 0.2 s.
 _FIND_SECONDS = 0.3
 # A content is found after the next ping of each entry host.
@@ -108,21 +109,25 @@
         return self._origins.is_certain(origin)
 
     async def find(
-        self, key: ids.StreamKey, customer: ids.CustomerKey | None = None
+        self,
+        key: ids.StreamKey,
+        claim: stream_origins.ContentClaim | None = None,
     ) -> stream_origins.StreamOrigin | None:
         """Return the origin of a stream, None if no host in touch knows it.
 
-        :param customer: whose content the key stands for, None for an attempt.
+        :param claim: of a caller that names a content, None for an attempt.
             Streams of other hosts may have the same content; only the
             coordinator hears of all.
         """
-        own = self._origins.find(key) if customer is None else None
+        own = self._origins.find(key) if claim is None else None
         if own is not None or self._coordinator() == self._link.host_id:
             return own
-        message = ttypes.FindStream(
-            translation.signed(key),
-            None if customer is None else translation.signed(customer),
-        )
+        message = ttypes.FindStream(translation.signed(key))
+        if claim is not None:
+            message.customer = translation.signed(claim.customer)
+            if claim.ends_at is not None:
+                left = claim.ends_at - self._clock.now()
+                message.left_ms = int(left * _MS)
         try:
             return await self._ask(message)
         except errors.PeerError:
--- a/libs/control/geraniumweir/control/stream_exchange.py
+++ b/libs/control/geraniumweir/control/stream_exchange.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import dataclasses
 import functools
 import typing
 
@@ -101,7 +102,8 @@
         self._known = known
         self._coordinator = view.coordinator_id
         self._coordinates = self._is_coordinator()
-        self._unpublished: list[stream_origins.StreamBegin] = []
+        # With the times of their reports.
+        self._unpublished: list[tuple[float, stream_origins.StreamBegin]] = []
         self._subscription = view.changes.subscribe(lambda _: self._on_change())
         link.handle(ttypes.BegunStreams, self._on_begun)
         link.handle(ttypes.FindStream, self._on_find)
@@ -115,7 +117,7 @@
         if self.origins.is_repeated(begin) and begin.customer is not None:
             self._record_repeating(begin.customer)
         if self.origins.record(begin):
-            self._unpublished.append(begin)
+            self._unpublished.append((self._clock.now(), begin))
 
     def _record_repeating(self, customer: ids.CustomerKey) -> None:
         if self._doubts.repeating.record(customer, self._clock.now()):
@@ -135,9 +137,14 @@
         if coordinated and not self._coordinates and coordinator:
             _send(self._link, coordinator, self.origins.known())
 
-    def fill(self, message: ttypes.RequestFacts, _now: float) -> bool:
+    def fill(self, message: ttypes.RequestFacts, now: float) -> bool:
         """Add streams that are not published yet."""
-        begins = self._unpublished[:MAX_PUBLISHED]
+        begins = [
+            dataclasses.replace(
+                begin, seconds=begin.seconds - now + reported_at
+            )
+            for reported_at, begin in self._unpublished[:MAX_PUBLISHED]
+        ]
         customers = self._unpublished_customers
         if not begins and not customers:
             return False
@@ -186,13 +193,20 @@
     ) -> ttypes.FoundStream:
         key = ids.StreamKey(translation.unsigned(message.key))
         found = self.origins.find(key)
+        if message.customer is None:
+            return _found(found)
+        customer = ids.CustomerKey(translation.unsigned(message.customer))
+        if found is not None:
+            if not self._doubts.is_ambiguous(customer, found):
+                return _found(found)
+        if message.left_ms is not None:
+            ends_at = self._clock.now() + message.left_ms / _MS
+            same_end = self.origins.find_ending(key, ends_at)
+            if same_end is not None:
+                return _found(same_end)
         if found is None:
             return ttypes.FoundStream()
-        if message.customer is not None:
-            customer = ids.CustomerKey(translation.unsigned(message.customer))
-            if self._doubts.is_ambiguous(customer, found):
-                return await self._find_unambiguous(key, found.pool)
-        return ttypes.FoundStream(found.pool, found.version)
+        return await self._find_unambiguous(key, found.pool)
 
     async def _find_unambiguous(
         self, key: ids.StreamKey, pool: ids.PoolName
@@ -204,10 +218,15 @@
                 logevents.STREAM_DOUBTFUL, pool=pool, hosts=', '.join(uncovered)
             )
             return ttypes.FoundStream(doubtful=True)
-        found = self.origins.find(key)
-        if found is None:
-            return ttypes.FoundStream()
-        return ttypes.FoundStream(found.pool, found.version)
+        return _found(self.origins.find(key))
+
+
+def _found(
+    origin: stream_origins.StreamOrigin | None,
+) -> ttypes.FoundStream:
+    if origin is None:
+        return ttypes.FoundStream()
+    return ttypes.FoundStream(origin.pool, origin.version)
 
 
 def pack(begins: Begins) -> ttypes.BegunStreams:
--- a/libs/gateway/geraniumweir/gateway/admission.py
+++ b/libs/gateway/geraniumweir/gateway/admission.py
@@ -115,18 +115,23 @@
     """A stream that a request takes up.
 
     :ivar key: of the attempt that the request names, or of its content.
-    :ivar customer: whose content it is, None if the request names an attempt.
+    :ivar claim: None if the request names an attempt.
     """
 
     key: ids.StreamKey
-    customer: ids.CustomerKey | None = None
+    claim: stream_origins.ContentClaim | None = None
 
 
 def resumed_stream(
-    document_state: DocumentState, caller_request: codec.Request, body: bytes
+    document_state: DocumentState,
+    caller_request: codec.Request,
+    body: bytes,
+    arrived: float,
 ) -> ResumedStream | None:
     """Return the stream that a request takes up, None for none.
 
+    :param arrived: when the request did, in seconds on the loop's clock.
+
     :raises geraniumweir.common.errors.Refused: if it can't be served.
     """
     if caller_request.last_event is None or document_state.index is None:
@@ -139,9 +144,16 @@
     if caller_request.resumes:
         key = stream_origins.key_of(name, caller_request.resumes)
         return ResumedStream(key)
+    ends_at = None
+    if caller_request.patience is not None:
+        ends_at = (
+            arrived + caller_request.patience + stream_origins.RETURN_SECONDS
+        )
     return ResumedStream(
         stream_origins.key_of_content(name, _fingerprint(caller_request, body)),
-        stream_origins.key_of_customer(name),
+        stream_origins.ContentClaim(
+            stream_origins.key_of_customer(name), ends_at
+        ),
     )
 
 
--- a/libs/gateway/geraniumweir/gateway/begun_streams.py
+++ b/libs/gateway/geraniumweir/gateway/begun_streams.py
@@ -16,10 +16,6 @@
 )
 from geraniumweir.scheduling import requests, stream_origins
 
-# Callers return before they stop waiting; a caller's time begins a little
-# before its request arrives.
-_RESUME_SLACK_SECONDS = 2.0
-
 
 @dataclasses.dataclass(slots=True)
 class BegunStream:
@@ -111,5 +107,5 @@
         patience = self.admitted.caller_request.patience
         if patience is None:
             patience = self.admitted.route.timeout
-        ends_at = self.arrived + patience + _RESUME_SLACK_SECONDS
+        ends_at = self.arrived + patience + stream_origins.RETURN_SECONDS
         return ends_at - response_writer.now()
--- a/libs/gateway/geraniumweir/gateway/context.py
+++ b/libs/gateway/geraniumweir/gateway/context.py
@@ -24,11 +24,13 @@
         """Record a stream that begins at this host."""
 
     async def find(
-        self, key: ids.StreamKey, customer: ids.CustomerKey | None = None
+        self,
+        key: ids.StreamKey,
+        claim: stream_origins.ContentClaim | None = None,
     ) -> stream_origins.StreamOrigin | None:
         """Return the origin of a stream, None if it isn't known.
 
-        :param customer: whose content the key stands for, None for an attempt.
+        :param claim: of a caller that names a content, None for an attempt.
         """
 
     def record_grant(
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -254,10 +254,12 @@
         :raises geraniumweir.common.errors.Refused: if it isn't known.
         """
         record.resumes = caller_request.resumes
-        resumed = admission.resumed_stream(document_state, caller_request, body)
+        resumed = admission.resumed_stream(
+            document_state, caller_request, body, record.arrived
+        )
         if resumed is None:
             return None
-        began = await self._shared.streams.find(resumed.key, resumed.customer)
+        began = await self._shared.streams.find(resumed.key, resumed.claim)
         outcome = 'unknown' if began is None else 'known'
         self._meter.count(metricnames.RESUMED_STREAMS, outcome)
         if began is None:
--- a/libs/gateway/geraniumweir/gateway/tests/test_begun_streams.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_begun_streams.py
@@ -155,6 +155,28 @@
     _run(scenario, _ENDS, _ENDS, _ENDS, _ENDS, _ENDS)
 
 
+def test_caller_that_names_no_attempt_is_told_apart_by_its_time_limit() -> None:
+    """All its attempts end at one time; named attempts need none."""
+
+    async def scenario(running: testbed.Testbed) -> None:
+        running.scheduler.versions = {1: 'v1', 2: 'v1', 3: 'v1', 4: 'v1'}
+        now = asyncio.get_running_loop().time()
+        await _get(running, 'a', Patience='9')
+        await _get(running, 'b', Last_Event_Id='3', Patience='8.5')
+        await _get(running, 'c', Last_Event_Id='3')
+        await _get(running, 'd', Last_Event_Id='3', Resumes='a')
+        limited, unlimited, named = running.shared.streams.claims
+        customer = stream_origins.key_of_customer(ids.CustomerName(''))
+        assert limited.customer == unlimited.customer == customer
+        assert limited.ends_at >= now + 8.5 + stream_origins.RETURN_SECONDS
+        assert unlimited.ends_at is None
+        assert named is None
+        begins = running.scheduler.begins
+        assert [one.customer for one in begins] == [customer, None, None, None]
+
+    _run(scenario, _ENDS, _ENDS, _ENDS, _ENDS)
+
+
 def test_begin_is_reported_before_its_first_event_is_forwarded() -> None:
     """With the version of the server that sent it, once for an attempt."""
 
--- a/libs/scheduling/geraniumweir/scheduling/granted_streams.py
+++ b/libs/scheduling/geraniumweir/scheduling/granted_streams.py
@@ -2,10 +2,6 @@
 
 from geraniumweir.scheduling import requests, stream_origins
 
-# Callers return before they stop waiting; a caller's time begins a little
-# before its request arrives.
-_RETURN_SECONDS = 2.0
-
 
 def of_grant(
     slot_request: requests.SlotRequest, grant: requests.Grant, now: float
@@ -22,5 +18,5 @@
         slot_request.customer, slot_request.fingerprint
     )
     origin = stream_origins.StreamOrigin(slot_request.pool, grant.version)
-    seconds = slot_request.deadline - now + _RETURN_SECONDS
-    return stream_origins.StreamBegin(key, origin, seconds)
+    ends_at = slot_request.deadline + stream_origins.RETURN_SECONDS
+    return stream_origins.StreamBegin(key, origin, ends_at - now)
--- a/libs/scheduling/geraniumweir/scheduling/stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/stream_origins.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import heapq
+import math
 import typing
 
 import xxhash
@@ -18,9 +19,19 @@
 # Upper bound of the memory, for 2,500 streams a second that may be resumed for
 # 20 s.
 _MAX_STREAMS = 50000
-# Less than the time for which a stream is kept beyond its caller's patience;
-# reports of one stream differ by less.
-_MIN_EXTENSION_SECONDS = 0.5
+# Callers return before they stop waiting; a caller's time begins a little
+# before its request arrives.
+RETURN_SECONDS = 2.0
+# The end of a stream as two messages give it differs by some milliseconds; by
+# more where a packet was lost.
+_SAME_STREAM_SECONDS = 0.02
+# The ends of a stream as its caller's attempts give it differ by less.
+_SAME_CALLER_SECONDS = 0.05
+# A stream of another version tells nothing apart if its end is nearer: a host
+# under load reads what a caller says late.
+_APART_SECONDS = 0.3
+# Streams of one content whose ends are kept.
+_MAX_ENDS = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,27 +69,94 @@
     customer: ids.CustomerKey | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ContentClaim:
+    """What a caller that names no attempt says besides its content.
+
+    :ivar ends_at: until when its stream may be resumed, in seconds on the
+        loop's clock; None if it sets no time limit.
+    """
+
+    customer: ids.CustomerKey
+    ends_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _End:
+    """When a stream of a content expires, in seconds on the loop's clock."""
+
+    origin: StreamOrigin
+    at: float
+
+    def is_near(self, ends_at: float, seconds: float) -> bool:
+        """Return whether it differs from a time by at most some seconds."""
+        return abs(self.at - ends_at) <= seconds
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Record:
     """A recorded stream, or the streams of one content.
 
-    :ivar origin: of the first report.
-    :ivar expires_at: of the last one, in seconds on the loop's clock.
-    :ivar contradiction: an origin that doesn't agree with the first one.
+    Attempts that take one stream up share its end.
+
+    :ivar ends: one for each stream that was reported; at least one.
     :ivar attempt: of a content, the first attempt that began it.
+    :ivar discarded_until: the latest end that is no longer among them, in
+        seconds on the loop's clock.
     """
 
-    origin: StreamOrigin
-    expires_at: float
-    contradiction: StreamOrigin | None = None
+    ends: tuple[_End, ...]
     attempt: ids.StreamKey | None = None
+    discarded_until: float = -math.inf
 
     @property
-    def origins(self) -> tuple[StreamOrigin, ...]:
-        """The origins that reports gave."""
-        if self.contradiction is None:
-            return (self.origin,)
-        return self.origin, self.contradiction
+    def expires_at(self) -> float:
+        """When the last stream expires, in seconds on the loop's clock."""
+        return max(one.at for one in self.ends)
+
+    def has(self, end: _End) -> bool:
+        """Return whether a stream was reported before."""
+        return any(
+            one.is_near(end.at, _SAME_STREAM_SECONDS)
+            and one.origin.agrees_with(end.origin)
+            for one in self.ends
+        )
+
+    def add(self, end: _End, now: float) -> '_Record':
+        """Return it with another stream, and without expired ones."""
+        ends = [one for one in self.ends if one.at > now]
+        ends.append(end)
+        ends.sort(key=_end_time)
+        discarded_until = self.discarded_until
+        while len(ends) > _MAX_ENDS:
+            discarded = ends.pop(_first_superseded(ends))
+            discarded_until = max(discarded_until, discarded.at)
+        return dataclasses.replace(
+            self, ends=tuple(ends), discarded_until=discarded_until
+        )
+
+
+def _end_time(end: _End) -> float:
+    return end.at
+
+
+def _first_superseded(ends: typing.Sequence[_End]) -> int:
+    """Return the number of the first end of an origin that has a later one."""
+    for number, end in enumerate(ends):
+        later = ends[number + 1 :]
+        if any(end.origin.agrees_with(one.origin) for one in later):
+            return number
+    return 0
+
+
+def _agreed_origin(ends: typing.Sequence[_End]) -> StreamOrigin | None:
+    """Return the origin of some streams, None if they have several."""
+    if not ends:
+        return None
+    origin = ends[0].origin
+    if all(origin.agrees_with(one.origin) for one in ends):
+        return origin
+    return None
 
 
 IsDoubtful = typing.Callable[[StreamOrigin], bool]
@@ -154,7 +232,7 @@
 
         An attempt has one first event. If two reports contradict each other, as
         the caller used an id twice, or requested the same content twice, the
-        stream counts as unknown until both have expired.
+        stream counts as unknown while both may be resumed.
 
         :returns: whether it changed anything.
         """
@@ -174,17 +252,37 @@
         """
         if begin.content is None or begin.customer is None:
             return False
+        self._discard_expired(self._clock.now())
         known = self._records.get(begin.content)
         return known is not None and known.attempt not in {None, begin.key}
 
     def find(self, key: ids.StreamKey) -> StreamOrigin | None:
         """Return the origin of a stream, None if it isn't known for sure."""
-        now = self._clock.now()
-        self._discard_expired(now)
-        known = self._records.get(key)
-        if known is None or known.contradiction is not None:
+        return self._certain_origin(self._ends(key))
+
+    def find_ending(
+        self, key: ids.StreamKey, ends_at: float
+    ) -> StreamOrigin | None:
+        """Return the origin of the streams of a content with an end.
+
+        All attempts of a caller have the same time limit, so another stream of
+        the content most likely ends at another time.
+
+        :param ends_at: until when the stream may be resumed, in seconds on the
+            loop's clock.
+        :returns: None if there is none, or if one of another origin ends at
+            nearly the same time.
+        """
+        near = [
+            one
+            for one in self._ends(key)
+            if one.is_near(ends_at, _APART_SECONDS)
+        ]
+        if not any(one.is_near(ends_at, _SAME_CALLER_SECONDS) for one in near):
+            return None
+        if ends_at - _APART_SECONDS <= self._records[key].discarded_until:
             return None
-        return known.origin if self.is_certain(known.origin) else None
+        return self._certain_origin(near)
 
     def is_certain(self, origin: StreamOrigin) -> bool:
         """Return whether the version of an origin is certain by now."""
@@ -193,41 +291,48 @@
     def known(self) -> list[StreamBegin]:
         """List the streams with the times that are left.
 
-        One whose reports contradict each other is listed with each origin.
+        One whose reports contradict each other is listed with each origin, and
+        a content with each of its streams.
         """
         now = self._clock.now()
         self._discard_expired(now)
         return [
-            StreamBegin(key, origin, found.expires_at - now)
+            StreamBegin(key, end.origin, end.at - now)
             for key, found in self._records.items()
-            for origin in found.origins
+            for end in found.ends
+            if end.at > now
         ]
 
+    def _ends(self, key: ids.StreamKey) -> list[_End]:
+        """List the streams of a key that may be resumed."""
+        now = self._clock.now()
+        self._discard_expired(now)
+        known = self._records.get(key)
+        return [one for one in known.ends if one.at > now] if known else []
+
+    def _certain_origin(
+        self, ends: typing.Sequence[_End]
+    ) -> StreamOrigin | None:
+        origin = _agreed_origin(ends)
+        if all(self.is_certain(one.origin) for one in ends):
+            return origin
+        return None
+
     def _record(self, begin: StreamBegin) -> bool:
         now = self._clock.now()
         self._discard_expired(now)
         if begin.seconds <= 0:
             return False
-        expires_at = now + begin.seconds
+        end = _End(begin.origin, now + begin.seconds)
         known = self._records.get(begin.key)
         if known is None:
-            self._store(begin.key, _Record(begin.origin, expires_at))
+            self._store(begin.key, _Record((end,)))
             if len(self._records) > self._max_streams:
                 self._discard_first()
             return True
-        contradiction = known.contradiction
-        if contradiction is None and not known.origin.agrees_with(begin.origin):
-            contradiction = begin.origin
-        is_later = expires_at > known.expires_at + _MIN_EXTENSION_SECONDS
-        if contradiction is known.contradiction and not is_later:
+        if known.has(end):
             return False
-        expires_at = max(expires_at, known.expires_at)
-        self._store(
-            begin.key,
-            dataclasses.replace(
-                known, expires_at=expires_at, contradiction=contradiction
-            ),
-        )
+        self._store(begin.key, known.add(end, now))
         return True
 
     def _note_attempt(self, begin: StreamBegin) -> None:
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -3123,18 +3123,21 @@
     Attributes:
      - key
      - customer
+     - left_ms
 
     """
 
     __slots__ = (
         'key',
         'customer',
+        'left_ms',
     )
 
 
-    def __init__(self, key=None, customer=None,):
+    def __init__(self, key=None, customer=None, left_ms=None,):
         self.key = key
         self.customer = customer
+        self.left_ms = left_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3155,6 +3158,11 @@
                     self.customer = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3173,6 +3181,10 @@
             oprot.writeFieldBegin('customer', TType.I64, 2)
             oprot.writeI64(self.customer)
             oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 3)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3848,6 +3860,7 @@
     None,  # 0
     (1, TType.I64, 'key', None, None, ),  # 1
     (2, TType.I64, 'customer', None, None, ),  # 2
+    (3, TType.I32, 'left_ms', None, None, ),  # 3
 )
 all_structs.append(FoundStream)
 FoundStream.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -279,10 +279,12 @@
 }
 
 // From an entry host to its coordinator. customer: said for a key that stands
-// for a content.
+// for a content. left_ms: for which the stream may be resumed by what its
+// caller says.
 struct FindStream {
   1: i64 key
   2: optional i64 customer
+  3: optional i32 left_ms
 }
 
 // pool: unsaid where the stream isn't known. doubtful: hosts that don't answer
