Streams: a long time limit does not keep streams from being reported

Callers saw: nothing yet; found while the time limits of callers were given to streams of one content.

Cause: a stream was recorded for as long as its caller says that it waits, up to 285,000 years, and messages have 31 bits for its milliseconds.

Change: a stream is known for an hour and two seconds at most, whether its begin, its grant or its caller's question gives the time.

Evidence: encoding the message of a stream with 9e12 s fails with that error. The new test failed before (9e15 ms in a begin) and passes now, as do the tests of begun and granted streams. What the error does to the task that publishes was not tried.

--- a/libs/gateway/geraniumweir/gateway/admission.py
+++ b/libs/gateway/geraniumweir/gateway/admission.py
@@ -146,8 +146,8 @@
         return ResumedStream(key)
     ends_at = None
     if caller_request.patience is not None:
-        ends_at = (
-            arrived + caller_request.patience + stream_origins.RETURN_SECONDS
+        ends_at = arrived + stream_origins.resumable_seconds(
+            caller_request.patience
         )
     return ResumedStream(
         stream_origins.key_of_content(name, _fingerprint(caller_request, body)),
--- a/libs/gateway/geraniumweir/gateway/begun_streams.py
+++ b/libs/gateway/geraniumweir/gateway/begun_streams.py
@@ -107,5 +107,5 @@
         patience = self.admitted.caller_request.patience
         if patience is None:
             patience = self.admitted.route.timeout
-        ends_at = self.arrived + patience + stream_origins.RETURN_SECONDS
+        ends_at = self.arrived + stream_origins.resumable_seconds(patience)
         return ends_at - response_writer.now()
--- a/libs/gateway/geraniumweir/gateway/tests/test_begun_streams.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_begun_streams.py
@@ -177,6 +177,24 @@
     _run(scenario, _ENDS, _ENDS, _ENDS, _ENDS)
 
 
+def test_long_time_limit_does_not_keep_streams_from_being_reported() -> None:
+    """The report of all streams of a host was too large for its message."""
+
+    async def scenario(running: testbed.Testbed) -> None:
+        running.scheduler.versions = {1: 'v1', 2: 'v1'}
+        await _get(running, 'a', Patience='9e12')
+        await _get(running, 'b', Patience='9e12', Last_Event_Id='3')
+        begins = running.scheduler.begins
+        assert len(begins) == 2
+        for begin in begins:
+            assert 0 < begin.seconds * 1000 < 2**31
+        claim = running.shared.streams.claims[0]
+        now = asyncio.get_running_loop().time()
+        assert (claim.ends_at - now) * 1000 < 2**31
+
+    _run(scenario, _ENDS, _ENDS)
+
+
 def test_begin_is_reported_before_its_first_event_is_forwarded() -> None:
     """With the version of the server that sent it, once for an attempt."""
 
--- a/libs/scheduling/geraniumweir/scheduling/granted_streams.py
+++ b/libs/scheduling/geraniumweir/scheduling/granted_streams.py
@@ -18,5 +18,5 @@
         slot_request.customer, slot_request.fingerprint
     )
     origin = stream_origins.StreamOrigin(slot_request.pool, grant.version)
-    ends_at = slot_request.deadline + stream_origins.RETURN_SECONDS
-    return stream_origins.StreamBegin(key, origin, ends_at - now)
+    seconds = stream_origins.resumable_seconds(slot_request.deadline - now)
+    return stream_origins.StreamBegin(key, origin, seconds)
--- a/libs/scheduling/geraniumweir/scheduling/stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/stream_origins.py
@@ -22,6 +22,9 @@
 # Callers return before they stop waiting; a caller's time begins a little
 # before its request arrives.
 RETURN_SECONDS = 2.0
+# A stream is known for at most this time, as messages have 31 bits for
+# milliseconds and a caller may name any time limit.
+_MAX_RESUMABLE_SECONDS = 3600.0
 # The end of a stream as two messages give it differs by some milliseconds; by
 # more where a packet was lost.
 _SAME_STREAM_SECONDS = 0.02
@@ -159,6 +162,17 @@
     return None
 
 
+def resumable_seconds(patience: float) -> float:
+    """Return for how long a stream may be resumed.
+
+    :param patience: seconds that its caller waits.
+
+    >>> resumable_seconds(15), resumable_seconds(1e12)
+    (17.0, 3602.0)
+    """
+    return min(patience, _MAX_RESUMABLE_SECONDS) + RETURN_SECONDS
+
+
 IsDoubtful = typing.Callable[[StreamOrigin], bool]
 
 
