Streams: a content is as doubtful as the begin of its stream

Cause: a server that keeps its id may start again with another version between a grant and the first event. The begin of a stream names the incarnation, and its attempt is unknown once a later one is heard of. The grant names none, and was recorded under the content first, so that the begin, of the same version and end, was dropped there: a caller without the name of its attempt could have gone on at the version of the grant.

Change: where a begin names the server of a stream that only a grant told of, the record takes it over.

Evidence: the new test failed before and passes now, as do the other tests of the table, the exchange and begun streams.

--- a/libs/scheduling/geraniumweir/scheduling/stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/stream_origins.py
@@ -117,12 +117,24 @@
         """When the last stream expires, in seconds on the loop's clock."""
         return max(one.at for one in self.ends)
 
-    def has(self, end: _End) -> bool:
-        """Return whether a stream was reported before."""
-        return any(
-            one.is_near(end.at, _SAME_STREAM_SECONDS)
-            and one.origin.agrees_with(end.origin)
-            for one in self.ends
+    def reported(self, end: _End) -> _End | None:
+        """Return what an earlier report said of a stream, None for nothing."""
+        for one in self.ends:
+            is_near = one.is_near(end.at, _SAME_STREAM_SECONDS)
+            if is_near and one.origin.agrees_with(end.origin):
+                return one
+        return None
+
+    def complete(self, reported: _End, end: _End) -> '_Record':
+        """Return it with the server of a stream, if only its begin names it."""
+        if reported.origin.start is not None or end.origin.start is None:
+            return self
+        completed = dataclasses.replace(reported, origin=end.origin)
+        return dataclasses.replace(
+            self,
+            ends=tuple(
+                completed if one is reported else one for one in self.ends
+            ),
         )
 
     def add(self, end: _End, now: float) -> '_Record':
@@ -344,7 +356,9 @@
             if len(self._records) > self._max_streams:
                 self._discard_first()
             return True
-        if known.has(end):
+        reported = known.reported(end)
+        if reported is not None:
+            self._records[begin.key] = known.complete(reported, end)
             return False
         self._store(begin.key, known.add(end, now))
         return True
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_stream_origins.py
@@ -90,6 +90,24 @@
     virtual.run(work())
 
 
+def test_content_is_doubtful_where_the_begin_of_its_stream_is() -> None:
+    """A grant doesn't name the incarnation that sends the first event."""
+
+    async def work() -> None:
+        origins = stream_origins.StreamOrigins(
+            timers.TimerService(), lambda origin: origin.start == _START
+        )
+        content = ids.StreamKey(2)
+        grant = stream_origins.StreamOrigin(_POOL, ids.SoftwareVersion('v1'))
+        origins.record(stream_origins.StreamBegin(content, grant, 10))
+        assert origins.find(content).version == 'v1'
+        origins.record(dataclasses.replace(_begin(1), content=content))
+        assert origins.find(content) is None
+        assert len(origins.known()) == 2
+
+    virtual.run(work())
+
+
 def test_crowded_content_is_not_found_by_a_discarded_end() -> None:
     """A stream next to it was taken for the one whose end was discarded."""
 
