Streams: time limits do not tell streams apart that end within seconds

Cause: times that are left travel in messages. A host that is suspended or under load reads them late, which shifts the end of a stream, by more than the 0.3 s by which another stream had to end apart.

Change: a time limit identifies a stream only if all streams of its content that end within 5 s are of one version. Coordinators publish such customers every 2 s, and one that gives way passes them on.

--- a/libs/control/geraniumweir/control/stream_exchange.py
+++ b/libs/control/geraniumweir/control/stream_exchange.py
@@ -19,6 +19,8 @@
 from geraniumweir.wire.gen.control import ttypes
 
 _MS = 1000
+# A control host that a cut kept from hearing of a customer hears of it again.
+_PUBLISH_CUSTOMERS_SECONDS = 2.0
 # Streams in one message, which then has some 60 kilobytes.
 MAX_PUBLISHED = 4096
 # Wall clocks of hosts and servers differ by less.
@@ -97,7 +99,7 @@
         self.origins = origins
         self._doubts = doubts
         self._clock = clock
-        self._unpublished_customers: list[ids.CustomerKey] = []
+        self._publish_customers_at = clock.now()
         self._link = link
         self._known = known
         self._coordinator = view.coordinator_id
@@ -120,8 +122,9 @@
             self._unpublished.append((self._clock.now(), begin))
 
     def _record_repeating(self, customer: ids.CustomerKey) -> None:
-        if self._doubts.repeating.record(customer, self._clock.now()):
-            self._unpublished_customers.append(customer)
+        now = self._clock.now()
+        if self._doubts.repeating.record(customer, now):
+            self._publish_customers_at = now
 
     def _is_coordinator(self) -> bool:
         return self._coordinator() == self._link.host_id
@@ -135,7 +138,27 @@
         self._coordinates = self._is_coordinator()
         coordinator = self._coordinator()
         if coordinated and not self._coordinates and coordinator:
-            _send(self._link, coordinator, self.origins.known())
+            self._send_all(coordinator)
+
+    def _send_all(self, coordinator: ids.HostId) -> None:
+        begins = self.origins.known()
+        messages = [
+            pack(begins[first : first + MAX_PUBLISHED])
+            for first in range(0, len(begins), MAX_PUBLISHED)
+        ]
+        for message in messages:
+            message.repeating = self._pack_repeating()
+            self._link.send(coordinator, message)
+
+    def _pack_repeating(self) -> list[int]:
+        customers = self._doubts.repeating.known(self._clock.now())
+        return [translation.signed(one) for one in customers]
+
+    def _record_all_repeating(self, numbers: typing.Iterable[int]) -> None:
+        for number in numbers:
+            self._record_repeating(
+                ids.CustomerKey(translation.unsigned(number))
+            )
 
     def fill(self, message: ttypes.RequestFacts, now: float) -> bool:
         """Add streams that are not published yet."""
@@ -145,21 +168,26 @@
             )
             for reported_at, begin in self._unpublished[:MAX_PUBLISHED]
         ]
-        customers = self._unpublished_customers
-        if not begins and not customers:
+        repeating = self._pack_repeating() if self._is_due(now) else []
+        if not begins and not repeating:
             return False
         self._unpublished = self._unpublished[MAX_PUBLISHED:]
-        self._unpublished_customers = []
         message.streams = pack(begins).versions
-        message.repeating = [translation.signed(one) for one in customers]
+        message.repeating = repeating
+        return True
+
+    def _is_due(self, now: float) -> bool:
+        """Return whether repeating customers are to be published."""
+        if not self._coordinates or now < self._publish_customers_at:
+            return False
+        self._publish_customers_at = now + _PUBLISH_CUSTOMERS_SECONDS
         return True
 
-    def fill_all(self, message: ttypes.RequestFacts, now: float) -> None:
+    def fill_all(self, message: ttypes.RequestFacts, _now: float) -> None:
         """Add the streams that began last, and all repeating customers."""
         begins = self.origins.known()[-MAX_PUBLISHED:]
         message.streams = pack(begins).versions
-        customers = self._doubts.repeating.known(now)
-        message.repeating = [translation.signed(one) for one in customers]
+        message.repeating = self._pack_repeating()
 
     def apply(self, message: ttypes.RequestFacts, now: float) -> None:
         """Take over what another coordinator knows."""
@@ -179,6 +207,7 @@
         from_control_host = any(
             host.host_id == sender for host in self._known.known()
         )
+        self._record_all_repeating(message.repeating or ())
         for begin in unpack(message.versions):
             if from_control_host:
                 self.origins.record(begin)
@@ -265,12 +294,3 @@
             yield stream_origins.StreamBegin(
                 ids.StreamKey(translation.unsigned(key)), origin, left_ms / _MS
             )
-
-
-def _send(
-    link: peers.Peers,
-    host_id: ids.HostId,
-    begins: typing.Sequence[stream_origins.StreamBegin],
-) -> None:
-    for first in range(0, len(begins), MAX_PUBLISHED):
-        link.send(host_id, pack(begins[first : first + MAX_PUBLISHED]))
--- a/libs/scheduling/geraniumweir/scheduling/stream_origins.py
+++ b/libs/scheduling/geraniumweir/scheduling/stream_origins.py
@@ -31,8 +31,8 @@
 # The ends of a stream as its caller's attempts give it differ by less.
 _SAME_CALLER_SECONDS = 0.05
 # A stream of another version tells nothing apart if its end is nearer: a host
-# under load reads what a caller says late.
-_APART_SECONDS = 0.3
+# that is suspended or under load reads messages late and shifts the ends.
+_APART_SECONDS = 5.0
 # Streams of one content whose ends are kept.
 _MAX_ENDS = 32
 
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -2785,16 +2785,19 @@
     """
     Attributes:
      - versions
+     - repeating
 
     """
 
     __slots__ = (
         'versions',
+        'repeating',
     )
 
 
-    def __init__(self, versions=None,):
+    def __init__(self, versions=None, repeating=None,):
         self.versions = versions
+        self.repeating = repeating
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2816,6 +2819,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.repeating = []
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = iprot.readI64()
+                        self.repeating.append(_elem173)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2829,8 +2842,15 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter168 in self.versions:
-                iter168.write(oprot)
+            for iter174 in self.versions:
+                iter174.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.repeating is not None:
+            oprot.writeFieldBegin('repeating', TType.LIST, 2)
+            oprot.writeListBegin(TType.I64, len(self.repeating))
+            for iter175 in self.repeating:
+                oprot.writeI64(iter175)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2897,54 +2917,54 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.cases = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = geraniumweir.wire.gen.scheduling.ttypes.Case()
-                        _elem174.read(iprot)
-                        self.cases.append(_elem174)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = geraniumweir.wire.gen.scheduling.ttypes.Case()
+                        _elem181.read(iprot)
+                        self.cases.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = geraniumweir.wire.gen.scheduling.ttypes.ServerCrash()
-                        _elem180.read(iprot)
-                        self.crashes.append(_elem180)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = geraniumweir.wire.gen.scheduling.ttypes.ServerCrash()
+                        _elem187.read(iprot)
+                        self.crashes.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.trials = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = geraniumweir.wire.gen.scheduling.ttypes.PartTrials()
-                        _elem186.read(iprot)
-                        self.trials.append(_elem186)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = geraniumweir.wire.gen.scheduling.ttypes.PartTrials()
+                        _elem193.read(iprot)
+                        self.trials.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype190, _size187) = iprot.readListBegin()
-                    for _i191 in range(_size187):
-                        _elem192 = VersionStreams()
-                        _elem192.read(iprot)
-                        self.streams.append(_elem192)
+                    (_etype197, _size194) = iprot.readListBegin()
+                    for _i198 in range(_size194):
+                        _elem199 = VersionStreams()
+                        _elem199.read(iprot)
+                        self.streams.append(_elem199)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.repeating = []
-                    (_etype196, _size193) = iprot.readListBegin()
-                    for _i197 in range(_size193):
-                        _elem198 = iprot.readI64()
-                        self.repeating.append(_elem198)
+                    (_etype203, _size200) = iprot.readListBegin()
+                    for _i204 in range(_size200):
+                        _elem205 = iprot.readI64()
+                        self.repeating.append(_elem205)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2961,36 +2981,36 @@
         if self.cases is not None:
             oprot.writeFieldBegin('cases', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.cases))
-            for iter199 in self.cases:
-                iter199.write(oprot)
+            for iter206 in self.cases:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter200 in self.crashes:
-                iter200.write(oprot)
+            for iter207 in self.crashes:
+                iter207.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.trials is not None:
             oprot.writeFieldBegin('trials', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.trials))
-            for iter201 in self.trials:
-                iter201.write(oprot)
+            for iter208 in self.trials:
+                iter208.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter202 in self.streams:
-                iter202.write(oprot)
+            for iter209 in self.streams:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeating is not None:
             oprot.writeFieldBegin('repeating', TType.LIST, 5)
             oprot.writeListBegin(TType.I64, len(self.repeating))
-            for iter203 in self.repeating:
-                oprot.writeI64(iter203)
+            for iter210 in self.repeating:
+                oprot.writeI64(iter210)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3839,6 +3859,7 @@
 BegunStreams.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'versions', (TType.STRUCT, [VersionStreams, None], False), None, ),  # 1
+    (2, TType.LIST, 'repeating', (TType.I64, None, False), None, ),  # 2
 )
 all_structs.append(RequestFacts)
 RequestFacts.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -254,9 +254,11 @@
 }
 
 // From an entry host, or the coordinator before, to the coordinator, which
-// answers StreamsRecorded.
+// answers StreamsRecorded. repeating: customers of which several attempts began
+// the same content lately, as the coordinator before knows them.
 struct BegunStreams {
   1: list<VersionStreams> versions
+  2: optional list<i64> repeating
 }
 
 // From the coordinator to the other control hosts: what changed of the facts
