--- a/libs/consensus/geraniumweir/consensus/leadership.py
+++ b/libs/consensus/geraniumweir/consensus/leadership.py
@@ -5,7 +5,7 @@
 import math
 import typing
 
-from geraniumweir.consensus import errors, members
+from geraniumweir.consensus import errors, members, proposal_times
 
 _Work = typing.Coroutine[typing.Any, typing.Any, typing.Any]
 
@@ -62,6 +62,7 @@
         entries before it are, too.
     :ivar progress: replication progress of the other recorders.
     :ivar waiters: futures of pending proposals, by index.
+    :ivar proposals: times of the steps of pending proposals.
     :ivar appended: set when the log has grown.
     :ivar transferring: whether leadership is being transferred; proposals
         are rejected meanwhile.
@@ -75,6 +76,7 @@
         self.start_index = start_index
         self.progress: dict[members.RecorderId, Progress] = {}
         self.waiters: dict[int, asyncio.Future[bytes]] = {}
+        self.proposals = proposal_times.OpenProposals()
         self.appended = asyncio.Event()
         self.transferring = False
         self.membership_lock = asyncio.Lock()
--- a/libs/consensus/geraniumweir/consensus/leading.py
+++ b/libs/consensus/geraniumweir/consensus/leading.py
@@ -16,10 +16,14 @@
     leadership,
     logevents,
     machines,
+    proposal_times,
     replication,
 )
 from geraniumweir.store import entries
 
+# Two syncs and a round trip between failure domains take a tenth of this.
+_SLOW_SECONDS = 0.2
+
 
 def become_leader(this: core.Core, term: int) -> None:
     """Become leader in a term, if still a candidate in that term."""
@@ -94,6 +98,7 @@
     index = append(this, leader_state, kind, command)
     fut = asyncio.get_running_loop().create_future()
     leader_state.waiters[index] = fut
+    times = leader_state.proposals.begin(index, this.timers.now())
     try:
         async with asyncio.timeout(timeout):
             return await fut
@@ -101,6 +106,31 @@
         raise errors.UncertainError('not committed in time') from exc
     finally:
         leader_state.waiters.pop(index, None)
+        leader_state.proposals.end(index)
+        _report_slow(this, index, len(command), times, fut)
+
+
+def _report_slow(
+    this: core.Core,
+    index: int,
+    size: int,
+    times: proposal_times.ProposalTimes,
+    answer: asyncio.Future[bytes],
+) -> None:
+    """Report the steps of a proposal that was not answered soon."""
+    now = this.timers.now()
+    if now - times.appended_at < _SLOW_SECONDS:
+        return
+    in_time = answer.done() and not answer.cancelled()
+    this.env.report(
+        logevents.PROPOSAL_SLOW,
+        index=index,
+        size=size,
+        ms=times.since_append(now),
+        synced_ms=times.since_append(times.synced_at),
+        committed_ms=times.since_append(times.committed_at),
+        outcome='in time' if in_time else 'timed out',
+    )
 
 
 async def confirm(this: core.Core, timeout: float) -> int:
@@ -181,6 +211,9 @@
         await leader_state.appended.wait()
         leader_state.appended.clear()
         await this.folder.log.sync()
+        leader_state.proposals.synced(
+            this.folder.log.synced_index, this.timers.now()
+        )
         replication.advance_commit_index(this, leader_state)
 
 
--- a/libs/consensus/geraniumweir/consensus/logevents.py
+++ b/libs/consensus/geraniumweir/consensus/logevents.py
@@ -73,3 +73,9 @@
     logevents.Level.error,
     'log entry {index} of {size} bytes is too large to be sent to {host}',
 )
+PROPOSAL_SLOW = logevents.Event(
+    534,
+    logevents.Level.notice,
+    'log entry {index} of {size} bytes answered after {ms} ms: synced here'
+    ' after {synced_ms} ms, committed after {committed_ms} ms; {outcome}',
+)
--- a/libs/consensus/geraniumweir/consensus/replication.py
+++ b/libs/consensus/geraniumweir/consensus/replication.py
@@ -45,6 +45,7 @@
     if index < leader_state.start_index or index <= this.commit.height:
         return
     this.commit.raise_to(index)
+    leader_state.proposals.committed(index, this.timers.now())
     leader_state.notify()
     for progress in leader_state.progress.values():
         if progress.in_flight == 0:
--- a/libs/control/geraniumweir/control/documents.py
+++ b/libs/control/geraniumweir/control/documents.py
@@ -2,7 +2,7 @@
 
 import time
 
-from geraniumweir.common import eventlog, ids
+from geraniumweir.common import eventlog, ids, timers
 from geraniumweir.configuration import commands, published
 from geraniumweir.control import (
     errors,
@@ -38,6 +38,7 @@
         self._log = log
         self._known = known
         self._access = access
+        self._clock = timers.TimerService()
         link.handle(ttypes.ReadNewest, self._on_read)
 
     async def publish(self, version: ids.Version, document: bytes) -> None:
@@ -53,6 +54,7 @@
                 f' {commands.MAX_DOCUMENT_BYTES}'
             )
         at_ms = int(time.time() * _MS)
+        started = self._clock.now()
         command = commands.publish(version, document, at_ms)
         try:
             answers = await self._access.propose(command, _PUBLISH_SECONDS)
@@ -60,6 +62,7 @@
             eventlog.emit(
                 logevents.DOCUMENT_NOT_STORED,
                 version=version,
+                ms=self._ms_since(started),
                 reason=exc.message,
             )
             raise
@@ -67,9 +70,13 @@
         eventlog.emit(
             logevents.DOCUMENT_PUBLISHED,
             version=version,
+            ms=self._ms_since(started),
             taken=taken,
         )
 
+    def _ms_since(self, started: float) -> int:
+        return round((self._clock.now() - started) * _MS)
+
     async def newest(self) -> published.PublishedDocument | None:
         """Return the newest document, all that was stored before included.
 
--- a/libs/control/geraniumweir/control/logevents.py
+++ b/libs/control/geraniumweir/control/logevents.py
@@ -36,7 +36,7 @@
 DOCUMENT_PUBLISHED: typing.Final = _Event(
     757,
     _Level.notice,
-    'document version {version} published; accepted: {taken}',
+    'document version {version} published after {ms} ms; accepted: {taken}',
 )
 DOCUMENT_REFUSED: typing.Final = _Event(
     758, _Level.notice, 'document rejected: {reason}'
@@ -44,7 +44,8 @@
 DOCUMENT_NOT_STORED: typing.Final = _Event(
     759,
     _Level.warning,
-    'document version {version} may not have been stored: {reason}',
+    'document version {version} may not have been stored after {ms} ms:'
+    ' {reason}',
 )
 WATCHES: typing.Final = _Event(
     760, _Level.notice, 'watching control host {host}'
@@ -148,3 +149,9 @@
     _Level.info,
     'control host {host} did not say what it knows of requests: {reason}',
 )
+THREAD_DELAYED: typing.Final = _Event(
+    785,
+    _Level.warning,
+    'events waited up to {delay_ms} ms for the thread of this host, busy for'
+    ' {busy} of {seconds} s; messages handled: {messages}',
+)
--- a/libs/wire/geraniumweir/wire/handling.py
+++ b/libs/wire/geraniumweir/wire/handling.py
@@ -1,6 +1,7 @@
 """Message handlers, limited in number for each connection."""
 
 import asyncio
+import collections
 import typing
 
 from geraniumweir.common import eventlog, ids
@@ -11,11 +12,15 @@
 
 
 class Router:
-    """Handlers by message type."""
+    """Handlers by message type.
+
+    :ivar handled: number of messages that were handled, by type.
+    """
 
     def __init__(self) -> None:
         """Initialize without handlers."""
         self._handlers: dict[type, peers.Handler] = {}
+        self.handled: collections.Counter[str] = collections.Counter()
 
     def handle(self, message_type: type, handler: peers.Handler) -> None:
         """Register the handler of a message type."""
@@ -30,6 +35,7 @@
 
         :raises errors.RemoteError: when it has none.
         """
+        self.handled[type(message).__name__] += 1
         handler = self._handlers.get(type(message))
         if handler is None:
             name = type(message).__name__
--- a/libs/wire/geraniumweir/wire/tcp.py
+++ b/libs/wire/geraniumweir/wire/tcp.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import collections
 import random
 import typing
 
@@ -198,6 +199,10 @@
         """Return the traffic counters of a peer."""
         return self._link(host_id).traffic
 
+    def handled_messages(self) -> collections.Counter[str]:
+        """Return the number of messages from all peers, by type."""
+        return self._router.handled
+
     def sent_messages(self) -> dict[tuple[str, ...], float]:
         """Return the number of messages sent to all peers, by type."""
         return _by_name(self._sent.messages)
