Hosts: a stop does not wait for open requests without a limit

Callers saw: an entry host that was told to stop with long requests open did not end by itself; it was killed at the end of its grace time, and what it still ran got neither an answer nor a line in the log. Cause: the HTTP library takes a shutdown timeout of 0 for no limit at all; the code meant 'at once'. Class: a special value of a library that means the opposite of its number.

--- a/libs/gateway/geraniumweir/gateway/listening.py
+++ b/libs/gateway/geraniumweir/gateway/listening.py
@@ -7,9 +7,14 @@
 from geraniumweir.common import ids
 
 
+# Time for open requests after they were drained. The library waits for them
+# without a limit where it is 0.
+SHUTDOWN_SECONDS = 0.1
+
+
 def make_runner(server: web.Server) -> web.ServerRunner:
-    """Return a runner that stops at once: requests are drained before."""
-    return web.ServerRunner(server, shutdown_timeout=0)
+    """Return a runner that stops soon: requests are drained before."""
+    return web.ServerRunner(server, shutdown_timeout=SHUTDOWN_SECONDS)
 
 
 async def listen(
