Coordinator: slot requests take turns, so that orders do not wait for all of them

Cause: all slot requests that had arrived were decided in one iteration of the event loop. Beyond what the thread bears, an iteration lasts as long as the queue: the log's messages, heartbeats and reports wait for it. Owners repeat unanswered calls after 0.5 s, so each request then costs several messages, and what the thread does is mostly in vain. The leader of the log steps down, the next one is full as soon. Class: a rare message that must be in time shares a queue without a bound with the load. Change: scheduling.turns begins eight decisions in an iteration, by tier and partly by age, and denies what waited 0.2 s, before its owner repeats it. The denial costs little and says when to come back.

--- a/libs/scheduling/geraniumweir/scheduling/logevents.py
+++ b/libs/scheduling/geraniumweir/scheduling/logevents.py
@@ -88,3 +88,9 @@
     'requests with content {content} quarantined for {seconds} s: '
     'servers crashed while running them, most recently {server}',
 )
+THREAD_FULL = logevents.Event(
+    257,
+    logevents.Level.warning,
+    '{count} slot requests denied as the thread of this host is full; {waiting}'
+    ' wait for a turn',
+)
--- a/libs/scheduling/geraniumweir/scheduling/remote.py
+++ b/libs/scheduling/geraniumweir/scheduling/remote.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import functools
+import random
 import typing
 
 from geraniumweir.common import eventlog, ids, timers
@@ -23,6 +24,7 @@
     stream_origins,
     takeover,
     translation,
+    turns,
     views,
 )
 from geraniumweir.wire.gen.scheduling import ttypes
@@ -30,6 +32,11 @@
 _QUICK_ANSWER_SECONDS = 0.005
 _OWNER_SILENCE_SECONDS = 4.0
 _CHECK_PERIOD_SECONDS = 1.0
+# Callers that are refused as this thread is full return at different times, and
+# when some of the load has passed.
+_BUSY_RETRY_SECONDS = (0.5, 1.0)
+_MAX_RETRY_FRACTION = 1 / 3
+_MS = 1000
 
 OnPreempt = typing.Callable[[requests.Preempt], None]
 OnStreamBegin = typing.Callable[[stream_origins.StreamBegin], typing.Any]
@@ -71,6 +78,8 @@
             host_id=link.host_id,
         )
         self._closed = False
+        self._turns = turns.Turns(clock)
+        self._rng = random.Random(link.host_id)
         self._pools: dict[ids.PoolName, led.LedPool] = {}
         self._subscriptions = (
             view.changes.subscribe(lambda _: self._follow_view()),
@@ -135,7 +144,19 @@
                 requests.DenialReason.not_leader,
                 self._leader_of(message.pool),
             )
-        slot_request = translation.unpack_ask(message, self._clock.now())
+        now = self._clock.now()
+        request_id = ids.RequestId(message.request_id)
+        if request_id not in found.entries:
+            tier = ids.Tier(message.tier)
+            if not await self._turns.wait(request_id, tier):
+                return _busy_reply(message, self._rng)
+            found = self._led(message.pool)
+            if found is None:
+                return _denial_reply(
+                    requests.DenialReason.not_leader,
+                    self._leader_of(message.pool),
+                )
+        slot_request = translation.unpack_ask(message, now)
         entry = found.join(slot_request, message.attempt)
         if entry is None:
             return _denial_reply(requests.DenialReason.withdrawn)
@@ -149,6 +170,7 @@
         _sender: ids.HostId,
         message: ttypes.Withdraw,
     ) -> None:
+        self._turns.withdraw(ids.RequestId(message.request_id))
         found = self._pools.get(message.pool)
         if found is not None:
             found.withdraw(message.request_id, message.attempt)
@@ -267,3 +289,14 @@
 ) -> ttypes.AskReply:
     denial = ttypes.Denial(reason.value, 0)
     return ttypes.AskReply(denial=denial, leader=holder)
+
+
+def _busy_reply(message: ttypes.Ask, rng: random.Random) -> ttypes.AskReply:
+    """Return the denial of a slot request that this host has no time for."""
+    seconds = min(
+        rng.uniform(*_BUSY_RETRY_SECONDS),
+        message.time_left * _MAX_RETRY_FRACTION,
+    )
+    reason = requests.DenialReason.shed
+    denial = ttypes.Denial(reason.value, int(max(seconds, 0) * _MS))
+    return ttypes.AskReply(denial=denial)
