Entry hosts: an answer that a caller reads slowly is kept once

Cause: the HTTP library writes a body whole and then waits for the caller, with the body in its hands, so that it lies in memory beside the copy in the transport's buffer; only that copy was counted, and the kernel takes most of it. Class: memory that is held beside the account that bounds it. Change: a body of over 64 KiB is taken from its response and written by the host itself.

--- a/libs/gateway/geraniumweir/gateway/response_writer.py
+++ b/libs/gateway/geraniumweir/gateway/response_writer.py
@@ -1,8 +1,9 @@
 """Writes the response to one request to its caller."""
 
 import asyncio
+import typing
 
-from aiohttp import web
+from aiohttp import helpers, web
 from geraniumweir.gateway import (
     codec,
     outcomes,
@@ -104,9 +105,17 @@
             return
         await resp.prepare(self._req)
         self.buffer.watch()
+        if self._has_large_body(resp):
+            await self._req.writer.write(_take_body(resp), drain=False)
         await resp.write_eof()
         await self.buffer.deliver()
 
+    def _has_large_body(self, resp: web.Response) -> bool:
+        size = len(resp.body) if isinstance(resp.body, bytes) else 0
+        return size > _LARGE_BYTES and not helpers.must_be_empty_body(
+            self._req.method, resp.status
+        )
+
     def break_off(self) -> web.StreamResponse:
         """Let the connection close after the events that the caller gets.
 
@@ -126,7 +135,20 @@
             self._buffer.close()
 
 
+def _take_body(resp: web.Response) -> bytes:
+    """Remove and return the body of a response.
+
+    The library would keep it until the caller has read all of it, beside the
+    copy in the buffer of the transport.
+    """
+    body = typing.cast(bytes, resp.body)
+    resp.body = None
+    return body
+
+
 _BAD_GATEWAY = 502
+# A smaller body is sent in one piece with its head.
+_LARGE_BYTES = 65536
 
 
 def now() -> float:
