Entry hosts: whole answers wait for room in memory

Cause: answers that are sent whole were counted as held and never waited, as one that is partly read could wait for others that do the same; their number had no bound. Class: an account that counts and bounds nothing. Change: such an answer waits at its first bytes until there is room for all of it, with an eighth of its size left for smaller ones, so that none waits partly read; without a length it waits as it grows, up to 2 MiB. An attempt that fails gives its room back.

--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -260,13 +260,23 @@
     async def _read_body(self, answer: calls.Answer) -> bytes:
         """Read a response that is sent only when it is complete.
 
-        It is counted as held but never waits for room: its caller can take
-        nothing of it until it is complete.
+        It waits for room, while few other responses are held at the latest.
         """
-        chunks = []
-        async for chunk in bodies.bounded(answer):
-            chunks.append(chunk)
-            self.response_writer.buffer.count_read(len(chunk))
+        buffer = self.response_writer.buffer
+        chunks: list[bytes] = []
+        reserved = 0
+        size = 0
+        try:
+            async for chunk in bodies.bounded(answer):
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > reserved:
+                    wanted = max(answer.length or 0, size) - reserved
+                    await buffer.reserve(wanted)
+                    reserved += wanted
+        except BaseException:
+            buffer.count_read(-reserved)
+            raise
         return b''.join(chunks)
 
     def _record_first(self, started: float) -> None:
--- a/libs/gateway/geraniumweir/gateway/held_bytes.py
+++ b/libs/gateway/geraniumweir/gateway/held_bytes.py
@@ -119,6 +119,17 @@
         own = self._response_bound - held.size
         return max(min(own, self._shared_room(held)), 0)
 
+    def fits_whole(self, held: HeldResponse, size: int) -> bool:
+        """Return whether so many more bytes of a response may be held at once.
+
+        Of a response that is sent only when it is whole. An eighth of its size
+        stays free for smaller ones.
+        """
+        if held.size + size <= RESERVED:
+            return True
+        free = self._bound - self._charged + max(RESERVED - held.size, 0)
+        return _FREE_FACTOR * (free - size) >= size
+
     def limiting_bound(self, held: HeldResponse) -> Bound:
         """Return the bound that limits the room of a response."""
         own = self._response_bound - held.size
--- a/libs/gateway/geraniumweir/gateway/response_buffer.py
+++ b/libs/gateway/geraniumweir/gateway/response_buffer.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import fcntl
+import functools
 import struct
 import termios
 import typing
@@ -151,7 +152,7 @@
         self._transport = req.transport
         self._record = record
         self._paused = False
-        self._wanted = 0
+        self._has_room: typing.Callable[[], bool] = _always
         self._waiter: asyncio.Future[None] | None = None
 
     async def write(self, content: bytes) -> None:
@@ -165,13 +166,31 @@
             if self._fits(wanted):
                 await self._send(rest)
                 return
-            await self._wait_for_room(min(wanted, held_bytes.RESERVED))
+            least = min(wanted, held_bytes.RESERVED)
+            await self._wait_for_room(functools.partial(self._has, least))
             rest = await self._write_piece(rest)
 
     def watch(self) -> None:
         """Check whether the caller stalls, before its bytes are written."""
         self._buffers.add_holding(self)
 
+    async def reserve(self, size: int) -> None:
+        """Wait for room for bytes of a response that is sent when it is whole.
+
+        Its caller can take nothing before, so that a response that is partly
+        read would wait for others that do the same. The room is therefore for
+        the whole response wherever its length is known.
+
+        :raises ConnectionError: if the caller closed its connection.
+        """
+        while not self._buffers.accounts.fits_whole(self.held, size):
+            await self._wait_for_room(
+                functools.partial(
+                    self._buffers.accounts.fits_whole, self.held, size
+                )
+            )
+        self.count_read(size)
+
     def count_read(self, size: int) -> None:
         """Count bytes of a response that is read whole before it is sent."""
         self._buffers.accounts.resize(self.held, self.held.size + size)
@@ -259,11 +278,11 @@
         if self.measure():
             self._buffers.add_holding(self)
 
-    async def _wait_for_room(self, wanted: int) -> None:
-        self._wanted = wanted
+    async def _wait_for_room(self, has_room: typing.Callable[[], bool]) -> None:
+        self._has_room = has_room
         if self._is_closing():
             raise ConnectionResetError('the caller closed its connection')
-        if self._has_room():
+        if has_room():
             return
         self._record_pause()
         self._waiter = asyncio.get_running_loop().create_future()
@@ -274,8 +293,8 @@
             self._buffers.remove_waiting(self)
             self._waiter = None
 
-    def _has_room(self) -> bool:
-        return self._buffers.accounts.room(self.held) >= self._wanted
+    def _has(self, room: int) -> bool:
+        return self._buffers.accounts.room(self.held) >= room
 
     def _is_closing(self) -> bool:
         return self._transport is None or self._transport.is_closing()
@@ -307,6 +326,10 @@
     return buffers
 
 
+def _always() -> bool:
+    return True
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
--- a/libs/gateway/geraniumweir/gateway/tests/test_large_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_large_answers.py
@@ -13,6 +13,7 @@
 _READERS = 12
 _SEND_BUFFER = 65536
 _SETTLE_SECONDS = 0.5
+_SOON_SECONDS = 5
 _OVERHEAD_BYTES = 4 * 1024 * 1024
 
 
@@ -47,3 +48,36 @@
             assert kept < accounts.total + _OVERHEAD_BYTES
 
     asyncio.run(scenario())
+
+
+def test_large_answers_wait_for_room_and_small_ones_do_not() -> None:
+    """Whole answers were held without a bound."""
+
+    async def scenario() -> None:
+        large = testbed.Server(testbed.answers(_BODY))
+        bound = 4 * len(_BODY)
+        accounts = held_bytes.HeldBytes(bound)
+        async with testbed.running(
+            large, accounts=accounts, send_buffer=_SEND_BUFFER, timeout=60
+        ) as bed:
+            with contextlib.ExitStack() as stack:
+                for _ in range(_READERS):
+                    stack.enter_context(_reader(bed.url))
+                await asyncio.sleep(_SETTLE_SECONDS)
+                assert len(_BODY) < accounts.total < bound
+                large.behavior = testbed.answers(b'y')
+                async with asyncio.timeout(_SOON_SECONDS):
+                    assert await _read(bed) == b'y'
+                large.behavior = testbed.answers(_BODY)
+                waiting = asyncio.create_task(_read(bed))
+                await asyncio.sleep(_SETTLE_SECONDS)
+                assert not waiting.done()
+            async with asyncio.timeout(_SOON_SECONDS):
+                assert await waiting == _BODY
+
+    asyncio.run(scenario())
+
+
+async def _read(bed: testbed.Testbed) -> bytes:
+    async with bed.client.get(bed.url, headers={'Id': 'quick'}) as resp:
+        return await resp.read()
