Entry hosts: withhold slot requests that a coordinator has no time for

Class: work that is refused where it is dear, not where it is cheap. Change: scheduling.throttle has each entry host compare its requests of the last 2 s with those denied for lack of time, and deny the excess itself, by tier. Such denials have a reason of their own, leader_busy.

--- a/libs/daemon/geraniumweir/daemon/refusals.py
+++ b/libs/daemon/geraniumweir/daemon/refusals.py
@@ -21,6 +21,14 @@
             catalogue.SHED,
             'no capacity for this tier',
         ),
+        requests.DenialReason.leader_busy: (
+            catalogue.SHED,
+            "the pool's leader has no time to decide on this",
+        ),
+        requests.DenialReason.host_stopping: (
+            catalogue.SHED,
+            'this host stops before it could be served',
+        ),
         requests.DenialReason.too_late: (
             catalogue.TOO_LATE,
             'no backend server can serve this before its deadline',
--- a/libs/gateway/geraniumweir/gateway/refusals.py
+++ b/libs/gateway/geraniumweir/gateway/refusals.py
@@ -37,6 +37,9 @@
         requests.DenialReason.not_leader: 'nobody coordinates just now',
         requests.DenialReason.withdrawn: 'it was withdrawn',
         requests.DenialReason.no_answer: 'no coordinator answered in time',
+        requests.DenialReason.leader_busy: (
+            'the coordinator has no time to decide on it'
+        ),
         requests.DenialReason.host_stopping: 'this host stops',
     }
 )
--- a/libs/scheduling/geraniumweir/scheduling/broker.py
+++ b/libs/scheduling/geraniumweir/scheduling/broker.py
@@ -18,6 +18,7 @@
 import asyncio
 import dataclasses
 import math
+import random
 import typing
 
 from geraniumweir.common import ids, timers
@@ -29,6 +30,7 @@
     requesting,
     requests,
     spill,
+    throttle,
     translation,
     upkeep,
     views,
@@ -100,6 +102,9 @@
             clock,
         )
         self._is_leader_due = is_leader_due
+        self._throttle = throttle.Throttle(
+            clock.now, random.Random(link.host_id)
+        )
         self._withdrawn: set[ids.RequestId] = set()
         link.handle(ttypes.Preempt, self._on_preempt)
 
@@ -179,6 +184,9 @@
     async def _request_at_home(
         self, slot_request: requests.SlotRequest
     ) -> _HomeAnswer:
+        withheld = self._throttle.denial(slot_request)
+        if withheld is not None:
+            return _HomeAnswer(slot_request, withheld)
         now = self._clock.now()
         wait = ask_limits.begin(slot_request, now)
         give_up_at = now + _HOME_TIMEOUT_SECONDS
@@ -190,6 +198,7 @@
             slot_request = place.slot_request
             answer = place.fut.result()
             if answer is not None and not _is_not_leader(answer):
+                self._throttle.record_answer(slot_request.tier, answer)
                 if not self._may_be_granted_soon(place, answer):
                     return _HomeAnswer(slot_request, answer)
             self._home.reject(slot_request.pool, place.host, place.hint)
--- a/libs/scheduling/geraniumweir/scheduling/remote.py
+++ b/libs/scheduling/geraniumweir/scheduling/remote.py
@@ -23,6 +23,7 @@
     requests,
     stream_origins,
     takeover,
+    throttle,
     translation,
     turns,
     views,
@@ -32,11 +33,6 @@
 _QUICK_ANSWER_SECONDS = 0.005
 _OWNER_SILENCE_SECONDS = 4.0
 _CHECK_PERIOD_SECONDS = 1.0
-# Callers that are refused as this thread is full return at different times, and
-# when some of the load has passed.
-_BUSY_RETRY_SECONDS = (0.5, 1.0)
-_MAX_RETRY_FRACTION = 1 / 3
-_MS = 1000
 
 OnPreempt = typing.Callable[[requests.Preempt], None]
 OnStreamBegin = typing.Callable[[stream_origins.StreamBegin], typing.Any]
@@ -293,10 +289,7 @@
 
 def _busy_reply(message: ttypes.Ask, rng: random.Random) -> ttypes.AskReply:
     """Return the denial of a slot request that this host has no time for."""
-    seconds = min(
-        rng.uniform(*_BUSY_RETRY_SECONDS),
-        message.time_left * _MAX_RETRY_FRACTION,
+    denial = throttle.busy(
+        ids.RequestId(message.request_id), message.time_left, rng
     )
-    reason = requests.DenialReason.shed
-    denial = ttypes.Denial(reason.value, int(max(seconds, 0) * _MS))
-    return ttypes.AskReply(denial=denial)
+    return ttypes.AskReply(denial=translation.pack_denial(denial))
--- a/libs/scheduling/geraniumweir/scheduling/requests.py
+++ b/libs/scheduling/geraniumweir/scheduling/requests.py
@@ -113,6 +113,7 @@
     :cvar version_gone: no server of the version that began the stream may get
         requests.
     :cvar no_answer: no leader answered in time; made by the owner itself.
+    :cvar leader_busy: the leader's host has no time to decide on it.
     :cvar host_stopping: the owner stops before the request could complete;
         made by the owner itself.
     """
@@ -130,6 +131,7 @@
     withdrawn = 'withdrawn'
     no_answer = 'no_answer'
     host_stopping = 'host_stopping'
+    leader_busy = 'leader_busy'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/scheduling/geraniumweir/scheduling/spill.py
+++ b/libs/scheduling/geraniumweir/scheduling/spill.py
@@ -19,6 +19,7 @@
         requests.DenialReason.no_server,
         requests.DenialReason.not_leader,
         requests.DenialReason.no_answer,
+        requests.DenialReason.leader_busy,
     ),
 )
 
