Entry hosts: a denied resumable stream is refused, not failed

Cause: since each decision on a slot request was recorded as a grant for the content of a resumable stream; of a denial that raised AttributeError, which the server of callers turns into 502. Class: one of two kinds of answer is handled as the other; nothing checks types, and the testbed of the gateway had no streams of engines, so that the line was never reached by a denial. Change: only grants are recorded. The testbed's pool has engines.

--- a/libs/gateway/geraniumweir/gateway/begun_streams.py
+++ b/libs/gateway/geraniumweir/gateway/begun_streams.py
@@ -31,12 +31,15 @@
     arrived: float
     begin: stream_origins.StreamBegin | None = None
 
-    def record_grant(
-        self, slot_request: requests.SlotRequest, grant: requests.Grant
+    def record_decision(
+        self,
+        slot_request: requests.SlotRequest,
+        decision: requests.Grant | requests.Denial,
     ) -> None:
-        """Record the version at which its request may begin."""
-        if slot_request.streams and self.admitted.route.resumable:
-            self.directory.record_grant(slot_request, grant)
+        """Record the version at which its request may begin, if granted."""
+        resumable = slot_request.streams and self.admitted.route.resumable
+        if resumable and isinstance(decision, requests.Grant):
+            self.directory.record_grant(slot_request, decision)
 
     def record_first_event(self, grant: requests.Grant) -> None:
         """Record the server whose event is the first to be forwarded.
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -135,7 +135,7 @@
                     decision
                 ) or self._shared.check.unusable_reason(decision)
             if cause is None:
-                self._begun.record_grant(slot_request, decision)
+                self._begun.record_decision(slot_request, decision)
                 if slot_request.sending is requests.Sending.retry:
                     self._record_retry(decision)
                 return decision
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -61,7 +61,9 @@
             path=req.path,
             key=req.headers.get('Key', ''),
             patience=float(patience) if patience else None,
-            generation=None,
+            generation=(
+                codec.Generation() if 'Generates' in req.headers else None
+            ),
             last_event=int(last) if last else None,
             headers=head,
             resumes=req.headers.get('Resumes', ''),
@@ -392,7 +394,7 @@
     return tables.Document(
         ids.Version(1),
         (dataclasses.replace(route, **changes),),
-        (tables.Pool(POOL, '/health', 10),),
+        (tables.Pool(POOL, '/health', 10, tables.Engine(8, 0, 1, ())),),
     )
 
 
