Entry hosts: only a host that stops refuses as stopping

Cause: read in the code of the drain: a time limit that fires within the clock's resolution before it is due, or a TimeoutError of a scheduler, would have been taken for the end of a drain. Change: both are checked against whether the host has begun to stop.

--- a/libs/gateway/geraniumweir/gateway/draining.py
+++ b/libs/gateway/geraniumweir/gateway/draining.py
@@ -38,6 +38,11 @@
         self._end = math.inf
         self._open: dict[asyncio.Timeout, tables.Route | None] = {}
 
+    @property
+    def begun(self) -> bool:
+        """Whether the host has begun to stop."""
+        return self._end < math.inf
+
     def begin(self, end: float) -> None:
         """Limit all requests from now on.
 
@@ -57,10 +62,13 @@
 
         :param ask: waits for the grant or a denial.
         """
-        with contextlib.suppress(TimeoutError):
+        try:
             if asyncio.get_running_loop().time() < self._latest_start(route):
                 async with self.limit(None, route):
                     return await ask()
+        except TimeoutError:
+            if not self.begun:
+                raise
         return requests.Denial(
             slot_request.request_id, requests.DenialReason.host_stopping
         )
@@ -88,12 +96,12 @@
         self, timeout: asyncio.Timeout, route: tables.Route | None
     ) -> None:
         end = self._latest_start(route)
-        if end < math.inf and not timeout.expired():
+        if self.begun and not timeout.expired():
             timeout.reschedule(min(end, timeout.when() or end))
 
     def _latest_start(self, route: tables.Route | None) -> float:
         """Return until when a request may be sent to a server."""
-        if route is None or self._end == math.inf:
+        if route is None or not self.begun:
             return self._end
         may_repeat = route.repeatable or route.resumable
         share = _REPEATABLE_SHARE if may_repeat else _ONCE_SHARE
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -83,7 +83,10 @@
 
     def _handle_timeout(self) -> web.StreamResponse:
         """Return the response at the deadline, or at the end of a drain."""
-        stopping = response_writer.now() < self._admitted.deadline
+        stopping = (
+            self._shared.drain.begun
+            and response_writer.now() < self._admitted.deadline
+        )
         if self._stream.head_sent:
             if not self._writer.aborted:
                 self._abort_stream(
