--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -260,7 +260,7 @@
     async def _read_body(self, answer: calls.Answer) -> bytes:
         """Read a response that is sent only when it is complete.
 
-        It waits for room, while few other responses are held at the latest.
+        Its bytes count as held, and it waits until there is room for them.
         """
         buffer = self.response_writer.buffer
         chunks: list[bytes] = []
