Log: a proposal whose leader stepped down is not reported as in time

Change: it reports 'no answer' for these and for those that timed out. Measured: three test files of consensus pass; no test reads the outcome.

--- a/libs/consensus/geraniumweir/consensus/leading.py
+++ b/libs/consensus/geraniumweir/consensus/leading.py
@@ -121,7 +121,8 @@
     now = this.timers.now()
     if now - times.appended_at < _SLOW_SECONDS:
         return
-    in_time = answer.done() and not answer.cancelled()
+    answered = answer.done() and not answer.cancelled()
+    in_time = answered and answer.exception() is None
     this.env.report(
         logevents.PROPOSAL_SLOW,
         index=index,
@@ -129,7 +130,7 @@
         ms=times.since_append(now),
         synced_ms=times.since_append(times.synced_at),
         committed_ms=times.since_append(times.committed_at),
-        outcome='in time' if in_time else 'timed out',
+        outcome='in time' if in_time else 'no answer',
     )
 
 
