Coordinator: one place answers that another host leads

Cause: the check before a turn and the one after it wrote the same denial twice. Change: one check behind both; the behaviour stays.

--- a/libs/scheduling/geraniumweir/scheduling/remote.py
+++ b/libs/scheduling/geraniumweir/scheduling/remote.py
@@ -134,24 +134,20 @@
         _sender: ids.HostId,
         message: ttypes.Ask,
     ) -> ttypes.AskReply:
-        found = self._led(message.pool)
-        if found is None:
-            return _denial_reply(
-                requests.DenialReason.not_leader,
-                self._leader_of(message.pool),
-            )
         now = self._clock.now()
         request_id = ids.RequestId(message.request_id)
-        if request_id not in found.entries:
+        found = self._led(message.pool)
+        if found is not None and request_id not in found.entries:
             tier = ids.Tier(message.tier)
             if not await self._turns.wait(request_id, tier):
                 return _busy_reply(message, self._rng)
+            # Another host may lead by now.
             found = self._led(message.pool)
-            if found is None:
-                return _denial_reply(
-                    requests.DenialReason.not_leader,
-                    self._leader_of(message.pool),
-                )
+        if found is None:
+            return _denial_reply(
+                requests.DenialReason.not_leader,
+                self._leader_of(message.pool),
+            )
         slot_request = translation.unpack_ask(message, now)
         entry = found.join(slot_request, message.attempt)
         if entry is None:
