Entry hosts: log what shows the end of each answer

Cause: the logs couldn't tell an answer that ended with its connection from one with a length or chunks, nor how far a stream had come. Change: events of requests have framings, one for each sending, and last_event.

--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -130,6 +130,7 @@
     """The head of a server's answer, with its body to come.
 
     :ivar connection: that it came on, with the number of the request there.
+    :ivar framing: what shows where its body ends.
 
     Used as an asynchronous context manager; when the block ends before the
     body did, the connection is closed.
@@ -144,6 +145,7 @@
         self.connection = _exchange_of(resp)
         self.status = resp.status
         self.headers = resp.headers
+        self.framing = resp.framing
         self._lost = None if self.ends_visibly else _loss_of(resp)
 
     async def __aenter__(self) -> 'Answer':
--- a/libs/backends/geraniumweir/backends/held_responses.py
+++ b/libs/backends/geraniumweir/backends/held_responses.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 import typing
 
 import aiohttp
@@ -28,6 +29,19 @@
     read_id: typing.Callable[[typing.Mapping[str, str]], str]
 
 
+class Framing(enum.Enum):
+    """What shows where the body of an answer ends.
+
+    :cvar length: its length, or that it has no body.
+    :cvar chunks: its last chunk.
+    :cvar connection: the end of the connection only.
+    """
+
+    length = 'length'
+    chunks = 'chunks'
+    connection = 'connection'
+
+
 class HeldResponse(aiohttp.ClientResponse):
     """A response that keeps its connection until it is judged.
 
@@ -36,13 +50,20 @@
     """
 
     @property
-    def ends_visibly(self) -> bool:
-        """Whether the end of the body can be told from a lost connection."""
+    def framing(self) -> Framing:
+        """What shows where the body ends."""
         if 'Content-Length' in self.headers:
-            return True
+            return Framing.length
         if self.headers.get('Transfer-Encoding', '').lower() == 'chunked':
-            return True
-        return self.method == 'HEAD' or self.status in {204, 304}
+            return Framing.chunks
+        if self.method == 'HEAD' or self.status in {204, 304}:
+            return Framing.length
+        return Framing.connection
+
+    @property
+    def ends_visibly(self) -> bool:
+        """Whether the end of the body can be told from a lost connection."""
+        return self.framing is not Framing.connection
 
     async def skip_extra(self, expected: Expected) -> None:
         """Go on to the answer behind those to earlier requests.
--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -117,6 +117,11 @@
         """Connection that the answer came on, empty without an answer."""
         return '' if self._answer is None else self._answer.connection
 
+    @property
+    def framing(self) -> str:
+        """What shows the end of the answer, empty without an answer."""
+        return '' if self._answer is None else self._answer.framing.value
+
     async def run(self) -> outcomes.Outcome:
         """Return the outcome of sending the request.
 
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -315,7 +315,9 @@
             self._shared.running.remove(running)
             # After a timeout the request was still at a server.
             self._state.sent = release_outcome is requests.Outcome.cancelled
-            self._record.connections.append(attempt.connection)
+            self._record.end_sending(
+                attempt.connection, attempt.framing, self._stream.splitter.last
+            )
             self._release(
                 grant, attempt, release_outcome, response_writer.now() - started
             )
--- a/libs/gateway/geraniumweir/gateway/request_record.py
+++ b/libs/gateway/geraniumweir/gateway/request_record.py
@@ -26,6 +26,8 @@
     :ivar software: software versions of these servers.
     :ivar connections: those that their answers came on, in order; empty for a
         sending without an answer.
+    :ivar framings: what shows the ends of these answers, in the same order.
+    :ivar last_event: number of the last event that was sent to the caller.
     :ivar resumes: attempt that began the stream that it takes up, or empty.
     :ivar began: software version that began that stream, empty if unknown.
     """
@@ -49,9 +51,19 @@
     servers: list[str] = dataclasses.field(default_factory=list)
     software: list[str] = dataclasses.field(default_factory=list)
     connections: list[str] = dataclasses.field(default_factory=list)
+    framings: list[str] = dataclasses.field(default_factory=list)
+    last_event: int | None = None
     resumes: str = ''
     began: str = ''
 
+    def end_sending(
+        self, connection: str, framing: str, last_event: int | None
+    ) -> None:
+        """Record the end of a sending; without an answer texts are empty."""
+        self.connections.append(connection)
+        self.framings.append(framing)
+        self.last_event = last_event
+
     def log(
         self,
         event: logevents.Event,
@@ -86,6 +98,8 @@
             servers=self.servers,
             software=self.software,
             connections=self.connections,
+            framings=self.framings,
+            last_event=self.last_event,
             resumes=self.resumes,
             began=self.began,
         )
