Backends: the end of a server is not the end of its answer

What callers saw: streams that ended as complete before their last event, and parts of plain answers that were sent with a length, as whole ones.

Cause: an answer with neither a length nor chunks ends with its connection. The kernel of a process that is killed closes its connections, too; only a reset counted as a lost one.

Change: behind such an answer a connection to its server is made, before the answer counts as whole. Where it is refused, or is closed at once three times, the answer broke off: a resumable stream goes on at the next server, a repeatable request runs again, and any other caller's response breaks off. A relay does the same.

Why this works: a killed process's kernel closes its listener with its connections, so that nothing accepts and keeps one afterwards.

--- a/libs/backends/geraniumweir/backends/__init__.py
+++ b/libs/backends/geraniumweir/backends/__init__.py
@@ -4,5 +4,5 @@
 ========
 geraniumweir.backends.calls, geraniumweir.backends.streams,
 geraniumweir.backends.bodies, geraniumweir.backends.identity,
-geraniumweir.backends.prompts
+geraniumweir.backends.prompts, geraniumweir.backends.sockets
 """
--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -13,38 +13,24 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 import types
 import typing
 
 import aiohttp
 import multidict
 import yarl
-from geraniumweir.backends import answer_limits, errors, held_responses
+from geraniumweir.backends import (
+    answer_limits,
+    errors,
+    held_responses,
+    sockets,
+)
 from geraniumweir.common import ids
 
 # A connection to a server that is there takes a few milliseconds, in seconds.
 _CONNECT_SECONDS = 1.0
 # Shorter than the usual 5 s after which servers close idle connections.
 _IDLE_SECONDS = 4.0
-# A connection on which nothing is acknowledged for so long is lost, in seconds.
-# Sound servers may be silent for a second or somewhat longer. With the probes
-# below, one on which nothing is on its way is lost after two seconds.
-_SILENT_SECONDS = 1.5
-# While nothing is on its way, the server is asked for a sign of life after so
-# many seconds, and then as often; the kernel counts whole ones.
-_PROBE_SECONDS = 1
-_MS = 1000
-_SIGNS_OF_LIFE = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_SECONDS),
-    (
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        int(_SILENT_SECONDS * _MS),
-    ),
-)
 # Bytes read of an answer before its reader takes them.
 _READ_AHEAD = 16384
 # The size of a head is bounded, whatever their number.
@@ -85,7 +71,7 @@
     connector = aiohttp.TCPConnector(
         limit=0,
         keepalive_timeout=idle_seconds,
-        socket_factory=_make_socket,
+        socket_factory=sockets.make_socket,
     )
     answer_limits.apply(connector)
     session = aiohttp.ClientSession(
@@ -107,25 +93,6 @@
     return session
 
 
-def _make_socket(
-    info: tuple[typing.Any, ...],
-) -> socket.socket:
-    """Make a socket whose connection ends where the other side is cut off.
-
-    :param info: as the resolver gives it: family, type, protocol and more.
-    """
-    family, kind, protocol = info[:3]
-    made = socket.socket(family=family, type=kind, proto=protocol)
-    try:
-        for level, option, number in _SIGNS_OF_LIFE:
-            made.setsockopt(level, option, number)
-    except OSError:
-        made.close()
-        raise
-    made.setblocking(False)
-    return made
-
-
 class Answer:
     """The head of a server's answer, with its body to come.
 
@@ -136,12 +103,16 @@
     body did, the connection is closed.
     """
 
-    def __init__(self, resp: held_responses.HeldResponse) -> None:
+    def __init__(
+        self, resp: held_responses.HeldResponse, address: ids.Address
+    ) -> None:
         """Take over a response.
 
         :param resp: whose head has come.
+        :param address: of its server.
         """
         self._resp = resp
+        self._address = address
         self.connection = _exchange_of(resp)
         self.status = resp.status
         self.headers = resp.headers
@@ -203,9 +174,12 @@
             raise errors.CutShortError(f'the answer broke off: {exc}') from exc
 
     async def _check_end(self) -> None:
-        """Make sure that a body without a length wasn't cut by a reset.
+        """Make sure that the server ended a body without a length.
 
-        The library takes any end of the connection for the body's end.
+        The library takes any end of the connection for the body's end. The
+        kernel of a process that is killed closes its connections as the
+        process does at the end of an answer, so that only a server that still
+        accepts connections can have ended it.
 
         :raises errors.CutShortError: when it can't be told.
         :raises aiohttp.ClientError: when the connection was reset.
@@ -213,6 +187,10 @@
         if self._lost is None:
             raise errors.CutShortError("the answer's end could not be told")
         await self._lost
+        if not await sockets.accepts_connections(self._address):
+            raise errors.CutShortError(
+                f'{self._address} ended at the end of the connection'
+            )
 
 
 def _exchange_of(resp: aiohttp.ClientResponse) -> str:
@@ -267,7 +245,7 @@
     held = typing.cast(held_responses.HeldResponse, resp)
     if call.expected is not None:
         await _skip_extra(held, call.expected)
-    return Answer(held)
+    return Answer(held, address)
 
 
 def _text_of(exc: Exception) -> str:
@@ -294,27 +272,6 @@
         stack.pop_all()
 
 
-async def probe(address: ids.Address, seconds: float) -> bool:
-    """Return whether a new connection to a server can be made.
-
-    Nothing is sent on it.
-
-    :param seconds: longest time to make it.
-    """
-    made = _make_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
-    try:
-        async with asyncio.timeout(seconds):
-            await asyncio.get_running_loop().sock_connect(
-                made, (address.host, address.port)
-            )
-    except OSError:
-        # This includes TimeoutError.
-        return False
-    finally:
-        made.close()
-    return True
-
-
 async def cancel(
     session: aiohttp.ClientSession,
     address: ids.Address,
--- a/libs/backends/geraniumweir/backends/tests/test_unframed.py
+++ b/libs/backends/geraniumweir/backends/tests/test_unframed.py
@@ -1,6 +1,8 @@
-"""Bodies without a length: a clean end is their end, a reset isn't."""
+"""Bodies without a length end with a connection that their server closes."""
 
 import asyncio
+import contextlib
+import enum
 import socket
 import struct
 
@@ -12,18 +14,44 @@
 _RESET = struct.pack('ii', 1, 0)
 
 
-async def _read(reset: bool) -> bytes:
+class _End(enum.Enum):
+    """What a server does after the last byte."""
+
+    closes = 'closes'
+    resets = 'resets'
+    is_killed = 'is killed'
+    is_killed_slowly = 'is killed, and its listener is closed last'
+    is_full = 'closes, and resets the next connections'
+    is_stopped = 'closes, and closes all further connections'
+
+
+_KILLS = (_End.is_killed, _End.is_killed_slowly)
+
+
+async def _read(end: _End) -> bytes:
+    accepted = 0
+    served: list[asyncio.Task[None] | None] = []
+
     async def serve(
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        nonlocal accepted
+        served.append(asyncio.current_task())
+        accepted += 1
+        if accepted > 1:
+            await _take_another(end, accepted, reader, writer)
+            return
         await reader.readuntil(b'\r\n\r\n')
         writer.write(b'HTTP/1.1 200 OK\r\n\r\nhello')
         await writer.drain()
         await asyncio.sleep(0.05)
-        if reset:
-            sock = writer.get_extra_info('socket')
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        if end is _End.resets:
+            _reset(writer)
+        if end is _End.is_killed:
+            server.close()
+        if end is _End.is_killed_slowly:
+            asyncio.get_running_loop().call_later(0.003, server.close)
         writer.close()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
@@ -32,17 +60,45 @@
     async with calls.make_session() as session:
         address = ids.Address('127.0.0.1', port)
         async with await calls.send(session, address, call) as answer:
-            chunks = [chunk async for chunk in answer.chunks()]
-    server.close()
+            with contextlib.closing(server):
+                chunks = [chunk async for chunk in answer.chunks()]
+    await asyncio.gather(*filter(None, served), return_exceptions=True)
     return b''.join(chunks)
 
 
-def test_clean_end_is_the_end_of_the_body() -> None:
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+
+
+async def _take_another(
+    end: _End,
+    number: int,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Take a connection after the first one."""
+    if end is _End.is_full and number == 2:
+        _reset(writer)
+    elif end not in {_End.is_stopped, *_KILLS}:
+        await reader.read()
+    writer.close()
+
+
+@pytest.mark.parametrize('end', [_End.closes, _End.is_full])
+def test_clean_end_is_the_end_of_the_body(end: _End) -> None:
     """As HTTP/1.1 says."""
-    assert asyncio.run(_read(reset=False)) == b'hello'
+    assert asyncio.run(_read(end)) == b'hello'
+
+
+@pytest.mark.parametrize('end', [*_KILLS, _End.is_stopped])
+def test_body_that_ends_with_its_server_is_not_whole(end: _End) -> None:
+    """The kernel closes the connections of a process that is killed."""
+    with pytest.raises(errors.CutShortError):
+        asyncio.run(_read(end))
 
 
 def test_reset_cuts_the_body_short() -> None:
     """A caller must not take a part for the whole."""
     with pytest.raises(errors.CutShortError):
-        asyncio.run(_read(reset=True))
+        asyncio.run(_read(_End.resets))
--- a/libs/gateway/geraniumweir/gateway/host.py
+++ b/libs/gateway/geraniumweir/gateway/host.py
@@ -8,7 +8,7 @@
 import typing
 
 import aiohttp
-from geraniumweir.backends import calls
+from geraniumweir.backends import calls, sockets
 from geraniumweir.common import eventlog, ids, starting, timers
 from geraniumweir.control import (
     coordinator_client,
@@ -135,7 +135,7 @@
         )
         self._paths = server_paths.ServerPaths(
             self._clock,
-            calls.probe,
+            sockets.probe,
             lambda: [one.address for one in self.watcher.servers.known()],
         )
         self._relay_server: relay_server.RelayServer | None = None
--- a/libs/gateway/geraniumweir/gateway/tests/test_relaying.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_relaying.py
@@ -7,7 +7,7 @@
 import aiohttp
 import multidict
 import pytest
-from geraniumweir.backends import calls
+from geraniumweir.backends import calls, sockets
 from geraniumweir.common import ids, timers
 from geraniumweir.control import enrolments
 from geraniumweir.gateway import (
@@ -47,7 +47,7 @@
                 running.shared.codec,
                 by_id.get,
                 server_paths.ServerPaths(
-                    timers.TimerService(), calls.probe, list
+                    timers.TimerService(), sockets.probe, list
                 ),
                 running.shared.check,
                 running.shared.server_notices,
--- a/libs/gateway/geraniumweir/gateway/tests/test_silence.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_silence.py
@@ -6,7 +6,7 @@
 
 import multidict
 import pytest
-from geraniumweir.backends import calls
+from geraniumweir.backends import sockets
 from geraniumweir.common import ids
 from geraniumweir.gateway.tests import testbed
 from geraniumweir.routing import tables
@@ -72,7 +72,7 @@
     """By the kernel's rules, with a request on its way or without one."""
     options = {
         (level, option): number
-        for level, option, number in calls._SIGNS_OF_LIFE  # noqa: SLF001
+        for level, option, number in sockets.SIGNS_OF_LIFE
     }
     tcp = socket.IPPROTO_TCP
     lost_after = options[tcp, socket.TCP_USER_TIMEOUT] / 1000
--- /dev/null
+++ b/libs/gateway/geraniumweir/gateway/tests/test_unframed.py
@@ -0,0 +1,172 @@
+"""Answers that end with their connection, beside servers that are killed."""
+
+import asyncio
+import contextlib
+import dataclasses
+import typing
+
+import aiohttp
+import multidict
+import pytest
+from geraniumweir.gateway.tests import test_relaying, testbed
+from geraniumweir.routing import tables
+
+_ONCE: dict[str, typing.Any] = {'kind': tables.Kind.once, 'attempts': 1}
+_STREAM: dict[str, typing.Any] = {'kind': tables.Kind.stream, 'attempts': 1}
+_RESUMABLE: dict[str, typing.Any] = {
+    'kind': tables.Kind.stream,
+    'resumable': True,
+    'attempts': 2,
+}
+_EVENTS = 3
+_WHOLE = b''.join(map(testbed.event, range(1, _EVENTS + 1)))
+_HEAD = 'HTTP/1.1 200 OK\r\nId: {0}\r\nSigned: yes\r\n{1}\r\n'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Got:
+    """What a caller got.
+
+    :ivar whole: whether the response ended as complete.
+    """
+
+    status: int
+    body: bytes
+    whole: bool
+
+
+def _stream(last: int, *, killed: bool) -> testbed.Behavior:
+    """Return a behavior that sends the events up to a number.
+
+    :param killed: whether its server is killed behind them.
+    """
+
+    async def behavior(
+        server: testbed.Server,
+        asked_id: str,
+        head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        first = int(head.get('Last-Event-Id', '0')) + 1
+        kind = 'Content-Type: text/event-stream\r\n'
+        writer.write(_HEAD.format(asked_id, kind).encode())
+        for number in range(first, last + 1):
+            writer.write(testbed.event(number))
+        await writer.drain()
+        _end(server, writer, killed=killed)
+
+    return behavior
+
+
+def _plain(body: bytes, *, killed: bool) -> testbed.Behavior:
+    async def behavior(
+        server: testbed.Server,
+        asked_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(_HEAD.format(asked_id, '').encode() + body)
+        await writer.drain()
+        _end(server, writer, killed=killed)
+
+    return behavior
+
+
+def _end(
+    server: testbed.Server, writer: asyncio.StreamWriter, *, killed: bool
+) -> None:
+    if killed:
+        server.kill(writer)
+    else:
+        writer.close()
+
+
+def _get(
+    *behaviors: testbed.Behavior,
+    relayed: bool = False,
+    **route: typing.Any,
+) -> _Got:
+    """Return what a caller gets of servers that are granted in turn."""
+
+    async def work() -> _Got:
+        servers = list(map(testbed.Server, behaviors))
+        async with contextlib.AsyncExitStack() as stack:
+            running = await stack.enter_async_context(
+                testbed.running(*servers, **route)
+            )
+            if relayed:
+                test_relaying.cut(running)
+                await stack.enter_async_context(
+                    test_relaying.run_relay(running, servers)
+                )
+            headers = {'Id': 'r1'}
+            resp = await stack.enter_async_context(
+                running.client.get(running.url, headers=headers)
+            )
+            found: list[bytes] = []
+            whole = True
+            try:
+                async for part in resp.content.iter_any():
+                    found.append(part)
+            except aiohttp.ClientPayloadError:
+                whole = False
+            return _Got(resp.status, b''.join(found), whole)
+
+    return asyncio.run(work())
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+@pytest.mark.parametrize('last', [1, 2, _EVENTS])
+def test_stream_whose_server_is_killed_does_not_end_as_complete(
+    last: int, relayed: bool
+) -> None:
+    """Nothing tells the end of such a stream from the end of its server."""
+    got = _get(_stream(last, killed=True), relayed=relayed, **_STREAM)
+    assert (got.status, got.whole) == (200, False)
+    assert _WHOLE.startswith(got.body)
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+def test_resumable_stream_goes_on_after_its_server_was_killed(
+    relayed: bool,
+) -> None:
+    """Its caller gets the rest from the next server."""
+    got = _get(
+        _stream(2, killed=True),
+        _stream(_EVENTS, killed=False),
+        relayed=relayed,
+        **_RESUMABLE,
+    )
+    assert got == _Got(200, _WHOLE, whole=True)
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+@pytest.mark.parametrize('route', [_STREAM, _RESUMABLE])
+def test_stream_of_a_server_that_lives_is_complete(
+    route: dict[str, typing.Any], relayed: bool
+) -> None:
+    """Its end is the end of its connection."""
+    got = _get(_stream(_EVENTS, killed=False), relayed=relayed, **route)
+    assert got == _Got(200, _WHOLE, whole=True)
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+def test_plain_answer_whose_server_is_killed_is_not_whole(
+    relayed: bool,
+) -> None:
+    """A part of it was sent with a length, as a whole answer."""
+    got = _get(_plain(b'hel', killed=True), relayed=relayed, **_ONCE)
+    assert got.status == 502
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+def test_idempotent_request_runs_again_after_its_server_was_killed(
+    relayed: bool,
+) -> None:
+    """As after any answer that broke off."""
+    got = _get(
+        _plain(b'hel', killed=True),
+        _plain(b'hello', killed=False),
+        relayed=relayed,
+    )
+    assert got == _Got(200, b'hello', whole=True)
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -10,7 +10,7 @@
 import aiohttp
 import multidict
 from aiohttp import web
-from geraniumweir.backends import calls
+from geraniumweir.backends import calls, sockets
 from geraniumweir.common import errors as common_errors
 from geraniumweir.common import ids, timers
 from geraniumweir.control import enrolments, pool_servers
@@ -234,6 +234,13 @@
     disconnected: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
+    listening: asyncio.Server | None = None
+
+    def kill(self, writer: asyncio.StreamWriter) -> None:
+        """End as a process that is killed, after it wrote an answer."""
+        if self.listening is not None:
+            self.listening.close()
+        writer.close()
 
     async def serve(
         self,
@@ -284,7 +291,7 @@
 @contextlib.asynccontextmanager
 async def running(
     *servers: Server,
-    probe: server_paths.Probe = calls.probe,
+    probe: server_paths.Probe = sockets.probe,
     accounts: held_bytes.HeldBytes | None = None,
     send_buffer: int | None = None,
     **changes: typing.Any,
@@ -301,6 +308,7 @@
         for server in servers:
             listening = await asyncio.start_server(server.serve, _LOCAL, 0)
             stack.callback(listening.close)
+            server.listening = listening
             port = listening.sockets[0].getsockname()[1]
             server.address = ids.Address(_LOCAL, port)
         session = await stack.enter_async_context(calls.make_session())
