Streams: events before a wrong one in the same read are not lost

What callers saw: a resumed stream without some of its events, which ended as complete.

Cause: the splitter counted the events of a read one by one, and threw all of them away at the first that was out of sequence. The next server went on behind the last that was counted, which its caller never got.

Change: the splitter returns the events before the wrong one, counts these only, and reports the other afterwards. Class: a position that moves before what it stands for was done; no other was found in the gateway.

Why this works: the last number is that of the last event that is written.

--- a/libs/gateway/geraniumweir/gateway/events.py
+++ b/libs/gateway/geraniumweir/gateway/events.py
@@ -9,7 +9,7 @@
 
 from geraniumweir.gateway import errors
 
-_END = b'\n\n'
+_END = re.compile(rb'\n\n')
 _NUMBER = re.compile(rb'(?:^|\n)id: ?(\d+)')
 # Longer events are rejected; events of servers have a few hundred bytes.
 _MAX_EVENT_BYTES = 1024 * 1024
@@ -20,6 +20,8 @@
 
     :ivar last: number of the last event that was returned, None before it.
     :ivar count: number of events that were returned.
+    :ivar fault: why the bytes behind these events are none of the stream, empty
+        if they may be.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
@@ -35,23 +37,35 @@
         """
         self.last = last
         self.count = 0
+        self.fault = ''
         self._incomplete = b''
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that are complete with these bytes.
 
-        :raises errors.InvalidStreamError: if an event is out of sequence or
-            too long.
+        Those before one that is out of sequence are returned; :meth:`check`
+        reports that one.
         """
-        complete, end, incomplete = (self._incomplete + chunk).rpartition(_END)
-        if len(incomplete) > _MAX_EVENT_BYTES:
-            raise errors.InvalidStreamError('an event without an end')
-        self._incomplete = incomplete
-        if not end:
-            return b''
-        for event in complete.split(_END):
-            self._check_sequence(event)
-        return complete + end
+        received = self._incomplete + chunk
+        taken = 0
+        for end in _END.finditer(received):
+            self.fault = self._take(received[taken : end.start()])
+            if self.fault:
+                break
+            taken = end.end()
+        self._incomplete = received[taken:]
+        if len(self._incomplete) > _MAX_EVENT_BYTES and not self.fault:
+            self.fault = 'an event without an end'
+        return received[:taken]
+
+    def check(self) -> None:
+        """Check the bytes behind the last event that was returned.
+
+        :raises errors.InvalidStreamError: if they begin with an event that is
+            out of sequence or too long.
+        """
+        if self.fault:
+            raise errors.InvalidStreamError(self.fault)
 
     def is_complete(self) -> bool:
         """Return whether there is no incomplete event."""
@@ -60,15 +74,15 @@
     def discard_incomplete(self) -> None:
         """Discard an incomplete event: the next attempt resumes before it."""
         self._incomplete = b''
+        self.fault = ''
 
-    def _check_sequence(self, event: bytes) -> None:
-        self.count += 1
+    def _take(self, event: bytes) -> str:
+        """Take an event, or return why it doesn't follow the last one."""
         found = _NUMBER.search(event)
-        if found is None:
-            return
-        number = int(found.group(1))
-        if self.last is not None and number != self.last + 1:
-            raise errors.InvalidStreamError(
-                f'event {number} came behind event {self.last}',
-            )
-        self.last = number
+        number = None if found is None else int(found.group(1))
+        if number is not None:
+            if self.last is not None and number != self.last + 1:
+                return f'event {number} came behind event {self.last}'
+            self.last = number
+        self.count += 1
+        return ''
--- a/libs/gateway/geraniumweir/gateway/tests/test_events.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_events.py
@@ -22,5 +22,15 @@
 def test_resumed_stream_with_a_wrong_first_event_is_rejected() -> None:
     """Otherwise the caller would miss events or get them twice."""
     splitter = events.EventSplitter(last=3)
+    assert not splitter.feed(b'id: 3\n\n')
     with pytest.raises(errors.InvalidStreamError):
-        splitter.feed(b'id: 3\n\n')
+        splitter.check()
+
+
+def test_events_before_a_wrong_one_are_returned() -> None:
+    """The last number says what was sent, whatever follows."""
+    splitter = events.EventSplitter()
+    assert splitter.feed(b'id: 1\n\nid: 3\n\nid: 4\n\n') == b'id: 1\n\n'
+    assert splitter.last == 1
+    with pytest.raises(errors.InvalidStreamError):
+        splitter.check()
--- /dev/null
+++ b/libs/gateway/geraniumweir/gateway/tests/test_stream_sequence.py
@@ -0,0 +1,76 @@
+"""Streams over several attempts: no event is lost, comes twice or is joined."""
+
+import asyncio
+import typing
+
+import multidict
+import pytest
+from geraniumweir.gateway.tests import testbed
+from geraniumweir.routing import tables
+
+_RESUMABLE: dict[str, typing.Any] = {
+    'kind': tables.Kind.stream,
+    'resumable': True,
+    'attempts': 3,
+}
+_EVENTS = 5
+_WHOLE = b''.join(map(testbed.event, range(1, _EVENTS + 1)))
+
+
+def _got(body: bytes, *, whole: bool) -> testbed.Got:
+    return testbed.Got(200, body, whole)
+
+
+def _sends(*events: bytes, ends: bool) -> testbed.Behavior:
+    """Return a behavior that sends events in one piece.
+
+    :param ends: whether the stream ends as complete behind them; otherwise its
+        connection closes.
+    """
+
+    async def behavior(
+        _server: testbed.Server,
+        asked_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        content = testbed.chunk(b''.join(events))
+        end = testbed.chunk(b'') if ends else b''
+        writer.write(testbed.stream_head(asked_id) + content + end)
+        await writer.drain()
+        if not ends:
+            writer.close()
+
+    return behavior
+
+
+async def _goes_on(
+    _server: testbed.Server,
+    asked_id: str,
+    head: multidict.CIMultiDict[str],
+    writer: asyncio.StreamWriter,
+) -> None:
+    first = int(head.get('Last-Event-Id', '0')) + 1
+    events = map(testbed.event, range(first, _EVENTS + 1))
+    content = testbed.chunk(b''.join(events)) if first <= _EVENTS else b''
+    writer.write(
+        testbed.stream_head(asked_id) + content + testbed.chunk(b''),
+    )
+
+
+def _get(*behaviors: testbed.Behavior) -> testbed.Got:
+    async def work() -> testbed.Got:
+        servers = map(testbed.Server, behaviors)
+        async with testbed.running(*servers, **_RESUMABLE) as running:
+            return await testbed.get(running)
+
+    return asyncio.run(work())
+
+
+@pytest.mark.parametrize('wrong', [1, 2, 5, 9])
+def test_events_before_a_wrong_one_are_not_lost(wrong: int) -> None:
+    """They counted as sent, so that the next server went on behind them."""
+    events = (*map(testbed.event, (1, 2, 3)), testbed.event(wrong))
+    assert _get(_sends(*events, ends=True), _goes_on) == _got(
+        _WHOLE, whole=True
+    )
--- a/libs/gateway/geraniumweir/gateway/tests/test_unframed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_unframed.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import typing
 
-import aiohttp
 import multidict
 import pytest
 from geraniumweir.gateway.tests import test_relaying, testbed
@@ -23,18 +21,6 @@
 _HEAD = 'HTTP/1.1 200 OK\r\nId: {0}\r\nSigned: yes\r\n{1}\r\n'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Got:
-    """What a caller got.
-
-    :ivar whole: whether the response ended as complete.
-    """
-
-    status: int
-    body: bytes
-    whole: bool
-
-
 def _stream(last: int, *, killed: bool) -> testbed.Behavior:
     """Return a behavior that sends the events up to a number.
 
@@ -85,10 +71,10 @@
     *behaviors: testbed.Behavior,
     relayed: bool = False,
     **route: typing.Any,
-) -> _Got:
+) -> testbed.Got:
     """Return what a caller gets of servers that are granted in turn."""
 
-    async def work() -> _Got:
+    async def work() -> testbed.Got:
         servers = list(map(testbed.Server, behaviors))
         async with contextlib.AsyncExitStack() as stack:
             running = await stack.enter_async_context(
@@ -99,18 +85,7 @@
                 await stack.enter_async_context(
                     test_relaying.run_relay(running, servers)
                 )
-            headers = {'Id': 'r1'}
-            resp = await stack.enter_async_context(
-                running.client.get(running.url, headers=headers)
-            )
-            found: list[bytes] = []
-            whole = True
-            try:
-                async for part in resp.content.iter_any():
-                    found.append(part)
-            except aiohttp.ClientPayloadError:
-                whole = False
-            return _Got(resp.status, b''.join(found), whole)
+            return await testbed.get(running)
 
     return asyncio.run(work())
 
@@ -137,7 +112,7 @@
         relayed=relayed,
         **_RESUMABLE,
     )
-    assert got == _Got(200, _WHOLE, whole=True)
+    assert got == testbed.Got(200, _WHOLE, whole=True)
 
 
 @pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
@@ -147,7 +122,7 @@
 ) -> None:
     """Its end is the end of its connection."""
     got = _get(_stream(_EVENTS, killed=False), relayed=relayed, **route)
-    assert got == _Got(200, _WHOLE, whole=True)
+    assert got == testbed.Got(200, _WHOLE, whole=True)
 
 
 @pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
@@ -169,4 +144,4 @@
         _plain(b'hello', killed=False),
         relayed=relayed,
     )
-    assert got == _Got(200, b'hello', whole=True)
+    assert got == testbed.Got(200, b'hello', whole=True)
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -457,3 +457,28 @@
 def event(number: int) -> bytes:
     """Return one event of a stream."""
     return f'id: {number}\ndata: x\n\n'.encode()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Got:
+    """What a caller got.
+
+    :ivar whole: whether the response ended as complete.
+    """
+
+    status: int
+    body: bytes
+    whole: bool
+
+
+async def get(running: Testbed) -> Got:
+    """Send a request and read its response to the end."""
+    found: list[bytes] = []
+    headers = {'Id': 'r1'}
+    async with running.client.get(running.url, headers=headers) as resp:
+        try:
+            async for part in resp.content.iter_any():
+                found.append(part)
+        except aiohttp.ClientPayloadError:
+            return Got(resp.status, b''.join(found), whole=False)
+        return Got(resp.status, b''.join(found), whole=True)
