Streams: one without numbers does not begin again behind its begin

What callers saw: the first events twice, of two runs, in one answer.

Cause: a stream went on at another server behind its last number. Where events had none, that server was asked for the whole stream. A route that may repeat requests, but not resume streams, was asked in the same way. Text behind the digits of an id was ignored.

Evidence: test_stream_without_numbers_does_not_begin_again fails before; its caller got events 0, 1, 0, 1 and so on.

Change: a stream that has begun goes on only where its route resumes streams and its last event with data has a number. An id that is no number is none.

Why this works: nothing is asked for again of which no number is known.

--- a/libs/gateway/geraniumweir/gateway/events.py
+++ b/libs/gateway/geraniumweir/gateway/events.py
@@ -10,7 +10,8 @@
 from geraniumweir.gateway import errors
 
 _END = re.compile(rb'\n\n')
-_NUMBER = re.compile(rb'(?:^|\n)id: ?(\d+)')
+_NUMBER = re.compile(rb'^id: ?(\d{1,18})$', re.MULTILINE)
+_DATA = re.compile(rb'^data(?::|$)', re.MULTILINE)
 # Longer events are rejected; events of servers have a few hundred bytes.
 _MAX_EVENT_BYTES = 1024 * 1024
 
@@ -22,6 +23,8 @@
     :ivar count: number of events that were returned.
     :ivar fault: why the bytes behind these events are none of the stream, empty
         if they may be.
+    :ivar is_numbered: whether its last event with data had a number, so that
+        another attempt can resume behind it.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda')
@@ -38,6 +41,7 @@
         self.last = last
         self.count = 0
         self.fault = ''
+        self.is_numbered = True
         self._incomplete = b''
 
     def feed(self, chunk: bytes) -> bytes:
@@ -84,5 +88,8 @@
             if self.last is not None and number != self.last + 1:
                 return f'event {number} came behind event {self.last}'
             self.last = number
+            self.is_numbered = True
+        elif _DATA.search(event):
+            self.is_numbered = False
         self.count += 1
         return ''
--- a/libs/gateway/geraniumweir/gateway/forwarding.py
+++ b/libs/gateway/geraniumweir/gateway/forwarding.py
@@ -289,6 +289,8 @@
         route = self._admitted.route
         if self._state.runs + unfinished >= route.attempts:
             return False
+        if self._stream.head_sent:
+            return route.resumable and self._stream.splitter.is_numbered
         return route.repeatable or route.resumable
 
     async def _dispatch(self, grant: requests.Grant) -> outcomes.Outcome:
--- a/libs/gateway/geraniumweir/gateway/tests/test_stream_sequence.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_stream_sequence.py
@@ -74,3 +74,25 @@
     assert _get(_sends(*events, ends=True), _goes_on) == _got(
         _WHOLE, whole=True
     )
+
+
+def test_stream_without_numbers_does_not_begin_again() -> None:
+    """Its caller would get the first events twice."""
+    events = [f'data: {number}\n\n'.encode() for number in range(_EVENTS)]
+    got = _get(_sends(*events[:2], ends=False), _sends(*events, ends=True))
+    assert got == _got(b''.join(events[:2]), whole=False)
+
+
+def test_stream_goes_on_behind_a_comment() -> None:
+    """Servers send them to keep a connection open."""
+    events = (testbed.event(1), b': wait\n\n')
+    got = _get(_sends(*events, ends=False), _goes_on)
+    rest = b''.join(map(testbed.event, range(2, _EVENTS + 1)))
+    assert got == _got(b''.join((*events, rest)), whole=True)
+
+
+def test_number_with_other_text_is_none() -> None:
+    """The part before it was taken for a number."""
+    events = (b'id: 1-7\ndata: x\n\n', b'id: 1-8\ndata: y\n\n')
+    got = _get(_sends(events[0], ends=False), _sends(*events, ends=True))
+    assert got == _got(events[0], whole=False)
