Streams: a plain answer does not end a stream that has begun

What callers saw: a stream that ended as complete before its last event.

Cause: a stream that goes on at another server took any whole answer for its end, also one that is no stream: the response was ended, and that answer could not be sent any more.

Evidence: test_plain_answer_does_not_end_a_stream fails before with 200, 204 and 404, each with a last chunk behind event 1 of 5.

Change: behind the first event, an answer that is no stream is a failed attempt. Another server is asked if the route's attempts allow it, else the response breaks off.

Why this works: only a stream's own end can complete one.

--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -227,6 +227,8 @@
         outcome = _classify(outcomes.CompleteResponse(head, body))
         # A rejection or a failure isn't the begin of what was asked for.
         if isinstance(outcome, outcomes.CompleteResponse):
+            if self.stream.head_sent:
+                return outcomes.Failed('the answer is not the rest of a stream')
             self._record_first(started)
         return outcome
 
--- a/libs/gateway/geraniumweir/gateway/tests/test_stream_sequence.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_stream_sequence.py
@@ -91,6 +91,37 @@
     assert got == _got(b''.join((*events, rest)), whole=True)
 
 
+@pytest.mark.parametrize('status', ['200 OK', '204 Empty', '404 Unknown'])
+def test_plain_answer_does_not_end_a_stream(status: str) -> None:
+    """The stream ended as complete before its last event."""
+
+    async def answer(
+        _server: testbed.Server,
+        asked_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(testbed.answer(asked_id, b'', status))
+
+    got = _get(_sends(testbed.event(1), ends=False), answer, answer)
+    assert got == _got(testbed.event(1), whole=False)
+
+
+def test_stream_goes_on_behind_a_plain_answer() -> None:
+    """Another server may know how to go on."""
+
+    async def answer(
+        _server: testbed.Server,
+        asked_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(testbed.answer(asked_id, b'', '404 Unknown'))
+
+    first = _sends(testbed.event(1), ends=False)
+    assert _get(first, answer, _goes_on) == _got(_WHOLE, whole=True)
+
+
 def test_number_with_other_text_is_none() -> None:
     """The part before it was taken for a number."""
     events = (b'id: 1-7\ndata: x\n\n', b'id: 1-8\ndata: y\n\n')
