Streams: events with line ends of two bytes, or several ids

What callers saw: no event of such a stream, and 502 at its end; with several ids a stream that broke off.

Cause: the splitter knew one form of empty line, and took the first id of an event where the last one counts.

Evidence: four of ten cases of test_forms_of_events_are_passed_on fail before.

Change: both line ends, and the last id.

--- a/libs/gateway/geraniumweir/gateway/events.py
+++ b/libs/gateway/geraniumweir/gateway/events.py
@@ -9,9 +9,10 @@
 
 from geraniumweir.gateway import errors
 
-_END = re.compile(rb'\n\n')
-_NUMBER = re.compile(rb'^id: ?(\d{1,18})$', re.MULTILINE)
-_DATA = re.compile(rb'^data(?::|$)', re.MULTILINE)
+_END = re.compile(rb'\n\r?\n')
+_ID = re.compile(rb'^id: ?([^\r\n]*)\r?$', re.MULTILINE)
+_DATA = re.compile(rb'^data(?::|\r?$)', re.MULTILINE)
+_MAX_DIGITS = 18
 # Longer events are rejected; events of servers have a few hundred bytes.
 _MAX_EVENT_BYTES = 1024 * 1024
 
@@ -82,8 +83,7 @@
 
     def _take(self, event: bytes) -> str:
         """Take an event, or return why it doesn't follow the last one."""
-        found = _NUMBER.search(event)
-        number = None if found is None else int(found.group(1))
+        number = _number_of(event)
         if number is not None:
             if self.last is not None and number != self.last + 1:
                 return f'event {number} came behind event {self.last}'
@@ -93,3 +93,11 @@
             self.is_numbered = False
         self.count += 1
         return ''
+
+
+def _number_of(event: bytes) -> int | None:
+    """Return the number of an event; of several ids the last one counts."""
+    found = _ID.findall(event)
+    if not found or len(found[-1]) > _MAX_DIGITS or not found[-1].isdigit():
+        return None
+    return int(found[-1])
--- a/libs/gateway/geraniumweir/gateway/tests/test_stream_sequence.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_stream_sequence.py
@@ -122,6 +122,25 @@
     assert _get(first, answer, _goes_on) == _got(_WHOLE, whole=True)
 
 
+_FORMS = {
+    'line ends': b'id: 2\r\ndata: x\r\n\r\n',
+    'id behind data': b'data: x\nid: 2\n\n',
+    'no space': b'id:2\ndata:x\n\n',
+    'weights first': b'x-weight-versions: 3\nid: 2\ndata: x\n\n',
+    'two ids': b'id: 1\nid: 2\ndata: x\n\n',
+}
+
+
+@pytest.mark.parametrize('form', list(_FORMS))
+@pytest.mark.parametrize('pieces', [1, 2])
+def test_forms_of_events_are_passed_on(form: str, pieces: int) -> None:
+    """Each is allowed where a stream may be resumed."""
+    events = (testbed.event(1), _FORMS[form], testbed.event(3))
+    first = _sends(*events[:pieces], ends=False)
+    second = _sends(*events[pieces:], ends=True)
+    assert _get(first, second) == _got(b''.join(events), whole=True)
+
+
 def test_number_with_other_text_is_none() -> None:
     """The part before it was taken for a number."""
     events = (b'id: 1-7\ndata: x\n\n', b'id: 1-8\ndata: y\n\n')
