Backends: an extra answer is no part of a body without an end

What callers saw: plain answers with the head and the body of a second copy behind them, sent with a length as whole ones.

Cause: bytes behind an answer end the use of its connection, which tells them from the answer only where the answer has an end of its own. One with neither a length nor chunks goes on until its connection ends.

Change: a head in such a body ends it if it names a request that was sent on its connection. One that is cut, of four bytes or more, breaks the answer off. A head is no event of a stream. What may be a head is held back only as long as each byte agrees.

Why this works: an answer repeats the id of its request, which no body has behind a status line.

--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -24,6 +24,7 @@
     errors,
     held_responses,
     sockets,
+    surplus,
 )
 from geraniumweir.common import ids
 
@@ -104,15 +105,20 @@
     """
 
     def __init__(
-        self, resp: held_responses.HeldResponse, address: ids.Address
+        self,
+        resp: held_responses.HeldResponse,
+        address: ids.Address,
+        expected: held_responses.Expected | None = None,
     ) -> None:
         """Take over a response.
 
         :param resp: whose head has come.
         :param address: of its server.
+        :param expected: how extra answers are told, None to tell none.
         """
         self._resp = resp
         self._address = address
+        self._expected = expected
         self.connection = _exchange_of(resp)
         self.status = resp.status
         self.headers = resp.headers
@@ -166,13 +172,41 @@
         :raises errors.CutShortError: when it breaks off.
         """
         try:
-            async for chunk in self._resp.content.iter_any():
-                yield chunk
-            if not self.ends_visibly:
-                await self._check_end()
+            if self.ends_visibly:
+                async for chunk in self._resp.content.iter_any():
+                    yield chunk
+            else:
+                async for part in self._unframed_chunks():
+                    yield part
         except (aiohttp.ClientError, OSError) as exc:
             raise errors.CutShortError(f'the answer broke off: {exc}') from exc
 
+    async def _unframed_chunks(self) -> typing.AsyncIterator[bytes]:
+        """Give a body that ends with its connection, or before another answer.
+
+        :raises errors.CutShortError: when its end can't be told.
+        """
+        finder = surplus.SurplusFinder(self._is_extra)
+        async for chunk in self._resp.content.iter_any():
+            found = finder.feed(chunk)
+            if found:
+                yield found
+            if finder.found:
+                self.abandon()
+                return
+        if finder.is_cut:
+            raise errors.CutShortError('another answer begins in the body')
+        if finder.held:
+            yield finder.held
+        await self._check_end()
+
+    def _is_extra(self, headers: typing.Mapping[str, str]) -> bool:
+        """Return whether a head is that of an answer on this connection."""
+        if self._expected is None:
+            return False
+        found = self._expected.read_id(headers)
+        return found in {self._expected.request_id, *self._resp.answered}
+
     async def _check_end(self) -> None:
         """Make sure that the server ended a body without a length.
 
@@ -245,7 +279,7 @@
     held = typing.cast(held_responses.HeldResponse, resp)
     if call.expected is not None:
         await _skip_extra(held, call.expected)
-    return Answer(held, address)
+    return Answer(held, address, call.expected)
 
 
 def _text_of(exc: Exception) -> str:
--- a/libs/backends/geraniumweir/backends/held_responses.py
+++ b/libs/backends/geraniumweir/backends/held_responses.py
@@ -65,6 +65,14 @@
         """Whether the end of the body can be told from a lost connection."""
         return self.framing is not Framing.connection
 
+    @property
+    def answered(self) -> typing.Iterable[str]:
+        """Ids of the last requests that were answered on its connection."""
+        handler = self.connection and self.connection.protocol
+        if isinstance(handler, answer_limits.BoundedHandler):
+            return handler.requests
+        return ()
+
     async def skip_extra(self, expected: Expected) -> None:
         """Go on to the answer behind those to earlier requests.
 
--- a/libs/gateway/geraniumweir/gateway/events.py
+++ b/libs/gateway/geraniumweir/gateway/events.py
@@ -12,6 +12,8 @@
 _END = re.compile(rb'\n\r?\n')
 _ID = re.compile(rb'^id: ?([^\r\n]*)\r?$', re.MULTILINE)
 _DATA = re.compile(rb'^data(?::|\r?$)', re.MULTILINE)
+# Begins no event, but the head of an answer behind one that was not ended.
+_ANSWER = b'HTTP/1.'
 _MAX_DIGITS = 18
 # Longer events are rejected; events of servers have a few hundred bytes.
 _MAX_EVENT_BYTES = 1024 * 1024
@@ -83,6 +85,8 @@
 
     def _take(self, event: bytes) -> str:
         """Take an event, or return why it doesn't follow the last one."""
+        if event.startswith(_ANSWER):
+            return 'another answer came behind the events'
         number = _number_of(event)
         if number is not None:
             if self.last is not None and number != self.last + 1:
--- a/libs/gateway/geraniumweir/gateway/tests/test_events.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_events.py
@@ -34,3 +34,12 @@
     assert splitter.last == 1
     with pytest.raises(errors.InvalidStreamError):
         splitter.check()
+
+
+def test_head_of_an_answer_is_no_event() -> None:
+    """Its empty line looks like the end of one."""
+    splitter = events.EventSplitter()
+    content = b'id: 1\n\nHTTP/1.1 200 OK\r\nId: r2\r\n\r\n'
+    assert splitter.feed(content) == b'id: 1\n\n'
+    with pytest.raises(errors.InvalidStreamError):
+        splitter.check()
--- a/libs/gateway/geraniumweir/gateway/tests/test_unframed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_unframed.py
@@ -145,3 +145,68 @@
         relayed=relayed,
     )
     assert got == testbed.Got(200, b'hello', whole=True)
+
+
+def _repeats(answer: bytes, size: int | None) -> testbed.Behavior:
+    """Return a behavior that sends an answer, and then bytes of it again.
+
+    :param size: of these bytes, None for all.
+    """
+
+    async def behavior(
+        _server: testbed.Server,
+        asked_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        sent = answer.replace(b'{0}', asked_id.encode())
+        writer.write(sent)
+        await writer.drain()
+        writer.write(sent[:size])
+        await writer.drain()
+        writer.close()
+
+    return behavior
+
+
+_PLAIN_ANSWER = b''.join((_HEAD.format('{0}', '').encode(), b'hello'))
+_STREAM_ANSWER = b''.join(
+    (
+        _HEAD.format('{0}', 'Content-Type: text/event-stream\r\n').encode(),
+        _WHOLE,
+    )
+)
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+@pytest.mark.parametrize(
+    ('answer', 'body', 'route'),
+    [
+        (_PLAIN_ANSWER, b'hello', _ONCE),
+        (_STREAM_ANSWER, _WHOLE, _STREAM),
+        (_STREAM_ANSWER, _WHOLE, _RESUMABLE),
+    ],
+    ids=['plain', 'stream', 'resumable'],
+)
+def test_copy_of_an_answer_is_no_part_of_it(
+    answer: bytes, body: bytes, route: dict[str, typing.Any], relayed: bool
+) -> None:
+    """The caller got the answer, the head of its copy and the copy."""
+    got = _get(_repeats(answer, None), relayed=relayed, **route)
+    assert got == testbed.Got(200, body, whole=True)
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+@pytest.mark.parametrize('size', [4, 12, 17, 30])
+def test_begin_of_a_copy_is_not_taken_for_the_end_of_an_answer(
+    size: int, relayed: bool
+) -> None:
+    """The caller got a whole answer with other bytes behind it."""
+    got = _get(_repeats(_PLAIN_ANSWER, size), relayed=relayed, **_ONCE)
+    assert got.status == 502
+    again = _get(
+        _repeats(_PLAIN_ANSWER, size),
+        _plain(b'hello', killed=False),
+        relayed=relayed,
+    )
+    assert again == testbed.Got(200, b'hello', whole=True)
