Callers of HTTP/1.0: a stream that breaks off is reset

What callers saw: a stream that ended as complete before its last event.

Cause: HTTP/1.0 knows no chunks, so that the end of a response without a length is the end of its connection, which a host closed behind a stream that broke off as behind one that was complete.

Change: such a connection is reset. Class: as for answers of servers without framing, in the other direction.

Why this works: a reset is an error for who reads, a closed connection is not. Left: a host that is killed closes it; HTTP/1.1 callers see that by the last chunk.

--- a/libs/gateway/geraniumweir/gateway/response_buffer.py
+++ b/libs/gateway/geraniumweir/gateway/response_buffer.py
@@ -13,6 +13,7 @@
 import asyncio
 import fcntl
 import functools
+import socket
 import struct
 import termios
 import typing
@@ -27,6 +28,8 @@
 _CHECK_SECONDS = 1.0
 # A chunk of HTTP/1.1 has a size line and two line ends.
 _FRAMING_BYTES = 16
+# A socket that is closed with this option resets its connection.
+_NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class ResponseBuffers:
@@ -216,6 +219,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reset_connection(self) -> None:
+        """Close the connection so that its peer sees an error."""
+        sock = self._transport and self._transport.get_extra_info('socket')
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.close_connection()
+
     def close(self) -> None:
         """End the accounting; a connection that closes keeps no bytes."""
         if self.measure() and self._is_closing():
--- a/libs/gateway/geraniumweir/gateway/response_writer.py
+++ b/libs/gateway/geraniumweir/gateway/response_writer.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+import aiohttp
 from aiohttp import helpers, web
 from geraniumweir.gateway import (
     codec,
@@ -92,7 +93,7 @@
             self._req.writer.set_eof()
         await self.buffer.deliver()
         if self.aborted:
-            self.buffer.close_connection()
+            self._close_connection_early()
 
     async def send(self, resp: web.StreamResponse) -> None:
         """Send a complete response until the caller has it.
@@ -126,9 +127,19 @@
 
     def abort(self) -> web.StreamResponse:
         """Close the connection at once; held events are discarded."""
-        self.buffer.close_connection()
+        self._close_connection_early()
         return self.break_off()
 
+    def _close_connection_early(self) -> None:
+        """Close the connection before the end of the response.
+
+        Without chunks, a connection that is closed would be that end.
+        """
+        if self._req.version < aiohttp.HttpVersion11:
+            self.buffer.reset_connection()
+        else:
+            self.buffer.close_connection()
+
     def close(self) -> None:
         """End the accounting of the response."""
         if self._buffer is not None:
