--- a/libs/gateway/geraniumweir/gateway/tests/test_preemption.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_preemption.py
@@ -165,11 +165,23 @@
     asyncio.run(scenario())
 
 
-def test_moved_plain_request_runs_on_another_server() -> None:
+@pytest.mark.parametrize(
+    'answer',
+    [
+        lambda _id: testbed.answer(_id, b'good')[:-2],
+        lambda _id: (
+            f'HTTP/1.1 200 OK\r\nId: {_id}\r\nSigned: y\r\n\r\ngo'.encode()
+        ),
+    ],
+    ids=['with a length', 'without framing'],
+)
+def test_moved_plain_request_runs_on_another_server(
+    answer: typing.Callable[[str], bytes],
+) -> None:
     """It may run again, and nothing of the first response was sent."""
 
     async def scenario() -> None:
-        stuck = _Stuck(lambda _id: testbed.answer(_id, b'good')[:-2])
+        stuck = _Stuck(answer)
         first, second = testbed.Server(stuck), testbed.Server(_respond)
         async with testbed.running(first, second) as running:
             work = asyncio.create_task(_get(running))
