Streams: events in one read with a wrong one are refused together

Change: none of the events of such a read is sent, and none counts, so that the next server goes on before them.

--- a/libs/gateway/geraniumweir/gateway/attempts.py
+++ b/libs/gateway/geraniumweir/gateway/attempts.py
@@ -247,7 +247,6 @@
                 complete = splitter.feed(chunk)
                 if complete:
                     await self._forward_events(head, complete, started)
-                splitter.check()
         if not splitter.is_complete() or not self.stream.head_sent:
             raise errors.InvalidStreamError('the stream ended within an event')
         return outcomes.CompleteStream()
--- a/libs/gateway/geraniumweir/gateway/events.py
+++ b/libs/gateway/geraniumweir/gateway/events.py
@@ -24,8 +24,6 @@
 
     :ivar last: number of the last event that was returned, None before it.
     :ivar count: number of events that were returned.
-    :ivar fault: why the bytes behind these events are none of the stream, empty
-        if they may be.
     :ivar is_numbered: whether its last event with data had a number, so that
         another attempt can resume behind it.
 
@@ -43,36 +41,25 @@
         """
         self.last = last
         self.count = 0
-        self.fault = ''
         self.is_numbered = True
         self._incomplete = b''
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that are complete with these bytes.
 
-        Those before one that is out of sequence are returned; :meth:`check`
-        reports that one.
-        """
-        received = self._incomplete + chunk
-        taken = 0
-        for end in _END.finditer(received):
-            self.fault = self._take(received[taken : end.start()])
-            if self.fault:
-                break
-            taken = end.end()
-        self._incomplete = received[taken:]
-        if len(self._incomplete) > _MAX_EVENT_BYTES and not self.fault:
-            self.fault = 'an event without an end'
-        return received[:taken]
-
-    def check(self) -> None:
-        """Check the bytes behind the last event that was returned.
+        If one of them is not of the stream, none counts as returned.
 
-        :raises errors.InvalidStreamError: if they begin with an event that is
-            out of sequence or too long.
+        :raises errors.InvalidStreamError: if an event is out of sequence or
+            too long.
         """
-        if self.fault:
-            raise errors.InvalidStreamError(self.fault)
+        last, count, is_numbered = self.last, self.count, self.is_numbered
+        try:
+            return self._split(chunk)
+        except errors.InvalidStreamError:
+            self.last = last
+            self.count = count
+            self.is_numbered = is_numbered
+            raise
 
     def is_complete(self) -> bool:
         """Return whether there is no incomplete event."""
@@ -81,22 +68,32 @@
     def discard_incomplete(self) -> None:
         """Discard an incomplete event: the next attempt resumes before it."""
         self._incomplete = b''
-        self.fault = ''
 
-    def _take(self, event: bytes) -> str:
-        """Take an event, or return why it doesn't follow the last one."""
+    def _split(self, chunk: bytes) -> bytes:
+        received = self._incomplete + chunk
+        taken = 0
+        for end in _END.finditer(received):
+            self._take(received[taken : end.start()])
+            taken = end.end()
+        self._incomplete = received[taken:]
+        if len(self._incomplete) > _MAX_EVENT_BYTES:
+            raise errors.InvalidStreamError('an event without an end')
+        return received[:taken]
+
+    def _take(self, event: bytes) -> None:
         if event.startswith(_ANSWER):
-            return 'another answer came behind the events'
+            raise errors.InvalidStreamError('another answer came behind events')
         number = _number_of(event)
         if number is not None:
             if self.last is not None and number != self.last + 1:
-                return f'event {number} came behind event {self.last}'
+                raise errors.InvalidStreamError(
+                    f'event {number} came behind event {self.last}',
+                )
             self.last = number
             self.is_numbered = True
         elif _DATA.search(event):
             self.is_numbered = False
         self.count += 1
-        return ''
 
 
 def _number_of(event: bytes) -> int | None:
--- a/libs/gateway/geraniumweir/gateway/tests/test_events.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_events.py
@@ -22,24 +22,21 @@
 def test_resumed_stream_with_a_wrong_first_event_is_rejected() -> None:
     """Otherwise the caller would miss events or get them twice."""
     splitter = events.EventSplitter(last=3)
-    assert not splitter.feed(b'id: 3\n\n')
     with pytest.raises(errors.InvalidStreamError):
-        splitter.check()
+        splitter.feed(b'id: 3\n\n')
 
 
-def test_events_before_a_wrong_one_are_returned() -> None:
-    """The last number says what was sent, whatever follows."""
+def test_events_before_a_wrong_one_do_not_count() -> None:
+    """The last number is that of an event that was returned."""
     splitter = events.EventSplitter()
-    assert splitter.feed(b'id: 1\n\nid: 3\n\nid: 4\n\n') == b'id: 1\n\n'
-    assert splitter.last == 1
+    splitter.feed(b'id: 1\n\n')
     with pytest.raises(errors.InvalidStreamError):
-        splitter.check()
+        splitter.feed(b'id: 2\n\nid: 4\n\n')
+    assert (splitter.last, splitter.count) == (1, 1)
 
 
 def test_head_of_an_answer_is_no_event() -> None:
     """Its empty line looks like the end of one."""
     splitter = events.EventSplitter()
-    content = b'id: 1\n\nHTTP/1.1 200 OK\r\nId: r2\r\n\r\n'
-    assert splitter.feed(content) == b'id: 1\n\n'
     with pytest.raises(errors.InvalidStreamError):
-        splitter.check()
+        splitter.feed(b'id: 1\n\nHTTP/1.1 200 OK\r\nId: r2\r\n\r\n')
