Entry hosts: one request is read ahead on a connection

What callers saw: an entry host that was ended for its memory.

Cause: the library parses up to 32 requests ahead on a connection, and keeps the bodies of all of them.

Change: one request is read ahead.

Why this works: the transport is paused while one request waits, and its bytes wait in the kernel.

--- a/libs/gateway/geraniumweir/gateway/overload.py
+++ b/libs/gateway/geraniumweir/gateway/overload.py
@@ -12,7 +12,7 @@
 import resource
 import typing
 
-from aiohttp import web
+from aiohttp import web, web_protocol
 from geraniumweir.common import eventlog, timers
 from geraniumweir.gateway import logevents
 
@@ -25,6 +25,8 @@
 # File descriptors for connections to servers and hosts, and for files.
 _RESERVED_DESCRIPTORS = 600
 _MIN_CONNECTIONS = 64
+# Requests that are read on a connection behind the one that is served.
+_REQUESTS_AHEAD = 1
 _MS = 1000
 
 
@@ -96,6 +98,41 @@
         typing.cast(asyncio.Transport, transport).abort()
 
 
+class CallerConnection(web_protocol.RequestHandler):
+    """Connection of a caller, on which one request is read ahead.
+
+    The library reads ahead 32 requests with their bodies.
+    """
+
+    __slots__ = ()
+
+    def __init__(
+        self,
+        manager: web.Server,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        **options: typing.Any,
+    ) -> None:
+        """Initialize a new connection.
+
+        :param options: those of the library.
+        """
+        super().__init__(manager, loop=loop, **options)
+        self._max_msg_queue_size = _REQUESTS_AHEAD
+        self._msg_queue_resume_size = 0
+        self._parser = web_protocol.HttpRequestParser(
+            self,
+            loop,
+            self._read_bufsize,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=web_protocol.RequestPayloadError,
+            auto_decompress=options.get('auto_decompress', True),
+            max_msg_queue_size=_REQUESTS_AHEAD,
+        )
+
+
 class CallerSideServer(web.Server):
     """HTTP server that refuses connections when the host is overloaded.
 
@@ -109,4 +146,4 @@
         open_connections = len(self.connections)
         if self.overload and not self.overload.accepts(open_connections):
             return Refusal()
-        return super().__call__()
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
