Entry hosts: a head without an end is not read on

Cause: the library bounds each field of a head and their number, not their sum: 16,384 fields of 64 KiB, a gibibyte on one connection. The document's limit is checked when the head is whole.

Change: a connection is closed after 256 KiB of a head; documents allow 16 KiB by default. Requests that are sent ahead are counted one by one.

Why this works: no bytes but those of heads and bodies are kept of a request, and bodies have a bound.

--- a/libs/gateway/geraniumweir/gateway/overload.py
+++ b/libs/gateway/geraniumweir/gateway/overload.py
@@ -12,6 +12,7 @@
 import resource
 import typing
 
+import aiohttp
 from aiohttp import web, web_protocol
 from geraniumweir.common import eventlog, timers
 from geraniumweir.gateway import logevents
@@ -27,6 +28,8 @@
 _MIN_CONNECTIONS = 64
 # Requests that are read on a connection behind the one that is served.
 _REQUESTS_AHEAD = 1
+# Heads that a document allows are smaller.
+_MAX_HEAD_BYTES = 262144
 _MS = 1000
 
 
@@ -99,12 +102,13 @@
 
 
 class CallerConnection(web_protocol.RequestHandler):
-    """Connection of a caller, on which one request is read ahead.
+    """Connection of a caller, whose bytes ahead of a response are bounded.
 
-    The library reads ahead 32 requests with their bodies.
+    The library reads ahead 32 requests with their bodies, and bounds each field
+    of a head but not their sum.
     """
 
-    __slots__ = ()
+    __slots__ = ('_body', '_head_bytes')
 
     def __init__(
         self,
@@ -131,6 +135,22 @@
             auto_decompress=options.get('auto_decompress', True),
             max_msg_queue_size=_REQUESTS_AHEAD,
         )
+        self._body: aiohttp.StreamReader | None = None
+        self._head_bytes = 0
+
+    def data_received(self, content: bytes) -> None:
+        """Parse bytes; end the connection where a head goes on for too long."""
+        was_in_head = self._body is None or self._body.is_eof()
+        requests = self._request_count
+        super().data_received(content)
+        if self._request_count > requests:
+            self._body = self._messages[-1][1]
+        elif was_in_head and not self._messages:
+            self._head_bytes += len(content)
+            if self._head_bytes > _MAX_HEAD_BYTES:
+                self.force_close()
+            return
+        self._head_bytes = 0
 
 
 class CallerSideServer(web.Server):
