Entry hosts: overdue connections make room at the descriptor limit

What callers saw: new connections that a host closes for as long as a crowd stays connected that sends nothing, or a part of a head.

Cause: the time limits of documents for heads and idle connections were applied nowhere; at its limit a host refused whoever came last.

Evidence: test_heads_without_an_end_do_not_keep_callers_out fails where no connection is closed; the code before has no seam for its small limit.

Change: at the limit a host closes the connections that are beyond either time limit, looked for ten times a second at most, and takes the new one. Below the limit nothing is closed, as a host that stood still can't tell who is late.

Why this works: callers within the limits are never closed, and a crowd beyond them keeps a connection for seconds only.

--- a/libs/gateway/geraniumweir/gateway/overload.py
+++ b/libs/gateway/geraniumweir/gateway/overload.py
@@ -16,6 +16,7 @@
 from aiohttp import web, web_protocol
 from geraniumweir.common import eventlog, timers
 from geraniumweir.gateway import logevents
+from geraniumweir.routing import tables
 
 # Period of the timer whose lateness is the delay of the event loop.
 _PERIOD_SECONDS = 0.05
@@ -30,6 +31,8 @@
 _REQUESTS_AHEAD = 1
 # Heads that a document allows are smaller.
 _MAX_HEAD_BYTES = 262144
+# Interval of the checks for connections that can be closed.
+_CHECK_SECONDS = 0.1
 _MS = 1000
 
 
@@ -63,13 +66,20 @@
         """Stop measuring."""
         self._subscription.dispose()
 
+    def is_full(self, connections: int) -> bool:
+        """Return whether no descriptors are left for a new connection.
+
+        :param connections: number of open ones.
+        """
+        return connections >= self._max_connections
+
     def accepts(self, connections: int) -> bool:
         """Return whether a new connection is accepted.
 
         :param connections: number of open ones.
         """
         busy = max(self._delay, self._pending_delay()) > _MAX_DELAY_SECONDS
-        refuses = connections >= self._max_connections or (
+        refuses = self.is_full(connections) or (
             busy and self._share_ratio() > _MIN_SHARE_RATIO
         )
         if refuses != self._refuses:
@@ -108,7 +118,7 @@
     of a head but not their sum.
     """
 
-    __slots__ = ('_body', '_head_bytes')
+    __slots__ = ('_body', '_head_bytes', '_waits_since', 'is_busy')
 
     def __init__(
         self,
@@ -137,6 +147,25 @@
         )
         self._body: aiohttp.StreamReader | None = None
         self._head_bytes = 0
+        self._waits_since = loop.time()
+        self.is_busy = False
+
+    def begin_request(self) -> None:
+        """Record that a request is served."""
+        self.is_busy = True
+
+    def end_request(self) -> None:
+        """Record that the next request is waited for."""
+        self.is_busy = False
+        self._waits_since = self._loop.time()
+
+    def is_overdue(self, limits: tables.Limits) -> bool:
+        """Return whether its caller takes longer than the limits allow."""
+        waited = self._loop.time() - self._waits_since
+        in_time = (
+            limits.header_seconds if self._head_bytes else limits.idle_seconds
+        )
+        return not self.is_busy and waited > in_time
 
     def data_received(self, content: bytes) -> None:
         """Parse bytes; end the connection where a head goes on for too long."""
@@ -146,6 +175,8 @@
         if self._request_count > requests:
             self._body = self._messages[-1][1]
         elif was_in_head and not self._messages:
+            if not self._head_bytes:
+                self._waits_since = self._loop.time()
             self._head_bytes += len(content)
             if self._head_bytes > _MAX_HEAD_BYTES:
                 self.force_close()
@@ -157,13 +188,44 @@
     """HTTP server that refuses connections when the host is overloaded.
 
     :ivar overload: decides that; None accepts all.
+    :ivar get_limits: returns the limits for callers.
     """
 
     overload: Overload | None = None
+    get_limits: typing.Callable[[], tables.Limits] = tables.Limits
+
+    def __init__(self, handler: typing.Any, **options: typing.Any) -> None:
+        """Initialize without connections.
+
+        :param options: those of the library.
+        """
+        super().__init__(handler, **options)
+        self._checked_at = float(0)
 
     def __call__(self) -> asyncio.Protocol:
         """Return the protocol of a new connection."""
         open_connections = len(self.connections)
+        if self.overload and self.overload.is_full(open_connections):
+            open_connections -= self._close_overdue()
         if self.overload and not self.overload.accepts(open_connections):
             return Refusal()
         return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+    def _close_overdue(self) -> int:
+        """Close the connections of callers that take too long.
+
+        :returns: their number.
+        """
+        now = self._loop.time()
+        if now - self._checked_at < _CHECK_SECONDS:
+            return 0
+        self._checked_at = now
+        limits = self.get_limits()
+        overdue = [
+            conn
+            for conn in self.connections
+            if isinstance(conn, CallerConnection) and conn.is_overdue(limits)
+        ]
+        for conn in overdue:
+            conn.force_close()
+        return len(overdue)
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -89,7 +89,6 @@
         self._rng = random.Random()
         self._request_numbers = itertools.count(1)
         self._server: overload.CallerSideServer | None = None
-        self._busy_connections: set[typing.Any] = set()
 
     def server(self, protection: overload.Overload | None = None) -> web.Server:
         """Return the HTTP server; one handler serves all requests.
@@ -98,6 +97,7 @@
         """
         self._server = make_server(self.handle)
         self._server.overload = protection
+        self._server.get_limits = self._limits
         return self._server
 
     def close_idle(self) -> None:
@@ -110,13 +110,17 @@
         if self._server is None:
             return
         for conn in self._server.connections:
-            if conn not in self._busy_connections:
+            if not conn.is_busy:
                 conn.force_close()
 
+    def _limits(self) -> tables.Limits:
+        index = self._get_document_state().index
+        return tables.Limits() if index is None else index.document.limits
+
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Return the response to one request."""
         self.traffic.open += 1
-        self._busy_connections.add(req.protocol)
+        req.protocol.begin_request()
         record = request_record.RequestRecord('', response_writer.now())
         caller_writer = response_writer.ResponseWriter(
             req, self.traffic.closing, self._shared.buffers, record
@@ -132,7 +136,7 @@
         finally:
             caller_writer.close()
             self.traffic.open -= 1
-            self._busy_connections.discard(req.protocol)
+            req.protocol.end_request()
             self._count(record, status)
 
     def _count(self, record: request_record.RequestRecord, status: int) -> None:
--- a/libs/gateway/geraniumweir/gateway/tests/test_overload.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_overload.py
@@ -80,3 +80,58 @@
 
     asyncio.run(scenario())
     assert served == ['/a', '/b']
+
+
+class _Full(overload.Overload):
+    """Host with descriptors for a few connections."""
+
+    def is_full(self, connections: int) -> bool:
+        return connections >= 4
+
+
+def _answers_beside(begin: bytes, wait: float) -> bool:
+    """Return whether a call is answered beside connections that stay open.
+
+    :param begin: what was sent on each of them.
+    :param wait: seconds from then to the call.
+    """
+
+    async def work() -> bool:
+        server = testbed.Server(testbed.answers(b'done'))
+        async with contextlib.AsyncExitStack() as stack:
+            running = await stack.enter_async_context(testbed.running(server))
+            address = ids.Address('127.0.0.1', testbed.free_port())
+            protection = _Full(timers.TimerService(), float)
+            runner = listening.make_runner(
+                running.caller_server.server(protection)
+            )
+            await listening.listen(stack, runner, address)
+            for _ in range(4):
+                _, writer = await asyncio.open_connection(
+                    address.host, address.port
+                )
+                stack.callback(writer.close)
+                writer.write(begin)
+            await asyncio.sleep(wait)
+            url = f'http://{address}/a/b'
+            try:
+                async with running.client.get(
+                    url, headers={'Id': 'r1'}
+                ) as resp:
+                    return resp.ok
+            except aiohttp.ClientError:
+                return False
+
+    return asyncio.run(work())
+
+
+def test_heads_without_an_end_do_not_keep_callers_out() -> None:
+    """They kept all connections that a host can have."""
+    begin = b'GET /a/b HTTP/1.1\r\nHost: '
+    assert _answers_beside(begin, 3.2)
+    assert not _answers_beside(begin, 0.2)
+
+
+def test_idle_connections_are_kept_within_their_limit() -> None:
+    """Their callers may send a request on them at any moment."""
+    assert not _answers_beside(b'', 3.2)
