Backends: a server that ends slowly is not taken for one that goes on

What callers saw: streams that ended as complete before their last event, still.

Cause: the check behind an answer without framing took a server for alive that kept a new connection for 20 ms. A process that ends by itself may close its connections first, its listener some milliseconds later, and what that accepted meanwhile later still.

Why this works: a listener that is closed accepts no second connection, and a server that started again meanwhile has not kept the first.

--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -32,6 +32,11 @@
 _CONNECT_SECONDS = 1.0
 # Shorter than the usual 5 s after which servers close idle connections.
 _IDLE_SECONDS = 4.0
+# A server that ended an answer without framing goes on for so long, in seconds;
+# one that ends closes all its sockets within it. A stream is often cut between
+# two events, a plain answer seldom within its body.
+_CHECK_SECONDS = 0.03
+_STREAM_CHECK_SECONDS = 0.15
 # Bytes read of an answer before its reader takes them.
 _READ_AHEAD = 16384
 # The size of a head is bounded, whatever their number.
@@ -150,6 +155,11 @@
         """Whether the end of the body can be told from a lost connection."""
         return self._resp.ends_visibly
 
+    @property
+    def _streams(self) -> bool:
+        kind = self.headers.get('Content-Type', '')
+        return kind.startswith('text/event-stream')
+
     @property
     def length(self) -> int | None:
         """The length the server announced, in bytes, or None."""
@@ -212,8 +222,8 @@
 
         The library takes any end of the connection for the body's end. The
         kernel of a process that is killed closes its connections as the
-        process does at the end of an answer, so that only a server that still
-        accepts connections can have ended it.
+        process does at the end of an answer, so that only a server that goes on
+        can have ended it.
 
         :raises errors.CutShortError: when it can't be told.
         :raises aiohttp.ClientError: when the connection was reset.
@@ -221,7 +231,8 @@
         if self._lost is None:
             raise errors.CutShortError("the answer's end could not be told")
         await self._lost
-        if not await sockets.accepts_connections(self._address):
+        seconds = _STREAM_CHECK_SECONDS if self._streams else _CHECK_SECONDS
+        if not await sockets.goes_on(self._address, seconds):
             raise errors.CutShortError(
                 f'{self._address} ended at the end of the connection'
             )
--- a/libs/backends/geraniumweir/backends/sockets.py
+++ b/libs/backends/geraniumweir/backends/sockets.py
@@ -1,6 +1,6 @@
 """Sockets to backend servers, and what a new connection tells of a server.
 
-Load: a connection for each answer that ends with its connection only.
+Load: two connections for each answer that ends with its connection only.
 """
 
 import asyncio
@@ -32,18 +32,16 @@
 # after which a kernel repeats its first packet: a later connection may be to a
 # server that started again.
 _ACCEPT_SECONDS = 0.9
-# The kernel of a process that ends closes its sockets within this time, those
-# of connections that it accepted for the process as well.
-_SETTLE_SECONDS = 0.02
 # A server with too many connections resets further ones.
 _TRIES = 3
+_PAUSE_SECONDS = 0.02
 
 
 class _Probe(enum.Enum):
     """What became of a new connection.
 
     :cvar kept: it was made and not closed.
-    :cvar closed: it was made and closed at once.
+    :cvar closed: it was made and closed.
     :cvar not_made: it was not made.
     """
 
@@ -85,35 +83,37 @@
         made.close()
 
 
-async def accepts_connections(address: ids.Address) -> bool:
-    """Return whether a server is there and keeps a new connection.
+async def goes_on(address: ids.Address, seconds: float) -> bool:
+    """Return whether a server is there and stays there for some time.
 
-    Nothing is sent on it.
+    A connection has to be accepted at once and to be kept, and another one to
+    be accepted at the end: a process that ends may close its listener before
+    its connections, or after them. Nothing is sent on either.
     """
     for _ in range(_TRIES):
-        match await _connect_and_settle(address):
+        match await _keep(address, seconds):
             case _Probe.kept:
-                return True
+                return await probe(address, _ACCEPT_SECONDS)
             case _Probe.not_made:
                 return False
             case _Probe.closed:
-                await asyncio.sleep(_SETTLE_SECONDS)
+                await asyncio.sleep(_PAUSE_SECONDS)
     return False
 
 
-async def _connect_and_settle(address: ids.Address) -> _Probe:
+async def _keep(address: ids.Address, seconds: float) -> _Probe:
     made = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
     try:
         if not await _connects(made, address, _ACCEPT_SECONDS):
             return _Probe.not_made
-        return await _settle(made)
+        return await _watch(made, seconds)
     finally:
         made.close()
 
 
-async def _settle(made: socket.socket) -> _Probe:
+async def _watch(made: socket.socket, seconds: float) -> _Probe:
     try:
-        async with asyncio.timeout(_SETTLE_SECONDS):
+        async with asyncio.timeout(seconds):
             received = await asyncio.get_running_loop().sock_recv(made, 1)
     except TimeoutError:
         return _Probe.kept
--- a/libs/backends/geraniumweir/backends/tests/test_unframed.py
+++ b/libs/backends/geraniumweir/backends/tests/test_unframed.py
@@ -21,11 +21,12 @@
     resets = 'resets'
     is_killed = 'is killed'
     is_killed_slowly = 'is killed, and its listener is closed last'
+    ends_slowly = 'ends, and closes further connections later'
     is_full = 'closes, and resets the next connections'
     is_stopped = 'closes, and closes all further connections'
 
 
-_KILLS = (_End.is_killed, _End.is_killed_slowly)
+_KILLS = (_End.is_killed, _End.is_killed_slowly, _End.ends_slowly)
 
 
 async def _read(end: _End) -> bytes:
@@ -50,8 +51,8 @@
             _reset(writer)
         if end is _End.is_killed:
             server.close()
-        if end is _End.is_killed_slowly:
-            asyncio.get_running_loop().call_later(0.003, server.close)
+        if end in {_End.is_killed_slowly, _End.ends_slowly}:
+            asyncio.get_running_loop().call_later(0.01, server.close)
         writer.close()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
@@ -80,8 +81,11 @@
     """Take a connection after the first one."""
     if end is _End.is_full and number == 2:
         _reset(writer)
-    elif end not in {_End.is_stopped, *_KILLS}:
+    elif end is not _End.is_stopped and end not in _KILLS:
         await reader.read()
+    elif end is _End.ends_slowly:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(reader.read(), 0.1)
     writer.close()
 
 
