Streams: the split reads each byte of an event about once

Cause: the change to several ids and two line ends looked for ids with a pattern that is tried at each byte of an event, and for the end of an event from its begin at each read. Change: the last id is searched from the end, as a plain text, and the end only where the new bytes can make one. An id with a bare carriage return within it is no number now; before, an earlier id of its event counted.

--- a/libs/gateway/geraniumweir/gateway/events.py
+++ b/libs/gateway/geraniumweir/gateway/events.py
@@ -10,7 +10,8 @@
 from geraniumweir.gateway import errors
 
 _END = re.compile(rb'\n\r?\n')
-_ID = re.compile(rb'^id: ?([^\r\n]*)\r?$', re.MULTILINE)
+_END_BYTES = 3
+_ID = b'id:'
 _DATA = re.compile(rb'^data(?::|\r?$)', re.MULTILINE)
 # Begins no event, but the head of an answer behind one that was not ended.
 _ANSWER = b'HTTP/1.'
@@ -72,7 +73,9 @@
     def _split(self, chunk: bytes) -> bytes:
         received = self._incomplete + chunk
         taken = 0
-        for end in _END.finditer(received):
+        # None ends within the bytes that were incomplete before.
+        searched = max(len(self._incomplete) - _END_BYTES + 1, 0)
+        for end in _END.finditer(received, searched):
             self._take(received[taken : end.start()])
             taken = end.end()
         self._incomplete = received[taken:]
@@ -98,7 +101,9 @@
 
 def _number_of(event: bytes) -> int | None:
     """Return the number of an event; of several ids the last one counts."""
-    found = _ID.findall(event)
-    if not found or len(found[-1]) > _MAX_DIGITS or not found[-1].isdigit():
+    line_end = event.rfind(b'\n%b' % _ID)
+    if line_end < 0 and not event.startswith(_ID):
         return None
-    return int(found[-1])
+    field, _, _ = event[line_end + 1 + len(_ID) :].partition(b'\n')
+    text = field.removeprefix(b' ').removesuffix(b'\r')
+    return int(text) if text.isdigit() and len(text) <= _MAX_DIGITS else None
