Backends: the pattern of a cut head is three forms, not five levels

Cause: the two patterns of an answer's head wrote its status line and fields twice, the second in optional groups five deep. Change: both are put together of the same parts; a head is cut in its status line, at its end, or in a field. The bytes that are held are a plain attribute.

--- a/libs/backends/geraniumweir/backends/surplus.py
+++ b/libs/backends/geraniumweir/backends/surplus.py
@@ -13,26 +13,28 @@
 _MARK = b'HTTP/1.'
 # Bytes of a head that was cut by which it is told from the end of a body.
 _MIN_CUT_BYTES = 4
-_HEAD = re.compile(
-    rb"""
-    HTTP/1\.[01][ ][0-9]{3}(?:[ ][^\r\n]{0,64})?\r\n
-    (?:[-!#$%&'*+.^_`|~0-9A-Za-z]{1,256}:[^\r\n]{0,8192}\r\n){0,256}
-    \r\n
-    """,
-    re.VERBOSE,
-)
-# A head that may go on behind the last byte.
+_STATUS = rb'HTTP/1\.[01] [0-9]{3}(?: [^\r\n]{0,64})?'
+_NAME = rb"[-!#$%&'*+.^_`|~0-9A-Za-z]"
+_VALUE = rb':[^\r\n]{0,8192}'
+_FIELDS = b''.join((b'(?:', _NAME, b'{1,256}', _VALUE, rb'\r\n){0,256}'))
+_HEAD = re.compile(b''.join((_STATUS, rb'\r\n', _FIELDS, rb'\r\n')))
+# A head that may go on behind the last byte: cut in its status line, at the end
+# of it, or in a field.
 _BEGIN = re.compile(
-    rb"""
-    HTTP/1\.(?:[01](?:[ ](?:
-        [0-9]{0,2}
-        |[0-9]{3}(?:[ ][^\r\n]{0,64})?(?:\r(?:\n
-            (?:[-!#$%&'*+.^_`|~0-9A-Za-z]{1,256}:[^\r\n]{0,8192}\r\n){0,256}
-            [-!#$%&'*+.^_`|~0-9A-Za-z]{0,256}(?::[^\r\n]{0,8192})?\r?
-        )?)?
-    ))?)?\Z
-    """,
-    re.VERBOSE,
+    b''.join(
+        (
+            rb'(?:HTTP/1\.(?:[01](?: [0-9]{0,3})?)?|',
+            _STATUS,
+            rb'\r?|',
+            _STATUS,
+            rb'\r\n',
+            _FIELDS,
+            _NAME,
+            b'{0,256}(?:',
+            _VALUE,
+            rb')?\r?)\Z',
+        )
+    )
 )
 
 Headers = multidict.CIMultiDict[str]
@@ -42,6 +44,7 @@
     """Splits a body from an answer behind it.
 
     :ivar found: whether another answer follows the bytes that were returned.
+    :ivar held: bytes that may begin another head.
     """
 
     def __init__(self, is_answer: typing.Callable[[Headers], bool]) -> None:
@@ -51,23 +54,18 @@
             an answer on the same connection.
         """
         self.found = False
+        self.held = b''
         self._is_answer = is_answer
-        self._held = b''
-
-    @property
-    def held(self) -> bytes:
-        """Bytes that may begin another head."""
-        return self._held
 
     @property
     def is_cut(self) -> bool:
         """Whether these bytes are taken for a head that was cut."""
-        return len(self._held) >= _MIN_CUT_BYTES
+        return len(self.held) >= _MIN_CUT_BYTES
 
     def feed(self, chunk: bytes) -> bytes:
         """Return bytes that are of the body, as far as it is known."""
-        received = self._held + chunk
-        self._held = b''
+        received = self.held + chunk
+        self.held = b''
         begin = _find_mark(received, 0)
         while begin >= 0:
             head = _HEAD.match(received, begin)
@@ -77,7 +75,7 @@
             if len(received) - begin < len(_MARK) or _BEGIN.match(
                 received, begin
             ):
-                self._held = received[begin:]
+                self.held = received[begin:]
                 return received[:begin]
             begin = _find_mark(received, begin + 1)
         return received
