Entry hosts: bodies that are awaited are kept in their order

Cause: which bodies may give way was a set that three methods changed, with a time at each body and a search for the oldest at each check. Change: a body is in a table only while its next bytes are awaited; the first of the table is the one that has waited longest. The same body gives way, at the same time. Measured: the six tests of test_request_bodies pass.

--- a/libs/gateway/geraniumweir/gateway/request_bodies.py
+++ b/libs/gateway/geraniumweir/gateway/request_bodies.py
@@ -11,6 +11,7 @@
 import types
 import typing
 
+import aiohttp
 from aiohttp import web
 from geraniumweir.common import errors
 from geraniumweir.gateway import held_bytes, refusals
@@ -48,7 +49,8 @@
         small = bound // _SMALL_DIVISOR
         self._small = held_bytes.HeldBytes(small)
         self._large = held_bytes.HeldBytes(bound - small)
-        self._reading: set['RequestBody'] = set()
+        # Since when more bytes of a body are awaited, the longest first.
+        self._awaited: dict['RequestBody', float] = {}
         self._waiting = 0
         self._most_waiting = max(bound // _WAITING_DIVISOR // _WAITING_BYTES, 1)
 
@@ -64,20 +66,22 @@
         """Return the account that a body of some size belongs to."""
         return self._small if size <= _SMALL_BYTES else self._large
 
-    def add_reading(self, body: 'RequestBody') -> None:
-        """Let a body give way to others when it stalls."""
-        self._reading.add(body)
+    async def read_chunk(
+        self, body: 'RequestBody', content: aiohttp.StreamReader
+    ) -> bytes:
+        """Return further bytes of a body, none at its end.
 
-    def remove_reading(self, body: 'RequestBody') -> None:
-        """Let a body give way no more."""
-        self._reading.discard(body)
+        It is stopped if it stalls while others wait for room.
+        """
+        self._awaited[body] = _now()
+        try:
+            return await content.readany()
+        finally:
+            self._awaited.pop(body, None)
 
-    async def wait_for(
-        self, fits: typing.Callable[[], bool], waiting: 'RequestBody'
-    ) -> None:
+    async def wait_for(self, fits: typing.Callable[[], bool]) -> None:
         """Wait until there is room.
 
-        :param waiting: is not stopped meanwhile.
         :raises geraniumweir.common.errors.Refused: if there is none in time, or
             if too many wait.
         """
@@ -85,7 +89,6 @@
             raise refusals.no_memory()
         give_up_at = _now() + _ROOM_SECONDS
         self._waiting += 1
-        self._reading.discard(waiting)
         try:
             while not fits():
                 self._stop_stalled()
@@ -94,29 +97,23 @@
                 await asyncio.sleep(_CHECK_SECONDS)
         finally:
             self._waiting -= 1
-        self._reading.add(waiting)
 
     def _stop_stalled(self) -> None:
         """Stop the body of which nothing came for the longest time."""
-        if not self._reading:
+        body = next(iter(self._awaited), None)
+        if body is None or _now() - self._awaited[body] < _STALLED_SECONDS:
             return
-        oldest = min(self._reading, key=_last_at)
-        if _now() - oldest.last_at >= _STALLED_SECONDS:
-            self._reading.discard(oldest)
-            oldest.stop()
+        self._awaited.pop(body)
+        body.stop()
 
 
 class RequestBody:
-    """Body of one request.
-
-    :ivar last_at: when bytes of it came last, in loop time.
-    """
+    """Body of one request."""
 
     def __init__(
         self, bodies: RequestBodies, account: held_bytes.HeldBytes
     ) -> None:
         """Initialize without bytes."""
-        self.last_at = float(0)
         self._bodies = bodies
         self._account = account
         self._held = account.open()
@@ -154,8 +151,6 @@
             raise refusals.permanent(
                 _TIMED_OUT, 'body_late', 'the body did not come in time'
             ) from exc
-        finally:
-            self._bodies.remove_reading(self)
 
     def stop(self) -> None:
         """End the reading as at its time limit."""
@@ -164,12 +159,10 @@
 
     async def _read(self, req: web.BaseRequest, most: int) -> bytes:
         await self._reserve(req.content_length or 0)
-        self._bodies.add_reading(self)
         chunks: list[bytes] = []
         size = 0
         while True:
-            self.last_at = _now()
-            chunk = await req.content.readany()
+            chunk = await self._bodies.read_chunk(self, req.content)
             if not chunk:
                 return b''.join(chunks)
             size += len(chunk)
@@ -189,7 +182,7 @@
             self._account = account
             self._held = account.open()
         if not self._fits(wanted):
-            await self._bodies.wait_for(lambda: self._fits(wanted), self)
+            await self._bodies.wait_for(lambda: self._fits(wanted))
         account.resize(self._held, wanted)
 
     def _fits(self, wanted: int) -> bool:
@@ -218,9 +211,5 @@
     )
 
 
-def _last_at(body: RequestBody) -> float:
-    return body.last_at
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
