Entry hosts: one place has the limits of the document in force

Cause: the limits before the first document were written for requests and, by this change, again for connections. Change: the document state has them. Measured: tests of bodies, overload, forwarding and headers pass.

--- a/libs/gateway/geraniumweir/gateway/admission.py
+++ b/libs/gateway/geraniumweir/gateway/admission.py
@@ -37,6 +37,15 @@
     index: finding.Index | None
     up_to_date: bool
 
+    @property
+    def limits(self) -> tables.Limits:
+        """Limits for callers, the usual ones before the first document."""
+        return (
+            tables.Limits()
+            if self.index is None
+            else self.index.document.limits
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestOrigin:
--- a/libs/gateway/geraniumweir/gateway/serving.py
+++ b/libs/gateway/geraniumweir/gateway/serving.py
@@ -97,7 +97,7 @@
         """
         self._server = make_server(self.handle)
         self._server.overload = protection
-        self._server.get_limits = self._limits
+        self._server.get_limits = lambda: self._get_document_state().limits
         return self._server
 
     def close_idle(self) -> None:
@@ -113,10 +113,6 @@
             if not conn.is_busy:
                 conn.force_close()
 
-    def _limits(self) -> tables.Limits:
-        index = self._get_document_state().index
-        return tables.Limits() if index is None else index.document.limits
-
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Return the response to one request."""
         self.traffic.open += 1
@@ -222,9 +218,8 @@
         caller_request = self._read_request(req)
         document_state = await self._wait_for_document()
         record.request = caller_request.request_id
-        limits = tables.Limits()
+        limits = document_state.limits
         if document_state.index is not None:
-            limits = document_state.index.document.limits
             record.version = document_state.index.version
         _check_headers(req, limits)
         with self.bodies.open() as held:
