Tests of the gateway: the testbed is split by job, and streams are sent by it

Change: the codec and the directory of streams have files of their own; the testbed sends streams and knows the port. The tests and their assertions stay.

--- a/libs/gateway/geraniumweir/gateway/tests/test_cut_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_cut_answers.py
@@ -205,7 +205,7 @@
     async def work() -> list[str]:
         server = testbed.Server(testbed.answers(b'done'))
         async with testbed.running(server, **_ONCE) as running:
-            port = int(running.url.split(':')[2].split('/')[0])
+            port = running.port
             for piece in pieces:
                 _, writer = await asyncio.open_connection('127.0.0.1', port)
                 writer.write(piece)
--- a/libs/gateway/geraniumweir/gateway/tests/test_heads.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_heads.py
@@ -19,7 +19,7 @@
     async def work() -> int:
         server = testbed.Server(testbed.answers(b'done'))
         async with testbed.running(server) as running:
-            port = int(running.url.split(':')[2].split('/')[0])
+            port = running.port
             reader, writer = await asyncio.open_connection('127.0.0.1', port)
             sent = len(begin)
             writer.write(begin)
@@ -59,7 +59,7 @@
     async def work() -> int:
         server = testbed.Server(testbed.answers(b'done'))
         async with testbed.running(server) as running:
-            port = int(running.url.split(':')[2].split('/')[0])
+            port = running.port
             reader, writer = await asyncio.open_connection('127.0.0.1', port)
             writer.write(request * count)
             answered = 0
--- a/libs/gateway/geraniumweir/gateway/tests/test_old_callers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_old_callers.py
@@ -3,7 +3,6 @@
 import asyncio
 import typing
 
-import multidict
 import pytest
 from geraniumweir.gateway.tests import testbed
 from geraniumweir.routing import tables
@@ -12,30 +11,13 @@
 _REQUEST = b'GET /a/b HTTP/1.0\r\nHost: host\r\nId: r1\r\n\r\n'
 
 
-def _sends(*, whole: bool) -> testbed.Behavior:
-    async def behavior(
-        _server: testbed.Server,
-        asked_id: str,
-        _head: multidict.CIMultiDict[str],
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        end = testbed.chunk(b'') if whole else b''
-        event = testbed.chunk(testbed.event(1))
-        writer.write(testbed.stream_head(asked_id) + event + end)
-        await writer.drain()
-        if not whole:
-            writer.close()
-
-    return behavior
-
-
 def _get(*, whole: bool) -> bytes:
     """Return all that a caller gets until its connection closes."""
 
     async def work() -> bytes:
-        server = testbed.Server(_sends(whole=whole))
+        server = testbed.Server(testbed.stream(testbed.event(1), ends=whole))
         async with testbed.running(server, **_STREAM) as running:
-            port = int(running.url.split(':')[2].split('/')[0])
+            port = running.port
             reader, writer = await asyncio.open_connection('127.0.0.1', port)
             writer.write(_REQUEST)
             try:
--- a/libs/gateway/geraniumweir/gateway/tests/test_request_bodies.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_request_bodies.py
@@ -40,7 +40,7 @@
     running: testbed.Testbed, stack: _Stack, body: bytes = _LARGE
 ) -> asyncio.StreamReader:
     """Send a body but its last byte, and keep the connection open."""
-    port = int(running.url.split(':')[2].split('/')[0])
+    port = running.port
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
     stack.callback(writer.close)
     head = (
--- a/libs/gateway/geraniumweir/gateway/tests/test_stream_sequence.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_stream_sequence.py
@@ -22,26 +22,7 @@
 
 
 def _sends(*events: bytes, ends: bool) -> testbed.Behavior:
-    """Return a behavior that sends events in one piece.
-
-    :param ends: whether the stream ends as complete behind them; otherwise its
-        connection closes.
-    """
-
-    async def behavior(
-        _server: testbed.Server,
-        asked_id: str,
-        _head: multidict.CIMultiDict[str],
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        content = testbed.chunk(b''.join(events))
-        end = testbed.chunk(b'') if ends else b''
-        writer.write(testbed.stream_head(asked_id) + content + end)
-        await writer.drain()
-        if not ends:
-            writer.close()
-
-    return behavior
+    return testbed.stream(b''.join(events), ends=ends)
 
 
 async def _goes_on(
@@ -94,30 +75,14 @@
 @pytest.mark.parametrize('status', ['200 OK', '204 Empty', '404 Unknown'])
 def test_plain_answer_does_not_end_a_stream(status: str) -> None:
     """The stream ended as complete before its last event."""
-
-    async def answer(
-        _server: testbed.Server,
-        asked_id: str,
-        _head: multidict.CIMultiDict[str],
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        writer.write(testbed.answer(asked_id, b'', status))
-
+    answer = testbed.answers(b'', status)
     got = _get(_sends(testbed.event(1), ends=False), answer, answer)
     assert got == _got(testbed.event(1), whole=False)
 
 
 def test_stream_goes_on_behind_a_plain_answer() -> None:
     """Another server may know how to go on."""
-
-    async def answer(
-        _server: testbed.Server,
-        asked_id: str,
-        _head: multidict.CIMultiDict[str],
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        writer.write(testbed.answer(asked_id, b'', '404 Unknown'))
-
+    answer = testbed.answers(b'', '404 Unknown')
     first = _sends(testbed.event(1), ends=False)
     assert _get(first, answer, _goes_on) == _got(_WHOLE, whole=True)
 
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -3,20 +3,17 @@
 import asyncio
 import contextlib
 import dataclasses
-import json
 import socket
 import typing
 
 import aiohttp
 import multidict
-from aiohttp import web
+import yarl
 from geraniumweir.backends import calls, sockets
-from geraniumweir.common import errors as common_errors
 from geraniumweir.common import ids, timers
 from geraniumweir.control import enrolments, pool_servers
 from geraniumweir.gateway import (
     admission,
-    codec,
     context,
     grant_check,
     held_bytes,
@@ -27,10 +24,10 @@
     serving,
 )
 from geraniumweir.gateway import listening as serving_at
+from geraniumweir.gateway.tests import local_streams, plain_codec
 from geraniumweir.observe import metrics
 from geraniumweir.routing import finding, tables
 from geraniumweir.scheduling import (
-    granted_streams,
     notices,
     requests,
     stream_origins,
@@ -45,91 +42,6 @@
 ]
 
 
-class PlainCodec:
-    """Minimal implementation of the gateway's codec."""
-
-    def read_request(self, req: web.BaseRequest) -> codec.Request:
-        head = multidict.CIMultiDict(req.headers)
-        head.pop('Content-Length', None)
-        last = req.headers.get('Last-Event-Id')
-        patience = req.headers.get('Patience')
-        return codec.Request(
-            request_id=req.headers.get('Id', ''),
-            method=req.method,
-            host='host',
-            target=req.raw_path,
-            path=req.path,
-            key=req.headers.get('Key', ''),
-            patience=float(patience) if patience else None,
-            generation=(
-                codec.Generation() if 'Generates' in req.headers else None
-            ),
-            last_event=int(last) if last else None,
-            headers=head,
-            resumes=req.headers.get('Resumes', ''),
-        )
-
-    def dispatch_headers(
-        self,
-        call: codec.Request,
-        dispatch: codec.Dispatch,
-    ) -> codec.Headers:
-        head = call.headers.copy()
-        if dispatch.last_event is not None:
-            head['Last-Event-Id'] = str(dispatch.last_event)
-        return head
-
-    def request_id(self, headers: typing.Mapping[str, str]) -> str:
-        return headers.get('Id', '')
-
-    def read_response_head(
-        self,
-        status: int,
-        headers: typing.Mapping[str, str],
-    ) -> codec.ResponseHead:
-        kept = multidict.CIMultiDict(
-            (name, text)
-            for name, text in headers.items()
-            if name in {'Signed', 'Id', 'Content-Type'}
-        )
-        return codec.ResponseHead(
-            status,
-            headers.get('Id', ''),
-            'Not-Run' in headers,
-            'Signed' in headers,
-            'Content-Encoding' in headers,
-            headers.get('Content-Type') == 'text/event-stream',
-            kept,
-            tuple(_read_notices(headers)),
-        )
-
-    def refusal(
-        self,
-        _call_id: str,
-        refusal: common_errors.Refusal,
-    ) -> web.Response:
-        return web.Response(
-            status=refusal.status,
-            text=json.dumps(refusal.as_json()),
-        )
-
-
-def _read_notices(
-    headers: typing.Mapping[str, str],
-) -> typing.Iterator[notices.Content | notices.Unreadable]:
-    unread = headers.get('Unread')
-    limit = headers.get('Limit')
-    pause = headers.get('Pause')
-    if unread:
-        yield notices.Unreadable(unread)
-    elif limit:
-        yield notices.RateLimit(float(limit))
-    if 'Leaving' in headers:
-        yield notices.Leaving()
-    if pause:
-        yield notices.Pause(float(pause))
-
-
 class Scheduler:
     """Scheduler that grants the servers in turn.
 
@@ -189,34 +101,6 @@
         self.first_tokens.append(release.first_token)
 
 
-class Streams:
-    """Directory of streams of a host without a coordinator.
-
-    :ivar claims: of the callers that took a stream up, in order.
-    """
-
-    def __init__(self, clock: timers.TimerService) -> None:
-        self.claims: list[stream_origins.ContentClaim | None] = []
-        self._clock = clock
-        self._origins = stream_origins.StreamOrigins(clock)
-        self.record = self._origins.record
-        self.is_certain = self._origins.is_certain
-
-    def record_grant(
-        self, slot_request: requests.SlotRequest, grant: requests.Grant
-    ) -> None:
-        now = self._clock.now()
-        self.record(granted_streams.of_grant(slot_request, grant, now))
-
-    async def find(
-        self,
-        key: ids.StreamKey,
-        claim: stream_origins.ContentClaim | None = None,
-    ) -> stream_origins.StreamOrigin | None:
-        self.claims.append(claim)
-        return self._origins.find(key)
-
-
 @dataclasses.dataclass(slots=True)
 class Server:
     """Backend server that behaves as a test says.
@@ -287,6 +171,11 @@
     shared: context.SharedResources
     session: aiohttp.ClientSession
 
+    @property
+    def port(self) -> int:
+        """Port that callers connect to."""
+        return yarl.URL(self.url).port or 0
+
 
 @contextlib.asynccontextmanager
 async def running(
@@ -329,7 +218,7 @@
                 metrics.Metrics(),
                 clock,
             ),
-            PlainCodec(),
+            plain_codec.PlainCodec(),
             scheduler,
             response_notices.NoticeRecorder(HOST, server_notices, clock),
             grant_check.GrantCheck(
@@ -343,7 +232,7 @@
                 timers.TimerService(),
             ),
             metrics.Metrics(),
-            Streams(clock),
+            local_streams.Streams(clock),
             response_buffer.ResponseBuffers(
                 metrics.Metrics(), accounts or held_bytes.HeldBytes()
             ),
@@ -462,6 +351,28 @@
     return f'id: {number}\ndata: x\n\n'.encode()
 
 
+def stream(content: bytes, *, ends: bool) -> Behavior:
+    """Return a behavior that sends a stream in one piece.
+
+    :param ends: whether the stream ends as complete behind its events;
+        otherwise its connection closes.
+    """
+
+    async def behavior(
+        _server: Server,
+        asked_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        end = chunk(b'') if ends else b''
+        writer.write(b''.join((stream_head(asked_id), chunk(content), end)))
+        await writer.drain()
+        if not ends:
+            writer.close()
+
+    return behavior
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Got:
     """What a caller got.
