Backends: a status out of range is no answer

Cause: the library's parsers take any three digits for a status, and what they give was believed. 000 to 099 and 600 to 999 came through as answers, 600 and above as the server's own failure; 101 too, which nobody asked for. Everything that reads answers of servers reads them so: entry hosts, relays, the first interface, and its orders to servers, to which 000 was a success.

Change: the handler that reads all answers ends a connection on which one has a status outside of 100 to 599, or 101 (RFC 9110, section 15). No answer behind such a one on the connection is read.

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -1,7 +1,8 @@
-"""Ends connections to servers whose bytes never become an answer.
+"""Ends connections to servers whose bytes are no answer.
 
 The HTTP parser skips interim answers and extensions of chunks, however many
 come. Here the received bytes are compared with the body that came of them.
+It also takes any three digits for a status.
 Bytes behind an answer end the use of its connection, and leave the answer as
 it is.
 Load: each piece that a socket delivers, up to some ten thousand a second.
@@ -23,8 +24,12 @@
 # An extra answer comes soon after the first.
 _KEPT_REQUESTS = 8
 _HEAD_END = b'\r\n\r\n'
-_FINAL = 200
-_SWITCHES = 101
+# RFC 9110, section 15.
+_MIN_STATUS = 100
+_MIN_FINAL_STATUS = 200
+_MAX_STATUS = 599
+# No request asks for another protocol.
+_SWITCHING_STATUS = 101
 
 
 class BoundedHandler(client_proto.ResponseHandler):
@@ -69,8 +74,13 @@
 
     def feed_data(self, answer: typing.Any, size: int = 0) -> None:
         """Take an answer's head from the parser."""
+        if self.exception() is not None:
+            return
         head, body = answer
-        if head.code >= _FINAL or head.code == _SWITCHES:
+        if not _is_status(head.code):
+            self._end(f'status {head.code}')
+            return
+        if head.code >= _MIN_FINAL_STATUS:
             self._read_before = self._read
             self._body = body
         super().feed_data(answer, size)
@@ -155,6 +165,11 @@
             self.transport.abort()
 
 
+def _is_status(code: int) -> bool:
+    """Return whether an answer to a request may have a status."""
+    return _MIN_STATUS <= code <= _MAX_STATUS and code != _SWITCHING_STATUS
+
+
 def apply(connector: aiohttp.BaseConnector) -> None:
     """Have all new connections of a connector read by these handlers."""
     make = functools.partial(BoundedHandler, asyncio.get_running_loop())
--- a/libs/backends/geraniumweir/backends/tests/raw_answers.py
+++ b/libs/backends/geraniumweir/backends/tests/raw_answers.py
@@ -62,6 +62,11 @@
     return asyncio.run(work())
 
 
+def read(answer: bytes) -> typing.Any:
+    """Return what became of an answer: status and body, or the error."""
+    return read_all([Sent(answer)])[0]
+
+
 async def _send(writer: asyncio.StreamWriter, sent: Sent) -> None:
     content = sent.answer[: sent.size]
     if sent.apart:
