Backends: a head with a malformed line is no answer

Callers got answers in whose heads the name of a field held a blank: the line was passed on ("Content-Length : 5"), or the body was not the server's, as the line was taken for a part of the one before (" Content-Length: 5"). Control bytes in values were passed on as well.

Cause: the library's parsers repair malformed lines, each in its own way, and what they made of a head was believed. A head with a stray carriage return ended there for the compiled one, so that the rest of it became the body.

A blank or a control byte within a name was refused before; at its begin, and a blank behind Content-Length and Transfer-Encoding, were not.

Change: heads.HeadChecker holds each line of a head to the grammar of RFC 9112 before the parser's answer counts, folded lines included, which a gateway may refuse; all lines end alike. The handler splits what it receives where a head may begin, and keeps bytes while the parser is paused, so that no head is parsed unchecked, not even behind the copy of another answer.

Why it works: the parser sees no byte behind a malformed line, so that it has nothing to repair.

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -2,7 +2,7 @@
 
 The HTTP parser skips interim answers and extensions of chunks, however many
 come. Here the received bytes are compared with the body that came of them.
-It also takes any three digits for a status.
+It also takes any three digits for a status, and repairs malformed heads.
 Bytes behind an answer end the use of its connection, and leave the answer as
 it is.
 Load: each piece that a socket delivers, up to some ten thousand a second.
@@ -15,6 +15,7 @@
 
 import aiohttp
 from aiohttp import client_proto
+from geraniumweir.backends import heads
 
 # Bytes for the head with all interim answers before it, and for the lines
 # between chunks that hold little.
@@ -23,7 +24,6 @@
 _FRAMING_RATIO = 8
 # An extra answer comes soon after the first.
 _KEPT_REQUESTS = 8
-_HEAD_END = b'\r\n\r\n'
 # RFC 9110, section 15.
 _MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
@@ -50,6 +50,9 @@
         self._read_before = 0
         self._body: aiohttp.StreamReader | None = None
         self._has_surplus = False
+        self._head = heads.HeadChecker()
+        self._is_head_checked = False
+        self._kept = b''
 
     @property
     def exchange(self) -> str:
@@ -70,6 +73,8 @@
         self._received = 0
         self._read_before = 0
         self._body = None
+        self._head = heads.HeadChecker()
+        self._is_head_checked = False
         super().set_response_params(**options)
 
     def feed_data(self, answer: typing.Any, size: int = 0) -> None:
@@ -78,8 +83,12 @@
             return
         head, body = answer
         if not _is_status(head.code):
-            self._end(f'status {head.code}')
+            self._end(aiohttp.ClientPayloadError(f'status {head.code}'))
             return
+        if not self._is_head_checked:
+            self._end(aiohttp.ClientPayloadError('a head came unchecked'))
+            return
+        self._is_head_checked = False
         if head.code >= _MIN_FINAL_STATUS:
             self._read_before = self._read
             self._body = body
@@ -96,6 +105,8 @@
         The next request gets a parser of its own, which would read the rest
         of them as the begin of its answer.
         """
+        if self._kept:
+            return True
         if self._parser is None:
             return False
         try:
@@ -123,21 +134,45 @@
             self._check()
 
     def _pieces(self, content: bytes) -> typing.Iterator[bytes]:
-        """Split bytes behind each head.
+        """Split bytes where a head begins or ends.
 
         Of a piece with bytes that it can't read, the parser gives no answer,
         even if a whole one ends before them.
         """
-        while self.exception() is None:
-            if self._body is not None and not self._body.is_eof():
-                break
-            head, end, rest = content.partition(_HEAD_END)
-            if not rest:
-                break
-            yield head + end
-            content = rest
-        if self.exception() is None:
+        if not content:
+            # Has the parser go on with bytes that it kept.
             yield content
+        content = self._kept + content
+        self._kept = b''
+        start = 0
+        while start < len(content) and self.exception() is None:
+            if self._reading_paused:
+                # Where the body ends isn't known before it is parsed.
+                self._kept = content[start:]
+                break
+            end = self._piece_end(content, start)
+            if end > start:
+                yield content[start:end]
+            start = end
+
+    def _piece_end(self, content: bytes, start: int) -> int:
+        """Return the end of the bytes of the present head or body.
+
+        The end of a body is known once it is parsed, so that all bytes up to
+        the possible begin of a head are taken for its part.
+
+        :returns: the start itself if the bytes are not part of a head.
+        """
+        if self._body is not None and not self._body.is_eof():
+            begin = heads.find_mark(content, start + 1)
+            return len(content) if begin < 0 else begin
+        try:
+            end = self._head.feed(content, start)
+        except heads.MalformedHeadError as exc:
+            self._end(exc)
+            return start
+        self._is_head_checked = self._head.complete
+        return end
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End with a connection; an answer that is whole stays whole."""
@@ -154,10 +189,10 @@
     def _check(self) -> None:
         read = self._read
         if self._received > _FRAMING_BYTES + (1 + _FRAMING_RATIO) * read:
-            self._end(f'{self._received} bytes received, {read} of a body')
+            reason = f'{self._received} bytes received, {read} of a body'
+            self._end(aiohttp.ClientPayloadError(reason))
 
-    def _end(self, reason: str) -> None:
-        exc = aiohttp.ClientPayloadError(reason)
+    def _end(self, exc: Exception) -> None:
         if self._body is not None and not self._body.is_eof():
             self._body.set_exception(exc)
         self.set_exception(exc)
--- a/libs/backends/geraniumweir/backends/surplus.py
+++ b/libs/backends/geraniumweir/backends/surplus.py
@@ -9,14 +9,15 @@
 import typing
 
 import multidict
+from geraniumweir.backends import heads
 
-_MARK = b'HTTP/1.'
 # Bytes of a head that was cut by which it is told from the end of a body.
 _MIN_CUT_BYTES = 4
 _STATUS = rb'HTTP/1\.[01] [0-9]{3}(?: [^\r\n]{0,64})?'
-_NAME = rb"[-!#$%&'*+.^_`|~0-9A-Za-z]"
 _VALUE = rb':[^\r\n]{0,8192}'
-_FIELDS = b''.join((b'(?:', _NAME, b'{1,256}', _VALUE, rb'\r\n){0,256}'))
+_FIELDS = b''.join(
+    (b'(?:', heads.TOKEN_BYTE, b'{1,256}', _VALUE, rb'\r\n){0,256}')
+)
 _HEAD = re.compile(b''.join((_STATUS, rb'\r\n', _FIELDS, rb'\r\n')))
 # A head that may go on behind the last byte: cut in its status line, at the end
 # of it, or in a field.
@@ -29,7 +30,7 @@
             _STATUS,
             rb'\r\n',
             _FIELDS,
-            _NAME,
+            heads.TOKEN_BYTE,
             b'{0,256}(?:',
             _VALUE,
             rb')?\r?)\Z',
@@ -66,32 +67,21 @@
         """Return bytes that are of the body, as far as it is known."""
         received = self.held + chunk
         self.held = b''
-        begin = _find_mark(received, 0)
+        begin = heads.find_mark(received, 0)
         while begin >= 0:
             head = _HEAD.match(received, begin)
             if head and self._is_answer(_read_headers(head.group())):
                 self.found = True
                 return received[:begin]
-            if len(received) - begin < len(_MARK) or _BEGIN.match(
+            if len(received) - begin < len(heads.MARK) or _BEGIN.match(
                 received, begin
             ):
                 self.held = received[begin:]
                 return received[:begin]
-            begin = _find_mark(received, begin + 1)
+            begin = heads.find_mark(received, begin + 1)
         return received
 
 
-def _find_mark(received: bytes, start: int) -> int:
-    """Return where a head may begin, -1 for nowhere."""
-    found = received.find(_MARK, start)
-    if found >= 0:
-        return found
-    for size in range(len(_MARK) - 1, 0, -1):
-        if received.endswith(_MARK[:size], start):
-            return len(received) - size
-    return -1
-
-
 def _read_headers(head: bytes) -> Headers:
     lines = head.decode('utf-8', 'surrogateescape').split('\r\n')
     pairs = (line.partition(':') for line in lines[1:] if line)
--- a/libs/backends/geraniumweir/backends/tests/raw_answers.py
+++ b/libs/backends/geraniumweir/backends/tests/raw_answers.py
@@ -28,12 +28,23 @@
     :ivar size: bytes of the answer that are sent, None for all.
     :ivar resets: whether the connection is reset instead of closed.
     :ivar apart: whether the last byte comes apart.
+    :ivar bytewise: whether each byte comes apart.
     """
 
     answer: bytes
     size: int | None = None
     resets: bool = False
     apart: bool = False
+    bytewise: bool = False
+
+    def pieces(self) -> list[bytes]:
+        """Return the bytes that are sent, in pieces with pauses between."""
+        content = self.answer[: self.size]
+        if self.bytewise:
+            return [bytes((one,)) for one in content]
+        if self.apart:
+            return [content[:-1], content[-1:]]
+        return [content]
 
 
 def read_all(answers: typing.Sequence[Sent]) -> list[typing.Any]:
@@ -68,22 +79,23 @@
 
 
 async def _send(writer: asyncio.StreamWriter, sent: Sent) -> None:
-    content = sent.answer[: sent.size]
-    if sent.apart:
-        writer.write(content[:-1])
-        await writer.drain()
-        await asyncio.sleep(0.002)
-        writer.write(content[-1:])
-    else:
-        writer.write(content)
+    first, *others = sent.pieces()
+    writer.write(first)
+    for piece in others:
+        await _pause(writer)
+        writer.write(piece)
     if sent.resets:
-        await writer.drain()
-        await asyncio.sleep(0.002)
+        await _pause(writer)
         sock = writer.get_extra_info('socket')
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
     writer.close()
 
 
+async def _pause(writer: asyncio.StreamWriter) -> None:
+    await writer.drain()
+    await asyncio.sleep(0.002)
+
+
 async def _read(
     session: aiohttp.ClientSession, address: ids.Address, number: int
 ) -> typing.Any:
--- a/libs/gateway/geraniumweir/gateway/tests/test_malformed_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_malformed_answers.py
@@ -13,11 +13,22 @@
 _FIELDS = 'Id: {0}\r\nSigned: yes\r\n'
 _LENGTH = 'Content-Length: 5\r\n\r\nhello'
 
+_OK = 'HTTP/1.1 200 OK\r\n'
+
 _ANSWERS = {
     'status 000': f'HTTP/1.1 000 OK\r\n{_FIELDS}{_LENGTH}',
     'status 099': f'HTTP/1.1 099 OK\r\n{_FIELDS}{_LENGTH}',
     'status 101': f'HTTP/1.1 101 OK\r\n{_FIELDS}{_LENGTH}',
     'status 600': f'HTTP/1.1 600 OK\r\n{_FIELDS}{_LENGTH}',
+    'blank in a name': f'{_OK}{_FIELDS}X Y: v\r\n{_LENGTH}',
+    'blank before a name': f'{_OK} X-Name: v\r\n{_FIELDS}{_LENGTH}',
+    'blank before a length': f'{_OK}{_FIELDS}X: v\r\n {_LENGTH}',
+    'blank behind a length': (
+        f'{_OK}{_FIELDS}Content-Length : 5\r\n\r\nhello, and more'
+    ),
+    'control byte in a name': f'{_OK}{_FIELDS}X\x01Y: v\r\n{_LENGTH}',
+    'control byte in a value': f'{_OK}{_FIELDS}X: a\x01b\r\n{_LENGTH}',
+    'carriage return': f'{_OK}{_FIELDS}X: v\r\r\n{_LENGTH}',
 }
 
 
--- a/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
@@ -289,3 +289,56 @@
 
     found, _ = _send_series(behavior, 3, relayed=relayed)
     assert all(one == (200, body) for one in found), found
+
+
+def _behind_a_copy(copy: bytes, answer: bytes) -> testbed.Behavior:
+    """Return a behavior that sends a copy and an answer in one piece.
+
+    :param copy: of the answer to the first request.
+    :param answer: to the others.
+    """
+
+    async def behavior(
+        server: testbed.Server,
+        request_id: str,
+        _head: multidict.CIMultiDict[str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if len(server.seen) == 1:
+            writer.write(copy)
+        else:
+            writer.write(copy + answer.replace(b'{0}', request_id.encode()))
+
+    return behavior
+
+
+def _chunked(request_id: str, body: bytes) -> bytes:
+    head = f'HTTP/1.1 200 OK\r\nId: {request_id}\r\nSigned: yes\r\n'
+    chunks = (testbed.chunk(body), testbed.chunk(b''))
+    return b''.join(
+        (head.encode(), b'Transfer-Encoding: chunked\r\n\r\n', *chunks)
+    )
+
+
+_COPIES = {
+    'length': testbed.answer('r0', b'done'),
+    'chunks': _chunked('r0', b'done'),
+    'marks': testbed.answer('r0', b'HTTP/1.1 200 OK\r\nHTTP/1.'),
+    'large': testbed.answer('r0', b'x' * 200000),
+    'large chunks': _chunked('r0', b'x' * 200000),
+}
+
+
+@pytest.mark.parametrize('parser', list(_PARSERS))
+@pytest.mark.parametrize('copy', list(_COPIES))
+def test_answer_in_one_piece_with_a_copy_is_checked(
+    copy: str, parser: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The end of the copy is known only once it was parsed."""
+    monkeypatch.setattr(client_proto, 'HttpResponseParser', _PARSERS[parser])
+    sound = testbed.answer('{0}', b'done')
+    found, _ = _send_series(_behind_a_copy(_COPIES[copy], sound), 2)
+    assert found[1] == (200, b'done')
+    folded = sound.replace(b'Id:', b'X: v\r\n w\r\nId:')
+    found, _ = _send_series(_behind_a_copy(_COPIES[copy], folded), 2)
+    assert found[1][0] == 502
