Backends: an answer in an unknown transfer coding is none

Callers got the bytes of a coding as the body: a server that answers with "Transfer-Encoding: gzip", or "gzip, chunked", was passed on without the name of the coding, which ends at each hop.

Cause: as with malformed heads, what the parsers make of a head was believed; of the codings they undo chunks only. The Python one also takes the first of two lengths.

Change: an answer's body has one length, or chunks, or ends with its connection; any other framing is no answer. No request names a coding in TE, so that no server may use one (RFC 9112, section 7.4).

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -2,7 +2,8 @@
 
 The HTTP parser skips interim answers and extensions of chunks, however many
 come. Here the received bytes are compared with the body that came of them.
-It also takes any three digits for a status, and repairs malformed heads.
+It also takes any three digits for a status, repairs malformed heads, and gives
+bodies in unknown transfer codings as they come.
 Bytes behind an answer end the use of its connection, and leave the answer as
 it is.
 Load: each piece that a socket delivers, up to some ten thousand a second.
@@ -14,7 +15,8 @@
 import typing
 
 import aiohttp
-from aiohttp import client_proto
+import multidict
+from aiohttp import client_proto, http_parser
 from geraniumweir.backends import heads
 
 # Bytes for the head with all interim answers before it, and for the lines
@@ -24,6 +26,8 @@
 _FRAMING_RATIO = 8
 # An extra answer comes soon after the first.
 _KEPT_REQUESTS = 8
+# Transfer codings that no bytes of a body are left in.
+_CODINGS = frozenset(('chunked', 'identity'))
 # RFC 9110, section 15.
 _MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
@@ -82,11 +86,9 @@
         if self.exception() is not None:
             return
         head, body = answer
-        if not _is_status(head.code):
-            self._end(aiohttp.ClientPayloadError(f'status {head.code}'))
-            return
-        if not self._is_head_checked:
-            self._end(aiohttp.ClientPayloadError('a head came unchecked'))
+        fault = self._fault_of(head)
+        if fault:
+            self._end(aiohttp.ClientPayloadError(fault))
             return
         self._is_head_checked = False
         if head.code >= _MIN_FINAL_STATUS:
@@ -94,6 +96,16 @@
             self._body = body
         super().feed_data(answer, size)
 
+    def _fault_of(self, head: http_parser.RawResponseMessage) -> str:
+        """Return why a head is not that of an answer, or nothing."""
+        if not self._is_head_checked:
+            return 'a head came unchecked'
+        if not _is_status(head.code):
+            return f'status {head.code}'
+        if not _has_known_framing(head.headers):
+            return 'unknown framing'
+        return ''
+
     @property
     def should_close(self) -> bool:
         """Return whether the connection ends with its present answer."""
@@ -205,6 +217,15 @@
     return _MIN_STATUS <= code <= _MAX_STATUS and code != _SWITCHING_STATUS
 
 
+def _has_known_framing(headers: multidict.CIMultiDictProxy[str]) -> bool:
+    """Return whether the bytes of a body are known from those received."""
+    codings = headers.getall('Transfer-Encoding', [])
+    lengths = headers.getall('Content-Length', [])
+    return len(codings) + len(lengths) <= 1 and all(
+        coding.lower() in _CODINGS for coding in codings
+    )
+
+
 def apply(connector: aiohttp.BaseConnector) -> None:
     """Have all new connections of a connector read by these handlers."""
     make = functools.partial(BoundedHandler, asyncio.get_running_loop())
--- a/libs/backends/geraniumweir/backends/tests/test_malformed_answers.py
+++ b/libs/backends/geraniumweir/backends/tests/test_malformed_answers.py
@@ -180,3 +180,44 @@
     found = raw_answers.read_all(sent)
     assert found[0] == (200, b'hello')
     assert isinstance(found[1], errors.BrokenError)
+
+
+@pytest.mark.parametrize(
+    'coding',
+    [
+        b'gzip',
+        b'gzip, chunked',
+        b'chunked, gzip',
+        b'chunked, chunked',
+        b'chunked\r\nTransfer-Encoding: chunked',
+        b'unknown',
+        b'xchunked',
+        b'',
+    ],
+)
+def test_answer_in_an_unknown_transfer_coding_is_none(coding: bytes) -> None:
+    """Its body was passed on as it came, without the name of the coding."""
+    line = b'Transfer-Encoding: %b\r\n\r\n' % coding
+    assert not _taken([b''.join((_STATUS_LINE, _FIELDS, line, _CHUNKS))])
+
+
+def test_identity_is_no_coding() -> None:
+    """The body is as it came, and ends with its connection."""
+    line = b'Transfer-Encoding: identity\r\n\r\n'
+    answer = b''.join((_STATUS_LINE, _FIELDS, line, b'hello'))
+    assert raw_answers.read(answer) == (200, b'hello')
+
+
+@pytest.mark.parametrize('second', [b'5', b'3'])
+def test_answer_with_two_lengths_is_none(second: bytes) -> None:
+    """One of the two parsers took the first."""
+    line = b'Content-Length: %b\r\n' % second
+    assert not _taken([b''.join((_STATUS_LINE, _FIELDS, line, _BODY))])
+
+
+@pytest.mark.parametrize('coding', [b'chunked', b'Chunked', b'CHUNKED'])
+def test_chunks_are_an_answer(coding: bytes) -> None:
+    """The name of a coding is case-insensitive."""
+    line = b'Transfer-Encoding: %b\r\n\r\n' % coding
+    answer = b''.join((_STATUS_LINE, _FIELDS, line, _CHUNKS))
+    assert raw_answers.read(answer) == (200, b'hello')
--- a/libs/gateway/geraniumweir/gateway/tests/test_malformed_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_malformed_answers.py
@@ -28,6 +28,11 @@
     ),
     'control byte in a name': f'{_OK}{_FIELDS}X\x01Y: v\r\n{_LENGTH}',
     'control byte in a value': f'{_OK}{_FIELDS}X: a\x01b\r\n{_LENGTH}',
+    'unknown coding': f'{_OK}{_FIELDS}Transfer-Encoding: gzip\r\n\r\nhello',
+    'coding beside chunks': (
+        f'{_OK}{_FIELDS}Transfer-Encoding: gzip, chunked\r\n\r\n'
+        '5\r\nhello\r\n0\r\n\r\n'
+    ),
     'carriage return': f'{_OK}{_FIELDS}X: v\r\r\n{_LENGTH}',
 }
 
