Backends: a malformed chunk ends an answer at once

Callers of an answer with a malformed chunk waited until their time limit and got 504, also where the request may run again and another server was sound.

Cause: of a malformed chunk the compiled parser forgets the body without a word to its reader, so that neither the error nor the end of the connection reaches whoever waits for the next bytes.

Evidence: found by a table of malformed answers read with both parsers.

Change: where the bytes of an answer can't be parsed, the handler lets the body that is being read fail. The attempt ends as one that broke off.

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -141,8 +141,11 @@
         self._received += len(content)
         for piece in self._pieces(content):
             super().data_received(piece)
+        if self.exception() is not None:
+            # The compiled parser fails without a word to the body's reader.
+            self._end_body(aiohttp.ClientPayloadError('malformed bytes'))
         # Bytes wait unparsed while the body's reader is slow.
-        if not self._reading_paused:
+        elif not self._reading_paused:
             self._check()
 
     def _pieces(self, content: bytes) -> typing.Iterator[bytes]:
@@ -204,9 +207,15 @@
             reason = f'{self._received} bytes received, {read} of a body'
             self._end(aiohttp.ClientPayloadError(reason))
 
+    def _end_body(self, exc: Exception) -> None:
+        """Let reading a body fail, unless it is whole or has failed."""
+        body = self._body
+        if body is None or body.is_eof() or body.exception() is not None:
+            return
+        body.set_exception(exc)
+
     def _end(self, exc: Exception) -> None:
-        if self._body is not None and not self._body.is_eof():
-            self._body.set_exception(exc)
+        self._end_body(exc)
         self.set_exception(exc)
         if self.transport is not None:
             self.transport.abort()
--- a/libs/backends/geraniumweir/backends/tests/raw_answers.py
+++ b/libs/backends/geraniumweir/backends/tests/raw_answers.py
@@ -19,6 +19,8 @@
 }
 _RESET = struct.pack('ii', 1, 0)
 _AT_ONCE = 64
+# Only stops a test whose answer never ends.
+_HANG_SECONDS = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,8 +103,9 @@
 ) -> typing.Any:
     call = calls.Call('GET', f'/{number}', multidict.CIMultiDict())
     try:
-        async with await calls.send(session, address, call) as answer:
-            body = [part async for part in bodies.bounded(answer)]
-            return answer.status, b''.join(body)
-    except errors.AnswerError as exc:
+        async with asyncio.timeout(_HANG_SECONDS):
+            async with await calls.send(session, address, call) as answer:
+                body = [part async for part in bodies.bounded(answer)]
+                return answer.status, b''.join(body)
+    except (errors.AnswerError, TimeoutError) as exc:
         return exc
--- a/libs/backends/geraniumweir/backends/tests/test_malformed_answers.py
+++ b/libs/backends/geraniumweir/backends/tests/test_malformed_answers.py
@@ -221,3 +221,23 @@
     line = b'Transfer-Encoding: %b\r\n\r\n' % coding
     answer = b''.join((_STATUS_LINE, _FIELDS, line, _CHUNKS))
     assert raw_answers.read(answer) == (200, b'hello')
+
+
+@pytest.mark.parametrize(
+    'chunks',
+    [
+        b'+5\r\nhello\r\n0\r\n\r\n',
+        b'0x5\r\nhello\r\n0\r\n\r\n',
+        b'\r\nhello\r\n0\r\n\r\n',
+        b'5\r\nhelloworld\r\n0\r\n\r\n',
+        b'5\r\nhello\r\nx\r\n\r\n',
+        b'5\r\nhello\r\n0\r\nX Y: v\r\n\r\n',
+        b'fffffffffffffffffff\r\nhello\r\n0\r\n\r\n',
+    ],
+)
+def test_malformed_chunk_ends_an_answer_at_once(chunks: bytes) -> None:
+    """Its reader waited for the rest until its own time limit."""
+    framing = b'Transfer-Encoding: chunked\r\n\r\n'
+    answer = b''.join((_STATUS_LINE, _FIELDS, framing, chunks))
+    got = raw_answers.read(answer)
+    assert isinstance(got, errors.CutShortError)
--- a/libs/gateway/geraniumweir/gateway/tests/test_malformed_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_malformed_answers.py
@@ -33,6 +33,10 @@
         f'{_OK}{_FIELDS}Transfer-Encoding: gzip, chunked\r\n\r\n'
         '5\r\nhello\r\n0\r\n\r\n'
     ),
+    'malformed chunk': (
+        f'{_OK}{_FIELDS}Transfer-Encoding: chunked\r\n\r\n'
+        '+5\r\nhello\r\n0\r\n\r\n'
+    ),
     'carriage return': f'{_OK}{_FIELDS}X: v\r\r\n{_LENGTH}',
 }
 
