Backends: a connection that is reset behind its end is cut short

Callers got a part of an answer as the whole one: a server answered a long upload at once with a 200 without a length, sent a part of its body, closed its half of the connection and reset it while the upload was still being written.

Cause: the kernel gives the end of what the server sent before the error, and then the error to whoever writes. All bytes of the upload were with the kernel, so that nobody wrote any more; the connection ended without an error, which counts as the end of an answer without framing. A server that closes as an ordinary program does ends so, too, where it has just read all that had come.

Change: as the server's end is read, the kernel is asked for a pending error and for bytes that the other side has not received. Where there are any, the connection ends as a reset one, and the answer as cut short. It costs two system calls at the end of a connection.

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -17,7 +17,7 @@
 import aiohttp
 import multidict
 from aiohttp import client_proto, http_parser
-from geraniumweir.backends import heads
+from geraniumweir.backends import heads, sockets
 
 # Bytes for the head with all interim answers before it, and for the lines
 # between chunks that hold little.
@@ -57,6 +57,7 @@
         self._head = heads.HeadChecker()
         self._is_head_checked = False
         self._kept = b''
+        self._is_request_cut = False
 
     @property
     def exchange(self) -> str:
@@ -189,8 +190,17 @@
         self._is_head_checked = self._head.complete
         return end
 
+    def eof_received(self) -> None:
+        """Notice a server that closes before it has the whole request."""
+        super().eof_received()
+        if self.transport is not None:
+            sock = self.transport.get_extra_info('socket')
+            self._is_request_cut = not sockets.is_delivered(sock)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End with a connection; an answer that is whole stays whole."""
+        if exc is None and self._is_request_cut:
+            exc = ConnectionResetError('the request was not read')
         if self._body is not None and self._body.is_eof():
             self._payload = None
         super().connection_lost(exc)
--- a/libs/backends/geraniumweir/backends/sockets.py
+++ b/libs/backends/geraniumweir/backends/sockets.py
@@ -3,9 +3,12 @@
 Load: two connections for each answer that ends with its connection only.
 """
 
+import array
 import asyncio
 import enum
+import fcntl
 import socket
+import termios
 import typing
 
 from geraniumweir.common import ids
@@ -69,6 +72,19 @@
     return made
 
 
+def is_delivered(sock: asyncio.trsock.TransportSocket) -> bool:
+    """Return whether the other side has received all that was written.
+
+    A connection that is reset behind the last byte that the other side sends
+    ends as one that it closed.
+    """
+    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return False
+    unsent = array.array('i', (0,))
+    fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, unsent)
+    return not unsent[0]
+
+
 async def probe(address: ids.Address, seconds: float) -> bool:
     """Return whether a new connection to a server can be made.
 
--- a/libs/gateway/geraniumweir/gateway/tests/test_relaying.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_relaying.py
@@ -83,14 +83,29 @@
     *behaviors: testbed.Behavior,
     relayed: bool = False,
     **route: typing.Any,
+) -> testbed.Got:
+    """Return what a caller gets of servers that behave so, in turn.
+
+    :param relayed: whether the host reaches them through a relay only.
+    """
+    servers = list(map(testbed.Server, behaviors))
+    return get_from_servers(servers, relayed=relayed, **route)
+
+
+def get_from_servers(
+    servers: list[testbed.Server],
+    *,
+    relayed: bool,
+    content: bytes = b'',
+    **route: typing.Any,
 ) -> testbed.Got:
     """Return what a caller gets of servers that are granted in turn.
 
     :param relayed: whether the host reaches them through a relay only.
+    :param content: body of the request.
     """
 
     async def work() -> testbed.Got:
-        servers = list(map(testbed.Server, behaviors))
         async with contextlib.AsyncExitStack() as stack:
             running = await stack.enter_async_context(
                 testbed.running(*servers, **route)
@@ -98,7 +113,7 @@
             if relayed:
                 cut(running)
                 await stack.enter_async_context(run_relay(running, servers))
-            return await testbed.get(running)
+            return await testbed.get(running, content)
 
     return asyncio.run(work())
 
--- a/libs/gateway/geraniumweir/gateway/tests/test_unframed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_unframed.py
@@ -196,3 +196,37 @@
         relayed=relayed,
     )
     assert again == testbed.Got(200, b'hello', whole=True)
+
+
+class _EarlyServer(testbed.Server):
+    """Server that answers before it reads the body of a request."""
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Send a part of an answer and reset the connection behind it."""
+        head = testbed.read_head(await reader.readuntil(b'\r\n\r\n'))
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(_HEAD.format(head['Id'], '').encode())
+        writer.write(b'hel')
+        await writer.drain()
+        writer.write_eof()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
+def test_answer_that_ends_before_its_request_was_read_is_not_whole(
+    relayed: bool,
+) -> None:
+    """A part of it was sent with a length, as a whole answer."""
+    behavior = _plain(b'hello', killed=False)
+    servers = [_EarlyServer(behavior), testbed.Server(behavior)]
+    content = b'x' * 2000000
+    got = test_relaying.get_from_servers(
+        servers, relayed=relayed, content=content
+    )
+    assert got == testbed.Got(200, b'hello', whole=True)
+    assert servers[1].bodies == [content]
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -144,14 +144,15 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         raw = await reader.readuntil(b'\r\n\r\n')
-        head = _head(raw)
+        head = read_head(raw)
         length = int(head.get('Content-Length', '0'))
         self.bodies.append(await reader.readexactly(length))
         self.seen.append(head['Id'])
         await self.behavior(self, head['Id'], head, writer)
 
 
-def _head(raw: bytes) -> multidict.CIMultiDict[str]:
+def read_head(raw: bytes) -> multidict.CIMultiDict[str]:
+    """Return the headers of a request."""
     lines = raw.decode().split('\r\n')[1:]
     pairs = (line.partition(': ') for line in lines if line)
     return multidict.CIMultiDict((name, text) for name, _, text in pairs)
@@ -385,11 +386,16 @@
     whole: bool
 
 
-async def get(running: Testbed) -> Got:
-    """Send a request and read its response to the end."""
+async def get(running: Testbed, content: bytes = b'') -> Got:
+    """Send a request and read its response to the end.
+
+    :param content: body of the request.
+    """
     found: list[bytes] = []
     headers = {'Id': 'r1'}
-    async with running.client.get(running.url, headers=headers) as resp:
+    async with running.client.get(
+        running.url, headers=headers, data=content or None
+    ) as resp:
         try:
             async for part in resp.content.iter_any():
                 found.append(part)
