--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -26,7 +26,7 @@
 _FRAMING_RATIO = 8
 # An extra answer comes soon after the first.
 _KEPT_REQUESTS = 8
-# Transfer codings that no bytes of a body are left in.
+# Transfer codings whose bodies the parser gives as the server made them.
 _CODINGS = frozenset(('chunked', 'identity'))
 # RFC 9110, section 15.
 _MIN_STATUS = 100
--- a/libs/backends/geraniumweir/backends/sockets.py
+++ b/libs/backends/geraniumweir/backends/sockets.py
@@ -1,6 +1,7 @@
 """Sockets to backend servers, and what a new connection tells of a server.
 
-Load: two connections for each answer that ends with its connection only.
+Load: two connections for each answer that ends with its connection only, two
+system calls for each connection that a server ends.
 """
 
 import array
