--- a/libs/backends/geraniumweir/backends/tests/test_malformed_answers.py
+++ b/libs/backends/geraniumweir/backends/tests/test_malformed_answers.py
@@ -7,6 +7,15 @@
 
 _FIELDS = b'Signed: yes\r\nId: r1\r\n'
 _BODY = b'Content-Length: 5\r\n\r\nhello'
+_STATUS_LINE = b'HTTP/1.1 200 OK\r\n'
+_CONTROLS = [bytes((number,)) for number in (*range(0x21), 0x7F)]
+_CHUNKS = b'5\r\nhello\r\n0\r\n\r\n'
+# Names of fields, each with its value and the body behind the head.
+_NAMES = {
+    b'X-Name': (b'v', b'hello'),
+    b'Content-Length': (b'5', b'hello, and more'),
+    b'Transfer-Encoding': (b'chunked', _CHUNKS),
+}
 
 
 @pytest.fixture(autouse=True, params=list(raw_answers.PARSERS))
@@ -47,19 +56,12 @@
     assert got == (int(status), b'hello')
 
 
-_STATUS_LINE = b'HTTP/1.1 200 OK\r\n'
-_CONTROLS = [bytes((number,)) for number in (*range(0x21), 0x7F)]
-_CHUNKS = b'5\r\nhello\r\n0\r\n\r\n'
-# Names of fields with what follows the head.
-_NAMES = {
-    b'X-Name': (b'v', b'hello'),
-    b'Content-Length': (b'5', b'hello, and more'),
-    b'Transfer-Encoding': (b'chunked', _CHUNKS),
-}
-
-
 def _with_names(name: bytes, inserted: bytes) -> list[bytes]:
-    """List answers in which one name has some more bytes."""
+    """List answers in which one name has some more bytes.
+
+    They are at its begin, within it or at its end; the line is the first or the
+    last, without and with the length of the body.
+    """
     text, body = _NAMES[name]
     middle = len(name) // 2
     names = (
--- a/libs/gateway/geraniumweir/gateway/tests/test_malformed_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_malformed_answers.py
@@ -12,7 +12,6 @@
 _STREAM: dict[str, typing.Any] = {'kind': tables.Kind.stream, 'attempts': 1}
 _FIELDS = 'Id: {0}\r\nSigned: yes\r\n'
 _LENGTH = 'Content-Length: 5\r\n\r\nhello'
-
 _OK = 'HTTP/1.1 200 OK\r\n'
 
 _ANSWERS = {
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -387,14 +387,10 @@
 
 
 async def get(running: Testbed, content: bytes = b'') -> Got:
-    """Send a request and read its response to the end.
-
-    :param content: body of the request.
-    """
+    """Send a request with a body and read its response to the end."""
     found: list[bytes] = []
-    headers = {'Id': 'r1'}
     async with running.client.get(
-        running.url, headers=headers, data=content or None
+        running.url, headers={'Id': 'r1'}, data=content or None
     ) as resp:
         try:
             async for part in resp.content.iter_any():
