Tests of answers: one table of the parsers, one chunked response

Change: raw_answers.use_parser serves the four files, and test_cut_answers.chunked the two. No case, bound or assertion is changed.

--- a/libs/backends/geraniumweir/backends/tests/raw_answers.py
+++ b/libs/backends/geraniumweir/backends/tests/raw_answers.py
@@ -8,7 +8,8 @@
 
 import aiohttp
 import multidict
-from aiohttp import http_parser
+import pytest
+from aiohttp import client_proto, http_parser
 from geraniumweir.backends import bodies, calls, errors
 from geraniumweir.common import ids
 
@@ -49,6 +50,11 @@
         return [content]
 
 
+def use_parser(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Read answers with one of the library's parsers until a test ends."""
+    monkeypatch.setattr(client_proto, 'HttpResponseParser', PARSERS[name])
+
+
 def read_all(answers: typing.Sequence[Sent]) -> list[typing.Any]:
     """Return what became of each answer: status and body, or the error."""
 
--- a/libs/backends/geraniumweir/backends/tests/test_cut_answers.py
+++ b/libs/backends/geraniumweir/backends/tests/test_cut_answers.py
@@ -3,7 +3,6 @@
 import itertools
 
 import pytest
-from aiohttp import client_proto
 from geraniumweir.backends import errors
 from geraniumweir.backends.tests import raw_answers
 
@@ -41,8 +40,7 @@
 ) -> str:
     """Read answers with one of the library's parsers."""
     name = str(request.param)
-    parser = raw_answers.PARSERS[name]
-    monkeypatch.setattr(client_proto, 'HttpResponseParser', parser)
+    raw_answers.use_parser(name, monkeypatch)
     return name
 
 
--- a/libs/backends/geraniumweir/backends/tests/test_malformed_answers.py
+++ b/libs/backends/geraniumweir/backends/tests/test_malformed_answers.py
@@ -1,7 +1,6 @@
 """Answers whose head or framing no server should send are none."""
 
 import pytest
-from aiohttp import client_proto
 from geraniumweir.backends import errors
 from geraniumweir.backends.tests import raw_answers
 
@@ -23,8 +22,7 @@
     request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Read answers with one of the library's parsers."""
-    parser = raw_answers.PARSERS[request.param]
-    monkeypatch.setattr(client_proto, 'HttpResponseParser', parser)
+    raw_answers.use_parser(request.param, monkeypatch)
 
 
 def _with_status(status: str) -> bytes:
--- a/libs/gateway/geraniumweir/gateway/tests/test_cut_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_cut_answers.py
@@ -9,7 +9,7 @@
 import aiohttp
 import multidict
 import pytest
-from aiohttp import client_proto, http_parser
+from geraniumweir.backends.tests import raw_answers
 from geraniumweir.gateway.tests import test_relaying, testbed
 from geraniumweir.routing import tables
 
@@ -21,10 +21,6 @@
 # Ids of the same length, so that all answers have the same bytes.
 _FIRST_ID = 10000
 _EVENTS = b''.join(map(testbed.event, (1, 2, 3)))
-_PARSERS = {
-    'compiled': http_parser.HttpResponseParser,
-    'python': http_parser.HttpResponseParserPy,
-}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,9 +40,10 @@
     status: int = 200
 
 
-def _chunked(request_id: str) -> bytes:
+def chunked(request_id: str, *parts: bytes) -> bytes:
+    """Return a complete response that comes in chunks."""
     head = f'HTTP/1.1 200 OK\r\nId: {request_id}\r\nSigned: yes\r\n'
-    chunks = b''.join(map(testbed.chunk, (b'hel', b'lo', b'')))
+    chunks = b''.join(map(testbed.chunk, (*parts, b'')))
     return b''.join(
         (head.encode(), b'Transfer-Encoding: chunked\r\n\r\n', chunks)
     )
@@ -66,7 +63,7 @@
 _KINDS = {
     'length': _Kind(lambda one: testbed.answer(one, b'hello'), b'hello'),
     'empty': _Kind(lambda one: testbed.answer(one, b''), b''),
-    'chunks': _Kind(_chunked, b'hello'),
+    'chunks': _Kind(lambda one: chunked(one, b'hel', b'lo'), b'hello'),
     'failure': _Kind(
         lambda one: testbed.answer(one, b'bad', '500 Failed'),
         b'bad',
@@ -151,7 +148,7 @@
 @pytest.mark.parametrize('kind', list(_KINDS))
 @pytest.mark.parametrize('resets', [False, True], ids=['closed', 'reset'])
 @pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'relayed'])
-@pytest.mark.parametrize('parser', list(_PARSERS))
+@pytest.mark.parametrize('parser', list(raw_answers.PARSERS))
 def test_answer_that_is_cut_at_any_byte_is_not_whole_for_its_caller(
     kind: str,
     resets: bool,
@@ -160,7 +157,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A head that stopped was forwarded with an empty body, framed as whole."""
-    monkeypatch.setattr(client_proto, 'HttpResponseParser', _PARSERS[parser])
+    raw_answers.use_parser(parser, monkeypatch)
     chosen = _KINDS[kind]
     sizes = range(len(chosen.make(str(_FIRST_ID))))
     for got in _get_all(chosen, sizes, resets=resets, relayed=relayed):
--- a/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_repeated_answers.py
@@ -6,17 +6,13 @@
 
 import multidict
 import pytest
-from aiohttp import client_proto, http_parser
-from geraniumweir.gateway.tests import test_relaying, testbed
+from geraniumweir.backends.tests import raw_answers
+from geraniumweir.gateway.tests import test_cut_answers, test_relaying, testbed
 from geraniumweir.routing import tables
 
 _ONCE: dict[str, typing.Any] = {'kind': tables.Kind.once, 'attempts': 1}
 _NOT_RUN = ('503 Full', 'Not-Run: yes\r\n')
 _PAUSE_SECONDS = 0.05
-_PARSERS = {
-    'compiled': http_parser.HttpResponseParser,
-    'python': http_parser.HttpResponseParserPy,
-}
 
 
 class _Repeating:
@@ -235,7 +231,7 @@
     size: int, parser: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The rest of it came for the next request, which got 502."""
-    monkeypatch.setattr(client_proto, 'HttpResponseParser', _PARSERS[parser])
+    raw_answers.use_parser(parser, monkeypatch)
     rest: dict[typing.Any, bytes] = {}
 
     async def behavior(
@@ -275,7 +271,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """They came in one piece, and the request got 502 for a whole answer."""
-    monkeypatch.setattr(client_proto, 'HttpResponseParser', _PARSERS[parser])
+    raw_answers.use_parser(parser, monkeypatch)
 
     async def behavior(
         _server: testbed.Server,
@@ -312,30 +308,22 @@
     return behavior
 
 
-def _chunked(request_id: str, body: bytes) -> bytes:
-    head = f'HTTP/1.1 200 OK\r\nId: {request_id}\r\nSigned: yes\r\n'
-    chunks = (testbed.chunk(body), testbed.chunk(b''))
-    return b''.join(
-        (head.encode(), b'Transfer-Encoding: chunked\r\n\r\n', *chunks)
-    )
-
-
 _COPIES = {
     'length': testbed.answer('r0', b'done'),
-    'chunks': _chunked('r0', b'done'),
+    'chunks': test_cut_answers.chunked('r0', b'done'),
     'marks': testbed.answer('r0', b'HTTP/1.1 200 OK\r\nHTTP/1.'),
     'large': testbed.answer('r0', b'x' * 200000),
-    'large chunks': _chunked('r0', b'x' * 200000),
+    'large chunks': test_cut_answers.chunked('r0', b'x' * 200000),
 }
 
 
-@pytest.mark.parametrize('parser', list(_PARSERS))
+@pytest.mark.parametrize('parser', list(raw_answers.PARSERS))
 @pytest.mark.parametrize('copy', list(_COPIES))
 def test_answer_in_one_piece_with_a_copy_is_checked(
     copy: str, parser: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The end of the copy is known only once it was parsed."""
-    monkeypatch.setattr(client_proto, 'HttpResponseParser', _PARSERS[parser])
+    raw_answers.use_parser(parser, monkeypatch)
     sound = testbed.answer('{0}', b'done')
     found, _ = _send_series(_behind_a_copy(_COPIES[copy], sound), 2)
     assert found[1] == (200, b'done')
