--- a/review/rig2/engines.py
+++ b/review/rig2/engines.py
@@ -21,10 +21,12 @@
     """A model server; it streams some events.
 
     :ivar bad_part: part of prompts under which it crashes, or empty.
+    :ivar begins: whether it has written the first event by then.
     :ivar record: lists of arrivals and crashes, shared by all servers.
     """
 
     bad_part = ''
+    begins = False
     down_seconds = 3
 
     def __init__(self, *words, record, **options):
@@ -40,16 +42,21 @@
             self.record['arrivals'].append(self.rig.now())
             self.rig.note(f'server {self.id} runs bad request {req.id}')
         await asyncio.sleep(0.08)
-        if bad and self.up:
+        if bad and not self.begins:
+            await self.crash_under(req)
+        await self.stream(req, writer, bad and self.begins)
+
+    async def crash_under(self, req):
+        """Crash, unless it has crashed already."""
+        if self.up:
             self.record['crashes'].append(self.rig.now())
             self.rig.note(f'server {self.id} crashes under {req.id}')
             self.rig.spawn(self.fall())
-            await asyncio.sleep(self.down_seconds)
-            raise EOFError
-        await self.stream(req, writer)
+        await asyncio.sleep(self.down_seconds)
+        raise EOFError
 
-    async def stream(self, req, writer):
-        """Write all events."""
+    async def stream(self, req, writer, crashes):
+        """Write all events, or crash behind the first."""
         head = self.head(
             req,
             200,
@@ -65,6 +72,8 @@
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
             await writer.drain()
             await asyncio.sleep(0.02)
+            if crashes:
+                await self.crash_under(req)
         writer.write(b'0\r\n\r\n')
 
     async def fall(self):
