--- a/review/rig2/allowance.py
+++ b/review/rig2/allowance.py
@@ -54,7 +54,7 @@
     await asyncio.sleep(BUSY_SECONDS)
     if rig.trouble():
         await disrupt(plan)
-    await asyncio.sleep(12)
+    await asyncio.sleep(8.5)
     return judge(plan, caller)
 
 
