--- a/review/8/case.py
+++ b/review/8/case.py
@@ -15,7 +15,8 @@
 import engines  # noqa: E402
 import rig  # noqa: E402
 
-USUAL_PER_S = 55
+USUAL_PER_S = 58
+USUAL_SECONDS = 12.0
 BURST = 1.8
 BURST_SECONDS = 5.0
 BEFORE_KILL = 3.0
@@ -141,7 +142,7 @@
     await asyncio.sleep(1.5)
     load = Load(plan)
     plan.spawn(load.run())
-    await asyncio.sleep(6)
+    await asyncio.sleep(USUAL_SECONDS)
     plan.note('the traffic jumps')
     load.phase, load.per_s = 'burst', USUAL_PER_S * BURST
     await asyncio.sleep(BEFORE_KILL)
