review: case 12 with a shorter prompt

Cause: a record of a crash keeps 48 parts, the first ones of the prompt. Change: 60 parts, of which the 51st crashes servers, in place of 80.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,10 +15,10 @@
 import servers  # noqa: E402
 
 BAD_PART = 'deadbeef01'
-# Shared parts of a prompt, as of a conversation of forty turns, and the place
+# Shared parts of a prompt, as of a conversation of thirty turns, and the place
 # of the bad one, which is not the last part.
-PARTS = 80
-BAD_PLACE = 70
+PARTS = 60
+BAD_PLACE = 50
 PART_TOKENS = 20
 OWN_TOKENS = 100
 CONTACT_SECONDS = rig.BOUNDS['contactMs'] / 1000
