--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -51,6 +51,8 @@
 )
 _FRONT_PORT, _READY_PORT, _CONTROL_PORT = 8221, 8224, 8229
 _INTERNAL_PORTS = [7600, 7615]
+# The last numbers of the hosts' addresses begin here.
+_CONTROL_HOSTS, _ENTRY_HOSTS, SERVERS = 11, 21, 100
 _START_SECONDS = 30.0
 # Logged by an entry host when another control host coordinates.
 _COORDINATOR_EVENT = 762
@@ -106,14 +108,14 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-3-'))
         net = _free_net()
         self.controls = [
-            Host('control', n + 1, f'{net}.1.{n + 1}', ZONES[n % len(ZONES)])
+            Host('control', n + 1, f'{net}.{_CONTROL_HOSTS + n}', ZONES[n % len(ZONES)])
             for n in range(controls)
         ]
         self.entries = [
-            Host('entry', n + 1, f'{net}.2.{n + 1}', ZONES[n % len(ZONES)])
+            Host('entry', n + 1, f'{net}.{_ENTRY_HOSTS + n}', ZONES[n % len(ZONES)])
             for n in range(entries)
         ]
-        self.servers_net = f'{net}.3'
+        self.net = net
         self.hosts = [*self.controls, *self.entries]
 
     def settings(self, host, *, bootstrap):
@@ -266,11 +268,11 @@
 
 
 def _free_net():
-    """Return a loopback network on which the ports are free."""
+    """Return the first three numbers of loopback addresses that are free."""
     for _ in range(50):
-        net = f'127.{random.randrange(64, 250)}'
+        net = f'127.{random.randrange(64, 250)}.{random.randrange(1, 250)}'
         try:
-            for part in (1, 2):
+            for host in (_CONTROL_HOSTS, _ENTRY_HOSTS):
                 for port in (
                     _FRONT_PORT,
                     _READY_PORT,
@@ -278,7 +280,7 @@
                     *_INTERNAL_PORTS,
                 ):
                     with socket.socket() as sock:
-                        sock.bind((f'{net}.{part}.1', port))
+                        sock.bind((f'{net}.{host}', port))
         except OSError:
             continue
         return net
--- a/review/rig3/servers.py
+++ b/review/rig3/servers.py
@@ -28,7 +28,7 @@
         self.slots = slots
         self.kind = kind
         self.version = 'v1'
-        self.address = f'{system.servers_net}.{number}'
+        self.address = f'{system.net}.{rig.SERVERS + number}'
         self.port = 0
         self.server_id = ''
         self.state = 'ready'
