--- a/review/rig3/documents.py
+++ b/review/rig3/documents.py
@@ -43,7 +43,9 @@
     }
 
 
-def document(version=1, tenants=('t1', 't2', 't3', 't4', 't5'), routes=None, slots=10):
+def document(
+    version=1, tenants=('t1', 't2', 't3', 't4', 't5'), routes=None, slots=10
+):
     return {
         'version': version,
         'routes': routes
@@ -51,16 +53,29 @@
         else [
             route('review', '/review/', 'streaming', ENGINES),
             route(
-                'essay', '/essay/', 'streaming', ENGINES,
-                streamResume=True, maxAttempts=2,
+                'essay',
+                '/essay/',
+                'streaming',
+                ENGINES,
+                streamResume=True,
+                maxAttempts=2,
             ),
             route(
-                'book', '/book/', 'non_idempotent', PLAIN,
-                timeoutMs=1500, targetLatencyMs=150,
+                'book',
+                '/book/',
+                'non_idempotent',
+                PLAIN,
+                timeoutMs=1500,
+                targetLatencyMs=150,
             ),
             route(
-                'status', '/status/', 'idempotent', PLAIN,
-                timeoutMs=1500, targetLatencyMs=150, maxAttempts=2,
+                'status',
+                '/status/',
+                'idempotent',
+                PLAIN,
+                timeoutMs=1500,
+                targetLatencyMs=150,
+                maxAttempts=2,
             ),
         ],
         'services': [
--- a/review/rig3/requesters.py
+++ b/review/rig3/requesters.py
@@ -28,8 +28,17 @@
         self.sent_at = {}
 
     async def send(
-        self, entry, path, key, *, method='POST', headers=(), body=b'x' * 40,
-        seconds=10.0, request_id=None, leave_after=None,
+        self,
+        entry,
+        path,
+        key,
+        *,
+        method='POST',
+        headers=(),
+        body=b'x' * 40,
+        seconds=10.0,
+        request_id=None,
+        leave_after=None,
     ):
         request_id = request_id or f'{random.randrange(16**16):016x}'
         self.sent_at[request_id] = self.record.now()
--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -108,11 +108,21 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-3-'))
         net = _free_net()
         self.controls = [
-            Host('control', n + 1, f'{net}.{_CONTROL_HOSTS + n}', ZONES[n % len(ZONES)])
+            Host(
+                'control',
+                n + 1,
+                f'{net}.{_CONTROL_HOSTS + n}',
+                ZONES[n % len(ZONES)],
+            )
             for n in range(controls)
         ]
         self.entries = [
-            Host('entry', n + 1, f'{net}.{_ENTRY_HOSTS + n}', ZONES[n % len(ZONES)])
+            Host(
+                'entry',
+                n + 1,
+                f'{net}.{_ENTRY_HOSTS + n}',
+                ZONES[n % len(ZONES)],
+            )
             for n in range(entries)
         ]
         self.net = net
@@ -143,7 +153,9 @@
             'zones': dict.fromkeys(ZONES, REGION),
             'listen': listen,
             'internalPorts': _INTERNAL_PORTS,
-            'seeds': [f'{one.address}:{_CONTROL_PORT}' for one in self.controls[:3]],
+            'seeds': [
+                f'{one.address}:{_CONTROL_PORT}' for one in self.controls[:3]
+            ],
             'bootstrap': bootstrap,
             'inTolerance': core,
             'limits': {
@@ -215,7 +227,9 @@
             for host in random.sample(self.controls, len(self.controls)):
                 status, _ = await call(host.control, 'PUT', '/v1/config', body)
                 if status == 200:
-                    self.record(f'document {document["version"]} ack {host.name}')
+                    self.record(
+                        f'document {document["version"]} ack {host.name}'
+                    )
                     return host
                 if 400 <= status < 500:
                     raise CannotRunError(f'the document was refused: {status}')
@@ -240,7 +254,11 @@
                 if said['event'] == _COORDINATOR_EVENT:
                     address = said['fields']['host']
                     found = next(
-                        (one for one in self.controls if one.address == address),
+                        (
+                            one
+                            for one in self.controls
+                            if one.address == address
+                        ),
                         found,
                     )
         self.record(f'{found.name} coordinates')
--- a/review/rig3/servers.py
+++ b/review/rig3/servers.py
@@ -209,7 +209,9 @@
         """Run a request; a hook may crash the server or answer otherwise."""
         self.record(f'run {request_id} at {self.number} {self.server_id}')
         if self.on_run is not None:
-            if await self.on_run(self, request_id, words, headers, body, writer):
+            if await self.on_run(
+                self, request_id, words, headers, body, writer
+            ):
                 return
         if self.kind == 'engine':
             await self.stream(request_id, headers, writer)
