--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -370,6 +370,14 @@
     return b''.join([one async for one in chunks(reader, headers)])
 
 
+async def _until_stopped(work):
+    """Run a case, which ends its processes when it is stopped by a signal."""
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await work
+
+
 def run(case, path):
     """Run a case, and exit with its verdict.
 
@@ -381,8 +389,8 @@
     record = Record(pathlib.Path(path) / 'record.txt')
     record(f'disruption {"played" if trouble else "left out"}')
     try:
-        broken = asyncio.run(case(record, trouble))
-    except Exception as exc:
+        broken = asyncio.run(_until_stopped(case(record, trouble)))
+    except (Exception, asyncio.CancelledError) as exc:
         # A fault of the stand-ins says nothing of the rule.
         record(f'could not run: {exc!r}')
         traceback.print_exc()
