--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,9 +1,9 @@
-"""Entry hosts that lose their coordinator behind large requests."""
+"""A late part of long prompts crashes servers."""
 
 import asyncio
+import os
 import pathlib
 import random
-import shutil
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -14,144 +14,114 @@
 import rig  # noqa: E402
 import servers  # noqa: E402
 
-# The limit of output tokens of callers that want none.
-MOST_OUTPUT = 1_000_000_000
-PROMPT = 1000
-# Requests of the large tenant that each entry host gets at once.
-AT_ONCE = 6
-ALLOWANCE = 3_000_000_000
-USUAL = 'key-of-t1'
-LARGE = 'key-of-large'
-DOWN_SECONDS = 1.0
-CALM_SECONDS = 8.0
-RECOVER_SECONDS = rig.BOUNDS['recoverS']
-MEASURED_SECONDS = 5.0
-# The rule: so much is served later, if as much was before.
-LEAST_SHARE = 0.25
-
-
-def generation(most_output):
+BAD_PART = 'deadbeef01'
+# Shared parts of a prompt, as of a conversation of thirty turns, and the place
+# of the bad one, which is not the last part.
+PARTS = 60
+BAD_PLACE = 50
+PART_TOKENS = 20
+OWN_TOKENS = 100
+CONTACT_SECONDS = rig.BOUNDS['contactMs'] / 1000
+# The rule: so many of the requests may reach servers.
+MOST_ARRIVALS = 3
+CRASHES = 5
+BAD_SECONDS = 1.0
+SOUND_SECONDS = 0.15
+BAD_FOR_SECONDS = 30.0
+
+
+def prompt(*, bad):
+    parts = [f'{0x1000 + n:x}:{PART_TOKENS}' for n in range(PARTS)]
+    if bad:
+        parts[BAD_PLACE] = f'{BAD_PART}:{PART_TOKENS}'
+    parts.append(f'{random.getrandbits(48):x}:{OWN_TOKENS}')
+    tokens = PART_TOKENS * PARTS + OWN_TOKENS
     return [
         'X-Geraniumweir-Model: m',
-        f'X-Geraniumweir-Token-Usage: {PROMPT},{most_output}',
-        'X-Geraniumweir-Length-Hint: 120',
-        f'X-Geraniumweir-Prompt-Prefix: 10:60,{random.getrandbits(48):x}:940',
+        f'X-Geraniumweir-Token-Usage: {tokens},80',
+        f'X-Geraniumweir-Prompt-Prefix: {",".join(parts)}',
     ]
 
 
-class Traffic:
-    """Usual requests at all entry hosts, each second alike."""
+class BadPart:
+    """What the servers see of the bad part.
 
-    def __init__(self, system, requester):
-        self.system = system
-        self.requester = requester
+    :ivar crashes: whether it crashes them.
+    """
 
-    async def send_large(self):
-        """Send the large tenant's requests."""
-        answers = await asyncio.gather(
-            *(
-                self.requester.send(
-                    entry, '/review/a', LARGE, headers=generation(MOST_OUTPUT)
+    def __init__(self, record, *, crashes):
+        self.record = record
+        self.crashes = crashes
+        self.arrived = []
+        self.crashed = []
+
+    async def on_run(self, server, request_id, _words, headers, _body, _writer):
+        """Crash a server before it writes on the part."""
+        if BAD_PART not in headers.get('x-geraniumweir-prompt-prefix', ''):
+            return False
+        self.arrived.append(self.record.now())
+        if not self.crashes:
+            return False
+        await asyncio.sleep(0.06)
+        if server.up:
+            self.crashed.append(self.record.now())
+            self.record(f'crash {len(self.crashed)} by {request_id}')
+            server.crash_and_return()
+        return True
+
+
+async def send_always(system, requester, seconds, *, bad):
+    async with asyncio.TaskGroup() as group:
+        while True:
+            group.create_task(
+                requester.send(
+                    random.choice(system.entries),
+                    '/review/a',
+                    'key-of-t1',
+                    headers=prompt(bad=bad),
+                    body=os.urandom(20),
                 )
-                for entry in self.system.entries
-                for _ in range(AT_ONCE)
             )
-        )
-        return sum(answer.status == 200 for _, answer in answers)
-
-    async def measure(self, seconds):
-        """Return the share of usual requests that are served."""
-        work = []
-        for _ in range(int(seconds * 4)):
-            for entry in self.system.entries:
-                work.append(
-                    self.requester.send(
-                        entry,
-                        '/status/a',
-                        USUAL,
-                        method='GET',
-                        body=b'',
-                        seconds=1.5,
-                    )
-                )
-                work.append(
-                    self.requester.send(
-                        entry, '/review/a', USUAL, headers=generation(120)
-                    )
-                )
-            work = [asyncio.ensure_future(one) for one in work]
-            await asyncio.sleep(0.25)
-        answers = await asyncio.gather(*work)
-        served = sum(answer.status == 200 for _, answer in answers)
-        return served / len(answers)
-
-
-async def kill_coordinator(system, *, with_disk):
-    """Kill the coordinator, and start it again.
-
-    :param with_disk: whether its disk is lost.
-    """
-    host = system.coordinator()
-    await system.kill(host)
-    await asyncio.sleep(DOWN_SECONDS)
-    if with_disk:
-        shutil.rmtree(system.folder / host.name / 'data')
-    await system.start(host)
-
-
-async def play(record, trouble, system):
-    traffic = Traffic(system, requesters.Requester(record))
-    before = await traffic.measure(MEASURED_SECONDS)
-    served = await traffic.send_large()
-    record(f'{served} of the large tenant are served; others {before:.2f}')
-    if before < LEAST_SHARE or not served:
-        raise rig.CannotRunError('too little is served before')
-    if trouble:
-        await kill_coordinator(system, with_disk=False)
-    await asyncio.sleep(CALM_SECONDS)
-    between = await traffic.measure(MEASURED_SECONDS)
-    if trouble:
-        await kill_coordinator(system, with_disk=True)
-    await asyncio.sleep(RECOVER_SECONDS + 2)
-    after = await traffic.measure(MEASURED_SECONDS)
-    ready = [
-        (await rig.call(entry.ready, 'GET', '/v1/ready'))[0]
-        for entry in system.entries
-    ]
-    text = (
-        f'served: {before:.2f} before, {between:.2f} behind the kill,'
-        f' {after:.2f} later than recoverS after the lost disk;'
-        f' readiness of the entry hosts {ready}, ended {system.ended()}'
-    )
-    record(text)
-    return [text] if after < LEAST_SHARE else []
+            await asyncio.sleep(seconds)
 
 
 async def case(record, trouble):
     system = rig.System(record, entries=3, controls=3)
-    backends = [
-        *(
-            servers.Server(system, n + 1, documents.ENGINES, rig.ZONES[n % 3])
-            for n in range(6)
-        ),
-        *(
-            servers.Server(
-                system, n + 11, documents.PLAIN, rig.ZONES[n % 3], kind='plain'
-            )
-            for n in range(3)
-        ),
+    engines = [
+        servers.Server(system, n + 1, documents.ENGINES, rig.ZONES[n % 3])
+        for n in range(6)
     ]
-    large = documents.tenant('large', ALLOWANCE, ALLOWANCE)
+    seen = BadPart(record, crashes=trouble)
+    requester = requesters.Requester(record)
+    tasks = []
     try:
-        await system.start_all(documents.document(tenants=['t1', large]))
-        for one in backends:
+        await system.start_all(documents.document(tenants=['t1']))
+        for one in engines:
+            one.on_run = seen.on_run
             await one.start()
         await asyncio.sleep(2)
-        return await play(record, trouble, system)
+        for seconds, bad in ((SOUND_SECONDS, False), (BAD_SECONDS, True)):
+            work = send_always(system, requester, seconds, bad=bad)
+            tasks.append(asyncio.create_task(work))
+            await asyncio.sleep(3)
+        await asyncio.sleep(BAD_FOR_SECONDS)
     finally:
-        for one in backends:
+        for task in tasks:
+            task.cancel()
+        for one in engines:
             one.end()
         await system.end()
+    record(f'{len(seen.arrived)} requests with the part reached servers')
+    if len(seen.crashed) < CRASHES:
+        return []
+    judged_from = seen.crashed[CRASHES - 1] + CONTACT_SECONDS
+    judged = [at for at in seen.arrived if at > judged_from]
+    text = (
+        f'{len(seen.crashed)} crashes; {len(judged)} requests with the part'
+        ' reached servers later than contactMs after the fifth;'
+        f' {MOST_ARRIVALS} may'
+    )
+    return [text] if len(judged) > MOST_ARRIVALS else []
 
 
 rig.run(case, FOLDER)
