Coordinator client: usage beyond 32 bits can be reported

Cause: a host tells a new coordinator what each customer was granted in each 0.2 s, as map<i32, i32>. Requests that name 10^9 output tokens add up to 6,000,006,000, which the encoder refuses (OverflowError); the error ended the task that follows the coordinator. Change: amounts beyond 32 bits are sent as doubles in an optional field; the field that hosts of an older release read holds the highest number of 32 bits for them. Measured: the new test fails before for 2^31, 6 x 10^9 and 2^70 and passes for 2^31 - 1; all four pass here.

--- a/libs/control/geraniumweir/control/tests/test_coordinator_client.py
+++ b/libs/control/geraniumweir/control/tests/test_coordinator_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.control import coordinator_client, hosts, usage_codec
 from geraniumweir.scheduling import notices, recent_usage, retrycounts
@@ -61,7 +62,11 @@
 class _Bed:
     """An entry host and two control hosts."""
 
-    def __init__(self) -> None:
+    def __init__(self, spent: recent_usage.RecentUsage = _SPENT) -> None:
+        """Initialize the hosts.
+
+        :param spent: what the entry host was granted.
+        """
         network = memory.MemoryNetwork()
         self.first = _Control(network, 'c1')
         self.second = _Control(network, 'c2')
@@ -77,7 +82,7 @@
             layer,
             _DOMAIN,
             known,
-            lambda _: _SPENT,
+            lambda _: spent,
             self.server_notices,
         )
         self.task = asyncio.create_task(self.client.run())
@@ -230,3 +235,27 @@
         bed.task.cancel()
 
     virtual.run(work())
+
+
+# A sum of tokens beyond 32 bits couldn't be reported, and left the entry host
+# for good without another coordinator.
+@pytest.mark.parametrize('amount', (2**31 - 1, 2**31, 6 * 10**9, 2**70))
+def test_usage_of_any_amount_reaches_each_new_coordinator(amount: int) -> None:
+    """Each of two that coordinate in turn."""
+    amounts = {ids.CustomerName('large'): {0: amount, 3: 5}}
+    spent = recent_usage.RecentUsage(5, amounts)
+
+    async def work() -> None:
+        bed = _Bed(spent)
+        bed.first.answer_with(leads=False, stands_in=False)
+        bed.second.answer_with(leads=True, stands_in=False)
+        await asyncio.sleep(1)
+        bed.second.pong = None
+        bed.first.answer_with(leads=True, stands_in=False)
+        await asyncio.sleep(2)
+        assert bed.client.live(_AREA) == ['c1']
+        for control in (bed.first, bed.second):
+            assert [one.customers for one in control.spent] == [amounts]
+        bed.task.cancel()
+
+    virtual.run(work())
--- a/libs/control/geraniumweir/control/usage_codec.py
+++ b/libs/control/geraniumweir/control/usage_codec.py
@@ -1,19 +1,20 @@
 """Encoding of the usage that entry hosts report to a new coordinator."""
 
+import typing
+
 from geraniumweir.common import ids
 from geraniumweir.scheduling import recent_usage, retrycounts
 from geraniumweir.wire.gen.control import ttypes
 
+_MAX_INT32 = 0x7FFFFFFF
+
 
 def pack(usage: recent_usage.RecentUsage) -> ttypes.Spent:
     """Return the message; amounts are whole tokens or requests."""
     return ttypes.Spent(
         usage.known_seconds,
         [
-            ttypes.CustomerSpent(
-                customer,
-                {ago: round(amount) for ago, amount in amounts.items()},
-            )
+            _pack_customer(customer, amounts)
             for customer, amounts in usage.customers.items()
         ],
         usage.retries.known_seconds,
@@ -34,7 +35,9 @@
     return recent_usage.RecentUsage(
         message.known_seconds,
         {
-            ids.CustomerName(reported.customer): reported.amounts
+            ids.CustomerName(reported.customer): (
+                reported.amounts | (reported.large_amounts or {})
+            )
             for reported in message.customers
         },
         retrycounts.Counts(
@@ -49,3 +52,21 @@
             },
         ),
     )
+
+
+def _pack_customer(
+    customer: ids.CustomerName, amounts: typing.Mapping[int, float]
+) -> ttypes.CustomerSpent:
+    large_amounts = {
+        ago: float(amount)
+        for ago, amount in amounts.items()
+        if amount > _MAX_INT32
+    }
+    return ttypes.CustomerSpent(
+        customer,
+        {
+            ago: min(round(amount), _MAX_INT32)
+            for ago, amount in amounts.items()
+        },
+        large_amounts or None,
+    )
--- a/libs/wire/geraniumweir/wire/gen/control/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/control/ttypes.py
@@ -2320,18 +2320,21 @@
     Attributes:
      - customer
      - amounts
+     - large_amounts
 
     """
 
     __slots__ = (
         'customer',
         'amounts',
+        'large_amounts',
     )
 
 
-    def __init__(self, customer=None, amounts=None,):
+    def __init__(self, customer=None, amounts=None, large_amounts=None,):
         self.customer = customer
         self.amounts = amounts
+        self.large_amounts = large_amounts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2358,6 +2361,17 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.MAP:
+                    self.large_amounts = {}
+                    (_ktype106, _vtype107, _size105) = iprot.readMapBegin()
+                    for _i109 in range(_size105):
+                        _key110 = iprot.readI32()
+                        _val111 = iprot.readDouble()
+                        self.large_amounts[_key110] = _val111
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2375,9 +2389,17 @@
         if self.amounts is not None:
             oprot.writeFieldBegin('amounts', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.amounts))
-            for kiter105, viter106 in self.amounts.items():
-                oprot.writeI32(kiter105)
-                oprot.writeI32(viter106)
+            for kiter112, viter113 in self.amounts.items():
+                oprot.writeI32(kiter112)
+                oprot.writeI32(viter113)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.large_amounts is not None:
+            oprot.writeFieldBegin('large_amounts', TType.MAP, 3)
+            oprot.writeMapBegin(TType.I32, TType.DOUBLE, len(self.large_amounts))
+            for kiter114, viter115 in self.large_amounts.items():
+                oprot.writeI32(kiter114)
+                oprot.writeDouble(viter115)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2446,33 +2468,33 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.requests = {}
-                    (_ktype108, _vtype109, _size107) = iprot.readMapBegin()
-                    for _i111 in range(_size107):
-                        _key112 = iprot.readI32()
-                        _val113 = iprot.readI32()
-                        self.requests[_key112] = _val113
+                    (_ktype117, _vtype118, _size116) = iprot.readMapBegin()
+                    for _i120 in range(_size116):
+                        _key121 = iprot.readI32()
+                        _val122 = iprot.readI32()
+                        self.requests[_key121] = _val122
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.here = {}
-                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
-                    for _i118 in range(_size114):
-                        _key119 = iprot.readI32()
-                        _val120 = iprot.readI32()
-                        self.here[_key119] = _val120
+                    (_ktype124, _vtype125, _size123) = iprot.readMapBegin()
+                    for _i127 in range(_size123):
+                        _key128 = iprot.readI32()
+                        _val129 = iprot.readI32()
+                        self.here[_key128] = _val129
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.elsewhere = {}
-                    (_ktype122, _vtype123, _size121) = iprot.readMapBegin()
-                    for _i125 in range(_size121):
-                        _key126 = iprot.readI32()
-                        _val127 = iprot.readI32()
-                        self.elsewhere[_key126] = _val127
+                    (_ktype131, _vtype132, _size130) = iprot.readMapBegin()
+                    for _i134 in range(_size130):
+                        _key135 = iprot.readI32()
+                        _val136 = iprot.readI32()
+                        self.elsewhere[_key135] = _val136
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2493,25 +2515,25 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.MAP, 2)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.requests))
-            for kiter128, viter129 in self.requests.items():
-                oprot.writeI32(kiter128)
-                oprot.writeI32(viter129)
+            for kiter137, viter138 in self.requests.items():
+                oprot.writeI32(kiter137)
+                oprot.writeI32(viter138)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.here is not None:
             oprot.writeFieldBegin('here', TType.MAP, 3)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.here))
-            for kiter130, viter131 in self.here.items():
-                oprot.writeI32(kiter130)
-                oprot.writeI32(viter131)
+            for kiter139, viter140 in self.here.items():
+                oprot.writeI32(kiter139)
+                oprot.writeI32(viter140)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.elsewhere is not None:
             oprot.writeFieldBegin('elsewhere', TType.MAP, 4)
             oprot.writeMapBegin(TType.I32, TType.I32, len(self.elsewhere))
-            for kiter132, viter133 in self.elsewhere.items():
-                oprot.writeI32(kiter132)
-                oprot.writeI32(viter133)
+            for kiter141, viter142 in self.elsewhere.items():
+                oprot.writeI32(kiter141)
+                oprot.writeI32(viter142)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2580,11 +2602,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.customers = []
-                    (_etype137, _size134) = iprot.readListBegin()
-                    for _i138 in range(_size134):
-                        _elem139 = CustomerSpent()
-                        _elem139.read(iprot)
-                        self.customers.append(_elem139)
+                    (_etype146, _size143) = iprot.readListBegin()
+                    for _i147 in range(_size143):
+                        _elem148 = CustomerSpent()
+                        _elem148.read(iprot)
+                        self.customers.append(_elem148)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2596,11 +2618,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.pools = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = PoolCounts()
-                        _elem145.read(iprot)
-                        self.pools.append(_elem145)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = PoolCounts()
+                        _elem154.read(iprot)
+                        self.pools.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2621,8 +2643,8 @@
         if self.customers is not None:
             oprot.writeFieldBegin('customers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.customers))
-            for iter146 in self.customers:
-                iter146.write(oprot)
+            for iter155 in self.customers:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.retries_known_seconds is not None:
@@ -2632,8 +2654,8 @@
         if self.pools is not None:
             oprot.writeFieldBegin('pools', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.pools))
-            for iter147 in self.pools:
-                iter147.write(oprot)
+            for iter156 in self.pools:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2707,20 +2729,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.keys = []
-                    (_etype151, _size148) = iprot.readListBegin()
-                    for _i152 in range(_size148):
-                        _elem153 = iprot.readI64()
-                        self.keys.append(_elem153)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = iprot.readI64()
+                        self.keys.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.left_ms = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = iprot.readI32()
-                        self.left_ms.append(_elem159)
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = iprot.readI32()
+                        self.left_ms.append(_elem168)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2745,15 +2767,15 @@
         if self.keys is not None:
             oprot.writeFieldBegin('keys', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.keys))
-            for iter160 in self.keys:
-                oprot.writeI64(iter160)
+            for iter169 in self.keys:
+                oprot.writeI64(iter169)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.left_ms is not None:
             oprot.writeFieldBegin('left_ms', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.left_ms))
-            for iter161 in self.left_ms:
-                oprot.writeI32(iter161)
+            for iter170 in self.left_ms:
+                oprot.writeI32(iter170)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2811,21 +2833,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype165, _size162) = iprot.readListBegin()
-                    for _i166 in range(_size162):
-                        _elem167 = VersionStreams()
-                        _elem167.read(iprot)
-                        self.versions.append(_elem167)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = VersionStreams()
+                        _elem176.read(iprot)
+                        self.versions.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.repeating = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = iprot.readI64()
-                        self.repeating.append(_elem173)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = iprot.readI64()
+                        self.repeating.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2842,15 +2864,15 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter174 in self.versions:
-                iter174.write(oprot)
+            for iter183 in self.versions:
+                iter183.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeating is not None:
             oprot.writeFieldBegin('repeating', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.repeating))
-            for iter175 in self.repeating:
-                oprot.writeI64(iter175)
+            for iter184 in self.repeating:
+                oprot.writeI64(iter184)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2917,54 +2939,54 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.cases = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = geraniumweir.wire.gen.scheduling.ttypes.Case()
-                        _elem181.read(iprot)
-                        self.cases.append(_elem181)
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = geraniumweir.wire.gen.scheduling.ttypes.Case()
+                        _elem190.read(iprot)
+                        self.cases.append(_elem190)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = geraniumweir.wire.gen.scheduling.ttypes.ServerCrash()
-                        _elem187.read(iprot)
-                        self.crashes.append(_elem187)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = geraniumweir.wire.gen.scheduling.ttypes.ServerCrash()
+                        _elem196.read(iprot)
+                        self.crashes.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.trials = []
-                    (_etype191, _size188) = iprot.readListBegin()
-                    for _i192 in range(_size188):
-                        _elem193 = geraniumweir.wire.gen.scheduling.ttypes.PartTrials()
-                        _elem193.read(iprot)
-                        self.trials.append(_elem193)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = geraniumweir.wire.gen.scheduling.ttypes.PartTrials()
+                        _elem202.read(iprot)
+                        self.trials.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.streams = []
-                    (_etype197, _size194) = iprot.readListBegin()
-                    for _i198 in range(_size194):
-                        _elem199 = VersionStreams()
-                        _elem199.read(iprot)
-                        self.streams.append(_elem199)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = VersionStreams()
+                        _elem208.read(iprot)
+                        self.streams.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.repeating = []
-                    (_etype203, _size200) = iprot.readListBegin()
-                    for _i204 in range(_size200):
-                        _elem205 = iprot.readI64()
-                        self.repeating.append(_elem205)
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = iprot.readI64()
+                        self.repeating.append(_elem214)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2981,36 +3003,36 @@
         if self.cases is not None:
             oprot.writeFieldBegin('cases', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.cases))
-            for iter206 in self.cases:
-                iter206.write(oprot)
+            for iter215 in self.cases:
+                iter215.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter207 in self.crashes:
-                iter207.write(oprot)
+            for iter216 in self.crashes:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.trials is not None:
             oprot.writeFieldBegin('trials', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.trials))
-            for iter208 in self.trials:
-                iter208.write(oprot)
+            for iter217 in self.trials:
+                iter217.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.streams is not None:
             oprot.writeFieldBegin('streams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.streams))
-            for iter209 in self.streams:
-                iter209.write(oprot)
+            for iter218 in self.streams:
+                iter218.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeating is not None:
             oprot.writeFieldBegin('repeating', TType.LIST, 5)
             oprot.writeListBegin(TType.I64, len(self.repeating))
-            for iter210 in self.repeating:
-                oprot.writeI64(iter210)
+            for iter219 in self.repeating:
+                oprot.writeI64(iter219)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3830,6 +3852,7 @@
     None,  # 0
     (1, TType.STRING, 'customer', 'UTF8', None, ),  # 1
     (2, TType.MAP, 'amounts', (TType.I32, None, TType.I32, None, False), None, ),  # 2
+    (3, TType.MAP, 'large_amounts', (TType.I32, None, TType.DOUBLE, None, False), None, ),  # 3
 )
 all_structs.append(PoolCounts)
 PoolCounts.thrift_spec = (
--- a/libs/wire/idl/control.thrift
+++ b/libs/wire/idl/control.thrift
@@ -222,7 +222,10 @@
 // bins of 0.2 s ago.
 struct CustomerSpent {
   1: string customer
+  // Those beyond 32 bits as the highest number, which is all that hosts of an
+  // older release read.
   2: map<i32, i32> amounts
+  3: optional map<i32, double> large_amounts
 }
 
 // What an entry host had of a pool, by how many bins of 0.2 s ago: requests
