Coordinator client: a host that was asked weeks ago can be asked again

Callers would see: after 24.8 days with one coordinator, its loss leaves an entry host alone for good, as no other control host can be pinged. Only the coordinator is pinged all the time; the time since the others' answers grows, the ping can't be encoded (FrameError, a PeerError), and the host counts as silent. Change: times of more than 32 bits are left out, as before a first answer. Measured: the new test fails before (a month in virtual time), passes here.

--- a/libs/control/geraniumweir/control/ping_times.py
+++ b/libs/control/geraniumweir/control/ping_times.py
@@ -8,6 +8,8 @@
 from geraniumweir.wire.gen.control import ttypes
 
 _MS = 1000
+# The field has 32 bits.
+_MAX_SINCE_MS = 0x7FFFFFFF
 
 
 class PingTimes:
@@ -36,12 +38,17 @@
             self._answers[host_id] = (pong.stamp, now)
 
     def fill(self, host_id: ids.HostId, ping: ttypes.Ping, now: float) -> None:
-        """Add the times to a ping that is about to be sent."""
+        """Add the times to a ping that is about to be sent.
+
+        None are added where the last answer is weeks old.
+        """
         answer = self._answers.get(host_id)
         if answer is not None:
             stamped, received_at = answer
-            ping.stamp = stamped
-            ping.since_ms = int((now - received_at) * _MS)
+            since_ms = int((now - received_at) * _MS)
+            if since_ms <= _MAX_SINCE_MS:
+                ping.stamp = stamped
+                ping.since_ms = since_ms
 
 
 def stamp(now: float) -> int:
--- a/libs/control/geraniumweir/control/tests/test_coordinator_client.py
+++ b/libs/control/geraniumweir/control/tests/test_coordinator_client.py
@@ -19,6 +19,7 @@
     ),
 )
 _AREA = ids.FailureDomain('all')
+_MONTH_SECONDS = 30 * 86400
 
 
 def _address(name: str) -> ids.Address:
@@ -39,7 +40,7 @@
 
     def answer_with(self, *, leads: bool, stands_in: bool) -> None:
         """Set the answer to pings."""
-        self.pong = ttypes.Pong(leads, stands_in, 6, 6, 0.25)
+        self.pong = ttypes.Pong(leads, stands_in, 6, 6, 0.25, stamp=0)
 
     async def _on_spent(
         self,
@@ -259,3 +260,24 @@
         bed.task.cancel()
 
     virtual.run(work())
+
+
+# The time since a host's last answer didn't fit into a ping after 24.8 days.
+def test_control_host_that_was_not_asked_for_weeks_is_found() -> None:
+    """The leader is lost after a month in which only it was pinged."""
+
+    async def work() -> None:
+        bed = _Bed()
+        bed.first.answer_with(leads=False, stands_in=False)
+        bed.second.answer_with(leads=True, stands_in=False)
+        await asyncio.sleep(1)
+        bed.task.cancel()
+        await asyncio.sleep(_MONTH_SECONDS)
+        bed.task = asyncio.create_task(bed.client.run())
+        bed.second.pong = None
+        bed.first.answer_with(leads=True, stands_in=False)
+        await asyncio.sleep(2)
+        assert bed.client.live(_AREA) == ['c1']
+        bed.task.cancel()
+
+    virtual.run(work())
