Scheduling: a denial with a long wait fits into its message

A rule's rate may be far below one request a second; the wait that its denial names passed 32 bits of milliseconds below one in 24.8 days, the denial couldn't be encoded, and the entry host got no answer. Change: the wait in the message is at most the highest number of 32 bits. Looked at besides, all fields of 32 bits or fewer in the interface: slots, tokens, ranks, pauses and times left are bounded where they are read or packed.

--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -18,6 +18,7 @@
 # The message has a byte for it.
 _MIN_RANK = -128
 _MAX_RANK = 127
+_MAX_INT32 = 0x7FFFFFFF
 
 
 def pack_ask(
@@ -120,7 +121,9 @@
 
 def pack_denial(denial: requests.Denial) -> ttypes.Denial:
     """Return the message of a denial."""
-    return ttypes.Denial(denial.reason.value, denial.retry_after_ms)
+    return ttypes.Denial(
+        denial.reason.value, min(denial.retry_after_ms, _MAX_INT32)
+    )
 
 
 def unpack_answer(
