Prompt parts: a part that crashes servers is found at any place of its prompt

Cause: evidence was kept for some parts by their place in the prompt: 64 of a request in admission, of these 48 in a crash, 512 in the header parser. A later part was in no crash, and nothing else is common to requests with it. Change: all parts but the last are in the slot request. A crash keeps 4,096; where there are more, those of other crashes first, the others drawn whatever their place. All crashes together keep 16,384: beyond, parts of one crash only are forgotten, oldest first, and counted on as competitors. A crash with more than 48 parts has the prior of 48, spread over all: with one for each part, a prompt of 400 would be refused after one crash. Weights of parts in one crash are counted by customers, not one by one; records that say nothing new are not taken over. Logs show 64 parts of a request, and their number.

--- a/libs/control/geraniumweir/control/tests/test_crash_cases.py
+++ b/libs/control/geraniumweir/control/tests/test_crash_cases.py
@@ -66,9 +66,13 @@
         """Record the crash of a server that ran only the request."""
         self.led[0].suspects.record_crash([_REQUEST], self.clock.now())
 
-    def break_off(self, number: int) -> None:
-        """Record that a server crashed under a request with the part."""
-        broken = crash_records.Broken(_CUSTOMER, _DOMAIN, (_PART,), begun=False)
+    def break_off(self, number: int, others: typing.Iterable[int] = ()) -> None:
+        """Record that a server crashed under a request with the part.
+
+        :param others: further parts of its prompt.
+        """
+        parts = (*map(ids.PromptPart, others), _PART)
+        broken = crash_records.Broken(_CUSTOMER, _DOMAIN, parts, begun=False)
         start = ids.ServerId(f's{number}'), ids.Incarnation(0)
         self.parts.record_break(start, broken, self.clock.now())
 
@@ -233,3 +237,27 @@
         assert one.part_verdict() is part_evidence.Verdict.refused
 
     _run(work)
+
+
+def test_parts_of_long_prompts_are_exchanged() -> None:
+    """The largest message with them still fits into a frame."""
+
+    async def work(one: _Control, other: _Control) -> None:
+        one.coordinate()
+        for number in range(6):
+            first = 10 + 5000 * number
+            one.break_off(number, range(first, first + 4000))
+            await asyncio.sleep(0.5)
+        other.coordinate()
+        await asyncio.sleep(1)
+        assert other.part_verdict() is part_evidence.Verdict.refused
+        left_out, known = (
+            {
+                crash.start: crash.left_out
+                for crash in control.parts.crashes.crashes(control.clock.now())
+            }
+            for control in (one, other)
+        )
+        assert left_out == known
+
+    _run(work)
--- a/libs/gateway/geraniumweir/gateway/admission.py
+++ b/libs/gateway/geraniumweir/gateway/admission.py
@@ -21,8 +21,6 @@
 # prompt of the users (54,600 tokens) has fewer than the 512 blocks that an
 # index keeps; further blocks of a longer one are left out.
 _BLOCK_TOKENS = 256
-# Further parts of a prompt are not compared with those of other prompts.
-_MAX_SHARED_PARTS = 64
 _LOWEST_TIER = int(max(ids.Tier))
 
 
@@ -302,7 +300,7 @@
     """Return hashes of all parts but the last, which no other prompt has."""
     return tuple(
         ids.PromptPart(xxhash.xxh3_64_intdigest(f'{part.part_id:x}'.encode()))
-        for part in parts[: min(len(parts) - 1, _MAX_SHARED_PARTS)]
+        for part in parts[:-1]
     )
 
 
--- a/libs/gateway/geraniumweir/gateway/request_record.py
+++ b/libs/gateway/geraniumweir/gateway/request_record.py
@@ -5,6 +5,8 @@
 from geraniumweir.common import eventlog, logevents
 
 _MS = 1000
+# A prompt may have thousands.
+_MAX_LOGGED_PARTS = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,7 +92,8 @@
             gap_ms=_ms(self.gap),
             patience_ms=_ms(self.patience),
             content=f'{self.content:016x}',
-            parts=[f'{part:016x}' for part in self.parts],
+            parts=[f'{part:016x}' for part in self.parts[:_MAX_LOGGED_PARTS]],
+            part_count=len(self.parts),
             granted_ms=_ms(self.granted),
             first_ms=_ms(self.first),
             longest_pause_ms=_ms(self.longest_pause),
--- a/libs/scheduling/geraniumweir/scheduling/crash_records.py
+++ b/libs/scheduling/geraniumweir/scheduling/crash_records.py
@@ -7,12 +7,15 @@
 
 import dataclasses
 import math
+import random
+import typing
 
 from geraniumweir.common import ids
 from geraniumweir.scheduling import notices
 
-# Parts kept for one crash.
-_MAX_PARTS = 48
+# Parts kept for one crash. The headers of a request have room for no more,
+# and those of all requests on a server seldom do.
+_MAX_PARTS = 4096
 _HALF_LIVES_SECONDS = (2.0, 10.0)
 # Assumed requests before any was seen, of which one was in a crash.
 _ASSUMED_REQUESTS = 20.0
@@ -20,6 +23,9 @@
 _MAX_RATE = 0.5
 
 
+IsSuspected = typing.Callable[[ids.PromptPart], bool]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
     """A request whose answer broke off.
@@ -49,27 +55,61 @@
         that sent them; without those that were answered since.
     :ivar domains: failure domains whose requests broke off.
     :ivar unbegun: number of requests that had no answer.
+    :ivar left_out: number of parts that were too many to be kept.
     """
 
     start: notices.ServerIncarnation
     at: float
     log_ratio: float
     confirmed: bool = False
-    parts: dict[ids.PromptPart, set[ids.CustomerName]] = dataclasses.field(
-        default_factory=dict
+    parts: dict[ids.PromptPart, frozenset[ids.CustomerName]] = (
+        dataclasses.field(default_factory=dict)
     )
     domains: set[ids.FailureDomain] = dataclasses.field(default_factory=set)
     unbegun: int = 0
+    left_out: int = 0
+
+    def shows_the_same(self, other: 'Crash') -> bool:
+        """Return whether another record of this crash has the same evidence."""
+        return self._evidence() == other._evidence()
 
-    def add(self, broken: Broken) -> None:
-        """Add a request that ran on the server."""
+    def add(self, broken: Broken, is_suspected: IsSuspected) -> None:
+        """Add a request that ran on the server.
+
+        :param is_suspected: returns whether a part is in other crashes. Such
+            parts are kept first, then any others: a part that crashes servers
+            may have any place in the prompt.
+        """
         self.domains.add(broken.failure_domain)
         if broken.begun:
             return
         self.unbegun += 1
-        for part in broken.parts:
-            if part in self.parts or len(self.parts) < _MAX_PARTS:
-                self.parts.setdefault(part, set()).add(broken.customer)
+        customers = frozenset((broken.customer,))
+        new = dict.fromkeys(broken.parts, customers)
+        for part in new.keys() & self.parts.keys():
+            self.parts[part] |= new.pop(part)
+        room = _MAX_PARTS - len(self.parts)
+        if len(new) > room:
+            chosen = self._choose(list(new), is_suspected)[:room]
+            self.left_out += len(new) - room
+            new = dict.fromkeys(chosen, customers)
+        self.parts.update(new)
+
+    def _choose(
+        self, parts: list[ids.PromptPart], is_suspected: IsSuspected
+    ) -> list[ids.PromptPart]:
+        """Return parts in the order in which they are kept."""
+        random.Random(str(self.start)).shuffle(parts)  # noqa: S311
+        return sorted(parts, key=is_suspected, reverse=True)
+
+    def _evidence(self) -> tuple[object, ...]:
+        return (
+            self.confirmed,
+            self.parts,
+            self.domains,
+            self.unbegun,
+            self.left_out,
+        )
 
 
 @dataclasses.dataclass(slots=True)
--- a/libs/scheduling/geraniumweir/scheduling/crash_table.py
+++ b/libs/scheduling/geraniumweir/scheduling/crash_table.py
@@ -6,11 +6,10 @@
 """
 
 import collections
-import itertools
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.scheduling import crash_records, notices
+from geraniumweir.scheduling import crash_index, crash_records, notices
 
 # A crash that isn't confirmed holds for this time; servers restart, or are
 # missed, within it.
@@ -22,6 +21,8 @@
 # Reports of entry hosts may be out of order by this time.
 _REPORT_DELAY_SECONDS = 0.5
 _MAX_CRASHES = 64
+# Of all crashes together, a part counted once for each crash that it is in.
+_MAX_PARTS = 16384
 
 _Start = notices.ServerIncarnation
 _Crash = crash_records.Crash
@@ -32,6 +33,7 @@
 
     :ivar revision: grows with each change.
     :ivar is_kept: returns whether crashes with a part are evicted last.
+    :ivar by_part: the crashes by part.
     """
 
     def __init__(
@@ -44,16 +46,16 @@
         self._crashes: collections.OrderedDict[_Start, _Crash] = (
             collections.OrderedDict()
         )
-        self._by_part: dict[ids.PromptPart, list[_Crash]] = {}
+        self.by_part = crash_index.CrashIndex()
         self._rate = crash_records.CollateralRate()
 
     def __contains__(self, part: ids.PromptPart) -> bool:
         """Return whether a part is in any crash."""
-        return part in self._by_part
+        return part in self.by_part
 
     def is_empty(self) -> bool:
         """Return whether no part is in any crash."""
-        return not self._by_part
+        return not self.by_part
 
     def record_break(
         self,
@@ -72,8 +74,9 @@
             self._insert(crash)
         if not broken.begun:
             self._rate.record_break(crash.unbegun > 0, now)
-        crash.add(broken)
-        self._index(crash)
+        crash.add(broken, self.by_part.__contains__)
+        self.by_part.add(crash)
+        self._limit_parts()
         self.revision += 1
 
     def record_answer(self, start: _Start, now: float) -> None:
@@ -98,62 +101,58 @@
 
         :returns: whether no crash is left that it is in.
         """
-        found = self._by_part.get(part, ())
-        for crash in list(found):
+        for crash in list(self.by_part.find(part)):
             if crash.at <= began_at:
                 crash.parts.pop(part, None)
-                self._unindex(crash, part)
+                self.by_part.remove(crash, [part])
                 self.revision += 1
-        return part not in self._by_part
+        return part not in self.by_part
 
     def counted(self, part: ids.PromptPart, now: float) -> list[_Crash]:
         """List the crashes that speak against a part, oldest first."""
         return [
             crash
-            for crash in self._by_part.get(part, ())
-            if now - crash.at < _seconds(crash)
-            and (crash.confirmed or not self._may_be_partition(crash))
+            for crash in self.by_part.find(part)
+            if self.counts(crash, now)
         ]
 
-    def customers(self, part: ids.PromptPart) -> frozenset[ids.CustomerName]:
-        """Return the customers whose requests with a part were in crashes.
-
-        Only where no other customer's requests with it were in the same crash.
-        """
-        found = (crash.parts[part] for crash in self._by_part.get(part, ()))
-        return frozenset(
-            itertools.chain.from_iterable(one for one in found if len(one) == 1)
-        )
+    def counts(self, crash: _Crash, now: float) -> bool:
+        """Return whether a crash speaks against its parts."""
+        if now - crash.at >= _seconds(crash):
+            return False
+        return crash.confirmed or not self._may_be_partition(crash)
 
     def crashes(self, now: float) -> list[_Crash]:
         """List the crashes that still hold."""
         self._expire(now)
         return list(self._crashes.values())
 
-    def merge(self, crash: _Crash) -> None:
-        """Take over a record of another host; it replaces the one known here.
+    def merge(self, crashes: typing.Iterable[_Crash]) -> None:
+        """Take over records of another host; they replace those known here.
 
         A server crashes once in each of its incarnations, so that crashes
         recorded by several hosts count once.
         """
-        known = self._crashes.get(crash.start)
-        if known is not None:
-            self._remove(known)
-        self._insert(crash)
-        self._index(crash)
-        self.revision += 1
+        for crash in crashes:
+            known = self._crashes.get(crash.start)
+            if known is not None:
+                if crash.shows_the_same(known):
+                    continue
+                self._remove(known)
+            self._insert(crash)
+            self.by_part.add(crash)
+            self.revision += 1
+        self._limit_parts()
 
     def _disprove(self, crash: _Crash) -> None:
         """Clear all parts of a crash, which other hosts may know too."""
-        for part in list(crash.parts):
-            crash.parts.pop(part)
-            self._unindex(crash, part)
-            self.revision += 1
+        self.by_part.remove(crash, crash.parts)
+        self.revision += len(crash.parts)
+        crash.parts.clear()
 
     def _remove(self, crash: _Crash) -> None:
         self._crashes.pop(crash.start, None)
-        for part in crash.parts:
-            self._unindex(crash, part)
+        self.by_part.remove(crash, crash.parts)
         self.revision += 1
 
     def _may_be_partition(self, crash: _Crash) -> bool:
@@ -185,18 +184,28 @@
         )
         self._remove(next(irrelevant, next(iter(self._crashes.values()))))
 
-    def _index(self, crash: _Crash) -> None:
-        for part in crash.parts:
-            found = self._by_part.setdefault(part, [])
-            if crash not in found:
-                found.append(crash)
-
-    def _unindex(self, crash: _Crash, part: ids.PromptPart) -> None:
-        found = self._by_part.get(part, [])
-        if crash in found:
-            found.remove(crash)
-        if not found:
-            self._by_part.pop(part, None)
+    def _limit_parts(self) -> None:
+        """Forget what says least: parts of old crashes that are in no other."""
+        if len(self.by_part) <= _MAX_PARTS:
+            return
+        by_age = sorted(self._crashes.values(), key=lambda crash: crash.at)
+        for crash in by_age[:-1]:
+            self._forget_lone_parts(crash)
+            if len(self.by_part) <= _MAX_PARTS:
+                return
+        while len(self.by_part) > _MAX_PARTS:
+            self._evict_one()
+
+    def _forget_lone_parts(self, crash: _Crash) -> None:
+        lone_parts = [
+            part
+            for part in crash.parts
+            if self.by_part.is_lone(part) and not self.is_kept(part)
+        ]
+        self.by_part.remove(crash, lone_parts)
+        for part in lone_parts:
+            crash.parts.pop(part)
+        crash.left_out += len(lone_parts)
 
     def _expire(self, now: float) -> None:
         for crash in list(self._crashes.values()):
--- a/libs/scheduling/geraniumweir/scheduling/part_encoding.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_encoding.py
@@ -36,6 +36,7 @@
             ],
             sorted(crash.domains),
             crash.unbegun,
+            crash.left_out or None,
         )
         for crash in crashes
     ]
@@ -55,13 +56,14 @@
             crash.log_ratio,
             crash.confirmed,
             {
-                ids.PromptPart(translation.unsigned(found.part)): set(
+                ids.PromptPart(translation.unsigned(found.part)): frozenset(
                     map(ids.CustomerName, found.customers)
                 )
                 for found in crash.parts
             },
             set(map(ids.FailureDomain, crash.domains)),
             crash.unbegun,
+            crash.left_out or 0,
         )
         for crash in crashes
     ]
--- a/libs/scheduling/geraniumweir/scheduling/part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_evidence.py
@@ -116,8 +116,7 @@
         refused: typing.Iterable[RefusedPart],
     ) -> None:
         """Take over what another host knows."""
-        for crash in crashes:
-            self.crashes.merge(crash)
+        self.crashes.merge(crashes)
         for found in refused:
             if found.part in self.crashes:
                 self.trials.merge(found.part, found.trials)
@@ -125,7 +124,7 @@
     def refused(self) -> list[RefusedPart]:
         """List the parts that are refused."""
         return [
-            RefusedPart(part, trials, self.crashes.customers(part))
+            RefusedPart(part, trials, self.crashes.by_part.customers(part))
             for part, trials in self.trials.refused().items()
             if part in self.crashes
         ]
@@ -205,7 +204,7 @@
         for part in parts:
             if part not in self.crashes:
                 continue
-            is_new = customer not in self.crashes.customers(part)
+            is_new = customer not in self.crashes.by_part.customers(part)
             self.trials.begin(part, request_id, now, by_customer=is_new)
 
     def end_trial(self, request_id: ids.RequestId, parts: Parts) -> None:
@@ -279,7 +278,9 @@
         known = [self.trials.of_part(part) for part in leading]
         if all(one.next_at and now >= one.next_at for one in known):
             return True
-        if any(customer in self.crashes.customers(part) for part in leading):
+        if any(
+            customer in self.crashes.by_part.customers(part) for part in leading
+        ):
             return False
         return not any(one.by_customer for one in known)
 
--- a/libs/scheduling/geraniumweir/scheduling/part_weights.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_weights.py
@@ -10,7 +10,7 @@
 import typing
 
 from geraniumweir.common import ids
-from geraniumweir.scheduling import crash_records, crash_table
+from geraniumweir.scheduling import crash_records, crash_table, notices
 
 # Prior probability that a part is bad. A sound part is refused with at most
 # this probability, divided by the odds of a refusal.
@@ -22,6 +22,9 @@
 _MAX_LOG = 200.0
 # Latest crashes of a part that are looked at for one request.
 _MAX_COMPARED = 8
+# A crash with more parts has the prior probability of so many, spread over all
+# of its parts: a long prompt is no more likely to crash a server.
+_MAX_PRIOR_PARTS = 48
 # Parts with less than this share of a request's weight don't explain a crash.
 _MIN_SHARE = 0.1
 
@@ -45,7 +48,10 @@
             tuple[ids.CustomerName, Parts], Explanation
         ] = {}
         self._weights: dict[tuple[ids.CustomerName, ids.PromptPart], float] = {}
-        self._counted: dict[ids.PromptPart, list[crash_records.Crash]] = {}
+        self._sums: dict[
+            tuple[ids.CustomerName, notices.ServerIncarnation], float
+        ] = {}
+        self._counting: dict[notices.ServerIncarnation, bool] = {}
 
     def crash_probability(
         self, customer: ids.CustomerName, suspected: Parts
@@ -63,20 +69,32 @@
     def _explain(
         self, customer: ids.CustomerName, suspected: Parts
     ) -> Explanation:
-        highest, leading = float(0), []
+        best: Explanation = (0, [])
         for crash in self._compared(suspected):
-            own = [part for part in suspected if part in crash.parts]
-            explained = self._sum(customer, own)
-            probability = explained / (1 + self._sum(customer, crash.parts))
-            if probability > highest:
-                highest = probability
-                least = _MIN_SHARE * explained
-                leading = [
-                    part
-                    for part in own
-                    if self._weight(customer, part) >= least
-                ]
-        return highest, leading
+            found = self._explain_crash(customer, suspected, crash)
+            if found[0] > best[0]:
+                best = found
+        return best
+
+    def _explain_crash(
+        self,
+        customer: ids.CustomerName,
+        suspected: Parts,
+        crash: crash_records.Crash,
+    ) -> Explanation:
+        weights = {
+            part: self._weight(customer, part)
+            for part in suspected
+            if part in crash.parts
+        }
+        scale = _prior_scale(crash)
+        explained = scale * sum(weights.values())
+        least = _MIN_SHARE * sum(weights.values())
+        leading = [part for part, weight in weights.items() if weight >= least]
+        return (
+            explained / (1 + scale * self._sum(customer, crash)),
+            leading,
+        )
 
     def _compared(
         self, suspected: Parts
@@ -90,16 +108,51 @@
         return dict.fromkeys(crashes)
 
     def _crashes_of(self, part: ids.PromptPart) -> list[crash_records.Crash]:
-        if part not in self._counted:
-            self._counted[part] = self._crashes.counted(part, self.at)
-        return self._counted[part]
+        return [
+            crash
+            for crash in self._crashes.by_part.find(part)
+            if self._counts(crash)
+        ]
+
+    def _counts(self, crash: crash_records.Crash) -> bool:
+        found = self._counting.get(crash.start)
+        if found is None:
+            found = self._crashes.counts(crash, self.at)
+            self._counting[crash.start] = found
+        return found
 
     def _sum(
-        self,
-        customer: ids.CustomerName,
-        parts: typing.Iterable[ids.PromptPart],
+        self, customer: ids.CustomerName, crash: crash_records.Crash
+    ) -> float:
+        """Return the weight of all parts of a crash, kept or not."""
+        key = customer, crash.start
+        if key not in self._sums:
+            left_out = crash.left_out * _to_weight(crash.log_ratio)
+            self._sums[key] = left_out + self._sum_kept(customer, crash)
+        return self._sums[key]
+
+    def _sum_kept(
+        self, customer: ids.CustomerName, crash: crash_records.Crash
     ) -> float:
-        return sum(self._weight(customer, part) for part in parts)
+        """Return the weight of the parts that are kept.
+
+        Most are in no other crash and have the weight of their customers' one.
+        """
+        lone = collections.Counter(
+            customers
+            for part, customers in crash.parts.items()
+            if self._crashes.by_part.is_lone(part)
+        )
+        log_ratio = crash.log_ratio if self._counts(crash) else 0
+        total = sum(
+            number * _weight(customer, [(customers, log_ratio)])
+            for customers, number in lone.items()
+        )
+        return total + sum(
+            self._weight(customer, part)
+            for part in crash.parts
+            if not self._crashes.by_part.is_lone(part)
+        )
 
     def _weight(
         self, customer: ids.CustomerName, part: ids.PromptPart
@@ -107,23 +160,40 @@
         """Return the weight of a part for a customer's requests."""
         key = customer, part
         if key not in self._weights:
-            self._weights[key] = _weight(customer, part, self._crashes_of(part))
+            crashes = self._crashes_of(part)
+            self._weights[key] = _weight(
+                customer,
+                [(crash.parts[part], crash.log_ratio) for crash in crashes],
+            )
         return self._weights[key]
 
 
 def _weight(
     customer: ids.CustomerName,
-    part: ids.PromptPart,
-    crashes: typing.Iterable[crash_records.Crash],
+    crashes: typing.Iterable[tuple[frozenset[ids.CustomerName], float]],
 ) -> float:
-    """Return the weight of a part for a customer's requests."""
+    """Return the weight of a part for a customer's requests.
+
+    :param crashes: for each the customers whose requests with the part were in
+        it, and its logarithm of the likelihood ratio.
+    """
     total = float(0)
     foreign: collections.Counter[ids.CustomerName] = collections.Counter()
-    for crash in crashes:
-        others = crash.parts[part] - {customer}
+    for customers, log_ratio in crashes:
+        others = customers - {customer}
         if others:
-            foreign[min(others)] += crash.log_ratio
+            foreign[min(others)] += log_ratio
         else:
-            total += crash.log_ratio
+            total += log_ratio
     total += sum(min(log, _MAX_FOREIGN_LOG) for log in foreign.values())
-    return math.exp(min(total, _MAX_LOG)) * _PRIOR
+    return _to_weight(total)
+
+
+def _to_weight(log_ratio: float) -> float:
+    """Return the weight for the logarithm of a likelihood ratio."""
+    return math.exp(min(log_ratio, _MAX_LOG)) * _PRIOR
+
+
+def _prior_scale(crash: crash_records.Crash) -> float:
+    parts = len(crash.parts) + crash.left_out
+    return min(_MAX_PRIOR_PARTS / max(parts, 1), 1)
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
@@ -36,6 +36,28 @@
     return tuple(map(ids.PromptPart, numbers))
 
 
+def _with_bad(place: int, count: int) -> _Parts:
+    """Return a prompt of many parts, of which one is bad."""
+    parts = list(_parts(*range(1000, 1000 + count)))
+    parts[place] = _BAD
+    return tuple(parts)
+
+
+def _crashes_until_refused(prompts: typing.Iterable[_Parts]) -> int:
+    """Return how many requests crash a server each before one is refused.
+
+    No request with any of their parts is answered.
+    """
+    evidence = part_evidence.PartEvidence()
+    for number, parts in enumerate(prompts):
+        at = float(number)
+        if evidence.verdict(_HOUSEHOLD, parts, at) is _Verdict.refused:
+            return number
+        evidence.record_break(_start(number), _broken(parts), at)
+        evidence.crashes.confirm(_start(number))
+    raise AssertionError('no request was refused')
+
+
 class _Pool:
     """Servers in virtual time; each request is answered after a while.
 
@@ -277,3 +299,63 @@
     assert alone.verdict(_NEIGHBOUR, (_BAD,), 6) is _Verdict.refused
     alone.set_refused_elsewhere(())
     assert alone.verdict(_HOUSEHOLD, (_BAD,), 6) is _Verdict.clear
+
+
+# Only the first 48 parts of a prompt were kept, so that servers crashed by a
+# later one for as long as it came.
+@pytest.mark.parametrize(
+    ('place', 'count'),
+    [(0, 60), (50, 60), (70, 80), (1259, 1260), (4094, 4095)],
+)
+def test_bad_part_is_refused_wherever_it_stands(place: int, count: int) -> None:
+    """Sound requests share all other parts of the prompt."""
+    evidence = part_evidence.PartEvidence()
+    bad = _with_bad(place, count)
+    sound = tuple(part for part in bad if part != _BAD)
+    crashes = 0
+    for number in range(20):
+        at = float(number)
+        evidence.record_begin(_start(99), sound, at)
+        if evidence.verdict(_HOUSEHOLD, bad, at) is _Verdict.refused:
+            break
+        evidence.record_break(_start(number), _broken(bad), at + 0.5)
+        evidence.crashes.confirm(_start(number))
+        crashes += 1
+    assert crashes <= 5
+    assert evidence.verdict(_HOUSEHOLD, sound, 21) is _Verdict.clear
+
+
+@pytest.mark.parametrize('count', [60, 1260, 4095])
+def test_bad_part_is_refused_in_prompts_without_other_common_parts(
+    count: int,
+) -> None:
+    """All others are in one request each, and never answered."""
+    prompts = [
+        (*_parts(*range(number * 5000, number * 5000 + count - 1)), _BAD)
+        for number in range(1, 21)
+    ]
+    assert _crashes_until_refused(prompts) <= 6
+
+
+@pytest.mark.parametrize('count', [1, 60, 1260, 4095])
+def test_long_prompt_is_not_refused_for_one_crash(count: int) -> None:
+    """It has many parts that may be bad, and is no more suspect for that."""
+    evidence = part_evidence.PartEvidence()
+    parts = _parts(*range(count))
+    evidence.record_break(_start(0), _broken(parts), 0)
+    evidence.crashes.confirm(_start(0))
+    assert evidence.verdict(_HOUSEHOLD, parts, 1) is not _Verdict.refused
+
+
+def test_crashes_of_long_prompts_take_bounded_memory() -> None:
+    """The bad part among them is kept, with the crashes that it is in."""
+    evidence = part_evidence.PartEvidence()
+    for number in range(40):
+        at = float(number)
+        flood = _parts(*range(number * 10000, number * 10000 + 4000))
+        evidence.record_break(_start(number), _broken((*flood, _BAD)), at)
+        evidence.crashes.confirm(_start(number))
+    known = evidence.crashes.crashes(40)
+    assert sum(len(crash.parts) for crash in known) <= 16384
+    assert len(evidence.crashes.counted(_BAD, 40)) >= 8
+    assert evidence.verdict(_HOUSEHOLD, (_BAD,), 40) is _Verdict.refused
--- a/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
+++ b/libs/wire/geraniumweir/wire/gen/scheduling/ttypes.py
@@ -2581,6 +2581,7 @@
      - parts
      - domains
      - unbegun
+     - left_out
 
     """
 
@@ -2593,10 +2594,11 @@
         'parts',
         'domains',
         'unbegun',
+        'left_out',
     )
 
 
-    def __init__(self, server_id=None, incarnation=None, age=None, log_ratio=None, confirmed=None, parts=None, domains=None, unbegun=None,):
+    def __init__(self, server_id=None, incarnation=None, age=None, log_ratio=None, confirmed=None, parts=None, domains=None, unbegun=None, left_out=None,):
         self.server_id = server_id
         self.incarnation = incarnation
         self.age = age
@@ -2605,6 +2607,7 @@
         self.parts = parts
         self.domains = domains
         self.unbegun = unbegun
+        self.left_out = left_out
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2666,6 +2669,11 @@
                     self.unbegun = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.left_out = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2714,6 +2722,10 @@
             oprot.writeFieldBegin('unbegun', TType.I32, 8)
             oprot.writeI32(self.unbegun)
             oprot.writeFieldEnd()
+        if self.left_out is not None:
+            oprot.writeFieldBegin('left_out', TType.I32, 9)
+            oprot.writeI32(self.left_out)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3062,6 +3074,7 @@
     (6, TType.LIST, 'parts', (TType.STRUCT, [CrashedPart, None], False), None, ),  # 6
     (7, TType.LIST, 'domains', (TType.STRING, 'UTF8', False), None, ),  # 7
     (8, TType.I32, 'unbegun', None, None, ),  # 8
+    (9, TType.I32, 'left_out', None, None, ),  # 9
 )
 all_structs.append(PartTrials)
 PartTrials.thrift_spec = (
--- a/libs/wire/idl/scheduling.thrift
+++ b/libs/wire/idl/scheduling.thrift
@@ -210,6 +210,8 @@
   6: list<CrashedPart> parts
   7: list<string> domains
   8: i32 unbegun
+  // Number of parts that were too many to be kept; unsaid for none.
+  9: optional i32 left_out
 }
 
 // Trials of a part that is refused; the next one is due in some seconds.
