Prompt parts: more than ten parts that always come together can be refused

A part counted as the explanation of a crash with a tenth of all weight at least; of eleven equal ones none has it. The list was empty, so that each request passed as a trial that is due, and none was seen as running. Change: the least weight is a tenth of the highest one; eight parts at most are the explanation and stand for the others. A trial is recorded for these and for refused parts, as thousands would evict each other from the table of trials. Measured: test_requests_with_the_same_parts_are_refused fails before with 11, 60, 1,260 and 4,095 parts and passes with 2; test_trial_of_many_parts_is_the_only_one fails before. All pass here.

--- a/libs/scheduling/geraniumweir/scheduling/part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_evidence.py
@@ -200,10 +200,15 @@
         parts: Parts,
         now: float,
     ) -> None:
-        """Record that a request is sent to a server as a trial of its parts."""
+        """Record that a request is sent to a server as a trial of its parts.
+
+        Of those that explain a crash, and of all that are refused.
+        """
+        tried = dict.fromkeys(self.leading_parts(customer, parts, now))
         for part in parts:
-            if part not in self.crashes:
-                continue
+            if part in self.crashes and self.trials.is_refused(part):
+                tried[part] = None
+        for part in tried:
             is_new = customer not in self.crashes.by_part.customers(part)
             self.trials.begin(part, request_id, now, by_customer=is_new)
 
@@ -263,7 +268,10 @@
     def leading_parts(
         self, customer: ids.CustomerName, parts: Parts, now: float
     ) -> list[ids.PromptPart]:
-        """List the parts of a request that explain a crash best."""
+        """List the parts of a request that explain a crash best, some at most.
+
+        They stand for all parts that always come with them.
+        """
         suspected = [part for part in parts if part in self.crashes]
         return self._crash_probability(customer, suspected, now)[1]
 
--- a/libs/scheduling/geraniumweir/scheduling/part_weights.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_weights.py
@@ -25,8 +25,10 @@
 # A crash with more parts has the prior probability of so many, spread over all
 # of its parts: a long prompt is no more likely to crash a server.
 _MAX_PRIOR_PARTS = 48
-# Parts with less than this share of a request's weight don't explain a crash.
+# Parts with less than this share of the highest weight don't explain a crash.
 _MIN_SHARE = 0.1
+# Of parts that always come together some stand for all.
+_MAX_LEADING = 8
 
 Parts = tuple[ids.PromptPart, ...]
 Explanation = tuple[float, list[ids.PromptPart]]
@@ -89,11 +91,11 @@
         }
         scale = _prior_scale(crash)
         explained = scale * sum(weights.values())
-        least = _MIN_SHARE * sum(weights.values())
+        least = _MIN_SHARE * max(weights.values(), default=0)
         leading = [part for part, weight in weights.items() if weight >= least]
         return (
             explained / (1 + scale * self._sum(customer, crash)),
-            leading,
+            leading[:_MAX_LEADING],
         )
 
     def _compared(
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
@@ -1,5 +1,6 @@
 """Parts of prompts that crash servers stand out soon, and sound ones don't."""
 
+import itertools
 import random
 import typing
 
@@ -325,6 +326,16 @@
     assert evidence.verdict(_HOUSEHOLD, sound, 21) is _Verdict.clear
 
 
+# Of more than ten parts that came together none counted as the explanation,
+# and each request with them was a further trial.
+@pytest.mark.parametrize('count', [2, 11, 60, 1260, 4095])
+def test_requests_with_the_same_parts_are_refused(count: int) -> None:
+    """No other request shows which part crashes the servers."""
+    assert (
+        _crashes_until_refused(itertools.repeat(_with_bad(0, count), 20)) <= 5
+    )
+
+
 @pytest.mark.parametrize('count', [60, 1260, 4095])
 def test_bad_part_is_refused_in_prompts_without_other_common_parts(
     count: int,
@@ -347,6 +358,17 @@
     assert evidence.verdict(_HOUSEHOLD, parts, 1) is not _Verdict.refused
 
 
+def test_trial_of_many_parts_is_the_only_one() -> None:
+    """Requests with the same parts wait for its answer."""
+    evidence = part_evidence.PartEvidence()
+    parts = _parts(*range(600))
+    evidence.record_break(_start(0), _broken(parts), 0)
+    evidence.crashes.confirm(_start(0))
+    assert evidence.verdict(_HOUSEHOLD, parts, 1) is _Verdict.trial
+    evidence.begin_trial(ids.RequestId('trial'), _HOUSEHOLD, parts, 1)
+    assert evidence.verdict(_HOUSEHOLD, parts, 2) is _Verdict.waits
+
+
 def test_crashes_of_long_prompts_take_bounded_memory() -> None:
     """The bad part among them is kept, with the crashes that it is in."""
     evidence = part_evidence.PartEvidence()
