Backends: a connection that is reset soon behind its end is cut short

Cause: the pending error is asked for once, when the end is noticed; a reset that comes a moment later meets a socket that is closed. The connection is kept meanwhile, as a second descriptor, and asked again behind the check; it is let go after 3 s at the latest.

--- a/libs/backends/geraniumweir/backends/answer_limits.py
+++ b/libs/backends/geraniumweir/backends/answer_limits.py
@@ -12,6 +12,7 @@
 import asyncio
 import collections
 import functools
+import socket
 import typing
 
 import aiohttp
@@ -28,6 +29,8 @@
 _KEPT_REQUESTS = 8
 # Transfer codings whose bodies the parser gives as the server made them.
 _CODINGS = frozenset(('chunked', 'identity'))
+# Longer than the check whether a server goes on behind the end of an answer.
+_ENDED_SECONDS = 3.0
 # RFC 9110, section 15.
 _MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
@@ -58,6 +61,7 @@
         self._is_head_checked = False
         self._kept = b''
         self._is_request_cut = False
+        self._ended: socket.socket | None = None
 
     @property
     def exchange(self) -> str:
@@ -196,6 +200,19 @@
         if self.transport is not None:
             sock = self.transport.get_extra_info('socket')
             self._is_request_cut = not sockets.is_delivered(sock)
+            if self._body is not None and not self._body.is_eof():
+                self._ended = sock.dup()
+                self._loop.call_later(_ENDED_SECONDS, self.forget_end)
+
+    def was_reset(self) -> bool:
+        """Return whether the server reset the connection behind its end."""
+        return self._ended is not None and not sockets.is_delivered(self._ended)
+
+    def forget_end(self) -> None:
+        """Let go of a connection that ended with a body."""
+        if self._ended is not None:
+            self._ended.close()
+            self._ended = None
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End with a connection; an answer that is whole stays whole."""
--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -128,7 +128,8 @@
         self.status = resp.status
         self.headers = resp.headers
         self.framing = resp.framing
-        self._lost = None if self.ends_visibly else _loss_of(resp)
+        self._handler = None if self.ends_visibly else _handler_of(resp)
+        self._lost = None if self._handler is None else self._handler.closed
 
     async def __aenter__(self) -> 'Answer':
         """Give the answer itself."""
@@ -228,30 +229,33 @@
         :raises errors.CutShortError: when it can't be told.
         :raises aiohttp.ClientError: when the connection was reset.
         """
-        if self._lost is None:
+        if self._handler is None or self._lost is None:
             raise errors.CutShortError("the answer's end could not be told")
         await self._lost
         seconds = _STREAM_CHECK_SECONDS if self._streams else _CHECK_SECONDS
-        if not await sockets.goes_on(self._address, seconds):
+        goes_on = await sockets.goes_on(self._address, seconds)
+        was_reset = self._handler.was_reset()
+        self._handler.forget_end()
+        if was_reset:
+            raise errors.CutShortError('the connection was reset at its end')
+        if not goes_on:
             raise errors.CutShortError(
                 f'{self._address} ended at the end of the connection'
             )
 
 
 def _exchange_of(resp: aiohttp.ClientResponse) -> str:
-    conn = resp.connection
-    found = conn and conn.protocol
-    if isinstance(found, answer_limits.BoundedHandler):
-        return found.exchange
-    return ''
+    handler = _handler_of(resp)
+    return '' if handler is None else handler.exchange
 
 
-def _loss_of(
+def _handler_of(
     resp: aiohttp.ClientResponse,
-) -> typing.Awaitable[None] | None:
-    """Give what ends, or fails, with the connection; None when it is lost."""
+) -> answer_limits.BoundedHandler | None:
+    """Return what reads the connection; None when that is lost."""
     conn = resp.connection
-    return None if conn is None else conn.protocol.closed
+    found = conn and conn.protocol
+    return found if isinstance(found, answer_limits.BoundedHandler) else None
 
 
 async def send(
--- a/libs/backends/geraniumweir/backends/sockets.py
+++ b/libs/backends/geraniumweir/backends/sockets.py
@@ -73,7 +73,7 @@
     return made
 
 
-def is_delivered(sock: asyncio.trsock.TransportSocket) -> bool:
+def is_delivered(sock: asyncio.trsock.TransportSocket | socket.socket) -> bool:
     """Return whether the other side has received all that was written.
 
     A connection that is reset behind the last byte that the other side sends
