Backends: the target of a request is sent as it came

Found besides: all from a number sign on is cut. Cause: the target was parsed as a part of a URL by the HTTP library, which normalizes. Change: the URL is built with the whole target as its path.

--- a/libs/backends/geraniumweir/backends/calls.py
+++ b/libs/backends/geraniumweir/backends/calls.py
@@ -277,7 +277,7 @@
     try:
         resp = await session.request(
             call.method,
-            yarl.URL(f'http://{address}{call.path}', encoded=True),
+            _url(address, call.path),
             data=call.body or None,
             headers=call.headers,
             allow_redirects=False,
@@ -297,6 +297,21 @@
     return Answer(held, address, call.expected)
 
 
+def _url(address: ids.Address, target: str) -> yarl.URL:
+    """Return the URL of a request.
+
+    The target is its path as a whole: of one that is parsed, the library
+    leaves out an empty query and all from a number sign on.
+    """
+    return yarl.URL.build(
+        scheme='http',
+        host=address.host,
+        port=address.port,
+        path=target,
+        encoded=True,
+    )
+
+
 def _text_of(exc: Exception) -> str:
     """Describe an error without headers of the request or bytes received."""
     if isinstance(exc, aiohttp.ClientResponseError):
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -108,6 +108,7 @@
     :ivar behavior: writes the response to each request.
     :ivar seen: ids of the requests that reached it.
     :ivar bodies: of these requests.
+    :ivar targets: of these requests, with their queries.
     :ivar disconnected: is set when a connection to it ends.
     """
 
@@ -115,6 +116,7 @@
     address: ids.Address = ids.Address(_LOCAL, 0)
     seen: list[str] = dataclasses.field(default_factory=list)
     bodies: list[bytes] = dataclasses.field(default_factory=list)
+    targets: list[str] = dataclasses.field(default_factory=list)
     disconnected: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
@@ -147,6 +149,7 @@
         head = read_head(raw)
         length = int(head.get('Content-Length', '0'))
         self.bodies.append(await reader.readexactly(length))
+        self.targets.append(raw.split(b' ', 2)[1].decode('latin-1'))
         self.seen.append(head['Id'])
         await self.behavior(self, head['Id'], head, writer)
 
