--- a/libs/routing/geraniumweir/routing/tables.py
+++ b/libs/routing/geraniumweir/routing/tables.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import typing
 
 from geraniumweir.common import errors, ids
 
@@ -167,16 +168,20 @@
     customers: tuple[Customer, ...] = ()
     limits: Limits = Limits()
 
+    def pool_names(self) -> set[ids.PoolName]:
+        """Return the names of all pools."""
+        return {pool.name for pool in self.pools}
+
 
 def check(doc: Document) -> None:
     """Validate a document.
 
     :raises DocumentError: with the first fault.
     """
-    pools = {pool.name for pool in doc.pools}
+    pools = doc.pool_names()
     locations: set[tuple[str, str]] = set()
     for route in doc.routes:
-        _check_route(route, pools)
+        check_route(route, pools)
         location = (route.host, route.prefix)
         if location in locations:
             raise DocumentError(f'two routes lead from {location}')
@@ -185,7 +190,12 @@
     _check_weights(doc.customers)
 
 
-def _check_route(route: Route, pools: set[ids.PoolName]) -> None:
+def check_route(route: Route, pools: typing.Collection[ids.PoolName]) -> None:
+    """Validate a route by itself.
+
+    :param pools: names of all pools.
+    :raises DocumentError: with the first fault.
+    """
     if not route.prefix.startswith('/') or not route.prefix.endswith('/'):
         raise DocumentError(
             f'route {route.name!r}: the prefix {route.prefix!r} does not begin'
