--- a/libs/scheduling/geraniumweir/scheduling/ratelimits.py
+++ b/libs/scheduling/geraniumweir/scheduling/ratelimits.py
@@ -89,6 +89,9 @@
 def share_of_rejections(per_second: float, share: float, draw: float) -> int:
     """Return the rejections per second that one host may cause of a limit.
 
+    Of a limit of zero, all hosts together may still have one request on its
+    way: without any there is no answer that could lift the limit.
+
     :param share: the host's share of all requests.
     :param draw: random number from 0 to 1, constant for host and server.
 
@@ -96,8 +99,10 @@
     (5, 2)
     >>> share_of_rejections(5, 0.01, 0.9), share_of_rejections(5, 0.01, 0.01)
     (0, 1)
+    >>> share_of_rejections(0, 1, 0.5), share_of_rejections(0, 0.01, 0.5)
+    (1, 0)
     """
-    part = per_second * min(share, 1)
+    part = max(per_second, 1) * min(share, 1)
     whole = math.floor(part)
     return whole + (draw < part - whole)
 
