--- a/libs/common/geraniumweir/common/logevents.py
+++ b/libs/common/geraniumweir/common/logevents.py
@@ -3,7 +3,7 @@
 Each library lists its events in a module ``logevents`` of its own; numbers go
 by library and are catalogued in docs/EVENTS.md: 1xx daemon, 2xx scheduling,
 3xx backends, 4xx wire, 5xx store and consensus, 6xx membership, 7xx
-configuration and claims, 8xx observe.
+configuration and claims, 8xx observe, 9xx common.
 """
 
 import dataclasses
@@ -39,7 +39,7 @@
 
 
 TASK_FAILED: typing.Final = Event(
-    190,
+    901,
     Level.error,
     'background task {task} failed and starts again: {reason} at {where}',
 )
--- a/libs/daemon/geraniumweir/daemon/tests/test_catalogue_pages.py
+++ b/libs/daemon/geraniumweir/daemon/tests/test_catalogue_pages.py
@@ -28,6 +28,7 @@
     'control': 7,
     'gateway': 1,
     'observe': 8,
+    'common': 9,
 }
 
 
--- a/tools/catalogue_pages.py
+++ b/tools/catalogue_pages.py
@@ -23,6 +23,7 @@
     6: 'Membership',
     7: 'Configuration and claims',
     8: 'Observing',
+    9: 'Common',
 }
 _HUNDRED = 100
 
