Prompt parts: a new crash isn't evicted as it is recorded

Cause: the table made room behind the insertion. Where all 64 others have a refused part, the new crash itself was evicted, and its parts were indexed after that: they stayed suspected for good, and the limit of all parts counted what no eviction could free. Change: room is made before the insertion; the oldest crash goes. Measured: the new test fails before, passes here.

--- a/libs/scheduling/geraniumweir/scheduling/crash_table.py
+++ b/libs/scheduling/geraniumweir/scheduling/crash_table.py
@@ -171,9 +171,9 @@
         )
 
     def _insert(self, crash: _Crash) -> None:
-        self._crashes[crash.start] = crash
-        if len(self._crashes) > _MAX_CRASHES:
+        if len(self._crashes) >= _MAX_CRASHES:
             self._evict_one()
+        self._crashes[crash.start] = crash
 
     def _evict_one(self) -> None:
         """Evict the oldest crash without a part that is kept, or the oldest."""
--- a/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/tests/test_part_evidence.py
@@ -283,6 +283,22 @@
     assert len(evidence.crashes.crashes(4)) <= 64
 
 
+# A new crash was evicted as it came, and its parts stayed suspected for good.
+def test_crash_beside_many_with_a_refused_part_expires() -> None:
+    """All others that the table holds are kept for the refused part."""
+    evidence = part_evidence.PartEvidence()
+    for number in range(64):
+        evidence.record_break(_start(number), _broken((_BAD,)), 1)
+        evidence.crashes.confirm(_start(number))
+    evidence.refuse((_BAD,), 2)
+    part = ids.PromptPart(1)
+    evidence.record_break(_start(64), _broken((part,)), 3)
+    assert len(evidence.crashes.crashes(4)) == 64
+    assert part in evidence.crashes
+    evidence.crashes.crashes(1000)
+    assert evidence.crashes.is_empty()
+
+
 def test_host_without_a_coordinator_refuses_what_the_last_one_refused() -> None:
     """To the customers whose requests crashed servers, or to all if several."""
     coordinator = part_evidence.PartEvidence()
