Prompt parts: only what is new in a crash is indexed

Cause: a second reading. Each request that broke off had all parts of its crash searched for in the index again; the crashes that count for a part were listed anew for each request, where they had been kept; a loop over a crash ran twice; guards stood for crashes that can't come (without parts, or that don't count). Change: Crash.add returns the new parts, and the index adds and removes given parts; the lists are kept again; one loop; the guards are gone.

--- a/libs/scheduling/geraniumweir/scheduling/crash_index.py
+++ b/libs/scheduling/geraniumweir/scheduling/crash_index.py
@@ -48,22 +48,21 @@
             itertools.chain.from_iterable(one for one in found if len(one) == 1)
         )
 
-    def add(self, crash: _Crash) -> None:
-        """Add a crash, or the parts that are new in it."""
-        for part in crash.parts:
-            found = self._by_part.setdefault(part, [])
-            if crash not in found:
-                found.append(crash)
-                self._size += 1
+    def add(
+        self, crash: _Crash, parts: typing.Collection[ids.PromptPart]
+    ) -> None:
+        """Add parts that are new in a crash."""
+        for part in parts:
+            self._by_part.setdefault(part, []).append(crash)
+        self._size += len(parts)
 
     def remove(
-        self, crash: _Crash, parts: typing.Iterable[ids.PromptPart]
+        self, crash: _Crash, parts: typing.Collection[ids.PromptPart]
     ) -> None:
         """Remove some parts of a crash."""
         for part in parts:
-            found = self._by_part.get(part, [])
-            if crash in found:
-                found.remove(crash)
-                self._size -= 1
+            found = self._by_part[part]
+            found.remove(crash)
             if not found:
-                self._by_part.pop(part, None)
+                self._by_part.pop(part)
+        self._size -= len(parts)
--- a/libs/scheduling/geraniumweir/scheduling/crash_records.py
+++ b/libs/scheduling/geraniumweir/scheduling/crash_records.py
@@ -73,16 +73,19 @@
         """Return whether another record of this crash has the same evidence."""
         return self._evidence() == other._evidence()
 
-    def add(self, broken: Broken, is_suspected: IsSuspected) -> None:
+    def add(
+        self, broken: Broken, is_suspected: IsSuspected
+    ) -> typing.Collection[ids.PromptPart]:
         """Add a request that ran on the server.
 
         :param is_suspected: returns whether a part is in other crashes. Such
             parts are kept first, then any others: a part that crashes servers
             may have any place in the prompt.
+        :returns: parts that are new in the crash.
         """
         self.domains.add(broken.failure_domain)
         if broken.begun:
-            return
+            return ()
         self.unbegun += 1
         customers = frozenset((broken.customer,))
         new = dict.fromkeys(broken.parts, customers)
@@ -94,6 +97,7 @@
             self.left_out += len(new) - room
             new = dict.fromkeys(chosen, customers)
         self.parts.update(new)
+        return new
 
     def _choose(
         self, parts: list[ids.PromptPart], is_suspected: IsSuspected
--- a/libs/scheduling/geraniumweir/scheduling/crash_table.py
+++ b/libs/scheduling/geraniumweir/scheduling/crash_table.py
@@ -74,8 +74,8 @@
             self._insert(crash)
         if not broken.begun:
             self._rate.record_break(crash.unbegun > 0, now)
-        crash.add(broken, self.by_part.__contains__)
-        self.by_part.add(crash)
+        new = crash.add(broken, self.by_part.__contains__)
+        self.by_part.add(crash, new)
         self._limit_parts()
         self.revision += 1
 
@@ -103,7 +103,7 @@
         """
         for crash in list(self.by_part.find(part)):
             if crash.at <= began_at:
-                crash.parts.pop(part, None)
+                crash.parts.pop(part)
                 self.by_part.remove(crash, [part])
                 self.revision += 1
         return part not in self.by_part
@@ -140,7 +140,7 @@
                     continue
                 self._remove(known)
             self._insert(crash)
-            self.by_part.add(crash)
+            self.by_part.add(crash, crash.parts)
             self.revision += 1
         self._limit_parts()
 
--- a/libs/scheduling/geraniumweir/scheduling/part_evidence.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_evidence.py
@@ -204,11 +204,13 @@
 
         Of those that explain a crash, and of all that are refused.
         """
-        tried = dict.fromkeys(self.leading_parts(customer, parts, now))
-        for part in parts:
-            if part in self.crashes and self.trials.is_refused(part):
-                tried[part] = None
-        for part in tried:
+        leading = self.leading_parts(customer, parts, now)
+        refused = [
+            part
+            for part in parts
+            if part in self.crashes and self.trials.is_refused(part)
+        ]
+        for part in dict.fromkeys((*leading, *refused)):
             is_new = customer not in self.crashes.by_part.customers(part)
             self.trials.begin(part, request_id, now, by_customer=is_new)
 
--- a/libs/scheduling/geraniumweir/scheduling/part_weights.py
+++ b/libs/scheduling/geraniumweir/scheduling/part_weights.py
@@ -50,6 +50,7 @@
             tuple[ids.CustomerName, Parts], Explanation
         ] = {}
         self._weights: dict[tuple[ids.CustomerName, ids.PromptPart], float] = {}
+        self._counted: dict[ids.PromptPart, list[crash_records.Crash]] = {}
         self._sums: dict[
             tuple[ids.CustomerName, notices.ServerIncarnation], float
         ] = {}
@@ -91,7 +92,7 @@
         }
         scale = _prior_scale(crash)
         explained = scale * sum(weights.values())
-        least = _MIN_SHARE * max(weights.values(), default=0)
+        least = _MIN_SHARE * max(weights.values())
         leading = [part for part, weight in weights.items() if weight >= least]
         return (
             explained / (1 + scale * self._sum(customer, crash)),
@@ -110,11 +111,13 @@
         return dict.fromkeys(crashes)
 
     def _crashes_of(self, part: ids.PromptPart) -> list[crash_records.Crash]:
-        return [
-            crash
-            for crash in self._crashes.by_part.find(part)
-            if self._counts(crash)
-        ]
+        if part not in self._counted:
+            self._counted[part] = [
+                crash
+                for crash in self._crashes.by_part.find(part)
+                if self._counts(crash)
+            ]
+        return self._counted[part]
 
     def _counts(self, crash: crash_records.Crash) -> bool:
         found = self._counting.get(crash.start)
@@ -140,20 +143,18 @@
 
         Most are in no other crash and have the weight of their customers' one.
         """
-        lone = collections.Counter(
-            customers
-            for part, customers in crash.parts.items()
-            if self._crashes.by_part.is_lone(part)
-        )
-        log_ratio = crash.log_ratio if self._counts(crash) else 0
-        total = sum(
-            number * _weight(customer, [(customers, log_ratio)])
-            for customers, number in lone.items()
+        lone: collections.Counter[frozenset[ids.CustomerName]] = (
+            collections.Counter()
         )
+        total = float(0)
+        for part, senders in crash.parts.items():
+            if self._crashes.by_part.is_lone(part):
+                lone[senders] += 1
+            else:
+                total += self._weight(customer, part)
         return total + sum(
-            self._weight(customer, part)
-            for part in crash.parts
-            if not self._crashes.by_part.is_lone(part)
+            number * _weight(customer, [(customers, crash.log_ratio)])
+            for customers, number in lone.items()
         )
 
     def _weight(
@@ -197,5 +198,5 @@
 
 
 def _prior_scale(crash: crash_records.Crash) -> float:
-    parts = len(crash.parts) + crash.left_out
-    return min(_MAX_PRIOR_PARTS / max(parts, 1), 1)
+    """Return the factor of weights for a crash that a part is in."""
+    return min(_MAX_PRIOR_PARTS / (len(crash.parts) + crash.left_out), 1)
