Wire: the highest number of a 32-bit field has one place

Cause: a second reading. Three modules that cut numbers to what a message holds had the bound each. Change: framing.MAX_INT32. Measured: the tests of the coordinator client, of translation and of wire pass.

--- a/libs/control/geraniumweir/control/ping_times.py
+++ b/libs/control/geraniumweir/control/ping_times.py
@@ -5,11 +5,10 @@
 """
 
 from geraniumweir.common import ids
+from geraniumweir.wire import framing
 from geraniumweir.wire.gen.control import ttypes
 
 _MS = 1000
-# The field has 32 bits.
-_MAX_SINCE_MS = 0x7FFFFFFF
 
 
 class PingTimes:
@@ -46,7 +45,7 @@
         if answer is not None:
             stamped, received_at = answer
             since_ms = int((now - received_at) * _MS)
-            if since_ms <= _MAX_SINCE_MS:
+            if since_ms <= framing.MAX_INT32:
                 ping.stamp = stamped
                 ping.since_ms = since_ms
 
--- a/libs/control/geraniumweir/control/usage_codec.py
+++ b/libs/control/geraniumweir/control/usage_codec.py
@@ -4,10 +4,9 @@
 
 from geraniumweir.common import ids
 from geraniumweir.scheduling import recent_usage, retrycounts
+from geraniumweir.wire import framing
 from geraniumweir.wire.gen.control import ttypes
 
-_MAX_INT32 = 0x7FFFFFFF
-
 
 def pack(usage: recent_usage.RecentUsage) -> ttypes.Spent:
     """Return the message; amounts are whole tokens or requests."""
@@ -60,12 +59,12 @@
     large_amounts = {
         ago: float(amount)
         for ago, amount in amounts.items()
-        if amount > _MAX_INT32
+        if amount > framing.MAX_INT32
     }
     return ttypes.CustomerSpent(
         customer,
         {
-            ago: min(round(amount), _MAX_INT32)
+            ago: min(round(amount), framing.MAX_INT32)
             for ago, amount in amounts.items()
         },
         large_amounts or None,
--- a/libs/scheduling/geraniumweir/scheduling/translation.py
+++ b/libs/scheduling/geraniumweir/scheduling/translation.py
@@ -10,6 +10,7 @@
 
 from geraniumweir.common import ids
 from geraniumweir.scheduling import requests, stream_origins
+from geraniumweir.wire import framing
 from geraniumweir.wire.gen.scheduling import ttypes
 
 _BITS = 64
@@ -18,7 +19,6 @@
 # The message has a byte for it.
 _MIN_RANK = -128
 _MAX_RANK = 127
-_MAX_INT32 = 0x7FFFFFFF
 
 
 def pack_ask(
@@ -122,7 +122,7 @@
 def pack_denial(denial: requests.Denial) -> ttypes.Denial:
     """Return the message of a denial."""
     return ttypes.Denial(
-        denial.reason.value, min(denial.retry_after_ms, _MAX_INT32)
+        denial.reason.value, min(denial.retry_after_ms, framing.MAX_INT32)
     )
 
 
--- a/libs/wire/geraniumweir/wire/framing.py
+++ b/libs/wire/geraniumweir/wire/framing.py
@@ -24,6 +24,8 @@
 # Largest part of a message that callers may choose, such as a command of the
 # log; the remainder of the frame is for the message's other fields.
 MAX_PAYLOAD_BYTES = MAX_FRAME_BYTES - _OTHER_FIELDS_BYTES
+# Of a field of 32 bits; a higher number can't be encoded.
+MAX_INT32 = 0x7FFFFFFF
 _MAX_CONTAINER_LENGTH = 1024 * 1024
 _LENGTH_BYTES = 4
 # A longer body is read in parts, so that its progress shows.
