Tests of the gateway: sockets on loopback have a module

Change: local_sockets; a free port is that of a bound socket. Measured: the tests of the gateway pass.

--- a/libs/gateway/geraniumweir/gateway/tests/test_listening.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_listening.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from geraniumweir.common import ids
 from geraniumweir.gateway import listening
-from geraniumweir.gateway.tests import testbed
+from geraniumweir.gateway.tests import local_sockets
 
 _STOP_SECONDS = 1
 
@@ -23,7 +23,7 @@
             return web.Response()
 
         stack = contextlib.AsyncExitStack()
-        port = testbed.free_port()
+        port = local_sockets.free_port()
         runner = listening.make_runner(web.Server(handle))
         await listening.listen(stack, runner, ids.Address('127.0.0.1', port))
         _, writer = await asyncio.open_connection('127.0.0.1', port)
--- a/libs/gateway/geraniumweir/gateway/tests/test_overload.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_overload.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from geraniumweir.common import ids, timers, virtual
 from geraniumweir.gateway import listening, overload
-from geraniumweir.gateway.tests import testbed
+from geraniumweir.gateway.tests import local_sockets, testbed
 
 _BUSY_SECONDS = 0.4
 
@@ -66,7 +66,7 @@
     async def scenario() -> None:
         server = overload.CallerSideServer(handle)
         server.overload = _Refusing(timers.TimerService(), float)
-        address = ids.Address('127.0.0.1', testbed.free_port())
+        address = ids.Address('127.0.0.1', local_sockets.free_port())
         async with contextlib.AsyncExitStack() as stack:
             runner = listening.make_runner(server)
             await listening.listen(stack, runner, address)
@@ -100,7 +100,7 @@
         server = testbed.Server(testbed.answers(b'done'))
         async with contextlib.AsyncExitStack() as stack:
             running = await stack.enter_async_context(testbed.running(server))
-            address = ids.Address('127.0.0.1', testbed.free_port())
+            address = ids.Address('127.0.0.1', local_sockets.free_port())
             protection = _Full(timers.TimerService(), float)
             runner = listening.make_runner(
                 running.caller_server.server(protection)
--- a/libs/gateway/geraniumweir/gateway/tests/test_proofs.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_proofs.py
@@ -14,7 +14,7 @@
 import pytest
 from geraniumweir.backends import calls, errors
 from geraniumweir.common import ids
-from geraniumweir.gateway.tests import test_relaying, testbed
+from geraniumweir.gateway.tests import local_sockets, test_relaying, testbed
 from geraniumweir.routing import tables
 from geraniumweir.scheduling import requests
 
@@ -170,7 +170,7 @@
             testbed.running(*servers, **_ONCE)
         )
         _draw_delays(
-            running, chance, ids.Address('127.0.0.1', testbed.free_port())
+            running, chance, ids.Address('127.0.0.1', local_sockets.free_port())
         )
         if relayed:
             test_relaying.cut(running)
--- a/libs/gateway/geraniumweir/gateway/tests/test_relaying.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_relaying.py
@@ -15,7 +15,7 @@
     relay_server,
     server_paths,
 )
-from geraniumweir.gateway.tests import testbed
+from geraniumweir.gateway.tests import local_sockets, testbed
 from geraniumweir.observe import metrics
 from geraniumweir.routing import tables
 from geraniumweir.scheduling import requests
@@ -54,7 +54,7 @@
                 metrics.Metrics(),
             ),
         )
-        address = ids.Address(_LOCAL, testbed.free_port())
+        address = ids.Address(_LOCAL, local_sockets.free_port())
         runner = listening.make_runner(relay.server())
         await listening.listen(stack, runner, address)
         running.relays.append(address)
@@ -226,7 +226,9 @@
         servers = [testbed.Server(testbed.answers(b'good')) for _ in range(3)]
         async with testbed.running(*servers) as running:
             cut(running)
-            running.relays.append(ids.Address(_LOCAL, testbed.free_port()))
+            running.relays.append(
+                ids.Address(_LOCAL, local_sockets.free_port())
+            )
             status, _ = await _get(running)
             return status, set(running.scheduler.released)
 
@@ -241,7 +243,7 @@
         gone = testbed.Server(testbed.answers(b''))
         good = testbed.Server(testbed.answers(b'good'))
         async with testbed.running(gone, good) as running:
-            gone.address = ids.Address(_LOCAL, testbed.free_port())
+            gone.address = ids.Address(_LOCAL, local_sockets.free_port())
             async with run_relay(running, [gone, good]):
                 assert await _get(running) == (200, b'good')
             return running.scheduler.released
--- a/libs/gateway/geraniumweir/gateway/tests/test_sending_records.py
+++ b/libs/gateway/geraniumweir/gateway/tests/test_sending_records.py
@@ -5,7 +5,7 @@
 
 import logbook
 from geraniumweir.common import eventlog, ids, logevents
-from geraniumweir.gateway.tests import test_relaying, testbed
+from geraniumweir.gateway.tests import local_sockets, test_relaying, testbed
 from geraniumweir.observe import metricnames, metrics
 from geraniumweir.routing import tables
 
@@ -30,10 +30,12 @@
         servers += [testbed.Server(behavior) for behavior in behaviors]
         async with testbed.running(*servers, **_ONCE) as running:
             for server in servers[:gone]:
-                server.address = ids.Address('127.0.0.1', testbed.free_port())
+                server.address = ids.Address(
+                    '127.0.0.1', local_sockets.free_port()
+                )
             if cut:
                 test_relaying.cut(running)
-                port = testbed.free_port()
+                port = local_sockets.free_port()
                 running.relays.append(ids.Address('127.0.0.1', port))
             async with running.client.get(
                 running.url, headers={'Id': 'r1'}
--- a/libs/gateway/geraniumweir/gateway/tests/testbed.py
+++ b/libs/gateway/geraniumweir/gateway/tests/testbed.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import socket
 import typing
 
 import aiohttp
@@ -24,7 +23,11 @@
     serving,
 )
 from geraniumweir.gateway import listening as serving_at
-from geraniumweir.gateway.tests import local_streams, plain_codec
+from geraniumweir.gateway.tests import (
+    local_sockets,
+    local_streams,
+    plain_codec,
+)
 from geraniumweir.observe import metrics
 from geraniumweir.routing import finding, tables
 from geraniumweir.scheduling import (
@@ -35,7 +38,6 @@
 
 POOL = ids.PoolName('pool')
 HOST = ids.HostId('entry')
-_LOCAL = '127.0.0.1'
 Behavior = typing.Callable[
     ['Server', str, multidict.CIMultiDict[str], asyncio.StreamWriter],
     typing.Awaitable[None],
@@ -113,7 +115,7 @@
     """
 
     behavior: Behavior
-    address: ids.Address = ids.Address(_LOCAL, 0)
+    address: ids.Address = ids.Address(local_sockets.ADDRESS, 0)
     seen: list[str] = dataclasses.field(default_factory=list)
     bodies: list[bytes] = dataclasses.field(default_factory=list)
     targets: list[str] = dataclasses.field(default_factory=list)
@@ -201,11 +203,13 @@
     """
     async with contextlib.AsyncExitStack() as stack:
         for server in servers:
-            listening = await asyncio.start_server(server.serve, _LOCAL, 0)
+            listening = await asyncio.start_server(
+                server.serve, local_sockets.ADDRESS, 0
+            )
             stack.callback(listening.close)
             server.listening = listening
             port = listening.sockets[0].getsockname()[1]
-            server.address = ids.Address(_LOCAL, port)
+            server.address = ids.Address(local_sockets.ADDRESS, port)
         session = await stack.enter_async_context(calls.make_session())
         scheduler = Scheduler(servers)
         clock = timers.TimerService()
@@ -249,7 +253,7 @@
             metrics.Metrics(),
             memory,
         )
-        sock = _caller_socket(send_buffer)
+        sock = local_sockets.bound(send_buffer)
         address = ids.Address(*sock.getsockname())
         runner = serving_at.make_runner(caller_server.server())
         await serving_at.listen(stack, runner, address, sock)
@@ -267,22 +271,6 @@
         )
 
 
-def _caller_socket(send_buffer: int | None) -> socket.socket:
-    """Return a bound socket; accepted ones inherit the size of its buffer."""
-    sock = socket.socket()
-    if send_buffer is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer)
-    sock.bind((_LOCAL, 0))
-    return sock
-
-
-def free_port() -> int:
-    """Return a port that nothing listens at."""
-    with socket.socket() as sock:
-        sock.bind((_LOCAL, 0))
-        return int(sock.getsockname()[1])
-
-
 def _document(changes: dict[str, typing.Any]) -> tables.Document:
     route = tables.Route(
         ids.RuleName('route'),
